--- /dev/null
+++ b/host.go
@@ -0,0 +1,116 @@
+package fuchsiapitch
+
+import "context"
+
+// ServerKind tells what runs on a backend server.
+type ServerKind int
+
+// The kinds of backend server.
+const (
+	// EngineServer runs a model engine.
+	EngineServer ServerKind = iota + 1
+	// ApplicationServer runs a plain application service.
+	ApplicationServer
+)
+
+// BackendServer is one host behind the system, as the host list describes it.
+type BackendServer struct {
+	id           ServerID
+	kind         ServerKind
+	address      string
+	dataCentre   DataCentreName
+	fabricDomain FabricDomainName
+	service      ServiceName
+	leaving      bool
+}
+
+// BackendServerOption sets one optional property of a backend server.
+type BackendServerOption func(*BackendServer)
+
+// NewBackendServer returns a backend server that answers HTTP at an IP number
+// and port.
+func NewBackendServer(id ServerID, kind ServerKind, address string, dataCentre DataCentreName, options ...BackendServerOption) BackendServer {
+	b := BackendServer{id: id, kind: kind, address: address, dataCentre: dataCentre}
+	for _, o := range options {
+		o(&b)
+	}
+	return b
+}
+
+// WithFabricDomain sets the fabric domain of a backend server.
+func WithFabricDomain(domain FabricDomainName) BackendServerOption {
+	return func(b *BackendServer) { b.fabricDomain = domain }
+}
+
+// WithService sets the application service that runs on a backend server.
+func WithService(service ServiceName) BackendServerOption {
+	return func(b *BackendServer) { b.service = service }
+}
+
+// WithLeaving marks a backend server as about to leave.
+func WithLeaving() BackendServerOption {
+	return func(b *BackendServer) { b.leaving = true }
+}
+
+// ID returns the identifier of the backend server.
+func (b BackendServer) ID() ServerID { return b.id }
+
+// Kind returns what runs on the backend server.
+func (b BackendServer) Kind() ServerKind { return b.kind }
+
+// Address returns the IP number and port of the backend server.
+func (b BackendServer) Address() string { return b.address }
+
+// DataCentre returns the data centre of the backend server.
+func (b BackendServer) DataCentre() DataCentreName { return b.dataCentre }
+
+// FabricDomain returns the fabric domain of the backend server.
+func (b BackendServer) FabricDomain() FabricDomainName { return b.fabricDomain }
+
+// Service returns the application service on the backend server, "" for an engine.
+func (b BackendServer) Service() ServiceName { return b.service }
+
+// Leaving reports whether the backend server is about to leave.
+func (b BackendServer) Leaving() bool { return b.leaving }
+
+// Host is one entry host: a process of the system itself.
+type Host struct {
+	id          HostID
+	address     string
+	dataCentre  DataCentreName
+	incarnation uint64
+}
+
+// NewHost returns an entry host whose processes reach each other at an IP
+// number and port. The incarnation is higher after each restart.
+func NewHost(id HostID, address string, dataCentre DataCentreName, incarnation uint64) Host {
+	return Host{id: id, address: address, dataCentre: dataCentre, incarnation: incarnation}
+}
+
+// ID returns the identifier of the host.
+func (h Host) ID() HostID { return h.id }
+
+// Address returns the IP number and port of the host for other entry hosts.
+func (h Host) Address() string { return h.address }
+
+// DataCentre returns the data centre of the host.
+func (h Host) DataCentre() DataCentreName { return h.dataCentre }
+
+// Incarnation returns the number that rises with each restart of the host.
+func (h Host) Incarnation() uint64 { return h.incarnation }
+
+// HostList is the platform's list of live and leaving hosts. The list lags:
+// absence is no proof of death and presence is no proof of life.
+type HostList interface {
+	// BackendServers returns the listed backend servers. It returns an
+	// UnavailableError when the platform does not answer.
+	BackendServers(ctx context.Context) ([]BackendServer, error)
+}
+
+// WeightStore is the platform's rate-limited store of model weights.
+type WeightStore interface {
+	// Size returns the number of bytes that one backend server loads for a
+	// model version. It returns an UnavailableError when the store does not
+	// answer.
+	Size(ctx context.Context, model, version string) (int64, error)
+}
--- /dev/null
+++ b/internal/reducer/request.go
@@ -0,0 +1,233 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+// attemptLimit is the largest number of attempts and forwards of one request.
+const attemptLimit = 4
+
+// phase is the place of a request in its life.
+type phase int
+
+const (
+	// queued means that the request waits in the scheduler of this host.
+	queued phase = iota + 1
+	// attempting means that the request runs on a replica of this host.
+	attempting
+	// forwarded means that a dispatcher on another host holds the request.
+	forwarded
+)
+
+// flight is the state of one request at this host.
+type flight struct {
+	request  fuchsiapitch.Request
+	offered  bool
+	phase    phase
+	deadline time.Duration
+	attempts int
+	offset   int
+	replica  fuchsiapitch.ReplicaID
+	host     fuchsiapitch.HostID
+	answered bool
+	ran      bool
+	lost     map[fuchsiapitch.ReplicaID]bool
+	excluded map[fuchsiapitch.HostID]bool
+}
+
+func (s *State) applyRequest(event Event) {
+	switch e := event.(type) {
+	case RequestReceived:
+		s.receive(e)
+	case RequestOffered:
+		s.offer(e)
+	case RequestAbandoned:
+		s.forget(e.Request)
+	case AttemptAnswered:
+		s.scheduler.Answered(s.now, e.Request, e.Wait)
+	case AttemptProgressed:
+		s.scheduler.Progressed(s.now, e.Request, e.Tokens, e.Elapsed)
+	case AttemptEnded:
+		s.endAttempt(e)
+	case ForwardEnded:
+		s.endForward(e)
+	}
+}
+
+func (s *State) receive(e RequestReceived) {
+	if s.stopping || s.configuration.Offset() == 0 {
+		s.emit(RefuseRequest{Request: e.Request.ID(), Reason: fuchsiapitch.RefusedNotReady})
+		return
+	}
+	f := s.newFlight(e.Request)
+	s.place(f)
+}
+
+func (s *State) offer(e RequestOffered) {
+	f := s.newFlight(e.Request)
+	f.offered, f.offset = true, e.Offset
+	s.enqueue(f)
+}
+
+func (s *State) newFlight(request fuchsiapitch.Request) *flight {
+	f := &flight{
+		request:  request,
+		deadline: s.now.Monotonic() + request.TimeLimit(),
+		lost:     make(map[fuchsiapitch.ReplicaID]bool),
+		excluded: make(map[fuchsiapitch.HostID]bool),
+	}
+	s.requests[request.ID()] = f
+	return f
+}
+
+// place chooses a dispatcher for a request that a caller sent to this host.
+func (s *State) place(f *flight) {
+	if _, ok := s.configuration.Service(f.request.Service()); !ok {
+		s.refuse(f, fuchsiapitch.RefusedUnknownService, 0)
+		return
+	}
+	load := func(h fuchsiapitch.HostID) int { return s.loadOf(h, f.request.Service()) }
+	h, ok := s.table.Choose(f.request, f.excluded, load)
+	if !ok {
+		s.refuse(f, fuchsiapitch.RefusedNoReplica, time.Second)
+		return
+	}
+	if h.ID() == s.self {
+		s.enqueue(f)
+		return
+	}
+	f.phase, f.host = forwarded, h.ID()
+	f.attempts++
+	s.emit(ForwardRequest{Request: f.request.ID(), Host: h, Offset: f.offset})
+}
+
+// enqueue offers a request to the scheduler of this host.
+func (s *State) enqueue(f *flight) {
+	f.phase = queued
+	a := s.scheduler.Offer(s.now, f.request, sortedKeys(f.lost)...)
+	if !a.Accepted {
+		s.refuse(f, a.Reason, a.RetryAfter)
+	}
+}
+
+// schedule carries out what the scheduler decides after each event.
+func (s *State) schedule() {
+	plan := s.scheduler.Decide(s.now)
+	for _, p := range plan.Starts {
+		f, ok := s.requests[p.Request]
+		if !ok {
+			s.scheduler.Ended(s.now, p.Request)
+			continue
+		}
+		f.phase, f.replica = attempting, p.Replica.ID()
+		f.attempts++
+		s.emit(StartAttempt{Request: p.Request, Replica: p.Replica, Offset: f.offset, Priority: p.Priority})
+	}
+	for _, id := range plan.Preempts {
+		s.emit(PreemptAttempt{Request: id})
+	}
+	for _, r := range plan.Refusals {
+		if f, ok := s.requests[r.Request]; ok {
+			s.refuse(f, r.Reason, r.RetryAfter)
+		}
+	}
+}
+
+// endAttempt decides what follows an attempt at a replica of this host.
+func (s *State) endAttempt(e AttemptEnded) {
+	f, ok := s.requests[e.Request]
+	if !ok {
+		return
+	}
+	s.scheduler.Ended(s.now, e.Request)
+	f.offset, f.answered = e.Tokens, f.answered || e.Answered
+	if e.Outcome == fuchsiapitch.Succeeded {
+		s.finish(f, fuchsiapitch.Succeeded)
+		return
+	}
+	f.ran = f.ran || e.Outcome != fuchsiapitch.NotRun
+	if !e.Stopped {
+		f.lost[f.replica] = true
+	}
+	if s.mayRepeat(f, e.Outcome) {
+		s.enqueue(f)
+		return
+	}
+	s.finish(f, e.Outcome)
+}
+
+// endForward decides what follows after a dispatcher has given a request back.
+func (s *State) endForward(e ForwardEnded) {
+	f, ok := s.requests[e.Request]
+	if !ok {
+		return
+	}
+	f.offset, f.answered = e.Tokens, f.answered || e.Answered
+	if e.Unreachable {
+		s.members.Fail(s.now, e.Host)
+		s.followMembership()
+	}
+	if e.Outcome == fuchsiapitch.Succeeded {
+		s.finish(f, fuchsiapitch.Succeeded)
+		return
+	}
+	f.ran = f.ran || e.Outcome != fuchsiapitch.NotRun
+	f.excluded[e.Host] = true
+	if s.mayRepeat(f, e.Outcome) && e.Refusal != fuchsiapitch.RefusedOverload && e.Refusal != fuchsiapitch.RefusedCustomerLimit {
+		s.place(f)
+		return
+	}
+	if e.Outcome == fuchsiapitch.NotRun {
+		s.refuse(f, e.Refusal, e.RetryAfter)
+		return
+	}
+	s.finish(f, e.Outcome)
+}
+
+// mayRepeat reports whether a request without a whole answer may run again: it
+// was not run, or it is idempotent and the caller can still be given a whole
+// answer.
+func (s *State) mayRepeat(f *flight, outcome fuchsiapitch.Outcome) bool {
+	if f.attempts >= attemptLimit || s.now.Monotonic() >= f.deadline {
+		return false
+	}
+	if outcome == fuchsiapitch.NotRun {
+		return true
+	}
+	return outcome == fuchsiapitch.Unknown && f.request.Idempotent() && (f.request.Stream() || !f.answered)
+}
+
+// refuse ends a request without running it. A request that an earlier attempt
+// may have run ends with an unknown outcome instead, since a refusal states
+// that the request was not run.
+func (s *State) refuse(f *flight, reason fuchsiapitch.RefusalReason, retryAfter time.Duration) {
+	delete(s.requests, f.request.ID())
+	s.scheduler.Ended(s.now, f.request.ID())
+	if f.ran {
+		s.emit(FinishRequest{Request: f.request.ID(), Outcome: fuchsiapitch.Unknown})
+		return
+	}
+	s.emit(RefuseRequest{Request: f.request.ID(), Reason: reason, RetryAfter: retryAfter})
+}
+
+func (s *State) finish(f *flight, outcome fuchsiapitch.Outcome) {
+	delete(s.requests, f.request.ID())
+	s.emit(FinishRequest{Request: f.request.ID(), Outcome: outcome})
+}
+
+func (s *State) forget(id fuchsiapitch.RequestID) {
+	delete(s.requests, id)
+	s.scheduler.Ended(s.now, id)
+}
+
+// expireRequests refuses waiting requests whose deadline has passed.
+func (s *State) expireRequests() {
+	for _, id := range sortedKeys(s.requests) {
+		f := s.requests[id]
+		if f.phase == queued && s.now.Monotonic() >= f.deadline {
+			s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
+		}
+	}
+}
--- /dev/null
+++ b/internal/reducer/sorted.go
@@ -0,0 +1,13 @@
+package reducer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// sortedKeys returns the keys of a map in ascending order, so that decisions do
+// not depend on the order of iteration.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
