--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -100,6 +100,9 @@
 
 func (s *State) tick() {
 	s.tickMembership()
+	s.tickConfiguration()
+	s.tickGroups()
+	s.tickKeys()
 	s.expireRequests()
 }
 
