assembler: the path from a caller to a replica

Cause: nothing served a request yet. Change: the runner owns the reducer's state and carries out its effects; the receiver reads OpenAI-shaped and application requests; the forwarder follows the directives; the dispatcher carries requests and heartbeats over gRPC with one connection for each rank; the assembler puts an entry host together under suture, with metrics, traces and a graceful stop.

--- /dev/null
+++ b/internal/dispatcher/server.go
@@ -0,0 +1,76 @@
+// Package dispatcher carries requests and heartbeats between entry hosts.
+package dispatcher
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder/wire"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/forwarder"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/runner"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/tracer"
+)
+
+// Server answers the other entry hosts.
+type Server struct {
+	wire.UnimplementedPeerServer
+	runner    *runner.Runner
+	forwarder *forwarder.Forwarder
+}
+
+// NewServer returns a server; Register adds it to a gRPC server.
+func NewServer(r *runner.Runner, f *forwarder.Forwarder) *Server {
+	return &Server{runner: r, forwarder: f}
+}
+
+// Register adds the server to a gRPC server.
+func (s *Server) Register(g *grpc.Server) { wire.RegisterPeerServer(g, s) }
+
+// Beat implements wire.PeerServer.
+func (s *Server) Beat(ctx context.Context, w *wire.Heartbeat) (*wire.Heartbeat, error) {
+	s.runner.Submit(ctx, reducer.HeartbeatReceived{Heartbeat: encoder.DecodeHeartbeat(w)})
+	var answer gossiper.Heartbeat
+	err := s.runner.Inspect(ctx, func(state *reducer.State) { answer = state.ComposeHeartbeat() })
+	if err != nil {
+		return nil, err
+	}
+	return encoder.EncodeHeartbeat(answer), nil
+}
+
+// Dispatch implements wire.PeerServer.
+func (s *Server) Dispatch(w *wire.DispatchRequest, stream grpc.ServerStreamingServer[wire.DispatchFrame]) error {
+	request, call := encoder.DecodeDispatch(w)
+	sink := &frameSink{stream: stream}
+	result := s.forwarder.Dispatch(tracer.Extract(stream.Context(), call.Header()), fuchsiapitch.HostID(w.GetFrom()), request, call, sink)
+	return stream.Send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_End{End: &wire.End{
+		Outcome: int32(result.Outcome), Refusal: int32(result.Refusal), RetryAfterMs: result.RetryAfter.Milliseconds(),
+	}}})
+}
+
+// frameSink passes an answer on as frames.
+type frameSink struct {
+	stream grpc.ServerStreamingServer[wire.DispatchFrame]
+}
+
+// Start implements forwarder.Sink.
+func (s *frameSink) Start(status int, header map[string][]string) error {
+	return s.stream.Send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Start{Start: &wire.Start{
+		Status: int32(status), Header: encoder.EncodeHeader(header),
+	}}})
+}
+
+// Write implements forwarder.Sink.
+func (s *frameSink) Write(chunk fuchsiapitch.Chunk) error {
+	return s.stream.Send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Data{Data: &wire.Data{
+		Data: chunk.Data(), Tokens: int32(chunk.Tokens()),
+	}}})
+}
+
+// Size returns the size of a heartbeat on the wire in bytes, without framing.
+func Size(h gossiper.Heartbeat) int { return proto.Size(encoder.EncodeHeartbeat(h)) }
--- /dev/null
+++ b/internal/encoder/peer.go
@@ -0,0 +1,127 @@
+// Package encoder maps the domain types to and from their wire types by hand.
+package encoder
+
+import (
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder/wire"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
+)
+
+// EncodeHost returns the wire form of a host.
+func EncodeHost(h fuchsiapitch.Host) *wire.Host {
+	return &wire.Host{Id: string(h.ID()), Address: h.Address(), DataCentre: string(h.DataCentre()), Incarnation: h.Incarnation()}
+}
+
+// DecodeHost returns the host of a wire form.
+func DecodeHost(w *wire.Host) fuchsiapitch.Host {
+	return fuchsiapitch.NewHost(fuchsiapitch.HostID(w.GetId()), w.GetAddress(),
+		fuchsiapitch.DataCentreName(w.GetDataCentre()), w.GetIncarnation())
+}
+
+// EncodeHeartbeat returns the wire form of a heartbeat.
+func EncodeHeartbeat(h gossiper.Heartbeat) *wire.Heartbeat {
+	w := &wire.Heartbeat{
+		From: EncodeHost(h.From), Sequence: h.Sequence, Leaving: h.Leaving,
+		Configuration: uint64(h.Configuration), ConfigurationHash: h.ConfigurationHash,
+		PromiseTerm: uint64(h.Promise.Term), PromiseRemainingMs: h.Promise.Remaining.Milliseconds(),
+	}
+	for _, l := range h.Loads {
+		w.Loads = append(w.Loads, &wire.ServiceLoad{
+			Service: string(l.Service), Slots: toCount(l.Slots), InFlight: toCount(l.InFlight), Queued: toCount(l.Queued),
+		})
+	}
+	for _, d := range h.Demands {
+		w.Demands = append(w.Demands, &wire.CustomerDemand{
+			Customer: string(d.Customer), InFlight: toCount(d.InFlight), TokensPerSecond: d.TokensPerSecond,
+		})
+	}
+	for _, v := range h.Views {
+		w.Views = append(w.Views, &wire.PeerView{Host: EncodeHost(v.Host), Standing: toCount(int(v.Standing))})
+	}
+	return w
+}
+
+// DecodeHeartbeat returns the heartbeat of a wire form.
+func DecodeHeartbeat(w *wire.Heartbeat) gossiper.Heartbeat {
+	h := gossiper.Heartbeat{
+		From: DecodeHost(w.GetFrom()), Sequence: w.GetSequence(), Leaving: w.GetLeaving(),
+		Configuration: fuchsiapitch.Offset(w.GetConfiguration()), ConfigurationHash: w.GetConfigurationHash(),
+		Promise: gossiper.Promise{
+			Term:      fuchsiapitch.Term(w.GetPromiseTerm()),
+			Remaining: time.Duration(w.GetPromiseRemainingMs()) * time.Millisecond,
+		},
+	}
+	for _, l := range w.GetLoads() {
+		h.Loads = append(h.Loads, gossiper.ServiceLoad{
+			Service: fuchsiapitch.ServiceName(l.GetService()), Slots: int(l.GetSlots()),
+			InFlight: int(l.GetInFlight()), Queued: int(l.GetQueued()),
+		})
+	}
+	for _, d := range w.GetDemands() {
+		h.Demands = append(h.Demands, gossiper.CustomerDemand{
+			Customer: fuchsiapitch.CustomerName(d.GetCustomer()), InFlight: int(d.GetInFlight()),
+			TokensPerSecond: d.GetTokensPerSecond(),
+		})
+	}
+	for _, v := range w.GetViews() {
+		h.Views = append(h.Views, gossiper.PeerView{Host: DecodeHost(v.GetHost()), Standing: gossiper.Standing(v.GetStanding())})
+	}
+	return h
+}
+
+// toCount returns a count as it travels; a negative one becomes 0.
+func toCount(n int) uint32 {
+	return uint32(max(n, 0)) //nolint:gosec // counts are far below the limit
+}
+
+// EncodeDispatch returns the wire form of a request, handed over by a host.
+func EncodeDispatch(from fuchsiapitch.HostID, r fuchsiapitch.Request, c fuchsiapitch.Call) *wire.DispatchRequest {
+	return &wire.DispatchRequest{
+		Id: string(r.ID()), Service: string(r.Service()), Customer: string(r.Customer()), Rank: string(r.Rank()),
+		Cost: r.Cost(), Prefix: r.Prefix(), Idempotent: r.Idempotent(), Stream: r.Stream(),
+		RemainingMs: r.TimeLimit().Milliseconds(), From: string(from), Offset: int64(c.Offset()),
+		Method: c.Method(), Path: c.Path(), Header: EncodeHeader(c.Header()), Body: c.Body(),
+	}
+}
+
+// DecodeDispatch returns the request and the call of a wire form.
+func DecodeDispatch(w *wire.DispatchRequest) (fuchsiapitch.Request, fuchsiapitch.Call) {
+	options := []fuchsiapitch.RequestOption{
+		fuchsiapitch.WithCost(w.GetCost(), int64(len(w.GetBody()))),
+		fuchsiapitch.WithPrefix(w.GetPrefix()),
+		fuchsiapitch.WithTimeLimit(time.Duration(w.GetRemainingMs()) * time.Millisecond),
+	}
+	calls := []fuchsiapitch.CallOption{fuchsiapitch.WithHeader(DecodeHeader(w.GetHeader()))}
+	if w.GetIdempotent() {
+		options = append(options, fuchsiapitch.WithRepeatable())
+		calls = append(calls, fuchsiapitch.WithIdempotent())
+	}
+	if w.GetStream() {
+		options = append(options, fuchsiapitch.WithTokenStream())
+		calls = append(calls, fuchsiapitch.WithStream(int(w.GetOffset())))
+	}
+	id := fuchsiapitch.RequestID(w.GetId())
+	request := fuchsiapitch.NewRequest(id, fuchsiapitch.ServiceName(w.GetService()),
+		fuchsiapitch.CustomerName(w.GetCustomer()), fuchsiapitch.RankName(w.GetRank()), options...)
+	return request, fuchsiapitch.NewCall(id, w.GetMethod(), w.GetPath(), w.GetBody(), calls...)
+}
+
+// EncodeHeader returns the wire form of HTTP header fields.
+func EncodeHeader(header map[string][]string) []*wire.HeaderField {
+	fields := make([]*wire.HeaderField, 0, len(header))
+	for name, values := range header {
+		fields = append(fields, &wire.HeaderField{Name: name, Values: values})
+	}
+	return fields
+}
+
+// DecodeHeader returns the HTTP header fields of a wire form.
+func DecodeHeader(fields []*wire.HeaderField) map[string][]string {
+	header := make(map[string][]string, len(fields))
+	for _, f := range fields {
+		header[f.GetName()] = f.GetValues()
+	}
+	return header
+}
--- /dev/null
+++ b/internal/forwarder/attempt.go
@@ -0,0 +1,172 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
+)
+
+// attempt sends the request to a replica and reports its end.
+func (h *holder) attempt(ctx context.Context, d reducer.StartAttempt) {
+	attemptContext, cancel := h.mailbox.Attempt(ctx)
+	defer cancel()
+	attemptContext, span := h.span(attemptContext, "send", d.Replica.Server().Address())
+	defer span.End()
+
+	ended := reducer.AttemptEnded{Request: h.request.ID(), Outcome: fuchsiapitch.Succeeded}
+	progress := h.newProgress()
+	answer, err := h.forwarder.caller.Call(attemptContext, d.Replica.Server(), h.callAt(attemptContext, d.Priority))
+	if err == nil {
+		err = h.copy(attemptContext, answer, progress)
+	}
+	ended.Tokens, ended.Answered = h.tokens, h.started
+	if err != nil {
+		h.judgeAttempt(&ended, err)
+		span.RecordError(err)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	h.forwarder.runner.Submit(ctx, ended)
+}
+
+func (h *holder) judgeAttempt(ended *reducer.AttemptEnded, err error) {
+	ended.Outcome = fuchsiapitch.Unknown
+	ended.Stopped = h.mailbox.Stopped()
+	var attempt *fuchsiapitch.AttemptError
+	if errors.As(err, &attempt) {
+		ended.Outcome = attempt.Outcome
+	}
+	var unreachable *fuchsiapitch.UnreachableError
+	ended.Unreachable = errors.As(err, &unreachable) && !ended.Stopped
+}
+
+// forward hands the request to a dispatcher on another host and reports its end.
+func (h *holder) forward(ctx context.Context, d reducer.ForwardRequest) {
+	forwardContext, span := h.span(ctx, "forward", d.Host.Address())
+	defer span.End()
+
+	ended := reducer.ForwardEnded{Request: h.request.ID(), Host: d.Host.ID(), Outcome: fuchsiapitch.Succeeded}
+	answer, err := h.forwarder.peer.Dispatch(forwardContext, d.Host, h.request, h.callAt(forwardContext, 0))
+	if err == nil {
+		err = h.copy(forwardContext, answer, nil)
+	}
+	ended.Tokens, ended.Answered = h.tokens, h.started
+	if err != nil {
+		judgeForward(&ended, err)
+		span.RecordError(err)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	h.forwarder.runner.Submit(ctx, ended)
+}
+
+func judgeForward(ended *reducer.ForwardEnded, err error) {
+	ended.Outcome = fuchsiapitch.Unknown
+	var dispatch *fuchsiapitch.DispatchError
+	if errors.As(err, &dispatch) {
+		ended.Outcome, ended.Refusal = dispatch.Outcome, dispatch.Refusal
+		ended.RetryAfter, ended.Unreachable = dispatch.RetryAfter, dispatch.Unreachable
+	}
+}
+
+// copy moves an answer to the sink and closes it.
+func (h *holder) copy(ctx context.Context, answer fuchsiapitch.Answer, progress *progress) error {
+	defer answer.Body().Close()
+	if h.request.Stream() && isStreamStatus(answer.Status()) {
+		return h.copyStream(ctx, answer, progress)
+	}
+	return h.copyPlain(answer)
+}
+
+func (h *holder) copyStream(ctx context.Context, answer fuchsiapitch.Answer, progress *progress) error {
+	if err := h.start(answer.Status(), answer.Header()); err != nil {
+		return err
+	}
+	for {
+		chunk, err := answer.Body().Next()
+		if err != nil {
+			return wholeOr(err)
+		}
+		h.tokens += chunk.Tokens()
+		if err := h.sink.Write(chunk); err != nil {
+			return err
+		}
+		progress.add(ctx, chunk.Tokens())
+	}
+}
+
+// copyPlain holds an answer back until it is whole, so that a truncated one
+// can be replaced, unless it is larger than bufferLimit.
+func (h *holder) copyPlain(answer fuchsiapitch.Answer) error {
+	if h.started {
+		return &fuchsiapitch.TruncatedAnswerError{Request: h.request.ID(), Tokens: h.tokens}
+	}
+	var held []byte
+	for {
+		chunk, err := answer.Body().Next()
+		if err != nil {
+			if err = wholeOr(err); err != nil {
+				return err
+			}
+			return h.flush(answer, held)
+		}
+		held = append(held, chunk.Data()...)
+		if len(held) < bufferLimit {
+			continue
+		}
+		if err := h.flush(answer, held); err != nil {
+			return err
+		}
+		held = held[:0]
+	}
+}
+
+func (h *holder) flush(answer fuchsiapitch.Answer, held []byte) error {
+	if err := h.start(answer.Status(), answer.Header()); err != nil {
+		return err
+	}
+	return h.sink.Write(fuchsiapitch.NewChunk(held, 0))
+}
+
+// progressPeriod is the time between two reports on a stream.
+const progressPeriod = 250 * time.Millisecond
+
+// progress reports the tokens of one attempt from time to time.
+type progress struct {
+	holder  *holder
+	started time.Time
+	last    time.Time
+	tokens  int
+	first   bool
+}
+
+func (h *holder) newProgress() *progress {
+	now := time.Now()
+	return &progress{holder: h, started: now, last: now}
+}
+
+// add counts tokens. It does nothing for a forwarded request, whose dispatcher
+// reports.
+func (p *progress) add(ctx context.Context, tokens int) {
+	if p == nil {
+		return
+	}
+	p.tokens += tokens
+	now := time.Now()
+	if !p.first {
+		p.first = true
+		p.holder.forwarder.runner.Submit(ctx, reducer.AttemptAnswered{Request: p.holder.request.ID(), Wait: now.Sub(p.started)})
+	}
+	if now.Sub(p.last) < progressPeriod {
+		return
+	}
+	p.holder.forwarder.runner.Submit(ctx, reducer.AttemptProgressed{
+		Request: p.holder.request.ID(), Tokens: p.tokens, Elapsed: now.Sub(p.last),
+	})
+	p.last, p.tokens = now, 0
+}
--- a/internal/gossiper/membership.go
+++ b/internal/gossiper/membership.go
@@ -92,18 +92,19 @@
 // Leave announces the stop of this host.
 func (m *Membership) Leave() { m.leaving = true }
 
-// Live returns the hosts of the data centre that can dispatch, this host
-// included unless it leaves, in the order of their identifiers.
+// Live returns the hosts of the data centre that can dispatch, in the order of
+// their identifiers. This host is among them unless it leaves and another host
+// can take over.
 func (m *Membership) Live() []fuchsiapitch.Host {
 	var live []fuchsiapitch.Host
-	if !m.leaving {
-		live = append(live, m.self)
-	}
 	for _, p := range m.members {
 		if p.host.DataCentre() == m.self.DataCentre() && (p.standing == Alive || p.standing == Suspected) {
 			live = append(live, p.host)
 		}
 	}
+	if !m.leaving || len(live) == 0 {
+		live = append(live, m.self)
+	}
 	slices.SortFunc(live, func(a, b fuchsiapitch.Host) int { return cmp.Compare(a.ID(), b.ID()) })
 	return live
 }
--- /dev/null
+++ b/internal/receiver/answer.go
@@ -0,0 +1,95 @@
+package receiver
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/forwarder"
+)
+
+// writeTimeout bounds the time that a caller may take to read one piece.
+const writeTimeout = 30 * time.Second
+
+// answer serves a request and gives the caller the answer or the failure.
+func (r *Receiver) answer(w http.ResponseWriter, q *http.Request, request fuchsiapitch.Request, call fuchsiapitch.Call, model bool) {
+	sink := &responseSink{
+		writer: w, controller: http.NewResponseController(w), request: request,
+		flushed: request.Stream(), received: time.Now(), receiver: r,
+	}
+	result := r.forwarder.Receive(q.Context(), request, call, sink)
+	r.meter.Ended(request.Service(), request.Rank(), result.Outcome)
+	if result.Outcome == fuchsiapitch.Succeeded {
+		return
+	}
+	if !result.Started {
+		writeFailure(w, request.ID(), model, failureOfResult(result))
+		return
+	}
+	sink.abort(result)
+}
+
+// responseSink passes an answer to a caller.
+type responseSink struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	request    fuchsiapitch.Request
+	receiver   *Receiver
+	flushed    bool
+	wrote      bool
+	received   time.Time
+}
+
+// Start implements forwarder.Sink.
+func (s *responseSink) Start(status int, header map[string][]string) error {
+	h := s.writer.Header()
+	for name, values := range header {
+		h[http.CanonicalHeaderKey(name)] = values
+	}
+	h.Set(headerRequestID, string(s.request.ID()))
+	if !s.request.Stream() {
+		h.Set(headerOutcome, fuchsiapitch.Succeeded.String())
+	}
+	s.writer.WriteHeader(status)
+	return nil
+}
+
+// Write implements forwarder.Sink. A stream is flushed piece by piece; each
+// piece has its own deadline, since a stream as a whole has none.
+func (s *responseSink) Write(chunk fuchsiapitch.Chunk) error {
+	if !s.wrote {
+		s.wrote = true
+		s.receiver.meter.FirstToken(s.request.Service(), s.request.Rank(), time.Since(s.received))
+	}
+	// Connections that know no deadline are bounded by the server's own.
+	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := s.writer.Write(chunk.Data()); err != nil {
+		return err
+	}
+	s.receiver.meter.Tokens(s.request.Service(), chunk.Tokens())
+	if s.flushed {
+		return s.controller.Flush()
+	}
+	return nil
+}
+
+// abort ends an answer that has begun and cannot be completed. A stream ends
+// with an error event; a plain answer is cut so that its length is wrong.
+func (s *responseSink) abort(result forwarder.Result) {
+	if !s.request.Stream() {
+		panic(http.ErrAbortHandler)
+	}
+	f := failureOfResult(result)
+	event, err := json.Marshal(modelProblem{Error: modelProblemDetail{
+		Message: f.detail + " after " + strconv.Itoa(result.Tokens) + " tokens",
+		Type:    f.code, Code: f.code, Outcome: result.Outcome.String(),
+	}})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	// A caller that has gone cannot be told.
+	_, _ = s.writer.Write(append(append([]byte("event: error\ndata: "), event...), "\n\n"...))
+	_ = s.controller.Flush()
+}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -57,7 +57,7 @@
 }
 
 func (s *State) receive(e RequestReceived) {
-	if s.stopping || s.configuration.Offset() == 0 {
+	if s.configuration.Offset() == 0 {
 		s.emit(RefuseRequest{Request: e.Request.ID(), Reason: fuchsiapitch.RefusedNotReady})
 		return
 	}
--- /dev/null
+++ b/internal/runner/mailbox.go
@@ -0,0 +1,76 @@
+package runner
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
+)
+
+// mailboxSize is the number of directives that one request can have waiting.
+const mailboxSize = 64
+
+// Mailbox passes the directives of one request to its holder.
+type Mailbox struct {
+	request    fuchsiapitch.RequestID
+	directives chan reducer.Directive
+
+	mutex     sync.Mutex
+	interrupt context.CancelFunc
+	stopped   bool
+}
+
+func newMailbox(request fuchsiapitch.RequestID) *Mailbox {
+	return &Mailbox{request: request, directives: make(chan reducer.Directive, mailboxSize)}
+}
+
+// Next waits for the next directive. It returns the context's error when the
+// context ends first.
+func (m *Mailbox) Next(ctx context.Context) (reducer.Directive, error) {
+	select {
+	case d := <-m.directives:
+		return d, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Attempt returns a context for one attempt. A PreemptAttempt ends it.
+func (m *Mailbox) Attempt(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.interrupt, m.stopped = cancel, false
+	return ctx, cancel
+}
+
+// Stopped reports whether the last attempt was preempted.
+func (m *Mailbox) Stopped() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.stopped
+}
+
+// deliver adds a directive. It returns false when the mailbox is full.
+func (m *Mailbox) deliver(directive reducer.Directive) bool {
+	if _, ok := directive.(reducer.PreemptAttempt); ok {
+		m.stop()
+		return true
+	}
+	select {
+	case m.directives <- directive:
+		return true
+	default:
+		return false
+	}
+}
+
+func (m *Mailbox) stop() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.interrupt != nil {
+		m.stopped = true
+		m.interrupt()
+	}
+}
