gossiper: bounded heartbeats and bridges between data centres

Cause: a heartbeat of every host to three others carried up to 20 entries, and data centres knew nothing of each other. Change: one host of the data centre a period, at most three views and three remote loads in a heartbeat; two bridges of each data centre exchange its loads with the others; a bridged request is placed within the data centre it reaches. Conclusion: the size of a heartbeat no longer depends on the number of hosts.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -158,7 +158,7 @@
 	if e.peersTLS != nil {
 		options = append(options, dispatcher.WithCredentials(credentials.NewTLS(e.peersTLS)))
 	}
-	client, closeClient := dispatcher.NewClient(e.self.ID(), options...)
+	client, closeClient := dispatcher.NewClient(e.self, options...)
 	e.cleanUps = append(e.cleanUps, closeClient)
 	state := reducer.New(e.self, reducer.WithCandidates(e.candidates...))
 	e.runner = runner.New(state,
--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -34,7 +34,7 @@
 
 // Client reaches the other entry hosts.
 type Client struct {
-	self        fuchsiapitch.HostID
+	self        fuchsiapitch.Host
 	credentials credentials.TransportCredentials
 
 	mutex       sync.Mutex
@@ -50,7 +50,7 @@
 }
 
 // NewClient returns a client and the function that closes its connections.
-func NewClient(self fuchsiapitch.HostID, options ...ClientOption) (*Client, func()) {
+func NewClient(self fuchsiapitch.Host, options ...ClientOption) (*Client, func()) {
 	c := &Client{self: self, credentials: insecure.NewCredentials(), connections: make(map[lane]*grpc.ClientConn)}
 	for _, o := range options {
 		o(c)
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -47,12 +47,17 @@
 func (s *Server) Dispatch(w *wire.DispatchRequest, stream grpc.ServerStreamingServer[wire.DispatchFrame]) error {
 	request, call := encoder.DecodeDispatch(w)
 	sink := &frameSink{stream: stream}
-	result := s.forwarder.Dispatch(tracer.Extract(stream.Context(), call.Header()), fuchsiapitch.HostID(w.GetFrom()), request, call, sink)
+	result := s.forwarder.Dispatch(tracer.Extract(stream.Context(), call.Header()), originOf(w), request, call, sink)
 	return stream.Send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_End{End: &wire.End{
 		Outcome: int32(result.Outcome), Refusal: int32(result.Refusal), RetryAfterMs: result.RetryAfter.Milliseconds(),
 	}}})
 }
 
+// originOf returns the host that hands a request over.
+func originOf(w *wire.DispatchRequest) fuchsiapitch.Host {
+	return fuchsiapitch.NewHost(fuchsiapitch.HostID(w.GetFrom()), "", fuchsiapitch.DataCentreName(w.GetFromDataCentre()), 0)
+}
+
 // frameSink passes an answer on as frames.
 type frameSink struct {
 	stream grpc.ServerStreamingServer[wire.DispatchFrame]
--- a/internal/encoder/peer.go
+++ b/internal/encoder/peer.go
@@ -28,8 +28,11 @@
 		PromiseTerm: uint64(h.Promise.Term), PromiseRemainingMs: h.Promise.Remaining.Milliseconds(),
 	}
 	for _, l := range h.Loads {
-		w.Loads = append(w.Loads, &wire.ServiceLoad{
-			Service: string(l.Service), Slots: toCount(l.Slots), InFlight: toCount(l.InFlight), Queued: toCount(l.Queued),
+		w.Loads = append(w.Loads, encodeLoad(l))
+	}
+	for _, r := range h.Remotes {
+		w.Remotes = append(w.Remotes, &wire.CentreLoad{
+			Bridge: EncodeHost(r.Bridge), Load: encodeLoad(r.Load), AgeMs: r.Age.Milliseconds(),
 		})
 	}
 	for _, d := range h.Demands {
@@ -54,9 +57,12 @@
 		},
 	}
 	for _, l := range w.GetLoads() {
-		h.Loads = append(h.Loads, gossiper.ServiceLoad{
-			Service: fuchsiapitch.ServiceName(l.GetService()), Slots: int(l.GetSlots()),
-			InFlight: int(l.GetInFlight()), Queued: int(l.GetQueued()),
+		h.Loads = append(h.Loads, decodeLoad(l))
+	}
+	for _, r := range w.GetRemotes() {
+		h.Remotes = append(h.Remotes, gossiper.CentreLoad{
+			Bridge: DecodeHost(r.GetBridge()), Load: decodeLoad(r.GetLoad()),
+			Age: time.Duration(r.GetAgeMs()) * time.Millisecond,
 		})
 	}
 	for _, d := range w.GetDemands() {
@@ -71,17 +77,30 @@
 	return h
 }
 
+func encodeLoad(l gossiper.ServiceLoad) *wire.ServiceLoad {
+	return &wire.ServiceLoad{
+		Service: string(l.Service), Slots: toCount(l.Slots), InFlight: toCount(l.InFlight), Queued: toCount(l.Queued),
+	}
+}
+
+func decodeLoad(w *wire.ServiceLoad) gossiper.ServiceLoad {
+	return gossiper.ServiceLoad{
+		Service: fuchsiapitch.ServiceName(w.GetService()), Slots: int(w.GetSlots()),
+		InFlight: int(w.GetInFlight()), Queued: int(w.GetQueued()),
+	}
+}
+
 // toCount returns a count as it travels; a negative one becomes 0.
 func toCount(n int) uint32 {
 	return uint32(max(n, 0)) //nolint:gosec // counts are far below the limit
 }
 
 // EncodeDispatch returns the wire form of a request, handed over by a host.
-func EncodeDispatch(from fuchsiapitch.HostID, r fuchsiapitch.Request, c fuchsiapitch.Call) *wire.DispatchRequest {
+func EncodeDispatch(from fuchsiapitch.Host, r fuchsiapitch.Request, c fuchsiapitch.Call) *wire.DispatchRequest {
 	return &wire.DispatchRequest{
 		Id: string(r.ID()), Service: string(r.Service()), Customer: string(r.Customer()), Rank: string(r.Rank()),
 		Cost: r.Cost(), Prefix: r.Prefix(), Idempotent: r.Idempotent(), Stream: r.Stream(),
-		RemainingMs: r.TimeLimit().Milliseconds(), From: string(from), Offset: int64(c.Offset()),
+		RemainingMs: r.TimeLimit().Milliseconds(), From: string(from.ID()), FromDataCentre: string(from.DataCentre()), Offset: int64(c.Offset()),
 		Method: c.Method(), Path: c.Path(), Header: EncodeHeader(c.Header()), Body: c.Body(),
 	}
 }
--- /dev/null
+++ b/internal/experimenter/registry.go
@@ -0,0 +1,16 @@
+package experimenter
+
+// All returns every experiment in the order of the help.
+func All() []Experiment {
+	return []Experiment{}
+}
+
+// Find returns an experiment by name.
+func Find(name string) (Experiment, bool) {
+	for _, e := range All() {
+		if e.Name() == name {
+			return e, true
+		}
+	}
+	return nil, false
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,7 +79,7 @@
 }
 
 // Dispatch serves a request that another entry host hands to this one.
-func (f *Forwarder) Dispatch(ctx context.Context, from fuchsiapitch.HostID, request fuchsiapitch.Request, call fuchsiapitch.Call, sink Sink) Result {
+func (f *Forwarder) Dispatch(ctx context.Context, from fuchsiapitch.Host, request fuchsiapitch.Request, call fuchsiapitch.Call, sink Sink) Result {
 	return f.serve(ctx, request, call, sink, reducer.RequestOffered{Request: request, From: from, Offset: call.Offset()})
 }
 
--- a/internal/gossiper/heartbeat.go
+++ b/internal/gossiper/heartbeat.go
@@ -65,6 +65,8 @@
 	Demands []CustomerDemand
 	// Views are the sender's newest beliefs of other hosts.
 	Views []PeerView
+	// Remotes are loads of whole data centres, in turns.
+	Remotes []CentreLoad
 	// Promise is the sender's promise to the controller, if any.
 	Promise Promise
 }
--- a/internal/gossiper/membership.go
+++ b/internal/gossiper/membership.go
@@ -25,12 +25,13 @@
 )
 
 const (
-	// fanOut is the number of hosts that get a heartbeat in each period.
-	fanOut = 3
+	// fanOut is the number of hosts of the data centre that get a heartbeat in
+	// each period.
+	fanOut = 1
 	// suspicionTime is the time in which a suspected host can refute.
 	suspicionTime = 3 * time.Second
 	// viewLimit is the largest number of views in a heartbeat.
-	viewLimit = 6
+	viewLimit = 3
 	// forgetTime is the time for which a dead host is remembered.
 	forgetTime = 10 * time.Minute
 )
@@ -63,13 +64,15 @@
 	members  map[fuchsiapitch.HostID]*member
 	sequence uint64
 	cursor   int
+	rounds   int
 	changes  uint64
+	remotes  *remotes
 }
 
 // New returns a membership that knows the candidates from the settings. They
 // count as dead until they are heard of.
 func New(self fuchsiapitch.Host, candidates ...fuchsiapitch.Host) *Membership {
-	m := &Membership{self: self, members: make(map[fuchsiapitch.HostID]*member)}
+	m := &Membership{self: self, members: make(map[fuchsiapitch.HostID]*member), remotes: newRemotes()}
 	for _, c := range candidates {
 		if c.ID() != self.ID() {
 			m.members[c.ID()] = newMember(c, Dead)
@@ -126,23 +129,36 @@
 }
 
 // Tick ages the suspicions and returns the hosts that get a heartbeat now. It
-// is called once a period. The hosts take turns; a dead host takes its turn
-// too, so that a healed partition is found.
+// is called once a period. The hosts of the data centre take turns; a dead host
+// takes its turn too, so that a healed partition is found. A bridge writes to
+// the other data centres as well.
 func (m *Membership) Tick(now fuchsiapitch.Instant) []fuchsiapitch.Host {
 	m.age(now.Monotonic())
-	ids := m.order()
-	if len(ids) == 0 {
-		return nil
-	}
-	count := min(fanOut, len(ids))
-	targets := make([]fuchsiapitch.Host, 0, count)
-	for range count {
+	m.remotes.forget(now.Monotonic())
+	m.rounds++
+	targets := m.bridgeTargets()
+	ids := m.neighbours()
+	for range min(fanOut, len(ids)) {
 		m.cursor = (m.cursor + 1) % len(ids)
 		targets = append(targets, m.members[ids[m.cursor]].host)
 	}
 	return targets
 }
 
+// neighbours returns the other hosts of the data centre in a fixed order that
+// differs from host to host, so that the hosts do not all write to the same one.
+func (m *Membership) neighbours() []fuchsiapitch.HostID {
+	ids := m.order()
+	ids = slices.DeleteFunc(ids, func(id fuchsiapitch.HostID) bool {
+		return m.members[id].host.DataCentre() != m.self.DataCentre()
+	})
+	if len(ids) == 0 {
+		return ids
+	}
+	after, _ := slices.BinarySearch(ids, m.self.ID())
+	return append(ids[after:len(ids):len(ids)], ids[:after]...)
+}
+
 func (m *Membership) age(now time.Duration) {
 	for id, p := range m.members {
 		if p.standing == Suspected && now-p.since >= suspicionTime {
@@ -172,10 +188,17 @@
 	p.changed = m.changes
 }
 
-// Compose returns the heartbeat of this host, with the newest views.
-func (m *Membership) Compose() Heartbeat {
+// Compose returns the heartbeat of this host, with the loads of its services,
+// the newest views and the remote loads whose turn it is.
+func (m *Membership) Compose(now fuchsiapitch.Instant, loads []ServiceLoad) Heartbeat {
 	m.sequence++
-	return Heartbeat{From: m.self, Sequence: m.sequence, Leaving: m.leaving, Views: m.newestViews()}
+	if m.IsBridge() {
+		m.report(now.Monotonic(), loads)
+	}
+	return Heartbeat{
+		From: m.self, Sequence: m.sequence, Leaving: m.leaving, Loads: loads,
+		Views: m.newestViews(), Remotes: m.remotes.next(now.Monotonic()),
+	}
 }
 
 func (m *Membership) newestViews() []PeerView {
@@ -204,6 +227,9 @@
 	if p != nil {
 		m.adopt(now.Monotonic(), p, h)
 	}
+	for _, l := range h.Remotes {
+		m.remotes.add(now.Monotonic(), l)
+	}
 	for _, v := range h.Views {
 		m.merge(now.Monotonic(), v.Host, v.Standing, false)
 	}
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -25,8 +25,8 @@
 type RequestOffered struct {
 	// Request describes the request.
 	Request fuchsiapitch.Request
-	// From is the host that received the request from the caller.
-	From fuchsiapitch.HostID
+	// From is the host that hands the request over.
+	From fuchsiapitch.Host
 	// Offset is the number of tokens that the caller already has.
 	Offset int
 }
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -44,16 +44,22 @@
 
 // ComposeHeartbeat returns the heartbeat that this host sends or answers with.
 func (s *State) ComposeHeartbeat() gossiper.Heartbeat {
-	h := s.members.Compose()
+	h := s.members.Compose(s.now, s.ownLoads())
 	h.Configuration, h.ConfigurationHash = s.configuration.Offset(), s.configuration.Hash()
+	return h
+}
+
+// ownLoads returns the loads of the services that this host dispatches for.
+func (s *State) ownLoads() []gossiper.ServiceLoad {
+	var loads []gossiper.ServiceLoad
 	for _, v := range s.configuration.Services() {
 		slots, inFlight, queued := s.scheduler.Load(v.Name())
-		if slots == 0 || len(h.Loads) == loadLimit {
+		if slots == 0 || len(loads) == loadLimit {
 			continue
 		}
-		h.Loads = append(h.Loads, gossiper.ServiceLoad{Service: v.Name(), Slots: slots, InFlight: inFlight, Queued: queued})
+		loads = append(loads, gossiper.ServiceLoad{Service: v.Name(), Slots: slots, InFlight: inFlight, Queued: queued})
 	}
-	return h
+	return loads
 }
 
 // loadOf returns the number of requests of a service at a dispatcher.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -21,10 +21,13 @@
 	forwarded
 )
 
-// flight is the state of one request at this host.
+// flight is the state of one request at this host. An offered request comes
+// from a host of the same data centre and is not forwarded again. A bridged one
+// comes from another data centre and is placed within this one.
 type flight struct {
 	request  fuchsiapitch.Request
 	offered  bool
+	bridged  bool
 	phase    phase
 	deadline time.Duration
 	attempts int
@@ -67,7 +70,13 @@
 
 func (s *State) offer(e RequestOffered) {
 	f := s.newFlight(e.Request)
-	f.offered, f.offset = true, e.Offset
+	f.offset = e.Offset
+	f.bridged = e.From.DataCentre() != s.dataCentre
+	if f.bridged {
+		s.place(f)
+		return
+	}
+	f.offered = true
 	s.enqueue(f)
 }
 
