loader: let flags replace single settings

Cause: settings must be overridable on the command line. Change: WithOverride puts a YAML value in place of that of the file before the checks, so that both pass the same checks and problems name the flag. Conclusion: one path of checks for files and flags.

--- a/internal/loader/section.go
+++ b/internal/loader/section.go
@@ -19,7 +19,9 @@
 	name     string
 	keys     map[string]Position
 	values   map[string]ast.Node
+	files    map[string]string
 	known    map[string]bool
+	override func(*section)
 	problems *problems
 }
 
@@ -64,12 +66,9 @@
 }
 
 // newSection returns the mapping at a node. A node of another type is reported
-// and read as an empty mapping.
-func newSection(file, name string, node ast.Node, p *problems) *section {
-	s := &section{
-		position: positionOf(file, node), name: name, problems: p,
-		keys: make(map[string]Position), values: make(map[string]ast.Node), known: make(map[string]bool),
-	}
+// and read as an empty mapping. The override may replace values; nil is none.
+func newSection(file, name string, node ast.Node, p *problems, override func(*section)) *section {
+	s := emptySection(positionOf(file, node), name, p, override)
 	mapping, ok := node.(ast.MapNode)
 	if !ok {
 		p.add(s.position, WrongType, name, "a mapping of keys to values")
@@ -81,9 +80,20 @@
 	if first := s.firstKey(); first.Line > 0 {
 		s.position = first
 	}
+	if override != nil {
+		override(s)
+	}
 	return s
 }
 
+func emptySection(at Position, name string, p *problems, override func(*section)) *section {
+	return &section{
+		position: at, name: name, problems: p, override: override,
+		keys: make(map[string]Position), values: make(map[string]ast.Node),
+		files: make(map[string]string), known: make(map[string]bool),
+	}
+}
+
 func (s *section) addEntry(file string, entry *ast.MappingValueNode) {
 	at := positionOf(file, entry.Key)
 	key := entry.Key.GetToken().Value
@@ -95,7 +105,7 @@
 		s.problems.add(at, Duplicate, "key "+s.path(key), "each key once")
 		return
 	}
-	s.keys[key], s.values[key] = at, entry.Value
+	s.set(key, at, file, entry.Value)
 }
 
 func (s *section) firstKey() Position {
@@ -119,7 +129,7 @@
 // at returns the position of the value of a key, or of the section without it.
 func (s *section) at(key string) Position {
 	if v, ok := s.values[key]; ok {
-		return positionOf(s.position.File, v)
+		return positionOf(s.files[key], v)
 	}
 	return s.position
 }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -154,22 +154,35 @@
 // requests, so that the balancer notices.
 func (s Settings) Linger() time.Duration { return s.linger }
 
+// SettingsOption changes how settings are read.
+type SettingsOption func(*overrides)
+
+// WithOverride replaces the value at a key, such as listen.callers, by a value
+// of the command line in YAML. The value is checked like one of the file.
+func WithOverride(key, value string) SettingsOption {
+	return func(o *overrides) { o.values[key] = value }
+}
+
 // ReadSettings reads a settings file. It returns a ProblemsError with every
-// problem of the file.
-func ReadSettings(path string) (Settings, error) {
+// problem of the file and of the overrides.
+func ReadSettings(path string, options ...SettingsOption) (Settings, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
 		p := &problems{}
 		p.add(Position{File: path}, Unreadable, err.Error(), "a readable settings file")
 		return Settings{}, p.err()
 	}
-	return DecodeSettings(path, content)
+	return DecodeSettings(path, content, options...)
 }
 
 // DecodeSettings decodes the content of a settings file. The path only serves
 // for messages. It returns a ProblemsError with every problem of the content.
-func DecodeSettings(path string, content []byte) (Settings, error) {
+func DecodeSettings(path string, content []byte, options ...SettingsOption) (Settings, error) {
 	p := &problems{}
+	replaced := &overrides{values: make(map[string]string)}
+	for _, o := range options {
+		o(replaced)
+	}
 	bodies := parse(path, content, p)
 	if len(p.list) == 0 && len(bodies) != 1 {
 		p.add(Position{File: path}, BadValue, "the file", "exactly one YAML document")
@@ -177,7 +190,7 @@
 	if err := p.err(); err != nil {
 		return Settings{}, err
 	}
-	settings := decodeSettings(newSection(path, "", bodies[0], p))
+	settings := decodeSettings(newSection(path, "", bodies[0], p, replaced.apply))
 	return settings, p.err()
 }
 
@@ -228,7 +241,7 @@
 	var hosts []fuchsiapitch.Host
 	seen := make(map[fuchsiapitch.HostID]bool)
 	for _, n := range s.items("candidates", "a list of entry hosts") {
-		c := newSection(s.position.File, "candidates", n, s.problems)
+		c := newSection(s.files["candidates"], "candidates", n, s.problems, nil)
 		id := fuchsiapitch.HostID(c.nameAt("host"))
 		host := fuchsiapitch.NewHost(id, c.requiredAddress("address"), fuchsiapitch.DataCentreName(c.nameAt("data-centre")), 0)
 		c.finish()
--- a/internal/loader/settings_test.go
+++ b/internal/loader/settings_test.go
@@ -97,6 +97,16 @@
 				"log-address: 10.0.0.1:9000\nhost-list-address: 10.0.0.1:9001\nweight-store-address: 10.0.0.1:9002\n"))
 		assertNoError(t, err, "decode with plain: true")
 	})
+	t.Run("a flag replaces a value and is checked like it", func(t *testing.T) {
+		s, err := DecodeSettings("settings.yaml", []byte(validSettings),
+			WithOverride("listen.peers", "127.0.0.1:9"), WithOverride("trace.sampling", "0.25"))
+		assertNoError(t, err, "decode")
+		if s.PeersAddress() != "127.0.0.1:9" || s.Trace().Sampling() != 0.25 {
+			t.Errorf("got %+v, want the values of the flags", s)
+		}
+		_, err = DecodeSettings("settings.yaml", []byte(validSettings), WithOverride("linger", "soon"))
+		assertProblems(t, err, problemAt(BadValue, 1, 1))
+	})
 	t.Run("bad syntax is reported with its place", func(t *testing.T) {
 		_, err := DecodeSettings("settings.yaml", []byte("host: [a\nregion: b\n"))
 		var found *ProblemsError
--- a/internal/loader/value.go
+++ b/internal/loader/value.go
@@ -169,7 +169,11 @@
 // child returns the mapping at a key, an empty one without the key.
 func (s *section) child(key string) *section {
 	if !s.has(key) {
-		return &section{position: s.position, name: s.path(key), known: make(map[string]bool), problems: s.problems}
+		c := emptySection(s.position, s.path(key), s.problems, s.override)
+		if s.override != nil {
+			s.override(c)
+		}
+		return c
 	}
-	return newSection(s.position.File, s.path(key), s.values[key], s.problems)
+	return newSection(s.files[key], s.path(key), s.values[key], s.problems, s.override)
 }
