sender: calls to backend servers with exact outcomes

Cause: the system had no implementation of fuchsiapitch.Caller.

Change: calls over net/http whose bodies cannot be read again and whose first connection alone may write, so that the library's own replays never reach a server. Calls that may not be repeated get a connection each. Answers are checked for request id, length, event order and terminator.

--- /dev/null
+++ b/internal/sender/sender.go
@@ -0,0 +1,256 @@
+package sender
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+const (
+	// priorities is the number of connection pools; calls of a priority beyond
+	// share the last one.
+	priorities = 4
+	// defaultSilence is the longest time without a byte on an active connection.
+	defaultSilence = 2500 * time.Millisecond
+	// defaultConnect is the longest time for a new connection.
+	defaultConnect = 2 * time.Second
+	// reuseTime is the time for which an answer proves its connection. Idle
+	// connections are closed after it.
+	reuseTime = time.Second
+	// idlePerServer is the largest number of idle connections to one server.
+	idlePerServer = 32
+	// readBufferBytes is the size of the read buffer of a connection.
+	readBufferBytes = 8 << 10
+	// headerLimitBytes is the largest header of an answer.
+	headerLimitBytes = 64 << 10
+)
+
+// FaultReport takes each answer that was refused or lost, for counting.
+type FaultReport func(server fuchsiapitch.ServerID, err error)
+
+// Sender sends calls to backend servers. It implements fuchsiapitch.Caller.
+type Sender struct {
+	silence time.Duration
+	connect time.Duration
+	report  FaultReport
+	fresh   *http.Transport
+	pools   [priorities]*http.Transport
+}
+
+// Option sets one optional property of a sender.
+type Option func(*Sender)
+
+// WithSilence sets the longest time without a byte on an active stream and on a
+// reused connection.
+func WithSilence(limit time.Duration) Option { return func(s *Sender) { s.silence = limit } }
+
+// WithConnectTimeout sets the longest time for a new connection.
+func WithConnectTimeout(limit time.Duration) Option { return func(s *Sender) { s.connect = limit } }
+
+// WithFaultReport has refused and lost answers reported.
+func WithFaultReport(report FaultReport) Option { return func(s *Sender) { s.report = report } }
+
+// New returns a sender and a function that closes its idle connections.
+//
+// Calls that may not be repeated get a new connection each. Other calls reuse a
+// connection that gave a whole answer within the last second. Each priority has
+// connections of its own, so that no call waits for one of another priority.
+func New(options ...Option) (*Sender, func()) {
+	s := &Sender{
+		silence: defaultSilence, connect: defaultConnect,
+		report: func(fuchsiapitch.ServerID, error) {},
+	}
+	for _, o := range options {
+		o(s)
+	}
+	s.fresh = s.newTransport()
+	s.fresh.DisableKeepAlives = true
+	for i := range s.pools {
+		s.pools[i] = s.newTransport()
+	}
+	return s, s.close
+}
+
+func (s *Sender) close() {
+	s.fresh.CloseIdleConnections()
+	for _, t := range s.pools {
+		t.CloseIdleConnections()
+	}
+}
+
+func (s *Sender) newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            s.dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerServer,
+		IdleConnTimeout:        reuseTime,
+		ReadBufferSize:         readBufferBytes,
+		MaxResponseHeaderBytes: headerLimitBytes,
+	}
+}
+
+// dial connects to a server. The kernel's probes end a connection that the
+// network has lost track of, whether it waits or has unanswered bytes.
+func (s *Sender) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	interval := max(time.Second, s.silence/3)
+	d := net.Dialer{
+		Timeout:         s.connect,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: 2},
+		Control:         limitUnacknowledged(s.silence),
+	}
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: c}, nil
+}
+
+// Call implements fuchsiapitch.Caller.
+func (s *Sender) Call(ctx context.Context, server fuchsiapitch.BackendServer, call fuchsiapitch.Call) (fuchsiapitch.Answer, error) {
+	x := newExchange(ctx, s, server, call)
+	answer, err := x.run()
+	if err != nil {
+		x.end()
+		s.report(server.ID(), err)
+	}
+	return answer, err
+}
+
+// pool returns the connections for a call.
+func (s *Sender) pool(call fuchsiapitch.Call) *http.Transport {
+	if !call.Idempotent() {
+		return s.fresh
+	}
+	return s.pools[min(max(call.Priority(), 0), priorities-1)]
+}
+
+// exchange is one call under way.
+type exchange struct {
+	sender *Sender
+	server fuchsiapitch.BackendServer
+	call   fuchsiapitch.Call
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// release frees the timer of the deadline.
+	release context.CancelFunc
+	timer   *time.Timer
+	gate    gate
+}
+
+func newExchange(ctx context.Context, sender *Sender, server fuchsiapitch.BackendServer, call fuchsiapitch.Call) *exchange {
+	x := &exchange{sender: sender, server: server, call: call, release: func() {}}
+	if !call.Deadline().IsZero() {
+		ctx, x.release = context.WithDeadline(ctx, call.Deadline())
+	}
+	x.ctx, x.cancel = context.WithCancelCause(ctx)
+	x.gate.deadline = call.Deadline()
+	x.timer = time.AfterFunc(time.Hour, func() { x.cancel(&SilentError{Limit: sender.silence}) })
+	x.timer.Stop()
+	return x
+}
+
+// end releases the connection; it is closed unless the answer was read whole.
+func (x *exchange) end() {
+	x.timer.Stop()
+	x.cancel(context.Canceled)
+	x.release()
+}
+
+func (x *exchange) run() (fuchsiapitch.Answer, error) {
+	if isPast(x.call.Deadline(), time.Now()) {
+		return fuchsiapitch.Answer{}, x.fail(fuchsiapitch.NotRun, &StaleError{Deadline: x.call.Deadline()})
+	}
+	request, err := x.request()
+	if err != nil {
+		return fuchsiapitch.Answer{}, x.fail(fuchsiapitch.NotRun, err)
+	}
+	response, err := x.sender.pool(x.call).RoundTrip(request)
+	x.timer.Stop()
+	if err != nil {
+		return fuchsiapitch.Answer{}, x.fail(x.outcome(), x.lost("sending", err))
+	}
+	return x.accept(response)
+}
+
+// outcome ends the sending and returns what is known of the call.
+func (x *exchange) outcome() fuchsiapitch.Outcome {
+	if x.gate.seal() {
+		return fuchsiapitch.Unknown
+	}
+	return fuchsiapitch.NotRun
+}
+
+func (x *exchange) request() (*http.Request, error) {
+	target, err := url.Parse("http://" + x.server.Address() + x.call.Path())
+	if err != nil {
+		return nil, err
+	}
+	trace := &httptrace.ClientTrace{GotConn: x.connected}
+	ctx := httptrace.WithClientTrace(x.ctx, trace)
+	request := &http.Request{
+		Method: x.call.Method(), URL: target, Host: target.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: outgoing(x.call, time.Now()),
+		Body:   &onceBody{data: x.call.Body()}, ContentLength: int64(len(x.call.Body())),
+	}
+	return request.WithContext(ctx), nil
+}
+
+// connected opens the gate for the connection of the call. A reused connection
+// may have gone silent since its last answer, so that its next is awaited for a
+// limited time.
+func (x *exchange) connected(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*connection)
+	if !ok {
+		return
+	}
+	x.gate.open(c)
+	if info.Reused {
+		x.timer.Reset(x.sender.silence)
+	}
+}
+
+// accept checks the header of an answer.
+func (x *exchange) accept(response *http.Response) (fuchsiapitch.Answer, error) {
+	if got := response.Header.Get(RequestIDHeader); got != string(x.call.Request()) {
+		return fuchsiapitch.Answer{}, x.refuse(response, &fuchsiapitch.CrossedAnswerError{Request: x.call.Request(), Got: got})
+	}
+	if response.StatusCode >= http.StatusBadRequest && response.Header.Get(OutcomeHeader) == fuchsiapitch.NotRun.String() {
+		response.Body.Close()
+		refusal := &ServerRefusalError{Status: response.StatusCode, RetryAfter: retryAfter(response.Header)}
+		return fuchsiapitch.Answer{}, x.fail(fuchsiapitch.NotRun, refusal)
+	}
+	header := passOn(response.Header)
+	if x.call.Stream() && isEventStream(response) {
+		return fuchsiapitch.NewAnswer(response.StatusCode, header, newStreamBody(x, response.Body)), nil
+	}
+	if isUnbounded(response) {
+		return fuchsiapitch.Answer{}, x.refuse(response, &UnboundedAnswerError{Status: response.StatusCode})
+	}
+	return fuchsiapitch.NewAnswer(response.StatusCode, header, newPlainBody(x, response.Body)), nil
+}
+
+// refuse ends the exchange with an answer that must not reach the caller.
+func (x *exchange) refuse(response *http.Response, err error) error {
+	x.end()
+	response.Body.Close()
+	return x.fail(fuchsiapitch.Unknown, err)
+}
+
+func (x *exchange) fail(outcome fuchsiapitch.Outcome, err error) error {
+	return &fuchsiapitch.AttemptError{Request: x.call.Request(), Server: x.server.ID(), Outcome: outcome, Err: err}
+}
+
+// lost returns the error of a broken connection, with the cause of a
+// cancellation in place of the cancellation.
+func (x *exchange) lost(action string, err error) error {
+	if cause := context.Cause(x.ctx); cause != nil {
+		err = cause
+	}
+	return &fuchsiapitch.UnreachableError{Address: x.server.Address(), Action: action, Err: err}
+}
