commander: a demo and the commands of an ordinary product

Cause: a newcomer could not run anything. The groups are still assigned by the demo itself, not by a controller.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -34,6 +34,8 @@
 // Commands returns every command of the program, in the order of the help.
 func Commands(streams Streams) []subcommands.Command {
 	return []subcommands.Command{
+		newServe(streams),
+		newDemo(streams),
 		newStatus(streams),
 		newDrain(streams),
 		newBench(streams),
--- /dev/null
+++ b/internal/commander/commander_test.go
@@ -0,0 +1,33 @@
+package commander
+
+import (
+	"bytes"
+	"testing"
+)
+
+func assertRun(t *testing.T, want int, arguments ...string) (string, string) {
+	t.Helper()
+	var out, errors bytes.Buffer
+	if got := Run(t.Context(), Streams{Out: &out, Errors: &errors}, arguments); got != want {
+		t.Errorf("%v: got exit code %d, want %d: %s", arguments, got, want, errors.String())
+	}
+	return out.String(), errors.String()
+}
+
+func TestCommands(t *testing.T) {
+	t.Run("version", func(t *testing.T) {
+		if out, _ := assertRun(t, 0, "version"); out == "" {
+			t.Error("got no version")
+		}
+	})
+	t.Run("an unknown experiment", func(t *testing.T) {
+		assertRun(t, 2, "bench", "--seed", "1", "absent")
+		assertRun(t, 2, "bench")
+	})
+	t.Run("missing settings", func(t *testing.T) {
+		assertRun(t, 2, "serve", "--settings", "absent.yaml")
+	})
+	t.Run("an entry host that does not answer", func(t *testing.T) {
+		assertRun(t, 1, "status", "--address", "http://127.0.0.1:1")
+	})
+}
--- a/internal/commander/failure.go
+++ b/internal/commander/failure.go
@@ -25,3 +25,12 @@
 func (e *OperatorError) Error() string {
 	return fmt.Sprintf("entry host %s answered %s", e.Address, e.Status)
 }
+
+// OverrideError reports a setting of the command line that is not KEY=VALUE.
+type OverrideError struct {
+	// Text is the argument.
+	Text string
+}
+
+// Error implements error.
+func (e *OverrideError) Error() string { return fmt.Sprintf("%q is not KEY=VALUE", e.Text) }
--- /dev/null
+++ b/internal/deployer/deployer_test.go
@@ -0,0 +1,136 @@
+package deployer
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin"
+)
+
+const testKey = "sk-test"
+
+func assertNoError(t *testing.T, err error, what string) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%s: got %v, want no error", what, err)
+	}
+}
+
+func newConfiguration() (fuchsiapitch.Configuration, fuchsiapitch.Service) {
+	hash := sha256.Sum256([]byte(testKey))
+	model := fuchsiapitch.NewService("vidrio-llm", fuchsiapitch.ModelService, "chat", fuchsiapitch.WithModel("vidrio", "1"))
+	desk := fuchsiapitch.NewService("taller-app", fuchsiapitch.ApplicationService, "chat",
+		fuchsiapitch.WithRoutes(fuchsiapitch.NewRoute("GET", "/lookups", true)))
+	customer := fuchsiapitch.NewCustomer("glass", fuchsiapitch.WithKeyHashes(hex.EncodeToString(hash[:])))
+	rank := fuchsiapitch.NewRank("chat", 0, 480*time.Millisecond, 44*time.Millisecond, 1, 0)
+	return fuchsiapitch.NewConfiguration(1, 1, []fuchsiapitch.Service{model, desk},
+		[]fuchsiapitch.Customer{customer}, []fuchsiapitch.Rank{rank}), model
+}
+
+func startPath(t *testing.T) (*Deployment, *standin.Fleet) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(cancel)
+	fleet, stopFleet, err := standin.Start(standin.WithEngines(1, 3), standin.WithApplications("taller-app", 2))
+	assertNoError(t, err, "start the stand-ins")
+	t.Cleanup(stopFleet)
+	d, stop, err := Start(t.Context(), fleet, []fuchsiapitch.DataCentreName{"dc-a"}, WithHostsPerCentre(3))
+	assertNoError(t, err, "start the entry hosts")
+	t.Cleanup(stop)
+	configuration, service := newConfiguration()
+	replicas, err := d.AssignSingly(ctx, service)
+	assertNoError(t, err, "assign the engines")
+	d.Describe(ctx, configuration, replicas)
+	for _, r := range d.Hosts() {
+		err := Await(ctx, func() bool { return r.Entry().Runner().Configuration().Offset() > 0 })
+		assertNoError(t, err, "await the configuration")
+	}
+	return d, fleet
+}
+
+func send(t *testing.T, method, url, key, body string, header ...string) (int, http.Header, string) {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	assertNoError(t, err, "make a request")
+	q.Header.Set("Authorization", "Bearer "+key)
+	for n := 0; n+1 < len(header); n += 2 {
+		q.Header.Set(header[n], header[n+1])
+	}
+	answer, err := http.DefaultClient.Do(q)
+	assertNoError(t, err, "send a request")
+	defer answer.Body.Close()
+	content, err := io.ReadAll(answer.Body)
+	assertNoError(t, err, "read an answer")
+	return answer.StatusCode, answer.Header, string(content)
+}
+
+func assertStatus(t *testing.T, got, want int, body string) {
+	t.Helper()
+	if got != want {
+		t.Errorf("got status %d, want %d: %s", got, want, body)
+	}
+}
+
+func TestPath(t *testing.T) {
+	d, fleet := startPath(t)
+	t.Run("a chat streams whole through every entry host", func(t *testing.T) {
+		for _, r := range d.Hosts() {
+			for range 4 {
+				status, header, body := send(t, "POST", r.Entry().CallerURL()+"/v1/chat/completions", testKey,
+					`{"model":"vidrio-llm","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hi"}]}`)
+				assertStatus(t, status, http.StatusOK, body)
+				if got := strings.Count(body, "\nid: ") + 1; got != 8 || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+					t.Errorf("got %d tokens in %q, want 8 and the terminator", got, body)
+				}
+				if header.Get("X-Request-Id") == "" {
+					t.Error("got no request id")
+				}
+			}
+		}
+	})
+	t.Run("a plain completion comes whole", func(t *testing.T) {
+		status, header, body := send(t, "POST", d.Hosts()[1].Entry().CallerURL()+"/v1/completions", testKey,
+			`{"model":"vidrio-llm","max_tokens":4,"prompt":"hi"}`)
+		assertStatus(t, status, http.StatusOK, body)
+		if got := header.Get("X-Request-Outcome"); got != "succeeded" {
+			t.Errorf("got outcome %q, want succeeded", got)
+		}
+	})
+	t.Run("a booking runs once", func(t *testing.T) {
+		status, _, body := send(t, "POST", d.Hosts()[2].Entry().CallerURL()+"/services/taller-app/bookings", testKey,
+			`{"reference":"b-1"}`, "Content-Type", "application/json")
+		assertStatus(t, status, http.StatusCreated, body)
+		if got := fleet.Ledger().Runs("b-1"); got != 1 {
+			t.Errorf("got %d runs, want 1", got)
+		}
+	})
+	t.Run("wrong requests are refused before anything is sent", func(t *testing.T) {
+		base := d.Hosts()[0].Entry().CallerURL()
+		for _, c := range []struct {
+			path, key, body string
+			want            int
+		}{
+			{"/v1/chat/completions", "sk-other", `{"model":"vidrio-llm"}`, http.StatusUnauthorized},
+			{"/v1/chat/completions", testKey, `{"model":"absent"}`, http.StatusNotFound},
+			{"/v1/chat/completions", testKey, `{"model":`, http.StatusBadRequest},
+			{"/v1/chat/completions", testKey, `{"model":"` + strings.Repeat("x", 9<<20) + `"}`, http.StatusRequestEntityTooLarge},
+			{"/services/absent/x", testKey, ``, http.StatusNotFound},
+		} {
+			status, header, body := send(t, "POST", base+c.path, c.key, c.body)
+			assertStatus(t, status, c.want, body)
+			if got := header.Get("X-Request-Outcome"); got != "not-run" {
+				t.Errorf("got outcome %q, want not-run", got)
+			}
+		}
+	})
+	if got := d.Violations(); got != 0 {
+		t.Errorf("got %d violated invariants, want 0", got)
+	}
+}
