recorder, lister, weigher, orderer: speak to the outside systems over HTTP

Cause: the log, the host list, the weight store and the engines' management calls have contracts but no implementation. Change: four adapters over one small requester with kept connections. An append without an answer is uncertain once a connection was taken, and unavailable otherwise. net/http replays a POST by itself only when no byte of it left; a test shows that a lost answer is not repeated. After a failure the kept connections are closed, as others may be silent too. Reads allow a short time beyond the long poll, which grows while the log is slow. Conclusion: each fault of the stand-ins yields its typed error.

--- /dev/null
+++ b/internal/lister/lister_test.go
@@ -0,0 +1,85 @@
+package lister
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/hostlist"
+)
+
+func assertNoError(t *testing.T, err error, what string) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%s: got error %v, want none", what, err)
+	}
+}
+
+func assertEqual[T comparable](t *testing.T, got, want T, what string) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+func TestBackendServers(t *testing.T) {
+	list := hostlist.New(0)
+	server, stop, err := list.Listen()
+	assertNoError(t, err, "listen")
+	t.Cleanup(stop)
+	l, cleanUp := New(server.Address())
+	t.Cleanup(cleanUp)
+	engine := fuchsiapitch.NewBackendServer("e1", fuchsiapitch.EngineServer, "127.0.0.1:1", "dc-a",
+		fuchsiapitch.WithFabricDomain("f1"))
+	application := fuchsiapitch.NewBackendServer("a1", fuchsiapitch.ApplicationServer, "127.0.0.1:2", "dc-a",
+		fuchsiapitch.WithService("taller-app"), fuchsiapitch.WithLeaving())
+	list.Put(engine)
+	list.Put(application)
+
+	t.Run("entries are whole", func(t *testing.T) {
+		got, err := l.BackendServers(t.Context())
+		assertNoError(t, err, "read")
+		assertEqual(t, len(got), 2, "servers")
+		assertEqual(t, got[0], application, "application server")
+		assertEqual(t, got[1], engine, "engine")
+	})
+	t.Run("an unchanged list is kept", func(t *testing.T) {
+		got, err := l.BackendServers(t.Context())
+		assertNoError(t, err, "read")
+		assertEqual(t, len(got), 2, "servers")
+	})
+	t.Run("a removed host is gone", func(t *testing.T) {
+		list.Remove("a1")
+		got, err := l.BackendServers(t.Context())
+		assertNoError(t, err, "read")
+		assertEqual(t, len(got), 1, "servers")
+	})
+	t.Run("a dead list is unavailable", func(t *testing.T) {
+		server.Die()
+		_, err := l.BackendServers(t.Context())
+		var unavailable *fuchsiapitch.UnavailableError
+		assertEqual(t, errors.As(err, &unavailable), true, "UnavailableError")
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`[{"id":"e1","kind":"engine","address":"127.0.0.1:1","data-centre":"a","leaving":true}]`,
+		`[{"id":"e1","kind":"unknown"}]`, `[{"id":"","kind":"engine","address":"127.0.0.1:1"}]`,
+		`[{"id":"e1","kind":"engine","address":"example"}]`, `null`, `{}`, ``,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		servers, err := decode(data)
+		if err != nil {
+			return
+		}
+		for _, b := range servers {
+			if _, err := netip.ParseAddrPort(b.Address()); err != nil || b.ID() == "" {
+				t.Fatalf("server: got id %q and address %q, want both valid", b.ID(), b.Address())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/recorder/recorder_test.go
@@ -0,0 +1,193 @@
+package recorder
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/faulter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/log"
+)
+
+const stream fuchsiapitch.StreamName = "config"
+
+func assertNoError(t *testing.T, err error, what string) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%s: got error %v, want none", what, err)
+	}
+}
+
+func assertEqual[T comparable](t *testing.T, got, want T, what string) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+func assertUnavailable(t *testing.T, err error, what string) {
+	t.Helper()
+	var unavailable *fuchsiapitch.UnavailableError
+	if !errors.As(err, &unavailable) {
+		t.Fatalf("%s: got %v, want an UnavailableError", what, err)
+	}
+}
+
+func assertUncertain(t *testing.T, err error, what string) {
+	t.Helper()
+	var uncertain *fuchsiapitch.UncertainError
+	if !errors.As(err, &uncertain) {
+		t.Fatalf("%s: got %v, want an UncertainError", what, err)
+	}
+}
+
+// assertAppends waits for the number of appends, because a slow log appends
+// after its caller has gone.
+func assertAppends(t *testing.T, l *log.Log, want int) {
+	t.Helper()
+	for range 2000 {
+		if l.Appends() >= want {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	assertEqual(t, l.Appends(), want, "appended records")
+}
+
+func start(t *testing.T, options ...log.Option) (*Recorder, *log.Log, *faulter.Server) {
+	t.Helper()
+	l := log.New(options...)
+	server, stop, err := l.Listen()
+	assertNoError(t, err, "listen")
+	t.Cleanup(stop)
+	r, cleanUp := New(server.Address(), WithWait(50*time.Millisecond))
+	t.Cleanup(cleanUp)
+	return r, l, server
+}
+
+func appendRecord(t *testing.T, r *Recorder, id fuchsiapitch.RecordID) (fuchsiapitch.Offset, error) {
+	t.Helper()
+	return r.Append(t.Context(), stream, fuchsiapitch.NewRecord(id, []byte("data of "+id)))
+}
+
+func TestAppendsAreRead(t *testing.T) {
+	r, _, _ := start(t)
+	for _, id := range []fuchsiapitch.RecordID{"a", "b", "c"} {
+		_, err := appendRecord(t, r, id)
+		assertNoError(t, err, "append")
+	}
+	batch, err := r.Read(t.Context(), stream, 2, 10)
+	assertNoError(t, err, "read")
+	assertEqual(t, len(batch.Records()), 2, "records")
+	assertEqual(t, string(batch.Records()[0].Data()), "data of b", "data")
+	assertEqual(t, batch.Next(), 4, "next")
+	t.Run("the end of the stream gives an empty batch", func(t *testing.T) {
+		batch, err := r.Read(t.Context(), stream, batch.Next(), 10)
+		assertNoError(t, err, "read")
+		assertEqual(t, len(batch.Records()), 0, "records")
+		assertEqual(t, batch.Next(), 4, "next")
+	})
+}
+
+func TestAppendFailures(t *testing.T) {
+	cases := []struct {
+		name     string
+		strike   func(*log.Log, *faulter.Server)
+		assert   func(*testing.T, error, string)
+		appended int
+	}{
+		{"refused in an outage", func(l *log.Log, _ *faulter.Server) { l.SetOut(true) }, assertUnavailable, 1},
+		{"no server", func(_ *log.Log, s *faulter.Server) { s.Die() }, assertUnavailable, 1},
+		{"lost answer", func(l *log.Log, _ *faulter.Server) { l.LoseAppendAnswers(1) }, assertUncertain, 2},
+		{"slow beyond the timeout", func(l *log.Log, _ *faulter.Server) { l.SetDelay(time.Minute) }, assertUncertain, 2},
+		{"silent connection", func(_ *log.Log, s *faulter.Server) { s.Silence() }, assertUncertain, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, l, server := start(t)
+			r.timeout = 300 * time.Millisecond
+			_, err := appendRecord(t, r, "before")
+			assertNoError(t, err, "append before")
+			c.strike(l, server)
+			_, err = appendRecord(t, r, "struck")
+			c.assert(t, err, "append")
+			assertAppends(t, l, c.appended)
+		})
+	}
+	t.Run("over the rate", func(t *testing.T) {
+		r, l, _ := start(t, log.WithRate(0.001))
+		_, err := appendRecord(t, r, "first")
+		assertNoError(t, err, "first")
+		_, err = appendRecord(t, r, "second")
+		assertUnavailable(t, err, "second")
+		assertEqual(t, l.Appends(), 1, "appended records")
+	})
+}
+
+func TestAppendWorksAfterASilentConnection(t *testing.T) {
+	r, _, server := start(t)
+	_, err := appendRecord(t, r, "before")
+	assertNoError(t, err, "before")
+	server.Silence()
+	r.timeout = 100 * time.Millisecond
+	_, err = appendRecord(t, r, "lost")
+	assertUncertain(t, err, "lost")
+	r.timeout = time.Minute
+	offset, err := appendRecord(t, r, "after")
+	assertNoError(t, err, "after")
+	assertEqual(t, offset, 2, "offset")
+}
+
+func TestReadFailures(t *testing.T) {
+	t.Run("truncated", func(t *testing.T) {
+		r, _, _ := start(t, log.WithRetention(2, time.Hour))
+		for _, id := range []fuchsiapitch.RecordID{"a", "b", "c", "d"} {
+			_, err := appendRecord(t, r, id)
+			assertNoError(t, err, "append")
+		}
+		_, err := r.Read(t.Context(), stream, 1, 10)
+		var truncated *fuchsiapitch.TruncatedError
+		assertEqual(t, errors.As(err, &truncated), true, "TruncatedError")
+		assertEqual(t, truncated.Oldest, 3, "oldest")
+	})
+	t.Run("outage", func(t *testing.T) {
+		r, l, _ := start(t)
+		l.SetOut(true)
+		_, err := r.Read(t.Context(), stream, 1, 10)
+		assertUnavailable(t, err, "read")
+	})
+	t.Run("a slow log is read after the grace has grown", func(t *testing.T) {
+		r, l, _ := start(t)
+		l.SetDelay(2 * minGrace)
+		_, err := r.Read(t.Context(), stream, 1, 10)
+		assertUnavailable(t, err, "first read")
+		assertEqual(t, r.currentGrace(), 2*minGrace, "grace")
+		r.adaptGrace(maxGrace)
+		_, err = r.Read(t.Context(), stream, 1, 10)
+		assertNoError(t, err, "second read")
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`{"records":[{"id":"a","offset":3,"data":"eA=="}],"oldest":1,"next":4}`,
+		`{"records":[{"id":"a","offset":1}],"next":2}`, `{"offset":7}`, `{"oldest":3}`, `[]`, `null`, ``,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if offset, err := decodeAppend(data); err == nil && offset == 0 {
+			t.Fatalf("offset of an append: got 0, want more")
+		}
+		batch, err := decodeBatch(3, data)
+		if err != nil {
+			return
+		}
+		for _, r := range batch.Records() {
+			if r.Offset() < 3 || r.Offset() >= batch.Next() {
+				t.Fatalf("offset: got %d, want at least 3 and below %d", r.Offset(), batch.Next())
+			}
+		}
+	})
+}
--- a/internal/standin/hostlist/hostlist.go
+++ b/internal/standin/hostlist/hostlist.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/faulter"
 )
@@ -104,12 +106,18 @@
 	return list
 }
 
-func (h *HostList) handleHosts(w http.ResponseWriter, _ *http.Request) {
+func (h *HostList) handleHosts(w http.ResponseWriter, r *http.Request) {
 	data, err := json.Marshal(h.visible(time.Now()))
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(data), 36))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	_, _ = w.Write(data)
--- /dev/null
+++ b/internal/weigher/weigher_test.go
@@ -0,0 +1,53 @@
+package weigher
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/weightstore"
+)
+
+func assertNoError(t *testing.T, err error, what string) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%s: got error %v, want none", what, err)
+	}
+}
+
+func TestSize(t *testing.T) {
+	store := weightstore.New(1)
+	store.SetSize("glaze/base", "1", 77)
+	server, stop, err := store.Listen()
+	assertNoError(t, err, "listen")
+	t.Cleanup(stop)
+	w, cleanUp := New(server.Address())
+	t.Cleanup(cleanUp)
+
+	t.Run("the size of a model whose name has a slash", func(t *testing.T) {
+		got, err := w.Size(t.Context(), "glaze/base", "1")
+		assertNoError(t, err, "size")
+		if got != 77 {
+			t.Fatalf("size: got %d, want 77", got)
+		}
+	})
+	t.Run("a dead store is unavailable", func(t *testing.T) {
+		server.Die()
+		_, err := w.Size(t.Context(), "m", "1")
+		var unavailable *fuchsiapitch.UnavailableError
+		if !errors.As(err, &unavailable) {
+			t.Fatalf("got %v, want an UnavailableError", err)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{`{"bytes": 5}`, `{"bytes": -1}`, `{}`, `null`, ``} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if size, err := decode(data); err == nil && size <= 0 {
+			t.Fatalf("size: got %d, want more than 0", size)
+		}
+	})
+}
