standin: take the faults of each kind of stand-in over HTTP

Cause: POST /faults could not slow an engine nor start an outage of the log, and a death over HTTP left an engine its state. Change: a stand-in adds its own faults to the common ones. Conclusion: every fault switch works from outside the process.

--- a/internal/standin/application/application.go
+++ b/internal/standin/application/application.go
@@ -61,6 +61,7 @@
 		return nil, nil, err
 	}
 	a.Server = server
+	server.Extend("slow", func(_ int, d time.Duration) { a.SetServiceTime(d) })
 	return a, cleanUp, nil
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -148,6 +148,8 @@
 		return nil, nil, err
 	}
 	e.Server = server
+	server.Extend("die", func(int, time.Duration) { go e.Die() })
+	server.Extend("slow", func(factor int, _ time.Duration) { e.SetSlowness(int64(factor)) })
 	e.boot()
 	registry.engines.Store(id, e)
 	return e, func() {
--- a/internal/standin/faulter/server.go
+++ b/internal/standin/faulter/server.go
@@ -44,6 +44,7 @@
 	done        chan struct{}
 	connections map[*connection]struct{}
 	dead        bool
+	strikes     map[string]Strike
 }
 
 // Start serves a handler on a free loopback port. The clean-up function closes
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -233,3 +233,26 @@
 	assertEqual(t, f.Ledger().Runs("b1"), 2, "runs")
 	assertEqual(t, len(f.Ledger().Doubled()), 1, "doubled")
 }
+
+func TestFaultsOverHTTP(t *testing.T) {
+	f := startFleet(t)
+	cases := []struct {
+		body   string
+		status int
+	}{
+		{`{"fault":"slow","count":3}`, http.StatusNoContent},
+		{`{"fault":"lose-answers","count":1}`, http.StatusNoContent},
+		{`{"fault":"unknown"}`, http.StatusBadRequest},
+		{`{`, http.StatusBadRequest},
+	}
+	for _, c := range cases {
+		response, err := post(t.Context(), f.Engines()[0].Address(), "/faults", c.body)
+		assertNoError(t, err, c.body)
+		_ = response.Body.Close()
+		assertEqual(t, response.StatusCode, c.status, c.body)
+	}
+	response, err := post(t.Context(), f.Engines()[1].Address(), "/faults", `{"fault":"die"}`)
+	assertNoError(t, err, "die")
+	_ = response.Body.Close()
+	assertEventually(t, f.Engines()[1].Dead, "dead")
+}
--- a/internal/standin/log/log.go
+++ b/internal/standin/log/log.go
@@ -71,7 +71,16 @@
 
 // Listen serves the log at one more endpoint, which has faults of its own, so
 // that a part of the readers can be cut off. It returns a clean-up function.
-func (l *Log) Listen() (*faulter.Server, func(), error) { return faulter.Start(l.routes()) }
+func (l *Log) Listen() (*faulter.Server, func(), error) {
+	server, cleanUp, err := faulter.Start(l.routes())
+	if err != nil {
+		return nil, nil, err
+	}
+	server.Extend("out", func(count int, _ time.Duration) { l.SetOut(count > 0) })
+	server.Extend("slow", func(_ int, d time.Duration) { l.SetDelay(d) })
+	server.Extend("lose-append-answers", func(count int, _ time.Duration) { l.LoseAppendAnswers(count) })
+	return server, cleanUp, nil
+}
 
 // SetOut starts or ends an outage: nothing is appended or read.
 func (l *Log) SetOut(out bool) {
