--- /dev/null
+++ b/internal/encoder/configuration.go
@@ -0,0 +1,146 @@
+package encoder
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/configurer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder/wire"
+)
+
+// RecordError reports a log record that cannot be encoded or decoded.
+type RecordError struct {
+	// Detail states what is wrong.
+	Detail string
+	// Err is the underlying error, if any.
+	Err error
+}
+
+// Error implements error.
+func (e *RecordError) Error() string { return fmt.Sprintf("log record: %s: %v", e.Detail, e.Err) }
+
+// Unwrap returns the underlying error.
+func (e *RecordError) Unwrap() error { return e.Err }
+
+// deterministic makes equal values encode to equal bytes.
+var deterministic = proto.MarshalOptions{Deterministic: true}
+
+// EncodeConfiguration returns the data of a record of the configuration stream.
+// It returns a RecordError when the body cannot be encoded.
+func EncodeConfiguration(body configurer.Body) ([]byte, error) {
+	w := &wire.ConfigurationRecord{}
+	switch b := body.(type) {
+	case configurer.Publication:
+		w.Body = &wire.ConfigurationRecord_Publication{Publication: encodePublication(b)}
+	case configurer.Snapshot:
+		w.Body = &wire.ConfigurationRecord_Checkpoint{Checkpoint: EncodeSnapshot(b)}
+	}
+	data, err := deterministic.Marshal(w)
+	if err != nil {
+		return nil, &RecordError{Detail: "cannot be encoded", Err: err}
+	}
+	return data, nil
+}
+
+// DecodeConfiguration returns the body of a record of the configuration stream.
+// It returns a RecordError for data that is damaged or of an unknown type.
+func DecodeConfiguration(data []byte) (configurer.Body, error) {
+	w := &wire.ConfigurationRecord{}
+	if err := proto.Unmarshal(data, w); err != nil {
+		return nil, &RecordError{Detail: "cannot be decoded", Err: err}
+	}
+	switch b := w.GetBody().(type) {
+	case *wire.ConfigurationRecord_Publication:
+		return decodePublication(b.Publication), nil
+	case *wire.ConfigurationRecord_Checkpoint:
+		return DecodeSnapshot(b.Checkpoint), nil
+	}
+	return nil, &RecordError{Detail: "has no known type"}
+}
+
+func encodePublication(p configurer.Publication) *wire.Publication {
+	w := &wire.Publication{Publisher: p.Publisher}
+	for _, c := range p.Changes {
+		w.Changes = append(w.Changes, &wire.DocumentChange{
+			Kind: string(c.Key.Kind()), Name: c.Key.Name(), Parent: uint64(c.Parent), Removed: c.Removed, Content: c.Content,
+		})
+	}
+	for _, g := range p.Guards {
+		w.Guards = append(w.Guards, &wire.KindGuard{Kind: string(g.Kind), Revision: uint64(g.Revision)})
+	}
+	return w
+}
+
+func decodePublication(w *wire.Publication) configurer.Publication {
+	p := configurer.Publication{Publisher: w.GetPublisher()}
+	for _, c := range w.GetChanges() {
+		kind := configurer.Kind(c.GetKind())
+		p.Changes = append(p.Changes, configurer.Change{
+			Key: configurer.NewKey(kind, c.GetName()), Parent: fuchsiapitch.Offset(c.GetParent()),
+			Removed: c.GetRemoved(), Content: c.GetContent(), Document: DecodeDocument(kind, c.GetContent()),
+		})
+	}
+	for _, g := range w.GetGuards() {
+		p.Guards = append(p.Guards, configurer.Guard{
+			Kind: configurer.Kind(g.GetKind()), Revision: fuchsiapitch.Offset(g.GetRevision()),
+		})
+	}
+	return p
+}
+
+// EncodeSnapshot returns the wire form of a state of the configuration.
+func EncodeSnapshot(s configurer.Snapshot) *wire.ConfigurationSnapshot {
+	w := &wire.ConfigurationSnapshot{Offset: uint64(s.Offset), Hash: s.Hash}
+	for _, e := range s.Entries {
+		w.Documents = append(w.Documents, &wire.DocumentState{
+			Kind: string(e.Key.Kind()), Name: e.Key.Name(), Revision: uint64(e.Revision), Removed: e.Removed,
+			Publication: string(e.Publication), Publisher: e.Publisher, Content: e.Content,
+		})
+	}
+	for _, o := range s.Outcomes {
+		w.Outcomes = append(w.Outcomes, &wire.PublicationOutcome{
+			Publication: string(o.Publication), Offset: uint64(o.Offset), Accepted: o.Accepted, Loss: encodeLoss(o),
+		})
+	}
+	return w
+}
+
+func encodeLoss(o configurer.Outcome) *wire.PublicationLoss {
+	if o.Accepted {
+		return nil
+	}
+	return &wire.PublicationLoss{
+		Kind: string(o.Loss.Key.Kind()), Name: o.Loss.Key.Name(), Revision: uint64(o.Loss.Revision),
+		Publication: string(o.Loss.Publication), Publisher: o.Loss.Publisher,
+	}
+}
+
+// DecodeSnapshot returns the state of the configuration of a wire form.
+func DecodeSnapshot(w *wire.ConfigurationSnapshot) configurer.Snapshot {
+	s := configurer.Snapshot{Offset: fuchsiapitch.Offset(w.GetOffset()), Hash: w.GetHash()}
+	for _, d := range w.GetDocuments() {
+		kind := configurer.Kind(d.GetKind())
+		s.Entries = append(s.Entries, configurer.Entry{
+			Key: configurer.NewKey(kind, d.GetName()), Revision: fuchsiapitch.Offset(d.GetRevision()),
+			Removed: d.GetRemoved(), Publication: fuchsiapitch.RecordID(d.GetPublication()),
+			Publisher: d.GetPublisher(), Content: d.GetContent(), Document: DecodeDocument(kind, d.GetContent()),
+		})
+	}
+	for _, o := range w.GetOutcomes() {
+		s.Outcomes = append(s.Outcomes, configurer.Outcome{
+			Publication: fuchsiapitch.RecordID(o.GetPublication()), Offset: fuchsiapitch.Offset(o.GetOffset()),
+			Accepted: o.GetAccepted(), Loss: decodeLoss(o.GetLoss()),
+		})
+	}
+	return s
+}
+
+func decodeLoss(w *wire.PublicationLoss) configurer.Loss {
+	return configurer.Loss{
+		Key:         configurer.NewKey(configurer.Kind(w.GetKind()), w.GetName()),
+		Revision:    fuchsiapitch.Offset(w.GetRevision()),
+		Publication: fuchsiapitch.RecordID(w.GetPublication()), Publisher: w.GetPublisher(),
+	}
+}
--- /dev/null
+++ b/internal/encoder/configuration_test.go
@@ -0,0 +1,120 @@
+package encoder
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/configurer"
+)
+
+func assertNoError(t rapid.TB, err error, what string) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%s: got error %v, want none", what, err)
+	}
+}
+
+func drawDocument(t *rapid.T) configurer.Document {
+	name := rapid.StringMatching("[a-z]{1,5}").Draw(t, "name")
+	count := rapid.IntRange(0, 1000)
+	size := rapid.Float64Range(0, 1000)
+	length := rapid.Map(rapid.Int64Range(0, 1e12), func(n int64) time.Duration { return time.Duration(n) })
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
+		return configurer.NewRankDocument(fuchsiapitch.NewRank(fuchsiapitch.RankName(name), count.Draw(t, "order"),
+			length.Draw(t, "first"), length.Draw(t, "inter"), size.Draw(t, "worth"), size.Draw(t, "floor")))
+	case 1:
+		return configurer.NewCustomerDocument(fuchsiapitch.NewCustomer(fuchsiapitch.CustomerName(name),
+			fuchsiapitch.WithWeight(size.Draw(t, "weight")), fuchsiapitch.WithKeyHashes("00ff", "1234"),
+			fuchsiapitch.WithRanks("chat", fuchsiapitch.RankName(name)),
+			fuchsiapitch.WithLimits(count.Draw(t, "in flight"), size.Draw(t, "tokens"), int64(count.Draw(t, "bytes")))))
+	}
+	return configurer.NewServiceDocument(fuchsiapitch.NewService(fuchsiapitch.ServiceName(name), fuchsiapitch.ModelService, "chat",
+		fuchsiapitch.WithModel(name, "7"), fuchsiapitch.WithAdapters(name, "b"), fuchsiapitch.WithFencing(), fuchsiapitch.WithCrossDomain(),
+		fuchsiapitch.WithReplicas(count.Draw(t, "replicas"), count.Draw(t, "size")), fuchsiapitch.WithConcurrency(count.Draw(t, "slots")),
+		fuchsiapitch.WithWorth(size.Draw(t, "worth")), fuchsiapitch.WithTimeout(length.Draw(t, "timeout")),
+		fuchsiapitch.WithRoutes(fuchsiapitch.NewRoute("GET", "/"+name, true))))
+}
+
+func TestDocument(t *testing.T) {
+	t.Run("a document survives the round trip", rapid.MakeCheck(func(t *rapid.T) {
+		want := drawDocument(t)
+		content, err := EncodeDocument(want, nil)
+		assertNoError(t, err, "encode")
+		if got := DecodeDocument(want.Key().Kind(), content); !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}))
+	t.Run("fields of a newer version are carried over", func(t *testing.T) {
+		document := configurer.NewRankDocument(fuchsiapitch.NewRank("chat", 0, 1, 1, 1, 0))
+		unknown := []byte{0xf8, 0x3f, 0x07}
+		content, err := EncodeDocument(document, unknown)
+		assertNoError(t, err, "encode")
+		if !bytes.HasSuffix(content, unknown) {
+			t.Errorf("got %x, want it to end with the unknown field %x", content, unknown)
+		}
+	})
+}
+
+func TestRecord(t *testing.T) {
+	t.Run("a publication and a checkpoint survive the round trip", rapid.MakeCheck(func(t *rapid.T) {
+		document := drawDocument(t)
+		content, err := EncodeDocument(document, nil)
+		assertNoError(t, err, "encode")
+		publication := configurer.Publication{
+			Publisher: "ana", Changes: []configurer.Change{
+				{Key: document.Key(), Parent: 7, Content: content, Document: document},
+				{Key: configurer.NewKey("other", "x"), Removed: true},
+			}, Guards: []configurer.Guard{{Kind: configurer.RankKind, Revision: 3}},
+		}
+		fold := configurer.NewFold()
+		fold.Publish("p", 9, publication)
+		fold.Publish("q", 10, configurer.Publication{Changes: []configurer.Change{{Key: document.Key(), Parent: 0, Content: content, Document: document}}})
+		for _, want := range []configurer.Body{publication, fold.Snapshot()} {
+			data, err := EncodeConfiguration(want)
+			assertNoError(t, err, "encode")
+			got, err := DecodeConfiguration(data)
+			assertNoError(t, err, "decode")
+			if !reflect.DeepEqual(got, want) {
+				t.Errorf("got %+v, want %+v", got, want)
+			}
+		}
+	}))
+}
+
+func FuzzDecodeConfiguration(f *testing.F) {
+	for _, b := range []configurer.Body{
+		configurer.Publication{Publisher: "ana", Changes: []configurer.Change{{Key: configurer.NewKey("rank", "chat"), Content: []byte("x")}}},
+		configurer.Snapshot{Offset: 3, Outcomes: []configurer.Outcome{{Publication: "p"}}},
+	} {
+		data, err := EncodeConfiguration(b)
+		assertNoError(f, err, "encode")
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		body, err := DecodeConfiguration(data)
+		if err != nil {
+			return
+		}
+		again, err := EncodeConfiguration(body)
+		assertNoError(t, err, "encode what was decoded")
+		got, err := DecodeConfiguration(again)
+		assertNoError(t, err, "decode again")
+		if !equalBodies(got, body) {
+			t.Errorf("got %+v, want %+v", got, body)
+		}
+	})
+}
+
+// equalBodies compares the encoded forms, since a number in a document may be
+// not equal to itself.
+func equalBodies(a, b configurer.Body) bool {
+	x, errX := EncodeConfiguration(a)
+	y, errY := EncodeConfiguration(b)
+	return errX == nil && errY == nil && bytes.Equal(x, y)
+}
--- /dev/null
+++ b/internal/encoder/document.go
@@ -0,0 +1,141 @@
+package encoder
+
+import (
+	"encoding/hex"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/configurer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder/wire"
+)
+
+// EncodeDocument returns the content of a document. Fields of the current
+// content that this version does not know are carried over, so that an old
+// publisher does not remove what a newer one has set. It returns a RecordError
+// when the document cannot be encoded.
+func EncodeDocument(document configurer.Document, current []byte) ([]byte, error) {
+	w, err := encodeContent(document)
+	if err != nil {
+		return nil, err
+	}
+	old := w.ProtoReflect().New().Interface()
+	if err := proto.Unmarshal(current, old); err == nil {
+		w.ProtoReflect().SetUnknown(old.ProtoReflect().GetUnknown())
+	}
+	content, err := deterministic.Marshal(w)
+	if err != nil {
+		return nil, &RecordError{Detail: document.Key().String() + " cannot be encoded", Err: err}
+	}
+	return content, nil
+}
+
+func encodeContent(document configurer.Document) (proto.Message, error) {
+	if s, ok := document.Service(); ok {
+		return encodeService(s), nil
+	}
+	if c, ok := document.Customer(); ok {
+		return encodeCustomer(c)
+	}
+	if r, ok := document.Rank(); ok {
+		return &wire.RankContent{
+			Name: string(r.Name()), Order: toCount(r.Order()), FirstTokenNs: int64(r.FirstToken()),
+			InterTokenNs: int64(r.InterToken()), Worth: r.Worth(), Floor: r.Floor(),
+		}, nil
+	}
+	return nil, &RecordError{Detail: "an empty document has no content"}
+}
+
+// DecodeDocument returns the document with an encoded content, the zero
+// document for content that is damaged or of an unknown kind.
+func DecodeDocument(kind configurer.Kind, content []byte) configurer.Document {
+	switch kind {
+	case configurer.ServiceKind:
+		w := &wire.ServiceContent{}
+		if proto.Unmarshal(content, w) == nil {
+			return configurer.NewServiceDocument(decodeService(w))
+		}
+	case configurer.CustomerKind:
+		w := &wire.CustomerContent{}
+		if proto.Unmarshal(content, w) == nil {
+			return configurer.NewCustomerDocument(decodeCustomer(w))
+		}
+	case configurer.RankKind:
+		w := &wire.RankContent{}
+		if proto.Unmarshal(content, w) == nil {
+			return configurer.NewRankDocument(fuchsiapitch.NewRank(fuchsiapitch.RankName(w.GetName()), int(w.GetOrder()),
+				time.Duration(w.GetFirstTokenNs()), time.Duration(w.GetInterTokenNs()), w.GetWorth(), w.GetFloor()))
+		}
+	}
+	return configurer.Document{}
+}
+
+func encodeService(s fuchsiapitch.Service) *wire.ServiceContent {
+	w := &wire.ServiceContent{
+		Name: string(s.Name()), Kind: toCount(int(s.Kind())), Rank: string(s.Rank()),
+		Model: s.Model(), Version: s.Version(), Adapters: s.Adapters(),
+		Replicas: toCount(s.Replicas()), GroupSize: toCount(s.GroupSize()), Concurrency: toCount(s.Concurrency()),
+		Worth: s.Worth(), Fenced: s.Fenced(), CrossDomain: s.CrossDomain(), TimeoutNs: int64(s.Timeout()),
+	}
+	for _, r := range s.Routes() {
+		w.Routes = append(w.Routes, &wire.RouteContent{Method: r.Method(), Prefix: r.Prefix(), Idempotent: r.Idempotent()})
+	}
+	return w
+}
+
+func decodeService(w *wire.ServiceContent) fuchsiapitch.Service {
+	options := []fuchsiapitch.ServiceOption{
+		fuchsiapitch.WithModel(w.GetModel(), w.GetVersion()),
+		fuchsiapitch.WithAdapters(w.GetAdapters()...),
+		fuchsiapitch.WithReplicas(int(w.GetReplicas()), int(w.GetGroupSize())),
+		fuchsiapitch.WithConcurrency(int(w.GetConcurrency())),
+		fuchsiapitch.WithWorth(w.GetWorth()),
+		fuchsiapitch.WithTimeout(time.Duration(w.GetTimeoutNs())),
+	}
+	if w.GetFenced() {
+		options = append(options, fuchsiapitch.WithFencing())
+	}
+	if w.GetCrossDomain() {
+		options = append(options, fuchsiapitch.WithCrossDomain())
+	}
+	var routes []fuchsiapitch.Route
+	for _, r := range w.GetRoutes() {
+		routes = append(routes, fuchsiapitch.NewRoute(r.GetMethod(), r.GetPrefix(), r.GetIdempotent()))
+	}
+	options = append(options, fuchsiapitch.WithRoutes(routes...))
+	return fuchsiapitch.NewService(fuchsiapitch.ServiceName(w.GetName()),
+		fuchsiapitch.ServiceKind(w.GetKind()), fuchsiapitch.RankName(w.GetRank()), options...)
+}
+
+func encodeCustomer(c fuchsiapitch.Customer) (*wire.CustomerContent, error) {
+	w := &wire.CustomerContent{
+		Name: string(c.Name()), Weight: c.Weight(), InFlight: toCount(c.InFlight()),
+		TokensPerSecond: c.TokensPerSecond(), QueueBytes: c.QueueBytes(),
+	}
+	for _, h := range c.KeyHashes() {
+		hash, err := hex.DecodeString(h)
+		if err != nil {
+			return nil, &RecordError{Detail: "a key hash of customer " + string(c.Name()) + " is not hexadecimal", Err: err}
+		}
+		w.KeyHashes = append(w.KeyHashes, hash)
+	}
+	for _, r := range c.Ranks() {
+		w.Ranks = append(w.Ranks, string(r))
+	}
+	return w, nil
+}
+
+func decodeCustomer(w *wire.CustomerContent) fuchsiapitch.Customer {
+	hashes := make([]string, len(w.GetKeyHashes()))
+	for i, h := range w.GetKeyHashes() {
+		hashes[i] = hex.EncodeToString(h)
+	}
+	ranks := make([]fuchsiapitch.RankName, len(w.GetRanks()))
+	for i, r := range w.GetRanks() {
+		ranks[i] = fuchsiapitch.RankName(r)
+	}
+	return fuchsiapitch.NewCustomer(fuchsiapitch.CustomerName(w.GetName()),
+		fuchsiapitch.WithWeight(w.GetWeight()), fuchsiapitch.WithKeyHashes(hashes...),
+		fuchsiapitch.WithRanks(ranks...), fuchsiapitch.WithLimits(int(w.GetInFlight()), w.GetTokensPerSecond(), w.GetQueueBytes()))
+}
