reducer: numbered attempts, retries until the deadline, resumption

Cause: attempts had no number, so that a late event of an earlier attempt counted for the one under way; four attempts in all ended an idempotent request while replicas lived; a preempted stream lost one of them.

Change: attempts are numbered over all requests of a host and carried in StartAttempt, ForwardRequest and their events. A request that may be repeated is tried at every replica, rests and is tried again until its deadline, its retry budget or eight attempts without progress end it. Directives carry the deadline, checked on both clocks by the reducer, the holder and the sender's gate. A call that may not be repeated is finished when its caller has gone. A preemption that arrives before its attempt starts is no longer lost.

--- a/identifiers.go
+++ b/identifiers.go
@@ -77,6 +77,11 @@
 	return Instant{monotonic: i.monotonic + d, wall: i.wall.Add(d)}
 }
 
+// Past reports whether a deadline is reached on either clock.
+func (i Instant) Past(deadline Instant) bool {
+	return i.monotonic >= deadline.monotonic || !i.wall.Before(deadline.wall)
+}
+
 // Clock reads the clocks of the process.
 type Clock interface {
 	// Now returns the current instant.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -11,14 +11,14 @@
 
 // attempt sends the request to a replica and reports its end.
 func (h *holder) attempt(ctx context.Context, d reducer.StartAttempt) {
-	attemptContext, cancel := h.mailbox.Attempt(ctx)
+	attemptContext, cancel := h.mailbox.Attempt(ctx, d.Attempt)
 	defer cancel()
 	attemptContext, span := h.span(attemptContext, "send", d.Replica.Server().Address())
 	defer span.End()
 
-	ended := reducer.AttemptEnded{Request: h.request.ID(), Outcome: fuchsiapitch.Succeeded}
-	progress := h.newProgress()
-	answer, err := h.forwarder.caller.Call(attemptContext, d.Replica.Server(), h.callAt(attemptContext, d.Priority))
+	ended := reducer.AttemptEnded{Request: h.request.ID(), Attempt: d.Attempt, Outcome: fuchsiapitch.Succeeded}
+	progress := h.newProgress(d.Attempt)
+	answer, err := h.send(attemptContext, d)
 	if err == nil {
 		err = h.copy(attemptContext, answer, progress)
 	}
@@ -33,6 +33,18 @@
 	h.forwarder.runner.Submit(ctx, ended)
 }
 
+// send sends the request unless its deadline has passed on one of the clocks,
+// since the process may have been paused.
+func (h *holder) send(ctx context.Context, d reducer.StartAttempt) (fuchsiapitch.Answer, error) {
+	if h.forwarder.runner.Past(d.Deadline) {
+		late := &fuchsiapitch.RefusedError{Request: h.request.ID(), Reason: fuchsiapitch.RefusedDeadline}
+		return fuchsiapitch.Answer{}, &fuchsiapitch.AttemptError{
+			Request: h.request.ID(), Server: d.Replica.Server().ID(), Outcome: fuchsiapitch.NotRun, Err: late,
+		}
+	}
+	return h.forwarder.caller.Call(ctx, d.Replica.Server(), h.callAt(ctx, d.Priority))
+}
+
 func (h *holder) judgeAttempt(ended *reducer.AttemptEnded, err error) {
 	ended.Outcome = fuchsiapitch.Unknown
 	ended.Stopped = h.mailbox.Stopped()
@@ -49,8 +61,8 @@
 	forwardContext, span := h.span(ctx, "forward", d.Host.Address())
 	defer span.End()
 
-	ended := reducer.ForwardEnded{Request: h.request.ID(), Host: d.Host.ID(), Outcome: fuchsiapitch.Succeeded}
-	answer, err := h.forwarder.peer.Dispatch(forwardContext, d.Host, h.request, h.callAt(forwardContext, 0))
+	ended := reducer.ForwardEnded{Request: h.request.ID(), Attempt: d.Attempt, Host: d.Host.ID(), Outcome: fuchsiapitch.Succeeded}
+	answer, err := h.handOver(forwardContext, d)
 	if err == nil {
 		err = h.copy(forwardContext, answer, nil)
 	}
@@ -65,6 +77,17 @@
 	h.forwarder.runner.Submit(ctx, ended)
 }
 
+// handOver forwards the request unless its deadline has passed on one of the
+// clocks.
+func (h *holder) handOver(ctx context.Context, d reducer.ForwardRequest) (fuchsiapitch.Answer, error) {
+	if h.forwarder.runner.Past(d.Deadline) {
+		return fuchsiapitch.Answer{}, &fuchsiapitch.DispatchError{
+			Request: h.request.ID(), Host: d.Host.ID(), Outcome: fuchsiapitch.NotRun, Refusal: fuchsiapitch.RefusedDeadline,
+		}
+	}
+	return h.forwarder.peer.Dispatch(ctx, d.Host, h.request, h.callAt(ctx, 0))
+}
+
 func judgeForward(ended *reducer.ForwardEnded, err error) {
 	ended.Outcome = fuchsiapitch.Unknown
 	var dispatch *fuchsiapitch.DispatchError
@@ -139,15 +162,16 @@
 // progress reports the tokens of one attempt from time to time.
 type progress struct {
 	holder  *holder
+	attempt uint64
 	started time.Time
 	last    time.Time
 	tokens  int
 	first   bool
 }
 
-func (h *holder) newProgress() *progress {
+func (h *holder) newProgress(attempt uint64) *progress {
 	now := time.Now()
-	return &progress{holder: h, started: now, last: now}
+	return &progress{holder: h, attempt: attempt, started: now, last: now}
 }
 
 // add counts tokens. It does nothing for a forwarded request, whose dispatcher
@@ -160,13 +184,15 @@
 	now := time.Now()
 	if !p.first {
 		p.first = true
-		p.holder.forwarder.runner.Submit(ctx, reducer.AttemptAnswered{Request: p.holder.request.ID(), Wait: now.Sub(p.started)})
+		p.holder.forwarder.runner.Submit(ctx, reducer.AttemptAnswered{
+			Request: p.holder.request.ID(), Attempt: p.attempt, Wait: now.Sub(p.started),
+		})
 	}
 	if now.Sub(p.last) < progressPeriod {
 		return
 	}
 	p.holder.forwarder.runner.Submit(ctx, reducer.AttemptProgressed{
-		Request: p.holder.request.ID(), Tokens: p.tokens, Elapsed: now.Sub(p.last),
+		Request: p.holder.request.ID(), Attempt: p.attempt, Tokens: p.tokens, Elapsed: now.Sub(p.last),
 	})
 	p.last, p.tokens = now, 0
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -121,13 +121,22 @@
 		case reducer.ReplayAnswer:
 			return h.replay(d)
 		case reducer.StartAttempt:
-			h.attempt(ctx, d)
+			h.attempt(h.lifetime(ctx), d)
 		case reducer.ForwardRequest:
-			h.forward(ctx, d)
+			h.forward(h.lifetime(ctx), d)
 		}
 	}
 }
 
+// lifetime returns the context of an attempt. A call that may not be repeated
+// is finished also when its caller has gone, so that its outcome is known.
+func (h *holder) lifetime(ctx context.Context) context.Context {
+	if h.request.Idempotent() {
+		return ctx
+	}
+	return context.WithoutCancel(ctx)
+}
+
 func (h *holder) wait(ctx context.Context) (reducer.Directive, error) {
 	ctx, span := h.forwarder.tracer.Start(ctx, "queue")
 	defer span.End()
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -21,22 +21,33 @@
 type StartAttempt struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt numbers the attempt; its events carry the number.
+	Attempt uint64
 	// Replica is the replica to send to.
 	Replica fuchsiapitch.Replica
 	// Offset is the number of tokens that the caller already has.
 	Offset int
 	// Priority is the engine's priority; 0 is the most urgent.
 	Priority int
+	// Deadline is the time after which the holder must not send, on either
+	// clock. It checks right before it sends, since the process may have been
+	// paused.
+	Deadline fuchsiapitch.Instant
 }
 
 // ForwardRequest has the holder hand its request to a dispatcher.
 type ForwardRequest struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt numbers the attempt; its end carries the number.
+	Attempt uint64
 	// Host is the dispatcher.
 	Host fuchsiapitch.Host
 	// Offset is the number of tokens that the caller already has.
 	Offset int
+	// Deadline is the time after which the holder must not forward, on either
+	// clock.
+	Deadline fuchsiapitch.Instant
 }
 
 // PreemptAttempt has the holder end its attempt, so that more urgent work can
@@ -44,6 +55,8 @@
 type PreemptAttempt struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt is the number of the attempt to end.
+	Attempt uint64
 }
 
 // RefuseRequest has the holder tell the caller that the request was not run.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -41,6 +41,8 @@
 type AttemptAnswered struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt is the number of the attempt that the event is of.
+	Attempt uint64
 	// Wait is the time from the start of the attempt.
 	Wait time.Duration
 }
@@ -49,6 +51,8 @@
 type AttemptProgressed struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt is the number of the attempt that the event is of.
+	Attempt uint64
 	// Tokens is the number of tokens since the last report.
 	Tokens int
 	// Elapsed is the time since the last report.
@@ -59,6 +63,8 @@
 type AttemptEnded struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt is the number of the attempt that the event is of.
+	Attempt uint64
 	// Outcome states what is known of the attempt.
 	Outcome fuchsiapitch.Outcome
 	// Tokens is the number of tokens that the caller has in all.
@@ -76,6 +82,8 @@
 type ForwardEnded struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt is the number of the attempt that the event is of.
+	Attempt uint64
 	// Host is the dispatcher.
 	Host fuchsiapitch.HostID
 	// Outcome states what is known of the request.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -6,9 +6,6 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
-// attemptLimit is the largest number of attempts and forwards of one request.
-const attemptLimit = 4
-
 // phase is the place of a request in its life.
 type phase int
 
@@ -19,6 +16,8 @@
 	attempting
 	// forwarded means that a dispatcher on another host holds the request.
 	forwarded
+	// resting means that the request waits before every replica is tried again.
+	resting
 )
 
 // flight is the state of one request at this host. An offered request comes
@@ -29,15 +28,23 @@
 	offered  bool
 	bridged  bool
 	phase    phase
-	deadline time.Duration
+	deadline fuchsiapitch.Instant
+	// attempt is the number of the attempt under way, 0 for none.
+	attempt uint64
+	// attempts counts the attempts and forwards.
 	attempts int
-	offset   int
-	replica  fuchsiapitch.ReplicaID
-	host     fuchsiapitch.HostID
-	answered bool
-	ran      bool
-	lost     map[fuchsiapitch.ReplicaID]bool
-	excluded map[fuchsiapitch.HostID]bool
+	// fruitless counts the attempts since the last progress that may have run.
+	fruitless int
+	offset    int
+	replica   fuchsiapitch.ReplicaID
+	host      fuchsiapitch.HostID
+	answered  bool
+	// ran states that an ended attempt may have run.
+	ran bool
+	// wait is the last rest, and wake the end of the current one.
+	wait, wake time.Duration
+	lost       map[fuchsiapitch.ReplicaID]bool
+	excluded   map[fuchsiapitch.HostID]bool
 }
 
 func (s *State) applyRequest(event Event) {
@@ -49,9 +56,13 @@
 	case RequestAbandoned:
 		s.forget(e.Request)
 	case AttemptAnswered:
-		s.scheduler.Answered(s.now, e.Request, e.Wait)
+		if _, ok := s.current(e.Request, e.Attempt); ok {
+			s.scheduler.Answered(s.now, e.Request, e.Wait)
+		}
 	case AttemptProgressed:
-		s.scheduler.Progressed(s.now, e.Request, e.Tokens, e.Elapsed)
+		if _, ok := s.current(e.Request, e.Attempt); ok {
+			s.scheduler.Progressed(s.now, e.Request, e.Tokens, e.Elapsed)
+		}
 	case AttemptEnded:
 		s.endAttempt(e)
 	case ForwardEnded:
@@ -83,7 +94,7 @@
 func (s *State) newFlight(request fuchsiapitch.Request) *flight {
 	f := &flight{
 		request:  request,
-		deadline: s.now.Monotonic() + request.TimeLimit(),
+		deadline: s.now.Add(request.TimeLimit()),
 		lost:     make(map[fuchsiapitch.ReplicaID]bool),
 		excluded: make(map[fuchsiapitch.HostID]bool),
 	}
@@ -99,6 +110,10 @@
 	}
 	load := func(h fuchsiapitch.HostID) int { return s.loadOf(h, f.request.Service()) }
 	h, ok := s.table.Choose(f.request, f.excluded, load)
+	if !ok && f.attempts > 0 && !f.bridged {
+		s.rest(f)
+		return
+	}
 	if !ok {
 		s.refuse(f, fuchsiapitch.RefusedNoReplica, time.Second)
 		return
@@ -107,9 +122,7 @@
 		s.enqueue(f)
 		return
 	}
-	f.phase, f.host = forwarded, h.ID()
-	f.attempts++
-	s.emit(ForwardRequest{Request: f.request.ID(), Host: h, Offset: f.offset})
+	s.forward(f, h)
 }
 
 // enqueue offers a request to the scheduler of this host.
@@ -130,12 +143,10 @@
 			s.scheduler.Ended(s.now, p.Request)
 			continue
 		}
-		f.phase, f.replica = attempting, p.Replica.ID()
-		f.attempts++
-		s.emit(StartAttempt{Request: p.Request, Replica: p.Replica, Offset: f.offset, Priority: p.Priority})
+		s.startAttempt(f, p.Replica, p.Priority)
 	}
 	for _, id := range plan.Preempts {
-		s.emit(PreemptAttempt{Request: id})
+		s.preempt(id)
 	}
 	for _, r := range plan.Refusals {
 		if f, ok := s.requests[r.Request]; ok {
@@ -148,7 +159,7 @@
 func (s *State) expireRequests() {
 	for _, id := range sortedKeys(s.requests) {
 		f := s.requests[id]
-		if f.phase == queued && s.now.Monotonic() >= f.deadline {
+		if (f.phase == queued || f.phase == resting) && s.now.Past(f.deadline) {
 			s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
 		}
 	}
--- a/internal/reducer/request_test.go
+++ b/internal/reducer/request_test.go
@@ -63,21 +63,21 @@
 		s := newFleetState(t)
 		request := newChat("r1", fuchsiapitch.WithRepeatable(), fuchsiapitch.WithTokenStream())
 		first := assertStart(t, s.Apply(at(1), RequestReceived{Request: request}), 0)
-		second := assertStart(t, s.Apply(at(2), AttemptEnded{Request: "r1", Outcome: fuchsiapitch.Unknown, Tokens: 7}), 7)
+		second := assertStart(t, s.Apply(at(2), AttemptEnded{Request: "r1", Attempt: first.Attempt, Outcome: fuchsiapitch.Unknown, Tokens: 7}), 7)
 		if first.Replica.ID() == second.Replica.ID() {
 			t.Errorf("got replica %s twice, want another", first.Replica.ID())
 		}
 	})
 	t.Run("a call that may not be repeated ends as unknown", func(t *testing.T) {
 		s := newFleetState(t)
-		s.Apply(at(1), RequestReceived{Request: newChat("r1")})
-		assertFinish(t, s.Apply(at(2), AttemptEnded{Request: "r1", Outcome: fuchsiapitch.Unknown}), fuchsiapitch.Unknown)
+		start := assertStart(t, s.Apply(at(1), RequestReceived{Request: newChat("r1")}), 0)
+		assertFinish(t, s.Apply(at(2), AttemptEnded{Request: "r1", Attempt: start.Attempt, Outcome: fuchsiapitch.Unknown}), fuchsiapitch.Unknown)
 	})
 	t.Run("a request that may have run is never refused as not run", func(t *testing.T) {
 		s := newFleetState(t)
-		s.Apply(at(1), RequestReceived{Request: newChat("r1", fuchsiapitch.WithRepeatable())})
+		start := assertStart(t, s.Apply(at(1), RequestReceived{Request: newChat("r1", fuchsiapitch.WithRepeatable())}), 0)
 		s.Apply(at(2), RequestReceived{Request: newChat("r2", fuchsiapitch.WithRepeatable())})
-		s.Apply(at(3), AttemptEnded{Request: "r1", Outcome: fuchsiapitch.Unknown})
+		s.Apply(at(3), AttemptEnded{Request: "r1", Attempt: start.Attempt, Outcome: fuchsiapitch.Unknown})
 		s.Apply(at(4), FleetDescribed{Configuration: s.Configuration()})
 		assertFinish(t, s.Apply(at(2*time.Minute), Ticked{}), fuchsiapitch.Unknown)
 	})
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -32,6 +32,8 @@
 	table         *router.Table
 	scheduler     *scheduler.Scheduler
 	requests      map[fuchsiapitch.RequestID]*flight
+	attempts      uint64
+	retryBudget   RetryBudget
 	stopping      bool
 	effects       []Effect
 }
@@ -53,6 +55,8 @@
 		members:    gossiper.New(self),
 		scheduler:  scheduler.New(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
+
+		retryBudget: unlimited{},
 	}
 	for _, o := range options {
 		o(s)
@@ -104,6 +108,7 @@
 	s.tickGroups()
 	s.tickKeys()
 	s.expireRequests()
+	s.wakeRequests()
 }
 
 func (s *State) stop() {
--- a/internal/runner/mailbox.go
+++ b/internal/runner/mailbox.go
@@ -18,7 +18,8 @@
 
 	mutex     sync.Mutex
 	interrupt context.CancelFunc
-	stopped   bool
+	attempt   uint64
+	preempted uint64
 }
 
 func newMailbox(request fuchsiapitch.RequestID) *Mailbox {
@@ -36,12 +37,16 @@
 	}
 }
 
-// Attempt returns a context for one attempt. A PreemptAttempt ends it.
-func (m *Mailbox) Attempt(ctx context.Context) (context.Context, context.CancelFunc) {
+// Attempt returns a context for the attempt with a number. A PreemptAttempt of
+// that number ends it, also when it arrives first.
+func (m *Mailbox) Attempt(ctx context.Context, number uint64) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.interrupt, m.stopped = cancel, false
+	m.interrupt, m.attempt = cancel, number
+	if m.preempted == number {
+		cancel()
+	}
 	return ctx, cancel
 }
 
@@ -49,13 +54,13 @@
 func (m *Mailbox) Stopped() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.stopped
+	return m.preempted == m.attempt
 }
 
 // deliver adds a directive. It returns false when the mailbox is full.
 func (m *Mailbox) deliver(directive reducer.Directive) bool {
-	if _, ok := directive.(reducer.PreemptAttempt); ok {
-		m.stop()
+	if p, ok := directive.(reducer.PreemptAttempt); ok {
+		m.stop(p.Attempt)
 		return true
 	}
 	select {
@@ -66,11 +71,11 @@
 	}
 }
 
-func (m *Mailbox) stop() {
+func (m *Mailbox) stop(attempt uint64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.interrupt != nil {
-		m.stopped = true
+	m.preempted = attempt
+	if m.interrupt != nil && m.attempt == attempt {
 		m.interrupt()
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -185,6 +185,9 @@
 	}
 }
 
+// Past reports whether a deadline has passed on either clock.
+func (r *Runner) Past(deadline fuchsiapitch.Instant) bool { return r.clock.Now().Past(deadline) }
+
 // Configuration returns the configuration in force.
 func (r *Runner) Configuration() fuchsiapitch.Configuration { return *r.configuration.Load() }
 
