--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -33,6 +33,8 @@
 	scheduler     *scheduler.Scheduler
 	requests      map[fuchsiapitch.RequestID]*flight
 	following     configurationState
+	attempts      uint64
+	retryBudget   RetryBudget
 	stopping      bool
 	effects       []Effect
 }
@@ -55,6 +57,8 @@
 		scheduler:  scheduler.New(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
 		following:  newConfigurationState(),
+
+		retryBudget: unlimited{},
 	}
 	for _, o := range options {
 		o(s)
@@ -108,6 +112,7 @@
 	s.tickGroups()
 	s.tickKeys()
 	s.expireRequests()
+	s.wakeRequests()
 }
 
 func (s *State) stop() {
