scheduler: queue by rank, customer and slot with floors, headroom and early refusal

Cause: the first scheduler sorted one list on every event and knew neither customers, floors, preemption nor refusal. Change: a pool per service with classes by rank, start-time fair queueing by customer, floors in served tokens over 10 s, reserved slots, bounded preemption, limits adapted to lateness, prefix affinity with bounded load, stragglers, and refusal by estimated wait. The reducer queues accepted requests again without admission, does not count a preemption as an attempt and hands waiting requests on when the last replica of their service leaves the host. Deadlines in the queue come from a heap instead of a scan of all requests every tick.

--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -12,6 +12,11 @@
 	if !ok {
 		return
 	}
+	if e.Stopped {
+		// A preemption is no failure and does not count as an attempt.
+		f.preemptions = s.scheduler.Preemptions(e.Request)
+		f.attempts--
+	}
 	s.scheduler.Ended(s.now, e.Request)
 	f.offset, f.answered = e.Tokens, f.answered || e.Answered
 	if e.Outcome == fuchsiapitch.Succeeded {
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -32,6 +32,7 @@
 		s.emit(SendHeartbeat{To: h, Heartbeat: s.ComposeHeartbeat()})
 	}
 	s.followMembership()
+	s.adoptOrphans()
 }
 
 // followMembership reassigns the replicas after a change of the live hosts.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -29,12 +29,16 @@
 	deadline time.Duration
 	attempts int
 	offset   int
-	replica  fuchsiapitch.ReplicaID
-	host     fuchsiapitch.HostID
-	answered bool
-	ran      bool
-	lost     map[fuchsiapitch.ReplicaID]bool
-	excluded map[fuchsiapitch.HostID]bool
+	// accepted states that the scheduler of this host has once accepted the
+	// request, so that it is queued again whatever the load.
+	accepted    bool
+	preemptions int
+	replica     fuchsiapitch.ReplicaID
+	host        fuchsiapitch.HostID
+	answered    bool
+	ran         bool
+	lost        map[fuchsiapitch.ReplicaID]bool
+	excluded    map[fuchsiapitch.HostID]bool
 }
 
 func (s *State) applyRequest(event Event) {
@@ -88,8 +92,11 @@
 		s.refuse(f, fuchsiapitch.RefusedUnknownService, 0)
 		return
 	}
-	load := func(h fuchsiapitch.HostID) int { return s.loadOf(h, f.request.Service()) }
-	h, ok := s.table.Choose(f.request, f.excluded, load)
+	h, ok := s.choose(f)
+	if !ok && f.accepted {
+		s.enqueue(f)
+		return
+	}
 	if !ok {
 		s.refuse(f, fuchsiapitch.RefusedNoReplica, time.Second)
 		return
@@ -98,6 +105,17 @@
 		s.enqueue(f)
 		return
 	}
+	s.forward(f, h)
+}
+
+// choose returns the dispatcher for a request.
+func (s *State) choose(f *flight) (fuchsiapitch.Host, bool) {
+	load := func(h fuchsiapitch.HostID) int { return s.loadOf(h, f.request.Service()) }
+	return s.table.Choose(f.request, f.excluded, load)
+}
+
+// forward hands a request to a dispatcher on another host.
+func (s *State) forward(f *flight, h fuchsiapitch.Host) {
 	f.phase, f.host = forwarded, h.ID()
 	f.attempts++
 	s.emit(ForwardRequest{Request: f.request.ID(), Host: h, Offset: f.offset})
@@ -106,7 +124,20 @@
 // enqueue offers a request to the scheduler of this host.
 func (s *State) enqueue(f *flight) {
 	f.phase = queued
-	a := s.scheduler.Offer(s.now, f.request, sortedKeys(f.lost)...)
+	remaining := f.deadline - s.now.Monotonic()
+	if remaining <= 0 {
+		s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
+		return
+	}
+	request := f.request
+	fuchsiapitch.WithTimeLimit(remaining)(&request)
+	if f.accepted || f.offset > 0 {
+		f.accepted = true
+		s.scheduler.Resume(s.now, request, f.offset, f.preemptions, sortedKeys(f.lost)...)
+		return
+	}
+	a := s.scheduler.Offer(s.now, request, sortedKeys(f.lost)...)
+	f.accepted = a.Accepted
 	if !a.Accepted {
 		s.refuse(f, a.Reason, a.RetryAfter)
 	}
@@ -135,12 +166,25 @@
 	}
 }
 
-// expireRequests refuses waiting requests whose deadline has passed.
-func (s *State) expireRequests() {
-	for _, id := range sortedKeys(s.requests) {
-		f := s.requests[id]
-		if f.phase == queued && s.now.Monotonic() >= f.deadline {
-			s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
+// adoptOrphans finds another dispatcher for waiting requests whose service has
+// lost its last replica at this host. A request that came from another host is
+// given back to it; one that no dispatcher can take waits on.
+func (s *State) adoptOrphans() {
+	for _, id := range s.scheduler.Orphans() {
+		f, ok := s.requests[id]
+		if !ok {
+			continue
+		}
+		if f.offered {
+			s.refuse(f, fuchsiapitch.RefusedNoReplica, 0)
+			continue
+		}
+		// A dispatcher that failed this request before may have recovered.
+		clear(f.excluded)
+		h, ok := s.choose(f)
+		if ok && h.ID() != s.self {
+			s.scheduler.Ended(s.now, id)
+			s.forward(f, h)
 		}
 	}
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -103,7 +103,6 @@
 	s.tickConfiguration()
 	s.tickGroups()
 	s.tickKeys()
-	s.expireRequests()
 }
 
 func (s *State) stop() {
@@ -151,6 +150,7 @@
 	}
 	s.table = router.NewTable(s.members.Live(), replicas)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
+	s.adoptOrphans()
 }
 
 // Configuration returns the configuration in force.
--- /dev/null
+++ b/internal/scheduler/class.go
@@ -0,0 +1,153 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+const (
+	// floorWindow is the time constant over which the floors are measured.
+	floorWindow = 10 * time.Second
+	// minimumFloor is the share that a lower rank gets even if it is configured
+	// less, so that no accepted request waits for ever.
+	minimumFloor = 0.01
+	// repeatableFloor is the share of an application service's capacity that
+	// calls which may be repeated get beside those which may not.
+	repeatableFloor = 0.25
+	// floorBurst bounds the requests that run on account of a floor, as a
+	// multiple of the slots that the floor stands for.
+	floorBurst = 2
+)
+
+// classKey orders the classes of a pool. Within a rank of an application
+// service the calls that may not be repeated come first.
+type classKey struct {
+	order      int
+	repeatable bool
+}
+
+func (k classKey) compare(o classKey) int {
+	if k.order != o.order {
+		return cmp.Compare(k.order, o.order)
+	}
+	return cmp.Compare(boolToInt(k.repeatable), boolToInt(o.repeatable))
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// class holds the requests of one rank in one pool.
+type class struct {
+	key      classKey
+	rank     fuchsiapitch.Rank
+	floor    float64
+	fair     *fairQueue
+	parked   jobList
+	running  jobList
+	stopping int
+	requests int
+	bytes    int64
+	cost     float64
+	served   meter
+}
+
+// waits reports whether a request of the class waits in fair order.
+func (c *class) waits() bool { return len(c.fair.ready) > 0 }
+
+// class returns the class of a request, which it creates at first.
+func (p *pool) class(request fuchsiapitch.Request) *class {
+	rank := p.scheduler.rank(request.Rank())
+	key := classKey{order: rank.Order(), repeatable: p.application() && request.Idempotent()}
+	at, ok := slices.BinarySearchFunc(p.classes, key, func(c *class, k classKey) int { return c.key.compare(k) })
+	if ok {
+		return p.classes[at]
+	}
+	c := &class{key: key, fair: newFairQueue(), served: meter{window: floorWindow}}
+	p.classes = slices.Insert(p.classes, at, c)
+	p.setFloor(c, rank)
+	return c
+}
+
+// setFloor takes over the rank in force.
+func (p *pool) setFloor(c *class, rank fuchsiapitch.Rank) {
+	c.rank = rank
+	c.floor = 0
+	if rank.Order() > p.scheduler.urgentOrder {
+		c.floor = max(minimumFloor, rank.Floor())
+	}
+	if c.key.repeatable {
+		c.floor = max(c.floor, repeatableFloor)
+	}
+}
+
+// owed reports whether a class waits although it has received less than its
+// floor. The bound on its running requests keeps a rank that comes back after
+// an idle time from taking every slot at once.
+func (p *pool) owed(now time.Duration, c *class) bool {
+	if c.floor == 0 || !c.waits() || p.scheduler.off[Floors] {
+		return false
+	}
+	if float64(c.running.length) >= floorBurst*c.floor*float64(p.limit) {
+		return false
+	}
+	return c.served.read(now) < c.floor*p.served.read(now)
+}
+
+// nextClass returns the class to serve next, nil if none may start: a class
+// below its floor, or else the most urgent one that may use a free slot.
+func (p *pool) nextClass(now time.Duration) *class {
+	if p.free == 0 {
+		return nil
+	}
+	for _, c := range p.classes {
+		if p.owed(now, c) {
+			return c
+		}
+	}
+	if p.scheduler.off[RankOrder] {
+		return p.earliest(now)
+	}
+	for _, c := range p.classes {
+		if c.waits() && p.admits(now, c) {
+			return c
+		}
+	}
+	return nil
+}
+
+// earliest returns the class whose next request came first.
+func (p *pool) earliest(now time.Duration) *class {
+	var best *class
+	for _, c := range p.classes {
+		if !c.waits() || !p.admits(now, c) {
+			continue
+		}
+		if best == nil || c.fair.head().sequence < best.fair.head().sequence {
+			best = c
+		}
+	}
+	return best
+}
+
+// admits reports whether a class may use one more slot, given the slots that
+// are kept for others.
+func (p *pool) admits(now time.Duration, c *class) bool {
+	free := p.free
+	if c.key.order > p.scheduler.urgentOrder {
+		free -= p.headroom(now)
+	}
+	if c.waits() {
+		free -= p.shareHeadroom(c)
+	}
+	if c.key.repeatable && !p.scheduler.off[ReservedCalls] {
+		free = min(free, p.limit-p.reservedCalls()-p.repeatableRunning)
+	}
+	return free > 0
+}
--- /dev/null
+++ b/internal/scheduler/pool.go
@@ -0,0 +1,329 @@
+package scheduler
+
+import (
+	"cmp"
+	"container/heap"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+const (
+	// rateWindow is the time constant over which the speed of a slot is measured.
+	rateWindow = 10 * time.Second
+	// headroomFraction is the fraction of the slots kept free for the most
+	// urgent rank, and again for customers below their share.
+	headroomFraction = 1.0 / 16
+	// headroomMinimum is the smallest number of slots of which some are kept free.
+	headroomMinimum = 4
+	// headroomMemory is the time after the last urgent request for which slots
+	// are kept free.
+	headroomMemory = time.Minute
+	// reservedFraction is the fraction of an application service's slots that
+	// only calls which may not be repeated can use.
+	reservedFraction = 0.25
+)
+
+// pool holds the replicas of one service at this dispatcher and the requests
+// that wait for them or run on them.
+type pool struct {
+	scheduler *Scheduler
+	service   fuchsiapitch.ServiceName
+	kind      fuchsiapitch.ServiceKind
+	classes   []*class
+	stations  []*station
+	limit     int
+	free      int
+	running   int
+	stopping  int
+	waiting   int
+
+	repeatableRunning int
+	urgentSeen        time.Duration
+	urgentKnown       bool
+	adjustDue         time.Duration
+	dirty             bool
+
+	served   meter
+	tokens   meter
+	busy     meter
+	measured time.Duration
+	peers    []time.Duration
+}
+
+func newPool(s *Scheduler, service fuchsiapitch.ServiceName) *pool {
+	p := &pool{
+		scheduler: s, service: service,
+		served: meter{window: floorWindow},
+		tokens: meter{window: rateWindow},
+		busy:   meter{window: rateWindow},
+	}
+	p.configure()
+	return p
+}
+
+// configure takes over the service and the ranks in force.
+func (p *pool) configure() {
+	if v, ok := p.scheduler.configuration.Service(p.service); ok {
+		p.kind = v.Kind()
+	}
+	for _, c := range p.classes {
+		p.setFloor(c, p.scheduler.rank(c.rank.Name()))
+		for _, n := range slices.Sorted(maps.Keys(c.fair.flows)) {
+			f := c.fair.flows[n]
+			c.fair.flow(f.seen, n, p.scheduler.weight(f.customer))
+		}
+	}
+	p.dirty = true
+}
+
+func (p *pool) application() bool { return p.kind == fuchsiapitch.ApplicationService }
+
+// setReplicas replaces the replicas. What runs on a replica that has gone runs
+// on and is no longer counted against a slot.
+func (p *pool) setReplicas(replicas []fuchsiapitch.Replica) {
+	next := make([]*station, 0, len(replicas))
+	for _, r := range replicas {
+		t := p.station(r.ID())
+		if t == nil {
+			t = newStation(r)
+		}
+		t.setReplica(r)
+		next = append(next, t)
+	}
+	slices.SortFunc(next, func(a, b *station) int { return cmp.Compare(a.replica.ID(), b.replica.ID()) })
+	for _, t := range p.stations {
+		t.gone = !slices.Contains(next, t)
+	}
+	p.stations = next
+	p.recount()
+}
+
+func (p *pool) station(id fuchsiapitch.ReplicaID) *station {
+	for _, t := range p.stations {
+		if t.replica.ID() == id {
+			return t
+		}
+	}
+	return nil
+}
+
+// recount sums the slots after a change of a replica or of a limit.
+func (p *pool) recount() {
+	p.limit, p.free, p.running = 0, 0, 0
+	for _, t := range p.stations {
+		p.limit += t.slots()
+		p.free += max(0, t.slots()-t.running)
+		p.running += t.running
+	}
+	p.dirty = true
+}
+
+// advance measures the use of the slots up to now.
+func (p *pool) advance(now time.Duration) {
+	if now <= p.measured {
+		return
+	}
+	p.busy.add(now, float64(p.running)*(now-p.measured).Seconds())
+	p.measured = now
+}
+
+// enqueue queues a job.
+func (p *pool) enqueue(now time.Duration, j *job, front bool) {
+	c, f := j.class, j.flow
+	c.fair.push(f, j, front)
+	c.requests++
+	c.bytes += j.request.Bytes()
+	c.cost += j.cost()
+	f.requests++
+	f.bytes += j.request.Bytes()
+	f.cost += j.cost()
+	p.waiting++
+	p.noteUrgent(now, c)
+	p.dirty = true
+}
+
+// dequeue takes a job out of its queue, to start it or to give it up.
+func (p *pool) dequeue(j *job) {
+	c, f := j.class, j.flow
+	if j.parked {
+		j.remove()
+		j.parked = false
+	} else {
+		c.fair.remove(j)
+	}
+	if j.expiryIndex != notExpiring {
+		heap.Remove(&p.scheduler.expiries, j.expiryIndex)
+	}
+	c.requests--
+	c.bytes -= j.request.Bytes()
+	c.cost -= j.cost()
+	f.requests--
+	f.bytes -= j.request.Bytes()
+	f.cost -= j.cost()
+	p.waiting--
+	if c.requests == 0 {
+		c.cost = 0
+	}
+	if f.requests == 0 {
+		f.cost = 0
+	}
+}
+
+func (p *pool) noteUrgent(now time.Duration, c *class) {
+	if c.key.order == p.scheduler.urgentOrder {
+		p.urgentSeen, p.urgentKnown = now, true
+	}
+}
+
+// headroom returns the number of slots that lower ranks leave free.
+func (p *pool) headroom(now time.Duration) int {
+	if p.scheduler.off[Headroom] || p.limit < headroomMinimum {
+		return 0
+	}
+	if !p.urgentKnown || now-p.urgentSeen > headroomMemory {
+		return 0
+	}
+	return max(1, int(headroomFraction*float64(p.limit)))
+}
+
+// shareHeadroom returns the number of slots that a customer leaves free for the
+// other customers of its class once it runs its share of the slots. Without
+// them a small customer would wait for the end of a large customer's request.
+func (p *pool) shareHeadroom(c *class) int {
+	f := c.fair.ready[0]
+	if p.scheduler.off[ShareHeadroom] || p.limit < headroomMinimum || f.weight >= c.fair.active {
+		return 0
+	}
+	share := float64(p.limit) * f.weight / c.fair.active
+	if float64(f.running) < max(1, share) {
+		return 0
+	}
+	return max(1, int(headroomFraction*float64(p.limit)))
+}
+
+// reservedCalls returns the number of slots that only calls which may not be
+// repeated can use.
+func (p *pool) reservedCalls() int {
+	if !p.application() || p.limit < 2 {
+		return 0
+	}
+	return max(1, int(reservedFraction*float64(p.limit)))
+}
+
+// decide starts what can start and preempts where urgent work still waits.
+func (p *pool) decide(now time.Duration, plan *Plan) {
+	p.adjust(now)
+	if !p.dirty {
+		return
+	}
+	p.dirty = false
+	p.startParked(now, plan)
+	for c := p.nextClass(now); c != nil; c = p.nextClass(now) {
+		j := c.fair.head()
+		t := p.place(j)
+		if t == nil {
+			p.park(j)
+			continue
+		}
+		p.start(j, t, plan)
+	}
+	p.preempt(now, plan)
+}
+
+// park sets aside a job whose remaining replicas are full, so that it does not
+// hold up the jobs behind it.
+func (p *pool) park(j *job) {
+	j.class.fair.remove(j)
+	j.class.parked.pushBack(j)
+	j.parked = true
+}
+
+// startParked starts the jobs set aside that now find a slot.
+func (p *pool) startParked(now time.Duration, plan *Plan) {
+	for _, c := range p.classes {
+		for j := c.parked.first; j != nil; {
+			next := j.next
+			if p.free == 0 || !p.admits(now, c) {
+				break
+			}
+			if t := p.place(j); t != nil {
+				p.start(j, t, plan)
+			}
+			j = next
+		}
+	}
+}
+
+// start runs a job on a replica.
+func (p *pool) start(j *job, t *station, plan *Plan) {
+	c := j.class
+	c.fair.serve(j)
+	p.dequeue(j)
+	c.running.pushBack(j)
+	j.flow.running++
+	j.station = t
+	t.running++
+	p.running++
+	p.free--
+	if c.key.repeatable {
+		p.repeatableRunning++
+	}
+	plan.Starts = append(plan.Starts, Start{Request: j.request.ID(), Replica: t.replica, Priority: c.key.order})
+}
+
+// finish frees the slot of a running job and corrects what it was charged.
+func (p *pool) finish(now time.Duration, j *job) {
+	c := j.class
+	j.remove()
+	j.flow.running--
+	if c.key.repeatable {
+		p.repeatableRunning--
+	}
+	if j.stopping {
+		p.stopping--
+		c.stopping--
+	}
+	if j.served == 0 && !j.stopping && !j.request.Stream() {
+		p.count(now, j, j.charged)
+	}
+	if !p.scheduler.off[FairQueueing] && j.request.Stream() {
+		c.fair.charge(j.flow, j.served-j.charged)
+	}
+	j.station.running--
+	p.recount()
+}
+
+// progress counts tokens of a running job. Tokens beyond the estimate are
+// charged as they come, so that a long stream is not free until its end.
+func (p *pool) progress(now time.Duration, j *job, tokens float64) {
+	p.count(now, j, tokens)
+	j.served += tokens
+	if excess := j.served - j.charged; excess > 0 {
+		j.charged = j.served
+		j.class.fair.charge(j.flow, excess)
+	}
+}
+
+func (p *pool) count(now time.Duration, j *job, tokens float64) {
+	j.class.served.add(now, tokens)
+	p.served.add(now, tokens)
+	p.tokens.add(now, tokens)
+}
+
+// appendWaiting appends every waiting job.
+func (p *pool) appendWaiting(jobs []*job) []*job {
+	for _, c := range p.classes {
+		for j := c.parked.first; j != nil; j = j.next {
+			jobs = append(jobs, j)
+		}
+		for _, f := range c.fair.ready {
+			for j := f.queue.first; j != nil; j = j.next {
+				jobs = append(jobs, j)
+			}
+		}
+	}
+	return jobs
+}
