--- a/internal/reducer/schedule_test.go
+++ b/internal/reducer/schedule_test.go
@@ -37,7 +37,9 @@
 		effects := s.Apply(at(2), RequestReceived{Request: newChat(chat)})
 		if len(effects) == 0 {
 			// The stream is over its limit of preemptions and runs to its end.
-			assertStart(t, s.Apply(at(3), AttemptEnded{Request: "k", Outcome: fuchsiapitch.Succeeded, Tokens: 9}), 0)
+			effects = s.Apply(at(3), AttemptEnded{Request: "k", Outcome: fuchsiapitch.Succeeded, Tokens: 9})
+			assertFinish(t, effects, fuchsiapitch.Succeeded)
+			assertStart(t, effects[1:], 0)
 			return
 		}
 		if _, ok := effects[0].(PreemptAttempt); !ok {
@@ -53,7 +55,7 @@
 	s := newRankedState(t)
 	s.Apply(at(1), RequestReceived{Request: newKiln("k1")})
 	s.Apply(at(1), RequestReceived{Request: newKiln("k2")})
-	s.Apply(at(1), RequestOffered{Request: newKiln("k3"), From: "host-b"})
+	s.Apply(at(1), RequestOffered{Request: newKiln("k3"), From: fuchsiapitch.NewHost("host-b", "127.0.0.1:3", "gt-xela", 1)})
 	effects := s.Apply(at(2), FleetDescribed{Configuration: s.Configuration()})
 	if len(effects) != 1 || effects[0] != (RefuseRequest{Request: "k3", Reason: fuchsiapitch.RefusedNoReplica}) {
 		t.Errorf("got %v, want the offered request to be given back and the received one to wait", effects)
--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -14,7 +14,6 @@
 type model struct {
 	scheduler *Scheduler
 	now       time.Duration
-	waiting   []fuchsiapitch.Request
 	running   map[fuchsiapitch.RequestID]fuchsiapitch.ReplicaID
 	order     []fuchsiapitch.RequestID
 	requests  map[fuchsiapitch.RequestID]fuchsiapitch.Request
