reducer: provoke the preemptions that the bound is tested on

Cause: the test passed without a preemption, since a stream that has served nothing counts as below its floor. Change: the stream makes progress first and the count of preemptions is asserted. Conclusion: 3 preemptions, then the stream runs on.

--- a/internal/reducer/schedule_test.go
+++ b/internal/reducer/schedule_test.go
@@ -32,23 +32,29 @@
 func TestPreemption(t *testing.T) {
 	s := newRankedState(t)
 	assertStart(t, s.Apply(at(1), RequestReceived{Request: newKiln("k")}), 0)
+	s.Apply(at(1), AttemptProgressed{Request: "k", Tokens: 100, Elapsed: time.Second})
+	preemptions := 0
 	for n := range 2 * attemptLimit {
 		chat := fuchsiapitch.RequestID(rune('a' + n))
 		effects := s.Apply(at(2), RequestReceived{Request: newChat(chat)})
 		if len(effects) == 0 {
-			// The stream is over its limit of preemptions and runs to its end.
-			effects = s.Apply(at(3), AttemptEnded{Request: "k", Outcome: fuchsiapitch.Succeeded, Tokens: 9})
-			assertFinish(t, effects, fuchsiapitch.Succeeded)
-			assertStart(t, effects[1:], 0)
-			return
+			break
 		}
+		preemptions++
 		if _, ok := effects[0].(PreemptAttempt); !ok {
 			t.Fatalf("got %#v, want a preemption", effects[0])
 		}
 		assertStart(t, s.Apply(at(3), AttemptEnded{Request: "k", Outcome: fuchsiapitch.Unknown, Tokens: n + 1, Stopped: true}), 0)
-		assertStart(t, s.Apply(at(4), AttemptEnded{Request: chat, Outcome: fuchsiapitch.Succeeded}), n+1)
+		effects = s.Apply(at(4), AttemptEnded{Request: chat, Outcome: fuchsiapitch.Succeeded})
+		assertFinish(t, effects, fuchsiapitch.Succeeded)
+		assertStart(t, effects[1:], n+1)
 	}
-	t.Fatal("got preemptions without end, want a bound")
+	if preemptions != 3 {
+		t.Errorf("got %d preemptions, want 3", preemptions)
+	}
+	effects := s.Apply(at(5), AttemptEnded{Request: "k", Outcome: fuchsiapitch.Succeeded, Tokens: 100})
+	assertFinish(t, effects, fuchsiapitch.Succeeded)
+	assertStart(t, effects[1:], 0)
 }
 
 func TestOrphans(t *testing.T) {
