--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -111,7 +111,6 @@
 	s.tickConfiguration()
 	s.tickGroups()
 	s.tickKeys()
-	s.expireRequests()
 	s.wakeRequests()
 }
 
@@ -160,6 +159,7 @@
 	}
 	s.table = router.NewTable(s.members.Live(), replicas)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
+	s.adoptOrphans()
 }
 
 // Configuration returns the configuration in force.
