experimenter: compare direct calls with calls through one and two entry hosts

Cause: what the entry hosts add to a direct call was not known. Change: experiment path. The stand-in engine hashes prompt prefixes over the JSON of the messages, as the receiver does.

--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -2,7 +2,9 @@
 
 // All returns every experiment in the order of the help.
 func All() []Experiment {
-	return []Experiment{}
+	return []Experiment{
+		pathExperiment{},
+	}
 }
 
 // Find returns an experiment by name.
--- a/internal/standin/engine/body.go
+++ b/internal/standin/engine/body.go
@@ -4,19 +4,12 @@
 	"encoding/json"
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const defaultMaxTokens = 16
 
-// message is one message of a chat.
-type message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
-}
-
 // streamOptions are the options of a streamed answer.
 type streamOptions struct {
 	IncludeUsage bool `json:"include_usage"`
@@ -25,7 +18,7 @@
 // body is an OpenAI-shaped request.
 type body struct {
 	Model               string          `json:"model"`
-	Messages            []message       `json:"messages"`
+	Messages            json.RawMessage `json:"messages"`
 	Prompt              json.RawMessage `json:"prompt"`
 	Input               json.RawMessage `json:"input"`
 	MaxTokens           int             `json:"max_tokens"`
@@ -69,26 +62,15 @@
 	return defaultMaxTokens
 }
 
-// prompt returns the text that the prefix cache works on.
+// prompt returns the text that the prefix cache works on: the JSON of the
+// messages, the prompt or the input.
 func (b body) prompt() string {
-	if len(b.Messages) == 0 {
-		return plainText(b.Prompt)
-	}
-	var text strings.Builder
-	for _, m := range b.Messages {
-		text.WriteString(plainText(m.Content))
-		text.WriteByte('\n')
-	}
-	return text.String()
-}
-
-// plainText returns the text of a JSON string, or the JSON itself otherwise.
-func plainText(raw json.RawMessage) string {
-	var text string
-	if json.Unmarshal(raw, &text) == nil {
-		return text
+	for _, raw := range []json.RawMessage{b.Messages, b.Prompt, b.Input} {
+		if len(raw) > 0 {
+			return string(raw)
+		}
 	}
-	return string(raw)
+	return ""
 }
 
 var words = [...]string{
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -61,9 +61,15 @@
 	e.generate(w, r, h, b)
 }
 
-func serves(h *holding, model string) bool {
+// serves reports whether a request that names a model is served here. A name
+// may be of the model or of the service, with an adapter after a colon.
+func serves(h *holding, name string) bool {
 	a := h.assignment
-	return model == "" || model == a.Model() || model == string(a.Service()) || slices.Contains(a.Adapters(), model)
+	model, adapter, hasAdapter := strings.Cut(name, ":")
+	if hasAdapter && !slices.Contains(a.Adapters(), adapter) {
+		return false
+	}
+	return model == "" || model == a.Model() || model == string(a.Service())
 }
 
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request, h *holding, b body) {
