--- a/internal/loader/section.go
+++ b/internal/loader/section.go
@@ -25,8 +25,16 @@
 	problems *problems
 }
 
+// sizeLimit is the size in bytes of the largest file that is parsed. The time
+// of the parser grows with the square of the depth of nesting.
+const sizeLimit = 64 << 10
+
 // parse returns the bodies of the YAML documents in a file.
 func parse(file string, content []byte, p *problems) []ast.Node {
+	if len(content) > sizeLimit {
+		p.add(Position{File: file}, Unreadable, fmt.Sprintf("the file has %d bytes", len(content)), fmt.Sprintf("at most %d bytes", sizeLimit))
+		return nil
+	}
 	tree, err := parser.ParseBytes(content, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		p.add(positionOfError(file, err), BadSyntax, messageOf(err), "well-formed YAML")
--- a/internal/loader/value.go
+++ b/internal/loader/value.go
@@ -33,6 +33,22 @@
 	return fallback
 }
 
+// plainText returns the text at a key even where YAML takes it for a number, as
+// it does with version 7 or 1.5.
+func (s *section) plainText(key, fallback string) string {
+	if !s.has(key) {
+		return fallback
+	}
+	switch n := s.values[key].(type) {
+	case *ast.StringNode:
+		return n.Value
+	case *ast.IntegerNode, *ast.FloatNode:
+		return n.GetToken().Value
+	}
+	s.reject(key, WrongType, expectedText)
+	return fallback
+}
+
 // nameAt returns the name at a required key.
 func (s *section) nameAt(key string) string {
 	if !s.require(key, expectedName) {
@@ -77,6 +93,29 @@
 	return false
 }
 
+// count returns the whole number of at least 1 at a key, fallback without the key.
+func (s *section) count(key string, fallback int) int {
+	return int(s.integer(key, int64(fallback), 1, expectedCount))
+}
+
+// integer returns the whole number at a key, fallback without the key.
+func (s *section) integer(key string, fallback, least int64, expected string) int64 {
+	if !s.has(key) {
+		return fallback
+	}
+	n, ok := s.values[key].(*ast.IntegerNode)
+	if !ok {
+		s.reject(key, WrongType, expected)
+		return fallback
+	}
+	value, ok := wholeNumber(n)
+	if !ok || value < least || value > math.MaxInt32 {
+		s.reject(key, BadValue, expected)
+		return fallback
+	}
+	return value
+}
+
 func wholeNumber(node *ast.IntegerNode) (int64, bool) {
 	switch v := node.Value.(type) {
 	case int64:
@@ -153,6 +192,27 @@
 	return s.address(key)
 }
 
+// entry is one piece of text in a list, with its position.
+type entry struct {
+	text     string
+	position Position
+}
+
+// texts returns the texts of the list at a key.
+func (s *section) texts(key, expected string) []entry {
+	var entries []entry
+	for _, n := range s.items(key, "a list of "+expected) {
+		at := positionOf(s.files[key], n)
+		text, ok := n.(*ast.StringNode)
+		if !ok {
+			s.problems.add(at, WrongType, s.path(key)+" holds "+describe(n), expected)
+			continue
+		}
+		entries = append(entries, entry{text: text.Value, position: at})
+	}
+	return entries
+}
+
 // items returns the nodes of the list at a key.
 func (s *section) items(key, expected string) []ast.Node {
 	if !s.has(key) {
