--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -98,7 +98,6 @@
 		appended int
 	}{
 		{"refused in an outage", func(l *log.Log, _ *faulter.Server) { l.SetOut(true) }, assertUnavailable, 1},
-		{"no server", func(_ *log.Log, s *faulter.Server) { s.Die() }, assertUnavailable, 1},
 		{"lost answer", func(l *log.Log, _ *faulter.Server) { l.LoseAppendAnswers(1) }, assertUncertain, 2},
 		{"slow beyond the timeout", func(l *log.Log, _ *faulter.Server) { l.SetDelay(time.Minute) }, assertUncertain, 2},
 		{"silent connection", func(_ *log.Log, s *faulter.Server) { s.Silence() }, assertUncertain, 1},
@@ -115,6 +114,13 @@
 			assertAppends(t, l, c.appended)
 		})
 	}
+	t.Run("no server to connect to", func(t *testing.T) {
+		r, l, server := start(t)
+		server.Die()
+		_, err := appendRecord(t, r, "struck")
+		assertUnavailable(t, err, "append")
+		assertEqual(t, l.Appends(), 0, "appended records")
+	})
 	t.Run("over the rate", func(t *testing.T) {
 		r, l, _ := start(t, log.WithRate(0.001))
 		_, err := appendRecord(t, r, "first")
