--- /dev/null
+++ b/internal/commander/check.go
@@ -0,0 +1,133 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/lister"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/loader"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/publisher"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/recorder"
+)
+
+// readWait is the time that a read waits at the end of the log.
+const readWait = 100 * time.Millisecond
+
+// check checks documents without publishing them.
+type check struct {
+	streams  Streams
+	log      string
+	hostList string
+	timeout  time.Duration
+}
+
+func newCheck(streams Streams) subcommands.Command { return &check{streams: streams} }
+
+// Name implements subcommands.Command.
+func (*check) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (*check) Synopsis() string { return "check configuration documents" }
+
+// Usage implements subcommands.Command.
+func (*check) Usage() string {
+	return `fuchsiapitch check [--log ADDRESS] [--host-list ADDRESS] PATH...
+
+Reads the given files, and below given directories all files whose names end
+with fuchsiapitch.yaml, and reports every problem with file, line and column.
+With --log, references may lead to documents in force, too. With --host-list, the
+sizes of groups are checked against the fabric domains.
+Exit code 0 if there is no problem, 1 if the platform does not answer, 2 for
+problems or wrong arguments.
+
+Examples:
+  fuchsiapitch check docs/examples/vidrio-claro
+  fuchsiapitch check --log 10.0.0.1:9000 --host-list 10.0.0.1:9001 services/
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *check) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.log, "log", "", "IP number and port of the platform's log")
+	f.StringVar(&c.hostList, "host-list", "", "IP number and port of the platform's host list")
+	f.DurationVar(&c.timeout, "timeout", 30*time.Second, "longest time to wait for the platform")
+}
+
+// Execute implements subcommands.Command.
+func (c *check) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		f.Usage()
+		return ExitUsage
+	}
+	documents, err := loader.Collect(f.Args()...)
+	if err != nil {
+		return c.streams.fail(ExitUsage, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := c.check(ctx, documents); err != nil {
+		return c.streams.fail(exitOf(err), err)
+	}
+	fmt.Fprintf(c.streams.Out, "%d documents are sound\n", len(documents))
+	return ExitSuccess
+}
+
+func (c *check) check(ctx context.Context, documents []loader.Document) error {
+	checks, err := domainChecks(ctx, c.hostList)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if c.log == "" {
+		return trace.Wrap(loader.Check(documents, checks...))
+	}
+	log, closeLog := recorder.New(c.log, recorder.WithWait(readWait))
+	defer closeLog()
+	return trace.Wrap(publisher.New(log, "", publisher.WithChecks(checks...)).Check(ctx, documents))
+}
+
+// exitOf returns the exit code for an error: problems of files are the fault of
+// the input.
+func exitOf(err error) subcommands.ExitStatus {
+	var problems *loader.ProblemsError
+	if errors.As(err, &problems) {
+		return ExitUsage
+	}
+	return ExitFailure
+}
+
+// domainChecks returns the checks that the host list makes possible, none
+// without its address.
+func domainChecks(ctx context.Context, address string) ([]loader.CheckOption, error) {
+	if address == "" {
+		return nil, nil
+	}
+	list, closeList := lister.New(address)
+	defer closeList()
+	servers, err := list.BackendServers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	type domain struct {
+		dataCentre fuchsiapitch.DataCentreName
+		name       fuchsiapitch.FabricDomainName
+	}
+	sizes := make(map[domain]int)
+	largest := 0
+	for _, s := range servers {
+		if s.Kind() != fuchsiapitch.EngineServer {
+			continue
+		}
+		d := domain{dataCentre: s.DataCentre(), name: s.FabricDomain()}
+		sizes[d]++
+		largest = max(largest, sizes[d])
+	}
+	return []loader.CheckOption{loader.WithLargestDomain(largest)}, nil
+}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -36,6 +36,8 @@
 	return []subcommands.Command{
 		newServe(streams),
 		newDemo(streams),
+		newCheck(streams),
+		newPublish(streams),
 		newStatus(streams),
 		newDrain(streams),
 		newBench(streams),
--- /dev/null
+++ b/internal/commander/publish.go
@@ -0,0 +1,184 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/loader"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/publisher"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/recorder"
+)
+
+// publish puts documents into force.
+type publish struct {
+	streams   Streams
+	log       string
+	hostList  string
+	name      string
+	dryRun    bool
+	wait      bool
+	hosts     string
+	tokenFile string
+	timeout   time.Duration
+}
+
+func newPublish(streams Streams) subcommands.Command { return &publish{streams: streams} }
+
+// Name implements subcommands.Command.
+func (*publish) Name() string { return "publish" }
+
+// Synopsis implements subcommands.Command.
+func (*publish) Synopsis() string { return "put configuration documents into force" }
+
+// Usage implements subcommands.Command.
+func (*publish) Usage() string {
+	return `fuchsiapitch publish --log ADDRESS [--publisher NAME] [--dry-run]
+    [--wait --hosts URL,...] [--token-file FILE] [--host-list ADDRESS] PATH...
+
+Collects and checks documents like the command check, and puts what differs from
+the documents in force into force as a whole. Documents that no file mentions
+stay; a file removes one by "removed: true". If someone else has changed one of
+the documents meanwhile, nothing is put into force and the winner is named.
+A publication whose fate is unknown can be repeated without harm.
+Exit code 0 if the documents are in force, 1 if they are not or it is not known,
+2 for problems or wrong arguments.
+
+Examples:
+  fuchsiapitch publish --log 10.0.0.1:9000 --dry-run services/
+  fuchsiapitch publish --log 10.0.0.1:9000 --wait --hosts http://10.0.1.1:8082,http://10.0.2.1:8082 services/
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (p *publish) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&p.log, "log", "", "IP number and port of the platform's log")
+	f.StringVar(&p.hostList, "host-list", "", "IP number and port of the platform's host list, to check the sizes of groups")
+	f.StringVar(&p.name, "publisher", "", "name that others see as the publisher (default $USER)")
+	f.BoolVar(&p.dryRun, "dry-run", false, "show what would change and publish nothing")
+	f.BoolVar(&p.wait, "wait", false, "wait until the documents are in force on every host of --hosts")
+	f.StringVar(&p.hosts, "hosts", "", "base URLs of the operators' side of the entry hosts, separated by commas")
+	f.StringVar(&p.tokenFile, "token-file", "", "file with the operators' bearer token")
+	f.DurationVar(&p.timeout, "timeout", 30*time.Second, "longest time to publish, and again to wait")
+}
+
+// Execute implements subcommands.Command.
+func (p *publish) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 || p.log == "" || p.wait && p.hosts == "" {
+		f.Usage()
+		return ExitUsage
+	}
+	documents, err := loader.Collect(f.Args()...)
+	if err != nil {
+		return p.streams.fail(ExitUsage, err)
+	}
+	log, closeLog := recorder.New(p.log, recorder.WithWait(readWait))
+	defer closeLog()
+	limited, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	checks, err := domainChecks(limited, p.hostList)
+	if err != nil {
+		return p.streams.fail(ExitFailure, err)
+	}
+	library := publisher.New(log, p.publisherName(), publisher.WithChecks(checks...))
+	if p.dryRun {
+		return p.show(limited, library, documents)
+	}
+	result, err := library.Publish(limited, documents)
+	if err != nil {
+		return p.streams.fail(exitOf(err), err)
+	}
+	if !p.report(result) {
+		return ExitFailure
+	}
+	if p.wait {
+		return p.await(ctx, result.Offset)
+	}
+	return ExitSuccess
+}
+
+func (p *publish) publisherName() string {
+	if p.name != "" {
+		return p.name
+	}
+	return os.Getenv("USER")
+}
+
+func (p *publish) show(ctx context.Context, library *publisher.Publisher, documents []loader.Document) subcommands.ExitStatus {
+	differences, err := library.Plan(ctx, documents)
+	if err != nil {
+		return p.streams.fail(exitOf(err), err)
+	}
+	p.print(differences)
+	fmt.Fprintf(p.streams.Out, "%d documents would change\n", len(differences))
+	return ExitSuccess
+}
+
+func (p *publish) print(differences []publisher.Difference) {
+	for _, d := range differences {
+		fmt.Fprintln(p.streams.Out, d)
+	}
+}
+
+// report prints what became of a publication and reports whether its documents
+// are in force.
+func (p *publish) report(result publisher.Result) bool {
+	out := p.streams.Out
+	switch result.Status {
+	case publisher.Accepted:
+		p.print(result.Differences)
+		fmt.Fprintf(out, "publication %s is accepted, in force from offset %d\n", result.Publication, result.Offset)
+		return true
+	case publisher.Unchanged:
+		fmt.Fprintf(out, "every document is in force already, at offset %d\n", result.Offset)
+		return true
+	case publisher.Lost:
+		fmt.Fprintf(out, "publication %s lost: %s was changed by %q in publication %s at offset %d\n",
+			result.Publication, result.Loss.Key, result.Loss.Publisher, result.Loss.Publication, result.Loss.Revision)
+	case publisher.NotPublished:
+		fmt.Fprintf(out, "publication %s was not published: %v\n", result.Publication, result.Err)
+	case publisher.Unknown:
+		fmt.Fprintf(out, "publication %s may or may not be accepted, publish again to learn which: %v\n", result.Publication, result.Err)
+	}
+	return false
+}
+
+// await waits until every host has an offset in force and prints each.
+func (p *publish) await(ctx context.Context, offset fuchsiapitch.Offset) subcommands.ExitStatus {
+	var options []publisher.WaiterOption
+	if p.tokenFile != "" {
+		token, err := os.ReadFile(p.tokenFile)
+		if err != nil {
+			return p.streams.fail(ExitUsage, trace.Wrap(err))
+		}
+		options = append(options, publisher.WithToken(strings.TrimSpace(string(token))))
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	code := ExitSuccess
+	for _, s := range publisher.NewWaiter(strings.Split(p.hosts, ","), options...).Wait(ctx, offset) {
+		fmt.Fprintln(p.streams.Out, describeStatus(s))
+		if !s.InForce {
+			code = ExitFailure
+		}
+	}
+	return code
+}
+
+func describeStatus(s publisher.HostStatus) string {
+	switch {
+	case s.InForce:
+		return fmt.Sprintf("host %s at %s: in force, offset %d, hash %x", s.Host, s.Address, s.Offset, s.Hash)
+	case s.Err != nil:
+		return s.Err.Error()
+	}
+	return fmt.Sprintf("host %s at %s: not in force, offset %d", s.Host, s.Address, s.Offset)
+}
