limiter: customer limits across the hosts of a data centre and retry budgets

Cause: limits of customers were not enforced, and nothing bounded retries. Change: each host allows a part of a limit by the demand that the hosts report in heartbeats (at most 8, the most changed first). Requests in flight are divided so that the limit holds while demand moves; hosts without a majority of the known hosts take an equal part. Retries take from a budget of 0.2 of the first attempts, with a burst of one host's slots. Conclusion: a first division by demand alone exceeded the limit when demand moved between hosts (3 for a limit of 2); the division now counts what runs.

--- a/internal/gossiper/heartbeat.go
+++ b/internal/gossiper/heartbeat.go
@@ -26,7 +26,7 @@
 	Customer fuchsiapitch.CustomerName
 	// InFlight is the number of requests that wait or run.
 	InFlight int
-	// TokensPerSecond is the recent rate of served and waiting tokens.
+	// TokensPerSecond is the recent rate of the tokens asked for.
 	TokensPerSecond float64
 }
 
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -27,7 +27,7 @@
 	if !e.Stopped {
 		f.lost[f.replica] = true
 	}
-	if s.mayRepeat(f, e.Outcome) {
+	if s.mayRepeat(f, e.Outcome) && s.spendRetry(f, e.Stopped) {
 		s.enqueue(f)
 		return
 	}
@@ -51,7 +51,8 @@
 	}
 	f.ran = f.ran || e.Outcome != fuchsiapitch.NotRun
 	f.excluded[e.Host] = true
-	if s.mayRepeat(f, e.Outcome) && e.Refusal != fuchsiapitch.RefusedOverload && e.Refusal != fuchsiapitch.RefusedCustomerLimit {
+	if s.mayRepeat(f, e.Outcome) && e.Refusal != fuchsiapitch.RefusedOverload && e.Refusal != fuchsiapitch.RefusedCustomerLimit &&
+		s.spendRetry(f, e.Refusal != 0) {
 		s.place(f)
 		return
 	}
@@ -81,6 +82,7 @@
 func (s *State) refuse(f *flight, reason fuchsiapitch.RefusalReason, retryAfter time.Duration) {
 	delete(s.requests, f.request.ID())
 	s.scheduler.Ended(s.now, f.request.ID())
+	s.limiter.Finish(f.request.ID(), f.offset)
 	if f.ran {
 		s.emit(FinishRequest{Request: f.request.ID(), Outcome: fuchsiapitch.Unknown})
 		return
@@ -90,10 +92,12 @@
 
 func (s *State) finish(f *flight, outcome fuchsiapitch.Outcome) {
 	delete(s.requests, f.request.ID())
+	s.limiter.Finish(f.request.ID(), f.offset)
 	s.emit(FinishRequest{Request: f.request.ID(), Outcome: outcome})
 }
 
 func (s *State) forget(id fuchsiapitch.RequestID) {
 	delete(s.requests, id)
 	s.scheduler.Ended(s.now, id)
+	s.limiter.Finish(id, 0)
 }
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -21,6 +21,7 @@
 		s.members.Fail(s.now, e.Host)
 	}
 	s.followMembership()
+	s.followDemands()
 }
 
 func (s *State) tickMembership() {
@@ -28,10 +29,12 @@
 		return
 	}
 	s.heartbeatDue = s.now.Monotonic() + HeartbeatPeriod
+	s.demands = s.limiter.Demands(s.now, demandLimit)
 	for _, h := range s.members.Tick(s.now) {
 		s.emit(SendHeartbeat{To: h, Heartbeat: s.ComposeHeartbeat()})
 	}
 	s.followMembership()
+	s.followDemands()
 	s.adoptOrphans()
 }
 
@@ -46,6 +49,7 @@
 // ComposeHeartbeat returns the heartbeat that this host sends or answers with.
 func (s *State) ComposeHeartbeat() gossiper.Heartbeat {
 	h := s.members.Compose(s.now, s.ownLoads())
+	h.Demands = s.demands
 	h.Configuration, h.ConfigurationHash = s.configuration.Offset(), s.configuration.Hash()
 	return h
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -69,7 +69,9 @@
 		return
 	}
 	f := s.newFlight(e.Request)
-	s.place(f)
+	if s.admit(f) {
+		s.place(f)
+	}
 }
 
 func (s *State) offer(e RequestOffered) {
@@ -92,6 +94,7 @@
 		excluded: make(map[fuchsiapitch.HostID]bool),
 	}
 	s.requests[request.ID()] = f
+	s.retries.First(request.Service())
 	return f
 }
 
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/limiter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/scheduler"
 )
@@ -31,6 +32,9 @@
 	heartbeatDue  time.Duration
 	table         *router.Table
 	scheduler     *scheduler.Scheduler
+	limiter       *limiter.Limiter
+	retries       *limiter.RetryBudget
+	demands       []gossiper.CustomerDemand
 	requests      map[fuchsiapitch.RequestID]*flight
 	stopping      bool
 	effects       []Effect
@@ -52,6 +56,8 @@
 		replicas:   make(map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica),
 		members:    gossiper.New(self),
 		scheduler:  scheduler.New(),
+		limiter:    limiter.New(self.ID()),
+		retries:    limiter.NewRetryBudget(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
 	}
 	for _, o := range options {
@@ -130,6 +136,7 @@
 func (s *State) setConfiguration(configuration fuchsiapitch.Configuration) {
 	s.configuration = configuration
 	s.scheduler.Configure(configuration)
+	s.limiter.Configure(configuration)
 }
 
 // setReplicas sets the routable replicas of the data centre.
@@ -151,6 +158,7 @@
 	s.table = router.NewTable(s.members.Live(), replicas)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
 	s.adoptOrphans()
+	s.coverRetries()
 }
 
 // Configuration returns the configuration in force.
