router: bounded affinity by slots and overflow to other data centres

Cause: the first choice ignored the slots of a dispatcher, read loads a heartbeat old, and a service without a local replica was refused although another data centre had room.

--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -40,6 +40,7 @@
 	if !ok {
 		return
 	}
+	s.returned(f)
 	f.offset, f.answered = e.Tokens, f.answered || e.Answered
 	if e.Unreachable {
 		s.members.Fail(s.now, e.Host)
@@ -56,6 +57,9 @@
 		s.place(f)
 		return
 	}
+	if e.Refusal == fuchsiapitch.RefusedOverload && s.refuge(f) {
+		return
+	}
 	if e.Outcome == fuchsiapitch.NotRun {
 		s.refuse(f, e.Refusal, e.RetryAfter)
 		return
@@ -97,6 +101,9 @@
 }
 
 func (s *State) forget(id fuchsiapitch.RequestID) {
+	if f, ok := s.requests[id]; ok {
+		s.returned(f)
+	}
 	delete(s.requests, id)
 	s.scheduler.Ended(s.now, id)
 	s.limiter.Finish(id, 0)
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -3,20 +3,17 @@
 import (
 	"time"
 
-	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
 )
 
 // HeartbeatPeriod is the time between two rounds of heartbeats.
 const HeartbeatPeriod = time.Second
 
-// loadLimit is the largest number of loads in a heartbeat.
-const loadLimit = 8
-
 func (s *State) applyMembership(event Event) {
 	switch e := event.(type) {
 	case HeartbeatReceived:
 		s.members.Receive(s.now, e.Heartbeat)
+		s.noteLoads(e.Heartbeat)
 	case HeartbeatFailed:
 		s.members.Fail(s.now, e.Host)
 	}
@@ -48,31 +45,10 @@
 
 // ComposeHeartbeat returns the heartbeat that this host sends or answers with.
 func (s *State) ComposeHeartbeat() gossiper.Heartbeat {
-	h := s.members.Compose(s.now, s.ownLoads())
+	loads := s.ownLoads()
+	h := s.members.Compose(s.now, loads)
+	h.Loads = s.dueLoads(loads)
 	h.Demands = s.demands
 	h.Configuration, h.ConfigurationHash = s.configuration.Offset(), s.configuration.Hash()
 	return h
 }
-
-// ownLoads returns the loads of the services that this host dispatches for.
-func (s *State) ownLoads() []gossiper.ServiceLoad {
-	var loads []gossiper.ServiceLoad
-	for _, v := range s.configuration.Services() {
-		slots, inFlight, queued := s.scheduler.Load(v.Name())
-		if slots == 0 || len(loads) == loadLimit {
-			continue
-		}
-		loads = append(loads, gossiper.ServiceLoad{Service: v.Name(), Slots: slots, InFlight: inFlight, Queued: queued})
-	}
-	return loads
-}
-
-// loadOf returns the number of requests of a service at a dispatcher.
-func (s *State) loadOf(host fuchsiapitch.HostID, service fuchsiapitch.ServiceName) int {
-	if host == s.self {
-		_, inFlight, queued := s.scheduler.Load(service)
-		return inFlight + queued
-	}
-	l := s.members.Load(host, service)
-	return l.InFlight + l.Queued
-}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
 )
 
 // attemptLimit is the largest number of attempts and forwards of one request.
@@ -36,12 +37,14 @@
 	// request, so that it is queued again whatever the load.
 	accepted    bool
 	preemptions int
-	replica     fuchsiapitch.ReplicaID
-	host        fuchsiapitch.HostID
-	answered    bool
-	ran         bool
-	lost        map[fuchsiapitch.ReplicaID]bool
-	excluded    map[fuchsiapitch.HostID]bool
+	// refuged states that another data centre was tried after a refusal here.
+	refuged  bool
+	replica  fuchsiapitch.ReplicaID
+	host     fuchsiapitch.HostID
+	answered bool
+	ran      bool
+	lost     map[fuchsiapitch.ReplicaID]bool
+	excluded map[fuchsiapitch.HostID]bool
 }
 
 func (s *State) applyRequest(event Event) {
@@ -104,6 +107,10 @@
 		s.refuse(f, fuchsiapitch.RefusedUnknownService, 0)
 		return
 	}
+	if h, ok := s.leave(f); ok {
+		s.forward(f, h)
+		return
+	}
 	h, ok := s.choose(f)
 	if !ok && f.accepted {
 		s.enqueue(f)
@@ -122,7 +129,7 @@
 
 // choose returns the dispatcher for a request.
 func (s *State) choose(f *flight) (fuchsiapitch.Host, bool) {
-	load := func(h fuchsiapitch.HostID) int { return s.loadOf(h, f.request.Service()) }
+	load := func(h fuchsiapitch.HostID) router.Load { return s.loadOf(h, f.request.Service()) }
 	return s.table.Choose(f.request, f.excluded, load)
 }
 
@@ -130,6 +137,7 @@
 func (s *State) forward(f *flight, h fuchsiapitch.Host) {
 	f.phase, f.host = forwarded, h.ID()
 	f.attempts++
+	s.sentTo(f)
 	s.emit(ForwardRequest{Request: f.request.ID(), Host: h, Offset: f.offset})
 }
 
@@ -150,9 +158,10 @@
 	}
 	a := s.scheduler.Offer(s.now, request, sortedKeys(f.lost)...)
 	f.accepted = a.Accepted
-	if !a.Accepted {
-		s.refuse(f, a.Reason, a.RetryAfter)
+	if a.Accepted || (a.Reason == fuchsiapitch.RefusedOverload && s.refuge(f)) {
+		return
 	}
+	s.refuse(f, a.Reason, a.RetryAfter)
 }
 
 // schedule carries out what the scheduler decides after each event.
@@ -193,7 +202,10 @@
 		}
 		// A dispatcher that failed this request before may have recovered.
 		clear(f.excluded)
-		h, ok := s.choose(f)
+		h, ok := s.leave(f)
+		if !ok {
+			h, ok = s.choose(f)
+		}
 		if ok && h.ID() != s.self {
 			s.scheduler.Ended(s.now, id)
 			s.forward(f, h)
--- a/internal/reducer/schedule_test.go
+++ b/internal/reducer/schedule_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
 )
 
 // newRankedState has one replica with one slot and the ranks chat and kiln.
@@ -67,3 +68,76 @@
 		t.Errorf("got %v, want the offered request to be given back and the received one to wait", effects)
 	}
 }
+
+var remoteBridge = fuchsiapitch.NewHost("host-z", "127.0.0.1:9", "gt-antigua", 1)
+
+// hearRemote reports the load of another data centre.
+func hearRemote(s *State, now time.Duration, slots, inFlight int) {
+	from := fuchsiapitch.NewHost("host-b", "127.0.0.1:3", "gt-xela", 1)
+	load := gossiper.ServiceLoad{Service: "vidrio-llm", Slots: slots, InFlight: inFlight}
+	s.Apply(at(now), HeartbeatReceived{Heartbeat: gossiper.Heartbeat{
+		From: from, Leaving: true, Remotes: []gossiper.CentreLoad{{Bridge: remoteBridge, Load: load}},
+	}})
+}
+
+func assertForward(t *testing.T, effects []Effect, want fuchsiapitch.HostID) {
+	t.Helper()
+	if len(effects) == 1 {
+		if f, ok := effects[0].(ForwardRequest); ok && f.Host.ID() == want {
+			return
+		}
+	}
+	t.Fatalf("got %v, want a forward to %s", effects, want)
+}
+
+func TestOverflow(t *testing.T) {
+	t.Run("requests leave a data centre without replicas and come back with them", func(t *testing.T) {
+		s := newRankedState(t)
+		hearRemote(s, 1, 8, 0)
+		replicas := s.replicas["g1"]
+		s.Apply(at(2), FleetDescribed{Configuration: s.Configuration()})
+		assertForward(t, s.Apply(at(3), RequestReceived{Request: newChat("c1")}), "host-z")
+		s.Apply(at(4), FleetDescribed{Configuration: s.Configuration(), Replicas: []fuchsiapitch.Replica{replicas}})
+		assertStart(t, s.Apply(at(5), RequestReceived{Request: newChat("c2")}), 0)
+	})
+	t.Run("waiting requests leave with the last replica", func(t *testing.T) {
+		s := newRankedState(t)
+		hearRemote(s, 1, 8, 0)
+		s.Apply(at(2), RequestReceived{Request: newChat("c1")})
+		s.Apply(at(2), RequestReceived{Request: newChat("c2")})
+		assertForward(t, s.Apply(at(3), FleetDescribed{Configuration: s.Configuration()}), "host-z")
+	})
+	t.Run("a bridged request does not leave again", func(t *testing.T) {
+		s := newRankedState(t)
+		hearRemote(s, 1, 8, 0)
+		s.Apply(at(2), FleetDescribed{Configuration: s.Configuration()})
+		effects := s.Apply(at(3), RequestOffered{Request: newChat("c1"), From: remoteBridge})
+		if _, ok := effects[0].(RefuseRequest); !ok {
+			t.Errorf("got %v, want a refusal", effects)
+		}
+	})
+}
+
+func TestLoad(t *testing.T) {
+	s := newRankedState(t)
+	other := fuchsiapitch.NewHost("host-b", "127.0.0.1:3", "gt-xela", 1)
+	beat := func(now time.Duration) {
+		load := gossiper.ServiceLoad{Service: "vidrio-llm", Slots: 8, InFlight: 3}
+		s.Apply(at(now), HeartbeatReceived{Heartbeat: gossiper.Heartbeat{From: other, Loads: []gossiper.ServiceLoad{load}}})
+	}
+	assertLoad := func(want int) {
+		t.Helper()
+		if got := s.loadOf("host-b", "vidrio-llm").Requests; got != want {
+			t.Errorf("got a load of %d, want %d", got, want)
+		}
+	}
+	beat(1)
+	assertLoad(3)
+	f := s.newFlight(newChat("c1"))
+	s.forward(f, other)
+	assertLoad(4)
+	beat(2)
+	assertLoad(3)
+	s.Apply(at(3), ForwardEnded{Request: "c1", Host: "host-b", Outcome: fuchsiapitch.Succeeded})
+	assertLoad(2)
+}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -31,6 +31,8 @@
 	memberChanges uint64
 	heartbeatDue  time.Duration
 	table         *router.Table
+	overflow      *router.Overflow
+	loads         loads
 	scheduler     *scheduler.Scheduler
 	limiter       *limiter.Limiter
 	retries       *limiter.RetryBudget
@@ -55,6 +57,8 @@
 		dataCentre: self.DataCentre(),
 		replicas:   make(map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica),
 		members:    gossiper.New(self),
+		overflow:   router.NewOverflow(),
+		loads:      newLoads(),
 		scheduler:  scheduler.New(),
 		limiter:    limiter.New(self.ID()),
 		retries:    limiter.NewRetryBudget(),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,32 +1,55 @@
 package router
 
 import (
-	"cmp"
-	"slices"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
-// Candidate is a dispatcher that could take a request of one service.
-type Candidate struct {
-	// Host is the dispatcher.
-	Host fuchsiapitch.Host
-	// Slots is the number of requests that its replicas run at once.
+const (
+	// affinityBound is the largest load of a dispatcher that is chosen for its
+	// prompt cache, in requests per slot.
+	affinityBound = 1.0
+	// affinityPreference is how much the load per slot of the preferred
+	// dispatcher may exceed that of the other one when both are above the bound.
+	affinityPreference = 1.25
+)
+
+// Load is what a host knows of one service at one dispatcher or data centre.
+type Load struct {
+	// Slots is the number of requests that run at once, 0 if unknown.
 	Slots int
-	// Load is the number of requests that wait or run at the dispatcher.
-	Load int
+	// Requests is the number of requests that wait or run.
+	Requests int
+}
+
+// pressure returns the requests per slot.
+func (l Load) pressure() float64 {
+	if l.Slots == 0 {
+		return math.Inf(1)
+	}
+	return float64(l.Requests) / float64(l.Slots)
+}
+
+// candidate is a dispatcher that could take a request of one service.
+type candidate struct {
+	host  fuchsiapitch.Host
+	slots int
+	hash  uint64
 }
 
 // Table holds the dispatchers of each service in this data centre.
 type Table struct {
-	dispatchers map[fuchsiapitch.ServiceName][]Candidate
+	dispatchers map[fuchsiapitch.ServiceName][]candidate
 	owned       map[fuchsiapitch.HostID][]fuchsiapitch.Replica
 }
 
 // NewTable assigns each replica to its owner among the live hosts.
 func NewTable(hosts []fuchsiapitch.Host, replicas []fuchsiapitch.Replica) *Table {
 	t := &Table{
-		dispatchers: make(map[fuchsiapitch.ServiceName][]Candidate),
+		dispatchers: make(map[fuchsiapitch.ServiceName][]candidate),
 		owned:       make(map[fuchsiapitch.HostID][]fuchsiapitch.Replica),
 	}
 	for _, r := range replicas {
@@ -43,53 +66,108 @@
 func (t *Table) addSlots(service fuchsiapitch.ServiceName, host fuchsiapitch.Host, slots int) {
 	list := t.dispatchers[service]
 	for i := range list {
-		if list[i].Host.ID() == host.ID() {
-			list[i].Slots += slots
+		if list[i].host.ID() == host.ID() {
+			list[i].slots += slots
 			return
 		}
 	}
-	t.dispatchers[service] = append(list, Candidate{Host: host, Slots: slots})
+	hash := xxhash.Sum64String(string(host.ID()))
+	t.dispatchers[service] = append(list, candidate{host: host, slots: slots, hash: hash})
 }
 
 // Owned returns the replicas that a host dispatches for.
 func (t *Table) Owned(host fuchsiapitch.HostID) []fuchsiapitch.Replica { return t.owned[host] }
 
-// Choose returns the dispatcher for a request. Candidates are tried in the
-// order of rendezvous hashing on the prompt prefix, so that equal prefixes meet
-// in one cache; of the first two, the one with less load per slot is taken
-// unless the first has a free slot. The load function gives the number of
-// requests at a dispatcher. Excluded dispatchers are not chosen.
-func (t *Table) Choose(request fuchsiapitch.Request, excluded map[fuchsiapitch.HostID]bool, load func(fuchsiapitch.HostID) int) (fuchsiapitch.Host, bool) {
-	candidates := t.ordered(request, excluded)
-	if len(candidates) == 0 {
+// Pressure returns the load of a service in the whole data centre.
+func (t *Table) Pressure(service fuchsiapitch.ServiceName, load func(fuchsiapitch.HostID) Load) Load {
+	var sum Load
+	for _, c := range t.dispatchers[service] {
+		l := c.loaded(load)
+		sum.Slots += l.Slots
+		sum.Requests += l.Requests
+	}
+	return sum
+}
+
+// Choose returns the dispatcher for a request.
+//
+// The two best dispatchers by weighted rendezvous hashing are the candidates.
+// The key is the prompt prefix, so that equal prefixes meet in one cache, or
+// else the request itself; the weights are the slots. The first candidate is
+// taken while it has a free slot by what this host knows, and with a prefix
+// also while its load per slot is not clearly above that of the second.
+// Excluded dispatchers are not chosen.
+func (t *Table) Choose(request fuchsiapitch.Request, excluded map[fuchsiapitch.HostID]bool, load func(fuchsiapitch.HostID) Load) (fuchsiapitch.Host, bool) {
+	first, second := t.best(request, excluded)
+	if first == nil {
 		return fuchsiapitch.Host{}, false
 	}
-	for i := range candidates {
-		candidates[i].Load = load(candidates[i].Host.ID())
+	if second == nil {
+		return first.host, true
 	}
-	first := candidates[0]
-	if len(candidates) == 1 || first.Load < first.Slots {
-		return first.Host, true
+	own, other := first.loaded(load), second.loaded(load)
+	if request.Prefix() == 0 {
+		if other.pressure() < own.pressure() {
+			return second.host, true
+		}
+		return first.host, true
 	}
-	if second := candidates[1]; second.Load*first.Slots < first.Load*second.Slots {
-		return second.Host, true
+	if own.pressure() < affinityBound || own.pressure() <= affinityPreference*other.pressure() {
+		return first.host, true
 	}
-	return first.Host, true
+	return second.host, true
 }
 
-func (t *Table) ordered(request fuchsiapitch.Request, excluded map[fuchsiapitch.HostID]bool) []Candidate {
-	key := string(request.ID())
-	if request.Prefix() != 0 {
-		key = formatPrefix(request.Prefix())
+// best returns the two candidates with the highest scores, nil where there is
+// none.
+func (t *Table) best(request fuchsiapitch.Request, excluded map[fuchsiapitch.HostID]bool) (first, second *candidate) {
+	key := request.Prefix()
+	if key == 0 {
+		key = xxhash.Sum64String(string(request.ID()))
 	}
-	var candidates []Candidate
-	for _, c := range t.dispatchers[request.Service()] {
-		if !excluded[c.Host.ID()] {
-			candidates = append(candidates, c)
+	list := t.dispatchers[request.Service()]
+	var firstScore, secondScore float64
+	for i := range list {
+		c := &list[i]
+		if excluded[c.host.ID()] {
+			continue
+		}
+		score := c.score(key)
+		switch {
+		case first == nil || score > firstScore:
+			second, secondScore = first, firstScore
+			first, firstScore = c, score
+		case second == nil || score > secondScore:
+			second, secondScore = c, score
 		}
 	}
-	slices.SortFunc(candidates, func(a, b Candidate) int {
-		return cmp.Compare(weigh(b.Host.ID(), key), weigh(a.Host.ID(), key))
-	})
-	return candidates
+	return first, second
+}
+
+// score returns the weighted rendezvous score: -weight / ln(u) for a hash u that
+// is uniform between 0 and 1. Each candidate has the highest score for a part of
+// the keys in proportion to its weight.
+func (c *candidate) score(key uint64) float64 {
+	const mantissa = 53
+	u := (float64(mix(c.hash^key)>>(64-mantissa)) + 0.5) / (1 << mantissa)
+	return -float64(c.slots) / math.Log(u)
+}
+
+// loaded returns the load of the candidate. The slots count from the table
+// where the dispatcher has not reported its own.
+func (c *candidate) loaded(load func(fuchsiapitch.HostID) Load) Load {
+	l := load(c.host.ID())
+	if l.Slots == 0 {
+		l.Slots = c.slots
+	}
+	return l
+}
+
+// mix is the finaliser of SplitMix64, which spreads every bit of its input.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
 }
