--- a/internal/limiter/budget.go
+++ b/internal/limiter/budget.go
@@ -51,8 +51,8 @@
 	b.level = min(b.level+retryRatio, b.burst)
 }
 
-// Retry takes a retry from the budget and reports whether one was left.
-func (r *RetryBudget) Retry(name fuchsiapitch.ServiceName) bool {
+// Allow takes a retry from the budget and reports whether one was left.
+func (r *RetryBudget) Allow(_ fuchsiapitch.Instant, name fuchsiapitch.ServiceName) bool {
 	b := r.service(name)
 	if b.level < 1 {
 		return false
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -198,7 +198,7 @@
 				b.First("vidrio-llm")
 				continue
 			}
-			if b.Retry("vidrio-llm") {
+			if b.Allow(at(0), "vidrio-llm") {
 				retries++
 			}
 		}
--- a/internal/reducer/limit.go
+++ b/internal/reducer/limit.go
@@ -28,12 +28,6 @@
 	s.limiter.SetView(limiter.View{Live: ids, Known: s.members.Known(), Demand: s.members.Demand})
 }
 
-// spendRetry takes a retry of a service from its budget. What was stopped for
-// urgent work is no retry.
-func (s *State) spendRetry(f *flight, stopped bool) bool {
-	return stopped || s.retries.Retry(f.request.Service())
-}
-
 // coverRetries sets the bursts of the retry budgets to what this host's
 // replicas run at once.
 func (s *State) coverRetries() {
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -14,6 +14,7 @@
 	case HeartbeatReceived:
 		s.members.Receive(s.now, e.Heartbeat)
 		s.noteLoads(e.Heartbeat)
+		s.compareConfiguration(e.Heartbeat)
 	case HeartbeatFailed:
 		s.members.Fail(s.now, e.Host)
 	}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -7,9 +7,6 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
 )
 
-// attemptLimit is the largest number of attempts and forwards of one request.
-const attemptLimit = 4
-
 // phase is the place of a request in its life.
 type phase int
 
@@ -20,6 +17,8 @@
 	attempting
 	// forwarded means that a dispatcher on another host holds the request.
 	forwarded
+	// resting means that the request waits before every replica is tried again.
+	resting
 )
 
 // flight is the state of one request at this host. An offered request comes
@@ -30,21 +29,29 @@
 	offered  bool
 	bridged  bool
 	phase    phase
-	deadline time.Duration
+	deadline fuchsiapitch.Instant
+	// attempt is the number of the attempt under way, 0 for none.
+	attempt uint64
+	// attempts counts the attempts and forwards.
 	attempts int
-	offset   int
+	// fruitless counts the attempts since the last progress that may have run.
+	fruitless int
+	offset    int
+	replica   fuchsiapitch.ReplicaID
+	host      fuchsiapitch.HostID
+	answered  bool
+	// ran states that an ended attempt may have run.
+	ran bool
+	// wait is the last rest, and wake the end of the current one.
+	wait, wake time.Duration
+	lost       map[fuchsiapitch.ReplicaID]bool
+	excluded   map[fuchsiapitch.HostID]bool
 	// accepted states that the scheduler of this host has once accepted the
 	// request, so that it is queued again whatever the load.
 	accepted    bool
 	preemptions int
 	// refuged states that another data centre was tried after a refusal here.
-	refuged  bool
-	replica  fuchsiapitch.ReplicaID
-	host     fuchsiapitch.HostID
-	answered bool
-	ran      bool
-	lost     map[fuchsiapitch.ReplicaID]bool
-	excluded map[fuchsiapitch.HostID]bool
+	refuged bool
 }
 
 func (s *State) applyRequest(event Event) {
@@ -56,9 +63,13 @@
 	case RequestAbandoned:
 		s.forget(e.Request)
 	case AttemptAnswered:
-		s.scheduler.Answered(s.now, e.Request, e.Wait)
+		if _, ok := s.current(e.Request, e.Attempt); ok {
+			s.scheduler.Answered(s.now, e.Request, e.Wait)
+		}
 	case AttemptProgressed:
-		s.scheduler.Progressed(s.now, e.Request, e.Tokens, e.Elapsed)
+		if _, ok := s.current(e.Request, e.Attempt); ok {
+			s.scheduler.Progressed(s.now, e.Request, e.Tokens, e.Elapsed)
+		}
 	case AttemptEnded:
 		s.endAttempt(e)
 	case ForwardEnded:
@@ -92,7 +103,7 @@
 func (s *State) newFlight(request fuchsiapitch.Request) *flight {
 	f := &flight{
 		request:  request,
-		deadline: s.now.Monotonic() + request.TimeLimit(),
+		deadline: s.now.Add(request.TimeLimit()),
 		lost:     make(map[fuchsiapitch.ReplicaID]bool),
 		excluded: make(map[fuchsiapitch.HostID]bool),
 	}
@@ -112,8 +123,8 @@
 		return
 	}
 	h, ok := s.choose(f)
-	if !ok && f.accepted {
-		s.enqueue(f)
+	if !ok && f.attempts > 0 && !f.bridged {
+		s.rest(f)
 		return
 	}
 	if !ok {
@@ -133,18 +144,10 @@
 	return s.table.Choose(f.request, f.excluded, load)
 }
 
-// forward hands a request to a dispatcher on another host.
-func (s *State) forward(f *flight, h fuchsiapitch.Host) {
-	f.phase, f.host = forwarded, h.ID()
-	f.attempts++
-	s.sentTo(f)
-	s.emit(ForwardRequest{Request: f.request.ID(), Host: h, Offset: f.offset})
-}
-
 // enqueue offers a request to the scheduler of this host.
 func (s *State) enqueue(f *flight) {
 	f.phase = queued
-	remaining := f.deadline - s.now.Monotonic()
+	remaining := f.deadline.Sub(s.now)
 	if remaining <= 0 {
 		s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
 		return
@@ -173,12 +176,10 @@
 			s.scheduler.Ended(s.now, p.Request)
 			continue
 		}
-		f.phase, f.replica = attempting, p.Replica.ID()
-		f.attempts++
-		s.emit(StartAttempt{Request: p.Request, Replica: p.Replica, Offset: f.offset, Priority: p.Priority})
+		s.startAttempt(f, p.Replica, p.Priority)
 	}
 	for _, id := range plan.Preempts {
-		s.emit(PreemptAttempt{Request: id})
+		s.preempt(id)
 	}
 	for _, r := range plan.Refusals {
 		if f, ok := s.requests[r.Request]; ok {
--- a/internal/reducer/schedule_test.go
+++ b/internal/reducer/schedule_test.go
@@ -32,10 +32,10 @@
 
 func TestPreemption(t *testing.T) {
 	s := newRankedState(t)
-	assertStart(t, s.Apply(at(1), RequestReceived{Request: newKiln("k")}), 0)
-	s.Apply(at(1), AttemptProgressed{Request: "k", Tokens: 100, Elapsed: time.Second})
+	kiln := assertStart(t, s.Apply(at(1), RequestReceived{Request: newKiln("k")}), 0)
+	s.Apply(at(1), AttemptProgressed{Request: "k", Attempt: kiln.Attempt, Tokens: 100, Elapsed: time.Second})
 	preemptions := 0
-	for n := range 2 * attemptLimit {
+	for n := range 2 * fruitlessLimit {
 		chat := fuchsiapitch.RequestID(rune('a' + n))
 		effects := s.Apply(at(2), RequestReceived{Request: newChat(chat)})
 		if len(effects) == 0 {
@@ -45,15 +45,17 @@
 		if _, ok := effects[0].(PreemptAttempt); !ok {
 			t.Fatalf("got %#v, want a preemption", effects[0])
 		}
-		assertStart(t, s.Apply(at(3), AttemptEnded{Request: "k", Outcome: fuchsiapitch.Unknown, Tokens: n + 1, Stopped: true}), 0)
-		effects = s.Apply(at(4), AttemptEnded{Request: chat, Outcome: fuchsiapitch.Succeeded})
+		urgent := assertStart(t, s.Apply(at(3), AttemptEnded{
+			Request: "k", Attempt: kiln.Attempt, Outcome: fuchsiapitch.Unknown, Tokens: n + 1, Stopped: true,
+		}), 0)
+		effects = s.Apply(at(4), AttemptEnded{Request: chat, Attempt: urgent.Attempt, Outcome: fuchsiapitch.Succeeded})
 		assertFinish(t, effects, fuchsiapitch.Succeeded)
-		assertStart(t, effects[1:], n+1)
+		kiln = assertStart(t, effects[1:], n+1)
 	}
 	if preemptions != 3 {
 		t.Errorf("got %d preemptions, want 3", preemptions)
 	}
-	effects := s.Apply(at(5), AttemptEnded{Request: "k", Outcome: fuchsiapitch.Succeeded, Tokens: 100})
+	effects := s.Apply(at(5), AttemptEnded{Request: "k", Attempt: kiln.Attempt, Outcome: fuchsiapitch.Succeeded, Tokens: 100})
 	assertFinish(t, effects, fuchsiapitch.Succeeded)
 	assertStart(t, effects[1:], 0)
 }
@@ -138,6 +140,6 @@
 	assertLoad(4)
 	beat(2)
 	assertLoad(3)
-	s.Apply(at(3), ForwardEnded{Request: "c1", Host: "host-b", Outcome: fuchsiapitch.Succeeded})
+	s.Apply(at(3), ForwardEnded{Request: "c1", Attempt: f.attempt, Host: "host-b", Outcome: fuchsiapitch.Succeeded})
 	assertLoad(2)
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -38,6 +38,9 @@
 	retries       *limiter.RetryBudget
 	demands       []gossiper.CustomerDemand
 	requests      map[fuchsiapitch.RequestID]*flight
+	following     configurationState
+	attempts      uint64
+	retryBudget   RetryBudget
 	stopping      bool
 	effects       []Effect
 }
@@ -50,6 +53,11 @@
 	return func(s *State) { s.members = gossiper.New(s.members.Self(), hosts...) }
 }
 
+// WithScheduling sets options of the scheduler.
+func WithScheduling(options ...scheduler.Option) Option {
+	return func(s *State) { s.scheduler = scheduler.New(options...) }
+}
+
 // New returns the state of an entry host that has just started.
 func New(self fuchsiapitch.Host, options ...Option) *State {
 	s := &State{
@@ -63,7 +71,9 @@
 		limiter:    limiter.New(self.ID()),
 		retries:    limiter.NewRetryBudget(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
+		following:  newConfigurationState(),
 	}
+	s.retryBudget = s.retries
 	for _, o := range options {
 		o(s)
 	}
@@ -92,6 +102,8 @@
 		s.applyMembership(e)
 	case RecordsRead, ReadFailed, ReadTruncated, AppendEnded:
 		s.applyLog(e)
+	case StateFetched:
+		s.takeState(e)
 	case ServersListed, ServerReported, ServerSilent, OrderEnded:
 		s.applyGroups(e)
 	case FleetDescribed:
@@ -113,6 +125,7 @@
 	s.tickConfiguration()
 	s.tickGroups()
 	s.tickKeys()
+	s.wakeRequests()
 }
 
 func (s *State) stop() {
@@ -132,7 +145,7 @@
 func (FleetDescribed) event() {}
 
 func (s *State) describeFleet(e FleetDescribed) {
-	s.setConfiguration(e.Configuration)
+	s.describeConfiguration(e.Configuration)
 	s.setReplicas(e.Replicas)
 }
 
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -133,13 +133,14 @@
 // enqueue queues a job.
 func (p *pool) enqueue(now time.Duration, j *job, front bool) {
 	c, f := j.class, j.flow
+	j.cost = max(1, j.asked()*c.ratio(now, f))
 	c.fair.push(f, j, front)
 	c.requests++
 	c.bytes += j.request.Bytes()
-	c.cost += j.cost()
+	c.cost += j.cost
 	f.requests++
 	f.bytes += j.request.Bytes()
-	f.cost += j.cost()
+	f.cost += j.cost
 	p.waiting++
 	p.noteUrgent(now, c)
 	p.dirty = true
@@ -159,10 +160,10 @@
 	}
 	c.requests--
 	c.bytes -= j.request.Bytes()
-	c.cost -= j.cost()
+	c.cost -= j.cost
 	f.requests--
 	f.bytes -= j.request.Bytes()
-	f.cost -= j.cost()
+	f.cost -= j.cost
 	p.waiting--
 	if c.requests == 0 {
 		c.cost = 0
@@ -286,6 +287,7 @@
 		p.stopping--
 		c.stopping--
 	}
+	c.learn(now, j)
 	if j.served == 0 && !j.stopping && !j.request.Stream() {
 		p.count(now, j, j.charged)
 	}
