--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
 )
 
 // phase is the place of a request in its life.
@@ -49,6 +50,8 @@
 	// request, so that it is queued again whatever the load.
 	accepted    bool
 	preemptions int
+	// refuged states that another data centre was tried after a refusal here.
+	refuged bool
 }
 
 func (s *State) applyRequest(event Event) {
@@ -80,7 +83,9 @@
 		return
 	}
 	f := s.newFlight(e.Request)
-	s.place(f)
+	if s.admit(f) {
+		s.place(f)
+	}
 }
 
 func (s *State) offer(e RequestOffered) {
@@ -103,6 +108,7 @@
 		excluded: make(map[fuchsiapitch.HostID]bool),
 	}
 	s.requests[request.ID()] = f
+	s.retries.First(request.Service())
 	return f
 }
 
@@ -112,15 +118,15 @@
 		s.refuse(f, fuchsiapitch.RefusedUnknownService, 0)
 		return
 	}
+	if h, ok := s.leave(f); ok {
+		s.forward(f, h)
+		return
+	}
 	h, ok := s.choose(f)
 	if !ok && f.attempts > 0 && !f.bridged {
 		s.rest(f)
 		return
 	}
-	if !ok && f.accepted {
-		s.enqueue(f)
-		return
-	}
 	if !ok {
 		s.refuse(f, fuchsiapitch.RefusedNoReplica, time.Second)
 		return
@@ -134,7 +140,7 @@
 
 // choose returns the dispatcher for a request.
 func (s *State) choose(f *flight) (fuchsiapitch.Host, bool) {
-	load := func(h fuchsiapitch.HostID) int { return s.loadOf(h, f.request.Service()) }
+	load := func(h fuchsiapitch.HostID) router.Load { return s.loadOf(h, f.request.Service()) }
 	return s.table.Choose(f.request, f.excluded, load)
 }
 
@@ -155,9 +161,10 @@
 	}
 	a := s.scheduler.Offer(s.now, request, sortedKeys(f.lost)...)
 	f.accepted = a.Accepted
-	if !a.Accepted {
-		s.refuse(f, a.Reason, a.RetryAfter)
+	if a.Accepted || (a.Reason == fuchsiapitch.RefusedOverload && s.refuge(f)) {
+		return
 	}
+	s.refuse(f, a.Reason, a.RetryAfter)
 }
 
 // schedule carries out what the scheduler decides after each event.
@@ -196,7 +203,10 @@
 		}
 		// A dispatcher that failed this request before may have recovered.
 		clear(f.excluded)
-		h, ok := s.choose(f)
+		h, ok := s.leave(f)
+		if !ok {
+			h, ok = s.choose(f)
+		}
 		if ok && h.ID() != s.self {
 			s.scheduler.Ended(s.now, id)
 			s.forward(f, h)
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/limiter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/scheduler"
 )
@@ -30,7 +31,12 @@
 	memberChanges uint64
 	heartbeatDue  time.Duration
 	table         *router.Table
+	overflow      *router.Overflow
+	loads         loads
 	scheduler     *scheduler.Scheduler
+	limiter       *limiter.Limiter
+	retries       *limiter.RetryBudget
+	demands       []gossiper.CustomerDemand
 	requests      map[fuchsiapitch.RequestID]*flight
 	following     configurationState
 	attempts      uint64
@@ -47,6 +53,11 @@
 	return func(s *State) { s.members = gossiper.New(s.members.Self(), hosts...) }
 }
 
+// WithScheduling sets options of the scheduler.
+func WithScheduling(options ...scheduler.Option) Option {
+	return func(s *State) { s.scheduler = scheduler.New(options...) }
+}
+
 // New returns the state of an entry host that has just started.
 func New(self fuchsiapitch.Host, options ...Option) *State {
 	s := &State{
@@ -54,12 +65,15 @@
 		dataCentre: self.DataCentre(),
 		replicas:   make(map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica),
 		members:    gossiper.New(self),
+		overflow:   router.NewOverflow(),
+		loads:      newLoads(),
 		scheduler:  scheduler.New(),
+		limiter:    limiter.New(self.ID()),
+		retries:    limiter.NewRetryBudget(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
 		following:  newConfigurationState(),
-
-		retryBudget: unlimited{},
 	}
+	s.retryBudget = s.retries
 	for _, o := range options {
 		o(s)
 	}
@@ -139,6 +153,7 @@
 func (s *State) setConfiguration(configuration fuchsiapitch.Configuration) {
 	s.configuration = configuration
 	s.scheduler.Configure(configuration)
+	s.limiter.Configure(configuration)
 }
 
 // setReplicas sets the routable replicas of the data centre.
@@ -160,6 +175,7 @@
 	s.table = router.NewTable(s.members.Live(), replicas)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
 	s.adoptOrphans()
+	s.coverRetries()
 }
 
 // Configuration returns the configuration in force.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -198,3 +198,19 @@
 		t.Errorf("got stragglers %v after recovery, want none", got)
 	}
 }
+
+func TestEstimates(t *testing.T) {
+	s := newScheduler(newReplicas(service, 1, 1))
+	for n := range 5 {
+		r := newStream(n, "a", "kiln", 4000)
+		s.Offer(at(time.Duration(n)*time.Second), r)
+		s.Decide(at(time.Duration(n) * time.Second))
+		s.Served(at(time.Duration(n)*time.Second), r.ID(), 40)
+		s.Ended(at(time.Duration(n)*time.Second), r.ID())
+	}
+	r := newStream(9, "a", "kiln", 4000)
+	s.Offer(at(6*time.Second), r)
+	if got := s.jobs[r.ID()].cost; got < 39 || got > 41 {
+		t.Errorf("got an estimate of %.1f tokens after requests that took 40 of 4000, want 40", got)
+	}
+}
