grouper: form groups under a lease in the log

Cause: replicas came only from a test event; nothing formed groups. Change: a fold over the stream of the data centre's groups (join, claim, renewal with changes, release, checkpoint), a lease checked on both clocks, promises of the electors for a log outage, health of backend servers from accounts and advancing streams, forming, rollouts, and the hook in the reducer that makes whole groups routable.

--- a/internal/encoder/peer.go
+++ b/internal/encoder/peer.go
@@ -26,6 +26,10 @@
 		From: EncodeHost(h.From), Sequence: h.Sequence, Leaving: h.Leaving,
 		Configuration: uint64(h.Configuration), ConfigurationHash: h.ConfigurationHash,
 		PromiseTerm: uint64(h.Promise.Term), PromiseRemainingMs: h.Promise.Remaining.Milliseconds(),
+		PromiseWanted: h.Promise.Wanted, PromiseIncarnation: h.Promise.Incarnation, PromiseEcho: h.Promise.Echo,
+	}
+	for _, b := range h.Broken {
+		w.Broken = append(w.Broken, string(b))
 	}
 	for _, l := range h.Loads {
 		w.Loads = append(w.Loads, encodeLoad(l))
@@ -54,8 +58,12 @@
 		Promise: gossiper.Promise{
 			Term:      fuchsiapitch.Term(w.GetPromiseTerm()),
 			Remaining: time.Duration(w.GetPromiseRemainingMs()) * time.Millisecond,
+			Wanted:    w.GetPromiseWanted(), Incarnation: w.GetPromiseIncarnation(), Echo: w.GetPromiseEcho(),
 		},
 	}
+	for _, b := range w.GetBroken() {
+		h.Broken = append(h.Broken, fuchsiapitch.ServerID(b))
+	}
 	for _, l := range w.GetLoads() {
 		h.Loads = append(h.Loads, decodeLoad(l))
 	}
--- a/internal/gossiper/heartbeat.go
+++ b/internal/gossiper/heartbeat.go
@@ -42,8 +42,14 @@
 type Promise struct {
 	// Term is the term of the controller that the promise is given to.
 	Term fuchsiapitch.Term
+	// Wanted states that the sender is the controller and asks for promises.
+	Wanted bool
 	// Remaining is the time for which the promise still holds.
 	Remaining time.Duration
+	// Incarnation is the incarnation of the sender at its start.
+	Incarnation uint64
+	// Echo is the sequence of the controller's heartbeat that it answers.
+	Echo uint64
 }
 
 // Heartbeat is the message by which entry hosts keep each other informed. The
@@ -69,4 +75,7 @@
 	Remotes []CentreLoad
 	// Promise is the sender's promise to the controller, if any.
 	Promise Promise
+	// Broken are backend servers whose groups the sender dispatches for and that
+	// are not as they should be. Their number is bounded.
+	Broken []fuchsiapitch.ServerID
 }
--- /dev/null
+++ b/internal/grouper/watch.go
@@ -0,0 +1,143 @@
+package grouper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+const (
+	// brokenLimit is the largest number of servers that a host tells the
+	// controller of at once.
+	brokenLimit = 8
+	// sparePeriod is the time between two probes of a spare server.
+	sparePeriod = 2 * time.Second
+	// sweepPeriod is the time between two probes of a server that its
+	// dispatcher watches.
+	sweepPeriod = 30 * time.Second
+)
+
+// engines returns the engines of the data centre in the order of their
+// identifiers.
+func (g *Grouper) engines() []fuchsiapitch.ServerID {
+	var list []fuchsiapitch.ServerID
+	for _, id := range slices.Sorted(maps.Keys(g.servers)) {
+		if g.servers[id].server.Kind() == fuchsiapitch.EngineServer {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Probe asks for the accounts of the servers that this host watches: as
+// dispatcher those of its own groups, as controller the others.
+func (g *Grouper) Probe(now fuchsiapitch.Instant) {
+	watches := g.dispatcherWatches(now.Monotonic())
+	if g.tenure != nil {
+		watches = append(watches, g.controllerWatches()...)
+		if g.tenure.stage == reading || g.tenure.stage == rereading {
+			g.health.tokens = max(g.health.tokens, readBackChunk)
+		}
+	}
+	for _, id := range g.health.Due(now.Monotonic(), g.merge(watches)) {
+		g.actions.Probes = append(g.actions.Probes, g.servers[id].server)
+	}
+}
+
+// merge keeps the shortest period of each known server.
+func (g *Grouper) merge(watches []Watch) []Watch {
+	periods := make(map[fuchsiapitch.ServerID]time.Duration)
+	for _, w := range watches {
+		if p, ok := periods[w.Server]; !ok || w.Period < p {
+			periods[w.Server] = w.Period
+		}
+	}
+	merged := make([]Watch, 0, len(periods))
+	for _, id := range slices.Sorted(maps.Keys(periods)) {
+		if _, ok := g.servers[id]; ok {
+			merged = append(merged, Watch{Server: id, Period: periods[id]})
+		}
+	}
+	return merged
+}
+
+func (g *Grouper) dispatcherWatches(now time.Duration) []Watch {
+	var list []Watch
+	for _, group := range g.view.Groups() {
+		if !g.owner(fuchsiapitch.ReplicaID(group.ID)) {
+			continue
+		}
+		period := g.watchPeriod(now, group)
+		for _, m := range group.Members {
+			list = append(list, Watch{Server: m, Period: period})
+		}
+	}
+	return list
+}
+
+func (g *Grouper) watchPeriod(now time.Duration, group Group) time.Duration {
+	switch fault := g.health.Check(now, group, g.isLeaving); {
+	case fault == MemberStray || fault == MemberLoading:
+		return loadingProbePeriod
+	case g.health.isStreaming(now, group.ID):
+		return busyProbePeriod
+	case g.running[fuchsiapitch.ReplicaID(group.ID)]:
+		return stalledProbePeriod
+	}
+	return idleProbePeriod
+}
+
+func (g *Grouper) controllerWatches() []Watch {
+	var list []Watch
+	for _, id := range g.engines() {
+		period := sparePeriod
+		if place, ok := g.view.Place(id); ok {
+			group, _ := g.view.Group(place)
+			period = g.memberPeriod(group)
+		}
+		list = append(list, Watch{Server: id, Period: period})
+	}
+	return list
+}
+
+// memberPeriod returns how often the controller itself looks at the members of
+// a group: often while it changes, seldom while its dispatcher watches it.
+func (g *Grouper) memberPeriod(group Group) time.Duration {
+	if group.Draining {
+		return idleProbePeriod
+	}
+	for _, m := range group.Members {
+		a, ok := g.health.Account(m)
+		if !ok || !group.Matches(a) || !a.Ready() {
+			return loadingProbePeriod
+		}
+	}
+	return sweepPeriod
+}
+
+// observe notes which members of this host's groups are not as they should be,
+// and tells the controller of a change at once.
+func (g *Grouper) observe(now time.Duration) {
+	var broken []fuchsiapitch.ServerID
+	for _, group := range g.view.Groups() {
+		if !g.owner(fuchsiapitch.ReplicaID(group.ID)) || group.Draining {
+			continue
+		}
+		for _, m := range group.Members {
+			fault := g.health.checkMember(now, group, m)
+			if fault == 0 && g.isLeaving(m) {
+				fault = MemberLeaving
+			}
+			if fault != 0 && fault != MemberUnproved && len(broken) < brokenLimit {
+				broken = append(broken, m)
+			}
+		}
+	}
+	if !slices.Equal(broken, g.broken) && len(broken) > 0 {
+		g.actions.Tell = true
+	}
+	g.broken = broken
+	g.count(now)
+}
--- a/internal/reducer/group.go
+++ b/internal/reducer/group.go
@@ -1,10 +1,193 @@
 package reducer
 
+import (
+	"slices"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/grouper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
+)
+
+// groupStream returns the stream of the groups of this data centre.
+func (s *State) groupStream() fuchsiapitch.StreamName {
+	return fuchsiapitch.StreamName(GroupStreamPrefix + string(s.dataCentre))
+}
+
 // applyGroups takes in reports on backend servers.
-func (s *State) applyGroups(Event) {}
+func (s *State) applyGroups(event Event) {
+	switch e := event.(type) {
+	case ServersListed:
+		s.groups.List(e.Servers)
+	case ServerReported:
+		s.groups.Report(s.now, e.Account)
+	case ServerSilent:
+		s.groups.Silence(s.now, e.Server)
+	case OrderEnded:
+		s.endOrder(e)
+	}
+	s.stepGroups()
+}
+
+func (s *State) endOrder(e OrderEnded) {
+	if e.Outcome == fuchsiapitch.Succeeded {
+		s.groups.OrderEnded(s.now, e.Server, e.Fence, &e.Account)
+		return
+	}
+	s.groups.OrderEnded(s.now, e.Server, e.Fence, nil)
+}
 
 // applyGroupLog folds the group stream of this data centre.
-func (s *State) applyGroupLog(Event) {}
+func (s *State) applyGroupLog(event Event) {
+	if streamOf(event) != s.groupStream() {
+		return
+	}
+	switch e := event.(type) {
+	case RecordsRead:
+		s.groups.Read(s.now, decodeEntries(e.Batch.Records()), e.Batch.Next())
+	case ReadFailed:
+		s.groups.ReadFailed()
+	case ReadTruncated:
+		s.groups.Truncated(e.Oldest)
+	case AppendEnded:
+		s.groups.AppendEnded(s.now, e.Record)
+	}
+	s.stepGroups()
+}
+
+// decodeEntries leaves out records that cannot be decoded. Every host leaves
+// out the same ones.
+func decodeEntries(records []fuchsiapitch.Record) []grouper.Entry {
+	entries := make([]grouper.Entry, 0, len(records))
+	for _, r := range records {
+		if d, err := encoder.DecodeGroupRecord(r); err == nil {
+			entries = append(entries, grouper.Entry{Offset: r.Offset(), Record: d})
+		}
+	}
+	return entries
+}
 
 // tickGroups probes backend servers and acts as controller where this host is.
-func (s *State) tickGroups() {}
+func (s *State) tickGroups() { s.stepGroups() }
+
+// observeAttempt takes in what an attempt tells of its replica.
+func (s *State) observeAttempt(event Event) {
+	switch e := event.(type) {
+	case AttemptProgressed:
+		if f, ok := s.requests[e.Request]; ok && e.Tokens > 0 {
+			s.groups.Progress(s.now, f.replica)
+		}
+	case AttemptEnded:
+		f, ok := s.requests[e.Request]
+		if !ok || e.Stopped || e.Outcome == fuchsiapitch.Succeeded || e.Outcome == fuchsiapitch.Failed {
+			return
+		}
+		if r, listed := s.replicas[f.replica]; listed && e.Unreachable {
+			s.groups.Silence(s.now, r.Server().ID())
+		}
+		s.groups.Doubt(f.replica)
+		s.groups.Probe(s.now)
+		s.carryOutGroups(s.groups.Drain())
+		s.followGroups()
+	}
+}
+
+// hearGroups takes in what a heartbeat states about groups.
+func (s *State) hearGroups(h gossiper.Heartbeat) {
+	if h.From.DataCentre() != s.dataCentre {
+		return
+	}
+	s.groups.HearPromise(s.now, h.From.ID(), h.Sequence, grouper.Promise{
+		Term: h.Promise.Term, Wanted: h.Promise.Wanted, Remaining: h.Promise.Remaining,
+		Incarnation: h.Promise.Incarnation, Echo: h.Promise.Echo,
+	})
+	if s.groups.Holder() == s.self {
+		s.groups.Suspect(h.Broken)
+	}
+}
+
+// stateGroups adds what this host states about groups to its heartbeat.
+func (s *State) stateGroups(h *gossiper.Heartbeat) {
+	p := s.groups.Promise(s.now, h.Sequence)
+	h.Promise = gossiper.Promise{
+		Term: p.Term, Wanted: p.Wanted, Remaining: p.Remaining, Incarnation: p.Incarnation, Echo: p.Echo,
+	}
+	h.Broken = s.groups.Broken()
+}
+
+// stepGroups lets the grouper decide, carries out what it wants and follows the
+// routable replicas.
+func (s *State) stepGroups() {
+	live := s.members.Live()
+	s.groups.Configure(s.configuration)
+	s.groups.SetHosts(live, func(r fuchsiapitch.ReplicaID) bool {
+		h, ok := router.Owner(live, r)
+		return ok && h.ID() == s.self
+	})
+	s.groups.SetRunning(s.runningReplicas())
+	s.groups.Tick(s.now)
+	s.carryOutGroups(s.groups.Drain())
+	s.followGroups()
+}
+
+// followGroups sets the routable replicas when they have changed.
+func (s *State) followGroups() {
+	if replicas := s.groups.Replicas(s.now); !slices.Equal(replicas, s.groupReplicas) {
+		s.groupReplicas = replicas
+		s.setReplicas(replicas)
+	}
+}
+
+func (s *State) runningReplicas() map[fuchsiapitch.ReplicaID]bool {
+	running := make(map[fuchsiapitch.ReplicaID]bool)
+	for _, f := range s.requests {
+		if f.phase == attempting {
+			running[f.replica] = true
+		}
+	}
+	return running
+}
+
+func (s *State) carryOutGroups(a grouper.Actions) {
+	if a.Follow > 0 {
+		s.emit(FollowStream{Stream: s.groupStream(), From: a.Follow})
+	}
+	for _, r := range a.Appends {
+		record, err := encoder.EncodeGroupRecord(r)
+		if err != nil {
+			s.violate("group-record", err.Error())
+			continue
+		}
+		s.emit(AppendRecord{Stream: s.groupStream(), Record: record})
+	}
+	for _, b := range a.Probes {
+		s.emit(ProbeServer{Server: b})
+	}
+	for _, o := range a.Orders {
+		s.emit(GiveOrder{Server: o.Server, Order: o.Order, Expiry: o.Expiry})
+	}
+	for _, b := range a.Breaches {
+		s.violate(b.Invariant, b.Detail)
+	}
+	if a.Tell {
+		s.tellGroups()
+	}
+}
+
+// tellGroups sends a heartbeat at once: the controller's to every host of the
+// data centre, any other host's to the controller.
+func (s *State) tellGroups() {
+	holder := s.groups.Holder()
+	for _, h := range s.members.Live() {
+		if h.ID() != s.self && (holder == s.self || h.ID() == holder) {
+			s.emit(SendHeartbeat{To: h, Heartbeat: s.ComposeHeartbeat()})
+		}
+	}
+}
+
+// Groups returns the state of the groups of the data centre for operators.
+func (s *State) Groups() grouper.Status { return s.groups.Status(s.now) }
+
+// GroupCounters returns the totals of the groups for metrics.
+func (s *State) GroupCounters() grouper.Counters { return s.groups.Counters() }
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -17,6 +17,7 @@
 	switch e := event.(type) {
 	case HeartbeatReceived:
 		s.members.Receive(s.now, e.Heartbeat)
+		s.hearGroups(e.Heartbeat)
 	case HeartbeatFailed:
 		s.members.Fail(s.now, e.Host)
 	}
@@ -46,6 +47,7 @@
 func (s *State) ComposeHeartbeat() gossiper.Heartbeat {
 	h := s.members.Compose(s.now, s.ownLoads())
 	h.Configuration, h.ConfigurationHash = s.configuration.Offset(), s.configuration.Hash()
+	s.stateGroups(&h)
 	return h
 }
 
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/grouper"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/scheduler"
 )
@@ -28,6 +29,8 @@
 	replicas      map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
 	members       *gossiper.Membership
 	memberChanges uint64
+	groups        *grouper.Grouper
+	groupReplicas []fuchsiapitch.Replica
 	heartbeatDue  time.Duration
 	table         *router.Table
 	scheduler     *scheduler.Scheduler
@@ -51,6 +54,7 @@
 		dataCentre: self.DataCentre(),
 		replicas:   make(map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica),
 		members:    gossiper.New(self),
+		groups:     grouper.New(self),
 		scheduler:  scheduler.New(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
 	}
@@ -77,6 +81,7 @@
 		s.tick()
 	case RequestReceived, RequestOffered, RequestAbandoned, AttemptAnswered,
 		AttemptProgressed, AttemptEnded, ForwardEnded, AnswerStored:
+		s.observeAttempt(e)
 		s.applyRequest(e)
 	case HeartbeatReceived, HeartbeatFailed:
 		s.applyMembership(e)
@@ -108,6 +113,7 @@
 
 func (s *State) stop() {
 	s.stopping = true
+	s.groups.Stop()
 	s.members.Leave()
 	s.rebuildTable()
 }
