--- a/internal/grouper/status.go
+++ b/internal/grouper/status.go
@@ -143,3 +143,6 @@
 	}
 	return false
 }
+
+// Fold returns the state of the stream. Callers must not change it.
+func (g *Grouper) Fold() *Fold { return g.fold }
--- a/internal/grouper/watch.go
+++ b/internal/grouper/watch.go
@@ -41,11 +41,27 @@
 			g.health.tokens = max(g.health.tokens, readBackChunk)
 		}
 	}
-	for _, id := range g.health.Due(now.Monotonic(), g.merge(watches)) {
+	merged := g.merge(watches)
+	// What is no longer watched grows stale; its dispatcher knows more.
+	g.health.Keep(watched(merged), g.isGroup)
+	for _, id := range g.health.Due(now.Monotonic(), merged) {
 		g.actions.Probes = append(g.actions.Probes, g.servers[id].server)
 	}
 }
 
+func watched(watches []Watch) func(fuchsiapitch.ServerID) bool {
+	set := make(map[fuchsiapitch.ServerID]bool, len(watches))
+	for _, w := range watches {
+		set[w.Server] = true
+	}
+	return func(id fuchsiapitch.ServerID) bool { return set[id] }
+}
+
+func (g *Grouper) isGroup(id fuchsiapitch.GroupID) bool {
+	_, ok := g.view.Group(id)
+	return ok
+}
+
 // merge keeps the shortest period of each known server.
 func (g *Grouper) merge(watches []Watch) []Watch {
 	periods := make(map[fuchsiapitch.ServerID]time.Duration)
