--- a/internal/grouper/controller.go
+++ b/internal/grouper/controller.go
@@ -242,7 +242,8 @@
 
 // giveOrders orders every member that does not report the assignment of its
 // group. An assignment is in the stream before it is ordered, unless the log is
-// away and the electors' promises stand in for the lease.
+// away and the electors' promises stand in for the lease. An assignment that a
+// later one on its way into the stream replaces is not ordered.
 func (g *Grouper) giveOrders(now fuchsiapitch.Instant, expiry fuchsiapitch.Instant) {
 	t := g.tenure
 	source := g.fold
@@ -256,7 +257,8 @@
 	}
 	loading := g.loading(source)
 	for _, group := range g.byUrgency(source.Groups()) {
-		if group.Fence.Term() != t.term || !g.needsOrders(group) {
+		newest, ok := g.view.Group(group.ID)
+		if group.Fence.Term() != t.term || !ok || newest.Fence != group.Fence || !g.needsOrders(group) {
 			continue
 		}
 		if cold := g.coldMembers(group); cold > 0 {
@@ -337,6 +339,7 @@
 		r, _ := g.configuration.Rank(s.Rank())
 		return r.Order(), s.Worth()
 	}
+	groups = slices.Clone(groups)
 	slices.SortStableFunc(groups, func(a, b Group) int {
 		ra, wa := order(a)
 		rb, wb := order(b)
--- a/internal/grouper/fold.go
+++ b/internal/grouper/fold.go
@@ -35,6 +35,8 @@
 	places   map[fuchsiapitch.ServerID]fuchsiapitch.GroupID
 	electors map[fuchsiapitch.HostID]Elector
 	rejected map[fuchsiapitch.ServiceName]string
+	// sorted are the groups in order, nil after a change.
+	sorted []Group
 }
 
 // NewFold returns the state before the first record of a stream.
@@ -45,7 +47,7 @@
 }
 
 func (f *Fold) clear() {
-	f.state = Snapshot{}
+	f.state, f.sorted = Snapshot{}, nil
 	f.groups = make(map[fuchsiapitch.GroupID]Group)
 	f.places = make(map[fuchsiapitch.ServerID]fuchsiapitch.GroupID)
 	f.electors = make(map[fuchsiapitch.HostID]Elector)
@@ -88,13 +90,16 @@
 	return list
 }
 
-// Groups returns the groups in the order of their identifiers.
+// Groups returns the groups in the order of their identifiers. Callers must not
+// change them.
 func (f *Fold) Groups() []Group {
-	list := make([]Group, 0, len(f.groups))
-	for _, id := range slices.Sorted(maps.Keys(f.groups)) {
-		list = append(list, f.groups[id])
+	if f.sorted == nil {
+		f.sorted = make([]Group, 0, len(f.groups))
+		for _, id := range slices.Sorted(maps.Keys(f.groups)) {
+			f.sorted = append(f.sorted, f.groups[id])
+		}
 	}
-	return list
+	return f.sorted
 }
 
 // Group returns a group by its identifier.
@@ -267,6 +272,7 @@
 }
 
 func (f *Fold) put(g Group) {
+	f.sorted = nil
 	f.groups[g.ID] = g
 	for _, m := range g.Members {
 		f.places[m] = g.ID
@@ -274,6 +280,7 @@
 }
 
 func (f *Fold) remove(id fuchsiapitch.GroupID) {
+	f.sorted = nil
 	for _, m := range f.groups[id].Members {
 		delete(f.places, m)
 	}
--- a/internal/reducer/group_world_test.go
+++ b/internal/reducer/group_world_test.go
@@ -50,6 +50,8 @@
 	cut     bool
 	waiting []func()
 	follows fuchsiapitch.Offset
+	// inspected is the offset up to which the fold was last inspected.
+	inspected fuchsiapitch.Offset
 }
 
 // fakeEngine is one backend server of the world.
@@ -427,6 +429,10 @@
 // inspect checks that two hosts that have read as far agree.
 func (w *world) inspect(n *node) {
 	fold := n.state.groups.Fold()
+	if n.inspected == fold.Next() {
+		return
+	}
+	n.inspected = fold.Next()
 	got := fmt.Sprintf("%+v", fold.Snapshot())
 	if want, ok := w.snapshot[fold.Next()]; ok && fold.Known() && want != got {
 		w.fail("two folds up to %d differ: %s and %s", fold.Next(), want, got)
