grouper: decide less often what seldom changes

Change: owners are kept until the live hosts change, the stagger is worked out only when the lease has lapsed, stranded servers are counted once a second.

--- a/internal/grouper/election.go
+++ b/internal/grouper/election.go
@@ -134,10 +134,12 @@
 	if g.holds() || !g.candidate.readable || !g.listed || now.Monotonic() < g.promised.until {
 		return false
 	}
+	wait := g.wait(self)
 	if g.fold.Term() == 0 || g.fold.Released() {
-		return now.Monotonic() >= g.candidate.read.Monotonic()+g.stagger()
+		wait = 0
 	}
-	return now.Sub(g.candidate.read) >= g.wait(self)+g.stagger()
+	since := now.Sub(g.candidate.read)
+	return since >= wait && since >= wait+g.stagger()
 }
 
 // wait returns the time after the last record of the holder in which it may
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -73,6 +73,7 @@
 	broken        []fuchsiapitch.ServerID
 	downtime      map[fuchsiapitch.GroupID]time.Duration
 	stranded      []Stranded
+	counted       time.Duration
 	counters      Counters
 	actions       Actions
 }
--- a/internal/grouper/status.go
+++ b/internal/grouper/status.go
@@ -6,6 +6,9 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
+// countPeriod is the time between two counts of the stranded servers.
+const countPeriod = time.Second
+
 // Counters are totals for metrics.
 type Counters struct {
 	// GroupDowntime is the time that groups of this host were not whole, summed
@@ -91,7 +94,10 @@
 			delete(g.downtime, id)
 		}
 	}
-	g.stranded = nil
+	if now-g.counted < countPeriod {
+		return
+	}
+	g.counted, g.stranded = now, nil
 	if g.tenure != nil && g.tenure.stage == acting {
 		g.stranded = newPlanner(g, now).strand()
 	}
--- a/internal/reducer/group.go
+++ b/internal/reducer/group.go
@@ -119,12 +119,8 @@
 // stepGroups lets the grouper decide, carries out what it wants and follows the
 // routable replicas.
 func (s *State) stepGroups() {
-	live := s.members.Live()
 	s.groups.Configure(s.configuration)
-	s.groups.SetHosts(live, func(r fuchsiapitch.ReplicaID) bool {
-		h, ok := router.Owner(live, r)
-		return ok && h.ID() == s.self
-	})
+	s.followOwners()
 	s.groups.SetRunning(s.runningReplicas())
 	s.groups.Tick(s.now)
 	s.carryOutGroups(s.groups.Drain())
@@ -139,6 +135,26 @@
 	}
 }
 
+// followOwners sets the live hosts and the owners of the groups after a change of
+// the live hosts.
+func (s *State) followOwners() {
+	live := s.members.Live()
+	if slices.Equal(live, s.groupHosts) {
+		return
+	}
+	s.groupHosts = live
+	owned := make(map[fuchsiapitch.ReplicaID]bool)
+	s.groups.SetHosts(live, func(r fuchsiapitch.ReplicaID) bool {
+		own, known := owned[r]
+		if !known {
+			h, ok := router.Owner(live, r)
+			own = ok && h.ID() == s.self
+			owned[r] = own
+		}
+		return own
+	})
+}
+
 func (s *State) runningReplicas() map[fuchsiapitch.ReplicaID]bool {
 	running := make(map[fuchsiapitch.ReplicaID]bool)
 	for _, f := range s.requests {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -31,6 +31,7 @@
 	memberChanges uint64
 	groups        *grouper.Grouper
 	groupReplicas []fuchsiapitch.Replica
+	groupHosts    []fuchsiapitch.Host
 	heartbeatDue  time.Duration
 	table         *router.Table
 	scheduler     *scheduler.Scheduler
