--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -15,6 +15,7 @@
 		s.members.Receive(s.now, e.Heartbeat)
 		s.noteLoads(e.Heartbeat)
 		s.compareConfiguration(e.Heartbeat)
+		s.hearGroups(e.Heartbeat)
 	case HeartbeatFailed:
 		s.members.Fail(s.now, e.Host)
 	}
@@ -51,5 +52,6 @@
 	h.Loads = s.dueLoads(loads)
 	h.Demands = s.demands
 	h.Configuration, h.ConfigurationHash = s.configuration.Offset(), s.configuration.Hash()
+	s.stateGroups(&h)
 	return h
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/grouper"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/limiter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/scheduler"
@@ -29,6 +30,9 @@
 	replicas      map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
 	members       *gossiper.Membership
 	memberChanges uint64
+	groups        *grouper.Grouper
+	groupReplicas []fuchsiapitch.Replica
+	groupHosts    []fuchsiapitch.Host
 	heartbeatDue  time.Duration
 	table         *router.Table
 	overflow      *router.Overflow
@@ -42,7 +46,9 @@
 	attempts      uint64
 	retryBudget   RetryBudget
 	stopping      bool
-	effects       []Effect
+	// replicasDescribed states that the replicas were set directly.
+	replicasDescribed bool
+	effects           []Effect
 }
 
 // Option sets one optional property of a new state.
@@ -67,6 +73,7 @@
 		members:    gossiper.New(self),
 		overflow:   router.NewOverflow(),
 		loads:      newLoads(),
+		groups:     grouper.New(self),
 		scheduler:  scheduler.New(),
 		limiter:    limiter.New(self.ID()),
 		retries:    limiter.NewRetryBudget(),
@@ -97,6 +104,7 @@
 		s.tick()
 	case RequestReceived, RequestOffered, RequestAbandoned, AttemptAnswered,
 		AttemptProgressed, AttemptEnded, ForwardEnded, AnswerStored:
+		s.observeAttempt(e)
 		s.applyRequest(e)
 	case HeartbeatReceived, HeartbeatFailed:
 		s.applyMembership(e)
@@ -130,11 +138,13 @@
 
 func (s *State) stop() {
 	s.stopping = true
+	s.groups.Stop()
 	s.members.Leave()
 	s.rebuildTable()
 }
 
-// FleetDescribed sets the configuration and the replicas directly.
+// FleetDescribed sets the configuration and the replicas directly. Once it has
+// brought replicas, this host neither forms groups nor watches them.
 type FleetDescribed struct {
 	// Configuration is the configuration to put in force.
 	Configuration fuchsiapitch.Configuration
@@ -146,6 +156,7 @@
 
 func (s *State) describeFleet(e FleetDescribed) {
 	s.describeConfiguration(e.Configuration)
+	s.replicasDescribed = s.replicasDescribed || e.Replicas != nil
 	s.setReplicas(e.Replicas)
 }
 
