--- a/internal/reducer/group.go
+++ b/internal/reducer/group.go
@@ -119,6 +119,9 @@
 // stepGroups lets the grouper decide, carries out what it wants and follows the
 // routable replicas.
 func (s *State) stepGroups() {
+	if s.pinned {
+		return
+	}
 	s.groups.Configure(s.configuration)
 	s.followOwners()
 	s.groups.SetRunning(s.runningReplicas())
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -18,6 +18,7 @@
 	case HeartbeatReceived:
 		s.members.Receive(s.now, e.Heartbeat)
 		s.hearGroups(e.Heartbeat)
+		s.compareConfiguration(e.Heartbeat)
 	case HeartbeatFailed:
 		s.members.Fail(s.now, e.Host)
 	}
@@ -33,6 +34,7 @@
 		s.emit(SendHeartbeat{To: h, Heartbeat: s.ComposeHeartbeat()})
 	}
 	s.followMembership()
+	s.adoptOrphans()
 }
 
 // followMembership reassigns the replicas after a change of the live hosts.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -6,9 +6,6 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
-// attemptLimit is the largest number of attempts and forwards of one request.
-const attemptLimit = 4
-
 // phase is the place of a request in its life.
 type phase int
 
@@ -19,6 +16,8 @@
 	attempting
 	// forwarded means that a dispatcher on another host holds the request.
 	forwarded
+	// resting means that the request waits before every replica is tried again.
+	resting
 )
 
 // flight is the state of one request at this host. An offered request comes
@@ -29,15 +28,27 @@
 	offered  bool
 	bridged  bool
 	phase    phase
-	deadline time.Duration
+	deadline fuchsiapitch.Instant
+	// attempt is the number of the attempt under way, 0 for none.
+	attempt uint64
+	// attempts counts the attempts and forwards.
 	attempts int
-	offset   int
-	replica  fuchsiapitch.ReplicaID
-	host     fuchsiapitch.HostID
-	answered bool
-	ran      bool
-	lost     map[fuchsiapitch.ReplicaID]bool
-	excluded map[fuchsiapitch.HostID]bool
+	// fruitless counts the attempts since the last progress that may have run.
+	fruitless int
+	offset    int
+	replica   fuchsiapitch.ReplicaID
+	host      fuchsiapitch.HostID
+	answered  bool
+	// ran states that an ended attempt may have run.
+	ran bool
+	// wait is the last rest, and wake the end of the current one.
+	wait, wake time.Duration
+	lost       map[fuchsiapitch.ReplicaID]bool
+	excluded   map[fuchsiapitch.HostID]bool
+	// accepted states that the scheduler of this host has once accepted the
+	// request, so that it is queued again whatever the load.
+	accepted    bool
+	preemptions int
 }
 
 func (s *State) applyRequest(event Event) {
@@ -49,9 +60,13 @@
 	case RequestAbandoned:
 		s.forget(e.Request)
 	case AttemptAnswered:
-		s.scheduler.Answered(s.now, e.Request, e.Wait)
+		if _, ok := s.current(e.Request, e.Attempt); ok {
+			s.scheduler.Answered(s.now, e.Request, e.Wait)
+		}
 	case AttemptProgressed:
-		s.scheduler.Progressed(s.now, e.Request, e.Tokens, e.Elapsed)
+		if _, ok := s.current(e.Request, e.Attempt); ok {
+			s.scheduler.Progressed(s.now, e.Request, e.Tokens, e.Elapsed)
+		}
 	case AttemptEnded:
 		s.endAttempt(e)
 	case ForwardEnded:
@@ -83,7 +98,7 @@
 func (s *State) newFlight(request fuchsiapitch.Request) *flight {
 	f := &flight{
 		request:  request,
-		deadline: s.now.Monotonic() + request.TimeLimit(),
+		deadline: s.now.Add(request.TimeLimit()),
 		lost:     make(map[fuchsiapitch.ReplicaID]bool),
 		excluded: make(map[fuchsiapitch.HostID]bool),
 	}
@@ -97,8 +112,15 @@
 		s.refuse(f, fuchsiapitch.RefusedUnknownService, 0)
 		return
 	}
-	load := func(h fuchsiapitch.HostID) int { return s.loadOf(h, f.request.Service()) }
-	h, ok := s.table.Choose(f.request, f.excluded, load)
+	h, ok := s.choose(f)
+	if !ok && f.attempts > 0 && !f.bridged {
+		s.rest(f)
+		return
+	}
+	if !ok && f.accepted {
+		s.enqueue(f)
+		return
+	}
 	if !ok {
 		s.refuse(f, fuchsiapitch.RefusedNoReplica, time.Second)
 		return
@@ -107,15 +129,32 @@
 		s.enqueue(f)
 		return
 	}
-	f.phase, f.host = forwarded, h.ID()
-	f.attempts++
-	s.emit(ForwardRequest{Request: f.request.ID(), Host: h, Offset: f.offset})
+	s.forward(f, h)
+}
+
+// choose returns the dispatcher for a request.
+func (s *State) choose(f *flight) (fuchsiapitch.Host, bool) {
+	load := func(h fuchsiapitch.HostID) int { return s.loadOf(h, f.request.Service()) }
+	return s.table.Choose(f.request, f.excluded, load)
 }
 
 // enqueue offers a request to the scheduler of this host.
 func (s *State) enqueue(f *flight) {
 	f.phase = queued
-	a := s.scheduler.Offer(s.now, f.request, sortedKeys(f.lost)...)
+	remaining := f.deadline.Sub(s.now)
+	if remaining <= 0 {
+		s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
+		return
+	}
+	request := f.request
+	fuchsiapitch.WithTimeLimit(remaining)(&request)
+	if f.accepted || f.offset > 0 {
+		f.accepted = true
+		s.scheduler.Resume(s.now, request, f.offset, f.preemptions, sortedKeys(f.lost)...)
+		return
+	}
+	a := s.scheduler.Offer(s.now, request, sortedKeys(f.lost)...)
+	f.accepted = a.Accepted
 	if !a.Accepted {
 		s.refuse(f, a.Reason, a.RetryAfter)
 	}
@@ -130,12 +169,10 @@
 			s.scheduler.Ended(s.now, p.Request)
 			continue
 		}
-		f.phase, f.replica = attempting, p.Replica.ID()
-		f.attempts++
-		s.emit(StartAttempt{Request: p.Request, Replica: p.Replica, Offset: f.offset, Priority: p.Priority})
+		s.startAttempt(f, p.Replica, p.Priority)
 	}
 	for _, id := range plan.Preempts {
-		s.emit(PreemptAttempt{Request: id})
+		s.preempt(id)
 	}
 	for _, r := range plan.Refusals {
 		if f, ok := s.requests[r.Request]; ok {
@@ -144,12 +181,25 @@
 	}
 }
 
-// expireRequests refuses waiting requests whose deadline has passed.
-func (s *State) expireRequests() {
-	for _, id := range sortedKeys(s.requests) {
-		f := s.requests[id]
-		if f.phase == queued && s.now.Monotonic() >= f.deadline {
-			s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
+// adoptOrphans finds another dispatcher for waiting requests whose service has
+// lost its last replica at this host. A request that came from another host is
+// given back to it; one that no dispatcher can take waits on.
+func (s *State) adoptOrphans() {
+	for _, id := range s.scheduler.Orphans() {
+		f, ok := s.requests[id]
+		if !ok {
+			continue
+		}
+		if f.offered {
+			s.refuse(f, fuchsiapitch.RefusedNoReplica, 0)
+			continue
+		}
+		// A dispatcher that failed this request before may have recovered.
+		clear(f.excluded)
+		h, ok := s.choose(f)
+		if ok && h.ID() != s.self {
+			s.scheduler.Ended(s.now, id)
+			s.forward(f, h)
 		}
 	}
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -32,12 +32,17 @@
 	groups        *grouper.Grouper
 	groupReplicas []fuchsiapitch.Replica
 	groupHosts    []fuchsiapitch.Host
-	heartbeatDue  time.Duration
-	table         *router.Table
-	scheduler     *scheduler.Scheduler
-	requests      map[fuchsiapitch.RequestID]*flight
-	stopping      bool
-	effects       []Effect
+	// pinned states that the replicas were set from outside.
+	pinned       bool
+	heartbeatDue time.Duration
+	table        *router.Table
+	scheduler    *scheduler.Scheduler
+	requests     map[fuchsiapitch.RequestID]*flight
+	following    configurationState
+	attempts     uint64
+	retryBudget  RetryBudget
+	stopping     bool
+	effects      []Effect
 }
 
 // Option sets one optional property of a new state.
@@ -58,6 +63,9 @@
 		groups:     grouper.New(self),
 		scheduler:  scheduler.New(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
+		following:  newConfigurationState(),
+
+		retryBudget: unlimited{},
 	}
 	for _, o := range options {
 		o(s)
@@ -88,6 +96,8 @@
 		s.applyMembership(e)
 	case RecordsRead, ReadFailed, ReadTruncated, AppendEnded:
 		s.applyLog(e)
+	case StateFetched:
+		s.takeState(e)
 	case ServersListed, ServerReported, ServerSilent, OrderEnded:
 		s.applyGroups(e)
 	case FleetDescribed:
@@ -109,7 +119,7 @@
 	s.tickConfiguration()
 	s.tickGroups()
 	s.tickKeys()
-	s.expireRequests()
+	s.wakeRequests()
 }
 
 func (s *State) stop() {
@@ -119,7 +129,8 @@
 	s.rebuildTable()
 }
 
-// FleetDescribed sets the configuration and the replicas directly.
+// FleetDescribed sets the configuration and the replicas directly. Once it has
+// set replicas, the host forms and watches no groups of its own.
 type FleetDescribed struct {
 	// Configuration is the configuration to put in force.
 	Configuration fuchsiapitch.Configuration
@@ -130,8 +141,9 @@
 func (FleetDescribed) event() {}
 
 func (s *State) describeFleet(e FleetDescribed) {
-	s.setConfiguration(e.Configuration)
+	s.describeConfiguration(e.Configuration)
 	s.setReplicas(e.Replicas)
+	s.pinned = s.pinned || len(e.Replicas) > 0
 }
 
 // setConfiguration puts a configuration in force.
@@ -158,6 +170,7 @@
 	}
 	s.table = router.NewTable(s.members.Live(), replicas)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
+	s.adoptOrphans()
 }
 
 // Configuration returns the configuration in force.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/configurer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
@@ -54,6 +55,8 @@
 	Controls fuchsiapitch.Controls
 	// Transport carries heartbeats.
 	Transport gossiper.Transport
+	// Snapshots gives the configuration of other entry hosts.
+	Snapshots configurer.Source
 }
 
 // Option sets one optional property of a runner.
@@ -185,6 +188,9 @@
 	}
 }
 
+// Past reports whether a deadline has passed on either clock.
+func (r *Runner) Past(deadline fuchsiapitch.Instant) bool { return r.clock.Now().Past(deadline) }
+
 // Configuration returns the configuration in force.
 func (r *Runner) Configuration() fuchsiapitch.Configuration { return *r.configuration.Load() }
 
