grouper: let every host route by what the controller orders on promises

Cause: while the log is away, groups that the controller formed on promises were unknown to the other hosts. Change: the controller's heartbeats carry its records that the log does not take up, bounded to 8 KiB; they count until the stream has them.

--- a/internal/encoder/peer.go
+++ b/internal/encoder/peer.go
@@ -27,6 +27,7 @@
 		Configuration: uint64(h.Configuration), ConfigurationHash: h.ConfigurationHash,
 		PromiseTerm: uint64(h.Promise.Term), PromiseRemainingMs: h.Promise.Remaining.Milliseconds(),
 		PromiseWanted: h.Promise.Wanted, PromiseIncarnation: h.Promise.Incarnation, PromiseEcho: h.Promise.Echo,
+		Pending: h.Pending,
 	}
 	for _, b := range h.Broken {
 		w.Broken = append(w.Broken, string(b))
@@ -61,6 +62,7 @@
 			Wanted:    w.GetPromiseWanted(), Incarnation: w.GetPromiseIncarnation(), Echo: w.GetPromiseEcho(),
 		},
 	}
+	h.Pending = w.GetPending()
 	for _, b := range w.GetBroken() {
 		h.Broken = append(h.Broken, fuchsiapitch.ServerID(b))
 	}
--- a/internal/gossiper/heartbeat.go
+++ b/internal/gossiper/heartbeat.go
@@ -78,4 +78,7 @@
 	// Broken are backend servers whose groups the sender dispatches for and that
 	// are not as they should be. Their number is bounded.
 	Broken []fuchsiapitch.ServerID
+	// Pending are records of a controller that the log does not take up at
+	// present. Their size is bounded.
+	Pending [][]byte
 }
--- a/internal/grouper/controller.go
+++ b/internal/grouper/controller.go
@@ -117,6 +117,9 @@
 	t.queue = append(t.queue, &writing{record: r})
 	t.renewed = now.Monotonic()
 	g.refreshView()
+	if t.asks(now) {
+		g.actions.Tell = true
+	}
 }
 
 // control acts as the controller, if this host is.
--- a/internal/grouper/election.go
+++ b/internal/grouper/election.go
@@ -178,6 +178,9 @@
 	if next > 0 {
 		g.fold.Skip(next - 1)
 	}
+	if n := len(g.heard); n > 0 && (g.heard[0].Term != g.fold.Term() || g.heard[n-1].Sequence <= g.fold.Sequence()) {
+		g.heard = nil
+	}
 	g.refreshView()
 	g.assertPlaces()
 }
@@ -260,12 +263,43 @@
 // controller's own records that are not in it yet.
 func (g *Grouper) refreshView() {
 	g.view = g.fold
-	if g.tenure == nil || len(g.tenure.queue) == 0 || !g.fold.Known() {
-		return
+	records := g.heard
+	if g.tenure != nil {
+		records = g.tenure.queued()
+	}
+	if len(records) > 0 && g.fold.Known() {
+		g.view = g.fold.With(records)
 	}
+}
+
+// queued returns the controller's records that are not in the stream yet.
+func (t *tenure) queued() []Record {
 	var records []Record
-	for _, w := range g.tenure.queue {
+	for _, w := range t.queue {
 		records = append(records, w.record)
 	}
-	g.view = g.fold.With(records)
+	return records
+}
+
+// Pending returns the controller's records that the log does not take up, for
+// the other hosts to route by.
+func (g *Grouper) Pending(now fuchsiapitch.Instant) []Record {
+	if g.tenure == nil || !g.tenure.asks(now) {
+		return nil
+	}
+	return g.tenure.queued()
+}
+
+// HearPending takes in records of the controller that the log does not take up.
+// They count as long as the term lasts and the stream has no later ones.
+func (g *Grouper) HearPending(records []Record) {
+	if records[0].Term != g.fold.Term() || g.tenure != nil {
+		return
+	}
+	last := func(list []Record) uint64 { return list[len(list)-1].Sequence }
+	if len(g.heard) > 0 && g.heard[0].Term == records[0].Term && last(g.heard) >= last(records) {
+		return
+	}
+	g.heard = records
+	g.refreshView()
 }
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -60,6 +60,7 @@
 	configuration fuchsiapitch.Configuration
 	fold          *Fold
 	view          *Fold
+	heard         []Record
 	health        *Health
 	servers       map[fuchsiapitch.ServerID]*known
 	listed        bool
--- a/internal/reducer/group.go
+++ b/internal/reducer/group.go
@@ -10,6 +10,9 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
 )
 
+// pendingBytesLimit is the largest size of the pending records in a heartbeat.
+const pendingBytesLimit = 8 << 10
+
 // groupStream returns the stream of the groups of this data centre.
 func (s *State) groupStream() fuchsiapitch.StreamName {
 	return fuchsiapitch.StreamName(GroupStreamPrefix + string(s.dataCentre))
@@ -105,6 +108,15 @@
 	if s.groups.Holder() == s.self {
 		s.groups.Suspect(h.Broken)
 	}
+	var pending []grouper.Record
+	for _, data := range h.Pending {
+		if r, err := encoder.DecodeGroupRecord(fuchsiapitch.NewRecord("", data)); err == nil {
+			pending = append(pending, r)
+		}
+	}
+	if len(pending) > 0 {
+		s.groups.HearPending(pending)
+	}
 }
 
 // stateGroups adds what this host states about groups to its heartbeat.
@@ -114,6 +126,14 @@
 		Term: p.Term, Wanted: p.Wanted, Remaining: p.Remaining, Incarnation: p.Incarnation, Echo: p.Echo,
 	}
 	h.Broken = s.groups.Broken()
+	size := 0
+	for _, r := range s.groups.Pending(s.now) {
+		record, err := encoder.EncodeGroupRecord(r)
+		if size += len(record.Data()); err != nil || size > pendingBytesLimit {
+			return
+		}
+		h.Pending = append(h.Pending, record.Data())
+	}
 }
 
 // stepGroups lets the grouper decide, carries out what it wants and follows the
