--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -187,6 +187,8 @@
 		p.holder.forwarder.runner.Submit(ctx, reducer.AttemptAnswered{
 			Request: p.holder.request.ID(), Attempt: p.attempt, Wait: now.Sub(p.started),
 		})
+		// The wait for the first token is no time between tokens.
+		p.last, p.tokens = now, 0
 	}
 	if now.Sub(p.last) < progressPeriod {
 		return
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -25,12 +25,6 @@
 	Allow(now fuchsiapitch.Instant, service fuchsiapitch.ServiceName) bool
 }
 
-// unlimited is a retry budget that always allows.
-type unlimited struct{}
-
-// Allow implements RetryBudget.
-func (unlimited) Allow(fuchsiapitch.Instant, fuchsiapitch.ServiceName) bool { return true }
-
 // WithRetryBudget sets the budget that retries are taken from.
 func WithRetryBudget(budget RetryBudget) Option {
 	return func(s *State) { s.retryBudget = budget }
@@ -77,6 +71,7 @@
 		return
 	}
 	f.phase, f.host = forwarded, host.ID()
+	s.sentTo(f)
 	s.emit(ForwardRequest{Request: f.request.ID(), Attempt: number, Host: host, Offset: f.offset, Deadline: f.deadline})
 }
 
@@ -111,6 +106,7 @@
 		f.preemptions = s.scheduler.Preemptions(e.Request)
 		f.attempts--
 	}
+	s.scheduler.Served(s.now, e.Request, e.Tokens-f.offset)
 	s.scheduler.Ended(s.now, e.Request)
 	fruitless := f.fruitless
 	s.settle(f, e.Outcome, e.Tokens, e.Answered)
@@ -135,6 +131,7 @@
 	if !ok {
 		return
 	}
+	s.returned(f)
 	if e.Unreachable {
 		s.members.Fail(s.now, e.Host)
 		s.followMembership()
@@ -144,6 +141,7 @@
 	switch {
 	case e.Outcome == fuchsiapitch.Succeeded:
 		s.finish(f, fuchsiapitch.Succeeded)
+	case e.Refusal == fuchsiapitch.RefusedOverload && s.refuge(f):
 	case isFinalRefusal(e.Refusal):
 		s.refuse(f, e.Refusal, e.RetryAfter)
 	default:
@@ -281,7 +279,9 @@
 
 func (s *State) remove(f *flight) {
 	delete(s.requests, f.request.ID())
+	s.returned(f)
 	s.scheduler.Ended(s.now, f.request.ID())
+	s.limiter.Finish(f.request.ID(), f.offset)
 }
 
 // forget drops a request whose caller has gone. Its holder has sent nothing
--- a/internal/scheduler/class.go
+++ b/internal/scheduler/class.go
@@ -56,6 +56,7 @@
 	bytes    int64
 	cost     float64
 	served   meter
+	estimate ratio
 }
 
 // waits reports whether a request of the class waits in fair order.
@@ -69,7 +70,7 @@
 	if ok {
 		return p.classes[at]
 	}
-	c := &class{key: key, fair: newFairQueue(), served: meter{window: floorWindow}}
+	c := &class{key: key, fair: newFairQueue(), served: meter{window: floorWindow}, estimate: newRatio()}
 	p.classes = slices.Insert(p.classes, at, c)
 	p.setFloor(c, rank)
 	return c
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -16,6 +16,7 @@
 	expiryIndex int
 	tokensDone  int
 	preemptions int
+	cost        float64
 	parked      bool
 	pool        *pool
 	sequence    uint64
@@ -29,8 +30,9 @@
 	list           *jobList
 }
 
-// cost returns the tokens that the request is estimated to need still.
-func (j *job) cost() float64 {
+// asked returns the tokens that the request is estimated to need still, as the
+// request itself states them.
+func (j *job) asked() float64 {
 	return max(1, j.request.Cost()-float64(j.tokensDone))
 }
 
