--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -33,22 +33,22 @@
 	groups        *grouper.Grouper
 	groupReplicas []fuchsiapitch.Replica
 	groupHosts    []fuchsiapitch.Host
-	heartbeatDue  time.Duration
-	table         *router.Table
-	overflow      *router.Overflow
-	loads         loads
-	scheduler     *scheduler.Scheduler
-	limiter       *limiter.Limiter
-	retries       *limiter.RetryBudget
-	demands       []gossiper.CustomerDemand
-	requests      map[fuchsiapitch.RequestID]*flight
-	following     configurationState
-	attempts      uint64
-	retryBudget   RetryBudget
-	stopping      bool
-	// replicasDescribed states that the replicas were set directly.
-	replicasDescribed bool
-	effects           []Effect
+	// pinned states that the replicas were set from outside.
+	pinned       bool
+	heartbeatDue time.Duration
+	table        *router.Table
+	overflow     *router.Overflow
+	loads        loads
+	scheduler    *scheduler.Scheduler
+	limiter      *limiter.Limiter
+	retries      *limiter.RetryBudget
+	demands      []gossiper.CustomerDemand
+	requests     map[fuchsiapitch.RequestID]*flight
+	following    configurationState
+	attempts     uint64
+	retryBudget  RetryBudget
+	stopping     bool
+	effects      []Effect
 }
 
 // Option sets one optional property of a new state.
@@ -71,9 +71,9 @@
 		dataCentre: self.DataCentre(),
 		replicas:   make(map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica),
 		members:    gossiper.New(self),
+		groups:     grouper.New(self),
 		overflow:   router.NewOverflow(),
 		loads:      newLoads(),
-		groups:     grouper.New(self),
 		scheduler:  scheduler.New(),
 		limiter:    limiter.New(self.ID()),
 		retries:    limiter.NewRetryBudget(),
@@ -144,7 +144,7 @@
 }
 
 // FleetDescribed sets the configuration and the replicas directly. Once it has
-// brought replicas, this host neither forms groups nor watches them.
+// set replicas, the host forms and watches no groups of its own.
 type FleetDescribed struct {
 	// Configuration is the configuration to put in force.
 	Configuration fuchsiapitch.Configuration
@@ -156,8 +156,8 @@
 
 func (s *State) describeFleet(e FleetDescribed) {
 	s.describeConfiguration(e.Configuration)
-	s.replicasDescribed = s.replicasDescribed || e.Replicas != nil
 	s.setReplicas(e.Replicas)
+	s.pinned = s.pinned || len(e.Replicas) > 0
 }
 
 // setConfiguration puts a configuration in force.
