deduplicator: idempotency keys reserved through the log before sending

Cause: a retry of a booking with the same Idempotency-Key ran it again.

Change: the first claim of a key in its stream keys-<n> wins on every host; a host sends only after it has folded its own claim and seen it win. Later requests get the stored answer, in-progress, unknown or, with another body, key-reuse. A claim that is certainly not in the log is refused as not-run; one whose answer was lost is read back. Requests without a key, and idempotent ones, never touch the log.

Found by the random test and mended: a host freed a key as soon as it gave up its own claim, before the release stood in the log, and so saw another winner than the other hosts (: one key run twice). A release now counts only where it is folded.

--- /dev/null
+++ b/internal/encoder/keys.go
@@ -0,0 +1,78 @@
+package encoder
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/deduplicator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder/wire"
+)
+
+// KeyGroupError reports a record of a key stream that cannot be read.
+type KeyGroupError struct {
+	// Err is the error of the decoder.
+	Err error
+}
+
+// Error implements error.
+func (e *KeyGroupError) Error() string { return "key record: " + e.Err.Error() }
+
+// Unwrap returns the underlying error.
+func (e *KeyGroupError) Unwrap() error { return e.Err }
+
+// EncodeKeyGroup returns the record of a group of claims and completions.
+func EncodeKeyGroup(group deduplicator.Group) ([]byte, error) {
+	w := &wire.KeyGroup{}
+	for _, c := range group.Claims {
+		w.Claims = append(w.Claims, &wire.KeyClaim{
+			Key: c.Key[:], Request: string(c.Request), BodyHash: c.BodyHash,
+			StampMs: c.Stamp.UnixMilli(), ExpiryMs: c.Expiry.UnixMilli(),
+		})
+	}
+	for _, c := range group.Completions {
+		k := &wire.KeyCompletion{Key: c.Key[:], Request: string(c.Request), Outcome: int32(c.Outcome)}
+		if c.Answer != nil {
+			k.Answer = &wire.KeyAnswer{Status: int32(c.Answer.Status), ContentType: c.Answer.ContentType, Body: c.Answer.Body}
+		}
+		w.Completions = append(w.Completions, k)
+	}
+	data, err := proto.Marshal(w)
+	if err != nil {
+		return nil, &KeyGroupError{Err: err}
+	}
+	return data, nil
+}
+
+// DecodeKeyGroup returns the claims and completions of a record. Entries with a
+// key of a wrong length are left out.
+func DecodeKeyGroup(data []byte) (deduplicator.Group, error) {
+	var w wire.KeyGroup
+	if err := proto.Unmarshal(data, &w); err != nil {
+		return deduplicator.Group{}, &KeyGroupError{Err: err}
+	}
+	var group deduplicator.Group
+	for _, c := range w.GetClaims() {
+		if len(c.GetKey()) != len(deduplicator.Key{}) {
+			continue
+		}
+		group.Claims = append(group.Claims, deduplicator.Claim{
+			Key: deduplicator.Key(c.GetKey()), Request: fuchsiapitch.RequestID(c.GetRequest()), BodyHash: c.GetBodyHash(),
+			Stamp: time.UnixMilli(c.GetStampMs()), Expiry: time.UnixMilli(c.GetExpiryMs()),
+		})
+	}
+	for _, c := range w.GetCompletions() {
+		if len(c.GetKey()) != len(deduplicator.Key{}) {
+			continue
+		}
+		k := deduplicator.Completion{
+			Key: deduplicator.Key(c.GetKey()), Request: fuchsiapitch.RequestID(c.GetRequest()), Outcome: fuchsiapitch.Outcome(c.GetOutcome()),
+		}
+		if a := c.GetAnswer(); a != nil {
+			k.Answer = &deduplicator.Answer{Status: int(a.GetStatus()), ContentType: a.GetContentType(), Body: a.GetBody()}
+		}
+		group.Completions = append(group.Completions, k)
+	}
+	return group, nil
+}
--- /dev/null
+++ b/internal/encoder/keys_test.go
@@ -0,0 +1,42 @@
+package encoder
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/deduplicator"
+)
+
+func TestKeyGroup(t *testing.T) {
+	key := deduplicator.NewKey("family", "mostrador", "k")
+	want := deduplicator.Group{
+		Claims: []deduplicator.Claim{{Key: key, Request: "r1", BodyHash: 7, Stamp: time.UnixMilli(1000), Expiry: time.UnixMilli(2000)}},
+		Completions: []deduplicator.Completion{
+			{Key: key, Request: "r2", Outcome: fuchsiapitch.Unknown},
+			{Key: key, Request: "r1", Outcome: fuchsiapitch.Succeeded, Answer: &deduplicator.Answer{Status: 201, ContentType: "text/plain", Body: []byte("booked")}},
+		},
+	}
+	data, err := EncodeKeyGroup(want)
+	if err != nil {
+		t.Fatalf("encode: got error %v", err)
+	}
+	got, err := DecodeKeyGroup(data)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v and error %v, want %v", got, err, want)
+	}
+}
+
+func FuzzDecodeKeyGroup(f *testing.F) {
+	f.Add([]byte{10, 4, 10, 2, 1, 2})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		group, err := DecodeKeyGroup(data)
+		if err != nil {
+			return
+		}
+		d := deduplicator.New()
+		d.Fold(0, group)
+		d.Fold(0, group)
+	})
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -42,7 +43,7 @@
 			Request: h.request.ID(), Server: d.Replica.Server().ID(), Outcome: fuchsiapitch.NotRun, Err: late,
 		}
 	}
-	return h.forwarder.caller.Call(ctx, d.Replica.Server(), h.callAt(ctx, d.Priority))
+	return h.forwarder.caller.Call(ctx, d.Replica.Server(), h.callAt(ctx, d.Priority, d.Deadline))
 }
 
 func (h *holder) judgeAttempt(ended *reducer.AttemptEnded, err error) {
@@ -85,7 +86,7 @@
 			Request: h.request.ID(), Host: d.Host.ID(), Outcome: fuchsiapitch.NotRun, Refusal: fuchsiapitch.RefusedDeadline,
 		}
 	}
-	return h.forwarder.peer.Dispatch(ctx, d.Host, h.request, h.callAt(ctx, 0))
+	return h.forwarder.peer.Dispatch(ctx, d.Host, h.request, h.callAt(ctx, 0, d.Deadline))
 }
 
 func judgeForward(ended *reducer.ForwardEnded, err error) {
@@ -103,7 +104,7 @@
 	if h.request.Stream() && isStreamStatus(answer.Status()) {
 		return h.copyStream(ctx, answer, progress)
 	}
-	return h.copyPlain(answer)
+	return h.copyPlain(ctx, answer)
 }
 
 func (h *holder) copyStream(ctx context.Context, answer fuchsiapitch.Answer, progress *progress) error {
@@ -125,7 +126,7 @@
 
 // copyPlain holds an answer back until it is whole, so that a truncated one
 // can be replaced, unless it is larger than bufferLimit.
-func (h *holder) copyPlain(answer fuchsiapitch.Answer) error {
+func (h *holder) copyPlain(ctx context.Context, answer fuchsiapitch.Answer) error {
 	if h.started {
 		return &fuchsiapitch.TruncatedAnswerError{Request: h.request.ID(), Tokens: h.tokens}
 	}
@@ -136,6 +137,7 @@
 			if err = wholeOr(err); err != nil {
 				return err
 			}
+			h.store(ctx, answer, held)
 			return h.flush(answer, held)
 		}
 		held = append(held, chunk.Data()...)
@@ -149,6 +151,17 @@
 	}
 }
 
+// store keeps the whole answer of a request with an idempotency key.
+func (h *holder) store(ctx context.Context, answer fuchsiapitch.Answer, body []byte) {
+	if h.request.Key() == "" || h.request.Idempotent() || h.started {
+		return
+	}
+	h.forwarder.runner.Submit(ctx, reducer.AnswerStored{
+		Request: h.request.ID(), Status: answer.Status(), Body: body,
+		ContentType: http.Header(answer.Header()).Get("Content-Type"),
+	})
+}
+
 func (h *holder) flush(answer fuchsiapitch.Answer, held []byte) error {
 	if err := h.start(answer.Status(), answer.Header()); err != nil {
 		return err
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -169,10 +169,14 @@
 
 // callAt returns the call of this request with a stream that starts after the
 // tokens that the sink has taken.
-func (h *holder) callAt(ctx context.Context, priority int) fuchsiapitch.Call {
+func (h *holder) callAt(ctx context.Context, priority int, deadline fuchsiapitch.Instant) fuchsiapitch.Call {
+	limit := h.received.Add(h.request.TimeLimit())
+	if deadline.Wall().Before(limit) {
+		limit = deadline.Wall()
+	}
 	options := []fuchsiapitch.CallOption{
 		fuchsiapitch.WithHeader(tracer.Inject(ctx, h.call.Header())), fuchsiapitch.WithPriority(priority),
-		fuchsiapitch.WithDeadline(h.received.Add(h.request.TimeLimit())),
+		fuchsiapitch.WithDeadline(limit),
 	}
 	if h.request.Stream() {
 		options = append(options, fuchsiapitch.WithStream(h.tokens))
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -46,6 +46,11 @@
 		s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
 		return 0, false
 	}
+	if f.reservation != nil && !f.reservation.won {
+		s.violate("reserved-before-sent", fmt.Sprintf("request %s does not hold its key", f.request.ID()))
+		s.refuse(f, fuchsiapitch.RefusedLogAway, 0)
+		return 0, false
+	}
 	if f.ran && !f.request.Idempotent() {
 		s.violate("at-most-once", fmt.Sprintf("request %s may have run and would be sent again", f.request.ID()))
 		s.finish(f, fuchsiapitch.Unknown)
@@ -257,11 +262,13 @@
 		return
 	}
 	s.remove(f)
+	s.releaseKey(f, fuchsiapitch.NotRun)
 	s.emit(RefuseRequest{Request: f.request.ID(), Reason: reason, RetryAfter: retryAfter})
 }
 
 func (s *State) finish(f *flight, outcome fuchsiapitch.Outcome) {
 	s.remove(f)
+	s.releaseKey(f, outcome)
 	s.emit(FinishRequest{Request: f.request.ID(), Outcome: outcome})
 }
 
@@ -273,7 +280,14 @@
 // forget drops a request whose caller has gone. Its holder has sent nothing
 // that still runs.
 func (s *State) forget(id fuchsiapitch.RequestID) {
-	if f, ok := s.requests[id]; ok {
-		s.remove(f)
+	f, ok := s.requests[id]
+	if !ok {
+		return
+	}
+	s.remove(f)
+	outcome := fuchsiapitch.NotRun
+	if f.ran {
+		outcome = fuchsiapitch.Unknown
 	}
+	s.releaseKey(f, outcome)
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -18,6 +18,8 @@
 	forwarded
 	// resting means that the request waits before every replica is tried again.
 	resting
+	// reserving means that the request waits for its idempotency key.
+	reserving
 )
 
 // flight is the state of one request at this host. An offered request comes
@@ -45,6 +47,8 @@
 	wait, wake time.Duration
 	lost       map[fuchsiapitch.ReplicaID]bool
 	excluded   map[fuchsiapitch.HostID]bool
+	// reservation is the state of the idempotency key, nil without one.
+	reservation *reservation
 }
 
 func (s *State) applyRequest(event Event) {
@@ -67,6 +71,8 @@
 		s.endAttempt(e)
 	case ForwardEnded:
 		s.endForward(e)
+	case AnswerStored:
+		s.storeAnswer(e)
 	}
 }
 
@@ -76,6 +82,10 @@
 		return
 	}
 	f := s.newFlight(e.Request)
+	if needsReservation(e.Request) {
+		s.reserve(f)
+		return
+	}
 	s.place(f)
 }
 
@@ -159,7 +169,7 @@
 func (s *State) expireRequests() {
 	for _, id := range sortedKeys(s.requests) {
 		f := s.requests[id]
-		if (f.phase == queued || f.phase == resting) && s.now.Past(f.deadline) {
+		if f.phase != attempting && f.phase != forwarded && s.now.Past(f.deadline) {
 			s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
 		}
 	}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -34,6 +34,7 @@
 	requests      map[fuchsiapitch.RequestID]*flight
 	attempts      uint64
 	retryBudget   RetryBudget
+	keys          *keyState
 	stopping      bool
 	effects       []Effect
 }
@@ -57,6 +58,7 @@
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
 
 		retryBudget: unlimited{},
+		keys:        newKeyState(),
 	}
 	for _, o := range options {
 		o(s)
