--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -111,8 +111,17 @@
 	if !ok {
 		return
 	}
+	if e.Stopped {
+		// A preemption is no failure and does not count as an attempt.
+		f.preemptions = s.scheduler.Preemptions(e.Request)
+		f.attempts--
+	}
 	s.scheduler.Ended(s.now, e.Request)
+	fruitless := f.fruitless
 	s.settle(f, e.Outcome, e.Tokens, e.Answered)
+	if e.Stopped {
+		f.fruitless = min(f.fruitless, fruitless)
+	}
 	if e.Outcome == fuchsiapitch.Succeeded {
 		s.finish(f, fuchsiapitch.Succeeded)
 		return
@@ -240,13 +249,18 @@
 	f.wake = s.now.Monotonic() + f.wait
 }
 
-// wakeRequests places the requests again whose wait has ended.
+// wakeRequests places the requests again whose wait has ended, and ends those
+// whose deadline has passed.
 func (s *State) wakeRequests() {
 	for _, id := range sortedKeys(s.requests) {
 		f := s.requests[id]
 		if f.phase != resting || s.now.Monotonic() < f.wake {
 			continue
 		}
+		if s.now.Past(f.deadline) {
+			s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
+			continue
+		}
 		clear(f.lost)
 		clear(f.excluded)
 		s.place(f)
--- a/internal/reducer/key.go
+++ b/internal/reducer/key.go
@@ -267,7 +267,7 @@
 		c := s.keys.claims[id]
 		f, ok := s.requests[id]
 		switch {
-		case ok && s.now.Monotonic()-f.reservation.since >= reserveLimit:
+		case ok && (s.now.Monotonic()-f.reservation.since >= reserveLimit || s.now.Past(f.deadline)):
 			s.refuse(f, fuchsiapitch.RefusedLogAway, keyRetryAfter)
 		case !ok && s.now.Wall().After(c.Expiry):
 			delete(s.keys.claims, id)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -49,6 +49,10 @@
 	excluded   map[fuchsiapitch.HostID]bool
 	// reservation is the state of the idempotency key, nil without one.
 	reservation *reservation
+	// accepted states that the scheduler of this host has once accepted the
+	// request, so that it is queued again whatever the load.
+	accepted    bool
+	preemptions int
 }
 
 func (s *State) applyRequest(event Event) {
@@ -118,12 +122,15 @@
 		s.refuse(f, fuchsiapitch.RefusedUnknownService, 0)
 		return
 	}
-	load := func(h fuchsiapitch.HostID) int { return s.loadOf(h, f.request.Service()) }
-	h, ok := s.table.Choose(f.request, f.excluded, load)
+	h, ok := s.choose(f)
 	if !ok && f.attempts > 0 && !f.bridged {
 		s.rest(f)
 		return
 	}
+	if !ok && f.accepted {
+		s.enqueue(f)
+		return
+	}
 	if !ok {
 		s.refuse(f, fuchsiapitch.RefusedNoReplica, time.Second)
 		return
@@ -135,10 +142,29 @@
 	s.forward(f, h)
 }
 
+// choose returns the dispatcher for a request.
+func (s *State) choose(f *flight) (fuchsiapitch.Host, bool) {
+	load := func(h fuchsiapitch.HostID) int { return s.loadOf(h, f.request.Service()) }
+	return s.table.Choose(f.request, f.excluded, load)
+}
+
 // enqueue offers a request to the scheduler of this host.
 func (s *State) enqueue(f *flight) {
 	f.phase = queued
-	a := s.scheduler.Offer(s.now, f.request, sortedKeys(f.lost)...)
+	remaining := f.deadline.Sub(s.now)
+	if remaining <= 0 {
+		s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
+		return
+	}
+	request := f.request
+	fuchsiapitch.WithTimeLimit(remaining)(&request)
+	if f.accepted || f.offset > 0 {
+		f.accepted = true
+		s.scheduler.Resume(s.now, request, f.offset, f.preemptions, sortedKeys(f.lost)...)
+		return
+	}
+	a := s.scheduler.Offer(s.now, request, sortedKeys(f.lost)...)
+	f.accepted = a.Accepted
 	if !a.Accepted {
 		s.refuse(f, a.Reason, a.RetryAfter)
 	}
@@ -165,12 +191,25 @@
 	}
 }
 
-// expireRequests refuses waiting requests whose deadline has passed.
-func (s *State) expireRequests() {
-	for _, id := range sortedKeys(s.requests) {
-		f := s.requests[id]
-		if f.phase != attempting && f.phase != forwarded && s.now.Past(f.deadline) {
-			s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
+// adoptOrphans finds another dispatcher for waiting requests whose service has
+// lost its last replica at this host. A request that came from another host is
+// given back to it; one that no dispatcher can take waits on.
+func (s *State) adoptOrphans() {
+	for _, id := range s.scheduler.Orphans() {
+		f, ok := s.requests[id]
+		if !ok {
+			continue
+		}
+		if f.offered {
+			s.refuse(f, fuchsiapitch.RefusedNoReplica, 0)
+			continue
+		}
+		// A dispatcher that failed this request before may have recovered.
+		clear(f.excluded)
+		h, ok := s.choose(f)
+		if ok && h.ID() != s.self {
+			s.scheduler.Ended(s.now, id)
+			s.forward(f, h)
 		}
 	}
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -32,6 +32,7 @@
 	table         *router.Table
 	scheduler     *scheduler.Scheduler
 	requests      map[fuchsiapitch.RequestID]*flight
+	following     configurationState
 	attempts      uint64
 	retryBudget   RetryBudget
 	keys          *keyState
@@ -56,6 +57,7 @@
 		members:    gossiper.New(self),
 		scheduler:  scheduler.New(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
+		following:  newConfigurationState(),
 
 		retryBudget: unlimited{},
 		keys:        newKeyState(),
@@ -88,6 +90,8 @@
 		s.applyMembership(e)
 	case RecordsRead, ReadFailed, ReadTruncated, AppendEnded:
 		s.applyLog(e)
+	case StateFetched:
+		s.takeState(e)
 	case ServersListed, ServerReported, ServerSilent, OrderEnded:
 		s.applyGroups(e)
 	case FleetDescribed:
@@ -109,7 +113,6 @@
 	s.tickConfiguration()
 	s.tickGroups()
 	s.tickKeys()
-	s.expireRequests()
 	s.wakeRequests()
 }
 
@@ -130,7 +133,7 @@
 func (FleetDescribed) event() {}
 
 func (s *State) describeFleet(e FleetDescribed) {
-	s.setConfiguration(e.Configuration)
+	s.describeConfiguration(e.Configuration)
 	s.setReplicas(e.Replicas)
 }
 
@@ -158,6 +161,7 @@
 	}
 	s.table = router.NewTable(s.members.Live(), replicas)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
+	s.adoptOrphans()
 }
 
 // Configuration returns the configuration in force.
