reducer: stops that hand over, finish and say what a limit would cut

Cause: a stopping host told the others with its next heartbeats only, the last host of a data centre gave its replicas to nobody, and outcomes of idempotency keys could be lost with the process.

The last host keeps its replicas. A host is drained once it holds no request and the outcomes of keys stand in the log; the operator's limit logs every request that it cuts, with what the cut leaves unknown.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -238,11 +238,9 @@
 		defer cancel()
 	}
 	if err := e.callers.Shutdown(ctx); err != nil {
-		e.subsystem.Error().Int("requests", e.runner.InFlight()).Msg("the drain limit cuts requests in flight")
-	}
-	for e.runner.InFlight() > 0 && ctx.Err() == nil {
-		pause(ctx, drainPeriod)
+		e.reportCuts(ctx)
 	}
+	e.waitDrained(ctx)
 	e.stopPeers(ctx)
 	e.subsystem.Info().Msg("stopped")
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -116,12 +116,6 @@
 	s.wakeRequests()
 }
 
-func (s *State) stop() {
-	s.stopping = true
-	s.members.Leave()
-	s.rebuildTable()
-}
-
 // FleetDescribed sets the configuration and the replicas directly.
 type FleetDescribed struct {
 	// Configuration is the configuration to put in force.
@@ -159,7 +153,7 @@
 	for _, id := range sortedKeys(s.replicas) {
 		replicas = append(replicas, s.replicas[id])
 	}
-	s.table = router.NewTable(s.members.Live(), replicas)
+	s.table = router.NewTable(s.dispatchers(), replicas)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
 	s.adoptOrphans()
 }
