--- a/internal/scheduler/fairness.go
+++ b/internal/scheduler/fairness.go
@@ -22,6 +22,7 @@
 	cost     float64
 	running  int
 	seen     time.Duration
+	estimate ratio
 }
 
 // notQueued is the heap index of a flow without a waiting job.
@@ -54,7 +55,7 @@
 func (q *fairQueue) flow(now time.Duration, customer fuchsiapitch.CustomerName, weight float64) *flow {
 	f, ok := q.flows[customer]
 	if !ok {
-		f = &flow{customer: customer, weight: weight, index: notQueued}
+		f = &flow{customer: customer, weight: weight, index: notQueued, estimate: newRatio()}
 		q.flows[customer] = f
 		q.active += weight
 	}
@@ -104,7 +105,7 @@
 	if !j.parked {
 		q.virtual = max(q.virtual, j.flow.start)
 	}
-	j.charged = j.cost()
+	j.charged = j.cost
 	q.charge(j.flow, j.charged)
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -223,6 +223,18 @@
 	j.pool.progress(now.Monotonic(), j, float64(tokens))
 }
 
+// Served reports the number of tokens that a running request has been served in
+// all, of which Progressed has reported a part.
+func (s *Scheduler) Served(now fuchsiapitch.Instant, id fuchsiapitch.RequestID, tokens int) {
+	j, ok := s.jobs[id]
+	if !ok || j.station == nil {
+		return
+	}
+	if missing := float64(tokens) - j.served; missing > 0 {
+		j.pool.progress(now.Monotonic(), j, missing)
+	}
+}
+
 // Ended removes a request, waiting or running.
 func (s *Scheduler) Ended(now fuchsiapitch.Instant, id fuchsiapitch.RequestID) {
 	j, ok := s.jobs[id]
