--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -47,6 +47,7 @@
 	following    configurationState
 	attempts     uint64
 	retryBudget  RetryBudget
+	keys         *keyState
 	stopping     bool
 	effects      []Effect
 }
@@ -79,6 +80,7 @@
 		retries:    limiter.NewRetryBudget(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
 		following:  newConfigurationState(),
+		keys:       newKeyState(),
 	}
 	s.retryBudget = s.retries
 	for _, o := range options {
@@ -136,13 +138,6 @@
 	s.wakeRequests()
 }
 
-func (s *State) stop() {
-	s.stopping = true
-	s.groups.Stop()
-	s.members.Leave()
-	s.rebuildTable()
-}
-
 // FleetDescribed sets the configuration and the replicas directly. Once it has
 // set replicas, the host forms and watches no groups of its own.
 type FleetDescribed struct {
@@ -183,7 +178,7 @@
 	for _, id := range sortedKeys(s.replicas) {
 		replicas = append(replicas, s.replicas[id])
 	}
-	s.table = router.NewTable(s.members.Live(), replicas)
+	s.table = router.NewTable(s.dispatchers(), replicas)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
 	s.adoptOrphans()
 	s.coverRetries()
