router: baseline policies and switches for the decisions

Cause: the balance experiment compares the choice with random, least-loaded and plain hashing, and ablations switch mechanisms off. Change: a policy of the table, options of the reducer and the entry host. Conclusion: the product's policy is the default and unchanged.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -74,6 +74,7 @@
 	self       fuchsiapitch.Host
 	listeners  Listeners
 	candidates []fuchsiapitch.Host
+	decisions  []reducer.Option
 	log        *logger.Logger
 	subsystem  zerolog.Logger
 	tracer     oteltrace.Tracer
@@ -109,6 +110,11 @@
 // WithTracer sets the tracer of the spans.
 func WithTracer(t oteltrace.Tracer) Option { return func(e *EntryHost) { e.tracer = t } }
 
+// WithDecisions sets options of the reducer, to switch mechanisms off.
+func WithDecisions(options ...reducer.Option) Option {
+	return func(e *EntryHost) { e.decisions = append(e.decisions, options...) }
+}
+
 // WithLinger sets the time for which a stopping host goes on taking new
 // connections.
 func WithLinger(linger time.Duration) Option { return func(e *EntryHost) { e.linger = linger } }
@@ -160,7 +166,8 @@
 	}
 	client, closeClient := dispatcher.NewClient(e.self, options...)
 	e.cleanUps = append(e.cleanUps, closeClient)
-	state := reducer.New(e.self, reducer.WithCandidates(e.candidates...))
+	decisions := append([]reducer.Option{reducer.WithCandidates(e.candidates...)}, e.decisions...)
+	state := reducer.New(e.self, decisions...)
 	e.runner = runner.New(state,
 		runner.Outside{Log: outside.Log, Hosts: outside.Hosts, Controls: outside.Controls, Transport: client, Snapshots: client},
 		runner.WithLogger(e.log.For("runner")), runner.WithMeter(e.meter), runner.WithViolationHandler(e.violation),
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -31,6 +31,7 @@
 	memberChanges uint64
 	heartbeatDue  time.Duration
 	table         *router.Table
+	routing       router.Policy
 	overflow      *router.Overflow
 	loads         loads
 	scheduler     *scheduler.Scheduler
@@ -58,6 +59,11 @@
 	return func(s *State) { s.scheduler = scheduler.New(options...) }
 }
 
+// WithRouting sets the policy by which dispatchers are chosen.
+func WithRouting(policy router.Policy) Option {
+	return func(s *State) { s.routing = policy }
+}
+
 // New returns the state of an entry host that has just started.
 func New(self fuchsiapitch.Host, options ...Option) *State {
 	s := &State{
@@ -172,7 +178,7 @@
 	for _, id := range sortedKeys(s.replicas) {
 		replicas = append(replicas, s.replicas[id])
 	}
-	s.table = router.NewTable(s.members.Live(), replicas)
+	s.table = router.NewTable(s.members.Live(), replicas, s.routing)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
 	s.adoptOrphans()
 	s.coverRetries()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,15 +40,33 @@
 	hash  uint64
 }
 
+// Policy is the way in which dispatchers are chosen.
+type Policy int
+
+// The policies.
+const (
+	// BoundedAffinity prefers the dispatcher with the prompt cache within a bound
+	// on its load. It is the policy of the product.
+	BoundedAffinity Policy = iota
+	// Random spreads requests by their identifiers.
+	Random
+	// LeastLoaded takes the dispatcher with the least load per slot.
+	LeastLoaded
+	// PlainHashing takes the dispatcher with the prompt cache whatever its load.
+	PlainHashing
+)
+
 // Table holds the dispatchers of each service in this data centre.
 type Table struct {
+	policy      Policy
 	dispatchers map[fuchsiapitch.ServiceName][]candidate
 	owned       map[fuchsiapitch.HostID][]fuchsiapitch.Replica
 }
 
 // NewTable assigns each replica to its owner among the live hosts.
-func NewTable(hosts []fuchsiapitch.Host, replicas []fuchsiapitch.Replica) *Table {
+func NewTable(hosts []fuchsiapitch.Host, replicas []fuchsiapitch.Replica, policy Policy) *Table {
 	t := &Table{
+		policy:      policy,
 		dispatchers: make(map[fuchsiapitch.ServiceName][]candidate),
 		owned:       make(map[fuchsiapitch.HostID][]fuchsiapitch.Replica),
 	}
@@ -98,11 +116,14 @@
 // also while its load per slot is not clearly above that of the second.
 // Excluded dispatchers are not chosen.
 func (t *Table) Choose(request fuchsiapitch.Request, excluded map[fuchsiapitch.HostID]bool, load func(fuchsiapitch.HostID) Load) (fuchsiapitch.Host, bool) {
+	if t.policy == LeastLoaded {
+		return t.leastLoaded(request.Service(), excluded, load)
+	}
 	first, second := t.best(request, excluded)
 	if first == nil {
 		return fuchsiapitch.Host{}, false
 	}
-	if second == nil {
+	if second == nil || t.policy != BoundedAffinity {
 		return first.host, true
 	}
 	own, other := first.loaded(load), second.loaded(load)
@@ -118,11 +139,26 @@
 	return second.host, true
 }
 
+// leastLoaded returns the dispatcher with the least load per slot.
+func (t *Table) leastLoaded(service fuchsiapitch.ServiceName, excluded map[fuchsiapitch.HostID]bool, load func(fuchsiapitch.HostID) Load) (fuchsiapitch.Host, bool) {
+	var best fuchsiapitch.Host
+	least, found := 0.0, false
+	for _, c := range t.dispatchers[service] {
+		if excluded[c.host.ID()] {
+			continue
+		}
+		if p := c.loaded(load).pressure(); !found || p < least {
+			best, least, found = c.host, p, true
+		}
+	}
+	return best, found
+}
+
 // best returns the two candidates with the highest scores, nil where there is
 // none.
 func (t *Table) best(request fuchsiapitch.Request, excluded map[fuchsiapitch.HostID]bool) (first, second *candidate) {
 	key := request.Prefix()
-	if key == 0 {
+	if key == 0 || t.policy == Random {
 		key = xxhash.Sum64String(string(request.ID()))
 	}
 	list := t.dispatchers[request.Service()]
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -51,7 +51,7 @@
 }
 
 func TestChoose(t *testing.T) {
-	table := NewTable(newHosts(6), newReplicas(30, 8))
+	table := NewTable(newHosts(6), newReplicas(30, 8), BoundedAffinity)
 	t.Run("equal prefixes meet while there is room, then at a second dispatcher", func(t *testing.T) {
 		home := choose(t, table, newRequest(1, 42), nil, idle)
 		if got := choose(t, table, newRequest(2, 42), nil, idle); got != home {
@@ -145,7 +145,7 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
-	table := NewTable(newHosts(58), newReplicas(110, 42))
+	table := NewTable(newHosts(58), newReplicas(110, 42), BoundedAffinity)
 	for n := range b.N {
 		table.Choose(newRequest(0, uint64(n)), nil, idle)
 	}
