scheduler: give a rank its floor soon after it has used spare capacity

Its floor was compared with its share of the last 10 s, which the flood before had filled, so it waited about 30 s. Change: a credit of tokens per rank that grows while the rank has work, with a bounded debt. The test TestFlood/a_rank_that_has_used_spare_capacity... got a share of 0.0000 before and passes now.

--- a/internal/scheduler/class.go
+++ b/internal/scheduler/class.go
@@ -11,6 +11,9 @@
 const (
 	// floorWindow is the time constant over which the floors are measured.
 	floorWindow = 10 * time.Second
+	// floorDebt bounds, as a fraction of floorWindow, for how long a rank that
+	// has used spare capacity waits for its floor afterwards.
+	floorDebt = 0.4
 	// minimumFloor is the share that a lower rank gets even if it is configured
 	// less, so that no accepted request waits for ever.
 	minimumFloor = 0.01
@@ -56,6 +59,9 @@
 	bytes    int64
 	cost     float64
 	served   meter
+	// credit is the number of tokens that the class has received less than its
+	// floor, while it had work.
+	credit   float64
 	estimate ratio
 }
 
@@ -91,14 +97,37 @@
 // owed reports whether a class waits although it has received less than its
 // floor. The bound on its running requests keeps a rank that comes back after
 // an idle time from taking every slot at once.
-func (p *pool) owed(now time.Duration, c *class) bool {
+func (p *pool) owed(c *class) bool {
 	if c.floor == 0 || !c.waits() || p.scheduler.off[Floors] {
 		return false
 	}
 	if float64(c.running.length) >= floorBurst*c.floor*float64(p.limit) {
 		return false
 	}
-	return c.served.read(now) < c.floor*p.served.read(now)
+	return c.credit > 0
+}
+
+// settleFloors counts tokens of a class against the floors of all. A floor
+// grows with what the pool serves while its class has work. The credit is
+// bounded by what the floor gives in floorWindow. The debt is bounded too, so
+// that a class is not starved for the spare capacity that it used before.
+func (p *pool) settleFloors(now time.Duration, served *class, tokens float64) {
+	total := p.served.read(now)
+	for _, c := range p.classes {
+		if c.floor == 0 {
+			continue
+		}
+		if c.requests == 0 && c.running.length == 0 {
+			c.credit = min(c.credit, 0)
+			continue
+		}
+		c.credit += c.floor * tokens
+		if c == served {
+			c.credit -= tokens
+		}
+		window := c.floor * total
+		c.credit = max(min(c.credit, window), -floorDebt*window)
+	}
 }
 
 // nextClass returns the class to serve next, nil if none may start: a class
@@ -108,7 +137,7 @@
 		return nil
 	}
 	for _, c := range p.classes {
-		if p.owed(now, c) {
+		if p.owed(c) {
 			return c
 		}
 	}
--- a/internal/scheduler/flood_test.go
+++ b/internal/scheduler/flood_test.go
@@ -67,6 +67,17 @@
 		assertShare(t, l, "drafts/draft", 0.10*0.95)
 		assertShare(t, l, "buyers/chat", 0.80)
 	})
+	t.Run("a rank that has used spare capacity gets its floor soon after", func(t *testing.T) {
+		l := newLoop(newScheduler(newReplicas(service, 1, 8)))
+		l.keep("kilns", "kiln", 200, 60)
+		l.run(30 * time.Second)
+		l.every(30*time.Second, 40*time.Millisecond, "buyers", "chat", 50)
+		l.run(36 * time.Second)
+		l.reset()
+		l.run(56 * time.Second)
+		assertShare(t, l, "kilns/kiln", 0.05*0.95)
+		assertShare(t, l, "buyers/chat", 0.85)
+	})
 	t.Run("refusal keeps the wait of the accepted urgent requests within target", func(t *testing.T) {
 		l := newLoop(newScheduler(newReplicas(service, 4, 16)))
 		l.every(0, 5*time.Millisecond, "buyers", "chat", 50)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -313,6 +313,7 @@
 	j.class.served.add(now, tokens)
 	p.served.add(now, tokens)
 	p.tokens.add(now, tokens)
+	p.settleFloors(now, j.class, tokens)
 }
 
 // appendWaiting appends every waiting job.
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -9,9 +9,9 @@
 	// preemptionLimit is the largest number of times that one request is
 	// preempted.
 	preemptionLimit = 3
-	// floorMargin is the multiple of its floor that a rank must have received
-	// before the slots of its floor are preempted too.
-	floorMargin = 1.5
+	// deepDebt is the fraction of the largest debt from which the slots of a
+	// floor are preempted too.
+	deepDebt = 0.9
 )
 
 // preempt stops background streams for the urgent requests that still wait.
@@ -47,7 +47,7 @@
 // its floor, rounded up unless the class has received clearly more.
 func (p *pool) kept(now time.Duration, c *class) int {
 	slots := c.floor * float64(p.limit)
-	if c.served.read(now) > floorMargin*c.floor*p.served.read(now) {
+	if c.credit < -deepDebt*floorDebt*c.floor*p.served.read(now) {
 		return int(slots)
 	}
 	return int(math.Ceil(slots))
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -103,13 +103,24 @@
 type Client struct {
 	transport *http.Transport
 	key       string
+	rank      string
 }
 
+// Option sets one optional property of a client.
+type Option func(*Client)
+
+// WithRank has every request ask for a rank.
+func WithRank(rank string) Option { return func(c *Client) { c.rank = rank } }
+
 // New returns a client with a bearer key, and a clean-up function that closes
 // its kept connections.
-func New(key string) (*Client, func()) {
+func New(key string, options ...Option) (*Client, func()) {
 	t := &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost, DisableCompression: true}
-	return &Client{transport: t, key: key}, t.CloseIdleConnections
+	c := &Client{transport: t, key: key}
+	for _, o := range options {
+		o(c)
+	}
+	return c, t.CloseIdleConnections
 }
 
 // Chat sends one chat and reads its stream to the end.
@@ -134,6 +145,9 @@
 	r.Header.Set("Authorization", "Bearer "+c.key)
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("X-Request-Id", id)
+	if c.rank != "" {
+		r.Header.Set("X-Rank", c.rank)
+	}
 	started := time.Now()
 	response, err := c.transport.RoundTrip(r)
 	if err != nil {
