--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -23,33 +23,41 @@
 
 // State is the whole state of one entry host.
 type State struct {
-	self          fuchsiapitch.HostID
-	dataCentre    fuchsiapitch.DataCentreName
-	now           fuchsiapitch.Instant
+	self       fuchsiapitch.HostID
+	dataCentre fuchsiapitch.DataCentreName
+	now        fuchsiapitch.Instant
+	effects    []Effect
+	stopping   bool
+
 	configuration fuchsiapitch.Configuration
-	replicas      map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
+	following     configurationState
+
 	members       *gossiper.Membership
 	memberChanges uint64
+	heartbeatDue  time.Duration
+
 	groups        *grouper.Grouper
 	groupReplicas []fuchsiapitch.Replica
 	groupHosts    []fuchsiapitch.Host
 	// pinned states that the replicas were set from outside.
-	pinned       bool
-	heartbeatDue time.Duration
-	table        *router.Table
-	overflow     *router.Overflow
-	loads        loads
-	scheduler    *scheduler.Scheduler
-	limiter      *limiter.Limiter
-	retries      *limiter.RetryBudget
-	demands      []gossiper.CustomerDemand
-	requests     map[fuchsiapitch.RequestID]*flight
-	following    configurationState
-	attempts     uint64
-	retryBudget  RetryBudget
-	keys         *keyState
-	stopping     bool
-	effects      []Effect
+	pinned bool
+
+	replicas map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
+	table    *router.Table
+	routing  router.Policy
+	overflow *router.Overflow
+	loads    loads
+
+	scheduler *scheduler.Scheduler
+	limiter   *limiter.Limiter
+	demands   []gossiper.CustomerDemand
+
+	requests    map[fuchsiapitch.RequestID]*flight
+	attempts    uint64
+	retries     *limiter.RetryBudget
+	retryBudget RetryBudget
+
+	keys *keyState
 }
 
 // Option sets one optional property of a new state.
@@ -65,6 +73,11 @@
 	return func(s *State) { s.scheduler = scheduler.New(options...) }
 }
 
+// WithRouting sets the policy by which dispatchers are chosen.
+func WithRouting(policy router.Policy) Option {
+	return func(s *State) { s.routing = policy }
+}
+
 // New returns the state of an entry host that has just started.
 func New(self fuchsiapitch.Host, options ...Option) *State {
 	s := &State{
@@ -178,7 +191,7 @@
 	for _, id := range sortedKeys(s.replicas) {
 		replicas = append(replicas, s.replicas[id])
 	}
-	s.table = router.NewTable(s.dispatchers(), replicas)
+	s.table = router.NewTable(s.dispatchers(), replicas, s.routing)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
 	s.adoptOrphans()
 	s.coverRetries()
