receiver: look a service's token counter up once for each request

Cause: each token formatted the name of its counter; 0.16 s of 5.05 s of processor time and two of three allocations for each token went there (profile of full load through one host). Change: the counter is looked up when an answer starts.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -49,7 +49,7 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("fuchsiapitch_first_token_seconds{service=%q,rank=%q}", service, rank)).Update(d.Seconds())
 }
 
-// Tokens counts tokens given to callers.
-func (m *Meter) Tokens(service fuchsiapitch.ServiceName, n int) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_tokens_total{service=%q}", service)).Add(n)
+// Tokens returns the counter of the tokens of a service given to callers.
+func (m *Meter) Tokens(service fuchsiapitch.ServiceName) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_tokens_total{service=%q}", service))
 }
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/forwarder"
 )
@@ -18,6 +20,7 @@
 	sink := &responseSink{
 		writer: w, controller: http.NewResponseController(w), request: request,
 		flushed: request.Stream(), received: time.Now(), receiver: r,
+		tokens: r.meter.Tokens(request.Service()),
 	}
 	result := r.forwarder.Receive(q.Context(), request, call, sink)
 	r.meter.Ended(request.Service(), request.Rank(), result.Outcome)
@@ -40,6 +43,7 @@
 	flushed    bool
 	wrote      bool
 	received   time.Time
+	tokens     *metrics.Counter
 }
 
 // Start implements forwarder.Sink.
@@ -68,7 +72,7 @@
 	if _, err := s.writer.Write(chunk.Data()); err != nil {
 		return err
 	}
-	s.receiver.meter.Tokens(s.request.Service(), chunk.Tokens())
+	s.tokens.Add(chunk.Tokens())
 	if s.flushed {
 		return s.controller.Flush()
 	}
