launcher: one way to run entry hosts in a process; the demo uses the log

Cause: two packages started entry hosts before stand-ins, and the demo set its configuration and groups from outside. Conclusion: the whole path now runs on the log alone.

--- a/internal/assembler/operator.go
+++ b/internal/assembler/operator.go
@@ -13,18 +13,6 @@
 // inspectTimeout bounds the wait for a look at the state.
 const inspectTimeout = 2 * time.Second
 
-// statusBody is the answer of /status.
-type statusBody struct {
-	Host                string `json:"host"`
-	DataCentre          string `json:"data-centre"`
-	Ready               bool   `json:"ready"`
-	Stopping            bool   `json:"stopping"`
-	InFlight            int    `json:"in-flight"`
-	Violations          int    `json:"violations"`
-	ConfigurationOffset uint64 `json:"configuration-offset"`
-	ConfigurationHash   uint64 `json:"configuration-hash"`
-}
-
 func (e *EntryHost) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", e.serveLive)
@@ -88,12 +76,6 @@
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
 	defer cancel()
 	body := statusBody{Host: string(e.self.ID()), DataCentre: string(e.self.DataCentre()), Violations: e.runner.Violations()}
-	err := e.runner.Inspect(ctx, func(s *reducer.State) {
-		body.Stopping = s.Stopping()
-		body.Ready = !s.Stopping() && s.ConfigurationReady() && s.Configuration().Offset() > 0
-		body.InFlight = s.InFlight()
-		body.ConfigurationOffset = uint64(s.Configuration().Offset())
-		body.ConfigurationHash = s.Configuration().Hash()
-	})
+	err := e.runner.Inspect(ctx, func(s *reducer.State) { describe(&body, s) })
 	return body, err
 }
--- a/internal/commander/demo.go
+++ b/internal/commander/demo.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
+	_ "embed" // for the configuration
 	"flag"
 	"fmt"
 	"os"
@@ -16,8 +15,11 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/assembler"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/deployer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/launcher"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/loader"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/logger"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/publisher"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/recorder"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin"
 )
 
@@ -30,9 +32,13 @@
 	demoDomains                              = 2
 	demoEngines                              = 4
 	demoServers                              = 2
+	demoGroups                               = 2
 	demoDeadline                             = time.Minute
 )
 
+//go:embed documents/demo.fuchsiapitch.yaml
+var demoDocuments []byte
+
 // demo runs stand-ins and entry hosts in one process.
 type demo struct {
 	streams Streams
@@ -93,64 +99,54 @@
 	if d.logs {
 		options = append(options, assembler.WithLogger(logger.New(d.streams.Errors)))
 	}
-	deployment, stopHosts, err := deployer.Start(ctx, fleet, []fuchsiapitch.DataCentreName{demoCentre},
-		deployer.WithHostsPerCentre(demoHosts), deployer.WithHostOptions(options...))
+	cluster, stopHosts, err := launcher.Start(fleet, []fuchsiapitch.DataCentreName{demoCentre},
+		launcher.WithHosts(demoHosts), launcher.WithHostOptions(options...))
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	defer stopHosts()
-	if err := d.prepare(signalled, deployment); err != nil {
+	if err := d.prepare(signalled, cluster, fleet); err != nil {
 		return trace.Wrap(err)
 	}
-	d.print(deployment, fleet)
+	d.print(cluster, fleet)
 	<-signalled.Done()
 	fmt.Fprintln(d.streams.Out, "stopping")
-	for _, r := range deployment.Hosts() {
-		if err := r.Stop(); err != nil {
+	for _, h := range cluster.Hosts() {
+		h.Stop()
+		if err := h.Err(); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 	return nil
 }
 
-// prepare puts the demo's configuration in force and waits until it serves.
-func (d *demo) prepare(ctx context.Context, deployment *deployer.Deployment) error {
+// prepare publishes the demo's configuration and waits until it is served.
+func (d *demo) prepare(ctx context.Context, cluster *launcher.Cluster, fleet *standin.Fleet) error {
 	ctx, cancel := context.WithTimeout(ctx, demoDeadline)
 	defer cancel()
-	model, configuration := demoConfiguration()
-	replicas, err := deployment.AssignSingly(ctx, model)
+	documents, err := loader.DecodeDocuments("demo", demoDocuments)
 	if err != nil {
 		return err
 	}
-	deployment.Describe(ctx, configuration, replicas)
-	for _, r := range deployment.Hosts() {
-		err := deployer.Await(ctx, func() bool { return r.Entry().Runner().Configuration().Offset() > 0 })
-		if err != nil {
-			return err
-		}
+	log, closeLog := recorder.New(fleet.LogAddress(demoCentre))
+	defer closeLog()
+	if _, err := publisher.New(log, "demo").Publish(ctx, documents); err != nil {
+		return err
 	}
-	return nil
-}
-
-func demoConfiguration() (fuchsiapitch.Service, fuchsiapitch.Configuration) {
-	hash := sha256.Sum256([]byte(demoKey))
-	rank := fuchsiapitch.NewRank("chat", 0, 480*time.Millisecond, 44*time.Millisecond, 1, 0)
-	model := fuchsiapitch.NewService(demoModel, fuchsiapitch.ModelService, rank.Name(), fuchsiapitch.WithModel("vidrio", "1"))
-	desk := fuchsiapitch.NewService(demoDesk, fuchsiapitch.ApplicationService, rank.Name(),
-		fuchsiapitch.WithRoutes(fuchsiapitch.NewRoute("GET", "/lookups", true)))
-	customer := fuchsiapitch.NewCustomer("demo", fuchsiapitch.WithKeyHashes(hex.EncodeToString(hash[:])))
-	return model, fuchsiapitch.NewConfiguration(1, 1, []fuchsiapitch.Service{model, desk},
-		[]fuchsiapitch.Customer{customer}, []fuchsiapitch.Rank{rank})
+	if err := cluster.AwaitReplicas(ctx, demoModel, demoGroups); err != nil {
+		return err
+	}
+	return cluster.AwaitReplicas(ctx, demoDesk, demoServers)
 }
 
-func (d *demo) print(deployment *deployer.Deployment, fleet *standin.Fleet) {
+func (d *demo) print(cluster *launcher.Cluster, fleet *standin.Fleet) {
 	out := d.streams.Out
-	for _, r := range deployment.Hosts() {
-		fmt.Fprintf(out, "entry host %s: callers %s, operators %s\n", r.Entry().Self().ID(), r.Entry().CallerURL(), r.Entry().OperatorURL())
+	for _, h := range cluster.Hosts() {
+		fmt.Fprintf(out, "entry host %s: callers %s, operators %s\n", h.ID(), h.URL(), h.Entry().OperatorURL())
 	}
 	fmt.Fprintf(out, "log %s, host list %s, weight store %s\n\n",
 		fleet.LogAddress(demoCentre), fleet.HostListAddress(), fleet.WeightStoreAddress())
-	first := deployment.Hosts()[0].Entry().CallerURL()
+	first := cluster.Hosts()[0].URL()
 	fmt.Fprintf(out, "curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' "+
 		"-d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"A quote for forty lamp shades?\"}]}'\n\n", first, demoKey, demoModel)
 	fmt.Fprintf(out, "curl %s/services/%s/bookings -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' "+
--- a/internal/commander/publish_test.go
+++ b/internal/commander/publish_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/deployer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/launcher"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin"
 )
 
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	defer stopFleet()
-	deployment, stopHosts, err := deployer.Start(t.Context(), fleet, []fuchsiapitch.DataCentreName{centre}, deployer.WithHostsPerCentre(2))
+	deployment, stopHosts, err := launcher.Start(fleet, []fuchsiapitch.DataCentreName{centre}, launcher.WithHosts(2))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/launcher/host.go
+++ b/internal/launcher/host.go
@@ -6,11 +6,6 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/assembler"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/lister"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/orderer"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/recorder"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/weigher"
 )
 
 // The listeners of a host.
@@ -65,25 +60,24 @@
 func (h *Host) serve() {
 	h.incarnation++
 	self := fuchsiapitch.NewHost(h.id, h.addresses[peers], h.centre, h.incarnation)
-	options := slices.Concat(h.cluster.options, []assembler.Option{assembler.WithCandidates(h.cluster.candidates()...)})
+	options := slices.Concat(h.cluster.options, []assembler.Option{
+		assembler.WithCandidates(h.cluster.candidates()...),
+		assembler.WithViolationHandler(func(*fuchsiapitch.InvariantError) { h.cluster.violations.Add(1) }),
+	})
 	outside, closeOutside := h.connect()
 	entry, closeEntry := assembler.New(self, h.listeners, outside, options...)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.entry, h.cancel, h.ended, h.down = entry, cancel, make(chan error, 1), false
-	h.cleanUps = slices.Concat(closeOutside, []func(){closeEntry})
+	h.cleanUps = []func(){closeOutside, closeEntry}
 	go func() { h.ended <- entry.Serve(ctx) }()
 }
 
 // connect returns clients of the outside systems.
-func (h *Host) connect() (assembler.Outside, []func()) {
+func (h *Host) connect() (assembler.Outside, func()) {
 	fleet := h.cluster.fleet
-	log, closeLog := recorder.New(fleet.LogAddress(h.centre))
-	hosts, closeHosts := lister.New(fleet.HostListAddress())
-	weights, closeWeights := weigher.New(fleet.WeightStoreAddress())
-	controls, closeControls := orderer.New()
-	caller, closeCaller := sender.New()
-	outside := assembler.Outside{Log: log, Hosts: hosts, Weights: weights, Controls: controls, Caller: caller}
-	return outside, []func(){closeLog, closeHosts, closeWeights, closeControls, closeCaller}
+	return assembler.Connect(assembler.Addresses{
+		Log: fleet.LogAddress(h.centre), HostList: fleet.HostListAddress(), WeightStore: fleet.WeightStoreAddress(),
+	})
 }
 
 // Kill ends the host at once, as the end of its process does.
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
@@ -23,6 +24,8 @@
 	options   []assembler.Option
 	perCentre int
 	hosts     []*Host
+
+	violations atomic.Int64
 }
 
 // Option sets one optional property of a cluster.
@@ -82,6 +85,9 @@
 	return hosts
 }
 
+// Violations returns the number of violated invariants at all entry hosts.
+func (c *Cluster) Violations() int { return int(c.violations.Load()) }
+
 // Hosts returns the entry hosts in the order of data centre and number.
 func (c *Cluster) Hosts() []*Host { return c.hosts }
 
--- a/internal/deployer/deployer_test.go
+++ b/internal/launcher/launcher_test.go
@@ -1,9 +1,7 @@
-package deployer
+package launcher
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"strings"
@@ -11,11 +9,25 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/loader"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/publisher"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/recorder"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin"
 )
 
 const testKey = "sk-test"
 
+// testDocuments hold the hash of testKey.
+const testDocuments = `
+{kind: rank, name: chat, order: 0, first-token: 480ms, inter-token: 44ms, worth: 1}
+---
+{kind: customer, name: glass, key-hashes: [f3abf2a6cc4f00987743db5f544ba345b4899ae31f326d8ee9c4816de153c9e0]}
+---
+{kind: model-service, name: vidrio-llm, rank: chat, model: vidrio, version: "1", replicas: 3, group-size: 1}
+---
+{kind: application-service, name: taller-app, rank: chat, routes: [{method: GET, prefix: /lookups, idempotent: true}]}
+`
+
 func assertNoError(t *testing.T, err error, what string) {
 	t.Helper()
 	if err != nil {
@@ -23,36 +35,29 @@
 	}
 }
 
-func newConfiguration() (fuchsiapitch.Configuration, fuchsiapitch.Service) {
-	hash := sha256.Sum256([]byte(testKey))
-	model := fuchsiapitch.NewService("vidrio-llm", fuchsiapitch.ModelService, "chat", fuchsiapitch.WithModel("vidrio", "1"))
-	desk := fuchsiapitch.NewService("taller-app", fuchsiapitch.ApplicationService, "chat",
-		fuchsiapitch.WithRoutes(fuchsiapitch.NewRoute("GET", "/lookups", true)))
-	customer := fuchsiapitch.NewCustomer("glass", fuchsiapitch.WithKeyHashes(hex.EncodeToString(hash[:])))
-	rank := fuchsiapitch.NewRank("chat", 0, 480*time.Millisecond, 44*time.Millisecond, 1, 0)
-	return fuchsiapitch.NewConfiguration(1, 1, []fuchsiapitch.Service{model, desk},
-		[]fuchsiapitch.Customer{customer}, []fuchsiapitch.Rank{rank}), model
-}
-
-func startPath(t *testing.T) (*Deployment, *standin.Fleet) {
+// startPath starts three entry hosts before three engines in groups of one and
+// two application servers, with a configuration that stands in the log.
+func startPath(t *testing.T) (*Cluster, *standin.Fleet) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	t.Cleanup(cancel)
 	fleet, stopFleet, err := standin.Start(standin.WithEngines(1, 3), standin.WithApplications("taller-app", 2))
 	assertNoError(t, err, "start the stand-ins")
 	t.Cleanup(stopFleet)
-	d, stop, err := Start(t.Context(), fleet, []fuchsiapitch.DataCentreName{"dc-a"}, WithHostsPerCentre(3))
+	c, stop, err := Start(fleet, []fuchsiapitch.DataCentreName{"dc-a"}, WithHosts(3))
 	assertNoError(t, err, "start the entry hosts")
 	t.Cleanup(stop)
-	configuration, service := newConfiguration()
-	replicas, err := d.AssignSingly(ctx, service)
-	assertNoError(t, err, "assign the engines")
-	d.Describe(ctx, configuration, replicas)
-	for _, r := range d.Hosts() {
-		err := Await(ctx, func() bool { return r.Entry().Runner().Configuration().Offset() > 0 })
-		assertNoError(t, err, "await the configuration")
+	documents, err := loader.DecodeDocuments("test", []byte(testDocuments))
+	assertNoError(t, err, "decode the documents")
+	log, closeLog := recorder.New(fleet.LogAddress("dc-a"))
+	t.Cleanup(closeLog)
+	result, err := publisher.New(log, "test").Publish(ctx, documents)
+	if err != nil || result.Status != publisher.Accepted {
+		t.Fatalf("publish: got %v, %v, want accepted", result.Status, err)
 	}
-	return d, fleet
+	assertNoError(t, c.AwaitReplicas(ctx, "vidrio-llm", 3), "await the groups")
+	assertNoError(t, c.AwaitReplicas(ctx, "taller-app", 2), "await the application servers")
+	return c, fleet
 }
 
 func send(t *testing.T, method, url, key, body string, header ...string) (int, http.Header, string) {
@@ -83,7 +88,7 @@
 	t.Run("a chat streams whole through every entry host", func(t *testing.T) {
 		for _, r := range d.Hosts() {
 			for range 4 {
-				status, header, body := send(t, "POST", r.Entry().CallerURL()+"/v1/chat/completions", testKey,
+				status, header, body := send(t, "POST", r.URL()+"/v1/chat/completions", testKey,
 					`{"model":"vidrio-llm","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hi"}]}`)
 				assertStatus(t, status, http.StatusOK, body)
 				if got := strings.Count(body, "\nid: ") + 1; got != 8 || !strings.HasSuffix(body, "data: [DONE]\n\n") {
@@ -96,7 +101,7 @@
 		}
 	})
 	t.Run("a plain completion comes whole", func(t *testing.T) {
-		status, header, body := send(t, "POST", d.Hosts()[1].Entry().CallerURL()+"/v1/completions", testKey,
+		status, header, body := send(t, "POST", d.Hosts()[1].URL()+"/v1/completions", testKey,
 			`{"model":"vidrio-llm","max_tokens":4,"prompt":"hi"}`)
 		assertStatus(t, status, http.StatusOK, body)
 		if got := header.Get("X-Request-Outcome"); got != "succeeded" {
@@ -104,7 +109,7 @@
 		}
 	})
 	t.Run("a booking runs once", func(t *testing.T) {
-		status, _, body := send(t, "POST", d.Hosts()[2].Entry().CallerURL()+"/services/taller-app/bookings", testKey,
+		status, _, body := send(t, "POST", d.Hosts()[2].URL()+"/services/taller-app/bookings", testKey,
 			`{"reference":"b-1"}`, "Content-Type", "application/json")
 		assertStatus(t, status, http.StatusCreated, body)
 		if got := fleet.Ledger().Runs("b-1"); got != 1 {
@@ -112,7 +117,7 @@
 		}
 	})
 	t.Run("wrong requests are refused before anything is sent", func(t *testing.T) {
-		base := d.Hosts()[0].Entry().CallerURL()
+		base := d.Hosts()[0].URL()
 		for _, c := range []struct {
 			path, key, body string
 			want            int
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -205,3 +205,18 @@
 
 // InFlight returns the number of requests that this host holds.
 func (s *State) InFlight() int { return len(s.requests) }
+
+// LiveHosts returns the entry hosts of the data centre that can dispatch.
+func (s *State) LiveHosts() []fuchsiapitch.Host { return s.members.Live() }
+
+// Routable returns the number of replicas of a service that this data centre
+// routes to.
+func (s *State) Routable(service fuchsiapitch.ServiceName) int {
+	count := 0
+	for _, r := range s.replicas {
+		if r.Service() == service {
+			count++
+		}
+	}
+	return count
+}
