dispatcher: exact outcomes and silence between entry hosts

Cause: every error of a dispatch counted as unknown, also when nothing had left; the end of a gRPC stream without a last frame passed for a whole answer, since its error wraps io.EOF; a connection gone silent was used for ever, and grpc-go waits up to 2 minutes before it reconnects to a restarted host.

Change: a stats handler notes when the header of an attempt is queued; before that a lost call was not run. An end without a last frame is a lost answer. Dispatchers send an empty frame every 0.8 s without another; 2.5 s without a frame give the exchange up and replace the connection. A connection idle for a second is proved by the standard health call before it is used. Connects are repeated after at most a second.

Ruled out: HTTP/2 keepalive, whose period grpc-go raises to 10 s.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -25,6 +27,13 @@
 	heartbeatLane = "heartbeats"
 )
 
+// connectLimit bounds one attempt to connect.
+const connectLimit = time.Second
+
+// reconnect keeps the waits between attempts to connect short, since hosts are
+// replaced at any time.
+var reconnect = backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
+
 // lane names one connection to a host. Each rank has its own, so that the
 // streams of one rank never wait for the flow control of another.
 type lane struct {
@@ -36,9 +45,10 @@
 type Client struct {
 	self        fuchsiapitch.Host
 	credentials credentials.TransportCredentials
+	silence     time.Duration
 
-	mutex       sync.Mutex
-	connections map[lane]*grpc.ClientConn
+	mutex sync.Mutex
+	links map[lane]*link
 }
 
 // ClientOption sets one optional property of a client.
@@ -49,9 +59,12 @@
 	return func(k *Client) { k.credentials = c }
 }
 
+// WithSilence sets the time without a frame after which an exchange is given up.
+func WithSilence(limit time.Duration) ClientOption { return func(k *Client) { k.silence = limit } }
+
 // NewClient returns a client and the function that closes its connections.
 func NewClient(self fuchsiapitch.Host, options ...ClientOption) (*Client, func()) {
-	c := &Client{self: self, credentials: insecure.NewCredentials(), connections: make(map[lane]*grpc.ClientConn)}
+	c := &Client{self: self, credentials: insecure.NewCredentials(), silence: silenceLimit, links: make(map[lane]*link)}
 	for _, o := range options {
 		o(c)
 	}
@@ -61,40 +74,46 @@
 func (c *Client) close() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for l, k := range c.connections {
-		_ = k.Close()
-		delete(c.connections, l)
+	for name, l := range c.links {
+		_ = l.connection.Close()
+		delete(c.links, name)
 	}
 }
 
-func (c *Client) connection(l lane) (*grpc.ClientConn, error) {
+func (c *Client) link(name lane) (*link, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if k, ok := c.connections[l]; ok {
-		return k, nil
+	if l, ok := c.links[name]; ok {
+		return l, nil
 	}
-	k, err := grpc.NewClient("passthrough:///"+l.address,
+	k, err := grpc.NewClient("passthrough:///"+name.address,
 		grpc.WithTransportCredentials(c.credentials),
 		grpc.WithInitialWindowSize(streamWindow),
 		grpc.WithInitialConnWindowSize(connectionWindow),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
+		grpc.WithStatsHandler(departureHandler{}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: connectLimit}),
 	)
 	if err != nil {
 		return nil, err
 	}
-	c.connections[l] = k
-	return k, nil
+	l := newLink(k)
+	c.links[name] = l
+	return l, nil
 }
 
 // Beat implements gossiper.Transport.
 func (c *Client) Beat(ctx context.Context, to fuchsiapitch.Host, heartbeat gossiper.Heartbeat) (gossiper.Heartbeat, error) {
-	k, err := c.connection(lane{address: to.Address(), name: heartbeatLane})
+	name := lane{address: to.Address(), name: heartbeatLane}
+	l, err := c.link(name)
 	if err != nil {
 		return gossiper.Heartbeat{}, &fuchsiapitch.UnreachableError{Address: to.Address(), Action: "heartbeat", Err: err}
 	}
-	answer, err := wire.NewPeerClient(k).Beat(ctx, encoder.EncodeHeartbeat(heartbeat))
+	answer, err := wire.NewPeerClient(l.connection).Beat(ctx, encoder.EncodeHeartbeat(heartbeat))
 	if err != nil {
+		// The connection may be lost while the host is alive.
+		c.replace(name, l)
 		return gossiper.Heartbeat{}, &fuchsiapitch.UnreachableError{Address: to.Address(), Action: "heartbeat", Err: err}
 	}
 	return encoder.DecodeHeartbeat(answer), nil
@@ -105,25 +124,27 @@
 	lost := &fuchsiapitch.DispatchError{
 		Request: request.ID(), Host: host.ID(), Outcome: fuchsiapitch.NotRun, Unreachable: true,
 	}
-	k, err := c.connection(lane{address: host.Address(), name: string(request.Rank())})
+	name := lane{address: host.Address(), name: string(request.Rank())}
+	l, err := c.proved(ctx, name)
 	if err != nil {
 		lost.Err = err
 		return fuchsiapitch.Answer{}, lost
 	}
-	lost.Outcome = fuchsiapitch.Unknown
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, departure := withDeparture(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	message := encoder.EncodeDispatch(c.self, request, call)
 	message.RemainingMs = remaining(call, request)
-	stream, err := wire.NewPeerClient(k).Dispatch(ctx, message)
+	stream, err := wire.NewPeerClient(l.connection).Dispatch(ctx, message)
 	if err != nil {
-		cancel()
-		lost.Err = err
+		cancel(nil)
+		lost.Err, lost.Outcome = err, departure.outcome()
 		return fuchsiapitch.Answer{}, lost
 	}
-	body := &frameBody{stream: stream, cancel: cancel, lost: lost}
+	body := newFrameBody(stream, cancel, departure, lost, c.silence)
+	body.proved, body.silent = l.prove, func() { c.replace(name, l) }
 	frame, err := body.receive()
 	if err != nil {
-		cancel()
+		cancel(nil)
 		return fuchsiapitch.Answer{}, err
 	}
 	start := frame.GetStart()
@@ -139,16 +160,43 @@
 
 // frameBody reads the frames of one answer.
 type frameBody struct {
-	stream grpc.ServerStreamingClient[wire.DispatchFrame]
-	cancel context.CancelFunc
-	lost   *fuchsiapitch.DispatchError
+	stream    grpc.ServerStreamingClient[wire.DispatchFrame]
+	cancel    context.CancelCauseFunc
+	departure *departure
+	lost      *fuchsiapitch.DispatchError
+	silence   time.Duration
+	timer     *time.Timer
+	// proved is called for each frame, and silent when none comes.
+	proved, silent func()
+}
+
+func newFrameBody(stream grpc.ServerStreamingClient[wire.DispatchFrame], cancel context.CancelCauseFunc, d *departure, lost *fuchsiapitch.DispatchError, silence time.Duration) *frameBody {
+	timer := time.AfterFunc(silence, func() { cancel(&SilentPeerError{Limit: silence}) })
+	timer.Stop()
+	return &frameBody{stream: stream, cancel: cancel, departure: d, lost: lost, silence: silence, timer: timer}
+}
+
+// next returns the next frame that has content.
+func (b *frameBody) next() (*wire.DispatchFrame, error) {
+	for {
+		b.timer.Reset(b.silence)
+		frame, err := b.stream.Recv()
+		b.timer.Stop()
+		if err != nil {
+			return nil, err
+		}
+		b.proved()
+		if frame.GetFrame() != nil {
+			return frame, nil
+		}
+	}
 }
 
 // receive returns the next frame that is not the last one.
 func (b *frameBody) receive() (*wire.DispatchFrame, error) {
-	frame, err := b.stream.Recv()
+	frame, err := b.next()
 	if err != nil {
-		b.lost.Err = err
+		b.lost.Err, b.lost.Outcome = b.lostBy(err), b.departure.outcome()
 		return nil, b.lost
 	}
 	end := frame.GetEnd()
@@ -165,6 +213,22 @@
 	}
 }
 
+// lostBy returns the cause of a lost exchange. The end of the stream without a
+// last frame is no end of a whole answer.
+func (b *frameBody) lostBy(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	cause := context.Cause(b.stream.Context())
+	if _, silent := errors.AsType[*SilentPeerError](cause); silent {
+		b.silent()
+	}
+	if cause != nil {
+		return cause
+	}
+	return err
+}
+
 // Next implements fuchsiapitch.AnswerBody.
 func (b *frameBody) Next() (fuchsiapitch.Chunk, error) {
 	frame, err := b.receive()
@@ -177,6 +241,7 @@
 
 // Close implements io.Closer.
 func (b *frameBody) Close() error {
-	b.cancel()
+	b.timer.Stop()
+	b.cancel(nil)
 	return nil
 }
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -5,6 +5,8 @@
 	"context"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/health"
+	"google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -34,6 +36,7 @@
 func (s *Server) Register(g *grpc.Server) {
 	wire.RegisterPeerServer(g, s)
 	wire.RegisterSnapshotsServer(g, s)
+	grpc_health_v1.RegisterHealthServer(g, health.NewServer())
 }
 
 // Beat implements wire.PeerServer.
@@ -50,9 +53,11 @@
 // Dispatch implements wire.PeerServer.
 func (s *Server) Dispatch(w *wire.DispatchRequest, stream grpc.ServerStreamingServer[wire.DispatchFrame]) error {
 	request, call := encoder.DecodeDispatch(w)
-	sink := &frameSink{stream: stream}
+	frames, end := newFrameStream(stream, framePeriod)
+	defer end()
+	sink := &frameSink{frames: frames}
 	result := s.forwarder.Dispatch(tracer.Extract(stream.Context(), call.Header()), originOf(w), request, call, sink)
-	return stream.Send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_End{End: &wire.End{
+	return frames.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_End{End: &wire.End{
 		Outcome: int32(result.Outcome), Refusal: int32(result.Refusal), RetryAfterMs: result.RetryAfter.Milliseconds(),
 	}}})
 }
@@ -64,19 +69,19 @@
 
 // frameSink passes an answer on as frames.
 type frameSink struct {
-	stream grpc.ServerStreamingServer[wire.DispatchFrame]
+	frames *frameStream
 }
 
 // Start implements forwarder.Sink.
 func (s *frameSink) Start(status int, header map[string][]string) error {
-	return s.stream.Send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Start{Start: &wire.Start{
+	return s.frames.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Start{Start: &wire.Start{
 		Status: int32(status), Header: encoder.EncodeHeader(header),
 	}}})
 }
 
 // Write implements forwarder.Sink.
 func (s *frameSink) Write(chunk fuchsiapitch.Chunk) error {
-	return s.stream.Send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Data{Data: &wire.Data{
+	return s.frames.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Data{Data: &wire.Data{
 		Data: chunk.Data(), Tokens: int32(chunk.Tokens()),
 	}}})
 }
--- a/internal/dispatcher/snapshot.go
+++ b/internal/dispatcher/snapshot.go
@@ -12,11 +12,11 @@
 
 // Snapshot implements configurer.Source.
 func (c *Client) Snapshot(ctx context.Context, host fuchsiapitch.Host, since fuchsiapitch.Offset) (configurer.Snapshot, error) {
-	k, err := c.connection(lane{address: host.Address(), name: heartbeatLane})
+	l, err := c.link(lane{address: host.Address(), name: heartbeatLane})
 	if err != nil {
 		return configurer.Snapshot{}, &fuchsiapitch.UnreachableError{Address: host.Address(), Action: "snapshot", Err: err}
 	}
-	answer, err := wire.NewSnapshotsClient(k).Fetch(ctx, &wire.SnapshotRequest{Since: uint64(since)})
+	answer, err := wire.NewSnapshotsClient(l.connection).Fetch(ctx, &wire.SnapshotRequest{Since: uint64(since)})
 	if err != nil {
 		return configurer.Snapshot{}, &fuchsiapitch.UnreachableError{Address: host.Address(), Action: "snapshot", Err: err}
 	}
