--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/grouper"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/limiter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/scheduler"
@@ -29,6 +30,9 @@
 	replicas      map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
 	members       *gossiper.Membership
 	memberChanges uint64
+	groups        *grouper.Grouper
+	groupReplicas []fuchsiapitch.Replica
+	groupHosts    []fuchsiapitch.Host
 	heartbeatDue  time.Duration
 	table         *router.Table
 	overflow      *router.Overflow
@@ -43,7 +47,9 @@
 	retryBudget   RetryBudget
 	keys          *keyState
 	stopping      bool
-	effects       []Effect
+	// replicasDescribed states that the replicas were set directly.
+	replicasDescribed bool
+	effects           []Effect
 }
 
 // Option sets one optional property of a new state.
@@ -68,6 +74,7 @@
 		members:    gossiper.New(self),
 		overflow:   router.NewOverflow(),
 		loads:      newLoads(),
+		groups:     grouper.New(self),
 		scheduler:  scheduler.New(),
 		limiter:    limiter.New(self.ID()),
 		retries:    limiter.NewRetryBudget(),
@@ -99,6 +106,7 @@
 		s.tick()
 	case RequestReceived, RequestOffered, RequestAbandoned, AttemptAnswered,
 		AttemptProgressed, AttemptEnded, ForwardEnded, AnswerStored:
+		s.observeAttempt(e)
 		s.applyRequest(e)
 	case HeartbeatReceived, HeartbeatFailed:
 		s.applyMembership(e)
@@ -130,7 +138,8 @@
 	s.wakeRequests()
 }
 
-// FleetDescribed sets the configuration and the replicas directly.
+// FleetDescribed sets the configuration and the replicas directly. Once it has
+// brought replicas, this host neither forms groups nor watches them.
 type FleetDescribed struct {
 	// Configuration is the configuration to put in force.
 	Configuration fuchsiapitch.Configuration
@@ -142,6 +151,7 @@
 
 func (s *State) describeFleet(e FleetDescribed) {
 	s.describeConfiguration(e.Configuration)
+	s.replicasDescribed = s.replicasDescribed || e.Replicas != nil
 	s.setReplicas(e.Replicas)
 }
 
--- a/internal/reducer/stop.go
+++ b/internal/reducer/stop.go
@@ -33,6 +33,7 @@
 		return
 	}
 	s.stopping = true
+	s.groups.Stop()
 	s.members.Leave()
 	for _, h := range s.members.Live() {
 		s.emit(SendHeartbeat{To: h, Heartbeat: s.ComposeHeartbeat()})
