--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -152,7 +152,7 @@
 }
 
 // FleetDescribed sets the configuration and the replicas directly. Once it has
-// set replicas, the host forms and watches no groups of its own.
+// brought replicas, this host neither forms groups nor watches them.
 type FleetDescribed struct {
 	// Configuration is the configuration to put in force.
 	Configuration fuchsiapitch.Configuration
