grouper: give a group that broke a new fencing number

Cause: after the loss of a member the stand-in's other members stay unready until the next order; a member that came back before its group was rebuilt was ordered alone, and the group never served again. Change: a group that worked under its fencing number and no longer does is assigned anew to all its members.

--- a/internal/grouper/controller.go
+++ b/internal/grouper/controller.go
@@ -72,6 +72,7 @@
 	drained    map[fuchsiapitch.GroupID]time.Duration
 	checked    map[fuchsiapitch.GroupID]check
 	lost       map[fuchsiapitch.GroupID]time.Duration
+	formed     map[fuchsiapitch.GroupID]fuchsiapitch.Fence
 	first      bool
 	checkpoint *writing
 	saved      time.Duration
@@ -91,6 +92,7 @@
 		drained:  make(map[fuchsiapitch.GroupID]time.Duration),
 		checked:  make(map[fuchsiapitch.GroupID]check),
 		lost:     make(map[fuchsiapitch.GroupID]time.Duration),
+		formed:   make(map[fuchsiapitch.GroupID]fuchsiapitch.Fence),
 	}
 }
 
--- a/internal/grouper/plan.go
+++ b/internal/grouper/plan.go
@@ -76,6 +76,9 @@
 	}
 	for _, group := range p.groups {
 		p.state[group.ID] = p.judge(group)
+		if p.state[group.ID] == groupWorking {
+			g.tenure.formed[group.ID] = group.Fence
+		}
 		if !group.Draining {
 			delete(g.tenure.drained, group.ID)
 		} else if _, ok := g.tenure.drained[group.ID]; !ok {
@@ -184,19 +187,22 @@
 }
 
 // refence renews the fencing number of groups whose members do not report their
-// assignment and were assigned in an earlier term, or that report a higher one.
+// assignment and were assigned in an earlier term, that report a higher number,
+// or that worked before: after the loss of a member every member has to take up
+// the assignment anew.
 func (p *planner) refence() []Change {
 	var list []Change
 	for _, group := range p.groups {
 		if p.touched[group.ID] || p.state[group.ID] != groupForming {
 			continue
 		}
+		broke := p.tenure.formed[group.ID] == group.Fence
 		stale := group.Fence.Term() != p.tenure.term && p.needsOrders(group)
 		overtaken := slices.ContainsFunc(group.Members, func(m fuchsiapitch.ServerID) bool {
 			a, ok := p.health.Account(m)
 			return ok && group.Fence.Less(a.Fence())
 		})
-		if stale || overtaken {
+		if stale || overtaken || broke {
 			p.touched[group.ID] = true
 			list = append(list, Change{Kind: Assign, Group: group})
 		}
