experimenter: measure how groups break and become whole

Cause: nothing measured the targets for groups. Leases last 3 s, orders 1 s; the first read-back of a takeover runs while late orders are waited out.

--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -4,6 +4,7 @@
 func All() []Experiment {
 	return []Experiment{
 		pathExperiment{},
+		groupsExperiment{},
 	}
 }
 
--- a/internal/grouper/controller.go
+++ b/internal/grouper/controller.go
@@ -11,7 +11,7 @@
 
 const (
 	// renewPeriod is the time between two renewals of the lease.
-	renewPeriod = 1500 * time.Millisecond
+	renewPeriod = time.Second
 	// planPeriod is the time between two planning steps.
 	planPeriod = 200 * time.Millisecond
 	// orderRetryTime is the time after which an order without effect is given
@@ -33,14 +33,14 @@
 type stage int
 
 const (
-	// waiting means that orders of the last controller may still take effect.
-	waiting stage = iota + 1
+	// starting means that the claim has just been read.
+	starting stage = iota
 	// reading means that every server's account is read back.
 	reading
-	// settling means that a late order to a server that ignores fencing numbers
-	// gets the time to show.
-	settling
-	// rereading means that every account is read back once more.
+	// waiting means that orders of the last controller may still take effect.
+	waiting
+	// rereading means that every account is read back once more, since a server
+	// that ignores fencing numbers may have taken up a late order.
 	rereading
 	// acting means that the controller forms groups and gives orders.
 	acting
@@ -79,9 +79,10 @@
 	groups     uint64
 }
 
+// newTenure returns the state of a controller that has just read its claim.
 func newTenure(term fuchsiapitch.Term, lease Lease, takeover time.Duration) *tenure {
 	return &tenure{
-		term: term, lease: lease, stage: waiting, takeover: takeover,
+		term: term, lease: lease, takeover: takeover,
 		renewed:  lease.from.Monotonic(),
 		saved:    lease.from.Monotonic(),
 		orders:   make(map[fuchsiapitch.ServerID]outstanding),
@@ -186,30 +187,30 @@
 	t.checkpoint.start(now, &g.actions)
 }
 
-// advance follows the stages of a takeover: wait until the orders of the last
-// controller have surely taken effect, then read back every account. Servers
-// that ignore fencing numbers are given the time of one more order and are read
-// back again.
+// advance follows the stages of a takeover. Every account is read back. Where
+// engines ignore fencing numbers, the controller then waits until the orders of
+// the last one have surely taken effect, and reads every account back again.
 func (g *Grouper) advance(now fuchsiapitch.Instant) {
 	t := g.tenure
 	switch t.stage {
-	case waiting:
-		if now.Monotonic() >= t.takeover || g.allFenced() {
-			g.startReading(now, reading)
-		}
-	case reading, rereading:
-		if !g.readBack(t.since) {
-			return
-		}
-		if t.stage == rereading || g.allFenced() || t.first {
+	case starting:
+		g.startReading(now, reading)
+	case reading:
+		switch {
+		case !g.readBack(t.since):
+		case t.first || g.allFenced():
 			t.stage = acting
-			return
+		default:
+			t.stage = waiting
 		}
-		t.stage, t.since = settling, now.Monotonic()
-	case settling:
-		if now.Monotonic()-t.since >= OrderTime {
+	case waiting:
+		if now.Monotonic() >= t.takeover {
 			g.startReading(now, rereading)
 		}
+	case rereading:
+		if g.readBack(t.since) {
+			t.stage = acting
+		}
 	case acting:
 	}
 }
--- a/internal/grouper/election.go
+++ b/internal/grouper/election.go
@@ -13,7 +13,7 @@
 
 const (
 	// claimStagger is the time by which each further live host delays its claim.
-	claimStagger = 300 * time.Millisecond
+	claimStagger = 200 * time.Millisecond
 	// appendRetryTime is the time after which a record is appended again when
 	// the stream does not show it.
 	appendRetryTime = time.Second
--- a/internal/grouper/health.go
+++ b/internal/grouper/health.go
@@ -38,7 +38,7 @@
 	probeBurst = 40.0
 	// firstSteadyTime is the time for which a server that came back must answer
 	// before it is used again. It doubles with each further silence.
-	firstSteadyTime = 5 * time.Second
+	firstSteadyTime = time.Second
 	// steadyTimeLimit is the longest such time.
 	steadyTimeLimit = 5 * time.Minute
 	// flapMemory is the time without silence after which earlier ones count no more.
--- a/internal/grouper/lease.go
+++ b/internal/grouper/lease.go
@@ -8,17 +8,17 @@
 
 const (
 	// LeaseTime is the time for which one renewal lets a controller give orders.
-	LeaseTime = 5 * time.Second
+	LeaseTime = 3 * time.Second
 	// OrderTime is the longest time in which an order can take effect after it
 	// was sent.
-	OrderTime = 2 * time.Second
+	OrderTime = time.Second
 	// PromiseTime is the time for which an elector promises not to claim.
 	PromiseTime = 15 * time.Second
 	// OutageLimit is the longest time for which a controller gives orders on
 	// promises, counted from its last renewal.
 	OutageLimit = 3 * time.Minute
 	// clockMargin covers the drift between the clocks of two hosts.
-	clockMargin = 500 * time.Millisecond
+	clockMargin = 300 * time.Millisecond
 	// jumpTolerance is the largest difference between the wall clock and the
 	// monotonic clock over one lease.
 	jumpTolerance = 500 * time.Millisecond
--- a/internal/grouper/promise.go
+++ b/internal/grouper/promise.go
@@ -9,7 +9,7 @@
 const (
 	// promiseAskTime is the age of the lease from which a controller asks the
 	// electors for promises.
-	promiseAskTime = 2500 * time.Millisecond
+	promiseAskTime = 1700 * time.Millisecond
 	// promiseAskPeriod is the time between two such questions.
 	promiseAskPeriod = 2 * time.Second
 	// sentLimit is the number of own heartbeats whose sending is remembered.
--- a/internal/grouper/watch.go
+++ b/internal/grouper/watch.go
@@ -13,10 +13,10 @@
 	// controller of at once.
 	brokenLimit = 8
 	// sparePeriod is the time between two probes of a spare server.
-	sparePeriod = 2 * time.Second
+	sparePeriod = 5 * time.Second
 	// sweepPeriod is the time between two probes of a server that its
 	// dispatcher watches.
-	sweepPeriod = 30 * time.Second
+	sweepPeriod = 60 * time.Second
 )
 
 // engines returns the engines of the data centre in the order of their
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/grouper"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
 )
 
@@ -15,7 +16,7 @@
 	// probeTimeout bounds the wait for a backend server's account.
 	probeTimeout = 800 * time.Millisecond
 	// orderTimeout bounds the time that an order can be on its way.
-	orderTimeout = 2 * time.Second
+	orderTimeout = grouper.OrderTime
 	// appendTimeout bounds the wait for the answer to an append.
 	appendTimeout = 3 * time.Second
 )
