--- a/internal/experimenter/groupsbed.go
+++ b/internal/experimenter/groupsbed.go
@@ -172,7 +172,9 @@
 func (b *groupsBed) awaitWhole(ctx context.Context, since time.Time) (time.Duration, error) {
 	want := b.optimum()
 	return b.await(ctx, since, fmt.Sprintf("%d whole groups", want),
-		func(serving map[fuchsiapitch.GroupID]grouper.Group) bool { return len(serving) == want && b.isAlive(serving) })
+		func(serving map[fuchsiapitch.GroupID]grouper.Group) bool {
+			return len(serving) == want && b.isAlive(serving)
+		})
 }
 
 // isAlive reports whether every member of the serving groups lives.
