experimenter: slopes of control traffic, time and memory

Cause: the page of sizes needs measured slopes. Change: bench capacity measures idle beds by entry hosts, backend servers and data centres, fits lines and writes CAPACITY.md and a plot of each slope; the stand-ins and the launcher count what travels.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -270,6 +270,9 @@
 // Runner returns the runner of the entry host.
 func (e *EntryHost) Runner() *runner.Runner { return e.runner }
 
+// Meter returns the metrics of the entry host.
+func (e *EntryHost) Meter() *meter.Meter { return e.meter }
+
 // Self returns the host as other entry hosts know it.
 func (e *EntryHost) Self() fuchsiapitch.Host { return e.self }
 
--- a/internal/commander/bench.go
+++ b/internal/commander/bench.go
@@ -19,6 +19,7 @@
 	seed    uint64
 	json    bool
 	quick   bool
+	write   string
 }
 
 func newBench(streams Streams) subcommands.Command { return &bench{streams: streams} }
@@ -32,7 +33,7 @@
 // Usage implements subcommands.Command.
 func (*bench) Usage() string {
 	var b strings.Builder
-	b.WriteString(`fuchsiapitch bench [--seed N] [--quick] [--json] NAME
+	b.WriteString(`fuchsiapitch bench [--seed N] [--quick] [--json] [--write FOLDER] NAME
 
 Runs an experiment in this process against stand-ins. Progress goes to standard
 error, the figures to standard output. Exit code 0 means that all targets are
@@ -54,6 +55,7 @@
 func (b *bench) SetFlags(f *flag.FlagSet) {
 	f.Uint64Var(&b.seed, "seed", 1, "seed of every random choice")
 	f.BoolVar(&b.json, "json", false, "print one JSON object")
+	f.StringVar(&b.write, "write", "", "folder that takes the pages and plots of the experiment")
 	f.BoolVar(&b.quick, "quick", false, "run for less than 45 s")
 }
 
@@ -68,7 +70,7 @@
 	if !ok {
 		return b.streams.fail(ExitUsage, &UnknownExperimentError{Name: name})
 	}
-	report, err := e.Run(ctx, experimenter.Run{Seed: b.seed, Quick: b.quick, Progress: b.streams.Errors})
+	report, err := e.Run(ctx, experimenter.Run{Seed: b.seed, Quick: b.quick, Progress: b.streams.Errors, Directory: b.write})
 	if err != nil {
 		return b.streams.fail(ExitFailure, err)
 	}
--- /dev/null
+++ b/internal/experimenter/capacitypage.go
@@ -0,0 +1,135 @@
+package experimenter
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 5 * vg.Inch
+	plotHeight = 3 * vg.Inch
+)
+
+// write writes the page CAPACITY.md and a plot of each slope into a folder.
+func (m *capacityMeasures) write(directory string, report *Report) error {
+	folder := filepath.Join(directory, "capacity")
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return trace.Wrap(err)
+	}
+	for _, s := range m.series {
+		for _, q := range capacityQuantities() {
+			if err := s.plot(filepath.Join(folder, s.name+"-"+q.name+".svg"), q); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+	}
+	return trace.Wrap(os.WriteFile(filepath.Join(directory, "CAPACITY.md"), []byte(m.page(report)), 0o600))
+}
+
+// plot draws the points of a series with their line.
+func (s capacityDimension) plot(path string, q capacityQuantity) error {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = s.unit, q.name
+	points := make(plotter.XYs, 0, len(s.points))
+	highest := 0.0
+	for _, c := range s.points {
+		points = append(points, plotter.XY{X: s.size(c), Y: q.value(c)})
+		highest = max(highest, q.value(c))
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	l := fit(s.points, s.size, q.value)
+	p.Add(scatter, plotter.NewFunction(l.at), plotter.NewGrid())
+	p.Y.Min, p.Y.Max = 0, highest*1.1
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+const capacityIntroduction = `# Capacity
+
+This page is written by ` + "`fuchsiapitch bench --seed N --write docs capacity`" + `; figures and
+plots come from one run on one machine, with stand-ins in the same process.
+
+The size that decides the design: %d entry hosts before %d replicas and
+accelerators in %d data centres; %.0f requests and %.1f million tokens a second;
+%.0f configuration changes a day. An entry host has %.1f peers in its data centre
+and watches %.1f backend servers; a data centre has %.0f.
+
+## One entry host at that size
+
+Bytes count both directions with the overhead of IP and TCP. The time of
+membership is that of a whole idle process with its share of the stand-ins, an
+upper bound; memory is heap beyond the %.1f MB that a process with one host has
+resident.
+
+| role | mechanism | bytes a second | of a core, %% | MB |
+| --- | --- | ---: | ---: | ---: |
+`
+
+const capacityNotes = `
+Not counted as control: the tokens themselves, which move outside the reducer.
+%.1f requests a second reach a host; the whole life of one costs its reducer
+%.0f µs, and each held request %.0f bytes.
+
+## Where it would break
+
+* Heartbeats carry a bounded number of entries to one host a second, so their
+  bytes do not grow with the number of hosts. What grows is the time in which
+  news reaches everybody: with the logarithm of the number of hosts.
+* The controller folds and reports on every backend server of its data centre.
+  Its time grows with their number; the slope below says when a data centre must
+  be split into two streams.
+* Appends: one renewal a second of each controller, %d in all, beside the
+  configuration's %.2f a second and one for each batch of idempotency keys. The
+  log takes several hundred.
+* The host list is asked every second by every host. An unchanged list costs a
+  304; a changed one costs its whole length, %.0f entries in a data centre.
+
+## Slopes
+
+`
+
+// page returns the page in Markdown.
+func (m *capacityMeasures) page(report *Report) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, capacityIntroduction, targetHosts, targetServers, targetCentres, targetRequests, targetTokens/1e6,
+		targetChangesPerDay, hostsPerCentre-1, serversPerNode, serversInCentre, m.resident/1e6)
+	for _, e := range m.estimates() {
+		fmt.Fprintf(&b, "| %s | %s | %.0f | %.3f | %.2f |\n", e.role, e.mechanism, e.bytes, e.percent, e.megabytes)
+	}
+	b.WriteString("\n| target | limit | worked out | met |\n| --- | ---: | ---: | --- |\n")
+	for _, t := range report.Targets() {
+		fmt.Fprintf(&b, "| %s | %.4g | %.4g | %t |\n", t.Name, t.Limit, t.Got, t.Met)
+	}
+	fmt.Fprintf(&b, capacityNotes, targetRequests/targetHosts, report.Figure("request-reducer-microseconds"),
+		m.requests.heap, targetCentres, targetChangesPerDay/secondsPerDay, serversInCentre)
+	for _, s := range m.series {
+		m.writeSeries(&b, s)
+	}
+	return b.String()
+}
+
+func (m *capacityMeasures) writeSeries(b *strings.Builder, s capacityDimension) {
+	fmt.Fprintf(b, "### By %s\n\n| quantity |", s.unit)
+	for _, p := range s.points {
+		fmt.Fprintf(b, " %.0f |", s.size(p))
+	}
+	b.WriteString(" base | slope |\n| --- |" + strings.Repeat(" ---: |", len(s.points)+2) + "\n")
+	for _, q := range capacityQuantities() {
+		fmt.Fprintf(b, "| [%s](capacity/%s-%s.svg) |", q.name, s.name, q.name)
+		for _, p := range s.points {
+			fmt.Fprintf(b, " %.3g |", q.value(p))
+		}
+		l := fit(s.points, s.size, q.value)
+		fmt.Fprintf(b, " %.3g | %.3g |\n", l.base, l.slope)
+	}
+	b.WriteString("\n")
+}
--- a/internal/experimenter/report.go
+++ b/internal/experimenter/report.go
@@ -78,6 +78,8 @@
 	Quick bool
 	// Progress takes lines that show the progress.
 	Progress io.Writer
+	// Directory takes the pages and plots that an experiment writes, "" for none.
+	Directory string
 }
 
 // Experiment is a named measurement.
--- a/internal/launcher/host.go
+++ b/internal/launcher/host.go
@@ -53,6 +53,9 @@
 func (h *Host) listen() error {
 	var err error
 	h.listeners, err = listen(&h.addresses)
+	if err == nil {
+		h.listeners.Peers = h.cluster.wrap(h.listeners.Peers)
+	}
 	return err
 }
 
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -24,6 +24,7 @@
 	options   []assembler.Option
 	perCentre int
 	hosts     []*Host
+	wrap      func(net.Listener) net.Listener
 
 	violations atomic.Int64
 }
@@ -39,10 +40,16 @@
 	return func(c *Cluster) { c.options = append(c.options, options...) }
 }
 
+// WithPeerListener sets a function that wraps the listeners for other entry
+// hosts, to count or disturb what travels between them.
+func WithPeerListener(wrap func(net.Listener) net.Listener) Option {
+	return func(c *Cluster) { c.wrap = wrap }
+}
+
 // Start starts entry hosts in data centres, one in each without options. The
 // clean-up function ends them at once.
 func Start(fleet *standin.Fleet, centres []fuchsiapitch.DataCentreName, options ...Option) (*Cluster, func(), error) {
-	c := &Cluster{fleet: fleet, perCentre: 1}
+	c := &Cluster{fleet: fleet, perCentre: 1, wrap: func(l net.Listener) net.Listener { return l }}
 	for _, o := range options {
 		o(c)
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -28,6 +28,11 @@
 	metrics.WriteProcessMetrics(w)
 }
 
+// EventSeconds returns the time that the reducer has taken so far.
+func (m *Meter) EventSeconds() float64 {
+	return m.set.GetOrCreateFloatCounter("fuchsiapitch_event_seconds_total").Get()
+}
+
 // Applied counts an event and the time that the reducer took for it.
 func (m *Meter) Applied(d time.Duration) {
 	m.set.GetOrCreateCounter("fuchsiapitch_events_total").Inc()
--- a/internal/standin/faulter/server.go
+++ b/internal/standin/faulter/server.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/counter"
 )
 
 const (
@@ -38,6 +40,7 @@
 	address string
 	gate    *gate
 	answers answerFaults
+	traffic counter.Counter
 
 	mu          sync.Mutex
 	server      *http.Server
@@ -63,6 +66,9 @@
 // Address returns the IP number and port.
 func (s *Server) Address() string { return s.address }
 
+// Traffic returns the bytes that have travelled, with the overhead of IP and TCP.
+func (s *Server) Traffic() int64 { return s.traffic.Wire() }
+
 // Dead reports whether the server was made to die and not revived.
 func (s *Server) Dead() bool {
 	s.mu.Lock()
@@ -89,7 +95,7 @@
 	s.server, s.done, s.dead = server, done, false
 	go func() {
 		defer close(done)
-		_ = server.Serve(&listener{Listener: plain, owner: s})
+		_ = server.Serve(&listener{Listener: s.traffic.Listen(plain), owner: s})
 	}()
 	return nil
 }
