configurer, reducer: a test for each guard

Cause: of 45 guards that were removed one after another on a scratch copy, 11 had no test that failed, and two were needless. Change: tests for those guards; the check that a checkpoint or a peer's state reaches up to the end of a gap is gone, since the next read finds the rest of the gap by itself. Conclusion: every guard has a test that fails without it.

--- a/internal/configurer/follower.go
+++ b/internal/configurer/follower.go
@@ -7,14 +7,14 @@
 // were not folded yet.
 //
 // A checkpoint record holds the state after some earlier offset. After a gap
-// the follower scans the stream from its oldest record for a checkpoint that
-// reaches up to the gap's end, takes its state and reads again from there. A
-// checkpoint of an earlier state would leave records out, so it is passed over.
+// the follower scans the stream from its oldest record for a checkpoint, takes
+// its state and reads again from there. Where that state ends within the gap,
+// the next read finds the rest of the gap, and the scan goes on.
 type Follower struct {
 	decode         Decode
 	fold           *Fold
 	next           fuchsiapitch.Offset
-	gapEnd         fuchsiapitch.Offset
+	scanning       bool
 	lastCheckpoint fuchsiapitch.Offset
 	oldest         fuchsiapitch.Offset
 	faults         []error
@@ -33,7 +33,7 @@
 
 // Scanning reports whether records are missing that only a checkpoint or the
 // state of a peer can make up for.
-func (f *Follower) Scanning() bool { return f.gapEnd > 0 }
+func (f *Follower) Scanning() bool { return f.scanning }
 
 // LastCheckpoint returns the offset of the newest checkpoint record, 0 if none
 // was seen that the log still keeps.
@@ -59,7 +59,7 @@
 	if oldest <= f.next {
 		return false
 	}
-	f.gapEnd = oldest
+	f.scanning = true
 	f.next = oldest
 	return true
 }
@@ -94,11 +94,11 @@
 	if s, ok := body.(Snapshot); ok {
 		f.lastCheckpoint = record.Offset()
 		f.compare(s)
-		if f.Scanning() && s.Offset+1 >= f.gapEnd {
+		if f.scanning {
 			return f.restore(s)
 		}
 	}
-	if f.Scanning() {
+	if f.scanning {
 		return false
 	}
 	if p, ok := body.(Publication); ok {
@@ -125,12 +125,12 @@
 }
 
 // Restore takes the state of a peer if its offset is higher, and reports
-// whether it did. Unless records are still missing, reading then has to start
-// anew from Next. It returns the errors of Fold.Restore.
+// whether it did. Reading then has to start anew from Next. It returns the
+// errors of Fold.Restore.
 func (f *Follower) Restore(snapshot Snapshot) (bool, error) {
 	restored, err := f.fold.Restore(snapshot)
-	if restored && snapshot.Offset+1 >= f.gapEnd {
-		f.gapEnd = 0
+	if restored {
+		f.scanning = false
 		f.next = f.fold.Offset() + 1
 	}
 	return restored, err
--- a/internal/configurer/follower_test.go
+++ b/internal/configurer/follower_test.go
@@ -276,6 +276,44 @@
 	}))
 }
 
+// readRecords returns the batch of garbled records from one offset to another.
+func readRecords(from, to fuchsiapitch.Offset) fuchsiapitch.Batch {
+	var records []fuchsiapitch.Record
+	for o := from; o <= to; o++ {
+		records = append(records, fuchsiapitch.NewRecord("garbled", []byte{0xff}).At(o))
+	}
+	return fuchsiapitch.NewBatch(records, 1, to+1)
+}
+
+func TestFollowerReads(t *testing.T) {
+	follow := func() *configurer.Follower { return configurer.NewFollower(encoder.DecodeConfiguration) }
+	t.Run("a batch that does not follow on is ignored", func(t *testing.T) {
+		f := follow()
+		if restart := f.Read(3, readRecords(3, 5)); !restart || f.Next() != 1 {
+			t.Errorf("got restart %v and next %d, want true and 1", restart, f.Next())
+		}
+	})
+	t.Run("a batch that was read before does not lead back", func(t *testing.T) {
+		f := follow()
+		f.Read(1, readRecords(1, 5))
+		if restart := f.Read(1, readRecords(1, 2)); restart || f.Next() != 6 {
+			t.Errorf("got restart %v and next %d, want false and 6", restart, f.Next())
+		}
+	})
+	t.Run("a checkpoint that differs from the fold is a fault", func(t *testing.T) {
+		f := follow()
+		f.Read(1, readRecords(1, 1))
+		data, err := encoder.EncodeConfiguration(configurer.Snapshot{Offset: 1, Hash: 7})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Read(2, fuchsiapitch.NewBatch([]fuchsiapitch.Record{fuchsiapitch.NewRecord("c", data).At(2)}, 1, 3))
+		if got := f.TakeFaults(); len(got) != 1 {
+			t.Errorf("got faults %v, want one", got)
+		}
+	})
+}
+
 func publishOne(id fuchsiapitch.RecordID, f *configurer.Fold, offset, parent fuchsiapitch.Offset, content string) {
 	change := configurer.Change{Key: configurer.NewKey(configurer.RankKind, "chat"), Parent: parent, Content: []byte(content)}
 	f.Publish(id, offset, configurer.Publication{Publisher: string(id) + "-publisher", Changes: []configurer.Change{change}})
@@ -303,6 +341,14 @@
 			t.Errorf("got %+v, want the removal at revision 1", e)
 		}
 	})
+	t.Run("a record before the offset has no effect", func(t *testing.T) {
+		f := configurer.NewFold()
+		f.Skip(5)
+		publishOne("p", f, 5, 0, "a")
+		if got := len(f.Entries()); got != 0 || f.Offset() != 5 {
+			t.Errorf("got %d entries at offset %d, want 0 at 5", got, f.Offset())
+		}
+	})
 	t.Run("outcomes are bounded", func(t *testing.T) {
 		f := configurer.NewFold()
 		for i := range 2 * configurer.OutcomeLimit {
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -293,6 +293,26 @@
 			t.Errorf("got status %s, want lost", result.Status)
 		}
 	})
+	t.Run("a rank is not removed while a racing publication begins to name it", func(t *testing.T) {
+		log := newFakeLog()
+		rival := newPublisher(log, "rival")
+		_, err := rival.Publish(ctx, parse(t, rankYAML("a", 1, 0.6)))
+		assertNoError(t, err, "publish the rank")
+		raced := false
+		log.fault = func(call string) fault {
+			if call == "append" && !raced {
+				raced = true
+				_, err := rival.Publish(ctx, parse(t, "{kind: application-service, name: s, rank: a}"))
+				assertNoError(t, err, "publish by the rival")
+			}
+			return none
+		}
+		result, err := newPublisher(log, "ana").Publish(ctx, parse(t, "{kind: rank, name: a, removed: true}"))
+		assertNoError(t, err, "publish")
+		if result.Status != Lost || result.Loss.Key.Name() != "s" {
+			t.Errorf("got %+v, want a loss because of s", result)
+		}
+	})
 	t.Run("what is in force already is not published", func(t *testing.T) {
 		log := newFakeLog()
 		publisher := newPublisher(log, "ana")
@@ -322,6 +342,8 @@
 		log := newFakeLog()
 		log.add(fuchsiapitch.NewRecord("p", nil))
 		log.oldest = 2
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
 		_, err := newPublisher(log, "ana").Publish(ctx, parse(t, rankYAML("a", 1, 0)))
 		var state *StateError
 		if !errors.As(err, &state) {
--- a/internal/reducer/checkpoint.go
+++ b/internal/reducer/checkpoint.go
@@ -36,7 +36,7 @@
 // the turns of all others, so that a few hosts at most append the same state.
 func (s *State) planCheckpoint() {
 	c := &s.following
-	if !c.ready || c.readFailed || c.follower.Scanning() || c.follower.Fold().Offset() == 0 {
+	if !c.ready || c.logAway || c.follower.Scanning() || c.follower.Fold().Offset() == 0 {
 		return
 	}
 	last := c.follower.LastCheckpoint()
--- a/internal/reducer/configuration.go
+++ b/internal/reducer/configuration.go
@@ -36,7 +36,7 @@
 	started    bool
 	described  bool
 	ready      bool
-	readFailed bool
+	logAway    bool
 	highest    fuchsiapitch.Offset
 	peers      map[fuchsiapitch.HostID]peerConfiguration
 	caughtUp   time.Duration
@@ -93,18 +93,18 @@
 	case RecordsRead:
 		s.readConfiguration(e)
 	case ReadTruncated:
-		c.readFailed = false
+		c.logAway = false
 		c.follower.Truncate(e.Oldest)
 		s.followConfiguration()
 	case ReadFailed:
-		c.readFailed = true
+		c.logAway = true
 	}
 	s.adoptConfiguration()
 }
 
 func (s *State) readConfiguration(e RecordsRead) {
 	c := &s.following
-	c.readFailed = false
+	c.logAway = false
 	if c.follower.Read(e.From, e.Batch) {
 		s.followConfiguration()
 		return
@@ -147,8 +147,9 @@
 	s.planCheckpoint()
 }
 
-// fetchState asks the peer that is furthest ahead for its state, when the log
-// is away, has dropped records that this host needs, or is silent.
+// fetchState asks the peer that is furthest ahead for its state: at once when the
+// log is away or has dropped records that this host needs, and after some time
+// when the log is slow or silent.
 func (s *State) fetchState() {
 	c := &s.following
 	now := s.now.Monotonic()
@@ -158,7 +159,7 @@
 		c.caughtUp = now
 		return
 	}
-	needed := c.readFailed || c.follower.Scanning() || now-c.caughtUp >= lagTolerance
+	needed := c.logAway || c.follower.Scanning() || now-c.caughtUp >= lagTolerance
 	if !needed || now < c.fetchDue {
 		return
 	}
@@ -186,7 +187,8 @@
 	return xxhash.Sum64String(string(s.self) + "\x00" + string(id))
 }
 
-// takeState takes a peer's state, if it is ahead.
+// takeState takes a peer's state, if it is ahead. The stream is followed anew,
+// since the read of a silent log may hang.
 func (s *State) takeState(e StateFetched) {
 	c := &s.following
 	if c.described {
@@ -207,8 +209,6 @@
 		return
 	}
 	c.ready = true
-	if !c.follower.Scanning() {
-		s.followConfiguration()
-	}
+	s.followConfiguration()
 	s.adoptConfiguration()
 }
