--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -23,32 +23,41 @@
 
 // State is the whole state of one entry host.
 type State struct {
-	self          fuchsiapitch.HostID
-	dataCentre    fuchsiapitch.DataCentreName
-	now           fuchsiapitch.Instant
+	self       fuchsiapitch.HostID
+	dataCentre fuchsiapitch.DataCentreName
+	now        fuchsiapitch.Instant
+	effects    []Effect
+	stopping   bool
+
 	configuration fuchsiapitch.Configuration
-	replicas      map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
+	following     configurationState
+
 	members       *gossiper.Membership
 	memberChanges uint64
+	heartbeatDue  time.Duration
+
 	groups        *grouper.Grouper
 	groupReplicas []fuchsiapitch.Replica
 	groupHosts    []fuchsiapitch.Host
-	heartbeatDue  time.Duration
-	table         *router.Table
-	overflow      *router.Overflow
-	loads         loads
-	scheduler     *scheduler.Scheduler
-	limiter       *limiter.Limiter
-	retries       *limiter.RetryBudget
-	demands       []gossiper.CustomerDemand
-	requests      map[fuchsiapitch.RequestID]*flight
-	following     configurationState
-	attempts      uint64
-	retryBudget   RetryBudget
-	stopping      bool
-	// replicasDescribed states that the replicas were set directly.
-	replicasDescribed bool
-	effects           []Effect
+	// pinned states that the replicas were set from outside.
+	pinned bool
+
+	replicas map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
+	table    *router.Table
+	routing  router.Policy
+	overflow *router.Overflow
+	loads    loads
+
+	scheduler *scheduler.Scheduler
+	limiter   *limiter.Limiter
+	demands   []gossiper.CustomerDemand
+
+	requests    map[fuchsiapitch.RequestID]*flight
+	attempts    uint64
+	retries     *limiter.RetryBudget
+	retryBudget RetryBudget
+
+	keys *keyState
 }
 
 // Option sets one optional property of a new state.
@@ -64,6 +73,11 @@
 	return func(s *State) { s.scheduler = scheduler.New(options...) }
 }
 
+// WithRouting sets the policy by which dispatchers are chosen.
+func WithRouting(policy router.Policy) Option {
+	return func(s *State) { s.routing = policy }
+}
+
 // New returns the state of an entry host that has just started.
 func New(self fuchsiapitch.Host, options ...Option) *State {
 	s := &State{
@@ -71,14 +85,15 @@
 		dataCentre: self.DataCentre(),
 		replicas:   make(map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica),
 		members:    gossiper.New(self),
+		groups:     grouper.New(self),
 		overflow:   router.NewOverflow(),
 		loads:      newLoads(),
-		groups:     grouper.New(self),
 		scheduler:  scheduler.New(),
 		limiter:    limiter.New(self.ID()),
 		retries:    limiter.NewRetryBudget(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
 		following:  newConfigurationState(),
+		keys:       newKeyState(),
 	}
 	s.retryBudget = s.retries
 	for _, o := range options {
@@ -136,13 +151,6 @@
 	s.wakeRequests()
 }
 
-func (s *State) stop() {
-	s.stopping = true
-	s.groups.Stop()
-	s.members.Leave()
-	s.rebuildTable()
-}
-
 // FleetDescribed sets the configuration and the replicas directly. Once it has
 // brought replicas, this host neither forms groups nor watches them.
 type FleetDescribed struct {
@@ -156,8 +164,8 @@
 
 func (s *State) describeFleet(e FleetDescribed) {
 	s.describeConfiguration(e.Configuration)
-	s.replicasDescribed = s.replicasDescribed || e.Replicas != nil
 	s.setReplicas(e.Replicas)
+	s.pinned = s.pinned || len(e.Replicas) > 0
 }
 
 // setConfiguration puts a configuration in force.
@@ -183,7 +191,7 @@
 	for _, id := range sortedKeys(s.replicas) {
 		replicas = append(replicas, s.replicas[id])
 	}
-	s.table = router.NewTable(s.members.Live(), replicas)
+	s.table = router.NewTable(s.dispatchers(), replicas, s.routing)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
 	s.adoptOrphans()
 	s.coverRetries()
@@ -197,3 +205,18 @@
 
 // InFlight returns the number of requests that this host holds.
 func (s *State) InFlight() int { return len(s.requests) }
+
+// LiveHosts returns the entry hosts of the data centre that can dispatch.
+func (s *State) LiveHosts() []fuchsiapitch.Host { return s.members.Live() }
+
+// Routable returns the number of replicas of a service that this data centre
+// routes to.
+func (s *State) Routable(service fuchsiapitch.ServiceName) int {
+	count := 0
+	for _, r := range s.replicas {
+		if r.Service() == service {
+			count++
+		}
+	}
+	return count
+}
