experimenter: outcomes and rolling restarts, measured

Cause: nothing showed what callers are told while everything fails, or what a rolling restart of all entry hosts costs them.

The sender no longer passes a caller's bearer key on to backend servers.

--- /dev/null
+++ b/internal/experimenter/outcomebed.go
@@ -0,0 +1,161 @@
+package experimenter
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/assembler"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/launcher"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/engine"
+)
+
+const (
+	outcomeModel       = "redactor"
+	outcomeApplication = "mostrador"
+	outcomeKey         = "outcome-key"
+	outcomeSlots       = 32
+	outcomeTokens      = 24
+	outcomeEngines     = 3
+	outcomeServers     = 3
+	outcomeHosts       = 2
+	outcomeTimeout     = 6 * time.Second
+	outcomeReadyTime   = 20 * time.Second
+	outcomeLogRate     = 400
+)
+
+var outcomeCentres = []fuchsiapitch.DataCentreName{"heredia", "cartago", "alajuela"}
+
+// outcomeBed is six entry hosts in three data centres, each with engines and
+// application servers of its own.
+type outcomeBed struct {
+	fleet         *standin.Fleet
+	cluster       *launcher.Cluster
+	configuration fuchsiapitch.Configuration
+
+	mutex      sync.Mutex
+	violations []string
+}
+
+func startOutcomeBed(ctx context.Context, linger time.Duration) (*outcomeBed, func(), error) {
+	fleet, closeFleet, err := standin.Start(
+		standin.WithDataCentres(outcomeCentres...), standin.WithEngines(1, outcomeEngines),
+		standin.WithApplications(outcomeApplication, outcomeServers),
+		standin.WithEngineOptions(
+			engine.WithSpeed(engine.Speed{Token: 2 * time.Millisecond, Batch: 20 * time.Microsecond, Prefill: time.Microsecond}),
+			engine.WithBatchLimit(outcomeSlots),
+		),
+		standin.WithLogOptions(logRate()),
+	)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	b := &outcomeBed{fleet: fleet, configuration: outcomeConfiguration()}
+	cluster, closeCluster, err := launcher.Start(fleet, outcomeCentres, launcher.WithHosts(outcomeHosts),
+		launcher.WithHostOptions(assembler.WithLinger(linger), assembler.WithViolationHandler(b.violate)))
+	if err != nil {
+		closeFleet()
+		return nil, nil, trace.Wrap(err)
+	}
+	b.cluster = cluster
+	cleanUp := func() {
+		closeCluster()
+		closeFleet()
+	}
+	for _, e := range fleet.Engines() {
+		b.install(e)
+	}
+	for _, h := range cluster.Hosts() {
+		b.describe(ctx, h)
+	}
+	if err := b.awaitPeers(ctx); err != nil {
+		cleanUp()
+		return nil, nil, trace.Wrap(err)
+	}
+	return b, cleanUp, nil
+}
+
+func outcomeConfiguration() fuchsiapitch.Configuration {
+	hash := sha256.Sum256([]byte(outcomeKey))
+	return fuchsiapitch.NewConfiguration(1, 1,
+		[]fuchsiapitch.Service{
+			fuchsiapitch.NewService(outcomeModel, fuchsiapitch.ModelService, "counter",
+				fuchsiapitch.WithModel("plate", "1"), fuchsiapitch.WithConcurrency(outcomeSlots),
+				fuchsiapitch.WithReplicas(outcomeEngines, 1), fuchsiapitch.WithTimeout(outcomeTimeout)),
+			fuchsiapitch.NewService(outcomeApplication, fuchsiapitch.ApplicationService, "counter",
+				fuchsiapitch.WithConcurrency(outcomeSlots), fuchsiapitch.WithTimeout(outcomeTimeout),
+				fuchsiapitch.WithRoutes(fuchsiapitch.NewRoute("GET", "/lookups", true))),
+		},
+		[]fuchsiapitch.Customer{fuchsiapitch.NewCustomer("family", fuchsiapitch.WithKeyHashes(hex.EncodeToString(hash[:])))},
+		[]fuchsiapitch.Rank{fuchsiapitch.NewRank("counter", 0, time.Second, time.Second, 1, 0)},
+	)
+}
+
+func (b *outcomeBed) violate(v *fuchsiapitch.InvariantError) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.violations = append(b.violations, v.Error())
+}
+
+// install makes an engine a ready group of its own.
+func (b *outcomeBed) install(e *engine.Engine) {
+	assignment := fuchsiapitch.NewAssignment(fuchsiapitch.GroupID(e.ID()), outcomeModel, []fuchsiapitch.ServerID{e.ID()}, "plate", "1")
+	engine.InstallGroup(fuchsiapitch.NewFence(1, 1), assignment, e)
+}
+
+// describe gives a host its configuration and the replicas of its data centre.
+func (b *outcomeBed) describe(ctx context.Context, h *launcher.Host) {
+	var replicas []fuchsiapitch.Replica
+	for _, v := range b.fleet.BackendServers() {
+		if v.DataCentre() != h.DataCentre() {
+			continue
+		}
+		service := v.Service()
+		if v.Kind() == fuchsiapitch.EngineServer {
+			service = outcomeModel
+		}
+		replicas = append(replicas, fuchsiapitch.NewReplica(fuchsiapitch.ReplicaID(v.ID()), service, v, outcomeSlots, "1"))
+	}
+	h.Entry().Runner().Submit(ctx, reducer.FleetDescribed{Configuration: b.configuration, Replicas: replicas})
+}
+
+// awaitPeers waits until the hosts of each data centre share its replicas out.
+func (b *outcomeBed) awaitPeers(ctx context.Context) error {
+	deadline := time.Now().Add(outcomeReadyTime)
+	want := len(outcomeCentres) * (outcomeEngines + outcomeServers) * outcomeSlots
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		slots := 0
+		for _, h := range b.cluster.Hosts() {
+			slots += ownedSlots(ctx, h)
+		}
+		if slots == want {
+			return nil
+		}
+		time.Sleep(pathReadyPeriod)
+	}
+	return &NotReadyError{Timeout: outcomeReadyTime}
+}
+
+// expected returns the text of a whole stream, asked of an engine directly.
+func (b *outcomeBed) expected(ctx context.Context, body string) (string, error) {
+	c := newOutcomeCaller(b)
+	defer c.close()
+	s := c.stream(ctx, "http://"+b.fleet.Engines()[0].Address(), body)
+	if s.end != streamWhole {
+		return "", &NotReadyError{Timeout: outcomeReadyTime}
+	}
+	return s.text, nil
+}
+
+func outcomePrompt(n, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"inscription %d for a brass plate"}],"max_tokens":%d,"stream":true}`,
+		outcomeModel, n, tokens)
+}
--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -4,6 +4,8 @@
 func All() []Experiment {
 	return []Experiment{
 		pathExperiment{},
+		outcomesExperiment{},
+		restartExperiment{},
 	}
 }
 
--- a/internal/sender/header.go
+++ b/internal/sender/header.go
@@ -47,10 +47,11 @@
 	return passed
 }
 
-// outgoing returns the header of a request to a backend server.
+// outgoing returns the header of a request to a backend server. The bearer key
+// of a caller concerns this system alone.
 func outgoing(call fuchsiapitch.Call, now time.Time) http.Header {
 	h := passOn(call.Header())
-	for _, name := range [...]string{"Content-Length", "Host", "Expect", LastEventHeader, TimeoutHeader} {
+	for _, name := range [...]string{"Authorization", "Content-Length", "Host", "Expect", LastEventHeader, TimeoutHeader} {
 		h.Del(name)
 	}
 	h.Set(RequestIDHeader, string(call.Request()))
