--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -6,6 +6,8 @@
 		pathExperiment{},
 		outcomesExperiment{},
 		restartExperiment{},
+		floodExperiment{},
+		groupsExperiment{},
 	}
 }
 
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -13,9 +13,9 @@
 	switch e := event.(type) {
 	case HeartbeatReceived:
 		s.members.Receive(s.now, e.Heartbeat)
+		s.hearGroups(e.Heartbeat)
 		s.noteLoads(e.Heartbeat)
 		s.compareConfiguration(e.Heartbeat)
-		s.hearGroups(e.Heartbeat)
 	case HeartbeatFailed:
 		s.members.Fail(s.now, e.Host)
 	}
