scheduler: refuse by the wait that 95 in 100 requests stay below

Cause: in the urgent flood the p95 of the first token of accepted chats was 548 ms (target of the rank 480 ms): half of the target was allowed as a mean wait, and the ends of few requests spread widely around their mean. Change: the estimate is the mean plus 1.65 standard deviations of n independent ends, and the allowed wait is the target less the measured time of the replicas.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,10 +10,12 @@
 )
 
 const (
-	// waitFraction is the fraction of the target for the first token that a
-	// request may be expected to wait. The rest is for the prefill and for the
-	// spread of the waits around the estimate.
-	waitFraction = 0.5
+	// waitQuantile is the distance in standard deviations from the mean below
+	// which 95 in 100 waits stay.
+	waitQuantile = 1.65
+	// leastWait is the fraction of the target for the first token that a request
+	// may wait even if the replicas alone take longer than the target.
+	leastWait = 0.25
 	// busyMinimum is the busy time of slots, in seconds, from which the speed
 	// of a slot is known.
 	busyMinimum = 1.0
@@ -27,18 +30,19 @@
 
 // admit decides whether a request may wait.
 func (p *pool) admit(now time.Duration, request fuchsiapitch.Request, c *class, f *flow) Admission {
+	cost := max(1, request.Cost()*c.ratio(now, f))
 	if p.queueFull(request, c, f) {
-		wait, _ := p.estimateWait(now, c, f)
+		wait, _ := p.estimateWait(now, c, f, cost)
 		return refuse(request, max(wait, retryMinimum))
 	}
 	if p.scheduler.off[EarlyRefusal] {
 		return Admission{Accepted: true}
 	}
-	wait, known := p.estimateWait(now, c, f)
+	wait, known := p.estimateWait(now, c, f, cost)
 	if !known {
 		return Admission{Accepted: true}
 	}
-	if allowed := scale(c.rank.FirstToken(), waitFraction); allowed > 0 && wait > allowed {
+	if allowed := p.allowedWait(now, c); allowed > 0 && wait > allowed {
 		return refuse(request, wait-allowed/2)
 	}
 	if limit := request.TimeLimit(); limit > 0 && wait > limit {
@@ -62,13 +66,27 @@
 	return Admission{Reason: fuchsiapitch.RefusedOverload, RetryAfter: after}
 }
 
-// estimateWait returns the time until a new request would start.
+// allowedWait returns how long a request of a class may wait: its rank's target
+// for the first token without the time that a replica takes for it, 0 for any
+// time.
+func (p *pool) allowedWait(now time.Duration, c *class) time.Duration {
+	target := c.rank.FirstToken()
+	first := time.Duration(0)
+	if n := c.answers.read(now); n > 0 {
+		first = time.Duration(c.answerTime.read(now) / n * float64(time.Second))
+	}
+	return max(target-first, scale(target, leastWait))
+}
+
+// estimateWait returns a time within which 95 in 100 new requests would start.
 //
 // The speed of a slot is measured while it is in use, so that the estimate
 // holds after an idle time as well. Ahead of the request stand what waits in
 // more urgent classes and, within its own, what its customer must let pass:
-// its own requests and as much of the others' as their weights give them.
-func (p *pool) estimateWait(now time.Duration, c *class, f *flow) (wait time.Duration, known bool) {
+// its own requests and as much of the others' as their weights give them. The
+// ends of the requests are taken as independent, so that n of them spread by
+// the square root of n.
+func (p *pool) estimateWait(now time.Duration, c *class, f *flow, cost float64) (wait time.Duration, known bool) {
 	if !c.waits() && p.admits(now, c) {
 		return 0, true
 	}
@@ -81,7 +99,9 @@
 		return 0, false
 	}
 	urgent, share := p.aheadOf(now, c)
-	seconds := urgent/rate + p.aheadWithin(c, f)/(rate*share)
+	within := p.aheadWithin(c, f, cost)
+	seconds := urgent/rate + within/(rate*share)
+	seconds *= 1 + waitQuantile/math.Sqrt(max(1, (urgent+within)/cost))
 	return time.Duration(min(seconds, maximumWait.Seconds()) * float64(time.Second)), true
 }
 
@@ -109,13 +129,15 @@
 	return tokens, max(share, c.floor, leastShare)
 }
 
-func (p *pool) aheadWithin(c *class, f *flow) float64 {
+// aheadWithin returns the tokens of its own class that end before a new request
+// of a cost starts, one more request included, whose slot it takes.
+func (p *pool) aheadWithin(c *class, f *flow, cost float64) float64 {
 	if p.scheduler.off[FairQueueing] {
-		return c.cost
+		return c.cost + cost
 	}
 	weights := c.fair.weights
 	if f.index == notQueued {
 		weights += f.weight
 	}
-	return min(c.cost, f.cost*weights/f.weight)
+	return min(c.cost, f.cost*weights/f.weight) + cost
 }
--- a/internal/scheduler/class.go
+++ b/internal/scheduler/class.go
@@ -11,6 +11,9 @@
 const (
 	// floorWindow is the time constant over which the floors are measured.
 	floorWindow = 10 * time.Second
+	// floorMargin is the factor by which a floor is exceeded, so that the share
+	// of a rank does not fall below it by chance.
+	floorMargin = 1.05
 	// floorDebt bounds, as a fraction of floorWindow, for how long a rank that
 	// has used spare capacity waits for its floor afterwards.
 	floorDebt = 0.4
@@ -63,6 +66,9 @@
 	// floor, while it had work.
 	credit   float64
 	estimate ratio
+	// answers and answerTime measure the time that replicas take for the first
+	// token.
+	answers, answerTime meter
 }
 
 // waits reports whether a request of the class waits in fair order.
@@ -77,6 +83,7 @@
 		return p.classes[at]
 	}
 	c := &class{key: key, fair: newFairQueue(), served: meter{window: floorWindow}, estimate: newRatio()}
+	c.answers, c.answerTime = meter{window: rateWindow}, meter{window: rateWindow}
 	p.classes = slices.Insert(p.classes, at, c)
 	p.setFloor(c, rank)
 	return c
@@ -121,7 +128,7 @@
 			c.credit = min(c.credit, 0)
 			continue
 		}
-		c.credit += c.floor * tokens
+		c.credit += floorMargin * c.floor * tokens
 		if c == served {
 			c.credit -= tokens
 		}
--- a/internal/scheduler/concurrency.go
+++ b/internal/scheduler/concurrency.go
@@ -54,6 +54,8 @@
 
 // answered measures the time to the first token of a job.
 func (t *station) answered(now time.Duration, j *job, wait time.Duration) {
+	j.class.answers.add(now, 1)
+	j.class.answerTime.add(now, wait.Seconds())
 	target := j.class.rank.FirstToken()
 	if target == 0 {
 		return
