--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -12,8 +12,12 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/forwarder"
 )
 
-// writeTimeout bounds the time that a caller may take to read one piece.
-const writeTimeout = 30 * time.Second
+const (
+	// writeTimeout bounds the time that a caller may take to read one piece.
+	writeTimeout = 30 * time.Second
+	// deadlinePeriod is the time after which the deadline of writes is renewed.
+	deadlinePeriod = time.Second
+)
 
 // answer serves a request and gives the caller the answer or the failure.
 func (r *Receiver) answer(w http.ResponseWriter, q *http.Request, request fuchsiapitch.Request, call fuchsiapitch.Call, model bool) {
@@ -43,6 +47,7 @@
 	flushed    bool
 	wrote      bool
 	received   time.Time
+	renewed    time.Time
 	tokens     *metrics.Counter
 }
 
@@ -67,8 +72,7 @@
 		s.wrote = true
 		s.receiver.meter.FirstToken(s.request.Service(), s.request.Rank(), time.Since(s.received))
 	}
-	// Connections that know no deadline are bounded by the server's own.
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	s.renewDeadline(time.Now())
 	if _, err := s.writer.Write(chunk.Data()); err != nil {
 		return err
 	}
@@ -79,6 +83,17 @@
 	return nil
 }
 
+// renewDeadline gives the next writes their deadline. It is renewed from time to
+// time only, since that costs as much as a small write.
+func (s *responseSink) renewDeadline(now time.Time) {
+	if now.Sub(s.renewed) < deadlinePeriod {
+		return
+	}
+	s.renewed = now
+	// Connections that know no deadline are bounded by the server's own.
+	_ = s.controller.SetWriteDeadline(now.Add(writeTimeout + deadlinePeriod))
+}
+
 // abort ends an answer that has begun and cannot be completed. A stream ends
 // with an error event; a plain answer is cut so that its length is wrong.
 func (s *responseSink) abort(result forwarder.Result) {
