--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -11,14 +12,14 @@
 
 // attempt sends the request to a replica and reports its end.
 func (h *holder) attempt(ctx context.Context, d reducer.StartAttempt) {
-	attemptContext, cancel := h.mailbox.Attempt(ctx)
+	attemptContext, cancel := h.mailbox.Attempt(ctx, d.Attempt)
 	defer cancel()
 	attemptContext, span := h.span(attemptContext, "send", d.Replica.Server().Address())
 	defer span.End()
 
-	ended := reducer.AttemptEnded{Request: h.request.ID(), Outcome: fuchsiapitch.Succeeded}
-	progress := h.newProgress()
-	answer, err := h.forwarder.caller.Call(attemptContext, d.Replica.Server(), h.callAt(attemptContext, d.Priority))
+	ended := reducer.AttemptEnded{Request: h.request.ID(), Attempt: d.Attempt, Outcome: fuchsiapitch.Succeeded}
+	progress := h.newProgress(d.Attempt)
+	answer, err := h.send(attemptContext, d)
 	if err == nil {
 		err = h.copy(attemptContext, answer, progress)
 	}
@@ -33,6 +34,18 @@
 	h.forwarder.runner.Submit(ctx, ended)
 }
 
+// send sends the request unless its deadline has passed on one of the clocks,
+// since the process may have been paused.
+func (h *holder) send(ctx context.Context, d reducer.StartAttempt) (fuchsiapitch.Answer, error) {
+	if h.forwarder.runner.Past(d.Deadline) {
+		late := &fuchsiapitch.RefusedError{Request: h.request.ID(), Reason: fuchsiapitch.RefusedDeadline}
+		return fuchsiapitch.Answer{}, &fuchsiapitch.AttemptError{
+			Request: h.request.ID(), Server: d.Replica.Server().ID(), Outcome: fuchsiapitch.NotRun, Err: late,
+		}
+	}
+	return h.forwarder.caller.Call(ctx, d.Replica.Server(), h.callAt(ctx, d.Priority, d.Deadline))
+}
+
 func (h *holder) judgeAttempt(ended *reducer.AttemptEnded, err error) {
 	ended.Outcome = fuchsiapitch.Unknown
 	ended.Stopped = h.mailbox.Stopped()
@@ -49,8 +62,8 @@
 	forwardContext, span := h.span(ctx, "forward", d.Host.Address())
 	defer span.End()
 
-	ended := reducer.ForwardEnded{Request: h.request.ID(), Host: d.Host.ID(), Outcome: fuchsiapitch.Succeeded}
-	answer, err := h.forwarder.peer.Dispatch(forwardContext, d.Host, h.request, h.callAt(forwardContext, 0))
+	ended := reducer.ForwardEnded{Request: h.request.ID(), Attempt: d.Attempt, Host: d.Host.ID(), Outcome: fuchsiapitch.Succeeded}
+	answer, err := h.handOver(forwardContext, d)
 	if err == nil {
 		err = h.copy(forwardContext, answer, nil)
 	}
@@ -65,6 +78,17 @@
 	h.forwarder.runner.Submit(ctx, ended)
 }
 
+// handOver forwards the request unless its deadline has passed on one of the
+// clocks.
+func (h *holder) handOver(ctx context.Context, d reducer.ForwardRequest) (fuchsiapitch.Answer, error) {
+	if h.forwarder.runner.Past(d.Deadline) {
+		return fuchsiapitch.Answer{}, &fuchsiapitch.DispatchError{
+			Request: h.request.ID(), Host: d.Host.ID(), Outcome: fuchsiapitch.NotRun, Refusal: fuchsiapitch.RefusedDeadline,
+		}
+	}
+	return h.forwarder.peer.Dispatch(ctx, d.Host, h.request, h.callAt(ctx, 0, d.Deadline))
+}
+
 func judgeForward(ended *reducer.ForwardEnded, err error) {
 	ended.Outcome = fuchsiapitch.Unknown
 	var dispatch *fuchsiapitch.DispatchError
@@ -80,7 +104,7 @@
 	if h.request.Stream() && isStreamStatus(answer.Status()) {
 		return h.copyStream(ctx, answer, progress)
 	}
-	return h.copyPlain(answer)
+	return h.copyPlain(ctx, answer)
 }
 
 func (h *holder) copyStream(ctx context.Context, answer fuchsiapitch.Answer, progress *progress) error {
@@ -102,7 +126,7 @@
 
 // copyPlain holds an answer back until it is whole, so that a truncated one
 // can be replaced, unless it is larger than bufferLimit.
-func (h *holder) copyPlain(answer fuchsiapitch.Answer) error {
+func (h *holder) copyPlain(ctx context.Context, answer fuchsiapitch.Answer) error {
 	if h.started {
 		return &fuchsiapitch.TruncatedAnswerError{Request: h.request.ID(), Tokens: h.tokens}
 	}
@@ -113,6 +137,7 @@
 			if err = wholeOr(err); err != nil {
 				return err
 			}
+			h.store(ctx, answer, held)
 			return h.flush(answer, held)
 		}
 		held = append(held, chunk.Data()...)
@@ -126,6 +151,17 @@
 	}
 }
 
+// store keeps the whole answer of a request with an idempotency key.
+func (h *holder) store(ctx context.Context, answer fuchsiapitch.Answer, body []byte) {
+	if h.request.Key() == "" || h.request.Idempotent() || h.started {
+		return
+	}
+	h.forwarder.runner.Submit(ctx, reducer.AnswerStored{
+		Request: h.request.ID(), Status: answer.Status(), Body: body,
+		ContentType: http.Header(answer.Header()).Get("Content-Type"),
+	})
+}
+
 func (h *holder) flush(answer fuchsiapitch.Answer, held []byte) error {
 	if err := h.start(answer.Status(), answer.Header()); err != nil {
 		return err
@@ -139,15 +175,16 @@
 // progress reports the tokens of one attempt from time to time.
 type progress struct {
 	holder  *holder
+	attempt uint64
 	started time.Time
 	last    time.Time
 	tokens  int
 	first   bool
 }
 
-func (h *holder) newProgress() *progress {
+func (h *holder) newProgress(attempt uint64) *progress {
 	now := time.Now()
-	return &progress{holder: h, started: now, last: now}
+	return &progress{holder: h, attempt: attempt, started: now, last: now}
 }
 
 // add counts tokens. It does nothing for a forwarded request, whose dispatcher
@@ -160,13 +197,17 @@
 	now := time.Now()
 	if !p.first {
 		p.first = true
-		p.holder.forwarder.runner.Submit(ctx, reducer.AttemptAnswered{Request: p.holder.request.ID(), Wait: now.Sub(p.started)})
+		p.holder.forwarder.runner.Submit(ctx, reducer.AttemptAnswered{
+			Request: p.holder.request.ID(), Attempt: p.attempt, Wait: now.Sub(p.started),
+		})
+		// The wait for the first token is no time between tokens.
+		p.last, p.tokens = now, 0
 	}
 	if now.Sub(p.last) < progressPeriod {
 		return
 	}
 	p.holder.forwarder.runner.Submit(ctx, reducer.AttemptProgressed{
-		Request: p.holder.request.ID(), Tokens: p.tokens, Elapsed: now.Sub(p.last),
+		Request: p.holder.request.ID(), Attempt: p.attempt, Tokens: p.tokens, Elapsed: now.Sub(p.last),
 	})
 	p.last, p.tokens = now, 0
 }
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/configurer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
 )
 
@@ -41,6 +42,8 @@
 type AttemptAnswered struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt is the number of the attempt that the event is of.
+	Attempt uint64
 	// Wait is the time from the start of the attempt.
 	Wait time.Duration
 }
@@ -49,6 +52,8 @@
 type AttemptProgressed struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt is the number of the attempt that the event is of.
+	Attempt uint64
 	// Tokens is the number of tokens since the last report.
 	Tokens int
 	// Elapsed is the time since the last report.
@@ -59,6 +64,8 @@
 type AttemptEnded struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt is the number of the attempt that the event is of.
+	Attempt uint64
 	// Outcome states what is known of the attempt.
 	Outcome fuchsiapitch.Outcome
 	// Tokens is the number of tokens that the caller has in all.
@@ -76,6 +83,8 @@
 type ForwardEnded struct {
 	// Request is the request.
 	Request fuchsiapitch.RequestID
+	// Attempt is the number of the attempt that the event is of.
+	Attempt uint64
 	// Host is the dispatcher.
 	Host fuchsiapitch.HostID
 	// Outcome states what is known of the request.
@@ -120,7 +129,9 @@
 type RecordsRead struct {
 	// Stream is the stream.
 	Stream fuchsiapitch.StreamName
-	// Batch holds the records.
+	// From is the offset that was read from.
+	From fuchsiapitch.Offset
+	// Batch holds the records, at most BatchLimit.
 	Batch fuchsiapitch.Batch
 }
 
@@ -138,6 +149,14 @@
 	Oldest fuchsiapitch.Offset
 }
 
+// StateFetched reports what an entry host gave of its configuration.
+type StateFetched struct {
+	// Host is the host that was asked.
+	Host fuchsiapitch.HostID
+	// Snapshot is its state, with offset 0 if it did not answer.
+	Snapshot configurer.Snapshot
+}
+
 // AppendResult states what is known of an append.
 type AppendResult int
 
@@ -211,6 +230,7 @@
 func (RecordsRead) event()       {}
 func (ReadFailed) event()        {}
 func (ReadTruncated) event()     {}
+func (StateFetched) event()      {}
 func (AppendEnded) event()       {}
 func (ServersListed) event()     {}
 func (ServerReported) event()    {}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -12,6 +12,8 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/grouper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/limiter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/router"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/scheduler"
 )
@@ -21,19 +23,41 @@
 
 // State is the whole state of one entry host.
 type State struct {
-	self          fuchsiapitch.HostID
-	dataCentre    fuchsiapitch.DataCentreName
-	now           fuchsiapitch.Instant
+	self       fuchsiapitch.HostID
+	dataCentre fuchsiapitch.DataCentreName
+	now        fuchsiapitch.Instant
+	effects    []Effect
+	stopping   bool
+
 	configuration fuchsiapitch.Configuration
-	replicas      map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
+	following     configurationState
+
 	members       *gossiper.Membership
 	memberChanges uint64
 	heartbeatDue  time.Duration
-	table         *router.Table
-	scheduler     *scheduler.Scheduler
-	requests      map[fuchsiapitch.RequestID]*flight
-	stopping      bool
-	effects       []Effect
+
+	groups        *grouper.Grouper
+	groupReplicas []fuchsiapitch.Replica
+	groupHosts    []fuchsiapitch.Host
+	// pinned states that the replicas were set from outside.
+	pinned bool
+
+	replicas map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
+	table    *router.Table
+	routing  router.Policy
+	overflow *router.Overflow
+	loads    loads
+
+	scheduler *scheduler.Scheduler
+	limiter   *limiter.Limiter
+	demands   []gossiper.CustomerDemand
+
+	requests    map[fuchsiapitch.RequestID]*flight
+	attempts    uint64
+	retries     *limiter.RetryBudget
+	retryBudget RetryBudget
+
+	keys *keyState
 }
 
 // Option sets one optional property of a new state.
@@ -44,6 +68,16 @@
 	return func(s *State) { s.members = gossiper.New(s.members.Self(), hosts...) }
 }
 
+// WithScheduling sets options of the scheduler.
+func WithScheduling(options ...scheduler.Option) Option {
+	return func(s *State) { s.scheduler = scheduler.New(options...) }
+}
+
+// WithRouting sets the policy by which dispatchers are chosen.
+func WithRouting(policy router.Policy) Option {
+	return func(s *State) { s.routing = policy }
+}
+
 // New returns the state of an entry host that has just started.
 func New(self fuchsiapitch.Host, options ...Option) *State {
 	s := &State{
@@ -51,9 +85,17 @@
 		dataCentre: self.DataCentre(),
 		replicas:   make(map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica),
 		members:    gossiper.New(self),
+		groups:     grouper.New(self),
+		overflow:   router.NewOverflow(),
+		loads:      newLoads(),
 		scheduler:  scheduler.New(),
+		limiter:    limiter.New(self.ID()),
+		retries:    limiter.NewRetryBudget(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
+		following:  newConfigurationState(),
+		keys:       newKeyState(),
 	}
+	s.retryBudget = s.retries
 	for _, o := range options {
 		o(s)
 	}
@@ -77,11 +119,14 @@
 		s.tick()
 	case RequestReceived, RequestOffered, RequestAbandoned, AttemptAnswered,
 		AttemptProgressed, AttemptEnded, ForwardEnded, AnswerStored:
+		s.observeAttempt(e)
 		s.applyRequest(e)
 	case HeartbeatReceived, HeartbeatFailed:
 		s.applyMembership(e)
 	case RecordsRead, ReadFailed, ReadTruncated, AppendEnded:
 		s.applyLog(e)
+	case StateFetched:
+		s.takeState(e)
 	case ServersListed, ServerReported, ServerSilent, OrderEnded:
 		s.applyGroups(e)
 	case FleetDescribed:
@@ -103,16 +148,11 @@
 	s.tickConfiguration()
 	s.tickGroups()
 	s.tickKeys()
-	s.expireRequests()
-}
-
-func (s *State) stop() {
-	s.stopping = true
-	s.members.Leave()
-	s.rebuildTable()
+	s.wakeRequests()
 }
 
-// FleetDescribed sets the configuration and the replicas directly.
+// FleetDescribed sets the configuration and the replicas directly. Once it has
+// brought replicas, this host neither forms groups nor watches them.
 type FleetDescribed struct {
 	// Configuration is the configuration to put in force.
 	Configuration fuchsiapitch.Configuration
@@ -123,14 +163,16 @@
 func (FleetDescribed) event() {}
 
 func (s *State) describeFleet(e FleetDescribed) {
-	s.setConfiguration(e.Configuration)
+	s.describeConfiguration(e.Configuration)
 	s.setReplicas(e.Replicas)
+	s.pinned = s.pinned || len(e.Replicas) > 0
 }
 
 // setConfiguration puts a configuration in force.
 func (s *State) setConfiguration(configuration fuchsiapitch.Configuration) {
 	s.configuration = configuration
 	s.scheduler.Configure(configuration)
+	s.limiter.Configure(configuration)
 }
 
 // setReplicas sets the routable replicas of the data centre.
@@ -149,8 +191,10 @@
 	for _, id := range sortedKeys(s.replicas) {
 		replicas = append(replicas, s.replicas[id])
 	}
-	s.table = router.NewTable(s.members.Live(), replicas)
+	s.table = router.NewTable(s.dispatchers(), replicas, s.routing)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
+	s.adoptOrphans()
+	s.coverRetries()
 }
 
 // Configuration returns the configuration in force.
@@ -161,3 +205,18 @@
 
 // InFlight returns the number of requests that this host holds.
 func (s *State) InFlight() int { return len(s.requests) }
+
+// LiveHosts returns the entry hosts of the data centre that can dispatch.
+func (s *State) LiveHosts() []fuchsiapitch.Host { return s.members.Live() }
+
+// Routable returns the number of replicas of a service that this data centre
+// routes to.
+func (s *State) Routable(service fuchsiapitch.ServiceName) int {
+	count := 0
+	for _, r := range s.replicas {
+		if r.Service() == service {
+			count++
+		}
+	}
+	return count
+}
