--- a/internal/reducer/group.go
+++ b/internal/reducer/group.go
@@ -78,11 +78,11 @@
 func (s *State) observeAttempt(event Event) {
 	switch e := event.(type) {
 	case AttemptProgressed:
-		if f, ok := s.requests[e.Request]; ok && e.Tokens > 0 {
+		if f, ok := s.current(e.Request, e.Attempt); ok && e.Tokens > 0 {
 			s.groups.Progress(s.now, f.replica)
 		}
 	case AttemptEnded:
-		f, ok := s.requests[e.Request]
+		f, ok := s.current(e.Request, e.Attempt)
 		if !ok || e.Stopped || e.Outcome == fuchsiapitch.Succeeded || e.Outcome == fuchsiapitch.Failed {
 			return
 		}
@@ -137,7 +137,7 @@
 }
 
 // stepGroups lets the grouper decide, carries out what it wants and follows the
-// routable replicas.
+// routable replicas. It does nothing once the replicas were set directly.
 func (s *State) stepGroups() {
 	if s.pinned {
 		return
@@ -152,6 +152,9 @@
 
 // followGroups sets the routable replicas when they have changed.
 func (s *State) followGroups() {
+	if s.pinned {
+		return
+	}
 	if replicas := s.groups.Replicas(s.now); !slices.Equal(replicas, s.groupReplicas) {
 		s.groupReplicas = replicas
 		s.setReplicas(replicas)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -19,6 +19,8 @@
 	forwarded
 	// resting means that the request waits before every replica is tried again.
 	resting
+	// reserving means that the request waits for its idempotency key.
+	reserving
 )
 
 // flight is the state of one request at this host. An offered request comes
@@ -46,6 +48,8 @@
 	wait, wake time.Duration
 	lost       map[fuchsiapitch.ReplicaID]bool
 	excluded   map[fuchsiapitch.HostID]bool
+	// reservation is the state of the idempotency key, nil without one.
+	reservation *reservation
 	// accepted states that the scheduler of this host has once accepted the
 	// request, so that it is queued again whatever the load.
 	accepted    bool
@@ -74,6 +78,8 @@
 		s.endAttempt(e)
 	case ForwardEnded:
 		s.endForward(e)
+	case AnswerStored:
+		s.storeAnswer(e)
 	}
 }
 
@@ -83,9 +89,14 @@
 		return
 	}
 	f := s.newFlight(e.Request)
-	if s.admit(f) {
-		s.place(f)
+	if !s.admit(f) {
+		return
+	}
+	if needsReservation(e.Request) {
+		s.reserve(f)
+		return
 	}
+	s.place(f)
 }
 
 func (s *State) offer(e RequestOffered) {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -23,32 +23,41 @@
 
 // State is the whole state of one entry host.
 type State struct {
-	self          fuchsiapitch.HostID
-	dataCentre    fuchsiapitch.DataCentreName
-	now           fuchsiapitch.Instant
+	self       fuchsiapitch.HostID
+	dataCentre fuchsiapitch.DataCentreName
+	now        fuchsiapitch.Instant
+	effects    []Effect
+	stopping   bool
+
 	configuration fuchsiapitch.Configuration
-	replicas      map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
+	following     configurationState
+
 	members       *gossiper.Membership
 	memberChanges uint64
+	heartbeatDue  time.Duration
+
 	groups        *grouper.Grouper
 	groupReplicas []fuchsiapitch.Replica
 	groupHosts    []fuchsiapitch.Host
 	// pinned states that the replicas were set from outside.
-	pinned       bool
-	heartbeatDue time.Duration
-	table        *router.Table
-	overflow     *router.Overflow
-	loads        loads
-	scheduler    *scheduler.Scheduler
-	limiter      *limiter.Limiter
-	retries      *limiter.RetryBudget
-	demands      []gossiper.CustomerDemand
-	requests     map[fuchsiapitch.RequestID]*flight
-	following    configurationState
-	attempts     uint64
-	retryBudget  RetryBudget
-	stopping     bool
-	effects      []Effect
+	pinned bool
+
+	replicas map[fuchsiapitch.ReplicaID]fuchsiapitch.Replica
+	table    *router.Table
+	routing  router.Policy
+	overflow *router.Overflow
+	loads    loads
+
+	scheduler *scheduler.Scheduler
+	limiter   *limiter.Limiter
+	demands   []gossiper.CustomerDemand
+
+	requests    map[fuchsiapitch.RequestID]*flight
+	attempts    uint64
+	retries     *limiter.RetryBudget
+	retryBudget RetryBudget
+
+	keys *keyState
 }
 
 // Option sets one optional property of a new state.
@@ -64,6 +73,11 @@
 	return func(s *State) { s.scheduler = scheduler.New(options...) }
 }
 
+// WithRouting sets the policy by which dispatchers are chosen.
+func WithRouting(policy router.Policy) Option {
+	return func(s *State) { s.routing = policy }
+}
+
 // New returns the state of an entry host that has just started.
 func New(self fuchsiapitch.Host, options ...Option) *State {
 	s := &State{
@@ -79,6 +93,7 @@
 		retries:    limiter.NewRetryBudget(),
 		requests:   make(map[fuchsiapitch.RequestID]*flight),
 		following:  newConfigurationState(),
+		keys:       newKeyState(),
 	}
 	s.retryBudget = s.retries
 	for _, o := range options {
@@ -136,13 +151,6 @@
 	s.wakeRequests()
 }
 
-func (s *State) stop() {
-	s.stopping = true
-	s.groups.Stop()
-	s.members.Leave()
-	s.rebuildTable()
-}
-
 // FleetDescribed sets the configuration and the replicas directly. Once it has
 // set replicas, the host forms and watches no groups of its own.
 type FleetDescribed struct {
@@ -183,7 +191,7 @@
 	for _, id := range sortedKeys(s.replicas) {
 		replicas = append(replicas, s.replicas[id])
 	}
-	s.table = router.NewTable(s.members.Live(), replicas)
+	s.table = router.NewTable(s.dispatchers(), replicas, s.routing)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
 	s.adoptOrphans()
 	s.coverRetries()
