--- /dev/null
+++ b/internal/grouper/lease_test.go
@@ -0,0 +1,31 @@
+package grouper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+func instant(monotonic, wall time.Duration) fuchsiapitch.Instant {
+	return fuchsiapitch.NewInstant(monotonic, time.Unix(1000, 0).Add(wall))
+}
+
+func TestLease(t *testing.T) {
+	cases := map[string]struct {
+		now   fuchsiapitch.Instant
+		holds bool
+	}{
+		"holds before its end":                        {instant(time.Second, time.Second), true},
+		"lapses on the monotonic clock":               {instant(LeaseTime, LeaseTime), false},
+		"ends before others may count it as over":     {instant(LeaseTime-clockMargin, LeaseTime-clockMargin), false},
+		"lapses on the wall clock after a pause":      {instant(time.Second, time.Minute), false},
+		"lapses when the wall clock is set back":      {instant(time.Second, -time.Minute), false},
+		"lapses when the clocks come apart by a jump": {instant(time.Second, 1700*time.Millisecond), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assertEqual(t, NewLease(instant(0, 0), LeaseTime).Holds(c.now), c.holds, "holds")
+		})
+	}
+}
