--- a/internal/grouper/controller.go
+++ b/internal/grouper/controller.go
@@ -98,9 +98,13 @@
 }
 
 // confirm takes in a valid record of the stream: one of the controller's own
-// leaves the queue and renews the lease.
+// leaves the queue and renews the lease, and a release ends it.
 func (g *Grouper) confirm(_ fuchsiapitch.Instant, r Record) {
 	t := g.tenure
+	if t != nil && g.fold.Released() {
+		g.tenure = nil
+		return
+	}
 	if t == nil || r.Kind != Renewal || r.Term != t.term || len(t.queue) == 0 || t.queue[0].record.Sequence != r.Sequence {
 		return
 	}
@@ -157,7 +161,7 @@
 // resign releases the lease once no order is on its way.
 func (g *Grouper) resign(now fuchsiapitch.Instant) {
 	t := g.tenure
-	if len(t.queue) > 0 || g.fold.Released() {
+	if len(t.queue) > 0 {
 		return
 	}
 	for _, o := range t.orders {
