reducer: late answers to reads in the random runs of groups

Cause: the guard that a lease counts from the sending of its renewal could be taken away without a failure: reads were never late. Change: answers to reads take time, and wait for a paused reader.

--- a/internal/reducer/group_world_test.go
+++ b/internal/reducer/group_world_test.go
@@ -50,6 +50,7 @@
 	cut     bool
 	waiting []func()
 	follows fuchsiapitch.Offset
+	reading bool
 	// inspected is the offset up to which the fold was last inspected.
 	inspected fuchsiapitch.Offset
 }
@@ -181,7 +182,7 @@
 		candidates = append(candidates, o.host)
 	}
 	n.state = New(n.host, WithCandidates(candidates...))
-	n.dead, n.paused, n.waiting, n.follows, n.still = false, false, nil, 0, 0
+	n.dead, n.paused, n.reading, n.waiting, n.follows, n.still = false, false, false, nil, 0, 0
 	w.tell(n, FleetDescribed{Configuration: w.config})
 	w.tickNode(n, n.life)
 }
@@ -265,7 +266,7 @@
 	case ReportViolation:
 		w.fail("%s: %v", n.host.ID(), e.Violation)
 	case FollowStream:
-		n.follows = e.From
+		n.follows, n.reading = e.From, false
 	case AppendRecord:
 		w.appendRecord(n, life, e)
 	case SendHeartbeat:
@@ -394,20 +395,31 @@
 	})
 }
 
-// serveLog lets every host read on.
+// serveLog lets every host read on. An answer may be on its way when its reader
+// is paused, and is late when the log is slow.
 func (w *world) serveLog() {
 	for _, n := range w.nodes {
-		if n.dead || n.paused || n.follows == 0 {
+		if n.dead || n.paused || n.follows == 0 || n.reading {
 			continue
 		}
-		stream := n.state.groupStream()
+		stream, life := n.state.groupStream(), n.life
 		if w.logDown || n.offline {
 			w.tell(n, ReadFailed{Stream: stream})
 			continue
 		}
 		from := min(int(n.follows)-1, len(w.records))
-		n.follows = fuchsiapitch.Offset(len(w.records) + 1)
-		w.tell(n, RecordsRead{Stream: stream, Batch: fuchsiapitch.NewBatch(slices.Clone(w.records[from:]), 1, n.follows)})
+		batch := fuchsiapitch.NewBatch(slices.Clone(w.records[from:]), 1, fuchsiapitch.Offset(len(w.records)+1))
+		delay := w.between(0, 50*time.Millisecond)
+		if w.slowLog {
+			delay = w.between(0, 5*time.Second)
+		}
+		n.reading = true
+		w.after(delay, func() {
+			w.on(n, life, func() {
+				n.reading, n.follows = false, batch.Next()
+				w.tell(n, RecordsRead{Stream: stream, Batch: batch})
+			})
+		})
 	}
 }
 
