reducer: prove groups whole before their new dispatcher uses them

Ruled out: late probes; the group was never checked by that host. A leaving word of a busy group's member is now asked for every 2 s.

--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -4,8 +4,8 @@
 func All() []Experiment {
 	return []Experiment{
 		pathExperiment{},
-		groupsExperiment{},
 		floodExperiment{},
+		groupsExperiment{},
 	}
 }
 
--- a/internal/grouper/controller_test.go
+++ b/internal/grouper/controller_test.go
@@ -16,6 +16,8 @@
 	stream  []Record
 	engines map[fuchsiapitch.ServerID]*deskEngine
 	given   []Give
+	// withhold keeps what is appended from being read.
+	withhold bool
 }
 
 // deskEngine is an engine that takes up every order.
@@ -53,6 +55,9 @@
 		for _, r := range a.Appends {
 			d.stream = append(d.stream, r)
 			d.AppendEnded(now, r.ID)
+			if d.withhold {
+				continue
+			}
 			d.Read(now, []Entry{{Offset: fuchsiapitch.Offset(len(d.stream)), Record: r}}, 0)
 		}
 		for _, b := range a.Probes {
--- a/internal/grouper/health.go
+++ b/internal/grouper/health.go
@@ -16,8 +16,8 @@
 	// serve.
 	proofTime = 10 * time.Second
 	// busyProbePeriod is the time between two probes of a server whose group
-	// has advancing streams.
-	busyProbePeriod = 20 * time.Second
+	// has advancing streams. They prove life, but not that the server is to stay.
+	busyProbePeriod = 2 * time.Second
 	// idleProbePeriod is the time between two probes of a server whose group
 	// has no streams, and of a spare.
 	idleProbePeriod = 1500 * time.Millisecond
--- a/internal/grouper/lease_test.go
+++ b/internal/grouper/lease_test.go
@@ -29,3 +29,18 @@
 		})
 	}
 }
+
+func TestRenewal(t *testing.T) {
+	t.Run("a lease counts from the sending of its renewal", func(t *testing.T) {
+		d := newDesk("s1", "s2")
+		d.run(5 * time.Second)
+		d.withhold = true
+		d.run(LeaseTime)
+		d.withhold = false
+		late := d.tenure.queue[0].record
+		now := instant(d.now, d.now)
+		d.Read(now, []Entry{{Offset: fuchsiapitch.Offset(len(d.stream)), Record: late}}, 0)
+		assertEqual(t, len(d.tenure.queue), 0, "queued records")
+		assertEqual(t, d.tenure.lease.Holds(now), false, "holds")
+	})
+}
--- a/internal/reducer/group.go
+++ b/internal/reducer/group.go
@@ -191,6 +191,21 @@
 	return running
 }
 
+// checkGroups asserts that requests start on whole replicas only.
+func (s *State) checkGroups() {
+	if s.pinned {
+		return
+	}
+	for _, e := range s.effects {
+		if start, ok := e.(StartAttempt); ok {
+			s.groups.AssertWhole(start.Replica.ID())
+		}
+	}
+	for _, b := range s.groups.Drain().Breaches {
+		s.violate(b.Invariant, b.Detail)
+	}
+}
+
 func (s *State) carryOutGroups(a grouper.Actions) {
 	if a.Follow > 0 {
 		s.emit(FollowStream{Stream: s.groupStream(), From: a.Follow})
--- a/internal/reducer/group_world_test.go
+++ b/internal/reducer/group_world_test.go
@@ -86,6 +86,8 @@
 	snapshot map[fuchsiapitch.Offset]string
 	failure  string
 	orders   int
+	asked    int
+	finished int
 }
 
 const (
@@ -132,8 +134,9 @@
 	if w.fenced {
 		options = append(options, fuchsiapitch.WithFencing())
 	}
+	rank := fuchsiapitch.NewRank("counter", 0, time.Second, time.Second, 1, 0)
 	service := fuchsiapitch.NewService("redactor", fuchsiapitch.ModelService, "counter", options...)
-	w.config = fuchsiapitch.NewConfiguration(offset, uint64(offset), []fuchsiapitch.Service{service}, nil, nil)
+	w.config = fuchsiapitch.NewConfiguration(offset, uint64(offset), []fuchsiapitch.Service{service}, nil, []fuchsiapitch.Rank{rank})
 	for _, n := range w.nodes {
 		w.tell(n, FleetDescribed{Configuration: w.config})
 	}
@@ -275,9 +278,54 @@
 		w.probe(n, life, e)
 	case GiveOrder:
 		w.giveOrder(n, life, e)
+	case StartAttempt:
+		w.attempt(n, life, e)
+	case ForwardRequest:
+		w.forward(n, life, e)
+	case FinishRequest:
+		w.finished++
 	}
 }
 
+// ask has a caller send a request to a host.
+func (w *world) ask(n *node) {
+	w.asked++
+	w.tell(n, RequestReceived{Request: w.newRequest(fuchsiapitch.RequestID(fmt.Sprintf("r%d", w.asked)))})
+}
+
+func (w *world) newRequest(id fuchsiapitch.RequestID) fuchsiapitch.Request {
+	return fuchsiapitch.NewRequest(id, "redactor", "customer", "counter",
+		fuchsiapitch.WithTimeLimit(time.Minute), fuchsiapitch.WithRepeatable(), fuchsiapitch.WithTokenStream())
+}
+
+// attempt runs a request, which is lost when the leader of its group dies.
+func (w *world) attempt(n *node, life int, e StartAttempt) {
+	b := w.engine(e.Replica.Server().ID())
+	progressed := AttemptProgressed{Request: e.Request, Attempt: e.Attempt, Tokens: 1, Elapsed: time.Millisecond}
+	w.reply(n, life, w.between(0, 100*time.Millisecond), progressed)
+	w.after(w.between(100*time.Millisecond, time.Second), func() {
+		ended := AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: fuchsiapitch.Succeeded, Tokens: e.Offset + 2}
+		if b.dead {
+			ended.Outcome, ended.Unreachable = fuchsiapitch.Unknown, w.random.IntN(2) == 0
+		}
+		w.reply(n, life, 0, ended)
+	})
+}
+
+// forward hands a request to its dispatcher under another name, since its end
+// there does not matter here.
+func (w *world) forward(n *node, life int, e ForwardRequest) {
+	i := slices.IndexFunc(w.nodes, func(o *node) bool { return o.host.ID() == e.Host.ID() })
+	peer := w.nodes[i]
+	ended := ForwardEnded{Request: e.Request, Attempt: e.Attempt, Host: e.Host.ID(), Outcome: fuchsiapitch.Succeeded, Tokens: e.Offset}
+	if peer.dead || n.cut != peer.cut {
+		ended.Outcome, ended.Unreachable = fuchsiapitch.NotRun, true
+	} else {
+		w.tell(peer, RequestOffered{Request: w.newRequest(e.Request + "'"), From: n.host})
+	}
+	w.reply(n, life, w.between(0, time.Second), ended)
+}
+
 func (w *world) reply(n *node, life int, delay time.Duration, event Event) {
 	w.after(delay, func() { w.on(n, life, func() { w.tell(n, event) }) })
 }
