assembler: metrics of group downtime and stranded accelerators

Cause: the endpoint had no figures on groups. Change: downtime, terms, orders and stranded accelerators, read when asked.

--- /dev/null
+++ b/internal/assembler/groups.go
@@ -0,0 +1,24 @@
+package assembler
+
+import (
+	"context"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/grouper"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
+)
+
+// measureGroups brings the metrics of the groups up to date.
+func (e *EntryHost) measureGroups(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	result := make(chan grouper.Counters, 1)
+	if e.runner.Inspect(ctx, func(s *reducer.State) { result <- s.GroupCounters() }) != nil {
+		return
+	}
+	c := <-result
+	set := e.meter.Set()
+	set.GetOrCreateFloatCounter("fuchsiapitch_group_downtime_seconds_total").Set(c.GroupDowntime.Seconds())
+	set.GetOrCreateFloatCounter("fuchsiapitch_controller_terms_total").Set(float64(c.Terms))
+	set.GetOrCreateFloatCounter("fuchsiapitch_controller_orders_total").Set(float64(c.Orders))
+	set.GetOrCreateGauge("fuchsiapitch_stranded_accelerators", nil).Set(float64(c.Stranded))
+}
--- a/internal/assembler/operator.go
+++ b/internal/assembler/operator.go
@@ -17,7 +17,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", e.serveLive)
 	mux.HandleFunc("GET /readyz", e.serveReady)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.meter.Write(w) })
+	mux.HandleFunc("GET /metrics", e.serveMetrics)
 	mux.HandleFunc("GET /status", e.authorised(e.serveStatus))
 	mux.HandleFunc("POST /drain", e.authorised(e.serveDrain))
 	return mux
@@ -56,6 +56,11 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
+func (e *EntryHost) serveMetrics(w http.ResponseWriter, q *http.Request) {
+	e.measureGroups(q.Context())
+	e.meter.Write(w)
+}
+
 func (e *EntryHost) serveStatus(w http.ResponseWriter, q *http.Request) {
 	body, err := e.status(q.Context())
 	if err != nil {
--- a/internal/grouper/controller.go
+++ b/internal/grouper/controller.go
@@ -292,6 +292,7 @@
 		g.checkOrder(now, m, group.Fence)
 		t.orders[m] = outstanding{fence: group.Fence, since: now.Monotonic()}
 		t.given[m] = group.Fence
+		g.counters.Orders++
 		order := fuchsiapitch.NewOrder(group.Fence, group.Assignment())
 		g.actions.Orders = append(g.actions.Orders, Give{Server: k.server, Order: order, Expiry: expiry})
 	}
