grouper: change the size of groups one at a time and seat loaded servers

Cause: a change of the group size drained every group of a service at once; servers that had the weights of one place loaded were given another. Change: groups of another size are drained and disbanded one at a time; a server gets the place whose weights it has.

--- a/internal/grouper/controller_test.go
+++ b/internal/grouper/controller_test.go
@@ -41,9 +41,11 @@
 	return d
 }
 
-func (d *desk) want(version string) {
+func (d *desk) want(version string) { d.wantSize(version, 2) }
+
+func (d *desk) wantSize(version string, size int) {
 	s := fuchsiapitch.NewService("redactor", fuchsiapitch.ModelService, "counter",
-		fuchsiapitch.WithModel("m", version), fuchsiapitch.WithReplicas(2, 2))
+		fuchsiapitch.WithModel("m", version), fuchsiapitch.WithReplicas(2, size))
 	d.Configure(fuchsiapitch.NewConfiguration(1, 1, []fuchsiapitch.Service{s}, nil, nil))
 }
 
@@ -161,6 +163,18 @@
 		d.assertVersions(t, "1", "1")
 		d.assertReplicas(t, 2)
 	})
+	t.Run("changes the size of groups one drained group at a time", func(t *testing.T) {
+		d := newDesk("s1", "s2", "s3", "s4", "s5", "s6")
+		d.run(5 * time.Second)
+		d.setRunning(1)
+		d.wantSize("1", 3)
+		d.run(30 * time.Second)
+		d.assertReplicas(t, 1)
+		d.setRunning(0)
+		d.run(30 * time.Second)
+		d.assertReplicas(t, 2)
+		assertEqual(t, len(d.Fold().Groups()[0].Members), 3, "members")
+	})
 	t.Run("releases the lease when it stops", func(t *testing.T) {
 		d := newDesk("s1", "s2")
 		d.run(5 * time.Second)
--- a/internal/grouper/former.go
+++ b/internal/grouper/former.go
@@ -18,6 +18,10 @@
 	Model string
 	// Version is the version that it has loaded.
 	Version string
+	// Place is its place in the group that it loaded the model for.
+	Place int
+	// Size is the size of that group.
+	Size int
 }
 
 // Stranded is a backend server outside every working group.
@@ -208,34 +212,37 @@
 	slices.SortStableFunc(sorted, func(a, b Spare) int {
 		return cmp.Or(cmp.Compare(preference(a), preference(b)), cmp.Compare(f.places[a.ID], f.places[b.ID]), cmp.Compare(a.ID, b.ID))
 	})
-	members := make([]fuchsiapitch.ServerID, 0, d.Service.GroupSize())
-	for _, s := range sorted[:d.Service.GroupSize()] {
-		members = append(members, s.ID)
-	}
+	chosen := sorted[:d.Service.GroupSize()]
+	places := make([]fuchsiapitch.ServerID, len(chosen))
 	if broken != nil {
-		members = inOldPlaces(broken.Members, members)
+		copy(places, broken.Members)
 	}
-	return members
+	return seat(chosen, places, func(s Spare) bool { return isWarm(s, d) && s.Size == len(chosen) })
 }
 
-// inOldPlaces puts the members that were in a group before back in their places.
-func inOldPlaces(old, members []fuchsiapitch.ServerID) []fuchsiapitch.ServerID {
-	var fresh []fuchsiapitch.ServerID
-	for _, m := range members {
-		if !slices.Contains(old, m) {
-			fresh = append(fresh, m)
+// seat puts the members of a group in their places: those that were in the group
+// before where they were, then those that have the weights of a place loaded,
+// then the others.
+func seat(chosen []Spare, before []fuchsiapitch.ServerID, isLoaded func(Spare) bool) []fuchsiapitch.ServerID {
+	members := make([]fuchsiapitch.ServerID, len(chosen))
+	seated := make(map[fuchsiapitch.ServerID]bool)
+	put := func(place int, id fuchsiapitch.ServerID) {
+		if place >= 0 && place < len(members) && members[place] == "" && !seated[id] {
+			members[place], seated[id] = id, true
 		}
 	}
-	placed := make([]fuchsiapitch.ServerID, 0, len(members))
-	for _, m := range old {
-		switch {
-		case slices.Contains(members, m):
-			placed = append(placed, m)
-		case len(fresh) > 0:
-			placed, fresh = append(placed, fresh[0]), fresh[1:]
+	for _, s := range chosen {
+		put(slices.Index(before, s.ID), s.ID)
+	}
+	for _, s := range chosen {
+		if isLoaded(s) {
+			put(s.Place, s.ID)
 		}
 	}
-	return append(placed, fresh...)
+	for _, s := range chosen {
+		put(slices.Index(members, ""), s.ID)
+	}
+	return members
 }
 
 // placeAcross forms a group from the spares of several domains, the largest
--- a/internal/grouper/former_test.go
+++ b/internal/grouper/former_test.go
@@ -86,6 +86,12 @@
 		across := []Demand{{Service: service("a", 1, 2, fuchsiapitch.WithCrossDomain()), Version: "1"}}
 		assertServices(t, form(across, spares), map[fuchsiapitch.ServiceName]int{"a": 1})
 	})
+	t.Run("a server that has the weights of a place loaded gets that place", func(t *testing.T) {
+		spares := rack("d", 2)
+		spares[0].Model, spares[0].Version, spares[0].Place, spares[0].Size = "m", "1", 1, 2
+		got := form([]Demand{{Service: service("a", 1, 2), Version: "1"}}, spares)
+		assertEqual(t, got[0].Group.Members, []fuchsiapitch.ServerID{"d-1", "d-0"}, "members")
+	})
 	t.Run("servers with the model loaded come first", func(t *testing.T) {
 		spares := rack("d", 3)
 		spares[2].Model, spares[2].Version = "m", "1"
--- a/internal/grouper/plan.go
+++ b/internal/grouper/plan.go
@@ -145,7 +145,7 @@
 	count := make(map[fuchsiapitch.ServiceName]int)
 	for _, group := range p.workingFirst() {
 		service, ok := p.configuration.Service(group.Service)
-		wanted := ok && service.Kind() == fuchsiapitch.ModelService && len(group.Members) == service.GroupSize()
+		wanted := ok && service.Kind() == fuchsiapitch.ModelService
 		if wanted && !p.hasLeaver(group) {
 			count[group.Service]++
 			wanted = count[group.Service] <= service.Replicas()
@@ -258,6 +258,7 @@
 		list = append(list, Spare{
 			ID: id, Domain: p.servers[id].server.FabricDomain(),
 			Model: a.Assignment().Model(), Version: a.Assignment().Version(),
+			Place: slices.Index(a.Assignment().Members(), id), Size: len(a.Assignment().Members()),
 		})
 	}
 	return list
--- a/internal/grouper/rollout.go
+++ b/internal/grouper/rollout.go
@@ -29,7 +29,8 @@
 
 // isCurrent reports whether a group is assigned what its service wants.
 func isCurrent(group Group, service fuchsiapitch.Service, version string) bool {
-	return group.Model == service.Model() && group.Version == version && slices.Equal(group.Adapters, service.Adapters())
+	return group.Model == service.Model() && group.Version == version &&
+		slices.Equal(group.Adapters, service.Adapters()) && len(group.Members) == service.GroupSize()
 }
 
 // roll brings the groups of each service to its model, version and adapters,
@@ -72,12 +73,16 @@
 	return []Change{p.drain(behind[0])}
 }
 
-// upgrade assigns the wanted version to a group once it is drained.
+// upgrade assigns the wanted version to a group once it is drained. A group of
+// another size than wanted is disbanded, and its members are formed anew.
 func (p *planner) upgrade(group Group, service fuchsiapitch.Service, version string) []Change {
 	if !p.isDrained(group) {
 		return nil
 	}
 	p.touched[group.ID] = true
+	if len(group.Members) != service.GroupSize() {
+		return []Change{{Kind: Disband, Group: Group{ID: group.ID}}}
+	}
 	next := group
 	next.Model, next.Version, next.Adapters = service.Model(), version, service.Adapters()
 	next.Previous = ""
