grouper: probe servers in change beyond the limit of steady times

Cause: four probes a second of each host also had to find out which of up to 64 loading servers were ready. Change: servers that are to take up an assignment, or that have not reported yet, are probed under a limit of their own, 200 a second.

--- a/internal/experimenter/capacity.go
+++ b/internal/experimenter/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -93,11 +94,11 @@
 // capacitySeries returns the shapes to measure.
 func capacitySeries(quick bool) []capacityDimension {
 	hosts := shapes(func(n int) capacityShape { return capacityShape{1, n, 16} }, 1, 2, 4, 8, 16, 32, 64)
-	servers := shapes(func(n int) capacityShape { return capacityShape{1, 2, n} }, 104, 200, 400, 600, 800, 1000)
+	servers := shapes(watchedShape, 96, 200, 400, 600, 800)
 	centres := shapes(func(n int) capacityShape { return capacityShape{n, 2, 8} }, 1, 2, 3, 5, 7)
 	if quick {
 		hosts = shapes(func(n int) capacityShape { return capacityShape{1, n, 16} }, 4, 32)
-		servers = shapes(func(n int) capacityShape { return capacityShape{1, 2, n} }, 16, 64)
+		servers = shapes(watchedShape, 32, 128)
 		centres = shapes(func(n int) capacityShape { return capacityShape{n, 2, 8} }, 1, 3)
 	}
 	return []capacityDimension{
@@ -107,6 +108,12 @@
 	}
 }
 
+// watchedShape returns the shape with as many entry hosts for its backend
+// servers as at the target size.
+func watchedShape(servers int) capacityShape {
+	return capacityShape{1, int(math.Ceil(float64(servers) / serversPerNode)), servers}
+}
+
 func shapes(shape func(int) capacityShape, sizes ...int) []capacityPoint {
 	var points []capacityPoint
 	for _, n := range sizes {
--- a/internal/grouper/health.go
+++ b/internal/grouper/health.go
@@ -38,6 +38,9 @@
 	probesPerSecond = 4.0
 	// probeBurst is the largest number of probes at once.
 	probeBurst = 40.0
+	// changeProbesPerSecond is the sustained rate of probes of servers that are
+	// to take up an assignment or have not reported yet.
+	changeProbesPerSecond = 200.0
 	// firstSteadyTime is the time for which a server that came back must answer
 	// before it is used again. It doubles with each further silence.
 	firstSteadyTime = time.Second
@@ -72,7 +75,10 @@
 	servers  map[fuchsiapitch.ServerID]*serverHealth
 	evidence map[fuchsiapitch.GroupID]time.Duration
 	tokens   float64
-	refilled time.Duration
+	// changeTokens pay for the probes of servers in change, so that forming
+	// many groups at once is not held up by the limit of steady times.
+	changeTokens float64
+	refilled     time.Duration
 }
 
 // NewHealth returns a health table that knows nothing.
@@ -80,7 +86,7 @@
 	return &Health{
 		servers:  make(map[fuchsiapitch.ServerID]*serverHealth),
 		evidence: make(map[fuchsiapitch.GroupID]time.Duration),
-		tokens:   probeBurst,
+		tokens:   probeBurst, changeTokens: changeProbesPerSecond,
 	}
 }
 
@@ -255,24 +261,26 @@
 // limit of the host. Silent servers are probed less and less often.
 func (h *Health) Due(now time.Duration, watches []Watch) []fuchsiapitch.ServerID {
 	h.tokens = min(probeBurst, h.tokens+probesPerSecond*(now-h.refilled).Seconds())
+	h.changeTokens = min(changeProbesPerSecond, h.changeTokens+changeProbesPerSecond*(now-h.refilled).Seconds())
 	h.refilled = now
 	type late struct {
 		server fuchsiapitch.ServerID
 		by     float64
+		tokens *float64
 	}
 	var due []late
 	for _, w := range watches {
 		if by := h.overdue(now, w); by >= 1 {
-			due = append(due, late{server: w.Server, by: by})
+			due = append(due, late{server: w.Server, by: by, tokens: h.payer(w)})
 		}
 	}
 	slices.SortStableFunc(due, func(a, b late) int { return cmp.Compare(b.by, a.by) })
 	var chosen []fuchsiapitch.ServerID
 	for _, d := range due {
-		if h.tokens < 1 {
-			break
+		if *d.tokens < 1 {
+			continue
 		}
-		h.tokens--
+		*d.tokens--
 		s := h.at(d.server)
 		s.probing, s.probed = true, now
 		chosen = append(chosen, d.server)
@@ -280,6 +288,16 @@
 	return chosen
 }
 
+// payer returns the tokens that pay for the probes of a watched server.
+func (h *Health) payer(w Watch) *float64 {
+	s := h.at(w.Server)
+	isNew := !s.reported && s.silences == 0
+	if isNew || (w.Period == loadingProbePeriod && s.silences == 0) {
+		return &h.changeTokens
+	}
+	return &h.tokens
+}
+
 // overdue returns the time since the last probe as a multiple of the period.
 func (h *Health) overdue(now time.Duration, w Watch) float64 {
 	const first = 1e6
--- a/internal/grouper/health_test.go
+++ b/internal/grouper/health_test.go
@@ -1,6 +1,7 @@
 package grouper
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -90,3 +91,28 @@
 		assertEqual(t, len(h.Due(time.Second, watches)), int(probesPerSecond), "probes in the next second")
 	})
 }
+
+func TestProbesOfServersInChange(t *testing.T) {
+	t.Run("forming many groups is not held up by the limit of steady times", func(t *testing.T) {
+		h := NewHealth()
+		var watches []Watch
+		for n := range 150 {
+			watches = append(watches, Watch{Server: fuchsiapitch.ServerID(strconv.Itoa(n)), Period: loadingProbePeriod})
+		}
+		if got := len(h.Due(time.Second, watches)); got != len(watches) {
+			t.Errorf("got %d probes at once, want %d", got, len(watches))
+		}
+	})
+	t.Run("steady servers are probed within the limit", func(t *testing.T) {
+		h := NewHealth()
+		var watches []Watch
+		for n := range 150 {
+			id := fuchsiapitch.ServerID(strconv.Itoa(n))
+			h.Report(0, fuchsiapitch.NewAccount(id, 1, fuchsiapitch.Fence{}, fuchsiapitch.Assignment{}))
+			watches = append(watches, Watch{Server: id, Period: idleProbePeriod})
+		}
+		if got, want := len(h.Due(time.Minute, watches)), int(probeBurst); got > want {
+			t.Errorf("got %d probes at once, want at most %d", got, want)
+		}
+	})
+}
