grouper: bound both rates of probes in the tests

Cause: the test of the limit used servers that have not reported yet, which are now under the limit of servers in change. Change: one test for each limit, as strict as before.

--- a/internal/grouper/health_test.go
+++ b/internal/grouper/health_test.go
@@ -81,38 +81,32 @@
 		assertEqual(t, g.watchPeriod(now, pair, "s1"), busyLeaderPeriod, "period of the leader with streams")
 		assertEqual(t, g.watchPeriod(now, pair, "s2"), busyMemberPeriod, "period of a member with streams")
 	})
-	t.Run("the rate of probes is bounded", func(t *testing.T) {
+	t.Run("the rate of probes of steady servers is bounded", func(t *testing.T) {
 		h := NewHealth()
-		var watches []Watch
-		for n := range 2 * int(probeBurst) {
-			watches = append(watches, Watch{Server: fuchsiapitch.ServerID(rune('a' + n)), Period: time.Second})
+		watches := watchServers(2*int(probeBurst), time.Second)
+		for _, w := range watches {
+			h.Report(0, fuchsiapitch.NewAccount(w.Server, 1, fuchsiapitch.Fence{}, fuchsiapitch.Assignment{}))
 		}
-		assertEqual(t, len(h.Due(0, watches)), int(probeBurst), "probes at once")
-		assertEqual(t, len(h.Due(time.Second, watches)), int(probesPerSecond), "probes in the next second")
+		assertEqual(t, len(h.Due(time.Minute, watches)), int(probeBurst), "probes at once")
+		assertEqual(t, len(h.Due(time.Minute+time.Second, watches)), int(probesPerSecond), "probes in the next second")
 	})
-}
-
-func TestProbesOfServersInChange(t *testing.T) {
-	t.Run("forming many groups is not held up by the limit of steady times", func(t *testing.T) {
+	t.Run("the rate of probes of servers in change is bounded", func(t *testing.T) {
 		h := NewHealth()
-		var watches []Watch
-		for n := range 150 {
-			watches = append(watches, Watch{Server: fuchsiapitch.ServerID(strconv.Itoa(n)), Period: loadingProbePeriod})
-		}
-		if got := len(h.Due(time.Second, watches)); got != len(watches) {
-			t.Errorf("got %d probes at once, want %d", got, len(watches))
-		}
+		watches := watchServers(2*int(changeProbesPerSecond), loadingProbePeriod)
+		assertEqual(t, len(h.Due(0, watches)), int(changeProbesPerSecond), "probes at once")
+		assertEqual(t, len(h.Due(time.Second, watches)), int(changeProbesPerSecond), "probes in the next second")
 	})
-	t.Run("steady servers are probed within the limit", func(t *testing.T) {
+	t.Run("forming many groups is not held up by the limit of steady times", func(t *testing.T) {
 		h := NewHealth()
-		var watches []Watch
-		for n := range 150 {
-			id := fuchsiapitch.ServerID(strconv.Itoa(n))
-			h.Report(0, fuchsiapitch.NewAccount(id, 1, fuchsiapitch.Fence{}, fuchsiapitch.Assignment{}))
-			watches = append(watches, Watch{Server: id, Period: idleProbePeriod})
-		}
-		if got, want := len(h.Due(time.Minute, watches)), int(probeBurst); got > want {
-			t.Errorf("got %d probes at once, want at most %d", got, want)
-		}
+		watches := watchServers(150, loadingProbePeriod)
+		assertEqual(t, len(h.Due(0, watches)), len(watches), "probes at once")
 	})
 }
+
+func watchServers(count int, period time.Duration) []Watch {
+	watches := make([]Watch, 0, count)
+	for n := range count {
+		watches = append(watches, Watch{Server: fuchsiapitch.ServerID(strconv.Itoa(n)), Period: period})
+	}
+	return watches
+}
