gossiper, orderer: control traffic that does not grow

Cause: the slopes showed 485 B/s for each idle engine, 2.4 KB/s between 32 hosts and 3.2 KB/s for a bridge at three data centres. Change: unchanged accounts are answered by 304; views are passed on for 30 s after a change instead of for ever; a host passes on no loads of its own data centre; a bridge writes to one other data centre every 2 s, in turns; the host list is read every 2 s; a host that has just started writes to 12 hosts a period for 5 periods, so that it soon knows a large data centre.

--- a/internal/experimenter/capacitybed.go
+++ b/internal/experimenter/capacitybed.go
@@ -23,7 +23,7 @@
 	capacityGroupSize = 8
 	capacityService   = "vidrio-llm"
 	capacityTimeout   = 90 * time.Second
-	capacitySettle    = 6 * time.Second
+	capacitySettle    = 8 * time.Second
 	// capacityWeightRate in bytes a second lets loads end at once.
 	capacityWeightRate = 1 << 50
 )
@@ -146,7 +146,7 @@
 		processor:   used.processor / hosts / seconds,
 		reducer:     used.busiest / seconds,
 	}
-	p.heap = float64(heapBytes()-min(b.heap, heapBytes())) / hosts
+	p.heap = grown(b.heap) / hosts
 	return p
 }
 
@@ -193,6 +193,9 @@
 	return m.HeapAlloc
 }
 
+// grown returns the bytes by which the heap has grown since an earlier reading.
+func grown(before uint64) float64 { return max(float64(heapBytes())-float64(before), 0) }
+
 func rest(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/experimenter/capacityfit.go
+++ b/internal/experimenter/capacityfit.go
@@ -114,7 +114,7 @@
 			"controller (one host of a data centre)", "reports of changes and a slow sweep", engine * serversInCentre * controllerShare,
 			max(reducer.at(serversInCentre), 0), 0,
 		},
-		{"bridge (two hosts of a data centre)", "one heartbeat to each other data centre every 2 s", max(centres.slope, 0) * (targetCentres - 1), 0, 0},
+		{"bridge (two hosts of a data centre)", "one heartbeat a second to another data centre, in turns", max(centres.slope, 0) * (targetCentres - 1), 0, 0},
 	}
 }
 
--- a/internal/experimenter/capacityload.go
+++ b/internal/experimenter/capacityload.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -42,7 +43,8 @@
 	for n := range capacityHeld {
 		s.Apply(capacityInstant(now), reducer.RequestReceived{Request: capacityRequest("held", n)})
 	}
-	cost.heap = float64(heapBytes()-min(before, heapBytes())) / capacityHeld
+	cost.heap = grown(before) / capacityHeld
+	runtime.KeepAlive(s)
 	return cost
 }
 
--- a/internal/gossiper/membership.go
+++ b/internal/gossiper/membership.go
@@ -28,8 +28,16 @@
 	// fanOut is the number of hosts of the data centre that get a heartbeat in
 	// each period.
 	fanOut = 1
+	// joinFanOut is the number of hosts that a host which has just started writes
+	// to in each period, so that it does not take replicas for its own whose
+	// dispatchers it has not heard of yet.
+	joinFanOut = 12
+	// joinRounds is the number of periods for which a host counts as just started.
+	joinRounds = 5
 	// suspicionTime is the time in which a suspected host can refute.
 	suspicionTime = 3 * time.Second
+	// viewTime is the time for which a changed view is passed on.
+	viewTime = 30 * time.Second
 	// viewLimit is the largest number of views in a heartbeat.
 	viewLimit = 3
 	// forgetTime is the time for which a dead host is remembered.
@@ -136,15 +144,22 @@
 	m.age(now.Monotonic())
 	m.remotes.forget(now.Monotonic())
 	m.rounds++
-	targets := m.bridgeTargets()
+	targets := m.bridgeTarget()
 	ids := m.neighbours()
-	for range min(fanOut, len(ids)) {
+	for range min(m.fanOut(), len(ids)) {
 		m.cursor = (m.cursor + 1) % len(ids)
 		targets = append(targets, m.members[ids[m.cursor]].host)
 	}
 	return targets
 }
 
+func (m *Membership) fanOut() int {
+	if m.rounds <= joinRounds {
+		return joinFanOut
+	}
+	return fanOut
+}
+
 // neighbours returns the other hosts of the data centre in a fixed order that
 // differs from host to host, so that the hosts do not all write to the same one.
 func (m *Membership) neighbours() []fuchsiapitch.HostID {
@@ -189,7 +204,7 @@
 }
 
 // Compose returns the heartbeat of this host, with the loads of its services,
-// the newest views and the remote loads whose turn it is.
+// the views that changed last and the remote loads whose turn it is.
 func (m *Membership) Compose(now fuchsiapitch.Instant, loads []ServiceLoad) Heartbeat {
 	m.sequence++
 	if m.IsBridge() {
@@ -197,14 +212,14 @@
 	}
 	return Heartbeat{
 		From: m.self, Sequence: m.sequence, Leaving: m.leaving, Loads: loads,
-		Views: m.newestViews(), Remotes: m.remotes.next(now.Monotonic()),
+		Views: m.newestViews(now.Monotonic()), Remotes: m.remotes.next(now.Monotonic()),
 	}
 }
 
-func (m *Membership) newestViews() []PeerView {
+func (m *Membership) newestViews(now time.Duration) []PeerView {
 	changed := make([]*member, 0, len(m.members))
 	for _, p := range m.members {
-		if p.changed > 0 {
+		if p.changed > 0 && now-p.since < viewTime {
 			changed = append(changed, p)
 		}
 	}
@@ -228,7 +243,9 @@
 		m.adopt(now.Monotonic(), p, h)
 	}
 	for _, l := range h.Remotes {
-		m.remotes.add(now.Monotonic(), l)
+		if l.Bridge.DataCentre() != m.self.DataCentre() {
+			m.remotes.add(now.Monotonic(), l)
+		}
 	}
 	for _, v := range h.Views {
 		m.merge(now.Monotonic(), v.Host, v.Standing, false)
--- a/internal/gossiper/membership_test.go
+++ b/internal/gossiper/membership_test.go
@@ -111,6 +111,21 @@
 		m.Receive(at(2), Heartbeat{From: newHost("xela-01", "xela"), Leaving: true})
 		assertLive(t, m, 2)
 	})
+	t.Run("a restarted host soon knows a large data centre", func(t *testing.T) {
+		hosts := newCentre("xela", 58)
+		n := newNetwork(hosts...)
+		n.run(30)
+		n.members["xela-07"] = New(fuchsiapitch.NewHost("xela-07", "xela-07:1", "xela", 2), hosts...)
+		n.run(8)
+		assertLive(t, n.members["xela-07"], 58)
+	})
+	t.Run("stable hosts pass on no views", func(t *testing.T) {
+		n := newNetwork(newCentre("xela", 5)...)
+		n.run(60)
+		if got := n.members["xela-00"].Compose(at(n.now), nil).Views; len(got) != 0 {
+			t.Errorf("got %v, want none", got)
+		}
+	})
 	t.Run("a false suspicion is refuted", func(t *testing.T) {
 		m := New(newHost("xela-00", "xela"))
 		views := []PeerView{{Host: m.Self(), Standing: Suspected}}
--- a/internal/gossiper/remote.go
+++ b/internal/gossiper/remote.go
@@ -15,7 +15,7 @@
 	// bridgeCount is the number of hosts that speak for a data centre.
 	bridgeCount = 2
 	// bridgePeriod is the number of periods between two heartbeats of a bridge to
-	// one other data centre.
+	// other data centres.
 	bridgePeriod = 2
 	// remoteLimit is the largest number of remote loads in a heartbeat.
 	remoteLimit = 3
@@ -147,9 +147,11 @@
 	}
 }
 
-// bridgeTargets returns one host of each other data centre, in turns, when this
-// host is a bridge and a period for it has come.
-func (m *Membership) bridgeTargets() []fuchsiapitch.Host {
+// bridgeTarget returns one host of another data centre when this host is a
+// bridge. The data centres take turns, and so do the hosts of each, so that the
+// traffic of a bridge does not grow with the number of data centres.
+func (m *Membership) bridgeTarget() []fuchsiapitch.Host {
+	turn := m.rounds / bridgePeriod
 	if m.rounds%bridgePeriod != 0 || !m.IsBridge() {
 		return nil
 	}
@@ -159,10 +161,10 @@
 			centres[h.DataCentre()] = append(centres[h.DataCentre()], h)
 		}
 	}
-	var targets []fuchsiapitch.Host
-	for _, n := range slices.Sorted(maps.Keys(centres)) {
-		hosts := centres[n]
-		targets = append(targets, hosts[(m.rounds/bridgePeriod)%len(hosts)])
+	names := slices.Sorted(maps.Keys(centres))
+	if len(names) == 0 {
+		return nil
 	}
-	return targets
+	hosts := centres[names[turn%len(names)]]
+	return hosts[turn/len(names)%len(hosts):][:1]
 }
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -21,6 +22,9 @@
 type Orderer struct {
 	timeout   time.Duration
 	requester *requester.Requester
+
+	mutex    sync.Mutex
+	accounts map[fuchsiapitch.ServerID]tagged
 }
 
 // Option sets one optional property of an orderer.
@@ -33,24 +37,38 @@
 // function closes the kept connections.
 func New(options ...Option) (*Orderer, func()) {
 	q, cleanUp := requester.New(maxAnswerBytes)
-	o := &Orderer{timeout: defaultTimeout, requester: q}
+	o := &Orderer{timeout: defaultTimeout, requester: q, accounts: make(map[fuchsiapitch.ServerID]tagged)}
 	for _, set := range options {
 		set(o)
 	}
 	return o, cleanUp
 }
 
-// Account implements fuchsiapitch.Controls.
+// Account implements fuchsiapitch.Controls. An account that has not changed is
+// not sent again by an engine that sets entity tags.
 func (o *Orderer) Account(ctx context.Context, server fuchsiapitch.BackendServer) (fuchsiapitch.Account, error) {
 	const action = "account"
-	answer, err := o.send(ctx, server, action, http.MethodGet, "/account", nil)
+	last, known := o.remembered(server)
+	request := requester.Request{Method: http.MethodGet, URL: "http://" + server.Address() + "/account", Timeout: o.timeout}
+	if known {
+		request.Header = map[string]string{matchHeader: last.tag}
+	}
+	answer, err := o.requester.Send(ctx, request)
 	if err != nil {
-		return fuchsiapitch.Account{}, err
+		return fuchsiapitch.Account{}, unreachable(server, action, err)
+	}
+	if answer.Status == http.StatusNotModified && known {
+		return last.account, nil
 	}
 	if answer.Status != http.StatusOK {
 		return fuchsiapitch.Account{}, unreachable(server, action, &requester.StatusError{Status: answer.Status})
 	}
-	return readAccount(server, action, answer.Body)
+	account, err := readAccount(server, action, answer.Body)
+	if err != nil {
+		return fuchsiapitch.Account{}, err
+	}
+	o.remember(server, answer.Header.Get(entityTagHeader), account)
+	return account, nil
 }
 
 // Order implements fuchsiapitch.Controls.
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -130,3 +130,21 @@
 		_, _ = decodeCacheEvents(data)
 	})
 }
+
+func TestUnchangedAccounts(t *testing.T) {
+	o, e, server := start(t)
+	first, err := o.Account(t.Context(), server)
+	assertNoError(t, err, "first account")
+	whole := e.Traffic()
+	again, err := o.Account(t.Context(), server)
+	assertNoError(t, err, "account again")
+	assertEqual(t, again.Incarnation(), first.Incarnation(), "incarnation")
+	if got := e.Traffic() - whole; got >= whole {
+		t.Errorf("got %d bytes for an unchanged account, want fewer than the %d of a whole one", got, whole)
+	}
+	_, err = o.Order(t.Context(), server, newOrder(3))
+	assertNoError(t, err, "order")
+	changed, err := o.Account(t.Context(), server)
+	assertNoError(t, err, "changed account")
+	assertEqual(t, changed.Fence(), fuchsiapitch.NewFence(3, 4), "fence")
+}
--- a/internal/runner/follower.go
+++ b/internal/runner/follower.go
@@ -17,7 +17,7 @@
 	// readRetryLimit is the longest wait before a failed read is repeated.
 	readRetryLimit = 2 * time.Second
 	// listPeriod is the time between two reads of the host list.
-	listPeriod = time.Second
+	listPeriod = 2 * time.Second
 )
 
 // follow reads a stream from an offset on, in place of an earlier follower of
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
@@ -52,19 +54,19 @@
 	Bytes  int64  `json:"bytes"`
 }
 
-func answerAccount(w http.ResponseWriter, status int, a fuchsiapitch.Account) {
+func newAccountAnswer(a fuchsiapitch.Account) accountAnswer {
 	held := a.Assignment()
 	members := make([]string, 0, len(held.Members()))
 	for _, m := range held.Members() {
 		members = append(members, string(m))
 	}
-	answer(w, status, accountAnswer{
+	return accountAnswer{
 		Server: string(a.Server()), Incarnation: a.Incarnation(),
 		Term: uint64(a.Fence().Term()), Sequence: a.Fence().Sequence(),
 		Group: string(held.Group()), Service: string(held.Service()), Members: members,
 		Model: held.Model(), Version: held.Version(), Adapters: held.Adapters(),
 		Ready: a.Ready(), Leaving: a.Leaving(), Running: a.Running(), CachedBytes: a.CachedBytes(),
-	})
+	}
 }
 
 func answer(w http.ResponseWriter, status int, value any) {
@@ -75,8 +77,20 @@
 	writeJSON(w, status, data)
 }
 
-func (e *Engine) handleAccount(w http.ResponseWriter, _ *http.Request) {
-	answerAccount(w, http.StatusOK, e.Account())
+// handleAccount does not send an account again that the caller has already.
+func (e *Engine) handleAccount(w http.ResponseWriter, r *http.Request) {
+	data, err := json.Marshal(newAccountAnswer(e.Account()))
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(data), 36))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, http.StatusOK, data)
 }
 
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
@@ -97,7 +111,7 @@
 	if !accepted {
 		status = http.StatusConflict
 	}
-	answerAccount(w, status, account)
+	answer(w, status, newAccountAnswer(account))
 }
 
 func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
