--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -186,19 +186,20 @@
 	return result, nil
 }
 
-// readState folds the stream up to its end. Transient failures of the log are
-// repeated until the context ends.
+// readState folds the stream up to its end. Until the context ends it waits for
+// a log that is away, and for a checkpoint where the log has dropped records.
 func (p *Publisher) readState(ctx context.Context) (*configurer.Follower, error) {
 	f := configurer.NewFollower(encoder.DecodeConfiguration)
 	waits := p.backOff()
 	for {
 		err := p.readToEnd(ctx, f, nil)
-		switch {
-		case err == nil && f.Scanning():
-			return nil, &StateError{Next: f.Next()}
-		case err == nil:
+		if err == nil && !f.Scanning() {
 			return f, nil
-		case ctx.Err() != nil:
+		}
+		if ctx.Err() != nil && f.Scanning() {
+			return nil, &StateError{Next: f.Next()}
+		}
+		if ctx.Err() != nil {
 			return nil, err
 		}
 		pause(ctx, waits.NextBackOff())
--- a/internal/standin/log/handler.go
+++ b/internal/standin/log/handler.go
@@ -103,11 +103,11 @@
 	for {
 		answer, status, changed := l.read(r.PathValue("name"), max(from, 1), limit)
 		if status == http.StatusGone {
-			writeJSON(w, status, truncatedAnswer{Oldest: answer.Oldest})
+			l.countRead(r, writeJSON(w, status, truncatedAnswer{Oldest: answer.Oldest}))
 			return
 		}
 		if status != http.StatusOK || len(answer.Records) > 0 || wait == 0 {
-			writeJSON(w, status, answer)
+			l.countRead(r, writeJSON(w, status, answer))
 			return
 		}
 		select {
@@ -150,7 +150,8 @@
 	return n
 }
 
-func writeJSON(w http.ResponseWriter, status int, value any) {
+// writeJSON writes an answer and returns the size of its body.
+func writeJSON(w http.ResponseWriter, status int, value any) int {
 	data, err := json.Marshal(value)
 	if err != nil {
 		status, data = http.StatusInternalServerError, nil
@@ -159,4 +160,5 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
+	return len(data)
 }
--- a/internal/standin/log/log.go
+++ b/internal/standin/log/log.go
@@ -2,6 +2,8 @@
 package log
 
 import (
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -13,6 +15,8 @@
 const (
 	defaultKeepRecords = 1 << 20
 	defaultKeepFor     = 24 * time.Hour
+	// answerHeaderBytes stands for the status line and header of one answer.
+	answerHeaderBytes = 150
 )
 
 // entry is one appended record.
@@ -29,6 +33,12 @@
 	changed chan struct{}
 }
 
+// endpoint is one stream at one address of the log.
+type endpoint struct {
+	address string
+	stream  string
+}
+
 // Log keeps streams in memory and serves them at one or more endpoints.
 type Log struct {
 	keepRecords int
@@ -41,6 +51,8 @@
 	delay   time.Duration
 	streams map[string]*stream
 	appends int
+	// readBytes is the size of the answers to reads in bytes.
+	readBytes map[endpoint]int64
 }
 
 // Option sets one optional property of a log.
@@ -62,6 +74,7 @@
 	l := &Log{
 		keepRecords: defaultKeepRecords, keepFor: defaultKeepFor,
 		limiter: rate.NewLimiter(rate.Inf, 1), streams: make(map[string]*stream),
+		readBytes: make(map[endpoint]int64),
 	}
 	for _, o := range options {
 		o(l)
@@ -117,6 +130,24 @@
 	return l.appends
 }
 
+// ReadBytes returns the size of all answers to reads of a stream at one address
+// of the log: their bodies and answerHeaderBytes for each header.
+func (l *Log) ReadBytes(address, name string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.readBytes[endpoint{address: address, stream: name}]
+}
+
+func (l *Log) countRead(r *http.Request, body int) {
+	e := endpoint{stream: r.PathValue("name")}
+	if a, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok {
+		e.address = a.String()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readBytes[e] += int64(body) + answerHeaderBytes
+}
+
 // Records returns the data of the records kept of a stream, oldest first.
 func (l *Log) Records(name string) [][]byte {
 	l.mu.Lock()
