--- a/internal/experimenter/configuration.go
+++ b/internal/experimenter/configuration.go
@@ -65,13 +65,13 @@
 		if err := p.begin(ctx); err != nil {
 			return nil, err
 		}
-		rest(ctx, length)
+		pauseFor(ctx, length)
 		if err := p.end(); err != nil {
 			return nil, err
 		}
 	}
 	stopPublishing()
-	rest(ctx, settleTime)
+	pauseFor(ctx, settleTime)
 	stopWatching()
 	if err := b.readTruth(ctx); err != nil {
 		return nil, err
@@ -80,7 +80,7 @@
 	return report, nil
 }
 
-func rest(ctx context.Context, d time.Duration) {
+func pauseFor(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/internal/experimenter/configurationbed.go
+++ b/internal/experimenter/configurationbed.go
@@ -85,7 +85,7 @@
 		return err
 	}
 	before := b.bytes()
-	rest(ctx, configurationIdle)
+	pauseFor(ctx, configurationIdle)
 	b.idleBytes = b.perHost(b.bytes()-before, configurationIdle)
 	return nil
 }
@@ -164,7 +164,7 @@
 			for _, h := range b.watched {
 				h.look()
 			}
-			rest(ctx, configurationPoll)
+			pauseFor(ctx, configurationPoll)
 		}
 	}()
 	return func() {
--- a/internal/grouper/controller.go
+++ b/internal/grouper/controller.go
@@ -98,9 +98,13 @@
 }
 
 // confirm takes in a valid record of the stream: one of the controller's own
-// leaves the queue and renews the lease.
+// leaves the queue and renews the lease, and a release ends it.
 func (g *Grouper) confirm(_ fuchsiapitch.Instant, r Record) {
 	t := g.tenure
+	if t != nil && g.fold.Released() {
+		g.tenure = nil
+		return
+	}
 	if t == nil || r.Kind != Renewal || r.Term != t.term || len(t.queue) == 0 || t.queue[0].record.Sequence != r.Sequence {
 		return
 	}
@@ -157,7 +161,7 @@
 // resign releases the lease once no order is on its way.
 func (g *Grouper) resign(now fuchsiapitch.Instant) {
 	t := g.tenure
-	if len(t.queue) > 0 || g.fold.Released() {
+	if len(t.queue) > 0 {
 		return
 	}
 	for _, o := range t.orders {
@@ -217,10 +221,8 @@
 
 func (g *Grouper) startReading(now fuchsiapitch.Instant, next stage) {
 	g.tenure.stage, g.tenure.since = next, now.Monotonic()
-	for id, k := range g.servers {
-		if k.server.Kind() == fuchsiapitch.EngineServer {
-			g.health.Suspect(id)
-		}
+	for _, id := range g.engines {
+		g.health.Suspect(id)
 	}
 }
 
@@ -228,8 +230,8 @@
 	if !g.listed {
 		return false
 	}
-	for id, k := range g.servers {
-		if k.server.Kind() == fuchsiapitch.EngineServer && !g.health.Answered(id, since) {
+	for _, id := range g.engines {
+		if !g.health.Answered(id, since) {
 			return false
 		}
 	}
@@ -288,6 +290,7 @@
 		g.checkOrder(now, m, group.Fence)
 		t.orders[m] = outstanding{fence: group.Fence, since: now.Monotonic()}
 		t.given[m] = group.Fence
+		g.counters.Orders++
 		order := fuchsiapitch.NewOrder(group.Fence, group.Assignment())
 		g.actions.Orders = append(g.actions.Orders, Give{Server: k.server, Order: order, Expiry: expiry})
 	}
--- a/internal/reducer/group_world_test.go
+++ b/internal/reducer/group_world_test.go
@@ -50,6 +50,7 @@
 	cut     bool
 	waiting []func()
 	follows fuchsiapitch.Offset
+	reading bool
 	// inspected is the offset up to which the fold was last inspected.
 	inspected fuchsiapitch.Offset
 }
@@ -85,6 +86,8 @@
 	snapshot map[fuchsiapitch.Offset]string
 	failure  string
 	orders   int
+	asked    int
+	finished int
 }
 
 const (
@@ -131,8 +134,9 @@
 	if w.fenced {
 		options = append(options, fuchsiapitch.WithFencing())
 	}
+	rank := fuchsiapitch.NewRank("counter", 0, time.Second, time.Second, 1, 0)
 	service := fuchsiapitch.NewService("redactor", fuchsiapitch.ModelService, "counter", options...)
-	w.config = fuchsiapitch.NewConfiguration(offset, uint64(offset), []fuchsiapitch.Service{service}, nil, nil)
+	w.config = fuchsiapitch.NewConfiguration(offset, uint64(offset), []fuchsiapitch.Service{service}, nil, []fuchsiapitch.Rank{rank})
 	for _, n := range w.nodes {
 		w.tell(n, FleetDescribed{Configuration: w.config})
 	}
@@ -181,7 +185,7 @@
 		candidates = append(candidates, o.host)
 	}
 	n.state = New(n.host, WithCandidates(candidates...))
-	n.dead, n.paused, n.waiting, n.follows, n.still = false, false, nil, 0, 0
+	n.dead, n.paused, n.reading, n.waiting, n.follows, n.still = false, false, false, nil, 0, 0
 	w.tell(n, FleetDescribed{Configuration: w.config})
 	w.tickNode(n, n.life)
 }
@@ -265,7 +269,7 @@
 	case ReportViolation:
 		w.fail("%s: %v", n.host.ID(), e.Violation)
 	case FollowStream:
-		n.follows = e.From
+		n.follows, n.reading = e.From, false
 	case AppendRecord:
 		w.appendRecord(n, life, e)
 	case SendHeartbeat:
@@ -274,9 +278,54 @@
 		w.probe(n, life, e)
 	case GiveOrder:
 		w.giveOrder(n, life, e)
+	case StartAttempt:
+		w.attempt(n, life, e)
+	case ForwardRequest:
+		w.forward(n, life, e)
+	case FinishRequest:
+		w.finished++
 	}
 }
 
+// ask has a caller send a request to a host.
+func (w *world) ask(n *node) {
+	w.asked++
+	w.tell(n, RequestReceived{Request: w.newRequest(fuchsiapitch.RequestID(fmt.Sprintf("r%d", w.asked)))})
+}
+
+func (w *world) newRequest(id fuchsiapitch.RequestID) fuchsiapitch.Request {
+	return fuchsiapitch.NewRequest(id, "redactor", "customer", "counter",
+		fuchsiapitch.WithTimeLimit(time.Minute), fuchsiapitch.WithRepeatable(), fuchsiapitch.WithTokenStream())
+}
+
+// attempt runs a request, which is lost when the leader of its group dies.
+func (w *world) attempt(n *node, life int, e StartAttempt) {
+	b := w.engine(e.Replica.Server().ID())
+	progressed := AttemptProgressed{Request: e.Request, Attempt: e.Attempt, Tokens: 1, Elapsed: time.Millisecond}
+	w.reply(n, life, w.between(0, 100*time.Millisecond), progressed)
+	w.after(w.between(100*time.Millisecond, time.Second), func() {
+		ended := AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: fuchsiapitch.Succeeded, Tokens: e.Offset + 2}
+		if b.dead {
+			ended.Outcome, ended.Unreachable = fuchsiapitch.Unknown, w.random.IntN(2) == 0
+		}
+		w.reply(n, life, 0, ended)
+	})
+}
+
+// forward hands a request to its dispatcher under another name, since its end
+// there does not matter here.
+func (w *world) forward(n *node, life int, e ForwardRequest) {
+	i := slices.IndexFunc(w.nodes, func(o *node) bool { return o.host.ID() == e.Host.ID() })
+	peer := w.nodes[i]
+	ended := ForwardEnded{Request: e.Request, Attempt: e.Attempt, Host: e.Host.ID(), Outcome: fuchsiapitch.Succeeded, Tokens: e.Offset}
+	if peer.dead || n.cut != peer.cut {
+		ended.Outcome, ended.Unreachable = fuchsiapitch.NotRun, true
+	} else {
+		w.tell(peer, RequestOffered{Request: w.newRequest(e.Request + "'"), From: n.host})
+	}
+	w.reply(n, life, w.between(0, time.Second), ended)
+}
+
 func (w *world) reply(n *node, life int, delay time.Duration, event Event) {
 	w.after(delay, func() { w.on(n, life, func() { w.tell(n, event) }) })
 }
@@ -394,20 +443,31 @@
 	})
 }
 
-// serveLog lets every host read on.
+// serveLog lets every host read on. An answer may be on its way when its reader
+// is paused, and is late when the log is slow.
 func (w *world) serveLog() {
 	for _, n := range w.nodes {
-		if n.dead || n.paused || n.follows == 0 {
+		if n.dead || n.paused || n.follows == 0 || n.reading {
 			continue
 		}
-		stream := n.state.groupStream()
+		stream, life := n.state.groupStream(), n.life
 		if w.logDown || n.offline {
 			w.tell(n, ReadFailed{Stream: stream})
 			continue
 		}
 		from := min(int(n.follows)-1, len(w.records))
-		n.follows = fuchsiapitch.Offset(len(w.records) + 1)
-		w.tell(n, RecordsRead{Stream: stream, Batch: fuchsiapitch.NewBatch(slices.Clone(w.records[from:]), 1, n.follows)})
+		batch := fuchsiapitch.NewBatch(slices.Clone(w.records[from:]), 1, fuchsiapitch.Offset(len(w.records)+1))
+		delay := w.between(0, 50*time.Millisecond)
+		if w.slowLog {
+			delay = w.between(0, 5*time.Second)
+		}
+		n.reading = true
+		w.after(delay, func() {
+			w.on(n, life, func() {
+				n.reading, n.follows = false, batch.Next()
+				w.tell(n, RecordsRead{Stream: stream, Batch: batch})
+			})
+		})
 	}
 }
 
