--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -111,7 +111,11 @@
 			}
 			return assembler.Listeners{}, trace.Wrap(err)
 		}
-		open[n], addresses[n] = l, l.Addr().String()
+		open[n] = l
+		// A restart keeps the addresses, which callers may be reading.
+		if a := l.Addr().String(); addresses[n] != a {
+			addresses[n] = a
+		}
 	}
 	return assembler.Listeners{Callers: open[callers], Peers: open[peers], Operators: open[operators]}, nil
 }
