--- a/internal/experimenter/outcomes.go
+++ b/internal/experimenter/outcomes.go
@@ -17,6 +17,8 @@
 	outcomeQuickCalls = 3_000
 	outcomeCalm       = 1_000
 	outcomeWorkers    = 400
+	outcomeLinger     = time.Second
+	outcomeTimeout    = 6 * time.Second
 	outcomePrompts    = 8
 	// outcomeTries is the largest number of calls that a caller makes for one
 	// piece of work.
@@ -67,7 +69,7 @@
 
 // Run implements Experiment.
 func (outcomesExperiment) Run(ctx context.Context, run Run) (*Report, error) {
-	bed, cleanUp, err := startOutcomeBed(ctx, time.Second)
+	bed, cleanUp, err := startOutcomeBed(ctx, outcomeLinger, outcomeTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/experimenter/restart.go
+++ b/internal/experimenter/restart.go
@@ -16,6 +16,7 @@
 const (
 	restartWorkers  = 48
 	restartLinger   = time.Second
+	restartTimeout  = 30 * time.Second
 	restartRounds   = 3
 	balancerPeriod  = 100 * time.Millisecond
 	restartSettling = 2 * time.Second
@@ -36,7 +37,7 @@
 
 // Run implements Experiment.
 func (restartExperiment) Run(ctx context.Context, run Run) (*Report, error) {
-	bed, cleanUp, err := startOutcomeBed(ctx, restartLinger)
+	bed, cleanUp, err := startOutcomeBed(ctx, restartLinger, restartTimeout)
 	if err != nil {
 		return nil, err
 	}
