--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -245,11 +245,9 @@
 		defer cancel()
 	}
 	if err := e.callers.Shutdown(ctx); err != nil {
-		e.subsystem.Error().Int("requests", e.runner.InFlight()).Msg("the drain limit cuts requests in flight")
-	}
-	for e.runner.InFlight() > 0 && ctx.Err() == nil {
-		pause(ctx, drainPeriod)
+		e.reportCuts(ctx)
 	}
+	e.waitDrained(ctx)
 	e.stopPeers(ctx)
 	e.subsystem.Info().Msg("stopped")
 }
@@ -272,6 +270,9 @@
 // Runner returns the runner of the entry host.
 func (e *EntryHost) Runner() *runner.Runner { return e.runner }
 
+// Meter returns the metrics of the entry host.
+func (e *EntryHost) Meter() *meter.Meter { return e.meter }
+
 // Self returns the host as other entry hosts know it.
 func (e *EntryHost) Self() fuchsiapitch.Host { return e.self }
 
--- a/internal/assembler/operator.go
+++ b/internal/assembler/operator.go
@@ -13,23 +13,11 @@
 // inspectTimeout bounds the wait for a look at the state.
 const inspectTimeout = 2 * time.Second
 
-// statusBody is the answer of /status.
-type statusBody struct {
-	Host                string `json:"host"`
-	DataCentre          string `json:"data-centre"`
-	Ready               bool   `json:"ready"`
-	Stopping            bool   `json:"stopping"`
-	InFlight            int    `json:"in-flight"`
-	Violations          int    `json:"violations"`
-	ConfigurationOffset uint64 `json:"configuration-offset"`
-	ConfigurationHash   uint64 `json:"configuration-hash"`
-}
-
 func (e *EntryHost) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", e.serveLive)
 	mux.HandleFunc("GET /readyz", e.serveReady)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.meter.Write(w) })
+	mux.HandleFunc("GET /metrics", e.serveMetrics)
 	mux.HandleFunc("GET /status", e.authorised(e.serveStatus))
 	mux.HandleFunc("POST /drain", e.authorised(e.serveDrain))
 	return mux
@@ -68,6 +56,11 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
+func (e *EntryHost) serveMetrics(w http.ResponseWriter, q *http.Request) {
+	e.measureGroups(q.Context())
+	e.meter.Write(w)
+}
+
 func (e *EntryHost) serveStatus(w http.ResponseWriter, q *http.Request) {
 	body, err := e.status(q.Context())
 	if err != nil {
@@ -88,12 +81,6 @@
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
 	defer cancel()
 	body := statusBody{Host: string(e.self.ID()), DataCentre: string(e.self.DataCentre()), Violations: e.runner.Violations()}
-	err := e.runner.Inspect(ctx, func(s *reducer.State) {
-		body.Stopping = s.Stopping()
-		body.Ready = !s.Stopping() && s.ConfigurationReady() && s.Configuration().Offset() > 0
-		body.InFlight = s.InFlight()
-		body.ConfigurationOffset = uint64(s.Configuration().Offset())
-		body.ConfigurationHash = s.Configuration().Hash()
-	})
+	err := e.runner.Inspect(ctx, func(s *reducer.State) { describe(&body, s) })
 	return body, err
 }
--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -4,8 +4,12 @@
 func All() []Experiment {
 	return []Experiment{
 		pathExperiment{},
+		outcomesExperiment{},
+		restartExperiment{},
 		floodExperiment{},
 		fairnessExperiment{},
+		groupsExperiment{},
+		capacityExperiment{},
 	}
 }
 
--- a/internal/grouper/controller.go
+++ b/internal/grouper/controller.go
@@ -11,7 +11,7 @@
 
 const (
 	// renewPeriod is the time between two renewals of the lease.
-	renewPeriod = 1500 * time.Millisecond
+	renewPeriod = time.Second
 	// planPeriod is the time between two planning steps.
 	planPeriod = 200 * time.Millisecond
 	// orderRetryTime is the time after which an order without effect is given
@@ -33,14 +33,14 @@
 type stage int
 
 const (
-	// waiting means that orders of the last controller may still take effect.
-	waiting stage = iota + 1
+	// starting means that the claim has just been read.
+	starting stage = iota
 	// reading means that every server's account is read back.
 	reading
-	// settling means that a late order to a server that ignores fencing numbers
-	// gets the time to show.
-	settling
-	// rereading means that every account is read back once more.
+	// waiting means that orders of the last controller may still take effect.
+	waiting
+	// rereading means that every account is read back once more, since a server
+	// that ignores fencing numbers may have taken up a late order.
 	rereading
 	// acting means that the controller forms groups and gives orders.
 	acting
@@ -72,15 +72,17 @@
 	drained    map[fuchsiapitch.GroupID]time.Duration
 	checked    map[fuchsiapitch.GroupID]check
 	lost       map[fuchsiapitch.GroupID]time.Duration
+	formed     map[fuchsiapitch.GroupID]fuchsiapitch.Fence
 	first      bool
 	checkpoint *writing
 	saved      time.Duration
 	groups     uint64
 }
 
+// newTenure returns the state of a controller that has just read its claim.
 func newTenure(term fuchsiapitch.Term, lease Lease, takeover time.Duration) *tenure {
 	return &tenure{
-		term: term, lease: lease, stage: waiting, takeover: takeover,
+		term: term, lease: lease, takeover: takeover,
 		renewed:  lease.from.Monotonic(),
 		saved:    lease.from.Monotonic(),
 		orders:   make(map[fuchsiapitch.ServerID]outstanding),
@@ -91,13 +93,18 @@
 		drained:  make(map[fuchsiapitch.GroupID]time.Duration),
 		checked:  make(map[fuchsiapitch.GroupID]check),
 		lost:     make(map[fuchsiapitch.GroupID]time.Duration),
+		formed:   make(map[fuchsiapitch.GroupID]fuchsiapitch.Fence),
 	}
 }
 
 // confirm takes in a valid record of the stream: one of the controller's own
-// leaves the queue and renews the lease.
+// leaves the queue and renews the lease, and a release ends it.
 func (g *Grouper) confirm(_ fuchsiapitch.Instant, r Record) {
 	t := g.tenure
+	if t != nil && g.fold.Released() {
+		g.tenure = nil
+		return
+	}
 	if t == nil || r.Kind != Renewal || r.Term != t.term || len(t.queue) == 0 || t.queue[0].record.Sequence != r.Sequence {
 		return
 	}
@@ -117,6 +124,9 @@
 	t.queue = append(t.queue, &writing{record: r})
 	t.renewed = now.Monotonic()
 	g.refreshView()
+	if t.asks(now) {
+		g.actions.Tell = true
+	}
 }
 
 // control acts as the controller, if this host is.
@@ -151,7 +161,7 @@
 // resign releases the lease once no order is on its way.
 func (g *Grouper) resign(now fuchsiapitch.Instant) {
 	t := g.tenure
-	if len(t.queue) > 0 || g.fold.Released() {
+	if len(t.queue) > 0 {
 		return
 	}
 	for _, o := range t.orders {
@@ -181,40 +191,38 @@
 	t.checkpoint.start(now, &g.actions)
 }
 
-// advance follows the stages of a takeover: wait until the orders of the last
-// controller have surely taken effect, then read back every account. Servers
-// that ignore fencing numbers are given the time of one more order and are read
-// back again.
+// advance follows the stages of a takeover. Every account is read back. Where
+// engines ignore fencing numbers, the controller then waits until the orders of
+// the last one have surely taken effect, and reads every account back again.
 func (g *Grouper) advance(now fuchsiapitch.Instant) {
 	t := g.tenure
 	switch t.stage {
-	case waiting:
-		if now.Monotonic() >= t.takeover || g.allFenced() {
-			g.startReading(now, reading)
-		}
-	case reading, rereading:
-		if !g.readBack(t.since) {
-			return
-		}
-		if t.stage == rereading || g.allFenced() || t.first {
+	case starting:
+		g.startReading(now, reading)
+	case reading:
+		switch {
+		case !g.readBack(t.since):
+		case t.first || g.allFenced():
 			t.stage = acting
-			return
+		default:
+			t.stage = waiting
 		}
-		t.stage, t.since = settling, now.Monotonic()
-	case settling:
-		if now.Monotonic()-t.since >= OrderTime {
+	case waiting:
+		if now.Monotonic() >= t.takeover {
 			g.startReading(now, rereading)
 		}
+	case rereading:
+		if g.readBack(t.since) {
+			t.stage = acting
+		}
 	case acting:
 	}
 }
 
 func (g *Grouper) startReading(now fuchsiapitch.Instant, next stage) {
 	g.tenure.stage, g.tenure.since = next, now.Monotonic()
-	for id, k := range g.servers {
-		if k.server.Kind() == fuchsiapitch.EngineServer {
-			g.health.Suspect(id)
-		}
+	for _, id := range g.engines {
+		g.health.Suspect(id)
 	}
 }
 
@@ -222,8 +230,8 @@
 	if !g.listed {
 		return false
 	}
-	for id, k := range g.servers {
-		if k.server.Kind() == fuchsiapitch.EngineServer && !g.health.Answered(id, since) {
+	for _, id := range g.engines {
+		if !g.health.Answered(id, since) {
 			return false
 		}
 	}
@@ -282,6 +290,7 @@
 		g.checkOrder(now, m, group.Fence)
 		t.orders[m] = outstanding{fence: group.Fence, since: now.Monotonic()}
 		t.given[m] = group.Fence
+		g.counters.Orders++
 		order := fuchsiapitch.NewOrder(group.Fence, group.Assignment())
 		g.actions.Orders = append(g.actions.Orders, Give{Server: k.server, Order: order, Expiry: expiry})
 	}
--- a/internal/grouper/invariant.go
+++ b/internal/grouper/invariant.go
@@ -22,11 +22,14 @@
 	}
 }
 
-// AssertWhole asserts that a replica that gets a request is whole: this host
-// dispatches for it and no member is known to be missing.
+// AssertWhole asserts that a replica that gets a request from this host is whole:
+// an application server, or a group of which no member is known to be missing.
 func (g *Grouper) AssertWhole(replica fuchsiapitch.ReplicaID) {
 	group, ok := g.view.Group(fuchsiapitch.GroupID(replica))
 	if !ok {
+		if k, listed := g.servers[fuchsiapitch.ServerID(replica)]; !listed || k.server.Kind() != fuchsiapitch.ApplicationServer {
+			g.breach("whole-or-not-serving", fmt.Sprintf("%s got a request and does not exist", replica))
+		}
 		return
 	}
 	for _, m := range group.Members {
--- a/internal/grouper/plan.go
+++ b/internal/grouper/plan.go
@@ -76,6 +76,9 @@
 	}
 	for _, group := range p.groups {
 		p.state[group.ID] = p.judge(group)
+		if p.state[group.ID] == groupWorking {
+			g.tenure.formed[group.ID] = group.Fence
+		}
 		if !group.Draining {
 			delete(g.tenure.drained, group.ID)
 		} else if _, ok := g.tenure.drained[group.ID]; !ok {
@@ -142,7 +145,7 @@
 	count := make(map[fuchsiapitch.ServiceName]int)
 	for _, group := range p.workingFirst() {
 		service, ok := p.configuration.Service(group.Service)
-		wanted := ok && service.Kind() == fuchsiapitch.ModelService && len(group.Members) == service.GroupSize()
+		wanted := ok && service.Kind() == fuchsiapitch.ModelService
 		if wanted && !p.hasLeaver(group) {
 			count[group.Service]++
 			wanted = count[group.Service] <= service.Replicas()
@@ -184,19 +187,22 @@
 }
 
 // refence renews the fencing number of groups whose members do not report their
-// assignment and were assigned in an earlier term, or that report a higher one.
+// assignment and were assigned in an earlier term, that report a higher number,
+// or that worked before: after the loss of a member every member has to take up
+// the assignment anew.
 func (p *planner) refence() []Change {
 	var list []Change
 	for _, group := range p.groups {
 		if p.touched[group.ID] || p.state[group.ID] != groupForming {
 			continue
 		}
+		broke := p.tenure.formed[group.ID] == group.Fence
 		stale := group.Fence.Term() != p.tenure.term && p.needsOrders(group)
 		overtaken := slices.ContainsFunc(group.Members, func(m fuchsiapitch.ServerID) bool {
 			a, ok := p.health.Account(m)
 			return ok && group.Fence.Less(a.Fence())
 		})
-		if stale || overtaken {
+		if stale || overtaken || broke {
 			p.touched[group.ID] = true
 			list = append(list, Change{Kind: Assign, Group: group})
 		}
@@ -244,7 +250,7 @@
 		}
 	}
 	var list []Spare
-	for _, id := range p.engines() {
+	for _, id := range p.engines {
 		if busy[id] || p.isLeaving(id) || !p.health.Steady(p.now, id) {
 			continue
 		}
@@ -252,6 +258,7 @@
 		list = append(list, Spare{
 			ID: id, Domain: p.servers[id].server.FabricDomain(),
 			Model: a.Assignment().Model(), Version: a.Assignment().Version(),
+			Place: slices.Index(a.Assignment().Members(), id), Size: len(a.Assignment().Members()),
 		})
 	}
 	return list
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
@@ -23,6 +24,9 @@
 	options   []assembler.Option
 	perCentre int
 	hosts     []*Host
+	wrap      func(net.Listener) net.Listener
+
+	violations atomic.Int64
 }
 
 // Option sets one optional property of a cluster.
@@ -36,10 +40,16 @@
 	return func(c *Cluster) { c.options = append(c.options, options...) }
 }
 
+// WithPeerListener sets a function that wraps the listeners for other entry
+// hosts, to count or disturb what travels between them.
+func WithPeerListener(wrap func(net.Listener) net.Listener) Option {
+	return func(c *Cluster) { c.wrap = wrap }
+}
+
 // Start starts entry hosts in data centres, one in each without options. The
 // clean-up function ends them at once.
 func Start(fleet *standin.Fleet, centres []fuchsiapitch.DataCentreName, options ...Option) (*Cluster, func(), error) {
-	c := &Cluster{fleet: fleet, perCentre: 1}
+	c := &Cluster{fleet: fleet, perCentre: 1, wrap: func(l net.Listener) net.Listener { return l }}
 	for _, o := range options {
 		o(c)
 	}
@@ -82,6 +92,9 @@
 	return hosts
 }
 
+// Violations returns the number of violated invariants at all entry hosts.
+func (c *Cluster) Violations() int { return int(c.violations.Load()) }
+
 // Hosts returns the entry hosts in the order of data centre and number.
 func (c *Cluster) Hosts() []*Host { return c.hosts }
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -28,6 +28,11 @@
 	metrics.WriteProcessMetrics(w)
 }
 
+// EventSeconds returns the time that the reducer has taken so far.
+func (m *Meter) EventSeconds() float64 {
+	return m.set.GetOrCreateFloatCounter("fuchsiapitch_event_seconds_total").Get()
+}
+
 // Applied counts an event and the time that the reducer took for it.
 func (m *Meter) Applied(d time.Duration) {
 	m.set.GetOrCreateCounter("fuchsiapitch_events_total").Inc()
@@ -49,7 +54,7 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("fuchsiapitch_first_token_seconds{service=%q,rank=%q}", service, rank)).Update(d.Seconds())
 }
 
-// Tokens counts tokens given to callers.
-func (m *Meter) Tokens(service fuchsiapitch.ServiceName, n int) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_tokens_total{service=%q}", service)).Add(n)
+// Tokens returns the counter of the tokens of a service given to callers.
+func (m *Meter) Tokens(service fuchsiapitch.ServiceName) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_tokens_total{service=%q}", service))
 }
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -6,18 +6,25 @@
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/forwarder"
 )
 
-// writeTimeout bounds the time that a caller may take to read one piece.
-const writeTimeout = 30 * time.Second
+const (
+	// writeTimeout bounds the time that a caller may take to read one piece.
+	writeTimeout = 30 * time.Second
+	// deadlinePeriod is the time after which the deadline of writes is renewed.
+	deadlinePeriod = time.Second
+)
 
 // answer serves a request and gives the caller the answer or the failure.
 func (r *Receiver) answer(w http.ResponseWriter, q *http.Request, request fuchsiapitch.Request, call fuchsiapitch.Call, model bool) {
 	sink := &responseSink{
 		writer: w, controller: http.NewResponseController(w), request: request,
 		flushed: request.Stream(), received: time.Now(), receiver: r,
+		tokens: r.meter.Tokens(request.Service()),
 	}
 	result := r.forwarder.Receive(q.Context(), request, call, sink)
 	r.meter.Ended(request.Service(), request.Rank(), result.Outcome)
@@ -40,6 +47,8 @@
 	flushed    bool
 	wrote      bool
 	received   time.Time
+	renewed    time.Time
+	tokens     *metrics.Counter
 }
 
 // Start implements forwarder.Sink.
@@ -63,18 +72,28 @@
 		s.wrote = true
 		s.receiver.meter.FirstToken(s.request.Service(), s.request.Rank(), time.Since(s.received))
 	}
-	// Connections that know no deadline are bounded by the server's own.
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	s.renewDeadline(time.Now())
 	if _, err := s.writer.Write(chunk.Data()); err != nil {
 		return err
 	}
-	s.receiver.meter.Tokens(s.request.Service(), chunk.Tokens())
+	s.tokens.Add(chunk.Tokens())
 	if s.flushed {
 		return s.controller.Flush()
 	}
 	return nil
 }
 
+// renewDeadline gives the next writes their deadline. It is renewed from time to
+// time only, since that costs as much as a small write.
+func (s *responseSink) renewDeadline(now time.Time) {
+	if now.Sub(s.renewed) < deadlinePeriod {
+		return
+	}
+	s.renewed = now
+	// Connections that know no deadline are bounded by the server's own.
+	_ = s.controller.SetWriteDeadline(now.Add(writeTimeout + deadlinePeriod))
+}
+
 // abort ends an answer that has begun and cannot be completed. A stream ends
 // with an error event; a plain answer is cut so that its length is wrong.
 func (s *responseSink) abort(result forwarder.Result) {
--- a/internal/reducer/group_random_test.go
+++ b/internal/reducer/group_random_test.go
@@ -43,6 +43,7 @@
 				w.run(15 * time.Second)
 				for range stepsPerSeed {
 					w.disturb()
+					w.ask(w.nodes[w.random.IntN(len(w.nodes))])
 					w.run(w.between(0, 700*time.Millisecond))
 				}
 				w.heal()
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -13,14 +13,16 @@
 	switch e := event.(type) {
 	case HeartbeatReceived:
 		s.members.Receive(s.now, e.Heartbeat)
+		s.hearGroups(e.Heartbeat)
 		s.noteLoads(e.Heartbeat)
 		s.compareConfiguration(e.Heartbeat)
-		s.hearGroups(e.Heartbeat)
 	case HeartbeatFailed:
 		s.members.Fail(s.now, e.Host)
 	}
 	s.followMembership()
 	s.followDemands()
+	// A group that this host dispatches for from now on is not proved whole yet.
+	s.stepGroups()
 }
 
 func (s *State) tickMembership() {
