--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -7,6 +7,7 @@
 		outcomesExperiment{},
 		restartExperiment{},
 		floodExperiment{},
+		fairnessExperiment{},
 		groupsExperiment{},
 		configurationExperiment{},
 		capacityExperiment{},
