--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -132,7 +132,11 @@
 	if err != nil || ms <= 0 {
 		return 0, &RequestError{Status: http.StatusBadRequest, Code: "bad-timeout", Detail: headerTimeout + " is not a positive number of milliseconds"}
 	}
-	return min(time.Duration(ms)*time.Millisecond, service.Timeout()), nil
+	limit := service.Timeout()
+	if ms < limit.Milliseconds() {
+		limit = time.Duration(ms) * time.Millisecond
+	}
+	return limit, nil
 }
 
 // newRequestID returns an identifier that no other request has.
