--- a/internal/commander/bench.go
+++ b/internal/commander/bench.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -19,6 +20,7 @@
 	seed    uint64
 	json    bool
 	quick   bool
+	minutes float64
 }
 
 func newBench(streams Streams) subcommands.Command { return &bench{streams: streams} }
@@ -32,7 +34,7 @@
 // Usage implements subcommands.Command.
 func (*bench) Usage() string {
 	var b strings.Builder
-	b.WriteString(`fuchsiapitch bench [--seed N] [--quick] [--json] NAME
+	b.WriteString(`fuchsiapitch bench [--seed N] [--quick] [--minutes M] [--json] NAME
 
 Runs an experiment in this process against stand-ins. Progress goes to standard
 error, the figures to standard output. Exit code 0 means that all targets are
@@ -54,6 +56,7 @@
 func (b *bench) SetFlags(f *flag.FlagSet) {
 	f.Uint64Var(&b.seed, "seed", 1, "seed of every random choice")
 	f.BoolVar(&b.json, "json", false, "print one JSON object")
+	f.Float64Var(&b.minutes, "minutes", 0, "length of a soak in minutes, 0 for its own")
 	f.BoolVar(&b.quick, "quick", false, "run for less than 45 s")
 }
 
@@ -68,7 +71,10 @@
 	if !ok {
 		return b.streams.fail(ExitUsage, &UnknownExperimentError{Name: name})
 	}
-	report, err := e.Run(ctx, experimenter.Run{Seed: b.seed, Quick: b.quick, Progress: b.streams.Errors})
+	report, err := e.Run(ctx, experimenter.Run{
+		Seed: b.seed, Quick: b.quick, Progress: b.streams.Errors,
+		Duration: time.Duration(b.minutes * float64(time.Minute)),
+	})
 	if err != nil {
 		return b.streams.fail(ExitFailure, err)
 	}
--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -6,6 +6,7 @@
 		pathExperiment{},
 		floodExperiment{},
 		groupsExperiment{},
+		soakExperiment{},
 	}
 }
 
--- a/internal/experimenter/report.go
+++ b/internal/experimenter/report.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"slices"
+	"time"
 )
 
 // Target is a limit that a figure must keep.
@@ -74,6 +75,8 @@
 type Run struct {
 	// Seed fixes every random choice.
 	Seed uint64
+	// Duration asks for a time of faults, 0 for the experiment's own.
+	Duration time.Duration
 	// Quick asks for a run of less than 45 s.
 	Quick bool
 	// Progress takes lines that show the progress.
--- a/internal/standin/engine/body.go
+++ b/internal/standin/engine/body.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -84,3 +85,17 @@
 	x := (content ^ uint64(n)*0x9e3779b97f4a7c15) * 0xff51afd7ed558ccd
 	return words[x>>60]
 }
+
+// ExpectedText returns the text with which every engine answers a body, "" for
+// a body that is not well formed.
+func ExpectedText(data []byte) string {
+	b, ok := parseBody(data)
+	if !ok {
+		return ""
+	}
+	var text strings.Builder
+	for n := int64(1); n <= int64(b.tokenLimit()); n++ {
+		text.WriteString(token(b.content, n))
+	}
+	return text.String()
+}
