--- a/internal/commander/bench.go
+++ b/internal/commander/bench.go
@@ -21,6 +21,7 @@
 	json    bool
 	quick   bool
 	minutes float64
+	write   string
 }
 
 func newBench(streams Streams) subcommands.Command { return &bench{streams: streams} }
@@ -34,7 +35,7 @@
 // Usage implements subcommands.Command.
 func (*bench) Usage() string {
 	var b strings.Builder
-	b.WriteString(`fuchsiapitch bench [--seed N] [--quick] [--minutes M] [--json] NAME
+	b.WriteString(`fuchsiapitch bench [--seed N] [--quick] [--minutes M] [--json] [--write FOLDER] NAME
 
 Runs an experiment in this process against stand-ins. Progress goes to standard
 error, the figures to standard output. Exit code 0 means that all targets are
@@ -57,6 +58,7 @@
 	f.Uint64Var(&b.seed, "seed", 1, "seed of every random choice")
 	f.BoolVar(&b.json, "json", false, "print one JSON object")
 	f.Float64Var(&b.minutes, "minutes", 0, "length of a soak in minutes, 0 for its own")
+	f.StringVar(&b.write, "write", "", "folder that takes the pages and plots of the experiment")
 	f.BoolVar(&b.quick, "quick", false, "run for less than 45 s")
 }
 
@@ -73,7 +75,7 @@
 	}
 	report, err := e.Run(ctx, experimenter.Run{
 		Seed: b.seed, Quick: b.quick, Progress: b.streams.Errors,
-		Duration: time.Duration(b.minutes * float64(time.Minute)),
+		Duration: time.Duration(b.minutes * float64(time.Minute)), Directory: b.write,
 	})
 	if err != nil {
 		return b.streams.fail(ExitFailure, err)
--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -4,9 +4,12 @@
 func All() []Experiment {
 	return []Experiment{
 		pathExperiment{},
+		outcomesExperiment{},
+		restartExperiment{},
 		floodExperiment{},
 		groupsExperiment{},
 		soakExperiment{},
+		capacityExperiment{},
 	}
 }
 
