dispatcher: use one frame for all pieces of an answer

Cause: each token made a frame, its wrapper and its data anew at both ends; 30% of the objects allocated through two hosts came from the sender's side alone (allocation profile of full load). Change: a sink and a body keep one frame each. gRPC encodes a message before its send returns, and decoding resets the message.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -166,6 +166,7 @@
 	lost      *fuchsiapitch.DispatchError
 	silence   time.Duration
 	timer     *time.Timer
+	frame     wire.DispatchFrame
 	// proved is called for each frame, and silent when none comes.
 	proved, silent func()
 }
@@ -176,18 +177,18 @@
 	return &frameBody{stream: stream, cancel: cancel, departure: d, lost: lost, silence: silence, timer: timer}
 }
 
-// next returns the next frame that has content.
+// next returns the next frame that has content. It is valid until the next call.
 func (b *frameBody) next() (*wire.DispatchFrame, error) {
 	for {
 		b.timer.Reset(b.silence)
-		frame, err := b.stream.Recv()
+		err := b.stream.RecvMsg(&b.frame)
 		b.timer.Stop()
 		if err != nil {
 			return nil, err
 		}
 		b.proved()
-		if frame.GetFrame() != nil {
-			return frame, nil
+		if b.frame.GetFrame() != nil {
+			return &b.frame, nil
 		}
 	}
 }
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -67,9 +67,12 @@
 	return fuchsiapitch.NewHost(fuchsiapitch.HostID(w.GetFrom()), "", fuchsiapitch.DataCentreName(w.GetFromDataCentre()), 0)
 }
 
-// frameSink passes an answer on as frames.
+// frameSink passes an answer on as frames. One frame serves for all pieces,
+// since each is encoded before the send returns.
 type frameSink struct {
 	frames *frameStream
+	data   wire.Data
+	frame  wire.DispatchFrame
 }
 
 // Start implements forwarder.Sink.
@@ -81,9 +84,11 @@
 
 // Write implements forwarder.Sink.
 func (s *frameSink) Write(chunk fuchsiapitch.Chunk) error {
-	return s.frames.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Data{Data: &wire.Data{
-		Data: chunk.Data(), Tokens: int32(chunk.Tokens()),
-	}}})
+	if s.frame.Frame == nil {
+		s.frame.Frame = &wire.DispatchFrame_Data{Data: &s.data}
+	}
+	s.data.Data, s.data.Tokens = chunk.Data(), int32(chunk.Tokens())
+	return s.frames.send(&s.frame)
 }
 
 // Size returns the size of a heartbeat on the wire in bytes, without framing.
