--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -10,6 +10,7 @@
 		fairnessExperiment{},
 		groupsExperiment{},
 		configurationExperiment{},
+		soakExperiment{},
 		capacityExperiment{},
 	}
 }
