grouper: wait out the lease of the last controller in every takeover

Cause: working through the argument that two controllers never order at once showed two gaps. With engines that check fencing numbers the new controller did not wait for a lease that was renewed between the sending and the reading of its claim. A new controller whose list lacked a member rebuilt its working group, though absence from the list is no proof of death.

--- a/internal/grouper/controller.go
+++ b/internal/grouper/controller.go
@@ -60,6 +60,7 @@
 	queue      []*writing
 	stage      stage
 	takeover   time.Duration
+	began      time.Duration
 	since      time.Duration
 	renewed    time.Duration
 	planned    time.Duration
@@ -82,7 +83,7 @@
 // newTenure returns the state of a controller that has just read its claim.
 func newTenure(term fuchsiapitch.Term, lease Lease, takeover time.Duration) *tenure {
 	return &tenure{
-		term: term, lease: lease, takeover: takeover,
+		term: term, lease: lease, takeover: takeover, began: lease.from.Monotonic(),
 		renewed:  lease.from.Monotonic(),
 		saved:    lease.from.Monotonic(),
 		orders:   make(map[fuchsiapitch.ServerID]outstanding),
@@ -165,7 +166,7 @@
 		return
 	}
 	for _, o := range t.orders {
-		if now.Monotonic()-o.since < OrderTime+clockMargin {
+		if now.Monotonic()-o.since < lateOrderTime {
 			return
 		}
 	}
@@ -191,9 +192,10 @@
 	t.checkpoint.start(now, &g.actions)
 }
 
-// advance follows the stages of a takeover. Every account is read back. Where
-// engines ignore fencing numbers, the controller then waits until the orders of
-// the last one have surely taken effect, and reads every account back again.
+// advance follows the stages of a takeover. Every account is read back and the
+// lease of the last controller has surely lapsed. Where engines ignore fencing
+// numbers, the controller then waits until its orders have surely taken effect
+// too, and reads every account back again.
 func (g *Grouper) advance(now fuchsiapitch.Instant) {
 	t := g.tenure
 	switch t.stage {
@@ -201,7 +203,7 @@
 		g.startReading(now, reading)
 	case reading:
 		switch {
-		case !g.readBack(t.since):
+		case !g.readBack(t.since) || now.Monotonic() < t.takeover-lateOrderTime:
 		case t.first || g.allFenced():
 			t.stage = acting
 		default:
--- a/internal/grouper/election.go
+++ b/internal/grouper/election.go
@@ -205,14 +205,13 @@
 	if g.fold.Term() == 0 {
 		return now.Monotonic()
 	}
-	after := OrderTime + clockMargin
 	if g.fold.Released() {
-		return g.candidate.read.Monotonic() + after
+		return g.candidate.read.Monotonic() + lateOrderTime
 	}
 	e, _ := g.fold.Elector(g.self)
-	until := g.candidate.read.Monotonic() + g.wait(e) + after
+	until := g.candidate.read.Monotonic() + g.wait(e) + lateOrderTime
 	if c := g.candidate.claim; c != nil {
-		until = max(until, c.first.Monotonic()+after)
+		until = max(until, c.first.Monotonic()+lateOrderTime)
 	}
 	return until
 }
--- a/internal/grouper/lease.go
+++ b/internal/grouper/lease.go
@@ -17,6 +17,9 @@
 	// OutageLimit is the longest time for which a controller gives orders on
 	// promises, counted from its last renewal.
 	OutageLimit = 3 * time.Minute
+	// lateOrderTime is the time after the end of a lease in which its last orders
+	// take effect.
+	lateOrderTime = OrderTime + clockMargin
 	// clockMargin covers the drift between the clocks of two hosts.
 	clockMargin = 300 * time.Millisecond
 	// jumpTolerance is the largest difference between the wall clock and the
--- a/internal/grouper/plan.go
+++ b/internal/grouper/plan.go
@@ -17,6 +17,9 @@
 	drainSettleTime = 2 * time.Second
 	// firstCheckTime is the time in which a group must serve a new version.
 	firstCheckTime = 10 * time.Minute
+	// unlistedTime is the time after which a member that a new controller has
+	// never found in the platform's list counts as lost.
+	unlistedTime = time.Minute
 	// abandonTime is the time after which a group without any answering member
 	// is disbanded.
 	abandonTime = 10 * time.Minute
@@ -106,11 +109,13 @@
 	return groupWorking
 }
 
-// isLost reports whether a member is gone for certain: its silence is confirmed
-// or it is not known at all.
+// isLost reports whether a member is gone: its silence is confirmed, or the
+// platform's list, which lags, has not named it for long.
 func (p *planner) isLost(id fuchsiapitch.ServerID) bool {
-	_, ok := p.servers[id]
-	return !ok || p.health.Silent(id)
+	if _, ok := p.servers[id]; !ok {
+		return p.now-p.tenure.began >= unlistedTime
+	}
+	return p.health.Silent(id)
 }
 
 // hasLeaver reports whether a member is about to leave.
--- a/internal/grouper/takeover_test.go
+++ b/internal/grouper/takeover_test.go
@@ -55,6 +55,19 @@
 
 func (d *desk) hasOrdered() bool { return len(d.given) > 0 }
 
+// assertLateRenewal checks that the first order comes no sooner than a time after
+// a renewal that overtook the claim.
+func assertLateRenewal(t *testing.T, d *desk, want time.Duration) {
+	t.Helper()
+	d.withhold = true
+	d.runUntil(t, "claim on its way", func() bool { return len(d.stream) > 5 })
+	claim := d.stream[5]
+	d.stream, d.withhold = d.stream[:5], false
+	d.write(renewalOf("b", 2, 3), claim)
+	assertEqual(t, d.isHolder(), true, "holder")
+	assertNotBefore(t, d.runUntil(t, "order", d.hasOrdered), want, "first order")
+}
+
 func TestTakeover(t *testing.T) {
 	t.Run("a lease is claimed only when it has lapsed", func(t *testing.T) {
 		d := newSuccessor(true)
@@ -66,7 +79,26 @@
 	})
 	t.Run("orders to engines that ignore fencing wait for late ones", func(t *testing.T) {
 		d := newSuccessor(true)
-		assertNotBefore(t, d.runUntil(t, "order", d.hasOrdered), LeaseTime+OrderTime+clockMargin, "first order")
+		assertNotBefore(t, d.runUntil(t, "order", d.hasOrdered), LeaseTime+lateOrderTime, "first order")
+	})
+	t.Run("a renewal that reached the stream before the claim counts", func(t *testing.T) {
+		assertLateRenewal(t, newSuccessor(true), LeaseTime+lateOrderTime)
+	})
+	t.Run("it counts for engines that check fencing too", func(t *testing.T) {
+		assertLateRenewal(t, newSuccessor(true, fuchsiapitch.WithFencing()), LeaseTime)
+	})
+	t.Run("a member that the list lacks is not lost at once", func(t *testing.T) {
+		d := newSuccessor(true)
+		r := renewalOf("b", 2, 3, assignOf("g", "s1", "unlisted"))
+		r.Read = 4
+		d.write(r)
+		d.runUntil(t, "claim", d.isHolder)
+		d.run(unlistedTime - step)
+		g, _ := d.Fold().Group("g")
+		assertEqual(t, g.Members, []fuchsiapitch.ServerID{"s1", "unlisted"}, "members")
+		d.run(10 * time.Second)
+		g, _ = d.Fold().Group("g")
+		assertEqual(t, g.Members, []fuchsiapitch.ServerID{"s1", "s2"}, "members after long absence")
 	})
 	t.Run("orders to engines that check fencing need not wait", func(t *testing.T) {
 		d := newSuccessor(true, fuchsiapitch.WithFencing())
