--- a/internal/grouper/takeover_test.go
+++ b/internal/grouper/takeover_test.go
@@ -111,6 +111,12 @@
 		d.HearPromise(instant(0, 0), "b", 7, Promise{Term: 2, Wanted: true})
 		assertNotBefore(t, d.runUntil(t, "claim", d.isHolder), PromiseTime, "claim")
 	})
+	t.Run("orders after a promise wait for those that it allowed", func(t *testing.T) {
+		d := newSuccessor(true)
+		d.HearPromise(instant(0, 0), "b", 7, Promise{Term: 2, Wanted: true})
+		d.runUntil(t, "claim", d.isHolder)
+		assertNotBefore(t, d.runUntil(t, "order", d.hasOrdered), lateOrderTime, "first order after the claim")
+	})
 	t.Run("no promise is given once a claim is on its way", func(t *testing.T) {
 		d := newSuccessor(true)
 		d.withhold = true
