--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -4,8 +4,11 @@
 func All() []Experiment {
 	return []Experiment{
 		pathExperiment{},
+		outcomesExperiment{},
+		restartExperiment{},
 		floodExperiment{},
 		groupsExperiment{},
+		capacityExperiment{},
 	}
 }
 
--- a/internal/grouper/health_test.go
+++ b/internal/grouper/health_test.go
@@ -1,6 +1,7 @@
 package grouper
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -80,13 +81,32 @@
 		assertEqual(t, g.watchPeriod(now, pair, "s1"), busyLeaderPeriod, "period of the leader with streams")
 		assertEqual(t, g.watchPeriod(now, pair, "s2"), busyMemberPeriod, "period of a member with streams")
 	})
-	t.Run("the rate of probes is bounded", func(t *testing.T) {
+	t.Run("the rate of probes of steady servers is bounded", func(t *testing.T) {
 		h := NewHealth()
-		var watches []Watch
-		for n := range 2 * int(probeBurst) {
-			watches = append(watches, Watch{Server: fuchsiapitch.ServerID(rune('a' + n)), Period: time.Second})
+		watches := watchServers(2*int(probeBurst), time.Second)
+		for _, w := range watches {
+			h.Report(0, fuchsiapitch.NewAccount(w.Server, 1, fuchsiapitch.Fence{}, fuchsiapitch.Assignment{}))
 		}
-		assertEqual(t, len(h.Due(0, watches)), int(probeBurst), "probes at once")
-		assertEqual(t, len(h.Due(time.Second, watches)), int(probesPerSecond), "probes in the next second")
+		assertEqual(t, len(h.Due(time.Minute, watches)), int(probeBurst), "probes at once")
+		assertEqual(t, len(h.Due(time.Minute+time.Second, watches)), int(probesPerSecond), "probes in the next second")
 	})
+	t.Run("the rate of probes of servers in change is bounded", func(t *testing.T) {
+		h := NewHealth()
+		watches := watchServers(2*int(changeProbesPerSecond), loadingProbePeriod)
+		assertEqual(t, len(h.Due(0, watches)), int(changeProbesPerSecond), "probes at once")
+		assertEqual(t, len(h.Due(time.Second, watches)), int(changeProbesPerSecond), "probes in the next second")
+	})
+	t.Run("forming many groups is not held up by the limit of steady times", func(t *testing.T) {
+		h := NewHealth()
+		watches := watchServers(150, loadingProbePeriod)
+		assertEqual(t, len(h.Due(0, watches)), len(watches), "probes at once")
+	})
+}
+
+func watchServers(count int, period time.Duration) []Watch {
+	watches := make([]Watch, 0, count)
+	for n := range count {
+		watches = append(watches, Watch{Server: fuchsiapitch.ServerID(strconv.Itoa(n)), Period: period})
+	}
+	return watches
 }
