grouper: let requests wait while a new dispatcher proves its groups

Cause: after a change of the live hosts the new dispatcher of a group refused requests with no-replica until the members had answered its first probes. Change: such a group is in routing without slots, so that requests wait for the few milliseconds; a member that stays silent takes it out of routing.

--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -216,14 +216,15 @@
 // Replicas returns the replicas of the data centre that can take requests, in
 // the order of their identifiers. A group that this host dispatches for is
 // among them only while every member proves to be as recorded; of the other
-// groups their dispatchers know more.
+// groups their dispatchers know more. A group whose members have not been heard
+// of yet, since this host dispatches for it only now, has no slots, so that
+// requests wait for it.
 func (g *Grouper) Replicas(now fuchsiapitch.Instant) []fuchsiapitch.Replica {
 	var list []fuchsiapitch.Replica
 	for _, group := range g.view.Groups() {
-		if g.isRoutable(now.Monotonic(), group) {
-			service, _ := g.configuration.Service(group.Service)
+		if slots, ok := g.route(now.Monotonic(), group); ok {
 			list = append(list, fuchsiapitch.NewReplica(fuchsiapitch.ReplicaID(group.ID), group.Service,
-				g.servers[group.Members[0]].server, service.Concurrency(), group.Version))
+				g.servers[group.Members[0]].server, slots, group.Version))
 		}
 	}
 	for _, id := range g.applications {
@@ -237,18 +238,23 @@
 	return list
 }
 
-func (g *Grouper) isRoutable(now time.Duration, group Group) bool {
+// route returns the slots of a group and whether it can take requests.
+func (g *Grouper) route(now time.Duration, group Group) (slots int, ok bool) {
 	service, ok := g.configuration.Service(group.Service)
 	if !ok || service.Kind() != fuchsiapitch.ModelService || group.Draining || len(group.Members) == 0 {
-		return false
+		return 0, false
 	}
-	if _, ok := g.servers[group.Members[0]]; !ok {
-		return false
+	if slices.ContainsFunc(group.Members, func(m fuchsiapitch.ServerID) bool { return g.servers[m] == nil }) {
+		return 0, false
 	}
 	if g.owner(fuchsiapitch.ReplicaID(group.ID)) {
-		return g.health.Check(now, group, g.isLeaving) == 0
+		fault := g.health.Check(now, group, g.isLeaving)
+		if fault == MemberUnproved {
+			return 0, true
+		}
+		return service.Concurrency(), fault == 0
 	}
-	return !slices.ContainsFunc(group.Members, func(m fuchsiapitch.ServerID) bool {
+	return service.Concurrency(), !slices.ContainsFunc(group.Members, func(m fuchsiapitch.ServerID) bool {
 		return g.isLeaving(m) || g.health.Silent(m)
 	})
 }
--- a/internal/grouper/health.go
+++ b/internal/grouper/health.go
@@ -223,7 +223,10 @@
 
 func (h *Health) checkMember(now time.Duration, g Group, id fuchsiapitch.ServerID) Fault {
 	s, ok := h.servers[id]
-	if !ok || !s.reported {
+	switch {
+	case ok && !s.reported && s.silences > 0:
+		return MemberSilent
+	case !ok || !s.reported:
 		return MemberUnproved
 	}
 	proof := s.heard
--- a/internal/grouper/health_test.go
+++ b/internal/grouper/health_test.go
@@ -42,6 +42,7 @@
 		"a member of an older term breaks it":      {func(h *Health) { h.Report(1, account("s2", older, fuchsiapitch.WithReady())) }, MemberStray},
 		"a member with another version breaks it":  {func(h *Health) { h.Report(1, account("s2", other, fuchsiapitch.WithReady())) }, MemberStray},
 		"a member that is not ready breaks it":     {func(h *Health) { h.Report(1, account("s2", pair)) }, MemberLoading},
+		"a member that never answered breaks it":   {func(h *Health) { delete(h.servers, "s2"); h.Silence(1, "s2") }, MemberSilent},
 		"a member that never reported breaks it":   {func(h *Health) { delete(h.servers, "s2") }, MemberUnproved},
 		"one lost probe does not outweigh streams": {func(h *Health) { h.Progress(1, "g"); h.Silence(1, "s2") }, 0},
 		"a confirmed silence outweighs streams":    {func(h *Health) { h.Progress(1, "g"); h.Silence(1, "s2"); h.Silence(1, "s2") }, MemberSilent},
--- a/internal/grouper/takeover_test.go
+++ b/internal/grouper/takeover_test.go
@@ -68,6 +68,22 @@
 	assertNotBefore(t, d.runUntil(t, "order", d.hasOrdered), want, "first order")
 }
 
+func TestReplicas(t *testing.T) {
+	t.Run("a group without proof has no slots until its members report", func(t *testing.T) {
+		d := newSuccessor(true)
+		d.write(renewalOf("b", 2, 3, assignOf("g", "s1", "s2")))
+		g, _ := d.Fold().Group("g")
+		d.Configure(fuchsiapitch.NewConfiguration(1, 1, []fuchsiapitch.Service{service("redactor", 1, 2)}, nil, nil))
+		now := instant(0, 0)
+		assertEqual(t, d.Replicas(now)[0].Slots(), 0, "slots before")
+		d.Report(now, account("s1", g, fuchsiapitch.WithReady()))
+		d.Report(now, account("s2", g, fuchsiapitch.WithReady()))
+		assertEqual(t, d.Replicas(now)[0].Slots(), 16, "slots after")
+		d.Silence(now, "s2")
+		assertEqual(t, len(d.Replicas(now)), 0, "replicas after a silence")
+	})
+}
+
 func TestTakeover(t *testing.T) {
 	t.Run("a lease is claimed only when it has lapsed", func(t *testing.T) {
 		d := newSuccessor(true)
--- a/internal/scheduler/station.go
+++ b/internal/scheduler/station.go
@@ -51,6 +51,9 @@
 
 // slots returns the number of requests that the replica may run now.
 func (t *station) slots() int {
+	if t.replica.Slots() == 0 {
+		return 0
+	}
 	switch t.standing {
 	case slow:
 		return max(1, t.limit/2)
