grouper: tests that orders follow the stream and the promises

Cause: two guards could be taken away without a failure: the one that gives no order without permission, and the one that orders only what the stream holds. Change: a directed test for each.

--- a/internal/grouper/takeover_test.go
+++ b/internal/grouper/takeover_test.go
@@ -143,15 +143,21 @@
 	})
 }
 
-// newOutage returns the desk of a controller whose log has been away since its
-// last renewal, with another elector, and the time of that renewal.
+// newOutage returns the desk of a controller whose lease has lapsed since the log
+// is away, with another elector.
 func newOutage() *desk {
-	d := newDesk("s1", "s2", "s3", "s4")
+	d := newDeaf()
+	d.run(LeaseTime)
+	return d
+}
+
+// newDeaf returns the desk of a controller that reads nothing more from the log.
+func newDeaf() *desk {
+	d := newDesk("s1", "s2", "s3", "s4", "s5")
 	d.run(5 * time.Second)
 	d.write(joinOf("b"))
 	d.run(2 * time.Second)
-	d.withhold = true
-	d.run(LeaseTime)
+	d.withhold, d.given = true, nil
 	return d
 }
 
@@ -168,16 +174,30 @@
 	t.Run("without the promise of every elector no order is given", func(t *testing.T) {
 		d := newOutage()
 		d.engines["s1"].dead = true
-		d.given = nil
 		d.run(10 * time.Second)
 		assertEqual(t, d.mayOrder(), false, "may order")
 		assertEqual(t, len(d.given), 0, "orders")
 	})
+	t.Run("under a lease an assignment is in the stream before it is ordered", func(t *testing.T) {
+		d := newDeaf()
+		d.engines["s1"].dead = true
+		d.Suspect([]fuchsiapitch.ServerID{"s1"})
+		d.run(1500 * time.Millisecond)
+		assertEqual(t, d.mayOrder(), true, "may order")
+		assertEqual(t, len(d.tenure.queue) > 0, true, "has queued the assignment")
+		assertEqual(t, len(d.given), 0, "orders")
+		d.withhold = false
+		d.run(2 * time.Second)
+		assertEqual(t, len(d.given), 2, "orders once it is read")
+	})
 	t.Run("with every promise the controller goes on", func(t *testing.T) {
 		d := newOutage()
 		d.Promise(instant(d.now, d.now), 5)
 		d.promise(5, PromiseTime)
+		d.engines["s1"].dead = true
+		d.run(5 * time.Second)
 		assertEqual(t, d.mayOrder(), true, "may order")
+		assertEqual(t, len(d.given), 2, "orders")
 	})
 	t.Run("a promise counts from the heartbeat that it answers", func(t *testing.T) {
 		d := newOutage()
