--- a/internal/grouper/controller_test.go
+++ b/internal/grouper/controller_test.go
@@ -137,6 +137,17 @@
 		g, _ := d.Fold().Group(place)
 		assertEqual(t, g.Members, []fuchsiapitch.ServerID{"s5", "s2"}, "members")
 	})
+	t.Run("assigns a group anew that worked and is no longer ready", func(t *testing.T) {
+		d := newDesk("s1", "s2", "s3", "s4")
+		d.run(5 * time.Second)
+		before := d.Fold().Groups()[0]
+		d.engines[before.Members[1]].refuses = "1"
+		d.Suspect(before.Members)
+		d.run(time.Second)
+		after := d.Fold().Groups()[0]
+		assertEqual(t, after.Members, before.Members, "members")
+		assertEqual(t, before.Fence.Less(after.Fence), true, "has a higher fencing number")
+	})
 	t.Run("rolls a version out one drained group at a time", func(t *testing.T) {
 		d := newDesk("s1", "s2", "s3", "s4")
 		d.run(5 * time.Second)
--- a/internal/grouper/takeover_test.go
+++ b/internal/grouper/takeover_test.go
@@ -181,10 +181,12 @@
 	t.Run("under a lease an assignment is in the stream before it is ordered", func(t *testing.T) {
 		d := newDeaf()
 		d.engines["s1"].dead = true
-		d.Suspect([]fuchsiapitch.ServerID{"s1"})
-		d.run(1500 * time.Millisecond)
+		for range confirmSilences {
+			d.Silence(instant(d.now, d.now), "s1")
+		}
+		d.run(planPeriod + step)
 		assertEqual(t, d.mayOrder(), true, "may order")
-		assertEqual(t, len(d.tenure.queue) > 0, true, "has queued the assignment")
+		assertEqual(t, len(d.tenure.queued()[0].Changes), 1, "queued changes")
 		assertEqual(t, len(d.given), 0, "orders")
 		d.withhold = false
 		d.run(2 * time.Second)
