--- a/internal/grouper/controller.go
+++ b/internal/grouper/controller.go
@@ -1,7 +1,6 @@
 package grouper
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -29,29 +28,6 @@
 	queueLimit = 256
 )
 
-// stage is the progress of a takeover.
-type stage int
-
-const (
-	// starting means that the claim has just been read.
-	starting stage = iota
-	// reading means that every server's account is read back.
-	reading
-	// waiting means that orders of the last controller may still take effect.
-	waiting
-	// rereading means that every account is read back once more, since a server
-	// that ignores fencing numbers may have taken up a late order.
-	rereading
-	// acting means that the controller forms groups and gives orders.
-	acting
-)
-
-// outstanding is an order without a report.
-type outstanding struct {
-	fence fuchsiapitch.Fence
-	since time.Duration
-}
-
 // tenure is the state of a controller within its term.
 type tenure struct {
 	term       fuchsiapitch.Term
@@ -60,6 +36,7 @@
 	queue      []*writing
 	stage      stage
 	takeover   time.Duration
+	began      time.Duration
 	since      time.Duration
 	renewed    time.Duration
 	planned    time.Duration
@@ -82,7 +59,7 @@
 // newTenure returns the state of a controller that has just read its claim.
 func newTenure(term fuchsiapitch.Term, lease Lease, takeover time.Duration) *tenure {
 	return &tenure{
-		term: term, lease: lease, takeover: takeover,
+		term: term, lease: lease, takeover: takeover, began: lease.from.Monotonic(),
 		renewed:  lease.from.Monotonic(),
 		saved:    lease.from.Monotonic(),
 		orders:   make(map[fuchsiapitch.ServerID]outstanding),
@@ -165,7 +142,7 @@
 		return
 	}
 	for _, o := range t.orders {
-		if now.Monotonic()-o.since < OrderTime+clockMargin {
+		if now.Monotonic()-o.since < lateOrderTime {
 			return
 		}
 	}
@@ -191,196 +168,6 @@
 	t.checkpoint.start(now, &g.actions)
 }
 
-// advance follows the stages of a takeover. Every account is read back. Where
-// engines ignore fencing numbers, the controller then waits until the orders of
-// the last one have surely taken effect, and reads every account back again.
-func (g *Grouper) advance(now fuchsiapitch.Instant) {
-	t := g.tenure
-	switch t.stage {
-	case starting:
-		g.startReading(now, reading)
-	case reading:
-		switch {
-		case !g.readBack(t.since):
-		case t.first || g.allFenced():
-			t.stage = acting
-		default:
-			t.stage = waiting
-		}
-	case waiting:
-		if now.Monotonic() >= t.takeover {
-			g.startReading(now, rereading)
-		}
-	case rereading:
-		if g.readBack(t.since) {
-			t.stage = acting
-		}
-	case acting:
-	}
-}
-
-func (g *Grouper) startReading(now fuchsiapitch.Instant, next stage) {
-	g.tenure.stage, g.tenure.since = next, now.Monotonic()
-	for _, id := range g.engines {
-		g.health.Suspect(id)
-	}
-}
-
-func (g *Grouper) readBack(since time.Duration) bool {
-	if !g.listed {
-		return false
-	}
-	for _, id := range g.engines {
-		if !g.health.Answered(id, since) {
-			return false
-		}
-	}
-	return true
-}
-
-// allFenced reports whether every engine checks fencing numbers.
-func (g *Grouper) allFenced() bool {
-	for _, s := range g.configuration.Services() {
-		if s.Kind() == fuchsiapitch.ModelService && !s.Fenced() {
-			return false
-		}
-	}
-	return true
-}
-
-// giveOrders orders every member that does not report the assignment of its
-// group. An assignment is in the stream before it is ordered, unless the log is
-// away and the electors' promises stand in for the lease. An assignment that a
-// later one on its way into the stream replaces is not ordered.
-func (g *Grouper) giveOrders(now fuchsiapitch.Instant, expiry fuchsiapitch.Instant) {
-	t := g.tenure
-	source := g.fold
-	if !t.lease.Holds(now) {
-		source = g.view
-	}
-	for id, o := range t.orders {
-		if now.Monotonic()-o.since >= orderRetryTime {
-			delete(t.orders, id)
-		}
-	}
-	loading := g.loading(source)
-	for _, group := range g.byUrgency(source.Groups()) {
-		newest, ok := g.view.Group(group.ID)
-		if group.Fence.Term() != t.term || !ok || newest.Fence != group.Fence || !g.needsOrders(group) {
-			continue
-		}
-		if cold := g.coldMembers(group); cold > 0 {
-			if loading > 0 && loading+cold > loadLimit {
-				continue
-			}
-			loading += cold
-		}
-		g.orderGroup(now, group, expiry)
-	}
-}
-
-func (g *Grouper) orderGroup(now fuchsiapitch.Instant, group Group, expiry fuchsiapitch.Instant) {
-	t := g.tenure
-	for _, m := range group.Members {
-		k, listed := g.servers[m]
-		a, reported := g.health.Account(m)
-		if _, busy := t.orders[m]; busy || !listed || !reported || g.health.Silent(m) || group.Matches(a) {
-			continue
-		}
-		g.checkOrder(now, m, group.Fence)
-		t.orders[m] = outstanding{fence: group.Fence, since: now.Monotonic()}
-		t.given[m] = group.Fence
-		g.counters.Orders++
-		order := fuchsiapitch.NewOrder(group.Fence, group.Assignment())
-		g.actions.Orders = append(g.actions.Orders, Give{Server: k.server, Order: order, Expiry: expiry})
-	}
-}
-
-// checkOrder asserts that an order is given under a lease or promises and that
-// fencing numbers never go back.
-func (g *Grouper) checkOrder(now fuchsiapitch.Instant, server fuchsiapitch.ServerID, fence fuchsiapitch.Fence) {
-	t := g.tenure
-	if _, ok := t.permission(now, g.fold, g.self); !ok || !g.holds() {
-		g.breach("order-under-lease", fmt.Sprintf("order to %s in term %d without a lease", server, t.term))
-	}
-	if fence.Term() != t.term || fence.Less(t.given[server]) {
-		g.breach("fence-never-back", fmt.Sprintf("order to %s with %d.%d", server, fence.Term(), fence.Sequence()))
-	}
-}
-
-func (g *Grouper) needsOrders(group Group) bool {
-	return slices.ContainsFunc(group.Members, func(m fuchsiapitch.ServerID) bool {
-		a, ok := g.health.Account(m)
-		return ok && !group.Matches(a)
-	})
-}
-
-// loading returns the number of servers that load weights now.
-func (g *Grouper) loading(source *Fold) int {
-	count := 0
-	for _, group := range source.Groups() {
-		for _, m := range group.Members {
-			a, ok := g.health.Account(m)
-			if ok && group.Matches(a) && !a.Ready() && !g.health.Silent(m) {
-				count++
-			}
-		}
-	}
-	return count
-}
-
-// coldMembers returns the number of members that have to load weights.
-func (g *Grouper) coldMembers(group Group) int {
-	cold := 0
-	for _, m := range group.Members {
-		a, _ := g.health.Account(m)
-		if !group.Matches(a) && (a.Assignment().Model() != group.Model || a.Assignment().Version() != group.Version) {
-			cold++
-		}
-	}
-	return cold
-}
-
-// byUrgency sorts groups by the urgency of their service's rank, then by worth.
-func (g *Grouper) byUrgency(groups []Group) []Group {
-	order := func(group Group) (int, float64) {
-		s, _ := g.configuration.Service(group.Service)
-		r, _ := g.configuration.Rank(s.Rank())
-		return r.Order(), s.Worth()
-	}
-	groups = slices.Clone(groups)
-	slices.SortStableFunc(groups, func(a, b Group) int {
-		ra, wa := order(a)
-		rb, wb := order(b)
-		switch {
-		case ra != rb:
-			return ra - rb
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		}
-		return 0
-	})
-	return groups
-}
-
-// OrderEnded takes in the end of an order. The account in the answer tells the
-// server's state; without one the server is probed.
-func (g *Grouper) OrderEnded(now fuchsiapitch.Instant, server fuchsiapitch.ServerID, fence fuchsiapitch.Fence, account *fuchsiapitch.Account) {
-	if account != nil {
-		g.health.Report(now.Monotonic(), *account)
-	} else {
-		g.Suspect([]fuchsiapitch.ServerID{server})
-	}
-	if g.tenure == nil {
-		return
-	}
-	if o, ok := g.tenure.orders[server]; ok && o.fence == fence && account != nil {
-		delete(g.tenure.orders, server)
-	}
-}
-
 // evictions returns the electors that were not live for long. Their promises
 // are then no longer needed.
 func (g *Grouper) evictions(now time.Duration) []Change {
