--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -37,14 +37,14 @@
 
 // startPath starts three entry hosts before three engines in groups of one and
 // two application servers, with a configuration that stands in the log.
-func startPath(t *testing.T) (*Cluster, *standin.Fleet) {
+func startPath(t *testing.T, options ...Option) (*Cluster, *standin.Fleet) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	t.Cleanup(cancel)
 	fleet, stopFleet, err := standin.Start(standin.WithEngines(1, 3), standin.WithApplications("taller-app", 2))
 	assertNoError(t, err, "start the stand-ins")
 	t.Cleanup(stopFleet)
-	c, stop, err := Start(fleet, []fuchsiapitch.DataCentreName{"dc-a"}, WithHosts(3))
+	c, stop, err := Start(fleet, []fuchsiapitch.DataCentreName{"dc-a"}, append(options, WithHosts(3))...)
 	assertNoError(t, err, "start the entry hosts")
 	t.Cleanup(stop)
 	documents, err := loader.DecodeDocuments("test", []byte(testDocuments))
