--- a/internal/configurer/record.go
+++ b/internal/configurer/record.go
@@ -2,6 +2,9 @@
 
 import "github.com/fuchsiapitch/fuchsiapitch"
 
+// Stream is the stream of the log that holds the configuration.
+const Stream fuchsiapitch.StreamName = "config"
+
 // Change is the new content, or the removal, of one document.
 type Change struct {
 	// Key names the document.
--- a/internal/experimenter/configuration.go
+++ b/internal/experimenter/configuration.go
@@ -65,13 +65,13 @@
 		if err := p.begin(ctx); err != nil {
 			return nil, err
 		}
-		pauseFor(ctx, length)
+		rest(ctx, length)
 		if err := p.end(); err != nil {
 			return nil, err
 		}
 	}
 	stopPublishing()
-	pauseFor(ctx, settleTime)
+	rest(ctx, settleTime)
 	stopWatching()
 	if err := b.readTruth(ctx); err != nil {
 		return nil, err
@@ -80,13 +80,6 @@
 	return report, nil
 }
 
-func pauseFor(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // configurationPhase is a part of the run with one fault.
 type configurationPhase struct {
 	name  string
--- a/internal/experimenter/configurationbed.go
+++ b/internal/experimenter/configurationbed.go
@@ -85,7 +85,7 @@
 		return err
 	}
 	before := b.bytes()
-	pauseFor(ctx, configurationIdle)
+	rest(ctx, configurationIdle)
 	b.idleBytes = b.perHost(b.bytes()-before, configurationIdle)
 	return nil
 }
@@ -94,7 +94,7 @@
 func (b *configurationBed) bytes() int64 {
 	var sum int64
 	for _, c := range b.centres {
-		sum += b.fleet.Log().ReadBytes(b.fleet.LogAddress(c), string(publisher.Stream))
+		sum += b.fleet.Log().ReadBytes(b.fleet.LogAddress(c), string(configurer.Stream))
 	}
 	return sum
 }
@@ -164,7 +164,7 @@
 			for _, h := range b.watched {
 				h.look()
 			}
-			pauseFor(ctx, configurationPoll)
+			rest(ctx, configurationPoll)
 		}
 	}()
 	return func() {
@@ -190,7 +190,7 @@
 	if err := b.readTruth(ctx); err != nil {
 		return err
 	}
-	b.fleet.Log().Truncate(string(publisher.Stream), 0)
+	b.fleet.Log().Truncate(string(configurer.Stream), 0)
 	return nil
 }
 
@@ -199,7 +199,7 @@
 	const limit = configurer.OutcomeLimit / 2
 	for {
 		from := b.truth.Next()
-		batch, err := b.timed.Read(ctx, publisher.Stream, from, limit)
+		batch, err := b.timed.Read(ctx, configurer.Stream, from, limit)
 		if err != nil {
 			return err
 		}
--- a/internal/publisher/attempt.go
+++ b/internal/publisher/attempt.go
@@ -55,7 +55,7 @@
 func (a *attempt) append(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := a.publisher.log.Append(call, Stream, a.record)
+	_, err := a.publisher.log.Append(call, configurer.Stream, a.record)
 	if err == nil {
 		a.sent = true
 		return true
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -15,9 +15,6 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/loader"
 )
 
-// Stream is the stream of the log that holds the configuration.
-const Stream fuchsiapitch.StreamName = "config"
-
 const (
 	// readLimit is the largest number of records in one read. It is below the
 	// number of outcomes that a fold remembers.
@@ -211,7 +208,7 @@
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		from := f.Next()
-		batch, err := p.log.Read(call, Stream, from, readLimit)
+		batch, err := p.log.Read(call, configurer.Stream, from, readLimit)
 		cancel()
 		var truncated *fuchsiapitch.TruncatedError
 		switch {
--- a/internal/reducer/log.go
+++ b/internal/reducer/log.go
@@ -4,12 +4,13 @@
 	"strings"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/configurer"
 )
 
 // The streams of the platform's log that the system uses.
 const (
 	// ConfigurationStream holds what operators publish.
-	ConfigurationStream fuchsiapitch.StreamName = "config"
+	ConfigurationStream = configurer.Stream
 	// GroupStreamPrefix precedes the name of a data centre in the name of the
 	// stream that holds its controller's claims and assignments.
 	GroupStreamPrefix = "groups-"
