--- a/internal/grouper/election.go
+++ b/internal/grouper/election.go
@@ -131,7 +131,7 @@
 // mayClaim reports whether the lease of the current holder has surely lapsed
 // and no promise of this host stands against a claim.
 func (g *Grouper) mayClaim(now fuchsiapitch.Instant, self Elector) bool {
-	if g.holds() || !g.candidate.readable || !g.listed || now.Monotonic() < g.promised.until {
+	if g.tenure != nil || !g.candidate.readable || !g.listed || now.Monotonic() < g.promised.until {
 		return false
 	}
 	wait := g.wait(self)
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -21,6 +21,8 @@
 	}
 	s.followMembership()
 	s.followDemands()
+	// A group that this host dispatches for from now on is not proved whole yet.
+	s.stepGroups()
 }
 
 func (s *State) tickMembership() {
