reducer, sender: tests for three guards that no test caught

Cause: with each guard removed in turn, three changes passed the tests: a request body that net/http can read again (the gate hid it), a preemption of a call that may not be repeated, and the wall clock in the deadline of a call.

Change: a test for each. The last host's replicas are kept by the membership already, so that the second copy of that rule is gone, and a stopping host sends no heartbeat to itself.

--- a/internal/reducer/attempt_test.go
+++ b/internal/reducer/attempt_test.go
@@ -229,6 +229,18 @@
 			}
 		}
 	})
+	t.Run("a call that may not be repeated is not preempted", func(t *testing.T) {
+		s := newFleetState(t)
+		assertStart(t, s.Apply(at(0), RequestReceived{Request: newChat("r1")}), 0)
+		s.effects = nil
+		s.preempt("r1")
+		effectOf[ReportViolation](t, s.effects)
+		for _, e := range s.effects {
+			if p, ok := e.(PreemptAttempt); ok {
+				t.Errorf("got %v", p)
+			}
+		}
+	})
 	t.Run("no retry without a budget", func(t *testing.T) {
 		s := newFleetState(t)
 		s.retryBudget = exhausted{}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -191,7 +191,7 @@
 	for _, id := range sortedKeys(s.replicas) {
 		replicas = append(replicas, s.replicas[id])
 	}
-	s.table = router.NewTable(s.dispatchers(), replicas, s.routing)
+	s.table = router.NewTable(s.members.Live(), replicas, s.routing)
 	s.scheduler.SetReplicas(s.table.Owned(s.self))
 	s.adoptOrphans()
 	s.coverRetries()
--- a/internal/reducer/stop.go
+++ b/internal/reducer/stop.go
@@ -27,7 +27,8 @@
 
 // stop begins a graceful stop. The host goes on taking requests for as long as
 // the balancer sends them, hands its replicas over to the other hosts of the
-// data centre and tells them at once; the requests that run end here.
+// data centre, if there are any, and tells them at once; the requests that run
+// end here.
 func (s *State) stop() {
 	if s.stopping {
 		return
@@ -36,22 +37,14 @@
 	s.groups.Stop()
 	s.members.Leave()
 	for _, h := range s.members.Live() {
+		if h.ID() == s.self {
+			continue
+		}
 		s.emit(SendHeartbeat{To: h, Heartbeat: s.ComposeHeartbeat()})
 	}
 	s.rebuildTable()
 }
 
-// dispatchers returns the hosts among which the replicas are shared out. A
-// stopping host without any other keeps its replicas, so that requests in
-// flight can end.
-func (s *State) dispatchers() []fuchsiapitch.Host {
-	live := s.members.Live()
-	if len(live) == 0 {
-		return []fuchsiapitch.Host{s.members.Self()}
-	}
-	return live
-}
-
 // Unfinished returns the requests that this host holds, in the order of their
 // identifiers.
 func (s *State) Unfinished() []Unfinished {
--- a/internal/reducer/stop_test.go
+++ b/internal/reducer/stop_test.go
@@ -63,6 +63,11 @@
 			t.Errorf("got %v left, want none", s.Unfinished())
 		}
 	})
+	t.Run("the last host serves what the balancer still sends", func(t *testing.T) {
+		s := newFleetState(t)
+		s.Apply(at(0), StopRequested{})
+		effectOf[StartAttempt](t, s.Apply(at(1), RequestReceived{Request: newChat("r1")}))
+	})
 	t.Run("the outcome of a key stands in the log before the end", func(t *testing.T) {
 		s := newDeskState("host-a")
 		claim := effectOf[AppendRecord](t, s.Apply(at(0), RequestReceived{Request: newDeposit("r1", "k", 1)}))
--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -68,9 +68,12 @@
 	if deadline.IsZero() {
 		return false
 	}
-	return !now.Before(deadline) || !now.Round(0).Before(deadline.Round(0))
+	return isOver(deadline.Sub(now), deadline.Round(0).Sub(now.Round(0)))
 }
 
+// isOver reports whether no time remains on one of the clocks.
+func isOver(monotonic, wall time.Duration) bool { return monotonic <= 0 || wall <= 0 }
+
 // connection is a TCP connection whose writes pass the gate of the current call.
 type connection struct {
 	net.Conn
--- a/internal/sender/connection_test.go
+++ b/internal/sender/connection_test.go
@@ -2,10 +2,30 @@
 
 import (
 	"net"
+	"net/http"
 	"testing"
 	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
+func TestRequestCannotBeReplayed(t *testing.T) {
+	for name, body := range map[string][]byte{"with a body": []byte("kiln 7"), "without a body": nil} {
+		t.Run(name, func(t *testing.T) {
+			s, clean := New()
+			defer clean()
+			call := fuchsiapitch.NewCall("r1", http.MethodGet, "/orders", body)
+			request, err := newExchange(t.Context(), s, fuchsiapitch.BackendServer{}, call).request()
+			if err != nil {
+				t.Fatalf("got error %v", err)
+			}
+			if request.GetBody != nil || request.Body == nil || request.Body == http.NoBody {
+				t.Errorf("got body %v, which net/http can send again", request.Body)
+			}
+		})
+	}
+}
+
 func TestGate(t *testing.T) {
 	write := func(c *connection) error {
 		_, err := c.Write([]byte("x"))
@@ -36,10 +56,13 @@
 			t.Errorf("got error %v and left %v, want an error and nothing left", err, g.left)
 		}
 	})
-	t.Run("the wall clock alone reveals a pause", func(t *testing.T) {
-		now := time.Now()
-		if isPast(now.Round(0).Add(time.Second), now) || !isPast(now.Round(0).Add(-time.Second), now) {
-			t.Error("got a wrong answer from the wall clock")
+	t.Run("either clock alone reveals a pause", func(t *testing.T) {
+		for remaining, want := range map[[2]time.Duration]bool{
+			{time.Second, time.Second}: false, {time.Second, 0}: true, {0, time.Second}: true,
+		} {
+			if got := isOver(remaining[0], remaining[1]); got != want {
+				t.Errorf("got %v with %v left, want %v", got, remaining, want)
+			}
 		}
 	})
 	t.Run("a sealed call writes no more", func(t *testing.T) {
