--- a/internal/deduplicator/deduplicator.go
+++ b/internal/deduplicator/deduplicator.go
@@ -10,7 +10,7 @@
 	// keyLimit is the largest number of keys remembered in one shard. New keys
 	// are refused beyond it, since an early loss of a key would allow a
 	// repetition.
-	keyLimit = 16384
+	keyLimit = 8192
 	// answerBytesLimit bounds the stored answers of one shard. The oldest
 	// answers are dropped first; their keys stay.
 	answerBytesLimit = 1 << 20
