scheduler: keep slots free for urgent work only where nothing can be preempted

Ruled out: dropping headroom. Change: the headroom shrinks by the streams that can be preempted, and an urgent request that one of them yields to counts as served at once.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -87,7 +87,7 @@
 // ends of the requests are taken as independent, so that n of them spread by
 // the square root of n.
 func (p *pool) estimateWait(now time.Duration, c *class, f *flow, cost float64) (wait time.Duration, known bool) {
-	if !c.waits() && p.freeFor(now, c) > p.shareHeadroom(now, c, f) {
+	if p.hasRoom(now, c, f) {
 		return 0, true
 	}
 	rate, known := p.rate(now)
@@ -101,6 +101,16 @@
 	return time.Duration(min(seconds, maximumWait.Seconds()) * float64(time.Second)), true
 }
 
+// hasRoom reports whether a new request would start at once: on a free slot, or
+// in the most urgent rank on the slot of a stream that yields to it.
+func (p *pool) hasRoom(now time.Duration, c *class, f *flow) bool {
+	room := p.freeFor(now, c) - p.shareHeadroom(now, c, f)
+	if c.key.order == p.scheduler.urgentOrder {
+		room += p.preemptible
+	}
+	return room > c.requests
+}
+
 // rate returns the tokens a second that the pool serves when all slots are used.
 func (p *pool) rate(now time.Duration) (rate float64, known bool) {
 	busy := p.busy.read(now)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -41,6 +41,7 @@
 	waiting   int
 
 	repeatableRunning int
+	preemptible       int
 	urgentSeen        time.Duration
 	urgentKnown       bool
 	adjustDue         time.Duration
@@ -182,7 +183,8 @@
 	}
 }
 
-// headroom returns the number of slots that lower ranks leave free.
+// headroom returns the number of slots that lower ranks leave free. Streams that
+// can be preempted make room as well as a free slot does, and cost none.
 func (p *pool) headroom(now time.Duration) int {
 	if p.scheduler.off[Headroom] || p.limit < headroomMinimum {
 		return 0
@@ -190,7 +192,7 @@
 	if !p.urgentKnown || now-p.urgentSeen > headroomMemory {
 		return 0
 	}
-	return max(1, int(headroomFraction*float64(p.limit)))
+	return max(0, max(1, int(headroomFraction*float64(p.limit)))-p.preemptible)
 }
 
 // reservedCalls returns the number of slots that only calls which may not be
@@ -260,9 +262,18 @@
 	if c.key.repeatable {
 		p.repeatableRunning++
 	}
+	p.follow(j)
 	plan.Starts = append(plan.Starts, Start{Request: j.request.ID(), Replica: t.replica, Priority: c.key.order})
 }
 
+// follow counts a running job that can be preempted for urgent work.
+func (p *pool) follow(j *job) {
+	yields := j.station != nil && j.class.key.order > p.scheduler.urgentOrder && j.preemptible() &&
+		!p.scheduler.off[Preemption]
+	p.preemptible += boolToInt(yields) - boolToInt(j.yields)
+	j.yields = yields
+}
+
 // finish frees the slot of a running job and corrects what it was charged.
 func (p *pool) finish(now time.Duration, j *job) {
 	c := j.class
@@ -284,6 +295,7 @@
 		c.fair.charge(j.flow, j.served-j.charged)
 	}
 	j.station.running--
+	p.preemptible -= boolToInt(j.yields)
 	p.recount()
 }
 
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -68,6 +68,7 @@
 // stop has a running stream stopped.
 func (p *pool) stop(j *job, plan *Plan) {
 	j.stopping = true
+	p.follow(j)
 	p.stopping++
 	j.class.stopping++
 	plan.Preempts = append(plan.Preempts, j.request.ID())
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -23,6 +23,7 @@
 
 	station  *station
 	stopping bool
+	yields   bool
 	charged  float64
 	served   float64
 
