experimenter: balance, and room for prompt caches below three quarters of a replica

A replica was passed over at 1.25 times the mean load even when most of its slots were free. Change: the experiment; a replica is chosen for its cache while less than three quarters of its slots are used, whatever the mean.

--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -8,6 +8,7 @@
 		restartExperiment{},
 		floodExperiment{},
 		fairnessExperiment{},
+		balanceExperiment{},
 		groupsExperiment{},
 		capacityExperiment{},
 	}
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -27,6 +27,8 @@
 	EarlyRefusal
 	// PrefixAffinity sends equal prompt prefixes to one replica.
 	PrefixAffinity
+	// AffinityBound passes over a replica that is loaded above the mean.
+	AffinityBound
 	// StragglerAvoidance gives less work to a replica slower than its peers.
 	StragglerAvoidance
 	// ReservedCalls keeps slots of an application service for calls that may
--- a/internal/scheduler/station.go
+++ b/internal/scheduler/station.go
@@ -9,9 +9,14 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
-// affinityBound is the largest load of a replica that is chosen for its prompt
-// cache, as a multiple of the mean load.
-const affinityBound = 1.25
+const (
+	// affinityBound is the largest load of a replica that is chosen for its
+	// prompt cache, as a multiple of the mean load.
+	affinityBound = 1.25
+	// affinityRoom is the fraction of its slots up to which a replica is chosen
+	// whatever the mean: a fuller batch costs less than a cold prompt.
+	affinityRoom = 0.75
+)
 
 // station is one replica with the requests that run on it.
 type station struct {
@@ -93,8 +98,8 @@
 	var best *station
 	var bestScore uint64
 	for _, t := range p.stations {
-		bound := int(math.Ceil(mean * float64(t.slots())))
-		if !t.free(j) || t.running >= bound {
+		bound := int(math.Ceil(max(mean, affinityRoom) * float64(t.slots())))
+		if !t.free(j) || (t.running >= bound && !p.scheduler.off[AffinityBound]) {
 			continue
 		}
 		if score := mix(t.hash ^ j.request.Prefix()); best == nil || score > bestScore {
