grouper: take over sooner after a paused controller

The new controller waited for late orders from the sending of its claim, which the stagger of the claims delays. Change: it waits from the last record, or from the end of its own promise, which is what the argument needs; the stagger is 0.1 s a host; loading servers are asked every 0.3 s. The experiment also pauses a member; a test has the log slow.

--- a/internal/experimenter/groups.go
+++ b/internal/experimenter/groups.go
@@ -110,7 +110,32 @@
 			return err
 		}
 	}
-	return nil
+	return r.memberPauses(ctx)
+}
+
+// memberPauses has a member of a busy group stop answering without closing its
+// connections, and go on with its old state.
+func (r *groupsRun) memberPauses(ctx context.Context) error {
+	group, victim := r.member(ctx, 0)
+	start := time.Now()
+	victim.Pause()
+	out, err := r.awaitOut(ctx, start, group, victim)
+	victim.Resume()
+	if err != nil {
+		return err
+	}
+	r.report.Set("out-of-routing-streams-member-paused-s", out.Seconds())
+	r.progress("busy, paused: out of routing after %s", out.Round(time.Millisecond))
+	_, err = r.awaitWhole(ctx, time.Now())
+	return err
+}
+
+// awaitOut waits until a group with a member is no longer routed to.
+func (r *groupsRun) awaitOut(ctx context.Context, since time.Time, group grouper.Group, member *engine.Engine) (time.Duration, error) {
+	return r.await(ctx, since, "a group out of routing", func(serving map[fuchsiapitch.GroupID]grouper.Group) bool {
+		g, ok := serving[group.ID]
+		return !ok || !slices.Contains(g.Members, member.ID())
+	})
 }
 
 // memberDies has one member die and measures how soon its group is out of
@@ -128,10 +153,7 @@
 	start := time.Now()
 	victim.Die()
 	also()
-	out, err := r.await(ctx, start, "a group out of routing", func(serving map[fuchsiapitch.GroupID]grouper.Group) bool {
-		g, ok := serving[group.ID]
-		return !ok || !slices.Contains(g.Members, victim.ID())
-	})
+	out, err := r.awaitOut(ctx, start, group, victim)
 	if err != nil {
 		return err
 	}
--- a/internal/grouper/election.go
+++ b/internal/grouper/election.go
@@ -13,7 +13,7 @@
 
 const (
 	// claimStagger is the time by which each further live host delays its claim.
-	claimStagger = 200 * time.Millisecond
+	claimStagger = 100 * time.Millisecond
 	// appendRetryTime is the time after which a record is appended again when
 	// the stream does not show it.
 	appendRetryTime = time.Second
@@ -210,8 +210,8 @@
 	}
 	e, _ := g.fold.Elector(g.self)
 	until := g.candidate.read.Monotonic() + g.wait(e) + lateOrderTime
-	if c := g.candidate.claim; c != nil {
-		until = max(until, c.first.Monotonic()+lateOrderTime)
+	if g.promised.term == g.fold.Term() {
+		until = max(until, g.promised.until+lateOrderTime)
 	}
 	return until
 }
--- a/internal/grouper/health.go
+++ b/internal/grouper/health.go
@@ -28,7 +28,7 @@
 	stalledProbePeriod = 400 * time.Millisecond
 	// loadingProbePeriod is the time between two probes of a server that is to
 	// take up an assignment.
-	loadingProbePeriod = 500 * time.Millisecond
+	loadingProbePeriod = 300 * time.Millisecond
 	// silentProbeLimit is the longest time between two probes of a silent server.
 	silentProbeLimit = 5 * time.Second
 	// probeAnswerLimit is the time after which a probe without any report is
--- a/internal/reducer/group_random_test.go
+++ b/internal/reducer/group_random_test.go
@@ -180,3 +180,25 @@
 	}
 	return ""
 }
+
+// TestGroupsBehindSlowLog checks that one controller stays and acts while every
+// append and read takes seconds.
+func TestGroupsBehindSlowLog(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(15 * time.Second)
+	w.slowLog = true
+	w.run(time.Minute)
+	term := w.nodes[0].state.groups.Fold().Term()
+	for _, e := range w.engines {
+		if e.server.ID() == "s00" {
+			e.dead = true
+		}
+	}
+	w.run(time.Minute)
+	if got := w.nodes[0].state.groups.Fold().Term(); got != term {
+		t.Errorf("got term %d after a minute, want still %d", got, term)
+	}
+	if got := w.unserved(); got != "" || w.failure != "" {
+		t.Errorf("got %s %s, want every group serving", got, w.failure)
+	}
+}
