sender: a new connection for each call

Cause: a call that may be repeated reused a connection proved within the last second and gave it up after 2.5 s without an answer. An engine that takes longer over a prompt or a plain completion looks the same, so that every second such call was cancelled, run again elsewhere and cancelled again. Change: no connection is kept, so none can be stale and no wait for a header is limited but by the deadline; one pool in place of five; the silence limit holds for streams alone, dead paths are ended by the kernel's own limit.

--- a/internal/sender/body.go
+++ b/internal/sender/body.go
@@ -6,7 +6,6 @@
 	"mime"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
@@ -14,10 +13,6 @@
 // plainBytes is the size of the pieces of a plain answer.
 const plainBytes = 16 << 10
 
-// drainLimit is the longest time to wait for the end of a body whose content
-// is whole, so that its connection can be reused.
-const drainLimit = 20 * time.Millisecond
-
 // onceBody is the body of a request. It offers no way to read it again, so
 // that package net/http cannot replay the request.
 type onceBody struct{ data []byte }
@@ -48,11 +43,10 @@
 	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
 }
 
-// read reads from the body of an answer. The silence limit applies to streams
-// and to calls that may be repeated; others wait for their only answer until
-// the deadline.
+// read reads from the body of an answer. The silence limit applies to streams;
+// a plain answer may take until the deadline of its call.
 func (x *exchange) read(body io.Reader, data []byte) (int, error) {
-	if x.call.Idempotent() || x.call.Stream() {
+	if x.call.Stream() {
 		x.timer.Reset(x.sender.silence)
 		defer x.timer.Stop()
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -12,18 +12,10 @@
 )
 
 const (
-	// priorities is the number of connection pools; calls of a priority beyond
-	// share the last one.
-	priorities = 4
 	// defaultSilence is the longest time without a byte on an active connection.
 	defaultSilence = 2500 * time.Millisecond
 	// defaultConnect is the longest time for a new connection.
 	defaultConnect = 2 * time.Second
-	// reuseTime is the time for which an answer proves its connection. Idle
-	// connections are closed after it.
-	reuseTime = time.Second
-	// idlePerServer is the largest number of idle connections to one server.
-	idlePerServer = 32
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 8 << 10
 	// headerLimitBytes is the largest header of an answer.
@@ -35,18 +27,16 @@
 
 // Sender sends calls to backend servers. It implements fuchsiapitch.Caller.
 type Sender struct {
-	silence time.Duration
-	connect time.Duration
-	report  FaultReport
-	fresh   *http.Transport
-	pools   [priorities]*http.Transport
+	silence   time.Duration
+	connect   time.Duration
+	report    FaultReport
+	transport *http.Transport
 }
 
 // Option sets one optional property of a sender.
 type Option func(*Sender)
 
-// WithSilence sets the longest time without a byte on an active stream and on a
-// reused connection.
+// WithSilence sets the longest time without a byte on an active stream.
 func WithSilence(limit time.Duration) Option { return func(s *Sender) { s.silence = limit } }
 
 // WithConnectTimeout sets the longest time for a new connection.
@@ -55,11 +45,12 @@
 // WithFaultReport has refused and lost answers reported.
 func WithFaultReport(report FaultReport) Option { return func(s *Sender) { s.report = report } }
 
-// New returns a sender and a function that closes its idle connections.
+// New returns a sender and a function that closes what it holds.
 //
-// Calls that may not be repeated get a new connection each. Other calls reuse a
-// connection that gave a whole answer within the last second. Each priority has
-// connections of its own, so that no call waits for one of another priority.
+// Each call gets a new connection. A kept one may have gone silent while it was
+// idle, and a limit on the wait for its answer cannot tell that from an engine
+// that takes long over a prompt. Nor does any call wait for a connection that
+// another rank uses.
 func New(options ...Option) (*Sender, func()) {
 	s := &Sender{
 		silence: defaultSilence, connect: defaultConnect,
@@ -68,30 +59,14 @@
 	for _, o := range options {
 		o(s)
 	}
-	s.fresh = s.newTransport()
-	s.fresh.DisableKeepAlives = true
-	for i := range s.pools {
-		s.pools[i] = s.newTransport()
-	}
-	return s, s.close
-}
-
-func (s *Sender) close() {
-	s.fresh.CloseIdleConnections()
-	for _, t := range s.pools {
-		t.CloseIdleConnections()
-	}
-}
-
-func (s *Sender) newTransport() *http.Transport {
-	return &http.Transport{
+	s.transport = &http.Transport{
 		DialContext:            s.dial,
 		DisableCompression:     true,
-		MaxIdleConnsPerHost:    idlePerServer,
-		IdleConnTimeout:        reuseTime,
+		DisableKeepAlives:      true,
 		ReadBufferSize:         readBufferBytes,
 		MaxResponseHeaderBytes: headerLimitBytes,
 	}
+	return s, s.transport.CloseIdleConnections
 }
 
 // dial connects to a server. The kernel's probes end a connection that the
@@ -121,14 +96,6 @@
 	return answer, err
 }
 
-// pool returns the connections for a call.
-func (s *Sender) pool(call fuchsiapitch.Call) *http.Transport {
-	if !call.Idempotent() {
-		return s.fresh
-	}
-	return s.pools[min(max(call.Priority(), 0), priorities-1)]
-}
-
 // exchange is one call under way.
 type exchange struct {
 	sender *Sender
@@ -169,7 +136,7 @@
 	if err != nil {
 		return fuchsiapitch.Answer{}, x.fail(fuchsiapitch.NotRun, err)
 	}
-	response, err := x.sender.pool(x.call).RoundTrip(request)
+	response, err := x.sender.transport.RoundTrip(request)
 	x.timer.Stop()
 	if err != nil {
 		return fuchsiapitch.Answer{}, x.fail(x.outcome(), x.lost("sending", err))
@@ -201,17 +168,10 @@
 	return request.WithContext(ctx), nil
 }
 
-// connected opens the gate for the connection of the call. A reused connection
-// may have gone silent since its last answer, so that its next is awaited for a
-// limited time.
+// connected opens the gate for the connection of the call.
 func (x *exchange) connected(info httptrace.GotConnInfo) {
-	c, ok := info.Conn.(*connection)
-	if !ok {
-		return
-	}
-	x.gate.open(c)
-	if info.Reused {
-		x.timer.Reset(x.sender.silence)
+	if c, ok := info.Conn.(*connection); ok {
+		x.gate.open(c)
 	}
 }
 
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -163,14 +163,8 @@
 	b.broken = err
 }
 
-// Close implements io.Closer. After the terminator it waits a short time for
-// the end of the body, so that the connection can be reused.
+// Close implements io.Closer.
 func (b *streamBody) Close() error {
-	if b.done && b.broken == nil {
-		b.exchange.timer.Reset(drainLimit)
-		var rest [1]byte
-		_, _ = b.body.Read(rest[:])
-	}
 	err := b.body.Close()
 	b.exchange.end()
 	return err
