--- a/internal/receiver/application.go
+++ b/internal/receiver/application.go
@@ -30,11 +30,7 @@
 	if err != nil {
 		return noRequest, noCall, err
 	}
-	rank, err := rankOf(q, service, customer)
-	if err != nil {
-		return noRequest, noCall, err
-	}
-	limit, err := timeLimitOf(q, service)
+	allowed, err := termsOf(q, service, customer)
 	if err != nil {
 		return noRequest, noCall, err
 	}
@@ -43,7 +39,7 @@
 		return noRequest, noCall, err
 	}
 	options := []fuchsiapitch.RequestOption{
-		fuchsiapitch.WithCost(1, int64(len(body))), fuchsiapitch.WithTimeLimit(limit),
+		fuchsiapitch.WithCost(1, int64(len(body))), fuchsiapitch.WithTimeLimit(allowed.limit),
 	}
 	calls := []fuchsiapitch.CallOption{fuchsiapitch.WithHeader(q.Header)}
 	if isIdempotent(service, q.Method, path) {
@@ -52,7 +48,7 @@
 	} else if key := q.Header.Get(headerIdempotencyKey); key != "" {
 		options = append(options, fuchsiapitch.WithIdempotencyKey(key, hashCall(q.Method, path, body)))
 	}
-	request := fuchsiapitch.NewRequest(id, service.Name(), customer.Name(), rank, options...)
+	request := fuchsiapitch.NewRequest(id, service.Name(), customer.Name(), allowed.rank, options...)
 	return request, fuchsiapitch.NewCall(id, q.Method, path, body, calls...), nil
 }
 
--- a/internal/receiver/model.go
+++ b/internal/receiver/model.go
@@ -86,22 +86,18 @@
 	if err != nil {
 		return noRequest, noCall, err
 	}
-	rank, err := rankOf(q, service, customer)
-	if err != nil {
-		return noRequest, noCall, err
-	}
-	limit, err := timeLimitOf(q, service)
+	allowed, err := termsOf(q, service, customer)
 	if err != nil {
 		return noRequest, noCall, err
 	}
 	options := []fuchsiapitch.RequestOption{
 		fuchsiapitch.WithCost(m.cost(), int64(len(body))), fuchsiapitch.WithPrefix(m.prefix()),
-		fuchsiapitch.WithRepeatable(), fuchsiapitch.WithTimeLimit(limit),
+		fuchsiapitch.WithRepeatable(), fuchsiapitch.WithTimeLimit(allowed.limit),
 	}
 	if m.Stream && !strings.HasSuffix(q.URL.Path, "/embeddings") {
 		options = append(options, fuchsiapitch.WithTokenStream())
 	}
-	request := fuchsiapitch.NewRequest(id, service.Name(), customer.Name(), rank, options...)
+	request := fuchsiapitch.NewRequest(id, service.Name(), customer.Name(), allowed.rank, options...)
 	call := fuchsiapitch.NewCall(id, q.Method, q.URL.Path, body, fuchsiapitch.WithHeader(contentHeader(q)))
 	return request, call, nil
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -108,6 +108,23 @@
 	return r.configurations.Configuration().CustomerByKeyHash(hex.EncodeToString(hash[:]))
 }
 
+// terms are what a request may ask for.
+type terms struct {
+	rank  fuchsiapitch.RankName
+	limit time.Duration
+}
+
+// termsOf returns the terms that a caller asks for, as far as the service and
+// the customer allow them.
+func termsOf(q *http.Request, service fuchsiapitch.Service, customer fuchsiapitch.Customer) (terms, error) {
+	rank, err := rankOf(q, service, customer)
+	if err != nil {
+		return terms{}, err
+	}
+	limit, err := timeLimitOf(q, service)
+	return terms{rank: rank, limit: limit}, err
+}
+
 // rankOf returns the rank that a caller asks for, if the customer may, or the
 // default rank of the service.
 func rankOf(q *http.Request, service fuchsiapitch.Service, customer fuchsiapitch.Customer) (fuchsiapitch.RankName, error) {
