forwarder: the answer to a caller that has gone is kept

Cause: the whole answer of a call that may not be repeated counted as unknown when it could not be handed to its caller, so that a retry with the same key got no answer although one was known.

Change: such a call has succeeded once its answer is whole.

Figures: TestCallerGone printed before: got outcome unknown of the second call, want succeeded.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -138,7 +138,7 @@
 				return err
 			}
 			h.store(ctx, answer, held)
-			return h.flush(answer, held)
+			return h.conclude(h.flush(answer, held))
 		}
 		held = append(held, chunk.Data()...)
 		if len(held) < bufferLimit {
@@ -151,6 +151,15 @@
 	}
 }
 
+// conclude judges the hand-over of a whole answer. A call that may not be
+// repeated has run, also when its caller has gone.
+func (h *holder) conclude(err error) error {
+	if h.request.Idempotent() {
+		return err
+	}
+	return nil
+}
+
 // store keeps the whole answer of a request with an idempotency key.
 func (h *holder) store(ctx context.Context, answer fuchsiapitch.Answer, body []byte) {
 	if h.request.Key() == "" || h.request.Idempotent() || h.started {
