meter: preemptions, refusals by reason and the state of each dispatcher

Cause: an operator could not see a flood: neither what was stopped or refused nor how much waited. Change: two counters, and four gauges for each service.

--- a/internal/experimenter/fairness.go
+++ b/internal/experimenter/fairness.go
@@ -51,7 +51,7 @@
 		return report, nil
 	}
 	times.phase = 20 * time.Second
-	for _, a := range []ablation{{"fair-queueing", scheduler.FairQueueing}, {"share-headroom", scheduler.ShareHeadroom}} {
+	for _, a := range []ablation{{"fair-queueing", scheduler.FairQueueing}, {"share-preemption", scheduler.SharePreemption}} {
 		fmt.Fprintf(run.Progress, "without %s\n", a.name)
 		f, err := measureFairness(ctx, run, times, a.mechanism)
 		if err != nil {
--- a/internal/reducer/load.go
+++ b/internal/reducer/load.go
@@ -187,3 +187,33 @@
 	ranks := s.configuration.Ranks()
 	return len(ranks) > 0 && ranks[0].Name() == f.request.Rank()
 }
+
+// Schedule is the state of one service at the dispatcher of this host.
+type Schedule struct {
+	// Service is the service.
+	Service fuchsiapitch.ServiceName
+	// Slots is the number of requests that may run at once.
+	Slots int
+	// InFlight is the number of requests that run.
+	InFlight int
+	// Queued is the number of requests that wait.
+	Queued int
+	// Stragglers is the number of replicas much slower than their peers.
+	Stragglers int
+}
+
+// Schedules returns the state of each service that this host dispatches for or
+// has lately dispatched for.
+func (s *State) Schedules() []Schedule {
+	stragglers := make(map[fuchsiapitch.ServiceName]int)
+	for _, id := range s.scheduler.Stragglers() {
+		stragglers[s.replicas[id].Service()]++
+	}
+	var schedules []Schedule
+	for _, l := range s.ownLoads() {
+		schedules = append(schedules, Schedule{
+			Service: l.Service, Slots: l.Slots, InFlight: l.InFlight, Queued: l.Queued, Stragglers: stragglers[l.Service],
+		})
+	}
+	return schedules
+}
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -52,6 +52,12 @@
 	if !m.deliver(directive) {
 		r.report(&fuchsiapitch.InvariantError{Invariant: "mailbox-bound", Detail: string(directive.Subject())})
 	}
+	switch e := directive.(type) {
+	case reducer.PreemptAttempt:
+		r.meter.Preempted()
+	case reducer.RefuseRequest:
+		r.meter.Refused(e.Reason)
+	}
 	switch directive.(type) {
 	case reducer.RefuseRequest, reducer.FinishRequest, reducer.ReplayAnswer:
 		delete(r.mailboxes, directive.Subject())
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -112,6 +112,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 			r.apply(ctx, reducer.Ticked{})
+			r.meterSchedules()
 		case e := <-r.queue:
 			r.handle(ctx, e)
 		}
@@ -152,6 +153,12 @@
 	r.inFlight.Store(int64(r.state.InFlight()))
 }
 
+func (r *Runner) meterSchedules() {
+	for _, s := range r.state.Schedules() {
+		r.meter.Scheduled(s.Service, s.Slots, s.InFlight, s.Queued, s.Stragglers)
+	}
+}
+
 // Submit hands an event to the reducer. It drops the event when the context
 // ends first.
 func (r *Runner) Submit(ctx context.Context, event reducer.Event) {
