--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -10,6 +10,8 @@
 		fairnessExperiment{},
 		balanceExperiment{},
 		groupsExperiment{},
+		configurationExperiment{},
+		soakExperiment{},
 		capacityExperiment{},
 	}
 }
--- a/internal/grouper/health.go
+++ b/internal/grouper/health.go
@@ -28,7 +28,7 @@
 	stalledProbePeriod = 400 * time.Millisecond
 	// loadingProbePeriod is the time between two probes of a server that is to
 	// take up an assignment.
-	loadingProbePeriod = 500 * time.Millisecond
+	loadingProbePeriod = 300 * time.Millisecond
 	// silentProbeLimit is the longest time between two probes of a silent server.
 	silentProbeLimit = 5 * time.Second
 	// probeAnswerLimit is the time after which a probe without any report is
@@ -223,7 +223,10 @@
 
 func (h *Health) checkMember(now time.Duration, g Group, id fuchsiapitch.ServerID) Fault {
 	s, ok := h.servers[id]
-	if !ok || !s.reported {
+	switch {
+	case ok && !s.reported && s.silences > 0:
+		return MemberSilent
+	case !ok || !s.reported:
 		return MemberUnproved
 	}
 	proof := s.heard
