scheduler: compare replicas with those of other dispatchers

Cause: at the target size a dispatcher has about two replicas, too few to tell which of them is the straggler. Change: heartbeats carry the mean time between tokens at the median replica of a service, 4 bytes a load at most; replicas are compared with the replicas here and the medians of the other dispatchers. Conclusion: such a replica keeps half of its slots, since what waits at its dispatcher has no other; the group controller can re-form it.

--- a/internal/encoder/peer.go
+++ b/internal/encoder/peer.go
@@ -90,6 +90,7 @@
 func encodeLoad(l gossiper.ServiceLoad) *wire.ServiceLoad {
 	return &wire.ServiceLoad{
 		Service: string(l.Service), Slots: toCount(l.Slots), InFlight: toCount(l.InFlight), Queued: toCount(l.Queued),
+		PaceUs: toCount(int(l.Pace.Microseconds())),
 	}
 }
 
@@ -97,6 +98,7 @@
 	return gossiper.ServiceLoad{
 		Service: fuchsiapitch.ServiceName(w.GetService()), Slots: int(w.GetSlots()),
 		InFlight: int(w.GetInFlight()), Queued: int(w.GetQueued()),
+		Pace: time.Duration(w.GetPaceUs()) * time.Microsecond,
 	}
 }
 
--- a/internal/gossiper/heartbeat.go
+++ b/internal/gossiper/heartbeat.go
@@ -18,6 +18,8 @@
 	InFlight int
 	// Queued is the number of requests that wait.
 	Queued int
+	// Pace is the mean time between tokens at the median replica, 0 if unknown.
+	Pace time.Duration
 }
 
 // CustomerDemand is the use of one customer at one dispatcher.
--- a/internal/reducer/load.go
+++ b/internal/reducer/load.go
@@ -59,7 +59,10 @@
 		if _, known := s.loads.reported[v.Name()]; slots == 0 && !known {
 			continue
 		}
-		loads = append(loads, gossiper.ServiceLoad{Service: v.Name(), Slots: slots, InFlight: inFlight, Queued: queued})
+		pace, _ := s.scheduler.Pace(s.now, v.Name())
+		loads = append(loads, gossiper.ServiceLoad{
+			Service: v.Name(), Slots: slots, InFlight: inFlight, Queued: queued, Pace: pace,
+		})
 	}
 	return loads
 }
@@ -90,6 +93,21 @@
 	return age + float64(change)/float64(max(1, l.Slots))
 }
 
+// followPaces tells the scheduler how fast the replicas of other dispatchers are,
+// so that a straggler is found where this host has few replicas to compare.
+func (s *State) followPaces() {
+	live := s.members.Live()
+	for _, l := range s.ownLoads() {
+		var paces []time.Duration
+		for _, h := range live {
+			if pace := s.members.Load(h.ID(), l.Service).Pace; h.ID() != s.self && pace > 0 {
+				paces = append(paces, pace)
+			}
+		}
+		s.scheduler.SetPeerPaces(l.Service, paces)
+	}
+}
+
 // noteLoads remembers what this host had forwarded when another host reported.
 func (s *State) noteLoads(h gossiper.Heartbeat) {
 	for _, l := range h.Loads {
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -36,6 +36,7 @@
 	}
 	s.followMembership()
 	s.followDemands()
+	s.followPaces()
 	s.adoptOrphans()
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -199,6 +199,20 @@
 	}
 }
 
+func TestStragglerAmongPeers(t *testing.T) {
+	l := newLoop(newScheduler(newReplicas(service, 1, 8)))
+	l.scheduler.SetPeerPaces(service, []time.Duration{25 * time.Millisecond, 30 * time.Millisecond, 35 * time.Millisecond})
+	l.gap = func(fuchsiapitch.ReplicaID) time.Duration { return 90 * time.Millisecond }
+	l.keep("a", "kiln", 40, 50)
+	l.run(20 * time.Second)
+	if got := l.scheduler.Stragglers(); !slices.Equal(got, []fuchsiapitch.ReplicaID{"g00"}) {
+		t.Errorf("got stragglers %v, want the only replica here", got)
+	}
+	if slots, _, _ := l.scheduler.Load(service); slots != 4 {
+		t.Errorf("got %d slots, want half of 8: what waits here has no other replica", slots)
+	}
+}
+
 func TestEstimates(t *testing.T) {
 	s := newScheduler(newReplicas(service, 1, 1))
 	for n := range 5 {
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -69,14 +69,14 @@
 		return
 	}
 	gap, known := t.interToken(now)
-	median, found := p.medianOfOthers(now, t)
+	usual, found := median(append(p.gapsBeside(now, t), p.peers...))
 	if !known || !found {
 		return
 	}
 	switch {
-	case gap < scale(median, steadyRatio):
+	case gap < scale(usual, steadyRatio):
 		t.standing, t.straggles = steady, false
-	case gap >= scale(median, slowRatio) && t.standing == steady:
+	case gap >= scale(usual, slowRatio) && t.standing == steady:
 		t.standing, t.slowSince = slow, now
 	case t.standing == probed, t.standing == slow && now-t.slowSince >= slowTime:
 		t.straggles = true
@@ -103,18 +103,24 @@
 	return 2*others >= len(p.stations)
 }
 
-func (p *pool) medianOfOthers(now time.Duration, t *station) (time.Duration, bool) {
-	gaps := slices.Clone(p.peers)
+// gapsBeside returns the mean times between tokens at the replicas but t.
+func (p *pool) gapsBeside(now time.Duration, t *station) []time.Duration {
+	var gaps []time.Duration
 	for _, o := range p.stations {
 		if gap, known := o.interToken(now); known && o != t {
 			gaps = append(gaps, gap)
 		}
 	}
-	if len(gaps) == 0 {
+	return gaps
+}
+
+// median returns the lower median, false without values.
+func median(values []time.Duration) (time.Duration, bool) {
+	if len(values) == 0 {
 		return 0, false
 	}
-	slices.Sort(gaps)
-	return gaps[(len(gaps)-1)/2], true
+	slices.Sort(values)
+	return values[(len(values)-1)/2], true
 }
 
 // Stragglers returns the replicas that have been much slower than their peers
@@ -146,5 +152,6 @@
 	if !ok {
 		return 0, false
 	}
-	return p.medianOfOthers(now.Monotonic(), nil)
+	gaps := p.gapsBeside(now.Monotonic(), nil)
+	return median(gaps)
 }
