experimenter, standin: strike answers one way at a time and tell why a host does not recover

Three broken guards in a scratch copy were tried: lost answers told as not-run gave a doubled booking; unchecked crossed answers were not seen, as a crossed plain answer had the right body; a stream without its terminator was not seen, as cut answers seldom struck a leader. Change: hosts are probed at the same time, and one that fails is described. A crossed plain answer carries the answer of the crossed request before. Faulty answers strike the leaders of groups, one kind at a time. Conclusion: the cause of the hosts that do not recover is to be found.

--- a/internal/experimenter/soak.go
+++ b/internal/experimenter/soak.go
@@ -4,10 +4,15 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/launcher"
 )
 
 const (
@@ -84,18 +89,44 @@
 // recover waits until every entry host serves again after the last fault, and
 // returns the number of hosts that do not within the limit.
 func (b *soakBed) recover(ctx context.Context, callers *soakCallers) int {
-	ctx, cancel := context.WithTimeout(ctx, soakRecoverLimit)
+	limited, cancel := context.WithTimeout(ctx, soakRecoverLimit)
 	defer cancel()
-	failed := 0
+	var probing sync.WaitGroup
+	var failed atomic.Int64
 	for _, h := range b.cluster.Hosts() {
-		for ctx.Err() == nil && !callers.probe(ctx, h.URL()) {
-			time.Sleep(soakPause)
-		}
-		if ctx.Err() != nil {
-			failed++
+		probing.Go(func() {
+			for !callers.probe(ctx, h.URL()) {
+				if limited.Err() != nil {
+					failed.Add(1)
+					callers.note(b.describe(ctx, h))
+					return
+				}
+				time.Sleep(soakPause)
+			}
+		})
+	}
+	probing.Wait()
+	return int(failed.Load())
+}
+
+// describe tells what a host that does not serve knows of its data centre, and
+// what the engines themselves report.
+func (b *soakBed) describe(ctx context.Context, h *launcher.Host) string {
+	var text strings.Builder
+	s := statusOf(ctx, h)
+	fmt.Fprintf(&text, "host %s does not serve: controller %q, term %d, acting %t\n", h.ID(), s.Holder, s.Term, s.Acting)
+	for _, g := range s.Groups {
+		fmt.Fprintf(&text, "  group %s of %v: whole %t, %s, draining %t\n", g.Group.ID, g.Group.Members, g.Whole, g.Fault, g.Group.Draining)
+	}
+	for _, server := range b.fleet.BackendServers() {
+		if server.Kind() != fuchsiapitch.EngineServer || server.DataCentre() != h.DataCentre() {
+			continue
 		}
+		a := b.fleet.Engine(server.ID()).Account()
+		fmt.Fprintf(&text, "  engine %s: dead %t, group %s, fence %v, ready %t, leaving %t\n", server.ID(),
+			b.fleet.Engine(server.ID()).Dead(), a.Assignment().Group(), a.Fence(), a.Ready(), a.Leaving())
 	}
-	return failed
+	return text.String()
 }
 
 // strikeAll strikes faults for a time and then ends all of them.
--- a/internal/experimenter/soakcaller.go
+++ b/internal/experimenter/soakcaller.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// note keeps a line for the end of the run.
+func (c *soakCallers) note(line string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tallied.notes = append(c.tallied.notes, line)
+}
+
 // run keeps every caller calling until the context ends.
 func (c *soakCallers) run(ctx context.Context, seed uint64) {
 	var running sync.WaitGroup
--- a/internal/experimenter/soakfault.go
+++ b/internal/experimenter/soakfault.go
@@ -54,9 +54,9 @@
 			e.SetLeaving(true)
 			return func() { e.SetLeaving(false) }
 		}),
-		b.engineFault("engine-answers-faulty", 5*time.Second, func(e *engine.Engine) func() {
-			return strikeAnswers(e.Server)
-		}),
+		{name: "engine-answers-faulty", shortest: time.Second, longest: 5 * time.Second, strike: func(random *rand.Rand) func() {
+			return strikeAnswers(random, b.leader(pick(random, b.fleet.Engines())).Server)
+		}},
 		{name: "domain-dark", shortest: time.Second, longest: 8 * time.Second, strike: func(random *rand.Rand) func() {
 			domain := pick(random, b.fleet.BackendServers()).FabricDomain()
 			var undo []func()
@@ -78,14 +78,22 @@
 	return func() { _ = e.Revive() }
 }
 
-// strikeAnswers makes the next answers of a server late, crossed, cut or lost,
-// and its open connections silent.
-func strikeAnswers(s *faulter.Server) func() {
-	s.Silence()
-	s.LoseAnswers(2)
-	s.CrossAnswers(2)
-	s.TruncateAnswers(2, 300)
-	s.DelayAnswers(200 * time.Millisecond)
+// strikeAnswers makes the open connections of a server silent, or its next
+// answers late, crossed, cut or lost.
+func strikeAnswers(random *rand.Rand, s *faulter.Server) func() {
+	const answers, keptBytes, delay = 3, 300, 200 * time.Millisecond
+	switch random.IntN(5) {
+	case 0:
+		s.Silence()
+	case 1:
+		s.LoseAnswers(answers)
+	case 2:
+		s.CrossAnswers(answers)
+	case 3:
+		s.TruncateAnswers(answers, keptBytes)
+	case 4:
+		s.DelayAnswers(delay)
+	}
 	return func() {
 		s.LoseAnswers(0)
 		s.CrossAnswers(0)
@@ -94,6 +102,15 @@
 	}
 }
 
+// leader returns the leader of an engine's group, or the engine itself.
+func (b *soakBed) leader(e *engine.Engine) *engine.Engine {
+	members := e.Account().Assignment().Members()
+	if len(members) == 0 {
+		return e
+	}
+	return b.fleet.Engine(members[0])
+}
+
 func (b *soakBed) applicationFaults() []soakFault {
 	fault := func(name string, longest time.Duration, strike func(*application.Application) func()) soakFault {
 		return soakFault{name: name, shortest: longest / 10, longest: longest, strike: func(random *rand.Rand) func() {
@@ -113,9 +130,9 @@
 			a.SetLeaving(true)
 			return func() { a.SetLeaving(false) }
 		}),
-		fault("application-answers-faulty", 5*time.Second, func(a *application.Application) func() {
-			return strikeAnswers(a.Server)
-		}),
+		{name: "application-answers-faulty", shortest: time.Second, longest: 5 * time.Second, strike: func(random *rand.Rand) func() {
+			return strikeAnswers(random, pick(random, b.fleet.Applications()).Server)
+		}},
 	}
 }
 
--- a/internal/standin/faulter/answer.go
+++ b/internal/standin/faulter/answer.go
@@ -23,6 +23,7 @@
 	keep     int
 	delay    time.Duration
 	lastID   string
+	crossed  *recording
 }
 
 // fault is what strikes one answer.
@@ -116,7 +117,8 @@
 	}
 }
 
-// serveCrossed runs the request and answers in the name of an earlier one.
+// serveCrossed runs the request and answers in the name of an earlier one: with
+// the answer of the crossed request before, if there was one.
 func (s *Server) serveCrossed(w http.ResponseWriter, r *http.Request) {
 	earlier := s.answers.earlier()
 	result := newRecording()
@@ -124,7 +126,20 @@
 	crossed.Header.Set(requestIDHeader, earlier)
 	s.handler.ServeHTTP(result, crossed)
 	result.header.Set(requestIDHeader, earlier)
-	result.replay(w)
+	s.answers.swap(result).replay(w)
+}
+
+// swap keeps the answer of a crossed request and returns the one to give in its
+// place.
+func (a *answerFaults) swap(result *recording) *recording {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	earlier := a.crossed
+	a.crossed = result
+	if earlier == nil {
+		return result
+	}
+	return earlier
 }
 
 func (a *answerFaults) remember(id string) {
