--- a/internal/experimenter/registry.go
+++ b/internal/experimenter/registry.go
@@ -7,7 +7,10 @@
 		outcomesExperiment{},
 		restartExperiment{},
 		floodExperiment{},
+		fairnessExperiment{},
+		balanceExperiment{},
 		groupsExperiment{},
+		configurationExperiment{},
 		soakExperiment{},
 		capacityExperiment{},
 	}
--- a/internal/grouper/election.go
+++ b/internal/grouper/election.go
@@ -13,7 +13,7 @@
 
 const (
 	// claimStagger is the time by which each further live host delays its claim.
-	claimStagger = 200 * time.Millisecond
+	claimStagger = 100 * time.Millisecond
 	// appendRetryTime is the time after which a record is appended again when
 	// the stream does not show it.
 	appendRetryTime = time.Second
@@ -205,14 +205,13 @@
 	if g.fold.Term() == 0 {
 		return now.Monotonic()
 	}
-	after := OrderTime + clockMargin
 	if g.fold.Released() {
-		return g.candidate.read.Monotonic() + after
+		return g.candidate.read.Monotonic() + lateOrderTime
 	}
 	e, _ := g.fold.Elector(g.self)
-	until := g.candidate.read.Monotonic() + g.wait(e) + after
-	if c := g.candidate.claim; c != nil {
-		until = max(until, c.first.Monotonic()+after)
+	until := g.candidate.read.Monotonic() + g.wait(e) + lateOrderTime
+	if g.promised.term == g.fold.Term() {
+		until = max(until, g.promised.until+lateOrderTime)
 	}
 	return until
 }
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -15,9 +15,6 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/loader"
 )
 
-// Stream is the stream of the log that holds the configuration.
-const Stream fuchsiapitch.StreamName = "config"
-
 const (
 	// readLimit is the largest number of records in one read. It is below the
 	// number of outcomes that a fold remembers.
@@ -186,19 +183,20 @@
 	return result, nil
 }
 
-// readState folds the stream up to its end. Transient failures of the log are
-// repeated until the context ends.
+// readState folds the stream up to its end. Until the context ends it waits for
+// a log that is away, and for a checkpoint where the log has dropped records.
 func (p *Publisher) readState(ctx context.Context) (*configurer.Follower, error) {
 	f := configurer.NewFollower(encoder.DecodeConfiguration)
 	waits := p.backOff()
 	for {
 		err := p.readToEnd(ctx, f, nil)
-		switch {
-		case err == nil && f.Scanning():
-			return nil, &StateError{Next: f.Next()}
-		case err == nil:
+		if err == nil && !f.Scanning() {
 			return f, nil
-		case ctx.Err() != nil:
+		}
+		if ctx.Err() != nil && f.Scanning() {
+			return nil, &StateError{Next: f.Next()}
+		}
+		if ctx.Err() != nil {
 			return nil, err
 		}
 		pause(ctx, waits.NextBackOff())
@@ -210,7 +208,7 @@
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		from := f.Next()
-		batch, err := p.log.Read(call, Stream, from, readLimit)
+		batch, err := p.log.Read(call, configurer.Stream, from, readLimit)
 		cancel()
 		var truncated *fuchsiapitch.TruncatedError
 		switch {
