grouper: avoid application servers that cannot be reached

Cause: a dead application server took requests until the lagging list dropped it; late progress of an earlier attempt counted as life of the newer replica. Change: an unreachable application server is avoided for 1 s, doubling to 30 s, as long as its service has another; only the attempt under way is evidence.

--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -74,6 +74,7 @@
 	promised      promised
 	stopping      bool
 	broken        []fuchsiapitch.ServerID
+	avoided       map[fuchsiapitch.ServerID]avoidance
 	downtime      map[fuchsiapitch.GroupID]time.Duration
 	stranded      []Stranded
 	counted       time.Duration
@@ -90,6 +91,7 @@
 		fold: f, view: f, health: NewHealth(),
 		servers:  make(map[fuchsiapitch.ServerID]*known),
 		owner:    func(fuchsiapitch.ReplicaID) bool { return false },
+		avoided:  make(map[fuchsiapitch.ServerID]avoidance),
 		running:  make(map[fuchsiapitch.ReplicaID]bool),
 		downtime: make(map[fuchsiapitch.GroupID]time.Duration),
 	}
@@ -135,6 +137,7 @@
 		_, placed := g.view.Place(id)
 		if !k.listed && !placed && g.health.Silent(id) {
 			delete(g.servers, id)
+			delete(g.avoided, id)
 		}
 	}
 	g.engines, g.applications = nil, nil
@@ -227,15 +230,7 @@
 				g.servers[group.Members[0]].server, slots, group.Version))
 		}
 	}
-	for _, id := range g.applications {
-		s := g.servers[id].server
-		service, ok := g.configuration.Service(s.Service())
-		if !ok || !g.servers[id].listed || s.Leaving() {
-			continue
-		}
-		list = append(list, fuchsiapitch.NewReplica(fuchsiapitch.ReplicaID(id), s.Service(), s, service.Concurrency(), ""))
-	}
-	return list
+	return append(list, g.applicationReplicas(now.Monotonic())...)
 }
 
 // route returns the slots of a group and whether it can take requests.
--- a/internal/reducer/group.go
+++ b/internal/reducer/group.go
@@ -77,25 +77,40 @@
 // observeAttempt takes in what an attempt tells of its replica.
 func (s *State) observeAttempt(event Event) {
 	switch e := event.(type) {
+	case AttemptAnswered:
+		if f, ok := s.current(e.Request, e.Attempt); ok {
+			s.groups.Trust(fuchsiapitch.ServerID(f.replica))
+		}
 	case AttemptProgressed:
 		if f, ok := s.current(e.Request, e.Attempt); ok && e.Tokens > 0 {
 			s.groups.Progress(s.now, f.replica)
 		}
 	case AttemptEnded:
-		f, ok := s.current(e.Request, e.Attempt)
-		if !ok || e.Stopped || e.Outcome == fuchsiapitch.Succeeded || e.Outcome == fuchsiapitch.Failed {
-			return
-		}
-		if r, listed := s.replicas[f.replica]; listed && e.Unreachable {
-			s.groups.Silence(s.now, r.Server().ID())
+		if f, ok := s.current(e.Request, e.Attempt); ok && !e.Stopped && (e.Outcome == fuchsiapitch.NotRun || e.Outcome == fuchsiapitch.Unknown) {
+			s.doubtReplica(f.replica, e.Unreachable)
 		}
-		s.groups.Doubt(f.replica)
-		s.groups.Probe(s.now)
-		s.carryOutGroups(s.groups.Drain())
-		s.followGroups()
 	}
 }
 
+// doubtReplica takes a replica that was lost out of routing and has its servers
+// asked at once.
+func (s *State) doubtReplica(id fuchsiapitch.ReplicaID, unreachable bool) {
+	if s.pinned {
+		return
+	}
+	r, listed := s.replicas[id]
+	switch {
+	case listed && unreachable && r.Server().Kind() == fuchsiapitch.ApplicationServer:
+		s.groups.Avoid(s.now, r.Server().ID())
+	case listed && unreachable:
+		s.groups.Silence(s.now, r.Server().ID())
+	}
+	s.groups.Doubt(id)
+	s.groups.Probe(s.now)
+	s.carryOutGroups(s.groups.Drain())
+	s.followGroups()
+}
+
 // hearGroups takes in what a heartbeat states about groups.
 func (s *State) hearGroups(h gossiper.Heartbeat) {
 	if h.From.DataCentre() != s.dataCentre {
