--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -12,8 +12,11 @@
 	Floors
 	// Headroom keeps slots free for the most urgent rank.
 	Headroom
-	// ShareHeadroom keeps slots free for customers below their share.
+	// ShareHeadroom keeps slots free for small customers of the most urgent rank.
 	ShareHeadroom
+	// SharePreemption stops streams of lower ranks of customers over their share
+	// while requests of small customers wait.
+	SharePreemption
 	// FairQueueing shares a rank between its customers by weight.
 	FairQueueing
 	// Preemption stops background streams while urgent work waits.
@@ -24,6 +27,8 @@
 	EarlyRefusal
 	// PrefixAffinity sends equal prompt prefixes to one replica.
 	PrefixAffinity
+	// AffinityBound passes over a replica that is loaded above the mean.
+	AffinityBound
 	// StragglerAvoidance gives less work to a replica slower than its peers.
 	StragglerAvoidance
 	// ReservedCalls keeps slots of an application service for calls that may
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -14,7 +14,7 @@
 	// rateWindow is the time constant over which the speed of a slot is measured.
 	rateWindow = 10 * time.Second
 	// headroomFraction is the fraction of the slots kept free for the most
-	// urgent rank, and again for customers below their share.
+	// urgent rank.
 	headroomFraction = 1.0 / 16
 	// headroomMinimum is the smallest number of slots of which some are kept free.
 	headroomMinimum = 4
@@ -41,6 +41,7 @@
 	waiting   int
 
 	repeatableRunning int
+	preemptible       int
 	urgentSeen        time.Duration
 	urgentKnown       bool
 	adjustDue         time.Duration
@@ -133,8 +134,11 @@
 // enqueue queues a job.
 func (p *pool) enqueue(now time.Duration, j *job, front bool) {
 	c, f := j.class, j.flow
+	if !front && p.isSmall(now, c, f) {
+		c.smallArrivals.add(now, 1)
+	}
 	j.cost = max(1, j.asked()*c.ratio(now, f))
-	c.fair.push(f, j, front)
+	c.fair.push(f, j, front, c.idleCredit(now))
 	c.requests++
 	c.bytes += j.request.Bytes()
 	c.cost += j.cost
@@ -179,7 +183,8 @@
 	}
 }
 
-// headroom returns the number of slots that lower ranks leave free.
+// headroom returns the number of slots that lower ranks leave free. Streams that
+// can be preempted make room as well as a free slot does, and cost none.
 func (p *pool) headroom(now time.Duration) int {
 	if p.scheduler.off[Headroom] || p.limit < headroomMinimum {
 		return 0
@@ -187,22 +192,7 @@
 	if !p.urgentKnown || now-p.urgentSeen > headroomMemory {
 		return 0
 	}
-	return max(1, int(headroomFraction*float64(p.limit)))
-}
-
-// shareHeadroom returns the number of slots that a customer leaves free for the
-// other customers of its class once it runs its share of the slots. Without
-// them a small customer would wait for the end of a large customer's request.
-func (p *pool) shareHeadroom(c *class) int {
-	f := c.fair.ready[0]
-	if p.scheduler.off[ShareHeadroom] || p.limit < headroomMinimum || f.weight >= c.fair.active {
-		return 0
-	}
-	share := float64(p.limit) * f.weight / c.fair.active
-	if float64(f.running) < max(1, share) {
-		return 0
-	}
-	return max(1, int(headroomFraction*float64(p.limit)))
+	return max(0, max(1, int(headroomFraction*float64(p.limit)))-p.preemptible)
 }
 
 // reservedCalls returns the number of slots that only calls which may not be
@@ -222,8 +212,7 @@
 	}
 	p.dirty = false
 	p.startParked(now, plan)
-	for c := p.nextClass(now); c != nil; c = p.nextClass(now) {
-		j := c.fair.head()
+	for j := p.next(now); j != nil; j = p.next(now) {
 		t := p.place(j)
 		if t == nil {
 			p.park(j)
@@ -232,6 +221,7 @@
 		p.start(j, t, plan)
 	}
 	p.preempt(now, plan)
+	p.preemptShares(now, plan)
 }
 
 // park sets aside a job whose remaining replicas are full, so that it does not
@@ -247,7 +237,7 @@
 	for _, c := range p.classes {
 		for j := c.parked.first; j != nil; {
 			next := j.next
-			if p.free == 0 || !p.admits(now, c) {
+			if p.freeFor(now, c) <= 0 {
 				break
 			}
 			if t := p.place(j); t != nil {
@@ -272,9 +262,18 @@
 	if c.key.repeatable {
 		p.repeatableRunning++
 	}
+	p.follow(j)
 	plan.Starts = append(plan.Starts, Start{Request: j.request.ID(), Replica: t.replica, Priority: c.key.order})
 }
 
+// follow counts a running job that can be preempted for urgent work.
+func (p *pool) follow(j *job) {
+	yields := j.station != nil && j.class.key.order > p.scheduler.urgentOrder && j.preemptible() &&
+		!p.scheduler.off[Preemption]
+	p.preemptible += boolToInt(yields) - boolToInt(j.yields)
+	j.yields = yields
+}
+
 // finish frees the slot of a running job and corrects what it was charged.
 func (p *pool) finish(now time.Duration, j *job) {
 	c := j.class
@@ -288,6 +287,7 @@
 		c.stopping--
 	}
 	c.learn(now, j)
+	c.ends.add(now, 1)
 	if j.served == 0 && !j.stopping && !j.request.Stream() {
 		p.count(now, j, j.charged)
 	}
@@ -295,6 +295,7 @@
 		c.fair.charge(j.flow, j.served-j.charged)
 	}
 	j.station.running--
+	p.preemptible -= boolToInt(j.yields)
 	p.recount()
 }
 
@@ -311,6 +312,7 @@
 
 func (p *pool) count(now time.Duration, j *job, tokens float64) {
 	j.class.served.add(now, tokens)
+	j.flow.served.add(now, tokens)
 	p.served.add(now, tokens)
 	p.tokens.add(now, tokens)
 	p.settleFloors(now, j.class, tokens)
