gossiper: tests for two guards that none caught

Cause: taking out the bound on remote loads, or the rule that a host passes on no loads of its own data centre, failed no test.

--- a/internal/gossiper/membership_test.go
+++ b/internal/gossiper/membership_test.go
@@ -163,4 +163,27 @@
 			t.Errorf("got %d entries, want at most %d", n.largest, want)
 		}
 	})
+	t.Run("the remote loads of a heartbeat do not grow with the number of data centres", func(t *testing.T) {
+		var hosts []fuchsiapitch.Host
+		for _, c := range []fuchsiapitch.DataCentreName{"a", "b", "c", "d", "e", "f", "g"} {
+			hosts = append(hosts, newCentre(c, 2)...)
+		}
+		n := newNetwork(hosts...)
+		n.run(40)
+		if got := len(n.members["a-00"].Remotes("vidrio-llm")); got != 6 {
+			t.Errorf("got the loads of %d other data centres, want 6", got)
+		}
+		if want := viewLimit + remoteLimit; n.largest > want {
+			t.Errorf("got %d entries, want at most %d", n.largest, want)
+		}
+	})
+	t.Run("a host passes on no loads of its own data centre", func(t *testing.T) {
+		n := newNetwork(newCentre("xela", 5)...)
+		n.run(20)
+		for id, m := range n.members {
+			if got := m.Compose(at(n.now), nil).Remotes; !m.IsBridge() && len(got) != 0 {
+				t.Errorf("%s passes on %v, want none", id, got)
+			}
+		}
+	})
 }
