reducer: ask live hosts while the log is away

Cause: in a data centre of 58 hosts of which one had the log, heartbeats alone took 5.0 to 6.0 s to spread a change (three tries in virtual time); the target is 4 s. Ruled out: faster heartbeats, since they cost every host all the time. Change: a host whose log is away and that knows of no peer ahead asks one live host after another for what has changed, two a second.

--- a/internal/reducer/configuration.go
+++ b/internal/reducer/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,6 +42,7 @@
 	peers      map[fuchsiapitch.HostID]peerConfiguration
 	caughtUp   time.Duration
 	fetchDue   time.Duration
+	fetches    uint64
 	history    []configurationPoint
 	checkpoint checkpointPlan
 }
@@ -149,7 +151,9 @@
 
 // fetchState asks the peer that is furthest ahead for its state: at once when the
 // log is away or has dropped records that this host needs, and after some time
-// when the log is slow or silent.
+// when the log is slow or silent. While the log is away and no peer is known to
+// be ahead, it asks one live host after another, since news would spread too
+// slowly by heartbeats alone.
 func (s *State) fetchState() {
 	c := &s.following
 	now := s.now.Monotonic()
@@ -157,14 +161,34 @@
 	peer, ahead := s.furthestPeer()
 	if !ahead {
 		c.caughtUp = now
+	}
+	if now < c.fetchDue {
 		return
 	}
-	needed := c.logAway || c.follower.Scanning() || now-c.caughtUp >= lagTolerance
-	if !needed || now < c.fetchDue {
+	cut := c.logAway || c.follower.Scanning()
+	switch {
+	case ahead && (cut || now-c.caughtUp >= lagTolerance):
+		s.askForState(peer.host)
+	case !ahead && cut:
+		s.askAnyone()
+	}
+}
+
+func (s *State) askForState(host fuchsiapitch.Host) {
+	c := &s.following
+	c.fetchDue = s.now.Monotonic() + fetchTimeout
+	c.fetches++
+	s.emit(FetchState{Host: host, Since: c.follower.Fold().Offset()})
+}
+
+// askAnyone asks a live host for its state, a different one each time.
+func (s *State) askAnyone() {
+	live := slices.DeleteFunc(s.members.Live(), func(h fuchsiapitch.Host) bool { return h.ID() == s.self })
+	if len(live) == 0 {
 		return
 	}
-	c.fetchDue = now + fetchTimeout
-	s.emit(FetchState{Host: peer.host, Since: c.follower.Fold().Offset()})
+	turn := xxhash.Sum64String(fmt.Sprint(s.self, "/", s.following.fetches))
+	s.askForState(live[turn%uint64(len(live))])
 }
 
 // furthestPeer returns the peer with the highest offset above this host's own.
--- a/internal/reducer/configuration_test.go
+++ b/internal/reducer/configuration_test.go
@@ -38,8 +38,10 @@
 
 func newConfigurationWorld(hosts int) *configurationWorld {
 	w := &configurationWorld{oldest: 1, seen: make(map[fuchsiapitch.HostID]fuchsiapitch.Offset)}
-	for i := range hosts {
+	for range hosts {
 		w.hosts = append(w.hosts, &configurationHost{})
+	}
+	for i := range hosts {
 		w.restart(i)
 	}
 	return w
@@ -53,7 +55,7 @@
 // restart replaces a host by a new process that knows nothing.
 func (w *configurationWorld) restart(i int) {
 	var others []fuchsiapitch.Host
-	for j := range 4 {
+	for j := range w.hosts {
 		if j != i {
 			others = append(others, fuchsiapitch.NewHost(fuchsiapitch.HostID(fmt.Sprint("host-", j)), fmt.Sprint("127.0.0.1:", j+1), "gt-xela", 0))
 		}
@@ -103,7 +105,7 @@
 
 func (w *configurationWorld) find(id fuchsiapitch.HostID) *configurationHost {
 	for _, h := range w.hosts {
-		if h.state.self == id {
+		if h.state != nil && h.state.self == id {
 			return h
 		}
 	}
@@ -305,6 +307,27 @@
 			t.Errorf("got effects %v, want %v", effects, want)
 		}
 	})
+	t.Run("a change reaches a whole data centre of which one host has the log", func(t *testing.T) {
+		const hosts = 58
+		w := newConfigurationWorld(hosts)
+		w.publish(w.hosts[0], "a")
+		w.pass(15 * time.Second)
+		for _, h := range w.hosts[1:] {
+			h.logAway = true
+		}
+		w.pass(time.Second)
+		for range 3 {
+			w.publish(w.hosts[0], "a")
+			want := fuchsiapitch.Offset(len(w.records))
+			w.pass(4 * time.Second)
+			w.assertSound(t)
+			for i, h := range w.hosts {
+				if got := h.state.Configuration().Offset(); got < want {
+					t.Errorf("host %d after 4 s: got offset %d, want %d", i, got, want)
+				}
+			}
+		}
+	})
 	t.Run("a host without log and peers is not ready", func(t *testing.T) {
 		w := newConfigurationWorld(2)
 		w.publish(w.hosts[0], "a")
