--- a/internal/reducer/load.go
+++ b/internal/reducer/load.go
@@ -59,7 +59,10 @@
 		if _, known := s.loads.reported[v.Name()]; slots == 0 && !known {
 			continue
 		}
-		loads = append(loads, gossiper.ServiceLoad{Service: v.Name(), Slots: slots, InFlight: inFlight, Queued: queued})
+		pace, _ := s.scheduler.Pace(s.now, v.Name())
+		loads = append(loads, gossiper.ServiceLoad{
+			Service: v.Name(), Slots: slots, InFlight: inFlight, Queued: queued, Pace: pace,
+		})
 	}
 	return loads
 }
@@ -90,6 +93,21 @@
 	return age + float64(change)/float64(max(1, l.Slots))
 }
 
+// followPaces tells the scheduler how fast the replicas of other dispatchers are,
+// so that a straggler is found where this host has few replicas to compare.
+func (s *State) followPaces() {
+	live := s.members.Live()
+	for _, l := range s.ownLoads() {
+		var paces []time.Duration
+		for _, h := range live {
+			if pace := s.members.Load(h.ID(), l.Service).Pace; h.ID() != s.self && pace > 0 {
+				paces = append(paces, pace)
+			}
+		}
+		s.scheduler.SetPeerPaces(l.Service, paces)
+	}
+}
+
 // noteLoads remembers what this host had forwarded when another host reported.
 func (s *State) noteLoads(h gossiper.Heartbeat) {
 	for _, l := range h.Loads {
@@ -187,3 +205,33 @@
 	ranks := s.configuration.Ranks()
 	return len(ranks) > 0 && ranks[0].Name() == f.request.Rank()
 }
+
+// Schedule is the state of one service at the dispatcher of this host.
+type Schedule struct {
+	// Service is the service.
+	Service fuchsiapitch.ServiceName
+	// Slots is the number of requests that may run at once.
+	Slots int
+	// InFlight is the number of requests that run.
+	InFlight int
+	// Queued is the number of requests that wait.
+	Queued int
+	// Stragglers is the number of replicas much slower than their peers.
+	Stragglers int
+}
+
+// Schedules returns the state of each service that this host dispatches for or
+// has lately dispatched for.
+func (s *State) Schedules() []Schedule {
+	stragglers := make(map[fuchsiapitch.ServiceName]int)
+	for _, id := range s.scheduler.Stragglers() {
+		stragglers[s.replicas[id].Service()]++
+	}
+	var schedules []Schedule
+	for _, l := range s.ownLoads() {
+		schedules = append(schedules, Schedule{
+			Service: l.Service, Slots: l.Slots, InFlight: l.InFlight, Queued: l.Queued, Stragglers: stragglers[l.Service],
+		})
+	}
+	return schedules
+}
