grouper: forget servers that left the list and say what the fields hold

Cause: hosts that do not watch a server kept it for ever after it had left the platform's list. Change: an unlisted server is kept only while it is in a group or answers.

--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -58,28 +58,37 @@
 	incarnation   uint64
 	dataCentre    fuchsiapitch.DataCentreName
 	configuration fuchsiapitch.Configuration
-	fold          *Fold
-	view          *Fold
-	heard         []Record
-	health        *Health
-	servers       map[fuchsiapitch.ServerID]*known
-	engines       []fuchsiapitch.ServerID
-	applications  []fuchsiapitch.ServerID
-	listed        bool
-	hosts         []fuchsiapitch.Host
-	owner         func(fuchsiapitch.ReplicaID) bool
-	running       map[fuchsiapitch.ReplicaID]bool
-	candidate     candidate
-	tenure        *tenure
-	promised      promised
-	stopping      bool
-	broken        []fuchsiapitch.ServerID
-	avoided       map[fuchsiapitch.ServerID]avoidance
-	downtime      map[fuchsiapitch.GroupID]time.Duration
-	stranded      []Stranded
-	counted       time.Duration
-	counters      Counters
-	actions       Actions
+	// fold is the state of the stream, view the same with the controller's
+	// records that are not in the stream yet.
+	fold *Fold
+	view *Fold
+	// heard are such records as the controller told them.
+	heard  []Record
+	health *Health
+	// servers are the known backend servers, engines and applications their
+	// identifiers in order.
+	servers      map[fuchsiapitch.ServerID]*known
+	engines      []fuchsiapitch.ServerID
+	applications []fuchsiapitch.ServerID
+	listed       bool
+	hosts        []fuchsiapitch.Host
+	// owner reports whether this host dispatches for a replica, running holds
+	// those of its replicas that have requests running.
+	owner     func(fuchsiapitch.ReplicaID) bool
+	running   map[fuchsiapitch.ReplicaID]bool
+	candidate candidate
+	// tenure is nil unless this host is the controller.
+	tenure   *tenure
+	promised promised
+	stopping bool
+	broken   []fuchsiapitch.ServerID
+	avoided  map[fuchsiapitch.ServerID]avoidance
+	// downtime holds when each group was last looked at.
+	downtime map[fuchsiapitch.GroupID]time.Duration
+	stranded []Stranded
+	counted  time.Duration
+	counters Counters
+	actions  Actions
 }
 
 // New returns the grouper of an entry host that has just started. The
@@ -122,7 +131,7 @@
 func (g *Grouper) Stop() { g.stopping = true }
 
 // List takes in the platform's list. A server that is absent keeps its last
-// entry: absence is no proof of death.
+// entry while it is in a group or answers: absence is no proof of death.
 func (g *Grouper) List(servers []fuchsiapitch.BackendServer) {
 	g.listed = true
 	for _, k := range g.servers {
@@ -135,7 +144,7 @@
 	}
 	for id, k := range g.servers {
 		_, placed := g.view.Place(id)
-		if !k.listed && !placed && g.health.Silent(id) {
+		if _, heard := g.health.Account(id); !k.listed && !placed && (!heard || g.health.Silent(id)) {
 			delete(g.servers, id)
 			delete(g.avoided, id)
 		}
