reducer: give no state before the end of the stream was read

Cause: a host that has read a part of the stream gave its old state to a host that could not read the log, which then took itself for ready. Change: a host that is not ready gives nothing; a test fails without the guard. Conclusion: a state that is taken is one that its owner served by.

--- a/internal/reducer/configuration.go
+++ b/internal/reducer/configuration.go
@@ -72,8 +72,12 @@
 func (s *State) ConfigurationReady() bool { return s.following.ready }
 
 // ConfigurationSince returns what has changed in the configuration after an
-// offset, for another entry host.
+// offset, for another entry host. A host that is not ready gives nothing, since
+// its state may be that of long ago.
 func (s *State) ConfigurationSince(since fuchsiapitch.Offset) configurer.Snapshot {
+	if !s.following.ready {
+		return configurer.Snapshot{}
+	}
 	return s.following.follower.Fold().SnapshotSince(since)
 }
 
--- a/internal/reducer/configuration_test.go
+++ b/internal/reducer/configuration_test.go
@@ -267,6 +267,9 @@
 			if got := w.hosts[0].state.ConfigurationReady(); got != want {
 				t.Errorf("at offset %d: got ready %v, want %v", w.hosts[0].from, got, want)
 			}
+			if got := w.hosts[0].state.ConfigurationSince(0).Offset > 0; got != want {
+				t.Errorf("at offset %d: got state for peers %v, want %v", w.hosts[0].from, got, want)
+			}
 		}
 	})
 	t.Run("a host with a peer's state abandons a read that may hang", func(t *testing.T) {
