sender: wait longer for a stream that has not begun

Cause: an engine that sends its header at once and works on a long prompt for more than 2.5 s was given up, and so was the next one with the same prompt. Change: 15 s without a byte before the first token of an attempt; 2.5 s once tokens flow. Test: a stream that begins after ten times the silence limit failed before.

--- a/internal/sender/body.go
+++ b/internal/sender/body.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
@@ -43,11 +44,12 @@
 	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
 }
 
-// read reads from the body of an answer. The silence limit applies to streams;
-// a plain answer may take until the deadline of its call.
-func (x *exchange) read(body io.Reader, data []byte) (int, error) {
-	if x.call.Stream() {
-		x.timer.Reset(x.sender.silence)
+// read reads from the body of an answer and gives the exchange up when no byte
+// comes within a limit. Without a limit it may take until the deadline.
+func (x *exchange) read(body io.Reader, data []byte, limit time.Duration) (int, error) {
+	if limit > 0 {
+		x.limit.Store(int64(limit))
+		x.timer.Reset(limit)
 		defer x.timer.Stop()
 	}
 	return body.Read(data)
@@ -70,7 +72,7 @@
 	if b.ended != nil {
 		return fuchsiapitch.Chunk{}, b.ended
 	}
-	n, err := b.exchange.read(b.body, b.buffer)
+	n, err := b.exchange.read(b.body, b.buffer, 0)
 	if err != nil {
 		b.ended = b.exchange.ending(err, 0)
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -14,6 +15,8 @@
 const (
 	// defaultSilence is the longest time without a byte on an active connection.
 	defaultSilence = 2500 * time.Millisecond
+	// defaultPrompt is the longest time without a byte before the first token.
+	defaultPrompt = 15 * time.Second
 	// defaultConnect is the longest time for a new connection.
 	defaultConnect = 2 * time.Second
 	// readBufferBytes is the size of the read buffer of a connection.
@@ -28,6 +31,7 @@
 // Sender sends calls to backend servers. It implements fuchsiapitch.Caller.
 type Sender struct {
 	silence   time.Duration
+	prompt    time.Duration
 	connect   time.Duration
 	report    FaultReport
 	transport *http.Transport
@@ -39,6 +43,10 @@
 // WithSilence sets the longest time without a byte on an active stream.
 func WithSilence(limit time.Duration) Option { return func(s *Sender) { s.silence = limit } }
 
+// WithPromptLimit sets the longest time without a byte on a stream that has not
+// begun.
+func WithPromptLimit(limit time.Duration) Option { return func(s *Sender) { s.prompt = limit } }
+
 // WithConnectTimeout sets the longest time for a new connection.
 func WithConnectTimeout(limit time.Duration) Option { return func(s *Sender) { s.connect = limit } }
 
@@ -53,7 +61,7 @@
 // another rank uses.
 func New(options ...Option) (*Sender, func()) {
 	s := &Sender{
-		silence: defaultSilence, connect: defaultConnect,
+		silence: defaultSilence, prompt: defaultPrompt, connect: defaultConnect,
 		report: func(fuchsiapitch.ServerID, error) {},
 	}
 	for _, o := range options {
@@ -106,7 +114,9 @@
 	// release frees the timer of the deadline.
 	release context.CancelFunc
 	timer   *time.Timer
-	gate    gate
+	// limit is the longest time without a byte in nanoseconds.
+	limit atomic.Int64
+	gate  gate
 }
 
 func newExchange(ctx context.Context, sender *Sender, server fuchsiapitch.BackendServer, call fuchsiapitch.Call) *exchange {
@@ -116,7 +126,7 @@
 	}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	x.gate.deadline = call.Deadline()
-	x.timer = time.AfterFunc(time.Hour, func() { x.cancel(&SilentError{Limit: sender.silence}) })
+	x.timer = time.AfterFunc(time.Hour, func() { x.cancel(&SilentError{Limit: time.Duration(x.limit.Load())}) })
 	x.timer.Stop()
 	return x
 }
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
@@ -144,6 +145,15 @@
 	b.exchange.sender.report(b.exchange.server.ID(), err)
 }
 
+// limit returns the longest time without a byte. An engine that has not begun
+// may be at work on a long prompt.
+func (b *streamBody) limit() time.Duration {
+	if b.tokens == b.exchange.call.Offset() {
+		return b.exchange.sender.prompt
+	}
+	return b.exchange.sender.silence
+}
+
 // fill reads more bytes behind those in the buffer.
 func (b *streamBody) fill() {
 	b.end = copy(b.buffer, b.buffer[b.start:b.end])
@@ -155,7 +165,7 @@
 		}
 		b.buffer = append(b.buffer, make([]byte, len(b.buffer))...)
 	}
-	n, err := b.exchange.read(b.body, b.buffer[b.end:])
+	n, err := b.exchange.read(b.body, b.buffer[b.end:], b.limit())
 	b.end += n
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
--- a/internal/sender/stream_test.go
+++ b/internal/sender/stream_test.go
@@ -82,6 +82,30 @@
 		_, _, err = readAll(answer)
 		assertType[*sender.SilentError](t, err)
 	})
+	t.Run("a stream that has not begun is waited for longer", func(t *testing.T) {
+		server, _ := serve(t, func(c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, streamHeader)
+			time.Sleep(100 * time.Millisecond)
+			io.WriteString(c, event("r1", 1)+done)
+			return false
+		})
+		call := fuchsiapitch.NewCall("r1", http.MethodPost, "/v1/completions", []byte("{}"), fuchsiapitch.WithStream(0))
+		answer, err := newSender(t, sender.WithSilence(10*time.Millisecond)).Call(context.Background(), server, call)
+		assertNoError(t, err, "call")
+		_, _, err = readAll(answer)
+		assertNoError(t, err, "read the answer")
+	})
+	t.Run("a stream that never begins is given up", func(t *testing.T) {
+		server, _ := serve(t, func(c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, streamHeader)
+			return true
+		})
+		call := fuchsiapitch.NewCall("r1", http.MethodPost, "/v1/completions", []byte("{}"), fuchsiapitch.WithStream(0))
+		answer, err := newSender(t, sender.WithPromptLimit(50*time.Millisecond)).Call(context.Background(), server, call)
+		assertNoError(t, err, "call")
+		_, _, err = readAll(answer)
+		assertType[*sender.SilentError](t, err)
+	})
 	t.Run("the end of the context closes the connection", func(t *testing.T) {
 		closed := make(chan error, 1)
 		server, _ := serve(t, func(c net.Conn, _ *http.Request) bool {
