reducer: never refuse a request for load that a dispatcher had accepted

Cause: a request whose dispatcher was lost was offered again as new, and could be refused for load although it had been accepted. Change: what a dispatcher did not refuse counts as accepted when it comes to the own scheduler; the test provokes it. Sent to a third host it is offered as new still.

--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -143,6 +143,8 @@
 	}
 	s.settle(f, e.Outcome, e.Tokens, e.Answered)
 	f.excluded[e.Host] = true
+	// A dispatcher that did not refuse the request had accepted it.
+	f.accepted = f.accepted || e.Refusal == 0
 	switch {
 	case e.Outcome == fuchsiapitch.Succeeded:
 		s.finish(f, fuchsiapitch.Succeeded)
--- a/internal/reducer/schedule_test.go
+++ b/internal/reducer/schedule_test.go
@@ -143,3 +143,22 @@
 	s.Apply(at(3), ForwardEnded{Request: "c1", Attempt: f.attempt, Host: "host-b", Outcome: fuchsiapitch.Succeeded})
 	assertLoad(2)
 }
+
+func TestAcceptedRequestIsNotRefused(t *testing.T) {
+	s := newRankedState(t)
+	other := fuchsiapitch.NewHost("host-b", "127.0.0.1:3", "gt-xela", 1)
+	s.Apply(at(1), RequestReceived{Request: newKiln("running")})
+	f := s.newFlight(newKiln("accepted"))
+	s.forward(f, other)
+	effects := s.Apply(at(2), ForwardEnded{
+		Request: "accepted", Attempt: f.attempt, Host: "host-b", Outcome: fuchsiapitch.Unknown, Unreachable: true,
+	})
+	for _, e := range effects {
+		if _, refused := e.(RefuseRequest); refused {
+			t.Errorf("got %#v, want the request to wait", e)
+		}
+	}
+	if !f.accepted || f.phase != queued {
+		t.Errorf("got accepted %t in phase %d, want it queued as accepted", f.accepted, f.phase)
+	}
+}
