experimenter: describe every host of a data centre that does not recover

Cause: the state of one host did not tell whether its neighbours agree. Change: the note shows all hosts of the data centre and the length of the stream of its groups.

--- a/internal/experimenter/soak.go
+++ b/internal/experimenter/soak.go
@@ -13,6 +13,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/launcher"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
 )
 
 const (
@@ -113,10 +114,17 @@
 // what the engines themselves report.
 func (b *soakBed) describe(ctx context.Context, h *launcher.Host) string {
 	var text strings.Builder
-	s := statusOf(ctx, h)
-	fmt.Fprintf(&text, "host %s does not serve: controller %q, term %d, acting %t\n", h.ID(), s.Holder, s.Term, s.Acting)
-	for _, g := range s.Groups {
-		fmt.Fprintf(&text, "  group %s of %v: whole %t, %s, draining %t\n", g.Group.ID, g.Group.Members, g.Whole, g.Fault, g.Group.Draining)
+	fmt.Fprintf(&text, "host %s does not serve; the stream of its groups has %d records\n",
+		h.ID(), len(b.fleet.Log().Records(reducer.GroupStreamPrefix+string(h.DataCentre()))))
+	for _, other := range b.cluster.Hosts() {
+		if other.DataCentre() != h.DataCentre() {
+			continue
+		}
+		s := statusOf(ctx, other)
+		fmt.Fprintf(&text, "  host %s: controller %q, term %d, acting %t\n", other.ID(), s.Holder, s.Term, s.Acting)
+		for _, g := range s.Groups {
+			fmt.Fprintf(&text, "    group %s of %v: whole %t, %s, draining %t\n", g.Group.ID, g.Group.Members, g.Whole, g.Fault, g.Group.Draining)
+		}
 	}
 	for _, server := range b.fleet.BackendServers() {
 		if server.Kind() != fuchsiapitch.EngineServer || server.DataCentre() != h.DataCentre() {
