grouper: one state for all readers after a restart of the stream

Cause: a host that found no checkpoint in the stream began with an empty state, while a host that still knew the old one kept it: two controllers could have followed two terms. Change: the empty checkpoint counts for every reader, it is not written while a controller writes, and the next claim waits for the longest outage.

--- a/internal/grouper/election.go
+++ b/internal/grouper/election.go
@@ -113,8 +113,9 @@
 	}
 }
 
-// bootstrap starts anew when the log keeps no checkpoint at all. A controller
-// repeats its checkpoints more often than this host waits, so there is none.
+// bootstrap starts anew when the log keeps no checkpoint and no controller has
+// written for long. Every reader takes up the empty state, and the next
+// controller waits as if it were unknown to the last one.
 func (g *Grouper) bootstrap(now fuchsiapitch.Instant) {
 	c := &g.candidate
 	if !c.readable || now.Sub(c.lost) < bootstrapTime {
@@ -135,7 +136,7 @@
 		return false
 	}
 	wait := g.wait(self)
-	if g.fold.Term() == 0 || g.fold.Released() {
+	if g.isFirst() || g.fold.Released() {
 		wait = 0
 	}
 	since := now.Sub(g.candidate.read)
@@ -147,12 +148,15 @@
 // elector that it has read of for a promise before it gives orders without a
 // lease, so an elector that it acknowledged need only wait for the lease.
 func (g *Grouper) wait(self Elector) time.Duration {
-	if g.fold.Acknowledged() >= self.Joined {
+	if g.fold.Acknowledged() >= self.Joined && !g.fold.Restarted() {
 		return LeaseTime
 	}
 	return OutageLimit
 }
 
+// isFirst reports whether there has never been a controller.
+func (g *Grouper) isFirst() bool { return g.fold.Term() == 0 && !g.fold.Restarted() }
+
 // stagger spreads the claims of the live hosts over time.
 func (g *Grouper) stagger() time.Duration {
 	score := func(h fuchsiapitch.Host) uint64 {
@@ -186,7 +190,10 @@
 }
 
 func (g *Grouper) read(now fuchsiapitch.Instant, e Entry) {
-	before, term := g.takeover(now), g.fold.Term()
+	before, term, first := g.takeover(now), g.fold.Term(), g.isFirst()
+	if !g.fold.Known() && (e.Record.Kind == Claim || e.Record.Kind == Renewal) {
+		g.candidate.lost = now
+	}
 	if !g.fold.Apply(e) {
 		return
 	}
@@ -194,7 +201,7 @@
 		g.candidate.read = now
 	}
 	if g.fold.Term() != term {
-		g.newTerm(e, before, term == 0)
+		g.newTerm(e, before, first)
 	}
 	g.confirm(now, e.Record)
 }
@@ -202,7 +209,7 @@
 // takeover returns the earliest time at which the orders of the current holder
 // have surely taken effect, should this host win the next record.
 func (g *Grouper) takeover(now fuchsiapitch.Instant) time.Duration {
-	if g.fold.Term() == 0 {
+	if g.isFirst() {
 		return now.Monotonic()
 	}
 	if g.fold.Released() {
--- a/internal/grouper/fold.go
+++ b/internal/grouper/fold.go
@@ -35,6 +35,8 @@
 	places   map[fuchsiapitch.ServerID]fuchsiapitch.GroupID
 	electors map[fuchsiapitch.HostID]Elector
 	rejected map[fuchsiapitch.ServiceName]string
+	// restarted states that earlier terms, if any, are unknown.
+	restarted bool
 	// sorted are the groups in order, nil after a change.
 	sorted []Group
 }
@@ -66,6 +68,9 @@
 // Holder returns the controller of the current term and its incarnation.
 func (f *Fold) Holder() (fuchsiapitch.HostID, uint64) { return f.state.Holder, f.state.Incarnation }
 
+// Restarted reports whether there may have been terms that are not known.
+func (f *Fold) Restarted() bool { return f.state.Term == 0 && f.restarted }
+
 // Released reports whether the controller gave up its lease.
 func (f *Fold) Released() bool { return f.state.Released }
 
@@ -163,7 +168,7 @@
 
 func (f *Fold) restore(s Snapshot) {
 	f.clear()
-	f.state = s
+	f.state, f.restarted = s, s.Term == 0
 	f.state.Groups, f.state.Electors, f.state.Rejections = nil, nil, nil
 	for _, g := range s.Groups {
 		f.put(g)
@@ -187,11 +192,24 @@
 		return f.renew(r)
 	case Release:
 		return f.release(r)
+	case Checkpoint:
+		return f.restart(e)
 	default:
 		return false
 	}
 }
 
+// restart takes up the empty state of a host that found no checkpoint in the
+// stream, so that readers that still know the old state agree with it.
+func (f *Fold) restart(e Entry) bool {
+	if s := e.Record.State; s == nil || s.Term != 0 || f.state.Term == 0 {
+		return false
+	}
+	f.restore(*e.Record.State)
+	f.state.Offset = e.Offset
+	return true
+}
+
 func (f *Fold) join(e Entry) bool {
 	r := e.Record
 	if old, ok := f.electors[r.Host]; ok && old.Incarnation >= r.Incarnation {
--- a/internal/grouper/takeover_test.go
+++ b/internal/grouper/takeover_test.go
@@ -93,6 +93,12 @@
 		d := newSuccessor(false)
 		assertNotBefore(t, d.runUntil(t, "claim", d.isHolder), OutageLimit, "claim")
 	})
+	t.Run("after a restart of the stream a claim waits for the longest outage", func(t *testing.T) {
+		d := newSuccessor(true, fuchsiapitch.WithFencing())
+		d.write(Record{Kind: Checkpoint, State: &Snapshot{Offset: 5}})
+		assertEqual(t, d.Fold().Term(), 0, "term")
+		assertNotBefore(t, d.runUntil(t, "claim", d.isHolder), OutageLimit, "claim")
+	})
 	t.Run("orders to engines that ignore fencing wait for late ones", func(t *testing.T) {
 		d := newSuccessor(true)
 		assertNotBefore(t, d.runUntil(t, "order", d.hasOrdered), LeaseTime+lateOrderTime, "first order")
