--- a/internal/experimenter/outcomefault.go
+++ b/internal/experimenter/outcomefault.go
@@ -17,6 +17,9 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/log"
 )
 
+// struckPeriod is the time between two single answers that are struck.
+const struckPeriod = 50 * time.Millisecond
+
 func logRate() log.Option { return log.WithRate(outcomeLogRate) }
 
 // storm strikes at random, by seed, in every data centre and at the log at the
@@ -47,6 +50,28 @@
 	running.Wait()
 }
 
+// strikeAnswers strikes single answers of application servers until the context
+// ends and returns how many it struck at most.
+func (s *storm) strikeAnswers(ctx context.Context) int {
+	random := rand.New(rand.NewPCG(s.seed, uint64(len(outcomeCentres)+1)))
+	all := s.bed.fleet.Applications()
+	for n := 0; ; n++ {
+		if ctx.Err() != nil {
+			return n
+		}
+		a := all[random.IntN(len(all))]
+		switch random.IntN(3) {
+		case 0:
+			a.LoseAnswers(1)
+		case 1:
+			a.CrossAnswers(1)
+		case 2:
+			a.TruncateAnswers(1, 0)
+		}
+		time.Sleep(struckPeriod)
+	}
+}
+
 func (s *storm) count(name string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/experimenter/outcomes.go
+++ b/internal/experimenter/outcomes.go
@@ -86,6 +86,8 @@
 	fmt.Fprintf(run.Progress, "%d bookings, lookups and streams each without faults\n", outcomeCalm)
 	w.work(ctx, outcomeCalm)
 	report.AtMost("unknown-bookings-without-faults", 0, float64(w.tally.unknown.Load()+w.tally.nothing.Load()))
+	fmt.Fprintf(run.Progress, "%d each while single answers are lost, crossed or cut\n", outcomeCalm)
+	w.underStruckAnswers(ctx, report)
 	fmt.Fprintf(run.Progress, "%d each under faults\n", calls)
 	started := time.Now()
 	w.underStorm(ctx, calls, report)
@@ -119,6 +121,22 @@
 	return w, nil
 }
 
+// underStruckAnswers has the callers work while single answers are struck, and
+// compares the unknown bookings with the answers that were struck.
+func (w *outcomeWork) underStruckAnswers(ctx context.Context, report *Report) {
+	unknown := func() int64 { return w.tally.unknown.Load() + w.tally.nothing.Load() }
+	before := unknown()
+	strikeContext, stop := context.WithCancel(ctx)
+	struck := make(chan int, 1)
+	go func() { struck <- newStorm(w.bed, w.seed).strikeAnswers(strikeContext) }()
+	w.work(ctx, outcomeCalm)
+	stop()
+	answers := <-struck
+	report.Set("answers-struck-alone", float64(answers))
+	report.Set("unknown-bookings-with-answers-struck-alone", float64(unknown()-before))
+	report.AtMost("unknown-bookings-beyond-struck-answers", 0, float64(max(0, unknown()-before-int64(answers))))
+}
+
 // underStorm has the callers work while faults strike.
 func (w *outcomeWork) underStorm(ctx context.Context, calls int, report *Report) {
 	stormContext, stop := context.WithCancel(ctx)
