experimenter: let the fairness experiment settle before it measures

Cause: with 2 s of warm-up the quick run gave a chat small-wait ratio of 1.70; the slots left free follow the measured arrivals of small customers. Change: 4 s of warm-up and 6 s of measurement in the quick run.

--- a/internal/experimenter/fairness.go
+++ b/internal/experimenter/fairness.go
@@ -40,7 +40,7 @@
 	report := NewReport("fairness", run.Seed)
 	times := floodTimes{warmUp: 5 * time.Second, phase: 40 * time.Second}
 	if run.Quick {
-		times = floodTimes{warmUp: 2 * time.Second, phase: 8 * time.Second}
+		times = floodTimes{warmUp: 4 * time.Second, phase: 6 * time.Second}
 	}
 	for _, rank := range []string{"draft", "chat"} {
 		f, err := measureFairness(ctx, run, times, rank)
