--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -43,6 +43,9 @@
 	Tell bool
 }
 
+// tellPeriod is the least time between two heartbeats out of turn.
+const tellPeriod = 200 * time.Millisecond
+
 // known is a backend server of the data centre.
 type known struct {
 	server  fuchsiapitch.BackendServer
@@ -89,6 +92,9 @@
 	counted  time.Duration
 	counters Counters
 	actions  Actions
+	// telling states that hosts are to hear from this one, told when they last did.
+	telling bool
+	told    time.Duration
 }
 
 // New returns the grouper of an entry host that has just started. The
@@ -211,6 +217,17 @@
 	g.control(now)
 	g.Probe(now)
 	g.observe(now.Monotonic())
+	g.paceTelling(now.Monotonic())
+}
+
+// paceTelling bounds the rate of heartbeats out of turn. What one leaves out the
+// next tells.
+func (g *Grouper) paceTelling(now time.Duration) {
+	g.telling = g.telling || g.actions.Tell
+	g.actions.Tell = g.telling && now-g.told >= tellPeriod
+	if g.actions.Tell {
+		g.telling, g.told = false, now
+	}
 }
 
 func (g *Grouper) isLeaving(id fuchsiapitch.ServerID) bool {
