--- a/internal/sender/doc.go
+++ b/internal/sender/doc.go
@@ -4,7 +4,7 @@
 //
 // Package net/http replays requests by itself: idempotent methods and any
 // request with an Idempotency-Key header, when a pooled connection breaks.
-// Two guards prevent that. The body of every request is of a type that cannot
+// Three guards prevent that. Each call has a connection of its own. The body of every request is of a type that cannot
 // be read again, and each call has a gate that lets only the first connection
 // write.
 package sender
