receiver: bounds on slow and on many bodies

Cause: a caller could send a body without end, and many callers could make a host hold bodies without bound. Reading and answering stand once for both kinds of service.

--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -19,6 +19,26 @@
 	deadlinePeriod = time.Second
 )
 
+// reading reads a request of one kind of service.
+type reading func(http.ResponseWriter, *http.Request, fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error)
+
+// serve reads a request and answers it, within the bounds on held bodies.
+func (r *Receiver) serve(w http.ResponseWriter, q *http.Request, model bool, read reading) {
+	id := newRequestID()
+	release, err := r.bodies.take(q)
+	if err != nil {
+		writeFailure(w, id, model, failureOf(err))
+		return
+	}
+	defer release()
+	request, call, err := read(w, q, id)
+	if err != nil {
+		writeFailure(w, id, model, failureOf(err))
+		return
+	}
+	r.answer(w, q, request, call, model)
+}
+
 // answer serves a request and gives the caller the answer or the failure.
 func (r *Receiver) answer(w http.ResponseWriter, q *http.Request, request fuchsiapitch.Request, call fuchsiapitch.Call, model bool) {
 	sink := &responseSink{
--- a/internal/receiver/application.go
+++ b/internal/receiver/application.go
@@ -10,13 +10,7 @@
 )
 
 func (r *Receiver) serveApplication(w http.ResponseWriter, q *http.Request) {
-	id := newRequestID()
-	request, call, err := r.readApplication(w, q, id)
-	if err != nil {
-		writeFailure(w, id, false, failureOf(err))
-		return
-	}
-	r.answer(w, q, request, call, false)
+	r.serve(w, q, false, r.readApplication)
 }
 
 func (r *Receiver) readApplication(w http.ResponseWriter, q *http.Request, id fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error) {
@@ -34,7 +28,7 @@
 	if err != nil {
 		return noRequest, noCall, err
 	}
-	body, err := r.readBody(w, q)
+	body, err := r.bodies.read(w, q)
 	if err != nil {
 		return noRequest, noCall, err
 	}
--- a/internal/receiver/model.go
+++ b/internal/receiver/model.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -58,13 +56,7 @@
 }
 
 func (r *Receiver) serveModel(w http.ResponseWriter, q *http.Request) {
-	id := newRequestID()
-	request, call, err := r.readModel(w, q, id)
-	if err != nil {
-		writeFailure(w, id, true, failureOf(err))
-		return
-	}
-	r.answer(w, q, request, call, true)
+	r.serve(w, q, true, r.readModel)
 }
 
 func (r *Receiver) readModel(w http.ResponseWriter, q *http.Request, id fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error) {
@@ -74,7 +66,7 @@
 	if !ok {
 		return noRequest, noCall, unknownKey()
 	}
-	body, err := r.readBody(w, q)
+	body, err := r.bodies.read(w, q)
 	if err != nil {
 		return noRequest, noCall, err
 	}
@@ -117,18 +109,6 @@
 	return service, nil
 }
 
-func (r *Receiver) readBody(w http.ResponseWriter, q *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, r.bodyLimit))
-	if err == nil {
-		return body, nil
-	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, &RequestError{Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Detail: "the body is over the limit"}
-	}
-	return nil, &RequestError{Status: http.StatusBadRequest, Code: "unreadable-body", Detail: "the body ended early"}
-}
-
 // contentHeader returns the header fields of a model request that engines need.
 func contentHeader(q *http.Request) map[string][]string {
 	header := map[string][]string{headerContentType: {"application/json"}}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -35,8 +35,6 @@
 )
 
 const (
-	// defaultBodyLimit is the largest body of a request in bytes.
-	defaultBodyLimit = 8 << 20
 	// servicePrefix precedes the name of an application service in a path.
 	servicePrefix = "/services/"
 	bearerPrefix  = "Bearer "
@@ -54,7 +52,7 @@
 	forwarder      *forwarder.Forwarder
 	tracer         trace.Tracer
 	meter          *meter.Meter
-	bodyLimit      int64
+	bodies         bodies
 	mux            *http.ServeMux
 }
 
@@ -68,7 +66,13 @@
 func WithMeter(m *meter.Meter) Option { return func(r *Receiver) { r.meter = m } }
 
 // WithBodyLimit sets the largest body of a request in bytes.
-func WithBodyLimit(limit int64) Option { return func(r *Receiver) { r.bodyLimit = limit } }
+func WithBodyLimit(limit int64) Option { return func(r *Receiver) { r.bodies.limit = limit } }
+
+// WithBodyTime sets the longest time that a caller may take for a body.
+func WithBodyTime(limit time.Duration) Option { return func(r *Receiver) { r.bodies.time = limit } }
+
+// WithHeldLimit bounds the bodies that the host holds at once, in bytes.
+func WithHeldLimit(limit int64) Option { return func(r *Receiver) { r.bodies.heldLimit = limit } }
 
 // New returns a handler that serves by a forwarder.
 func New(configurations Configurations, f *forwarder.Forwarder, options ...Option) *Receiver {
@@ -77,7 +81,7 @@
 		forwarder:      f,
 		tracer:         noop.NewTracerProvider().Tracer(""),
 		meter:          meter.New(),
-		bodyLimit:      defaultBodyLimit,
+		bodies:         bodies{limit: defaultBodyLimit, time: defaultBodyTime, heldLimit: defaultHeldLimit},
 		mux:            http.NewServeMux(),
 	}
 	for _, o := range options {
