--- a/internal/experimenter/capacity.go
+++ b/internal/experimenter/capacity.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin"
 )
 
 // The size that decides the design.
@@ -53,12 +55,13 @@
 
 // Run implements Experiment.
 func (capacityExperiment) Run(ctx context.Context, run Run) (*Report, error) {
+	bare := residentBytes()
 	m := &capacityMeasures{requests: measureRequestCost()}
 	var err error
-	if m.resident, err = measureResident(ctx); err != nil {
+	if m.resident, err = measureResident(ctx, bare); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	window := 10 * time.Second
+	window := 6 * time.Second
 	if run.Quick {
 		window = 3 * time.Second
 	}
@@ -80,20 +83,27 @@
 	return report, nil
 }
 
-// measureResident returns the resident memory in bytes of this process with one
-// entry host before the smallest bed of stand-ins.
-func measureResident(ctx context.Context) (float64, error) {
+// measureResident returns the resident memory in bytes of a process with one
+// entry host: that of this process before the smallest bed, less what the
+// stand-ins alone add to a bare process.
+func measureResident(ctx context.Context, bare float64) (float64, error) {
+	_, stopFleet, err := standin.Start(standin.WithEngines(1, capacityGroupSize))
+	if err != nil {
+		return 0, err
+	}
+	standins := residentBytes() - bare
+	stopFleet()
 	_, cleanUp, err := startCapacityBed(ctx, capacityShape{1, 1, capacityGroupSize})
 	if err != nil {
 		return 0, err
 	}
 	defer cleanUp()
-	return residentBytes(), nil
+	return residentBytes() - max(standins, 0), nil
 }
 
 // capacitySeries returns the shapes to measure.
 func capacitySeries(quick bool) []capacityDimension {
-	hosts := shapes(func(n int) capacityShape { return capacityShape{1, n, 16} }, 1, 2, 4, 8, 16, 32, 64)
+	hosts := shapes(func(n int) capacityShape { return capacityShape{1, n, 16} }, 2, 4, 8, 16, 32, 64)
 	servers := shapes(watchedShape, 96, 200, 400, 600, 800)
 	centres := shapes(func(n int) capacityShape { return capacityShape{n, 2, 8} }, 1, 2, 3, 5, 7)
 	if quick {
--- a/internal/experimenter/capacityfit.go
+++ b/internal/experimenter/capacityfit.go
@@ -99,7 +99,7 @@
 		},
 		{
 			"group watch (dispatcher)", "probes of own groups without fresh streams", engine * serversPerNode,
-			max(reducer.slope, 0) * serversPerNode, max(serverHeap.slope, 0) * serversInCentre,
+			max(reducer.slope, 0) * serversPerNode, max(serverHeap.at(serversInCentre)-heap.at(hostsPerCentre), 0),
 		},
 		{
 			"configuration reader", "one followed stream of the log",
@@ -111,10 +111,10 @@
 			100 * requests * m.requests.processor.Seconds(), held * m.requests.heap / 1e6,
 		},
 		{
-			"controller (one host of a data centre)", "reports of changes and a slow sweep", engine * serversInCentre * controllerShare,
+			"controller (one host of a data centre)", "reports of changes, and a slow sweep within the host's limit of probes", 0,
 			max(reducer.at(serversInCentre), 0), 0,
 		},
-		{"bridge (two hosts of a data centre)", "one heartbeat a second to another data centre, in turns", max(centres.slope, 0) * (targetCentres - 1), 0, 0},
+		{"bridge (two hosts of a data centre)", "one heartbeat every 2 s to another data centre, in turns", max(centres.at(targetCentres)-centres.at(1), 0), 0, 0},
 	}
 }
 
@@ -122,9 +122,6 @@
 	// heldSeconds is the mean life of a request: 385 tokens at the target rate
 	// of 44 ms, rounded up.
 	heldSeconds = 20.0
-	// controllerShare is the part of the probes that the controller makes: its
-	// sweep has a twelfth of the rate at which dispatchers watch idle groups.
-	controllerShare = 1.0 / 12
 	// commonEstimates is the number of estimates that belong to every host.
 	commonEstimates = 5
 )
--- a/internal/experimenter/capacitypage.go
+++ b/internal/experimenter/capacitypage.go
@@ -68,7 +68,8 @@
 Bytes count both directions with the overhead of IP and TCP. The time of
 membership is that of a whole idle process with its share of the stand-ins, an
 upper bound; memory is heap beyond the %.1f MB that a process with one host has
-resident.
+resident, less what the stand-ins add. No streams run, so that every group is
+probed; while streams advance, leaders and members are asked every 2 and 3 s.
 
 | role | mechanism | bytes a second | of a core, %% | MB |
 | --- | --- | ---: | ---: | ---: |
@@ -85,12 +86,13 @@
   bytes do not grow with the number of hosts. What grows is the time in which
   news reaches everybody: with the logarithm of the number of hosts.
 * The controller folds and reports on every backend server of its data centre.
-  Its time grows with their number; the slope below says when a data centre must
-  be split into two streams.
+  Its time grows faster than their number: see the busiest reducer by backend
+  servers. Beyond the limit a data centre needs two streams, or a controller
+  whose steps cost by what changed.
 * Appends: one renewal a second of each controller, %d in all, beside the
   configuration's %.2f a second and one for each batch of idempotency keys. The
   log takes several hundred.
-* The host list is asked every second by every host. An unchanged list costs a
+* The host list is asked every 2 s by every host. An unchanged list costs a
   304; a changed one costs its whole length, %.0f entries in a data centre.
 
 ## Slopes
