--- /dev/null
+++ b/cmd/fuchsiapitch/cgo.go
@@ -0,0 +1,3 @@
+package main
+
+import "C" // Links the program with the system's C library.
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -16,10 +17,12 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/assembler"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/integrator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/loader"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/logger"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/securer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracer"
+	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
 
 // subsystems are the names that log levels can be set for.
@@ -83,6 +86,9 @@
 		f.Usage()
 		return ExitUsage
 	}
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		return s.servePlatform(ctx, path)
+	}
 	settings, err := loader.ReadSettings(s.path, s.overrides.options...)
 	if err != nil {
 		return s.streams.fail(ExitUsage, err)
@@ -93,6 +99,30 @@
 	return ExitSuccess
 }
 
+// servePlatform runs an entry host with the settings of the users' platform.
+func (s *serve) servePlatform(ctx context.Context, path string) subcommands.ExitStatus {
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return s.streams.fail(ExitUsage, err)
+	}
+	debug.SetMemoryLimit(settings.MemoryBytes / memoryShare)
+	signalled, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	host, cleanUp, err := integrator.New(ctx, settings, logger.New(s.streams.Errors, logger.WithHost(string(settings.Host))))
+	if err != nil {
+		return s.streams.fail(ExitFailure, err)
+	}
+	defer cleanUp()
+	if err := host.Serve(ctx, signalled.Done()); err != nil {
+		return s.streams.fail(ExitFailure, err)
+	}
+	return ExitSuccess
+}
+
+// memoryShare is the part of the platform's memory limit, as a divisor, at which
+// the garbage collector works harder.
+const memoryShare = 2
+
 func (s *serve) run(ctx context.Context, settings loader.Settings) error {
 	options, cleanUpOptions, err := hostOptions(ctx, settings, s.streams.Errors)
 	if err != nil {
--- /dev/null
+++ b/internal/conductor/budget.go
@@ -0,0 +1,80 @@
+package conductor
+
+import (
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+const (
+	// budgetMargin is the part of the allowed repeats that is used, since hosts
+	// do not know of each other's repeats.
+	budgetMargin = 0.7
+	// budgetBuckets is the number of parts that the window is counted in.
+	budgetBuckets = 10
+)
+
+// budget bounds the repeats of requests. Each host keeps to its share of the
+// allowance of all hosts.
+type budget struct {
+	ratio, slack float64
+	window       time.Duration
+	spent        map[fuchsiapitch.ServiceName]*spending
+}
+
+// spending counts requests and repeats in a sliding window.
+type spending struct {
+	first    int64
+	requests [budgetBuckets]float64
+	repeats  [budgetBuckets]float64
+}
+
+// WithRetryBudget bounds the repeats of all hosts within any window to a ratio
+// of the requests and a constant number.
+func WithRetryBudget(ratio, slack float64, window time.Duration) Option {
+	return func(c *Conductor) { c.ratio, c.slack, c.window = ratio, slack, window }
+}
+
+func newBudget() budget {
+	return budget{spent: make(map[fuchsiapitch.ServiceName]*spending)}
+}
+
+// spend counts a request and reports whether it may be sent.
+func (c *Conductor) spend(now time.Duration, e Arrived) bool {
+	if c.window <= 0 {
+		return true
+	}
+	s, ok := c.spent[e.Service]
+	if !ok {
+		s = &spending{}
+		c.spent[e.Service] = s
+	}
+	n := int64(now / (c.window / budgetBuckets))
+	s.advance(n)
+	i := n % budgetBuckets
+	if !e.Repeat {
+		s.requests[i]++
+		return true
+	}
+	requests, repeats := 0.0, 0.0
+	for k := range s.requests {
+		requests += s.requests[k]
+		repeats += s.repeats[k]
+	}
+	hosts := float64(len(c.peers) + 1)
+	if repeats+1 > budgetMargin*(c.ratio*requests+c.slack/hosts) {
+		return false
+	}
+	s.repeats[i]++
+	return true
+}
+
+// advance clears the parts that have left the window.
+func (s *spending) advance(n int64) {
+	for ; s.first+budgetBuckets <= n; s.first++ {
+		if s.first+2*budgetBuckets < n {
+			s.first = n - 2*budgetBuckets
+		}
+		s.requests[s.first%budgetBuckets], s.repeats[s.first%budgetBuckets] = 0, 0
+	}
+}
--- /dev/null
+++ b/internal/conductor/fleet.go
@@ -0,0 +1,323 @@
+package conductor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+const (
+	// deadFailures is the number of unanswered questions in a row after which a
+	// server counts as lost.
+	deadFailures = 2
+	// retryProbe is the time between questions to a server that does not answer,
+	// retryLost that to one that counts as lost.
+	retryProbe = 60 * time.Millisecond
+	retryLost  = time.Second
+	// goneTime is how long a server must be off the list, besides its silence,
+	// to count as gone for good.
+	goneTime = time.Second
+)
+
+// server is what is known of one backend server.
+type server struct {
+	report fuchsiapitch.ServerReport
+	listed bool
+	// unlistedAt is when the server went off the list.
+	unlistedAt time.Duration
+	// direct is when the server itself last answered, 0 for never.
+	direct time.Duration
+	// failures is the number of unanswered calls in a row, since firstFailure.
+	failures     int
+	firstFailure time.Duration
+	// asking and ordering state that a call is under way.
+	asking, ordering bool
+	// nextProbe is when the server may be asked again.
+	nextProbe time.Duration
+	// wantProbe states that its report is needed.
+	wantProbe bool
+	// model is the model of its last group since its start.
+	model string
+	// staging is the model that is being staged, until about stagedAt.
+	staging  string
+	stagedAt time.Duration
+	// loading is when a load that was begun here ends, by the profile.
+	loading time.Duration
+}
+
+// isLost reports whether the server does not answer.
+func (s *server) isLost() bool { return s.failures >= deadFailures }
+
+// isUsable reports whether the server may take part in a new group.
+func (s *server) isUsable() bool {
+	return s.listed && !s.report.Leaving && s.failures == 0
+}
+
+// in reports whether the server is in a formation, by its last word.
+func (s *server) in(ref fuchsiapitch.GroupRef) bool { return s.report.Membership.Group == ref }
+
+// fleet is what is known of all backend servers.
+type fleet struct {
+	servers   map[fuchsiapitch.ServerID]*server
+	// listRead is when the list was last read, firstList when first.
+	listRead, firstList time.Duration
+	listStale bool
+	// groups are the formations that the leader plans or has found.
+	groups map[fuchsiapitch.GroupRef]*group
+	// nextLoad is when the next load may begin.
+	nextLoad time.Duration
+	// heads remembers the leader of each formation.
+	heads map[fuchsiapitch.GroupRef]fuchsiapitch.ServerID
+}
+
+func newFleet() fleet {
+	return fleet{
+		servers: make(map[fuchsiapitch.ServerID]*server),
+		groups:  make(map[fuchsiapitch.GroupRef]*group),
+		heads:   make(map[fuchsiapitch.GroupRef]fuchsiapitch.ServerID),
+	}
+}
+
+// takeList takes in the platform's list of servers.
+func (c *Conductor) takeList(now time.Duration, list []fuchsiapitch.ServerReport) {
+	c.listRead, c.listStale = now, false
+	if c.firstList == 0 {
+		c.firstList = now
+	}
+	seen := make(map[fuchsiapitch.ServerID]bool, len(list))
+	for _, r := range list {
+		seen[r.ID] = true
+		s, ok := c.servers[r.ID]
+		if !ok {
+			s = &server{report: r}
+			c.servers[r.ID] = s
+		}
+		s.listed = true
+		c.merge(now, s, r, false)
+	}
+	for id, s := range c.servers {
+		if seen[id] {
+			continue
+		}
+		if s.listed {
+			s.listed, s.unlistedAt = false, now
+			s.wantProbe = true
+		}
+		if now-s.unlistedAt > c.stall+goneTime && s.isLost() {
+			c.forget(id, s)
+		}
+	}
+}
+
+// forget drops a server that is gone for good.
+func (c *Conductor) forget(id fuchsiapitch.ServerID, s *server) {
+	for ref := range c.groups {
+		if c.heads[ref] == id {
+			return
+		}
+	}
+	if !s.asking && !s.ordering {
+		delete(c.servers, id)
+	}
+}
+
+// merge takes in a report. The list lags, so its word holds only where it tells
+// of a later incarnation or a later order, or the server itself was not heard.
+func (c *Conductor) merge(now time.Duration, s *server, r fuchsiapitch.ServerReport, direct bool) {
+	const listLag = 3 * time.Second
+	old := s.report
+	if r.Started < old.Started {
+		return
+	}
+	reborn := r.Started > old.Started
+	if !direct && !reborn {
+		stale := r.Orders < old.Orders || r.Orders == old.Orders && s.direct > 0 && now-s.direct < listLag
+		if stale {
+			s.report.Leaving = r.Leaving
+			s.report.Address = r.Address
+			return
+		}
+	}
+	if direct {
+		// A report leaves out what only the list tells.
+		r.Service, r.Address, r.DataCentre = old.Service, old.Address, old.DataCentre
+		r.Slots, r.Leaving = old.Slots, old.Leaving
+		if r.Domain == "" {
+			r.Domain = old.Domain
+		}
+	}
+	if reborn {
+		s.model, s.staging, s.loading = "", "", 0
+		s.failures = 0
+	}
+	s.report = r
+	if g := r.Membership.Group; g.Name != "" {
+		if f, ok := c.groups[g]; ok {
+			s.model = f.model
+		} else if len(r.Loaded) > 0 {
+			s.model = r.Loaded[0]
+		}
+		if r.Membership.Rank == 0 {
+			c.heads[g] = r.ID
+		}
+	}
+	if s.staging != "" && slices.Contains(r.Staged, s.staging) {
+		s.staging = ""
+	}
+}
+
+// takeReport takes in a server's own report, or its silence.
+func (c *Conductor) takeReport(now time.Duration, e Reported) {
+	s, ok := c.servers[e.Server]
+	if !ok {
+		return
+	}
+	s.asking = false
+	if e.Err != nil {
+		c.fail(now, s)
+		return
+	}
+	s.failures, s.wantProbe, s.direct = 0, false, now
+	e.Report.ID = e.Server
+	c.merge(now, s, e.Report, true)
+	c.replan(now)
+}
+
+// fail counts a call that a server did not answer.
+func (c *Conductor) fail(now time.Duration, s *server) {
+	if s.failures == 0 {
+		s.firstFailure = now
+	}
+	s.failures++
+	s.wantProbe = true
+	s.nextProbe = now + retryProbe
+	if s.isLost() {
+		s.nextProbe = now + retryLost
+	}
+	if s.failures == deadFailures {
+		c.note("server is lost", map[string]any{"server": s.report.ID, "group": s.report.Membership.Group.Name})
+		c.replan(now)
+	}
+}
+
+// takeAnswer takes in the answer to an order.
+func (c *Conductor) takeAnswer(now time.Duration, e Ordered) {
+	s, ok := c.servers[e.Order.Server]
+	if !ok {
+		return
+	}
+	s.ordering = false
+	switch e.Answer {
+	case fuchsiapitch.OrderBegun, fuchsiapitch.OrderDone:
+		s.failures, s.direct = 0, now
+		c.assume(now, s, e.Order, e.Answer)
+	case fuchsiapitch.OrderRefused:
+		s.failures = 0
+		s.wantProbe, s.nextProbe = true, now
+		c.undoLoad(s, e.Order)
+	case fuchsiapitch.OrderUnknown:
+		c.fail(now, s)
+	}
+	c.replan(now)
+}
+
+// undoLoad takes back what was noted of a load that was refused.
+func (c *Conductor) undoLoad(s *server, o fuchsiapitch.GroupOrder) {
+	if o.Kind == fuchsiapitch.OrderStage || o.Kind == fuchsiapitch.OrderJoin {
+		s.staging, s.loading = "", 0
+	}
+}
+
+// assume enters what an accepted order has changed, until the next report.
+func (c *Conductor) assume(now time.Duration, s *server, o fuchsiapitch.GroupOrder, answer fuchsiapitch.OrderAnswer) {
+	if answer == fuchsiapitch.OrderBegun && s.report.Orders == o.After {
+		s.report.Orders++
+	}
+	m := &s.report.Membership
+	switch o.Kind {
+	case fuchsiapitch.OrderJoin:
+		if answer == fuchsiapitch.OrderBegun {
+			*m = fuchsiapitch.Membership{Group: o.Group, Rank: rankOf(o.Members, o.Server), State: fuchsiapitch.MemberJoining}
+		}
+		s.wantProbe, s.nextProbe = true, now+c.joinTime(s, o.Model)
+		s.model = o.Model
+	case fuchsiapitch.OrderOpen:
+		s.wantProbe, s.nextProbe = true, now+c.formTime(s)
+	case fuchsiapitch.OrderClose, fuchsiapitch.OrderEvict:
+		if m.State == fuchsiapitch.MemberOpen {
+			m.State = fuchsiapitch.MemberClosing
+		}
+		s.wantProbe, s.nextProbe = true, now
+	case fuchsiapitch.OrderLeave:
+		if s.in(o.Group) {
+			*m = fuchsiapitch.Membership{}
+		}
+	case fuchsiapitch.OrderStage:
+	}
+}
+
+func rankOf(members []fuchsiapitch.ServerID, id fuchsiapitch.ServerID) int {
+	for n, m := range members {
+		if m == id {
+			return n
+		}
+	}
+	return -1
+}
+
+// forgetDirect has every server asked anew by a new leader.
+func (c *Conductor) forgetDirect() {
+	for _, s := range c.servers {
+		s.direct = 0
+	}
+}
+
+// ask emits a question to a server if none is under way and one is due.
+func (c *Conductor) ask(now time.Duration, s *server) {
+	if s.asking || s.ordering || now < s.nextProbe {
+		return
+	}
+	s.asking = true
+	c.emit(AskReport{Server: s.report.ID, Address: s.report.Address})
+}
+
+// profileOf returns the engine profile of a server's service, nil for none.
+func (c *Conductor) profileOf(s *server) *fuchsiapitch.EngineProfile {
+	if c.table == nil {
+		return nil
+	}
+	p, _ := c.table.Service(s.report.Service)
+	return p.Engine
+}
+
+// sameModelTime is the time of a join with the model of the last group.
+const sameModelTime = 200 * time.Millisecond
+
+// joinTime returns how long a join takes by the profile.
+func (c *Conductor) joinTime(s *server, model string) time.Duration {
+	p := c.profileOf(s)
+	if p == nil {
+		return sameModelTime
+	}
+	m, _ := p.Model(model)
+	switch {
+	case s.model == model:
+		return sameModelTime
+	case slices.Contains(s.report.Staged, model):
+		return m.Warm
+	case !c.busy:
+		return m.Load / loadsEarly
+	}
+	return m.Load
+}
+
+// loadsEarly is the factor by which loads are faster before the first request.
+const loadsEarly = 10
+
+func (c *Conductor) formTime(s *server) time.Duration {
+	if p := c.profileOf(s); p != nil {
+		return p.Form
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/conductor/group.go
@@ -0,0 +1,641 @@
+package conductor
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+const (
+	// silentTime is the time without a byte on all streams of a group after which
+	// its members are asked whether they live. Events come every 60 ms or so; a
+	// pass with long prompts takes up to 150 ms.
+	silentTime = 250 * time.Millisecond
+	// memberProbe is the time between questions to the members of a silent group.
+	memberProbe = 300 * time.Millisecond
+	// joinPoll is the time between questions to a member that should be ready.
+	joinPoll = 80 * time.Millisecond
+	// formLimit is the time after which a formation that does not come about is
+	// given up, beyond the time of a load.
+	formLimit = 8 * time.Second
+)
+
+// group is one formation of a group.
+type group struct {
+	ref     fuchsiapitch.GroupRef
+	service fuchsiapitch.ServiceName
+	domain  fuchsiapitch.FabricDomainName
+	model   string
+	// members are the servers in the order of their ranks, the leader first.
+	members []fuchsiapitch.ServerID
+	size    int
+	// joined are the members that were seen in the formation.
+	joined map[fuchsiapitch.ServerID]bool
+	// since is when the formation was planned or found.
+	since time.Duration
+	// opened is when it was first seen open, 0 for never.
+	opened time.Duration
+	// failed states that it is to be taken apart.
+	failed bool
+	// retiring states that it finishes its requests first.
+	retiring bool
+	// nextProbe is when its members may be asked again for its silence.
+	nextProbe time.Duration
+}
+
+func (g *group) head() fuchsiapitch.ServerID { return g.members[0] }
+
+// isOpen reports whether the leader of a group was last seen open.
+func (c *Conductor) isOpen(g *group) bool {
+	s, ok := c.servers[g.head()]
+	return ok && s.in(g.ref) && s.report.Membership.State == fuchsiapitch.MemberOpen
+}
+
+// replan plans after news, if this host leads.
+func (c *Conductor) replan(now time.Duration) {
+	if c.leads(now) {
+		c.plan(now)
+	}
+	c.refreshStations(now)
+}
+
+// plan brings the groups closer to what is wanted.
+func (c *Conductor) plan(now time.Duration) {
+	if c.table == nil {
+		return
+	}
+	c.adopt(now)
+	for _, g := range c.sortedGroups() {
+		c.tend(now, g)
+	}
+	for name, p := range c.table.Services() {
+		if p.Engine == nil {
+			continue
+		}
+		domains := c.domains(name)
+		for _, d := range sortedKeys(domains) {
+			c.form(now, name, d, p.Engine, domains[d])
+		}
+		for _, d := range sortedKeys(domains) {
+			c.stageSpares(now, p.Engine, domains[d])
+		}
+	}
+	for _, id := range sortedKeys(c.servers) {
+		if s := c.servers[id]; s.wantProbe && (s.listed || s.report.Membership.Group.Name != "") {
+			c.ask(now, s)
+		}
+	}
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (c *Conductor) sortedGroups() []*group {
+	list := make([]*group, 0, len(c.groups))
+	for _, g := range c.groups {
+		list = append(list, g)
+	}
+	slices.SortFunc(list, func(a, b *group) int { return cmp.Compare(a.ref.Epoch, b.ref.Epoch) })
+	return list
+}
+
+// domains returns the servers of a service by fabric domain.
+func (c *Conductor) domains(service fuchsiapitch.ServiceName) map[fuchsiapitch.FabricDomainName][]*server {
+	domains := make(map[fuchsiapitch.FabricDomainName][]*server)
+	for _, id := range sortedKeys(c.servers) {
+		if s := c.servers[id]; s.report.Service == service {
+			domains[s.report.Domain] = append(domains[s.report.Domain], s)
+		}
+	}
+	return domains
+}
+
+// adopt finds the formations that servers report and this host did not plan.
+func (c *Conductor) adopt(now time.Duration) {
+	found := make(map[fuchsiapitch.GroupRef]*group)
+	for _, id := range sortedKeys(c.servers) {
+		s := c.servers[id]
+		m := s.report.Membership
+		if m.Group.Name == "" {
+			continue
+		}
+		if g, ok := c.groups[m.Group]; ok {
+			g.joined[id] = g.joined[id] || slices.Contains(g.members, id)
+			continue
+		}
+		p := c.profileOf(s)
+		if p == nil {
+			continue
+		}
+		g, ok := found[m.Group]
+		if !ok {
+			g = &group{ref: m.Group, service: s.report.Service, domain: s.report.Domain, since: now, joined: make(map[fuchsiapitch.ServerID]bool)}
+			found[m.Group] = g
+		}
+		if len(s.report.Loaded) > 0 {
+			g.model = s.report.Loaded[0]
+		}
+		for len(g.members) <= m.Rank {
+			g.members = append(g.members, "")
+		}
+		if m.Rank >= 0 {
+			g.members[m.Rank] = id
+			g.joined[id] = true
+		}
+		if model, ok := p.Model(g.model); ok {
+			g.size = model.Size
+		}
+	}
+	for ref, g := range found {
+		if len(g.members) == 0 || g.size == 0 && g.model == "" {
+			continue
+		}
+		if g.members[0] == "" {
+			g.members[0] = c.heads[ref]
+		}
+		g.failed = g.size != len(g.members) || slices.Contains(g.members, "")
+		c.groups[ref] = g
+	}
+}
+
+// tend takes the next step in the life of a formation.
+func (c *Conductor) tend(now time.Duration, g *group) {
+	c.judge(now, g)
+	if g.failed {
+		c.dissolve(now, g)
+		return
+	}
+	if c.isOpen(g) {
+		if g.opened == 0 {
+			g.opened = now
+			c.note("group is open", map[string]any{"group": g.ref.Name, "model": g.model, "took-ms": (now - g.since).Milliseconds()})
+		}
+		if g.retiring {
+			c.order(now, g.head(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderClose, Group: g.ref})
+			return
+		}
+		c.watch(now, g)
+		return
+	}
+	c.gather(now, g)
+}
+
+// judge decides whether a formation has failed.
+func (c *Conductor) judge(now time.Duration, g *group) {
+	for _, id := range g.members {
+		s, ok := c.servers[id]
+		switch {
+		case !ok, s.isLost():
+			g.fail(c, "member lost", id)
+		case g.joined[id] && !s.in(g.ref):
+			g.fail(c, "member left", id)
+		case s.report.Membership.State == fuchsiapitch.MemberBroken && s.in(g.ref):
+			g.fail(c, "group is broken", id)
+		case s.report.Leaving && !g.retiring, !s.listed && !c.listStale && id == g.head() && !g.retiring:
+			if g.opened == 0 && !c.isOpen(g) {
+				g.fail(c, "member leaves", id)
+			} else {
+				c.note("group retires", map[string]any{"group": g.ref.Name, "server": id})
+				g.retiring = true
+			}
+		}
+	}
+	if g.opened == 0 && !c.isOpen(g) && now-g.since > c.loadLimit(g) {
+		g.fail(c, "formation took too long", "")
+	}
+	if s, ok := c.servers[g.head()]; g.retiring && ok && s.in(g.ref) && s.report.Membership.State == fuchsiapitch.MemberReady && g.opened > 0 {
+		g.fail(c, "group has retired", "")
+	}
+}
+
+func (c *Conductor) loadLimit(g *group) time.Duration {
+	p, ok := c.table.Service(g.service)
+	if !ok || p.Engine == nil {
+		return formLimit
+	}
+	m, _ := p.Engine.Model(g.model)
+	return m.Load + formLimit
+}
+
+func (g *group) fail(c *Conductor, why string, id fuchsiapitch.ServerID) {
+	if g.failed {
+		return
+	}
+	g.failed = true
+	c.note("group is taken apart", map[string]any{"group": g.ref.Name, "model": g.model, "why": why, "server": id})
+}
+
+// dissolve frees the members of a failed formation. Its leader must have refused
+// requests first.
+func (c *Conductor) dissolve(now time.Duration, g *group) {
+	head, ok := c.servers[g.head()]
+	if ok && head.in(g.ref) && !c.headIsGone(now, g.ref) {
+		switch head.report.Membership.State {
+		case fuchsiapitch.MemberOpen:
+			c.order(now, g.head(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderEvict, Group: g.ref})
+			return
+		case fuchsiapitch.MemberClosing:
+			head.wantProbe = true
+			return
+		case fuchsiapitch.MemberJoining, fuchsiapitch.MemberReady, fuchsiapitch.MemberBroken:
+		}
+		if head.isLost() {
+			return
+		}
+	} else if !c.headIsGone(now, g.ref) && (!ok || head.in(g.ref)) {
+		return
+	}
+	delete(c.groups, g.ref)
+}
+
+// headIsGone reports whether the leader of a formation can serve it no more: it
+// has gone on to another formation, has started again, is broken, or is gone
+// for good.
+func (c *Conductor) headIsGone(now time.Duration, ref fuchsiapitch.GroupRef) bool {
+	id, known := c.heads[ref]
+	if !known {
+		return c.firstList > 0 && !c.listStale && now-c.firstList > c.stall+goneTime
+	}
+	s, ok := c.servers[id]
+	if !ok || !s.in(ref) || s.report.Membership.State == fuchsiapitch.MemberBroken {
+		return true
+	}
+	if s.listed || c.listStale {
+		return false
+	}
+	return s.isLost() && now-s.firstFailure > c.stall && now-s.unlistedAt > goneTime
+}
+
+// watch asks the members of a group that has fallen silent.
+func (c *Conductor) watch(now time.Duration, g *group) {
+	if !c.isSilent(now, g.head()) && !c.isSuspect(now, g) || now < g.nextProbe {
+		return
+	}
+	g.nextProbe = now + memberProbe
+	for _, id := range g.members {
+		if s := c.servers[id]; now-s.direct > memberProbe/2 {
+			s.wantProbe = true
+		}
+	}
+}
+
+// isSuspect reports whether a member was named in a refusal.
+func (c *Conductor) isSuspect(now time.Duration, g *group) bool {
+	for _, id := range g.members {
+		if now < c.suspects[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// gather has the members of a new formation join, and opens it when each of
+// them has reported ready.
+func (c *Conductor) gather(now time.Duration, g *group) {
+	ready := 0
+	for _, id := range g.members {
+		s := c.servers[id]
+		if !s.in(g.ref) {
+			if c.mayJoin(now, s) {
+				c.order(now, id, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderJoin, Group: g.ref, Model: g.model, Members: g.members})
+			}
+			continue
+		}
+		switch s.report.Membership.State {
+		case fuchsiapitch.MemberReady:
+			ready++
+		case fuchsiapitch.MemberJoining:
+			if !s.wantProbe {
+				s.wantProbe, s.nextProbe = true, now+joinPoll
+			}
+		case fuchsiapitch.MemberOpen, fuchsiapitch.MemberClosing, fuchsiapitch.MemberBroken:
+		}
+	}
+	head := c.servers[g.head()]
+	if ready < g.size || len(g.members) != g.size {
+		return
+	}
+	if head.wantProbe && head.report.Busy {
+		return
+	}
+	c.order(now, g.head(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderOpen, Group: g.ref})
+}
+
+// mayJoin reports whether a server may join another formation: it is in none,
+// or the leader of the one it is in can serve it no more. A leader itself may
+// go while it takes no requests.
+func (c *Conductor) mayJoin(now time.Duration, s *server) bool {
+	m := s.report.Membership
+	if m.Group.Name == "" {
+		return true
+	}
+	if c.heads[m.Group] == s.report.ID {
+		return m.State == fuchsiapitch.MemberReady || m.State == fuchsiapitch.MemberJoining || m.State == fuchsiapitch.MemberBroken
+	}
+	return c.headIsGone(now, m.Group)
+}
+
+// order emits an order to a server unless a call to it is under way.
+func (c *Conductor) order(now time.Duration, id fuchsiapitch.ServerID, o fuchsiapitch.GroupOrder) {
+	s, ok := c.servers[id]
+	if !ok || s.asking || s.ordering {
+		return
+	}
+	if s.failures > 0 || s.wantProbe && now >= s.nextProbe && o.Kind != fuchsiapitch.OrderEvict {
+		s.wantProbe = true
+		c.ask(now, s)
+		return
+	}
+	if o.Kind == fuchsiapitch.OrderJoin && !c.reserveLoad(now, s, o.Model) {
+		return
+	}
+	if o.Kind == fuchsiapitch.OrderOpen && s.wantProbe && now < s.nextProbe {
+		return
+	}
+	o.Server, o.Address, o.After = id, s.report.Address, s.report.Orders
+	if err := c.check(now, o, s); err != nil {
+		c.violations++
+		c.note(err.Error(), map[string]any{"invariant": err.Invariant})
+		return
+	}
+	s.ordering = true
+	c.note("order", map[string]any{"order": o.Kind.String(), "server": id, "group": o.Group.Name, "model": o.Model, "after": o.After})
+	c.emit(GiveOrder{Order: o})
+}
+
+// check asserts what must hold for an order. An order that it finds wrong is not
+// given.
+func (c *Conductor) check(now time.Duration, o fuchsiapitch.GroupOrder, s *server) *fuchsiapitch.InvariantError {
+	var broken string
+	switch o.Kind {
+	case fuchsiapitch.OrderJoin:
+		if !c.mayJoin(now, s) {
+			broken = "one-group-per-server"
+		}
+	case fuchsiapitch.OrderOpen:
+		g := c.groups[o.Group]
+		for _, id := range g.members {
+			m := c.servers[id]
+			if !m.in(o.Group) || m.report.Membership.State != fuchsiapitch.MemberReady {
+				broken = "whole-or-not-serving"
+			}
+		}
+	case fuchsiapitch.OrderStage, fuchsiapitch.OrderClose, fuchsiapitch.OrderEvict, fuchsiapitch.OrderLeave:
+	}
+	if broken == "" {
+		return nil
+	}
+	return &fuchsiapitch.InvariantError{Invariant: broken, Detail: fmt.Sprintf("%s to %s for %s", o.Kind, o.Server, o.Group.Name)}
+}
+
+// reserveLoad reports whether a server may begin a join: those that need no load
+// always, others within the limits of the weight store.
+func (c *Conductor) reserveLoad(now time.Duration, s *server, model string) bool {
+	if s.model == model || slices.Contains(s.report.Staged, model) || s.staging == model {
+		return true
+	}
+	return c.beginLoad(now, s, model)
+}
+
+// beginLoad notes a load if the weight store has room for it.
+func (c *Conductor) beginLoad(now time.Duration, s *server, model string) bool {
+	p := c.profileOf(s)
+	if p == nil {
+		return false
+	}
+	running := 0
+	for _, o := range c.servers {
+		if now < o.loading {
+			running++
+		}
+	}
+	if p.LoadsAtOnce > 0 && running >= p.LoadsAtOnce {
+		return false
+	}
+	if c.busy && now < c.nextLoad {
+		return false
+	}
+	if p.LoadsPerSecond > 0 {
+		c.nextLoad = now + time.Duration(float64(time.Second)/p.LoadsPerSecond)
+	}
+	s.loading = now + c.joinTime(s, model)
+	return true
+}
+
+// form plans new formations of the servers of a domain that are free.
+func (c *Conductor) form(now time.Duration, service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, p *fuchsiapitch.EngineProfile, servers []*server) {
+	for {
+		free := c.free(now, servers)
+		model, ok := c.nextModel(service, domain, p, len(free))
+		if !ok {
+			break
+		}
+		c.formOne(now, service, domain, model, free)
+	}
+}
+
+// free returns the servers that a new formation may use.
+func (c *Conductor) free(now time.Duration, servers []*server) []*server {
+	var free []*server
+	for _, s := range servers {
+		if !s.isUsable() || c.isPlanned(s.report.ID) {
+			continue
+		}
+		m := s.report.Membership
+		if m.Group.Name != "" && !c.mayJoin(now, s) && !c.willBeFree(s) {
+			continue
+		}
+		free = append(free, s)
+	}
+	return free
+}
+
+// willBeFree reports whether the leader of a server's last formation is at rest
+// and will be moved on first.
+func (c *Conductor) willBeFree(s *server) bool {
+	head, ok := c.servers[c.heads[s.report.Membership.Group]]
+	if !ok || !head.in(s.report.Membership.Group) || head.isLost() {
+		return false
+	}
+	switch head.report.Membership.State {
+	case fuchsiapitch.MemberReady, fuchsiapitch.MemberJoining, fuchsiapitch.MemberBroken:
+		return true
+	case fuchsiapitch.MemberOpen, fuchsiapitch.MemberClosing:
+	}
+	return false
+}
+
+// isPlanned reports whether a server is a member of a formation.
+func (c *Conductor) isPlanned(id fuchsiapitch.ServerID) bool {
+	for _, g := range c.groups {
+		if slices.Contains(g.members, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// sparesBeyond is the number of free servers that a domain keeps once it holds
+// a group of each model.
+const sparesBeyond = 2
+
+// nextModel returns the model that the next formation in a domain should serve.
+func (c *Conductor) nextModel(service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, p *fuchsiapitch.EngineProfile, free int) (fuchsiapitch.Model, bool) {
+	here := 0
+	counts := make(map[string]float64)
+	for _, g := range c.groups {
+		if g.service != service || g.failed {
+			continue
+		}
+		counts[g.model]++
+		if g.domain == domain {
+			here++
+		}
+	}
+	if here >= len(p.Models) {
+		free -= sparesBeyond
+	}
+	weight := func(m fuchsiapitch.Model) float64 {
+		return counts[m.Name] * float64(m.Size) / max(m.Share, 0.01)
+	}
+	var best fuchsiapitch.Model
+	for _, m := range p.Models {
+		if m.Size > free || m.Size <= 0 {
+			continue
+		}
+		if best.Size == 0 || weight(m) < weight(best) || weight(m) == weight(best) && m.Size > best.Size {
+			best = m
+		}
+	}
+	return best, best.Size > 0
+}
+
+// formOne plans one formation. Servers that need the least time come first; a
+// leader that must go first for others to be free is taken in or told to leave.
+func (c *Conductor) formOne(now time.Duration, service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, model fuchsiapitch.Model, free []*server) {
+	slices.SortStableFunc(free, func(a, b *server) int {
+		return cmp.Compare(c.joinTime(a, model.Name)+c.displaced(a, model.Name), c.joinTime(b, model.Name)+c.displaced(b, model.Name))
+	})
+	chosen := free[:model.Size]
+	g := &group{
+		service: service, domain: domain, model: model.Name, size: model.Size, since: now,
+		joined: make(map[fuchsiapitch.ServerID]bool),
+		ref:    fuchsiapitch.GroupRef{Epoch: c.nextEpoch()},
+	}
+	g.ref.Name = fuchsiapitch.GroupID(fmt.Sprintf("g%d", g.ref.Epoch))
+	head := chosen[0]
+	for _, s := range chosen {
+		if c.heads[s.report.Membership.Group] == s.report.ID {
+			head = s
+			break
+		}
+	}
+	g.members = append(g.members, head.report.ID)
+	for _, s := range chosen {
+		if s != head {
+			g.members = append(g.members, s.report.ID)
+		}
+	}
+	c.groups[g.ref] = g
+	c.heads[g.ref] = head.report.ID
+	c.note("group is formed", map[string]any{"group": g.ref.Name, "model": g.model, "domain": domain, "members": g.members})
+	c.releaseHeads(now, chosen, g)
+	c.gather(now, g)
+}
+
+// displaced weighs the use of a spare that holds another model.
+func (c *Conductor) displaced(s *server, model string) time.Duration {
+	if s.model != "" && s.model != model || len(s.report.Staged) > 0 && !slices.Contains(s.report.Staged, model) {
+		return time.Second
+	}
+	return 0
+}
+
+// releaseHeads has the leaders that are not part of a formation leave the
+// formations that its members were in.
+func (c *Conductor) releaseHeads(now time.Duration, chosen []*server, g *group) {
+	for _, s := range chosen {
+		ref := s.report.Membership.Group
+		head, ok := c.servers[c.heads[ref]]
+		if ref.Name == "" || !ok || !head.in(ref) || slices.Contains(g.members, head.report.ID) {
+			continue
+		}
+		c.order(now, head.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: ref})
+	}
+}
+
+// stageSpares has the free servers of a domain stage the models of its groups.
+func (c *Conductor) stageSpares(now time.Duration, p *fuchsiapitch.EngineProfile, servers []*server) {
+	held := make(map[string]int)
+	var idle []*server
+	for _, s := range servers {
+		if !s.isUsable() || c.isPlanned(s.report.ID) {
+			continue
+		}
+		m := s.report.Membership
+		if m.Group.Name != "" && !c.mayJoin(now, s) {
+			head, ok := c.servers[c.heads[m.Group]]
+			if ok && head.in(m.Group) && c.willBeFree(s) && !c.isPlanned(head.report.ID) {
+				c.order(now, head.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: m.Group})
+			}
+			continue
+		}
+		switch {
+		case s.staging != "" && now < s.stagedAt:
+			held[s.staging]++
+		case len(s.report.Staged) > 0 && held[s.report.Staged[0]] == 0:
+			held[s.report.Staged[0]]++
+		default:
+			idle = append(idle, s)
+		}
+	}
+	for _, s := range idle {
+		model, ok := c.modelToStage(p, held)
+		if !ok {
+			return
+		}
+		if slices.Contains(s.report.Staged, model.Name) {
+			held[model.Name]++
+			continue
+		}
+		if s.asking || s.ordering || !c.beginLoad(now, s, model.Name) {
+			continue
+		}
+		held[model.Name]++
+		s.staging, s.stagedAt = model.Name, now+model.Load*3/2+time.Second
+		c.order(now, s.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderStage, Model: model.Name})
+	}
+}
+
+// modelToStage returns the model that the fewest spares of a domain hold, the
+// largest first.
+func (c *Conductor) modelToStage(p *fuchsiapitch.EngineProfile, held map[string]int) (fuchsiapitch.Model, bool) {
+	var best fuchsiapitch.Model
+	for _, m := range p.Models {
+		if best.Size == 0 || held[m.Name] < held[best.Name] || held[m.Name] == held[best.Name] && m.Size > best.Size {
+			best = m
+		}
+	}
+	return best, best.Size > 0
+}
+
+// groupLines returns all formations as other hosts learn them.
+func (c *Conductor) groupLines() []GroupLine {
+	lines := make([]GroupLine, 0, len(c.groups))
+	for _, g := range c.sortedGroups() {
+		lines = append(lines, GroupLine{
+			Ref: g.ref, Model: g.model, Head: g.head(),
+			Open: c.isOpen(g) && !g.failed && !g.retiring,
+		})
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/conductor/station.go
@@ -0,0 +1,211 @@
+package conductor
+
+import (
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+// station is one server that takes requests: the leader of an open group, or an
+// application server.
+type station struct {
+	server  fuchsiapitch.ServerID
+	address string
+	service fuchsiapitch.ServiceName
+	model   string
+	near    bool
+	slots   int
+	// pace multiplies the times of the engine, readPerSecond is its reading speed.
+	pace, readPerSecond float64
+	// running and unread are the requests of this host and their unread prompt
+	// tokens; remoteRunning and remoteUnread those of the others.
+	running, unread             int
+	remoteRunning, remoteUnread int
+	// lastByte is when the server last sent a byte to this host, lastSent when it
+	// last got a request, and firstDue when the oldest request was sent that has
+	// no answer yet.
+	lastByte, lastSent, firstDue time.Duration
+	// open states that the station takes new requests.
+	open bool
+	// backOff is until when the station is avoided after a refusal.
+	backOff time.Duration
+}
+
+// load returns the requests of all hosts at a station.
+func (s *station) load() int { return s.running + s.remoteRunning }
+
+// readTime returns the time to read all unread prompts and one more.
+func (s *station) readTime(prompt int) time.Duration {
+	if s.readPerSecond <= 0 {
+		return 0
+	}
+	tokens := float64(s.unread + s.remoteUnread + prompt)
+	return time.Duration(tokens / s.readPerSecond * max(s.pace, 0.1) * float64(time.Second))
+}
+
+// silence returns how long no byte has come though one was due.
+func (s *station) silence(now time.Duration) time.Duration {
+	if s.running == 0 {
+		return 0
+	}
+	return now - max(s.lastByte, min(s.lastSent, s.firstDue))
+}
+
+// refreshStations brings the stations in line with the list of servers and the
+// groups that the leader tells of.
+func (c *Conductor) refreshStations(now time.Duration) {
+	for _, s := range c.stations {
+		s.open = false
+	}
+	if c.table == nil {
+		return
+	}
+	for name, p := range c.table.Services() {
+		if p.Engine != nil {
+			continue
+		}
+		for id, s := range c.servers {
+			if s.report.Service == name && s.listed && !s.report.Leaving {
+				c.setStation(id, s, p, "")
+			}
+		}
+	}
+	lines, known := c.openGroups(now)
+	for _, l := range lines {
+		s, ok := c.servers[l.Head]
+		if !ok || !l.Open || s.report.Leaving || !s.listed && !c.listStale {
+			continue
+		}
+		if p, ok := c.table.Service(s.report.Service); ok && p.Engine != nil {
+			c.setStation(l.Head, s, p, l.Model)
+		}
+	}
+	if known {
+		c.withdrawLost(now, lines)
+	}
+}
+
+// openGroups returns the groups that take requests: as this host leads, as the
+// leader says, or as the list shows. The second result states that a leader
+// tells it.
+func (c *Conductor) openGroups(now time.Duration) ([]GroupLine, bool) {
+	if c.leads(now) {
+		return c.groupLines(), true
+	}
+	for _, p := range c.peers {
+		if p.isLive(now) && p.beat.Claim != 0 && p.beat.Claim == c.knownClaim && len(p.beat.Groups) > 0 {
+			return p.beat.Groups, true
+		}
+	}
+	var lines []GroupLine
+	for id, s := range c.servers {
+		m := s.report.Membership
+		if m.State != fuchsiapitch.MemberOpen || m.Rank != 0 || len(s.report.Loaded) == 0 {
+			continue
+		}
+		lines = append(lines, GroupLine{Ref: m.Group, Model: s.report.Loaded[0], Head: id, Open: true})
+	}
+	return lines, false
+}
+
+func (c *Conductor) setStation(id fuchsiapitch.ServerID, s *server, p fuchsiapitch.ServiceProfile, model string) {
+	t, ok := c.stations[id]
+	if !ok {
+		t = &station{server: id}
+		c.stations[id] = t
+		c.takeRemoteLoads()
+	}
+	t.address, t.service, t.model, t.open = s.report.Address, s.report.Service, model, true
+	t.near = s.report.DataCentre == c.dataCentre
+	t.slots, t.pace = s.report.Slots, 1
+	if p.Engine != nil {
+		t.slots, t.readPerSecond = p.Engine.Slots, p.Engine.ReadPerSecond
+		if m, ok := p.Engine.Model(model); ok && m.Pace > 0 {
+			t.pace = m.Pace
+		}
+	}
+}
+
+// withdrawLost takes the requests of this host off groups that the leader has
+// taken apart.
+func (c *Conductor) withdrawLost(now time.Duration, lines []GroupLine) {
+	listed := make(map[fuchsiapitch.ServerID]bool, len(lines))
+	for _, l := range lines {
+		listed[l.Head] = true
+	}
+	for id, t := range c.stations {
+		if t.open || listed[id] || t.model == "" || t.running == 0 || t.silence(now) < silentTime {
+			continue
+		}
+		for _, k := range sortedKeys(c.places) {
+			if pl := c.places[k]; pl.station == t && !pl.withdrawn {
+				pl.withdrawn = true
+				c.emit(Withdraw{Ticket: k})
+			}
+		}
+	}
+}
+
+// takeActivity takes in when servers last sent a byte.
+func (c *Conductor) takeActivity(lastBytes map[fuchsiapitch.ServerID]time.Duration) {
+	for id, at := range lastBytes {
+		if s, ok := c.stations[id]; ok {
+			s.lastByte = max(s.lastByte, at)
+		}
+	}
+}
+
+// takeRemoteLoads adds up the loads that the other hosts tell of.
+func (c *Conductor) takeRemoteLoads() {
+	for _, s := range c.stations {
+		s.remoteRunning, s.remoteUnread = 0, 0
+	}
+	for _, p := range c.peers {
+		if !p.isLive(c.now) {
+			continue
+		}
+		for _, l := range p.beat.Loads {
+			if s, ok := c.stations[l.Server]; ok {
+				s.remoteRunning += l.Running
+				s.remoteUnread += l.Unread
+			}
+		}
+	}
+}
+
+// loads returns what this host has at each server.
+func (c *Conductor) loads(now time.Duration) []Load {
+	var loads []Load
+	for _, id := range sortedKeys(c.stations) {
+		if s := c.stations[id]; s.running > 0 {
+			loads = append(loads, Load{Server: id, Running: s.running, Unread: s.unread, Silent: s.silence(now)})
+		}
+	}
+	return loads
+}
+
+// isSilent reports whether no host gets a byte from a server that owes some.
+func (c *Conductor) isSilent(now time.Duration, id fuchsiapitch.ServerID) bool {
+	owing := false
+	if s, ok := c.stations[id]; ok && s.running > 0 {
+		owing = true
+		if s.silence(now) < silentTime {
+			return false
+		}
+	}
+	for _, p := range c.peers {
+		if !p.isLive(now) {
+			continue
+		}
+		for _, l := range p.beat.Loads {
+			if l.Server != id || l.Running == 0 {
+				continue
+			}
+			owing = true
+			if l.Silent+now-p.last < silentTime {
+				return false
+			}
+		}
+	}
+	return owing
+}
--- /dev/null
+++ b/internal/driver/clock.go
@@ -0,0 +1,17 @@
+package driver
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// bootTime returns the time since the machine was started, with the time that
+// the process or the machine was suspended.
+func bootTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return 0
+	}
+	return time.Duration(ts.Nano())
+}
--- /dev/null
+++ b/internal/integrator/integrator.go
@@ -0,0 +1,288 @@
+// Package integrator puts an entry host together for the users' platform: the
+// platform's settings, store and servers around the product's own decisions.
+package integrator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/conductor"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/logger"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/relayer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
+	"github.com/fuchsiapitch/fuchsiapitch/platform"
+)
+
+const (
+	// connectLimit is the time for a new connection to a server or the store:
+	// several round trips between data centres, and one packet sent again.
+	connectLimit = 1200 * time.Millisecond
+	// silenceLimit is the time without an acknowledgement after which a
+	// connection is given up.
+	silenceLimit = 3 * time.Second
+	// serversPause is the time between two reads of the list of servers. A server
+	// that leaves must get no new requests within two seconds.
+	serversPause = 800 * time.Millisecond
+	// newsWait is how long a read of a topic that rarely changes waits for news.
+	newsWait = 15 * time.Second
+	// announcePause is the time between tries to enter the host in the store.
+	announcePause = time.Second
+	// listenOn is the time during a stop in which new connections are still
+	// taken, while the balancer notices that the host is not ready.
+	listenOn = 2500 * time.Millisecond
+	// stopMargin is kept between the end of a stop and the end by force.
+	stopMargin = 300 * time.Millisecond
+	// idleLimit is how long a connection of a caller stays open without a request.
+	idleLimit = 60 * time.Second
+	// headerLimit is the time that a caller has to send a header before the
+	// configuration says otherwise.
+	headerLimit = 10 * time.Second
+	// headerBytes is the largest header of a request.
+	headerBytes = 64 << 10
+)
+
+// Host is one entry host on the platform.
+type Host struct {
+	settings platform.Settings
+	logs     *logger.Logger
+	log      zerolog.Logger
+	meter    *meter.Meter
+	store    *platform.Store
+	driver   *driver.Driver
+	relayer  *relayer.Relayer
+	self     conductor.Peer
+	started  int64
+	listed   atomic.Bool
+	servers  map[string]fuchsiapitch.ServerReport
+}
+
+// New returns a host that is not yet at work. What it holds ends with the
+// context.
+func New(ctx context.Context, settings platform.Settings, logs *logger.Logger) (*Host, func(), error) {
+	address := net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort))
+	var listen net.ListenConfig
+	socket, err := listen.ListenPacket(ctx, "udp4", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	h := &Host{
+		settings: settings, logs: logs, log: logs.For("host"), meter: meter.New(),
+		self:    conductor.Peer{ID: settings.Host, Address: address},
+		started: time.Now().UnixMilli(), servers: make(map[string]fuchsiapitch.ServerReport),
+	}
+	kept := &http.Transport{DialContext: sender.NewDialer(connectLimit, silenceLimit), DisableCompression: true, MaxIdleConnsPerHost: 8}
+	once := &http.Transport{DialContext: sender.NewDialer(connectLimit, silenceLimit), DisableCompression: true, DisableKeepAlives: true}
+	h.store = platform.NewStore(settings.Store, kept)
+	c := conductor.New(h.self, h.started,
+		conductor.WithStall(settings.Stall), conductor.WithDataCentre(settings.DataCentre),
+		conductor.WithRetryBudget(settings.RetryRatio, settings.RetrySlack, settings.RetryWindow),
+	)
+	h.driver = driver.New(ctx, c, platform.NewServers(once),
+		&claimer{store: h.store, self: h.self.ID, started: h.started}, socket, driver.WithLogger(logs.For("conductor")))
+	calls, closeCalls := sender.New(sender.WithConnectTimeout(connectLimit), sender.WithSilence(silenceLimit))
+	h.relayer = relayer.New(h.driver, calls, platform.Headers{}, relayer.WithLogger(logs.For("relayer")), relayer.WithMeter(h.meter))
+	return h, func() {
+		closeCalls()
+		kept.CloseIdleConnections()
+		socket.Close()
+	}, nil
+}
+
+// Serve serves until stop ends, and then finishes what is in flight.
+func (h *Host) Serve(ctx context.Context, stop <-chan struct{}) error {
+	callers, readiness, err := h.listen(ctx)
+	if err != nil {
+		return err
+	}
+	work, endWork := context.WithCancel(ctx)
+	defer endWork()
+	ended := h.supervisor().ServeBackground(work)
+	front := &http.Server{
+		Handler: h.relayer, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: headerBytes,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(h.ready), ReadHeaderTimeout: headerLimit}
+	failed := make(chan error, 2)
+	go func() { failed <- front.Serve(callers) }()
+	go func() { failed <- ready.Serve(readiness) }()
+	h.log.Info().Str("callers", h.settings.Callers).Msg("host serves")
+	select {
+	case err = <-failed:
+	case <-stop:
+		err = h.stop(ctx, front)
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	front.Close()
+	ready.Close()
+	endWork()
+	<-ended
+	h.log.Info().Err(err).Msg("host ends")
+	return err
+}
+
+func (h *Host) listen(ctx context.Context) (callers, readiness net.Listener, err error) {
+	var config net.ListenConfig
+	if callers, err = config.Listen(ctx, "tcp4", h.settings.Callers); err != nil {
+		return nil, nil, err
+	}
+	if readiness, err = config.Listen(ctx, "tcp4", h.settings.Readiness); err != nil {
+		callers.Close()
+		return nil, nil, err
+	}
+	return callers, readiness, nil
+}
+
+// stop refuses readiness at once and new connections a little later, and waits
+// for the requests in flight.
+func (h *Host) stop(ctx context.Context, front *http.Server) error {
+	h.log.Info().Int64("in-flight", h.relayer.Active()).Msg("host stops")
+	deadline := time.Now().Add(h.settings.Grace - stopMargin)
+	h.relayer.Stop()
+	h.driver.Apply(conductor.Stopping{})
+	select {
+	case <-time.After(listenOn):
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if err := front.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	h.log.Warn().Int64("in-flight", h.relayer.Active()).Msg("requests are cut by the end of the grace period")
+	return nil
+}
+
+// ready answers the balancer.
+func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
+	if h.relayer.Table() == nil || !h.listed.Load() || h.relayer.Stopped() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// supervisor runs what keeps the host up to date.
+func (h *Host) supervisor() *suture.Supervisor {
+	s := suture.New("host", suture.Spec{EventHook: func(e suture.Event) {
+		h.log.Error().Fields(e.Map()).Msg("service failed")
+	}})
+	s.Add(h.driver)
+	s.Add(service(h.announce))
+	s.Add(tracker.New(h.store, platform.OperatorTopic, h.takeConfiguration, tracker.WithWait(newsWait), tracker.WithFailures(h.storeFailed("configuration"))))
+	s.Add(tracker.New(h.store, platform.ServersTopic, h.takeServers, tracker.WithPause(serversPause), tracker.WithFailures(h.listFailed)))
+	s.Add(tracker.New(h.store, platform.HostsTopic, h.takeHosts, tracker.WithWait(newsWait), tracker.WithFailures(h.storeFailed("hosts"))))
+	s.Add(tracker.New(h.store, platform.ClaimsTopic, h.takeClaims, tracker.WithWait(newsWait), tracker.WithFailures(h.storeFailed("claims"))))
+	return s
+}
+
+// service is a function that implements suture.Service.
+type service func(ctx context.Context) error
+
+// Serve implements suture.Service.
+func (f service) Serve(ctx context.Context) error { return f(ctx) }
+
+func (h *Host) storeFailed(what string) func(error) {
+	return func(err error) { h.log.Info().Str("topic", what).Err(err).Msg("store cannot be read") }
+}
+
+func (h *Host) listFailed(err error) {
+	h.storeFailed("servers")(err)
+	h.driver.Apply(conductor.StoreFailed{})
+}
+
+// announce enters the host in the store.
+func (h *Host) announce(ctx context.Context) error {
+	value, err := json.Marshal(hostRecord{Address: h.self.Address})
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, announcePause)
+		_, err := h.store.Append(call, platform.HostsTopic, string(h.self.ID), value, -1)
+		cancel()
+		if err == nil {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		h.log.Info().Err(err).Msg("host cannot be entered in the store")
+		select {
+		case <-time.After(announcePause):
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+func (h *Host) takeConfiguration(u tracker.Update) {
+	for _, i := range u.Items {
+		if i.Key != platform.ConfigurationKey || i.Dropped() {
+			continue
+		}
+		table, err := platform.DecodeConfiguration(i.Value)
+		if err != nil {
+			h.log.Error().Err(err).Msg("configuration is not usable")
+			continue
+		}
+		if h.relayer.Configure(table) {
+			h.log.Info().Int64("version", table.Version()).Msg("configuration is in force")
+			h.driver.Apply(conductor.Configured{Table: table})
+		}
+	}
+}
+
+func (h *Host) takeServers(u tracker.Update) {
+	if u.Whole {
+		clear(h.servers)
+	}
+	for _, i := range u.Items {
+		if i.Dropped() {
+			delete(h.servers, i.Key)
+			continue
+		}
+		r, err := platform.DecodeServer(i.Key, i.Value)
+		if err != nil {
+			h.log.Warn().Err(err).Msg("entry names no server")
+			delete(h.servers, i.Key)
+			continue
+		}
+		h.servers[i.Key] = r
+	}
+	list := make([]fuchsiapitch.ServerReport, 0, len(h.servers))
+	for _, r := range h.servers {
+		list = append(list, r)
+	}
+	h.driver.Apply(conductor.ServersListed{Servers: list})
+	h.listed.Store(true)
+}
+
+func (h *Host) takeHosts(u tracker.Update) {
+	var peers []conductor.Peer
+	for _, i := range u.Items {
+		if p, ok := decodePeer(i); ok {
+			peers = append(peers, p)
+		}
+	}
+	h.driver.Apply(conductor.PeersListed{Peers: peers})
+}
+
+func (h *Host) takeClaims(u tracker.Update) {
+	for _, i := range u.Items {
+		if read, ok := decodeClaim(i); ok {
+			h.driver.Apply(read)
+		}
+	}
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -80,13 +80,7 @@
 // dial connects to a server. The kernel's probes end a connection that the
 // network has lost track of, whether it waits or has unanswered bytes.
 func (s *Sender) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	interval := max(time.Second, s.silence/3)
-	d := net.Dialer{
-		Timeout:         s.connect,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: 2},
-		Control:         limitUnacknowledged(s.silence),
-	}
-	c, err := d.DialContext(ctx, network, address)
+	c, err := NewDialer(s.connect, s.silence)(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
