--- a/engine_group.go
+++ b/engine_group.go
@@ -74,8 +74,10 @@
 	// Started is the incarnation: the start of the server in milliseconds of
 	// Unix time.
 	Started int64
-	// Orders is the number of orders that this incarnation has accepted.
-	Orders int64
+	// Orders is the number of orders that this incarnation has accepted. Only the
+	// server itself tells it; OrdersKnown reports whether it is known.
+	Orders      int64
+	OrdersKnown bool
 	// Busy states that an order is being carried out.
 	Busy bool
 	// Staged are the models on the server's host.
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -13,7 +13,7 @@
 	deadFailures = 2
 	// retryProbe is the time between questions to a server that does not answer,
 	// retryLost that to one that counts as lost.
-	retryProbe = 60 * time.Millisecond
+	retryProbe = 20 * time.Millisecond
 	retryLost  = time.Second
 	// goneTime is how long a server must be off the list, besides its silence,
 	// to count as gone for good.
@@ -37,6 +37,12 @@
 	nextProbe time.Duration
 	// wantProbe states that its report is needed.
 	wantProbe bool
+	// opening states that an order to open was accepted and is not done.
+	opening bool
+	// openAt is when it will be done, by the profile.
+	openAt time.Duration
+	// settled is until when reports may be older than the last order.
+	settled time.Duration
 	// model is the model of its last group since its start.
 	model string
 	// staging is the model that is being staged, until about stagedAt.
@@ -54,28 +60,36 @@
 	return s.listed && !s.report.Leaving && s.failures == 0
 }
 
+// isOpening reports whether a ready leader may open by itself: an order to open
+// is under way.
+func (s *server) isOpening() bool { return s.opening || s.report.Busy }
+
 // in reports whether the server is in a formation, by its last word.
 func (s *server) in(ref fuchsiapitch.GroupRef) bool { return s.report.Membership.Group == ref }
 
 // fleet is what is known of all backend servers.
 type fleet struct {
-	servers   map[fuchsiapitch.ServerID]*server
+	servers map[fuchsiapitch.ServerID]*server
 	// listRead is when the list was last read, firstList when first.
 	listRead, firstList time.Duration
-	listStale bool
+	listStale           bool
 	// groups are the formations that the leader plans or has found.
 	groups map[fuchsiapitch.GroupRef]*group
 	// nextLoad is when the next load may begin.
 	nextLoad time.Duration
+	// dissolved are formations that are taken apart; some members may not have
+	// left them yet.
+	dissolved map[fuchsiapitch.GroupRef]bool
 	// heads remembers the leader of each formation.
 	heads map[fuchsiapitch.GroupRef]fuchsiapitch.ServerID
 }
 
 func newFleet() fleet {
 	return fleet{
-		servers: make(map[fuchsiapitch.ServerID]*server),
-		groups:  make(map[fuchsiapitch.GroupRef]*group),
-		heads:   make(map[fuchsiapitch.GroupRef]fuchsiapitch.ServerID),
+		servers:   make(map[fuchsiapitch.ServerID]*server),
+		groups:    make(map[fuchsiapitch.GroupRef]*group),
+		dissolved: make(map[fuchsiapitch.GroupRef]bool),
+		heads:     make(map[fuchsiapitch.GroupRef]fuchsiapitch.ServerID),
 	}
 }
 
@@ -123,7 +137,7 @@
 }
 
 // merge takes in a report. The list lags, so its word holds only where it tells
-// of a later incarnation or a later order, or the server itself was not heard.
+// of a later incarnation, or the server itself was not heard for a while.
 func (c *Conductor) merge(now time.Duration, s *server, r fuchsiapitch.ServerReport, direct bool) {
 	const listLag = 3 * time.Second
 	old := s.report
@@ -132,13 +146,18 @@
 	}
 	reborn := r.Started > old.Started
 	if !direct && !reborn {
-		stale := r.Orders < old.Orders || r.Orders == old.Orders && s.direct > 0 && now-s.direct < listLag
-		if stale {
+		if s.direct > 0 && now-s.direct < listLag || s.ordering {
 			s.report.Leaving = r.Leaving
 			s.report.Address = r.Address
 			return
 		}
 	}
+	if !direct && !reborn {
+		r.Orders, r.OrdersKnown = old.Orders, old.OrdersKnown
+		if r.Membership != old.Membership && s.direct > 0 {
+			s.wantProbe = true
+		}
+	}
 	if direct {
 		// A report leaves out what only the list tells.
 		r.Service, r.Address, r.DataCentre = old.Service, old.Address, old.DataCentre
@@ -180,10 +199,24 @@
 	}
 	s.failures, s.wantProbe, s.direct = 0, false, now
 	e.Report.ID = e.Server
-	c.merge(now, s, e.Report, true)
+	if c.isStale(now, s, e.Report) {
+		s.wantProbe, s.nextProbe = true, max(s.settled, now+joinPoll)
+	} else {
+		s.opening = s.opening && e.Report.Busy
+		c.merge(now, s, e.Report, true)
+	}
 	c.replan(now)
 }
 
+// isStale reports whether a server's report is older than the last order that it
+// accepted.
+func (c *Conductor) isStale(now time.Duration, s *server, r fuchsiapitch.ServerReport) bool {
+	if r.Started > s.report.Started {
+		return false
+	}
+	return s.report.OrdersKnown && r.Orders < s.report.Orders || now < s.settled && r.Orders == s.report.Orders
+}
+
 // fail counts a call that a server did not answer.
 func (c *Conductor) fail(now time.Duration, s *server) {
 	if s.failures == 0 {
@@ -231,24 +264,29 @@
 
 // assume enters what an accepted order has changed, until the next report.
 func (c *Conductor) assume(now time.Duration, s *server, o fuchsiapitch.GroupOrder, answer fuchsiapitch.OrderAnswer) {
-	if answer == fuchsiapitch.OrderBegun && s.report.Orders == o.After {
+	if s.report.Orders == o.After && (answer == fuchsiapitch.OrderBegun || o.Kind == fuchsiapitch.OrderEvict || o.Kind == fuchsiapitch.OrderLeave) {
 		s.report.Orders++
 	}
+	s.settled = now + c.reportLag(s)
 	m := &s.report.Membership
 	switch o.Kind {
 	case fuchsiapitch.OrderJoin:
 		if answer == fuchsiapitch.OrderBegun {
 			*m = fuchsiapitch.Membership{Group: o.Group, Rank: rankOf(o.Members, o.Server), State: fuchsiapitch.MemberJoining}
 		}
-		s.wantProbe, s.nextProbe = true, now+c.joinTime(s, o.Model)
+		s.wantProbe, s.nextProbe = true, now+c.joinTime(s, o.Model)+c.reportLag(s)
 		s.model = o.Model
 	case fuchsiapitch.OrderOpen:
-		s.wantProbe, s.nextProbe = true, now+c.formTime(s)
+		s.opening, s.openAt = true, now+c.formTime(s)
+		s.settled = s.openAt + c.reportLag(s)
+		s.wantProbe, s.nextProbe = true, s.settled
 	case fuchsiapitch.OrderClose, fuchsiapitch.OrderEvict:
-		if m.State == fuchsiapitch.MemberOpen {
-			m.State = fuchsiapitch.MemberClosing
+		m.State = fuchsiapitch.MemberClosing
+		if answer == fuchsiapitch.OrderDone {
+			m.State = fuchsiapitch.MemberReady
+			return
 		}
-		s.wantProbe, s.nextProbe = true, now
+		s.wantProbe, s.nextProbe = true, s.settled
 	case fuchsiapitch.OrderLeave:
 		if s.in(o.Group) {
 			*m = fuchsiapitch.Membership{}
@@ -278,7 +316,7 @@
 	if s.asking || s.ordering || now < s.nextProbe {
 		return
 	}
-	s.asking = true
+	s.asking, s.nextProbe = true, 0
 	c.emit(AskReport{Server: s.report.ID, Address: s.report.Address})
 }
 
@@ -306,6 +344,8 @@
 		return sameModelTime
 	case slices.Contains(s.report.Staged, model):
 		return m.Warm
+	case s.staging == model:
+		return max(0, s.stagedAt-c.now) + m.Warm
 	case !c.busy:
 		return m.Load / loadsEarly
 	}
@@ -315,6 +355,14 @@
 // loadsEarly is the factor by which loads are faster before the first request.
 const loadsEarly = 10
 
+// reportLag returns the age of what a server reports.
+func (c *Conductor) reportLag(s *server) time.Duration {
+	if p := c.profileOf(s); p != nil {
+		return p.ReportLag
+	}
+	return 0
+}
+
 func (c *Conductor) formTime(s *server) time.Duration {
 	if p := c.profileOf(s); p != nil {
 		return p.Form
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -68,6 +68,11 @@
 		return
 	}
 	c.adopt(now)
+	for _, s := range c.servers {
+		if s.opening && now >= s.openAt {
+			s.opening, s.report.Membership.State = false, fuchsiapitch.MemberOpen
+		}
+	}
 	for _, g := range c.sortedGroups() {
 		c.tend(now, g)
 	}
@@ -125,7 +130,7 @@
 	for _, id := range sortedKeys(c.servers) {
 		s := c.servers[id]
 		m := s.report.Membership
-		if m.Group.Name == "" {
+		if m.Group.Name == "" || c.dissolved[m.Group] {
 			continue
 		}
 		if g, ok := c.groups[m.Group]; ok {
@@ -246,7 +251,14 @@
 		case fuchsiapitch.MemberClosing:
 			head.wantProbe = true
 			return
-		case fuchsiapitch.MemberJoining, fuchsiapitch.MemberReady, fuchsiapitch.MemberBroken:
+		case fuchsiapitch.MemberReady:
+			if head.isOpening() {
+				if !head.opening {
+					c.poll(now, head)
+				}
+				return
+			}
+		case fuchsiapitch.MemberJoining, fuchsiapitch.MemberBroken:
 		}
 		if head.isLost() {
 			return
@@ -255,6 +267,7 @@
 		return
 	}
 	delete(c.groups, g.ref)
+	c.dissolved[g.ref] = true
 }
 
 // headIsGone reports whether the leader of a formation can serve it no more: it
@@ -314,9 +327,7 @@
 		case fuchsiapitch.MemberReady:
 			ready++
 		case fuchsiapitch.MemberJoining:
-			if !s.wantProbe {
-				s.wantProbe, s.nextProbe = true, now+joinPoll
-			}
+			c.poll(now, s)
 		case fuchsiapitch.MemberOpen, fuchsiapitch.MemberClosing, fuchsiapitch.MemberBroken:
 		}
 	}
@@ -324,12 +335,23 @@
 	if ready < g.size || len(g.members) != g.size {
 		return
 	}
-	if head.wantProbe && head.report.Busy {
+	if head.opening {
+		return
+	}
+	if head.report.Busy {
+		c.poll(now, head)
 		return
 	}
 	c.order(now, g.head(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderOpen, Group: g.ref})
 }
 
+// poll has a server that is at work asked a little later.
+func (c *Conductor) poll(now time.Duration, s *server) {
+	if !s.wantProbe {
+		s.wantProbe, s.nextProbe = true, now+joinPoll
+	}
+}
+
 // mayJoin reports whether a server may join another formation: it is in none,
 // or the leader of the one it is in can serve it no more. A leader itself may
 // go while it takes no requests.
@@ -339,37 +361,39 @@
 		return true
 	}
 	if c.heads[m.Group] == s.report.ID {
-		return m.State == fuchsiapitch.MemberReady || m.State == fuchsiapitch.MemberJoining || m.State == fuchsiapitch.MemberBroken
+		return m.State == fuchsiapitch.MemberReady && !s.isOpening() || m.State == fuchsiapitch.MemberJoining || m.State == fuchsiapitch.MemberBroken
 	}
 	return c.headIsGone(now, m.Group)
 }
 
-// order emits an order to a server unless a call to it is under way.
-func (c *Conductor) order(now time.Duration, id fuchsiapitch.ServerID, o fuchsiapitch.GroupOrder) {
+// order emits an order to a server and reports whether it did. It does not while
+// a call to the server is under way or its state is not known.
+func (c *Conductor) order(now time.Duration, id fuchsiapitch.ServerID, o fuchsiapitch.GroupOrder) bool {
 	s, ok := c.servers[id]
 	if !ok || s.asking || s.ordering {
-		return
+		return false
 	}
-	if s.failures > 0 || s.wantProbe && now >= s.nextProbe && o.Kind != fuchsiapitch.OrderEvict {
+	if s.failures > 0 || s.direct == 0 || !s.report.OrdersKnown || s.wantProbe && now >= s.nextProbe {
 		s.wantProbe = true
 		c.ask(now, s)
-		return
+		return false
 	}
-	if o.Kind == fuchsiapitch.OrderJoin && !c.reserveLoad(now, s, o.Model) {
-		return
+	if !c.reserveLoad(now, s, o) {
+		return false
 	}
 	if o.Kind == fuchsiapitch.OrderOpen && s.wantProbe && now < s.nextProbe {
-		return
+		return false
 	}
 	o.Server, o.Address, o.After = id, s.report.Address, s.report.Orders
 	if err := c.check(now, o, s); err != nil {
 		c.violations++
 		c.note(err.Error(), map[string]any{"invariant": err.Invariant})
-		return
+		return false
 	}
 	s.ordering = true
 	c.note("order", map[string]any{"order": o.Kind.String(), "server": id, "group": o.Group.Name, "model": o.Model, "after": o.After})
 	c.emit(GiveOrder{Order: o})
+	return true
 }
 
 // check asserts what must hold for an order. An order that it finds wrong is not
@@ -397,13 +421,19 @@
 	return &fuchsiapitch.InvariantError{Invariant: broken, Detail: fmt.Sprintf("%s to %s for %s", o.Kind, o.Server, o.Group.Name)}
 }
 
-// reserveLoad reports whether a server may begin a join: those that need no load
-// always, others within the limits of the weight store.
-func (c *Conductor) reserveLoad(now time.Duration, s *server, model string) bool {
-	if s.model == model || slices.Contains(s.report.Staged, model) || s.staging == model {
+// reserveLoad reports whether a server may begin an order: those that need no
+// load always, others within the limits of the weight store.
+func (c *Conductor) reserveLoad(now time.Duration, s *server, o fuchsiapitch.GroupOrder) bool {
+	switch o.Kind {
+	case fuchsiapitch.OrderJoin:
+		if s.model == o.Model || slices.Contains(s.report.Staged, o.Model) || s.staging == o.Model {
+			return true
+		}
+	case fuchsiapitch.OrderStage:
+	case fuchsiapitch.OrderOpen, fuchsiapitch.OrderClose, fuchsiapitch.OrderEvict, fuchsiapitch.OrderLeave:
 		return true
 	}
-	return c.beginLoad(now, s, model)
+	return c.beginLoad(now, s, o.Model)
 }
 
 // beginLoad notes a load if the weight store has room for it.
@@ -412,16 +442,17 @@
 	if p == nil {
 		return false
 	}
+	if !c.busy {
+		// Loads before the first request are fast and not limited.
+		return true
+	}
 	running := 0
 	for _, o := range c.servers {
 		if now < o.loading {
 			running++
 		}
 	}
-	if p.LoadsAtOnce > 0 && running >= p.LoadsAtOnce {
-		return false
-	}
-	if c.busy && now < c.nextLoad {
+	if p.LoadsAtOnce > 0 && running >= p.LoadsAtOnce || now < c.nextLoad {
 		return false
 	}
 	if p.LoadsPerSecond > 0 {
@@ -573,6 +604,10 @@
 	}
 }
 
+// stageSlack is the time beyond that of a load after which a stage order counts
+// as failed. Loads are slower while many are under way.
+const stageSlack = 8 * time.Second
+
 // stageSpares has the free servers of a domain stage the models of its groups.
 func (c *Conductor) stageSpares(now time.Duration, p *fuchsiapitch.EngineProfile, servers []*server) {
 	held := make(map[string]int)
@@ -590,7 +625,7 @@
 			continue
 		}
 		switch {
-		case s.staging != "" && now < s.stagedAt:
+		case s.staging != "" && now < s.stagedAt+stageSlack:
 			held[s.staging]++
 		case len(s.report.Staged) > 0 && held[s.report.Staged[0]] == 0:
 			held[s.report.Staged[0]]++
@@ -607,12 +642,11 @@
 			held[model.Name]++
 			continue
 		}
-		if s.asking || s.ordering || !c.beginLoad(now, s, model.Name) {
-			continue
+		took := c.joinTime(s, model.Name)
+		if c.order(now, s.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderStage, Model: model.Name}) {
+			held[model.Name]++
+			s.staging, s.stagedAt = model.Name, now+took
 		}
-		held[model.Name]++
-		s.staging, s.stagedAt = model.Name, now+model.Load*3/2+time.Second
-		c.order(now, s.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderStage, Model: model.Name})
 	}
 }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -20,7 +20,7 @@
 	tickInterval = 50 * time.Millisecond
 	// reportLimit is the time for a server's report. A live one answers within
 	// some milliseconds.
-	reportLimit = 250 * time.Millisecond
+	reportLimit = 200 * time.Millisecond
 	// orderLimit is the time for the answer to an order.
 	orderLimit = 500 * time.Millisecond
 	// suspension is the time that the steady clock may lack against the boot-time
--- a/route.go
+++ b/route.go
@@ -101,6 +101,8 @@
 	LoadsAtOnce int
 	// Form is the time that an open order takes.
 	Form time.Duration
+	// ReportLag is the age of what engines report of themselves.
+	ReportLag time.Duration
 }
 
 // Model returns a model by name.
