conductor: members of a silent leader leave before they join others

Ruled out: a second controller; late orders (none under way then). Now members of a leader that does not answer are told to leave; what cannot work without them may not go on.

--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -28,9 +28,8 @@
 	unlistedAt time.Duration
 	// direct is when the server itself last answered, 0 for never.
 	direct time.Duration
-	// failures is the number of unanswered calls in a row, since firstFailure.
-	failures     int
-	firstFailure time.Duration
+	// failures is the number of unanswered calls in a row.
+	failures int
 	// asking and ordering state that a call is under way.
 	asking, ordering bool
 	// nextProbe is when the server may be asked again.
@@ -70,9 +69,9 @@
 // fleet is what is known of all backend servers.
 type fleet struct {
 	servers map[fuchsiapitch.ServerID]*server
-	// listRead is when the list was last read, firstList when first.
-	listRead, firstList time.Duration
-	listStale           bool
+	// listRead is when the list was last read.
+	listRead  time.Duration
+	listStale bool
 	// groups are the formations that the leader plans or has found.
 	groups map[fuchsiapitch.GroupRef]*group
 	// nextLoad is when the next load may begin.
@@ -96,9 +95,6 @@
 // takeList takes in the platform's list of servers.
 func (c *Conductor) takeList(now time.Duration, list []fuchsiapitch.ServerReport) {
 	c.listRead, c.listStale = now, false
-	if c.firstList == 0 {
-		c.firstList = now
-	}
 	seen := make(map[fuchsiapitch.ServerID]bool, len(list))
 	for _, r := range list {
 		seen[r.ID] = true
@@ -197,7 +193,8 @@
 		c.fail(now, s)
 		return
 	}
-	s.failures, s.wantProbe, s.direct = 0, false, now
+	s.failures, s.direct = 0, now
+	s.wantProbe = false
 	e.Report.ID = e.Server
 	if c.isStale(now, s, e.Report) {
 		s.wantProbe, s.nextProbe = true, max(s.settled, now+joinPoll)
@@ -219,9 +216,6 @@
 
 // fail counts a call that a server did not answer.
 func (c *Conductor) fail(now time.Duration, s *server) {
-	if s.failures == 0 {
-		s.firstFailure = now
-	}
 	s.failures++
 	s.wantProbe = true
 	s.nextProbe = now + retryProbe
@@ -246,7 +240,7 @@
 		s.failures, s.direct = 0, now
 		c.assume(now, s, e.Order, e.Answer)
 	case fuchsiapitch.OrderRefused:
-		s.failures = 0
+		s.failures, s.direct = 0, now
 		s.wantProbe, s.nextProbe = true, now
 		c.undoLoad(s, e.Order)
 	case fuchsiapitch.OrderUnknown:
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -130,9 +130,16 @@
 	for _, id := range sortedKeys(c.servers) {
 		s := c.servers[id]
 		m := s.report.Membership
-		if m.Group.Name == "" || c.dissolved[m.Group] {
+		if m.Group.Name == "" {
 			continue
 		}
+		if c.dissolved[m.Group] {
+			if m.Rank != 0 || m.State != fuchsiapitch.MemberOpen || s.isLost() {
+				continue
+			}
+			// Its leader was out of reach and still takes requests.
+			delete(c.dissolved, m.Group)
+		}
 		if g, ok := c.groups[m.Group]; ok {
 			g.joined[id] = g.joined[id] || slices.Contains(g.members, id)
 			continue
@@ -239,17 +246,17 @@
 	c.note("group is taken apart", map[string]any{"group": g.ref.Name, "model": g.model, "why": why, "server": id})
 }
 
-// dissolve frees the members of a failed formation. Its leader must have refused
-// requests first.
+// dissolve takes a failed formation off the plan. Its leader must have refused
+// requests first, or be out of reach; mayJoin guards its members.
 func (c *Conductor) dissolve(now time.Duration, g *group) {
 	head, ok := c.servers[g.head()]
-	if ok && head.in(g.ref) && !c.headIsGone(now, g.ref) {
+	if ok && head.in(g.ref) && !head.isLost() {
 		switch head.report.Membership.State {
 		case fuchsiapitch.MemberOpen:
 			c.order(now, g.head(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderEvict, Group: g.ref})
 			return
 		case fuchsiapitch.MemberClosing:
-			head.wantProbe = true
+			c.poll(now, head)
 			return
 		case fuchsiapitch.MemberReady:
 			if head.isOpening() {
@@ -260,32 +267,23 @@
 			}
 		case fuchsiapitch.MemberJoining, fuchsiapitch.MemberBroken:
 		}
-		if head.isLost() {
-			return
-		}
-	} else if !c.headIsGone(now, g.ref) && (!ok || head.in(g.ref)) {
-		return
 	}
 	delete(c.groups, g.ref)
 	c.dissolved[g.ref] = true
 }
 
-// headIsGone reports whether the leader of a formation can serve it no more: it
-// has gone on to another formation, has started again, is broken, or is gone
-// for good.
-func (c *Conductor) headIsGone(now time.Duration, ref fuchsiapitch.GroupRef) bool {
-	id, known := c.heads[ref]
-	if !known {
-		return c.firstList > 0 && !c.listStale && now-c.firstList > c.stall+goneTime
-	}
-	s, ok := c.servers[id]
-	if !ok || !s.in(ref) || s.report.Membership.State == fuchsiapitch.MemberBroken {
-		return true
-	}
-	if s.listed || c.listStale {
-		return false
-	}
-	return s.isLost() && now-s.firstFailure > c.stall && now-s.unlistedAt > goneTime
+// headHasLeft reports whether the leader of a formation can serve it no more: it
+// has gone on to another formation, has started again, or is broken.
+func (c *Conductor) headHasLeft(ref fuchsiapitch.GroupRef) bool {
+	s, ok := c.servers[c.heads[ref]]
+	return ok && (!s.in(ref) || s.report.Membership.State == fuchsiapitch.MemberBroken)
+}
+
+// isHeadSilent reports whether the leader of a formation does not answer, or is
+// not known at all.
+func (c *Conductor) isHeadSilent(ref fuchsiapitch.GroupRef) bool {
+	s, ok := c.servers[c.heads[ref]]
+	return !ok || s.isLost()
 }
 
 // watch asks the members of a group that has fallen silent.
@@ -318,7 +316,7 @@
 	for _, id := range g.members {
 		s := c.servers[id]
 		if !s.in(g.ref) {
-			if c.mayJoin(now, s) {
+			if c.mayJoin(s) {
 				c.order(now, id, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderJoin, Group: g.ref, Model: g.model, Members: g.members})
 			}
 			continue
@@ -355,7 +353,7 @@
 // mayJoin reports whether a server may join another formation: it is in none,
 // or the leader of the one it is in can serve it no more. A leader itself may
 // go while it takes no requests.
-func (c *Conductor) mayJoin(now time.Duration, s *server) bool {
+func (c *Conductor) mayJoin(s *server) bool {
 	m := s.report.Membership
 	if m.Group.Name == "" {
 		return true
@@ -363,7 +361,16 @@
 	if c.heads[m.Group] == s.report.ID {
 		return m.State == fuchsiapitch.MemberReady && !s.isOpening() || m.State == fuchsiapitch.MemberJoining || m.State == fuchsiapitch.MemberBroken
 	}
-	return c.headIsGone(now, m.Group)
+	return c.headHasLeft(m.Group)
+}
+
+// leaveSilentHead has a member leave a formation whose leader does not answer. A
+// leader that goes on unseen cannot work without it.
+func (c *Conductor) leaveSilentHead(now time.Duration, s *server) {
+	ref := s.report.Membership.Group
+	if c.isHeadSilent(ref) && c.heads[ref] != s.report.ID {
+		c.order(now, s.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: ref})
+	}
 }
 
 // order emits an order to a server and reports whether it did. It does not while
@@ -385,7 +392,7 @@
 		return false
 	}
 	o.Server, o.Address, o.After = id, s.report.Address, s.report.Orders
-	if err := c.check(now, o, s); err != nil {
+	if err := c.check(o, s); err != nil {
 		c.violations++
 		c.note(err.Error(), map[string]any{"invariant": err.Invariant})
 		return false
@@ -398,11 +405,11 @@
 
 // check asserts what must hold for an order. An order that it finds wrong is not
 // given.
-func (c *Conductor) check(now time.Duration, o fuchsiapitch.GroupOrder, s *server) *fuchsiapitch.InvariantError {
+func (c *Conductor) check(o fuchsiapitch.GroupOrder, s *server) *fuchsiapitch.InvariantError {
 	var broken string
 	switch o.Kind {
 	case fuchsiapitch.OrderJoin:
-		if !c.mayJoin(now, s) {
+		if !c.mayJoin(s) {
 			broken = "one-group-per-server"
 		}
 	case fuchsiapitch.OrderOpen:
@@ -482,7 +489,8 @@
 			continue
 		}
 		m := s.report.Membership
-		if m.Group.Name != "" && !c.mayJoin(now, s) && !c.willBeFree(s) {
+		if m.Group.Name != "" && !c.mayJoin(s) && !c.willBeFree(s) {
+			c.leaveSilentHead(now, s)
 			continue
 		}
 		free = append(free, s)
@@ -617,7 +625,7 @@
 			continue
 		}
 		m := s.report.Membership
-		if m.Group.Name != "" && !c.mayJoin(now, s) {
+		if m.Group.Name != "" && !c.mayJoin(s) {
 			head, ok := c.servers[c.heads[m.Group]]
 			if ok && head.in(m.Group) && c.willBeFree(s) && !c.isPlanned(head.report.ID) {
 				c.order(now, head.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: m.Group})
--- /dev/null
+++ b/internal/conductor/group_test.go
@@ -0,0 +1,89 @@
+package conductor
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+// worldSeeds is the number of random runs, unless the environment says another.
+const worldSeeds = 60
+
+func seedCount(t *testing.T) uint64 {
+	t.Helper()
+	text := os.Getenv("FUCHSIAPITCH_SEEDS")
+	if text == "" {
+		return worldSeeds
+	}
+	n, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func TestGroupsForm(t *testing.T) {
+	w := newWorld(t, 1)
+	w.lead()
+	w.run(8 * time.Second)
+	assertNothingBroken(t, w)
+	if got, want := w.openGroups(), 4; got != want {
+		t.Errorf("got %d open groups, want %d", got, want)
+	}
+}
+
+func TestGroupIsRepaired(t *testing.T) {
+	w := newWorld(t, 1)
+	w.lead()
+	w.run(12 * time.Second)
+	for _, e := range w.engines {
+		if e.group.Name != "" && rankOf(e.members, e.id) == 1 {
+			e.dead = true
+			break
+		}
+	}
+	// The list drops the member, then a spare takes its place.
+	w.run(worldExpiry + 3*time.Second)
+	assertNothingBroken(t, w)
+	if got, want := w.openGroups(), 4; got != want {
+		t.Errorf("got %d open groups, want %d", got, want)
+	}
+}
+
+// A cut ends before the leader's word arrives: its members must not join others
+// while it may go on serving.
+func TestCutDomainKeepsItsMembers(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed)
+		w.lead()
+		w.run(8 * time.Second)
+		w.cutDomain, w.cutUntil = "d0", w.now+6*time.Second+time.Duration(seed)*37*time.Millisecond
+		for _, e := range w.engines {
+			if e.domain == "d0" && e.state == fuchsiapitch.MemberOpen {
+				e.hiddenUntil = w.cutUntil + 2*time.Second
+			}
+		}
+		w.run(12 * time.Second)
+		assertNothingBroken(t, w)
+	}
+}
+
+func TestGroupsUnderTrouble(t *testing.T) {
+	for seed := range seedCount(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed)
+			w.lead()
+			w.run(6 * time.Second)
+			for range 12 {
+				w.trouble()
+				w.run(time.Duration(w.random.Int64N(int64(4 * time.Second))))
+			}
+			assertNothingBroken(t, w)
+		})
+	}
+}
