--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -24,8 +24,8 @@
 type server struct {
 	report fuchsiapitch.ServerReport
 	listed bool
-	// unlistedAt is when the server went off the list.
-	unlistedAt time.Duration
+	// listedAt and unlistedAt are when the server came onto the list and went off.
+	listedAt, unlistedAt time.Duration
 	// direct is when the server itself last answered, 0 for never.
 	direct time.Duration
 	// failures is the number of unanswered calls in a row.
@@ -103,7 +103,9 @@
 			s = &server{report: r}
 			c.servers[r.ID] = s
 		}
-		s.listed = true
+		if !s.listed {
+			s.listed, s.listedAt = true, now
+		}
 		c.merge(now, s, r, false)
 	}
 	for id, s := range c.servers {
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -471,6 +471,9 @@
 
 // form plans new formations of the servers of a domain that are free.
 func (c *Conductor) form(now time.Duration, service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, p *fuchsiapitch.EngineProfile, servers []*server) {
+	if !c.isSettled(now, servers) {
+		return
+	}
 	for {
 		free := c.free(now, servers)
 		model, ok := c.nextModel(service, domain, p, len(free))
@@ -481,6 +484,23 @@
 	}
 }
 
+// settleTime is how long a domain without groups must be without news before its
+// first ones are formed: the servers appear on the list one after the other.
+const settleTime = time.Second
+
+// isSettled reports whether all servers of a domain are likely to be known.
+func (c *Conductor) isSettled(now time.Duration, servers []*server) bool {
+	if c.busy {
+		return true
+	}
+	for _, s := range servers {
+		if now-s.listedAt < settleTime {
+			return false
+		}
+	}
+	return true
+}
+
 // free returns the servers that a new formation may use.
 func (c *Conductor) free(now time.Duration, servers []*server) []*server {
 	var free []*server
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -87,3 +87,24 @@
 		})
 	}
 }
+
+// The servers of a domain appear one after the other at the start.
+func TestFirstGroupsWaitForTheDomain(t *testing.T) {
+	w := newWorld(t, 1)
+	for n, id := range w.order {
+		w.engines[id].hiddenUntil = time.Duration(n%11) * 150 * time.Millisecond
+		w.engines[id].lastBeat = -worldExpiry
+	}
+	w.lead()
+	w.run(10 * time.Second)
+	assertNothingBroken(t, w)
+	models := make(map[string]int)
+	for _, e := range w.engines {
+		if e.state == fuchsiapitch.MemberOpen {
+			models[e.model]++
+		}
+	}
+	if got, want := models["large"], 2; got != want {
+		t.Errorf("got %d groups of the large model, want %d", got, want)
+	}
+}
