conductor: leave groups behind a cut alone

Ruled out: broken groups (they served on inside). Nothing is decided about a group of which no member answers; one answer of a domain has all its lost servers asked again; a leader off the list retires only after it had 3 s to return.

--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -28,6 +28,8 @@
 	listedAt, unlistedAt time.Duration
 	// direct is when the server itself last answered, 0 for never.
 	direct time.Duration
+	// recovered is when it last answered after it had counted as lost.
+	recovered time.Duration
 	// failures is the number of unanswered calls in a row.
 	failures int
 	// asking and ordering state that a call is under way.
@@ -195,6 +197,10 @@
 		c.fail(now, s)
 		return
 	}
+	if s.isLost() {
+		s.recovered = now
+		c.doubtLosses(now, s.report.Domain)
+	}
 	s.failures, s.direct = 0, now
 	s.wantProbe = false
 	e.Report.ID = e.Server
@@ -207,6 +213,16 @@
 	c.replan(now)
 }
 
+// doubtLosses has the lost servers of a domain asked once more: one of them has
+// answered again, so that the others may have been behind the same cut.
+func (c *Conductor) doubtLosses(now time.Duration, domain fuchsiapitch.FabricDomainName) {
+	for _, s := range c.servers {
+		if s.report.Domain == domain && s.isLost() {
+			s.failures, s.wantProbe, s.nextProbe = deadFailures-1, true, now
+		}
+	}
+}
+
 // isStale reports whether a server's report is older than the last order that it
 // accepted.
 func (c *Conductor) isStale(now time.Duration, s *server, r fuchsiapitch.ServerReport) bool {
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -186,6 +186,10 @@
 		c.dissolve(now, g)
 		return
 	}
+	if c.isOutOfReach(now, g) {
+		c.watchAll(now, g)
+		return
+	}
 	if c.isOpen(g) {
 		if g.opened == 0 {
 			g.opened = now
@@ -203,6 +207,9 @@
 
 // judge decides whether a formation has failed.
 func (c *Conductor) judge(now time.Duration, g *group) {
+	if c.isOutOfReach(now, g) {
+		return
+	}
 	for _, id := range g.members {
 		s, ok := c.servers[id]
 		switch {
@@ -212,7 +219,7 @@
 			g.fail(c, "member left", id)
 		case s.report.Membership.State == fuchsiapitch.MemberBroken && s.in(g.ref):
 			g.fail(c, "group is broken", id)
-		case s.report.Leaving && !g.retiring, !s.listed && !c.listStale && id == g.head() && !g.retiring:
+		case s.report.Leaving && !g.retiring, id == g.head() && !g.retiring && c.isOffList(now, s):
 			if g.opened == 0 && !c.isOpen(g) {
 				g.fail(c, "member leaves", id)
 			} else {
@@ -229,6 +236,35 @@
 	}
 }
 
+// isOutOfReach reports whether no member of a formation answers: behind a cut it
+// may be whole and at work, so that nothing is decided about it. A silent leader
+// counts as lost only beside a member that has just answered.
+func (c *Conductor) isOutOfReach(now time.Duration, g *group) bool {
+	head, ok := c.servers[g.head()]
+	if !ok || head.failures == 0 {
+		return false
+	}
+	for _, id := range g.members {
+		if s, ok := c.servers[id]; ok && s.failures == 0 && now-s.direct < freshTime && head.isLost() {
+			return false
+		}
+	}
+	return true
+}
+
+// relistTime is how long a server that is back in reach may take to return to the
+// list, with the list's own lag.
+const relistTime = 3 * time.Second
+
+// isOffList reports whether a server that answers is off the list for good.
+func (c *Conductor) isOffList(now time.Duration, s *server) bool {
+	return !s.listed && !c.listStale && s.failures == 0 && s.direct > s.unlistedAt &&
+		now-max(s.unlistedAt, s.recovered) > relistTime
+}
+
+// freshTime is how old an answer of a server may be to show that it is in reach.
+const freshTime = time.Second
+
 func (c *Conductor) loadLimit(g *group) time.Duration {
 	p, ok := c.table.Service(g.service)
 	if !ok || p.Engine == nil {
@@ -291,9 +327,17 @@
 	if !c.isSilent(now, g.head()) && !c.isSuspect(now, g) || now < g.nextProbe {
 		return
 	}
+	c.watchAll(now, g)
+}
+
+// watchAll has all members of a group asked.
+func (c *Conductor) watchAll(now time.Duration, g *group) {
+	if now < g.nextProbe {
+		return
+	}
 	g.nextProbe = now + memberProbe
 	for _, id := range g.members {
-		if s := c.servers[id]; now-s.direct > memberProbe/2 {
+		if s, ok := c.servers[id]; ok && now-s.direct > memberProbe/2 {
 			s.wantProbe = true
 		}
 	}
@@ -696,7 +740,7 @@
 	for _, g := range c.sortedGroups() {
 		lines = append(lines, GroupLine{
 			Ref: g.ref, Model: g.model, Head: g.head(),
-			Open: c.isOpen(g) && !g.failed && !g.retiring,
+			Open: c.isOpen(g) && !g.failed && !g.retiring && !c.servers[g.head()].isLost(),
 		})
 	}
 	return lines
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -108,3 +108,22 @@
 		t.Errorf("got %d groups of the large model, want %d", got, want)
 	}
 }
+
+// Groups behind a cut are whole and serve on; they are kept when it ends.
+func TestGroupsOutliveACut(t *testing.T) {
+	w := newWorld(t, 3)
+	w.lead()
+	w.run(8 * time.Second)
+	before := make(map[fuchsiapitch.GroupRef]bool)
+	for _, e := range w.engines {
+		before[e.group] = true
+	}
+	w.cutDomain, w.cutUntil = "d0", w.now+6*time.Second
+	w.run(10 * time.Second)
+	assertNothingBroken(t, w)
+	for _, e := range w.engines {
+		if !before[e.group] {
+			t.Errorf("got %s in a new group, want those of before the cut", e.id)
+		}
+	}
+}
