conductor: keep every server warm for two models

A server joins in 0.2 s with the model of its last group and in 1 to 2 s with a staged one. Spares join the largest model once, alone, and every server stages another one; all of it in the seconds before traffic. A leader that must stop leaves at once; its members are free then.

--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -358,7 +358,13 @@
 		return m.Warm
 	case s.staging == model:
 		return max(0, s.stagedAt-c.now) + m.Warm
-	case !c.busy:
+	}
+	return c.loadTime(m)
+}
+
+// loadTime returns how long a load from the weight store takes.
+func (c *Conductor) loadTime(m fuchsiapitch.Model) time.Duration {
+	if !c.busy {
 		return m.Load / loadsEarly
 	}
 	return m.Load
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -85,7 +85,7 @@
 			c.form(now, name, d, p.Engine, domains[d])
 		}
 		for _, d := range sortedKeys(domains) {
-			c.stageSpares(now, p.Engine, domains[d])
+			c.warm(now, p.Engine, domains[d])
 		}
 	}
 	for _, id := range sortedKeys(c.servers) {
@@ -289,7 +289,7 @@
 	if ok && head.in(g.ref) && !head.isLost() {
 		switch head.report.Membership.State {
 		case fuchsiapitch.MemberOpen:
-			c.order(now, g.head(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderEvict, Group: g.ref})
+			c.order(now, g.head(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: g.ref})
 			return
 		case fuchsiapitch.MemberClosing:
 			c.poll(now, head)
@@ -497,13 +497,7 @@
 		// Loads before the first request are fast and not limited.
 		return true
 	}
-	running := 0
-	for _, o := range c.servers {
-		if now < o.loading {
-			running++
-		}
-	}
-	if p.LoadsAtOnce > 0 && running >= p.LoadsAtOnce || now < c.nextLoad {
+	if p.LoadsAtOnce > 0 && c.runningLoads(now) >= p.LoadsAtOnce || now < c.nextLoad {
 		return false
 	}
 	if p.LoadsPerSecond > 0 {
@@ -610,8 +604,11 @@
 	weight := func(m fuchsiapitch.Model) float64 {
 		return counts[m.Name] * float64(m.Size) / max(m.Share, 0.01)
 	}
-	var best fuchsiapitch.Model
+	var best, wanted fuchsiapitch.Model
 	for _, m := range p.Models {
+		if wanted.Size == 0 || weight(m) < weight(wanted) || weight(m) == weight(wanted) && m.Size > wanted.Size {
+			wanted = m
+		}
 		if m.Size > free || m.Size <= 0 {
 			continue
 		}
@@ -619,9 +616,42 @@
 			best = m
 		}
 	}
+	if best.Name != wanted.Name && c.pressure(service, best.Name) < fullPressure {
+		// The servers wait for others to come for the model that lacks groups.
+		return fuchsiapitch.Model{}, false
+	}
 	return best, best.Size > 0
 }
 
+// fullPressure is the share of the places of a model in use from which on it gets
+// groups beyond its share.
+const fullPressure = 0.85
+
+// pressure returns the requests for a model, running and waiting, as a share of
+// its places.
+func (c *Conductor) pressure(service fuchsiapitch.ServiceName, model string) float64 {
+	slots, wants := 0, 0
+	for _, s := range c.stations {
+		if s.open && s.service == service && s.model == model {
+			slots += s.slots
+			wants += s.load()
+		}
+	}
+	for _, w := range c.waiting {
+		if w.Service == service && w.Model == model {
+			wants++
+		}
+	}
+	for _, p := range c.peers {
+		for _, q := range p.beat.Queues {
+			if q.Service == service && q.Model == model && p.isLive(c.now) {
+				wants += q.Waiting
+			}
+		}
+	}
+	return float64(wants) / float64(max(slots, 1))
+}
+
 // formOne plans one formation. Servers that need the least time come first; a
 // leader that must go first for others to be free is taken in or told to leave.
 func (c *Conductor) formOne(now time.Duration, service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, model fuchsiapitch.Model, free []*server) {
@@ -676,64 +706,6 @@
 	}
 }
 
-// stageSlack is the time beyond that of a load after which a stage order counts
-// as failed. Loads are slower while many are under way.
-const stageSlack = 8 * time.Second
-
-// stageSpares has the free servers of a domain stage the models of its groups.
-func (c *Conductor) stageSpares(now time.Duration, p *fuchsiapitch.EngineProfile, servers []*server) {
-	held := make(map[string]int)
-	var idle []*server
-	for _, s := range servers {
-		if !s.isUsable() || c.isPlanned(s.report.ID) {
-			continue
-		}
-		m := s.report.Membership
-		if m.Group.Name != "" && !c.mayJoin(s) {
-			head, ok := c.servers[c.heads[m.Group]]
-			if ok && head.in(m.Group) && c.willBeFree(s) && !c.isPlanned(head.report.ID) {
-				c.order(now, head.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: m.Group})
-			}
-			continue
-		}
-		switch {
-		case s.staging != "" && now < s.stagedAt+stageSlack:
-			held[s.staging]++
-		case len(s.report.Staged) > 0 && held[s.report.Staged[0]] == 0:
-			held[s.report.Staged[0]]++
-		default:
-			idle = append(idle, s)
-		}
-	}
-	for _, s := range idle {
-		model, ok := c.modelToStage(p, held)
-		if !ok {
-			return
-		}
-		if slices.Contains(s.report.Staged, model.Name) {
-			held[model.Name]++
-			continue
-		}
-		took := c.joinTime(s, model.Name)
-		if c.order(now, s.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderStage, Model: model.Name}) {
-			held[model.Name]++
-			s.staging, s.stagedAt = model.Name, now+took
-		}
-	}
-}
-
-// modelToStage returns the model that the fewest spares of a domain hold, the
-// largest first.
-func (c *Conductor) modelToStage(p *fuchsiapitch.EngineProfile, held map[string]int) (fuchsiapitch.Model, bool) {
-	var best fuchsiapitch.Model
-	for _, m := range p.Models {
-		if best.Size == 0 || held[m.Name] < held[best.Name] || held[m.Name] == held[best.Name] && m.Size > best.Size {
-			best = m
-		}
-	}
-	return best, best.Size > 0
-}
-
 // groupLines returns all formations as other hosts learn them.
 func (c *Conductor) groupLines() []GroupLine {
 	lines := make([]GroupLine, 0, len(c.groups))
