--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"io"
 	"net"
@@ -101,17 +102,20 @@
 
 // servePlatform runs an entry host with the settings of the users' platform.
 func (s *serve) servePlatform(ctx context.Context, path string) subcommands.ExitStatus {
-	settings, err := platform.ReadSettings(path)
-	if err != nil {
-		return s.streams.fail(ExitUsage, err)
-	}
-	debug.SetMemoryLimit(settings.MemoryBytes / memoryShare)
 	signalled, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	host, cleanUp, err := integrator.New(ctx, settings, logger.New(s.streams.Errors, logger.WithHost(string(settings.Host))))
-	if err != nil {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	host, cleanUp, err := integrator.New(ctx, path, reload, logger.New(s.streams.Errors))
+	var wrong *platform.SettingsError
+	switch {
+	case errors.As(err, &wrong):
+		return s.streams.fail(ExitUsage, err)
+	case err != nil:
 		return s.streams.fail(ExitFailure, err)
 	}
+	debug.SetMemoryLimit(host.Settings().MemoryBytes / memoryShare)
 	defer cleanUp()
 	if err := host.Serve(ctx, signalled.Done()); err != nil {
 		return s.streams.fail(ExitFailure, err)
--- a/internal/conductor/budget.go
+++ b/internal/conductor/budget.go
@@ -24,6 +24,7 @@
 
 // spending counts requests and repeats in a sliding window.
 type spending struct {
+	window   time.Duration
 	first    int64
 	requests [budgetBuckets]float64
 	repeats  [budgetBuckets]float64
@@ -45,8 +46,8 @@
 		return true
 	}
 	s, ok := c.spent[e.Service]
-	if !ok {
-		s = &spending{}
+	if !ok || s.window != c.window {
+		s = &spending{window: c.window}
 		c.spent[e.Service] = s
 	}
 	n := int64(now / (c.window / budgetBuckets))
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -119,6 +119,9 @@
 		c.takePeers(e.Peers)
 	case ClaimRead:
 		c.readClaim(now, e)
+	case Tuned:
+		c.stall = e.Stall
+		c.ratio, c.slack, c.window = e.RetryRatio, e.RetrySlack, e.RetryWindow
 	case Stopping:
 		c.stops = true
 	case Ticked:
--- a/internal/conductor/event.go
+++ b/internal/conductor/event.go
@@ -101,6 +101,15 @@
 	Suspended bool
 }
 
+// Tuned are new limits from the settings.
+type Tuned struct {
+	// Stall is the time after which an engine gives up on a lost member.
+	Stall time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound the repeats of all hosts.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+}
+
 // Stopping states that the host is about to stop.
 type Stopping struct{}
 
@@ -116,6 +125,7 @@
 func (PeersListed) isEvent()   {}
 func (ClaimRead) isEvent()     {}
 func (Ticked) isEvent()        {}
+func (Tuned) isEvent()         {}
 func (Stopping) isEvent()      {}
 
 // Effect is something to be done. Effects are plain records.
--- a/internal/integrator/integrator.go
+++ b/internal/integrator/integrator.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -54,9 +55,14 @@
 	headerBytes = 64 << 10
 )
 
+// Settings returns the settings in force.
+func (h *Host) Settings() platform.Settings { return *h.settings.Load() }
+
 // Host is one entry host on the platform.
 type Host struct {
-	settings platform.Settings
+	path     string
+	settings atomic.Pointer[platform.Settings]
+	reload   <-chan os.Signal
 	logs     *logger.Logger
 	log      zerolog.Logger
 	meter    *meter.Meter
@@ -69,9 +75,13 @@
 	servers  map[string]fuchsiapitch.ServerReport
 }
 
-// New returns a host that is not yet at work. What it holds ends with the
-// context.
-func New(ctx context.Context, settings platform.Settings, logs *logger.Logger) (*Host, func(), error) {
+// New returns a host that is not yet at work, with settings from a file that is
+// read again at each signal to reload. What it holds ends with the context.
+func New(ctx context.Context, path string, reload <-chan os.Signal, logs *logger.Logger) (*Host, func(), error) {
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return nil, nil, err
+	}
 	address := net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort))
 	var listen net.ListenConfig
 	socket, err := listen.ListenPacket(ctx, "udp4", address)
@@ -79,10 +89,14 @@
 		return nil, nil, err
 	}
 	h := &Host{
-		settings: settings, logs: logs, log: logs.For("host"), meter: meter.New(),
+		path: path, reload: reload, logs: logs, log: logs.For("host"), meter: meter.New(),
 		self:    conductor.Peer{ID: settings.Host, Address: address},
 		started: time.Now().UnixMilli(), servers: make(map[string]fuchsiapitch.ServerReport),
 	}
+	h.settings.Store(&settings)
+	if len(settings.Unknown) > 0 {
+		h.log.Info().Strs("fields", settings.Unknown).Msg("settings hold fields that are not used")
+	}
 	kept := &http.Transport{DialContext: sender.NewDialer(connectLimit, silenceLimit), DisableCompression: true, MaxIdleConnsPerHost: 8}
 	once := &http.Transport{DialContext: sender.NewDialer(connectLimit, silenceLimit), DisableCompression: true, DisableKeepAlives: true}
 	h.store = platform.NewStore(settings.Store, kept)
@@ -118,7 +132,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- front.Serve(callers) }()
 	go func() { failed <- ready.Serve(readiness) }()
-	h.log.Info().Str("callers", h.settings.Callers).Msg("host serves")
+	h.log.Info().Str("callers", h.settings.Load().Callers).Msg("host serves")
 	select {
 	case err = <-failed:
 	case <-stop:
@@ -136,10 +150,10 @@
 
 func (h *Host) listen(ctx context.Context) (callers, readiness net.Listener, err error) {
 	var config net.ListenConfig
-	if callers, err = config.Listen(ctx, "tcp4", h.settings.Callers); err != nil {
+	if callers, err = config.Listen(ctx, "tcp4", h.settings.Load().Callers); err != nil {
 		return nil, nil, err
 	}
-	if readiness, err = config.Listen(ctx, "tcp4", h.settings.Readiness); err != nil {
+	if readiness, err = config.Listen(ctx, "tcp4", h.settings.Load().Readiness); err != nil {
 		callers.Close()
 		return nil, nil, err
 	}
@@ -150,7 +164,7 @@
 // for the requests in flight.
 func (h *Host) stop(ctx context.Context, front *http.Server) error {
 	h.log.Info().Int64("in-flight", h.relayer.Active()).Msg("host stops")
-	deadline := time.Now().Add(h.settings.Grace - stopMargin)
+	deadline := time.Now().Add(h.settings.Load().Grace - stopMargin)
 	h.relayer.Stop()
 	h.driver.Apply(conductor.Stopping{})
 	select {
@@ -182,6 +196,7 @@
 	}})
 	s.Add(h.driver)
 	s.Add(service(h.announce))
+	s.Add(service(h.watchSettings))
 	s.Add(tracker.New(h.store, platform.OperatorTopic, h.takeConfiguration, tracker.WithWait(newsWait), tracker.WithFailures(h.storeFailed("configuration"))))
 	s.Add(tracker.New(h.store, platform.ServersTopic, h.takeServers, tracker.WithPause(serversPause), tracker.WithFailures(h.listFailed)))
 	s.Add(tracker.New(h.store, platform.HostsTopic, h.takeHosts, tracker.WithWait(newsWait), tracker.WithFailures(h.storeFailed("hosts"))))
