conductor: the list never takes back what a server has said

Of a server that has answered itself the list tells only a later incarnation, a later formation or the end of a broken one; a leader new in office asks before it orders.

--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -136,27 +136,20 @@
 	}
 }
 
-// merge takes in a report. The list lags, so its word holds only where it tells
-// of a later incarnation, or the server itself was not heard for a while.
+// listLag is the usual age of the list, with the time between two reads.
+const listLag = 3 * time.Second
+
+// merge takes in a report. The list lags, by seconds after an outage of the
+// store, so of a server that has answered itself it tells only what cannot be
+// older: a later incarnation, a later formation, or the end of a broken one.
 func (c *Conductor) merge(now time.Duration, s *server, r fuchsiapitch.ServerReport, direct bool) {
-	const listLag = 3 * time.Second
 	old := s.report
 	if r.Started < old.Started {
 		return
 	}
 	reborn := r.Started > old.Started
-	if !direct && !reborn {
-		if s.direct > 0 && now-s.direct < listLag || s.ordering {
-			s.report.Leaving = r.Leaving
-			s.report.Address = r.Address
-			return
-		}
-	}
-	if !direct && !reborn {
-		r.Orders, r.OrdersKnown = old.Orders, old.OrdersKnown
-		if r.Membership != old.Membership && s.direct > 0 {
-			s.wantProbe = true
-		}
+	if !direct && !reborn && s.direct > 0 {
+		r = c.mergeListed(now, s, r)
 	}
 	if direct {
 		// A report leaves out what only the list tells.
@@ -167,6 +160,7 @@
 		}
 	}
 	if reborn {
+		s.direct = 0
 		s.model, s.staging, s.loading = "", "", 0
 		s.failures = 0
 	}
@@ -186,6 +180,25 @@
 	}
 }
 
+// mergeListed returns what a server has said of itself with what only the list
+// tells, or tells later.
+func (c *Conductor) mergeListed(now time.Duration, s *server, listed fuchsiapitch.ServerReport) fuchsiapitch.ServerReport {
+	r := s.report
+	r.Service, r.Address, r.DataCentre, r.Domain = listed.Service, listed.Address, listed.DataCentre, listed.Domain
+	r.Slots, r.Leaving = listed.Slots, listed.Leaving
+	m := listed.Membership
+	if m == r.Membership {
+		return r
+	}
+	if now-s.direct > listLag {
+		s.wantProbe = true
+	}
+	if m.Group.Epoch > r.Membership.Group.Epoch || m.Group == r.Membership.Group && m.State == fuchsiapitch.MemberBroken {
+		r.Membership, r.Loaded = m, listed.Loaded
+	}
+	return r
+}
+
 // takeReport takes in a server's own report, or its silence.
 func (c *Conductor) takeReport(now time.Duration, e Reported) {
 	s, ok := c.servers[e.Server]
@@ -316,13 +329,6 @@
 	return -1
 }
 
-// forgetDirect has every server asked anew by a new leader.
-func (c *Conductor) forgetDirect() {
-	for _, s := range c.servers {
-		s.direct = 0
-	}
-}
-
 // ask emits a question to a server if none is under way and one is due.
 func (c *Conductor) ask(now time.Duration, s *server) {
 	if s.asking || s.ordering || now < s.nextProbe {
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -424,7 +424,7 @@
 	if !ok || s.asking || s.ordering {
 		return false
 	}
-	if s.failures > 0 || s.direct == 0 || !s.report.OrdersKnown || s.wantProbe && now >= s.nextProbe {
+	if s.failures > 0 || s.direct < c.leadsSince || !s.report.OrdersKnown || s.wantProbe && now >= s.nextProbe {
 		s.wantProbe = true
 		c.ask(now, s)
 		return false
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -27,7 +27,7 @@
 }
 
 func TestGroupsForm(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newWorld(1)
 	w.lead()
 	w.run(8 * time.Second)
 	assertNothingBroken(t, w)
@@ -37,7 +37,7 @@
 }
 
 func TestGroupIsRepaired(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newWorld(1)
 	w.lead()
 	w.run(12 * time.Second)
 	for _, e := range w.engines {
@@ -58,7 +58,7 @@
 // while it may go on serving.
 func TestCutDomainKeepsItsMembers(t *testing.T) {
 	for seed := range uint64(20) {
-		w := newWorld(t, seed)
+		w := newWorld(seed)
 		w.lead()
 		w.run(8 * time.Second)
 		w.cutDomain, w.cutUntil = "d0", w.now+6*time.Second+time.Duration(seed)*37*time.Millisecond
@@ -76,7 +76,7 @@
 	for seed := range seedCount(t) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, seed)
+			w := newWorld(seed)
 			w.lead()
 			w.run(6 * time.Second)
 			for range 12 {
@@ -90,7 +90,7 @@
 
 // The servers of a domain appear one after the other at the start.
 func TestFirstGroupsWaitForTheDomain(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newWorld(1)
 	for n, id := range w.order {
 		w.engines[id].hiddenUntil = time.Duration(n%11) * 150 * time.Millisecond
 		w.engines[id].lastBeat = -worldExpiry
@@ -111,7 +111,7 @@
 
 // Groups behind a cut are whole and serve on; they are kept when it ends.
 func TestGroupsOutliveACut(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newWorld(3)
 	w.lead()
 	w.run(8 * time.Second)
 	before := make(map[fuchsiapitch.GroupRef]bool)
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -33,6 +33,8 @@
 	lastHeard  time.Duration
 	lastTry    time.Duration
 	formations int64
+	// leadsSince is when the own claim was entered.
+	leadsSince time.Duration
 }
 
 // activeClaim returns the claim that the host leads by, 0 for none.
@@ -82,7 +84,7 @@
 		if c.claim != e.Number {
 			c.note("leads the groups", map[string]any{"claim": e.Number})
 			c.formations = 0
-			c.forgetDirect()
+			c.leadsSince = now
 		}
 		c.claim, c.doubtful = e.Number, false
 	}
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -54,7 +54,6 @@
 
 // world plays engines, the platform's list and a network around conductors.
 type world struct {
-	t          *testing.T
 	random     *rand.Rand
 	now        time.Duration
 	engines    map[fuchsiapitch.ServerID]*engine
@@ -66,10 +65,13 @@
 	calls      []pendingCall
 	broken     []string
 	claims     int64
+	// frozen is the list that is read until the servers can write to it again.
+	frozen      []fuchsiapitch.ServerReport
+	frozenUntil time.Duration
 }
 
-func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), engines: make(map[fuchsiapitch.ServerID]*engine)}
+func newWorld(seed uint64) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 1)), engines: make(map[fuchsiapitch.ServerID]*engine)}
 	for d := range 2 {
 		for n := range 11 {
 			w.add(fmt.Sprintf("d%d", d), fmt.Sprintf("s%d-%02d", d, n))
@@ -306,6 +308,9 @@
 
 // list returns the platform's list, which lags.
 func (w *world) list() []fuchsiapitch.ServerReport {
+	if w.now < w.frozenUntil {
+		return w.frozen
+	}
 	var list []fuchsiapitch.ServerReport
 	const lag = 60
 	for _, id := range w.order {
@@ -323,7 +328,7 @@
 // trouble does one random thing.
 func (w *world) trouble() {
 	e := w.engines[w.order[w.random.IntN(len(w.order))]]
-	switch w.random.IntN(9) {
+	switch w.random.IntN(10) {
 	case 0, 1:
 		e.dead = true
 	case 2:
@@ -339,6 +344,8 @@
 	case 7:
 		e.hiddenUntil = w.now + time.Duration(w.random.Int64N(int64(4*time.Second)))
 	case 8:
+		w.frozenUntil, w.frozen = w.now+time.Duration(w.random.Int64N(int64(9*time.Second))), w.list()
+	case 9:
 		// A new leader; the old one goes on for a while or ends at once.
 		if last := len(w.conductors) - 1; last > 0 {
 			w.conductors[last-1] = nil
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -203,11 +204,7 @@
 func (d *Driver) Serve(ctx context.Context) error {
 	ended := make(chan error, 1)
 	go func() { ended <- d.listen(ctx) }()
-	defer func() {
-		d.socket.Close()
-		<-ended
-		d.pending.Wait()
-	}()
+	defer d.end(ended)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	lag := d.boot() - d.now()
@@ -223,6 +220,17 @@
 	}
 }
 
+// end waits for what Serve has begun.
+func (d *Driver) end(listening <-chan error) {
+	if err := d.socket.Close(); err != nil {
+		d.log.Warn().Err(err).Msg("socket for heartbeats cannot be closed")
+	}
+	if err := <-listening; !errors.Is(err, context.Canceled) {
+		d.log.Warn().Err(err).Msg("heartbeats ended")
+	}
+	d.pending.Wait()
+}
+
 func (d *Driver) tick(suspended bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/integrator/integrator.go
+++ b/internal/integrator/integrator.go
@@ -111,7 +111,9 @@
 	return h, func() {
 		closeCalls()
 		kept.CloseIdleConnections()
-		socket.Close()
+		if err := socket.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			h.log.Warn().Err(err).Msg("socket for heartbeats cannot be closed")
+		}
 	}, nil
 }
 
@@ -140,11 +142,9 @@
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
-	front.Close()
-	ready.Close()
 	endWork()
-	<-ended
-	h.log.Info().Err(err).Msg("host ends")
+	failures := []error{front.Close(), ready.Close(), <-ended}
+	h.log.Info().Err(err).Errs("ends", failures).Msg("host ends")
 	return err
 }
 
--- /dev/null
+++ b/internal/integrator/integrator_test.go
@@ -0,0 +1,232 @@
+package integrator
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/logger"
+	standin "github.com/fuchsiapitch/fuchsiapitch/internal/standin/platform"
+)
+
+// patience bounds a wait of a test; it only ends a test that hangs.
+const patience = time.Minute
+
+// bed is an installation with entry hosts.
+type bed struct {
+	*standin.Installation
+	callers []string
+	stops   []chan struct{}
+	ends    []chan error
+	number  atomic.Int64
+}
+
+func newBed(t *testing.T, hosts int) *bed {
+	t.Helper()
+	installation, stop := standin.NewInstallation()
+	b := &bed{Installation: installation}
+	ctx, cancel := context.WithCancel(context.Background())
+	for n := range hosts {
+		path, callers, err := b.WriteSettings(t.TempDir(), fmt.Sprintf("h%d", n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		host, cleanUp, err := New(ctx, path, make(chan os.Signal), logger.New(io.Discard))
+		if err != nil {
+			t.Fatal(err)
+		}
+		stopHost, ended := make(chan struct{}), make(chan error, 1)
+		go func() {
+			defer cleanUp()
+			ended <- host.Serve(ctx, stopHost)
+		}()
+		b.callers, b.stops, b.ends = append(b.callers, callers), append(b.stops, stopHost), append(b.ends, ended)
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, e := range b.ends {
+			<-e
+		}
+		stop()
+		if got := b.Fleet.Broken(); len(got) > 0 {
+			t.Errorf("got %q, want no broken rule", got[0])
+		}
+	})
+	b.await(t, "four groups", func() bool { return len(b.Fleet.Leaders()) >= 4 })
+	return b
+}
+
+func (b *bed) await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("got no %s within %s", what, patience)
+		}
+	}
+}
+
+func (b *bed) request(t *testing.T, host int, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	id := fmt.Sprintf("r%d", b.number.Add(1))
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+b.callers[host]+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = standin.HostName
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Credential", standin.Key)
+	r.Header.Set("X-Deadline-Ms", "20000")
+	r.Header.Set("X-Model", standin.LargeModel)
+	r.Header.Set("X-Token-Usage", "100,120")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, id
+}
+
+// awaitAnswer sends a request until it is not refused.
+func (b *bed) awaitAnswer(t *testing.T, host int, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	var response *http.Response
+	var id string
+	b.await(t, "answer", func() bool {
+		response, id = b.request(t, host, method, path, body)
+		if response.StatusCode == http.StatusServiceUnavailable {
+			response.Body.Close()
+			return false
+		}
+		return true
+	})
+	return response, id
+}
+
+// readEvents returns the identifiers of the events of a stream.
+func readEvents(t *testing.T, body io.Reader, each func(n int)) int {
+	t.Helper()
+	n := 0
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		id, found := strings.CutPrefix(lines.Text(), "id: ")
+		if !found {
+			continue
+		}
+		n++
+		if got, want := id, fmt.Sprint(n); got != want {
+			t.Fatalf("got event %s, want %s", got, want)
+		}
+		each(n)
+	}
+	if err := lines.Err(); err != nil {
+		t.Fatalf("got %v after event %d, want a whole stream", err, n)
+	}
+	return n
+}
+
+func TestWholePath(t *testing.T) {
+	b := newBed(t, 2)
+	t.Run("stream", func(t *testing.T) {
+		response, _ := b.awaitAnswer(t, 1, http.MethodPost, standin.StreamPath+"x", "prompt")
+		defer response.Body.Close()
+		if got, want := readEvents(t, response.Body, func(int) {}), 20; got != want {
+			t.Errorf("got %d events, want %d", got, want)
+		}
+		if response.Header.Get("X-Response-Seal") == "" {
+			t.Error("got no signature, want that of the server")
+		}
+	})
+	t.Run("booking", func(t *testing.T) {
+		response, id := b.awaitAnswer(t, 0, http.MethodPost, standin.BookPath+"x", "two hours")
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		if err != nil || !strings.HasSuffix(string(body), "two hours") {
+			t.Errorf("got %q and %v, want the server's answer", body, err)
+		}
+		runs := 0
+		for _, s := range []string{"p0", "p1"} {
+			runs += b.Fleet.Server(s).Runs(id)
+		}
+		if got, want := runs, 1; got != want {
+			t.Errorf("got %d runs, want %d", got, want)
+		}
+	})
+	t.Run("unknown route", func(t *testing.T) {
+		response, _ := b.request(t, 0, http.MethodGet, "/none/", "")
+		response.Body.Close()
+		if got, want := response.StatusCode, http.StatusNotFound; got != want {
+			t.Errorf("got status %d, want %d", got, want)
+		}
+	})
+	t.Run("large body", func(t *testing.T) {
+		response, _ := b.request(t, 0, http.MethodPost, standin.BookPath+"x", strings.Repeat("x", 1<<20+1))
+		response.Body.Close()
+		if got, want := response.StatusCode, http.StatusRequestEntityTooLarge; got != want {
+			t.Errorf("got status %d, want %d", got, want)
+		}
+	})
+}
+
+// A member is lost in the middle of a stream: it goes on at another group, and a
+// spare takes the member's place.
+func TestLostMember(t *testing.T) {
+	b := newBed(t, 2)
+	response, id := b.awaitAnswer(t, 0, http.MethodPost, standin.StreamPath+"x", "prompt")
+	defer response.Body.Close()
+	got := readEvents(t, response.Body, func(n int) {
+		if n != 5 {
+			return
+		}
+		for _, s := range b.Fleet.Leaders() {
+			if members := s.Members(); s.Runs(id) > 0 {
+				b.Fleet.Server(members[1]).Lose()
+			}
+		}
+	})
+	if want := 20; got != want {
+		t.Errorf("got %d events, want %d", got, want)
+	}
+	b.await(t, "repaired group", func() bool { return len(b.Fleet.Leaders()) >= 4 })
+}
+
+func TestStoreTrouble(t *testing.T) {
+	b := newBed(t, 2)
+	b.Store.SetDown(true)
+	response, _ := b.awaitAnswer(t, 0, http.MethodPost, standin.StreamPath+"x", "prompt")
+	defer response.Body.Close()
+	if got, want := readEvents(t, response.Body, func(int) {}), 20; got != want {
+		t.Errorf("got %d events while the store is down, want %d", got, want)
+	}
+	b.Store.SetDown(false)
+	b.Store.Forget("keyed.servers")
+	b.Store.Forget("keyed.op")
+	b.Store.Publish([]byte(strings.Replace(string(standin.Configuration(2)), standin.LookPath, "/seen/", 1)))
+	b.await(t, "new configuration", func() bool {
+		response, _ := b.request(t, 1, http.MethodGet, "/seen/x", "")
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+func TestGracefulStop(t *testing.T) {
+	b := newBed(t, 2)
+	response, _ := b.awaitAnswer(t, 0, http.MethodPost, standin.StreamPath+"x", "prompt")
+	defer response.Body.Close()
+	if got, want := readEvents(t, response.Body, func(n int) {
+		if n == 3 {
+			close(b.stops[0])
+		}
+	}), 20; got != want {
+		t.Errorf("got %d events, want %d", got, want)
+	}
+	if err := <-b.ends[0]; err != nil {
+		t.Errorf("got %v, want a clean end", err)
+	}
+	b.ends[0] <- nil
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -253,8 +253,12 @@
 	if target <= 0 {
 		target = time.Until(x.deadline) / 2
 	}
+	model := x.facts.Model
+	if p, ok := x.relayer.table.Load().Service(x.service); !ok || p.Engine == nil {
+		model = ""
+	}
 	return x.relayer.places.Acquire(x.ctx, conductor.Arrived{
-		Service: x.service, Model: x.facts.Model, Rank: x.rank(),
+		Service: x.service, Model: model, Rank: x.rank(),
 		Prompt: x.facts.PromptTokens, Output: x.facts.OutputLimit,
 		InTime: x.relayer.places.At(x.arrived.Add(target)), Deadline: x.relayer.places.At(x.deadline),
 		Returned: float64(x.facts.TimeLimit) < returnedShare*float64(x.rule.Timeout),
--- /dev/null
+++ b/internal/standin/platform/installation.go
@@ -0,0 +1,135 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Names of the installation.
+const (
+	// ModelService and PlainService are the services.
+	ModelService = "llm"
+	PlainService = "desk"
+	// LargeModel and SmallModel are the models of the model service.
+	LargeModel = "large"
+	SmallModel = "small"
+	// HostName is the host name of all routes, Key the key of the one customer.
+	HostName = "demo.example"
+	Key      = "key-demo"
+	// StreamPath, BookPath and LookPath begin the paths of the routes.
+	StreamPath = "/stream/"
+	BookPath   = "/book/"
+	LookPath   = "/look/"
+)
+
+const (
+	largeSize, smallSize = 3, 2
+	domainSize           = 6
+)
+
+// Installation is a store, a fleet and an operator.
+type Installation struct {
+	// Store and Fleet are what the system meets.
+	Store *Store
+	Fleet *Fleet
+	http  *httptest.Server
+}
+
+// NewInstallation starts a store, two fabric domains of engines and two plain
+// servers, and publishes a configuration. The function ends it all.
+func NewInstallation() (*Installation, func()) {
+	store := NewStore()
+	fleet, stopFleet := NewFleet(store)
+	i := &Installation{Store: store, Fleet: fleet, http: httptest.NewServer(store)}
+	for d := range 2 {
+		for n := range domainSize {
+			fleet.Add(fmt.Sprintf("e%d%d", d, n), ModelService, fmt.Sprintf("domain-%d", d))
+		}
+		fleet.Add(fmt.Sprintf("p%d", d), PlainService, "")
+	}
+	store.Publish(Configuration(1))
+	return i, func() {
+		stopFleet()
+		i.http.CloseClientConnections()
+		i.http.Close()
+	}
+}
+
+// Configuration returns a configuration as an operator publishes it.
+func Configuration(version int) []byte {
+	route := func(name, prefix, kind, service string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": HostName, "path_prefix": prefix, "kind": kind, "service": service, "max_attempts": attempts,
+			"timeout_ms": 20000, "target_latency_ms": 5000, "priority": 1, "resumable": kind == "streaming", "gap_aim_ms": 250,
+		}
+	}
+	model := func(name string, size int) map[string]any {
+		return map[string]any{"name": name, "size": size, "share": 0.5, "pace": 1, "load_s": loadTime.Seconds(), "warm_s": warmTime.Seconds()}
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []any{
+			route("stream", StreamPath, "streaming", ModelService, 3),
+			route("book", BookPath, "non_idempotent", PlainService, 1),
+			route("look", LookPath, "idempotent", PlainService, 2),
+		},
+		"services": []any{
+			map[string]any{"name": ModelService, "max_conns": 100, "engine": map[string]any{
+				"slots": 4, "step_ms": 1, "read_per_s": 50000, "loads_per_s": 50, "loads_at_once": 50,
+				"form_ms": formTime.Milliseconds(), "report_lag_ms": 0,
+				"models": []any{model(LargeModel, largeSize), model(SmallModel, smallSize)},
+			}},
+			map[string]any{"name": PlainService, "max_conns": 100},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "customer-1", "api_keys": []string{Key}, "priority": 1}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// WriteSettings writes the settings of an entry host into a folder, with free
+// ports, and returns their path and the address for callers.
+func (i *Installation) WriteSettings(folder, host string) (path, callers string, err error) {
+	callers, ready, peers, err := freePorts()
+	if err != nil {
+		return "", "", err
+	}
+	data, err := json.Marshal(map[string]any{
+		"node_id": host, "ip": "127.0.0.1", "zone": "z1", "listen": map[string]any{"front": callers, "ready": ready},
+		"port_range": []int{peers, peers}, "provider": map[string]any{"address": strings.TrimPrefix(i.http.URL, "http://")},
+		"limits": map[string]any{"memory_mb": 284},
+		"bounds": map[string]any{"stall_ms": stallTime.Milliseconds(), "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 100, "budget_window_s": 10},
+	})
+	if err != nil {
+		return "", "", err
+	}
+	path = filepath.Join(folder, host+".json")
+	return path, callers, os.WriteFile(path, data, 0o600)
+}
+
+// freePorts returns two free addresses for TCP and a free port for datagrams.
+func freePorts() (callers, ready string, peers int, err error) {
+	var addresses [2]string
+	for n := range addresses {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return "", "", 0, err
+		}
+		addresses[n] = l.Addr().String()
+		defer l.Close()
+	}
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		return "", "", 0, err
+	}
+	defer c.Close()
+	return addresses[0], addresses[1], c.LocalAddr().(*net.UDPAddr).Port, nil
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,428 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// loadTime, warmTime, sameTime and formTime are the times of a join with a
+	// load, with a staged model and with the last model, and of an order to open.
+	loadTime = 300 * time.Millisecond
+	warmTime = 60 * time.Millisecond
+	sameTime = 20 * time.Millisecond
+	formTime = 30 * time.Millisecond
+	// stallTime is the time after which a leader gives up on a lost member.
+	stallTime = 2 * time.Second
+	// pieceTime is the time between two events of a stream.
+	pieceTime = 5 * time.Millisecond
+	// entryInterval is the time between two entries in the store.
+	entryInterval = 100 * time.Millisecond
+	// defaultPieces is the number of events of a stream.
+	defaultPieces = 20
+)
+
+// Server is a backend server: a member of groups, or a plain server.
+type Server struct {
+	fleet   *Fleet
+	id      string
+	service string
+	domain  string
+	engine  bool
+	http    *httptest.Server
+
+	mutex   sync.Mutex
+	born    int64
+	entries int64
+	orders  int64
+	group   string
+	epoch   int64
+	seen    int64
+	members []string
+	rank    int
+	state   string
+	model   string
+	last    string
+	staged  []string
+	ready   time.Time
+	opens   time.Time
+	missing time.Time
+	lost    bool
+	leaving bool
+	runs    map[string]int
+}
+
+// Fleet is a set of backend servers and the store that lists them.
+type Fleet struct {
+	store   *Store
+	mutex   sync.Mutex
+	servers map[string]*Server
+	stop    chan struct{}
+	done    chan struct{}
+	broken  []string
+}
+
+// NewFleet returns an empty fleet and a function that ends it.
+func NewFleet(store *Store) (*Fleet, func()) {
+	f := &Fleet{store: store, servers: make(map[string]*Server), stop: make(chan struct{}), done: make(chan struct{})}
+	go f.announce()
+	return f, func() {
+		close(f.stop)
+		<-f.done
+		for _, s := range f.all() {
+			s.http.CloseClientConnections()
+			s.http.Close()
+		}
+	}
+}
+
+// Add starts a server of a service, a model engine if it has a fabric domain.
+func (f *Fleet) Add(id, service, domain string) *Server {
+	s := &Server{
+		fleet: f, id: id, service: service, domain: domain, engine: domain != "",
+		born: time.Now().UnixMilli(), runs: make(map[string]int),
+	}
+	s.http = httptest.NewServer(s)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.servers[id] = s
+	return s
+}
+
+// Broken returns what the servers saw that must never be.
+func (f *Fleet) Broken() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.broken)
+}
+
+func (f *Fleet) all() []*Server {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	list := make([]*Server, 0, len(f.servers))
+	for _, s := range f.servers {
+		list = append(list, s)
+	}
+	return list
+}
+
+// Server returns a server by its identifier, nil for none.
+func (f *Fleet) Server(id string) *Server {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.servers[id]
+}
+
+// Leaders returns the servers whose groups take requests.
+func (f *Fleet) Leaders() []*Server {
+	var leaders []*Server
+	for _, s := range f.all() {
+		if state, lost := s.status(); state == "open" && !lost {
+			leaders = append(leaders, s)
+		}
+	}
+	return leaders
+}
+
+// announce writes the entries of all servers that live.
+func (f *Fleet) announce() {
+	defer close(f.done)
+	ticker := time.NewTicker(entryInterval)
+	defer ticker.Stop()
+	for {
+		for _, s := range f.all() {
+			if entry, ok := s.entry(); ok {
+				f.store.put(serversTopic, s.id, entry)
+			}
+		}
+		select {
+		case <-f.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Lose takes a server away without a word; its entry goes a little later.
+func (s *Server) Lose() {
+	s.mutex.Lock()
+	s.lost = true
+	s.mutex.Unlock()
+	s.http.CloseClientConnections()
+	time.AfterFunc(5*entryInterval, func() { s.fleet.store.put(serversTopic, s.id, nil) })
+}
+
+// ID returns the identifier of the server.
+func (s *Server) ID() string { return s.id }
+
+// Members returns the members of the server's group.
+func (s *Server) Members() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.members)
+}
+
+// Runs returns how often a request was run.
+func (s *Server) Runs(request string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.runs[request]
+}
+
+func (s *Server) status() (string, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.advance()
+	return s.state, s.lost
+}
+
+// advance carries on what takes time.
+func (s *Server) advance() {
+	now := time.Now()
+	if s.state == "joining" && now.After(s.ready) {
+		s.state = "ready"
+	}
+	if !s.opens.IsZero() && now.After(s.opens) {
+		s.state, s.opens = "open", time.Time{}
+	}
+}
+
+func (s *Server) describe() map[string]any {
+	s.advance()
+	d := map[string]any{
+		"state": "ready", "born": s.born, "stage": "colocated", "busy": s.state == "joining" || !s.opens.IsZero(),
+		"domain": s.domain, "staged": s.staged, "models": []any{}, "queued": 0, "running": 0, "pace": 1.0,
+	}
+	if s.leaving {
+		d["state"] = "draining"
+	}
+	if s.group != "" {
+		d["models"] = []any{map[string]any{"name": s.model, "version": 1}}
+		d["group"] = map[string]any{"name": s.group, "epoch": s.epoch, "rank": s.rank, "state": s.state}
+	}
+	return d
+}
+
+func (s *Server) entry() ([]byte, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.lost {
+		return nil, false
+	}
+	s.entries++
+	d := s.describe()
+	d["service"], d["address"], d["zone"], d["slots"], d["seq"] = s.service, strings.TrimPrefix(s.http.URL, "http://"), "z1", 4, s.entries
+	data, err := json.Marshal(d)
+	return data, err == nil
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	lost := s.lost
+	s.mutex.Unlock()
+	if lost {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if target := r.Header.Get("X-Target-Instance"); target != "" && target != s.id {
+		w.Header().Set("X-Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/report":
+		s.mutex.Lock()
+		d := s.describe()
+		d["seq"] = s.orders
+		s.mutex.Unlock()
+		writeJSON(w, http.StatusOK, d)
+	case "/order":
+		s.handleOrder(w, r)
+	default:
+		s.run(w, r)
+	}
+}
+
+type order struct {
+	Op       string   `json:"op"`
+	Expected *int64   `json:"expected"`
+	Group    string   `json:"group"`
+	Epoch    int64    `json:"epoch"`
+	Model    string   `json:"model"`
+	Members  []string `json:"members"`
+}
+
+func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if o.Op == "join" {
+		s.watchJoin(o)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.advance()
+	if o.Expected != nil && *o.Expected != s.orders {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	w.WriteHeader(s.take(o))
+}
+
+// watchJoin notes a join of a server whose group takes requests.
+func (s *Server) watchJoin(o order) {
+	s.mutex.Lock()
+	group, members, valid := s.group, slices.Clone(s.members), o.Expected == nil || *o.Expected == s.orders
+	s.mutex.Unlock()
+	if group == "" || group == o.Group || !valid {
+		return
+	}
+	head := s.fleet.Server(members[0])
+	if head == nil {
+		return
+	}
+	head.mutex.Lock()
+	open := head.group == group && (head.state == "open" || !head.opens.IsZero()) && !head.lost
+	head.mutex.Unlock()
+	if open {
+		s.fleet.mutex.Lock()
+		s.fleet.broken = append(s.fleet.broken, fmt.Sprintf("%s joins %s while %s is open", s.id, o.Group, group))
+		s.fleet.mutex.Unlock()
+	}
+}
+
+// take carries out an order and returns the HTTP status.
+func (s *Server) take(o order) int {
+	same := s.group == o.Group && s.epoch == o.Epoch
+	switch {
+	case o.Op == "join" && o.Epoch < s.seen:
+		return http.StatusPreconditionFailed
+	case o.Op == "join":
+		s.join(o)
+	case o.Op == "stage":
+		s.staged = []string{o.Model}
+	case o.Op == "open" && same && s.rank == 0 && s.state == "ready":
+		s.opens = time.Now().Add(formTime)
+	case o.Op == "close" && same && s.state == "open":
+		s.state = "ready"
+	case o.Op == "leave" && same:
+		s.group, s.state, s.members, s.opens = "", "", nil, time.Time{}
+	default:
+		return http.StatusConflict
+	}
+	s.orders++
+	if o.Op == "leave" || o.Op == "close" {
+		return http.StatusOK
+	}
+	return http.StatusAccepted
+}
+
+func (s *Server) join(o order) {
+	took := loadTime
+	switch {
+	case s.last == o.Model:
+		took = sameTime
+	case slices.Contains(s.staged, o.Model):
+		took = warmTime
+	default:
+		s.staged = []string{o.Model}
+	}
+	s.group, s.epoch, s.seen, s.members = o.Group, o.Epoch, o.Epoch, o.Members
+	s.rank, s.state, s.opens = slices.Index(o.Members, s.id), "joining", time.Time{}
+	s.model, s.last, s.ready, s.missing = o.Model, o.Model, time.Now().Add(took), time.Time{}
+}
+
+// isWhole reports whether all members of the server's group are there. A leader
+// that misses one for long is broken.
+func (s *Server) isWhole() bool {
+	s.mutex.Lock()
+	group, epoch, members := s.group, s.epoch, slices.Clone(s.members)
+	s.mutex.Unlock()
+	whole := true
+	for _, id := range members {
+		if m := s.fleet.Server(id); m != s {
+			whole = whole && m.isIn(group, epoch)
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case whole:
+		s.missing = time.Time{}
+	case s.missing.IsZero():
+		s.missing = time.Now()
+	case time.Since(s.missing) > stallTime:
+		s.state = "broken"
+	}
+	return whole
+}
+
+func (s *Server) isIn(group string, epoch int64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.lost && s.group == group && s.epoch == epoch
+}
+
+// run answers a request.
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	if state, _ := s.status(); s.engine && state != "open" {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	s.mutex.Lock()
+	s.runs[id]++
+	s.mutex.Unlock()
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Response-Seal", "seal-"+s.id)
+	if s.engine {
+		s.stream(w, r)
+		return
+	}
+	w.Write([]byte(s.id + " got " + string(body)))
+}
+
+// stream writes events with rising identifiers and stands still while a member of
+// the group is missing.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	next := 1
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		next = last + 1
+	}
+	for n := next; n <= defaultPieces; {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(pieceTime):
+		}
+		if state, lost := s.status(); state != "open" || lost {
+			panic(http.ErrAbortHandler)
+		}
+		if !s.isWhole() {
+			continue
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		n++
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,223 @@
+// Package platform stands in for the users' platform in tests and the demo: its
+// metadata store, backend servers that form groups, plain servers, and an operator
+// who publishes a configuration.
+package platform
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	operatorTopic = "keyed.op"
+	serversTopic  = "keyed.servers"
+	recordHead    = 4
+	readHead      = 16
+	// pollInterval is the time between two looks at a topic that is waited for.
+	pollInterval = 10 * time.Millisecond
+)
+
+type record struct {
+	offset int64
+	key    string
+	value  []byte
+}
+
+type topic struct {
+	records []record
+	first   int64
+	end     int64
+	newest  map[string]record
+}
+
+// Store is the metadata store.
+type Store struct {
+	mutex  sync.Mutex
+	topics map[string]*topic
+	down   bool
+	// lost is the number of appends whose answers are lost next.
+	lost int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{topics: make(map[string]*topic)} }
+
+// SetDown has every call refused, or served again.
+func (s *Store) SetDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
+// LoseAnswers has the answers of the next appends lost.
+func (s *Store) LoseAnswers(n int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lost = n
+}
+
+// Forget drops the history of a topic; the newest record of each key stays.
+func (s *Store) Forget(name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	t := s.topic(name)
+	t.records, t.first = nil, t.end
+}
+
+// Publish writes a configuration as the operator does.
+func (s *Store) Publish(configuration []byte) { s.put(operatorTopic, "config", configuration) }
+
+func (s *Store) put(name, key string, value []byte) int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.append(s.topic(name), key, value)
+}
+
+func (s *Store) topic(name string) *topic {
+	t, ok := s.topics[name]
+	if !ok {
+		t = &topic{newest: make(map[string]record)}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *Store) append(t *topic, key string, value []byte) int64 {
+	r := record{offset: t.end, key: key, value: value}
+	t.records = append(t.records, r)
+	t.end++
+	t.newest[key] = r
+	if len(value) == 0 {
+		delete(t.newest, key)
+	}
+	return r.offset
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	down := s.down
+	s.mutex.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	name := r.URL.Query().Get("topic")
+	switch r.URL.Path {
+	case "/log-append":
+		s.handleAppend(w, r, name)
+	case "/log-read":
+		s.handleRead(r.Context(), w, r, name)
+	case "/log-newest":
+		s.handleNewest(w, name)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request, name string) {
+	data := make([]byte, r.ContentLength)
+	if _, err := readFull(r, data); err != nil || len(data) <= recordHead || len(data) <= recordHead+1+int(data[recordHead]) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if name == operatorTopic || name == serversTopic {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	t := s.topic(name)
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(t.end, 10) {
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"end": t.end})
+		return
+	}
+	n := recordHead + 1 + int(data[recordHead])
+	offset := s.append(t, string(data[recordHead+1:n]), slices.Clone(data[n:]))
+	if s.lost > 0 {
+		s.lost--
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"offset": offset, "end": t.end})
+}
+
+func readFull(r *http.Request, data []byte) (int, error) {
+	read := 0
+	for read < len(data) {
+		n, err := r.Body.Read(data[read:])
+		read += n
+		if err != nil && read < len(data) {
+			return read, err
+		}
+	}
+	return read, nil
+}
+
+func (s *Store) handleRead(ctx context.Context, w http.ResponseWriter, r *http.Request, name string) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		body, status := s.read(name, from)
+		if status != http.StatusOK || len(body) > readHead || time.Now().After(deadline) || ctx.Err() != nil {
+			w.WriteHeader(status)
+			w.Write(body)
+			return
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Store) read(name string, from int64) ([]byte, int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	t := s.topic(name)
+	if from < t.first {
+		return []byte(`{"first":` + strconv.FormatInt(t.first, 10) + `}`), http.StatusGone
+	}
+	body := binary.BigEndian.AppendUint64(nil, uint64(t.end))
+	body = binary.BigEndian.AppendUint64(body, uint64(t.first))
+	for _, r := range t.records {
+		if r.offset < from {
+			continue
+		}
+		body = binary.BigEndian.AppendUint32(body, uint32(1+len(r.key)+len(r.value)))
+		body = append(append(append(body, byte(len(r.key))), r.key...), r.value...)
+	}
+	return body, http.StatusOK
+}
+
+func (s *Store) handleNewest(w http.ResponseWriter, name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	t := s.topic(name)
+	items := []map[string]any{}
+	for key, r := range t.newest {
+		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString(r.value), "offset": r.offset})
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "end": t.end})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(data)
+}
