conductor, commander: a stopping leader hands over; demo on stand-ins of the platform

Ruled out: the claim itself (the next host claims within a second where the store answers). The leader names its heir in its heartbeats and gives no more orders; the heir goes on under the same claim. A host that hears no other one waits 2.5 s after the store is back before it claims.

--- a/internal/commander/demo.go
+++ b/internal/commander/demo.go
@@ -41,8 +41,9 @@
 
 // demo runs stand-ins and entry hosts in one process.
 type demo struct {
-	streams Streams
-	logs    bool
+	streams  Streams
+	logs     bool
+	platform bool
 }
 
 func newDemo(streams Streams) subcommands.Command { return &demo{streams: streams} }
@@ -55,14 +56,18 @@
 
 // Usage implements subcommands.Command.
 func (*demo) Usage() string {
-	return `fuchsiapitch demo [--logs]
+	return `fuchsiapitch demo [--platform] [--logs]
 
 Starts model engines, an application service, the platform's log, host list and
 weight store as stand-ins, and three entry hosts before them, all on 127.0.0.1.
 Prints the addresses and two calls to try. Ends gracefully on Ctrl-C.
 
-Example:
+With --platform the stand-ins are those of the users' platform: its metadata
+store, an operator, servers that form groups and plain servers.
+
+Examples:
   fuchsiapitch demo
+  fuchsiapitch demo --platform
 
 `
 }
@@ -70,6 +75,7 @@
 // SetFlags implements subcommands.Command.
 func (d *demo) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&d.logs, "logs", false, "write the log lines of the entry hosts to standard error")
+	f.BoolVar(&d.platform, "platform", false, "run on stand-ins of the users' platform")
 }
 
 // Execute implements subcommands.Command.
@@ -78,7 +84,11 @@
 		f.Usage()
 		return ExitUsage
 	}
-	if err := d.run(ctx); err != nil {
+	run := d.run
+	if d.platform {
+		run = d.runPlatform
+	}
+	if err := run(ctx); err != nil {
 		return d.streams.fail(ExitFailure, err)
 	}
 	return ExitSuccess
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -52,6 +52,10 @@
 drain. It then finishes every request before it ends.
 Exit code 0 after a stop, 1 after a failure, 2 for wrong settings.
 
+On the users' platform the settings are those of the platform's file, which the
+variable ` + platform.SettingsVariable + ` names; the flags are not used then.
+SIGHUP has the file read again.
+
 Examples:
   fuchsiapitch serve --settings /etc/fuchsiapitch/settings.yaml
   fuchsiapitch serve --settings settings.yaml --set listen.callers=127.0.0.1:8080
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -223,6 +223,9 @@
 		From: c.self, Started: c.started, Claim: c.activeClaim(now), KnownClaim: c.knownClaim,
 		Busy: c.isBusy(now), Stopping: c.stops, Loads: c.loads(now), Queues: c.queues(),
 	}
+	if c.stops && c.claim != 0 && c.claim == c.knownClaim && c.holder == c.self.ID {
+		b.Heir, b.HandedClaim, b.Formations = c.heir(now), c.claim, c.formations
+	}
 	for s, until := range c.suspects {
 		if now < until && c.suspectedHere[s] {
 			b.Suspects = append(b.Suspects, s)
--- a/internal/conductor/event.go
+++ b/internal/conductor/event.go
@@ -261,6 +261,10 @@
 	// Claim is the number of the claim that the host leads by, 0 for none, and
 	// KnownClaim the highest that it has heard of.
 	Claim, KnownClaim int64
+	// Heir is the host that a stopping leader hands its claim to, "" for none, and
+	// HandedClaim that claim. Formations is the number of formations under it.
+	Heir                    fuchsiapitch.HostID
+	HandedClaim, Formations int64
 	// Busy states that the host has had requests.
 	Busy bool
 	// Stopping states that the host is about to stop.
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -74,6 +74,8 @@
 	// listRead is when the list was last read.
 	listRead  time.Duration
 	listStale bool
+	// storeBack is when the list could be read again after it could not.
+	storeBack time.Duration
 	// groups are the formations that the leader plans or has found.
 	groups map[fuchsiapitch.GroupRef]*group
 	// nextLoad is when the next load may begin.
@@ -96,6 +98,9 @@
 
 // takeList takes in the platform's list of servers.
 func (c *Conductor) takeList(now time.Duration, list []fuchsiapitch.ServerReport) {
+	if c.listStale {
+		c.storeBack = now
+	}
 	c.listRead, c.listStale = now, false
 	seen := make(map[fuchsiapitch.ServerID]bool, len(list))
 	for _, r := range list {
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -10,6 +10,9 @@
 	// electionDelay is the time after the start before a host claims the lead,
 	// so that hosts that start together hear each other first.
 	electionDelay = 700 * time.Millisecond
+	// settledStore is how long the store must be in reach before a host that hears
+	// no other one claims the lead.
+	settledStore = 2500 * time.Millisecond
 	// claimInterval is the time between claims of one host.
 	claimInterval = time.Second
 	// storeGrace is how long a leader that hears no other host may lead without
@@ -65,8 +68,34 @@
 	c.note("process was suspended", map[string]any{"claim": c.claim})
 }
 
+// handoverGap is the number of formations by which an heir stays clear of those
+// of the host that it takes over from.
+const handoverGap = 1 << 12
+
+// heir returns the host that takes over the lead of a host that stops.
+func (c *Conductor) heir(now time.Duration) fuchsiapitch.HostID {
+	for _, id := range sortedKeys(c.peers) {
+		if p := c.peers[id]; p.isLive(now) && !p.beat.Stopping {
+			return id
+		}
+	}
+	return ""
+}
+
+// inherit takes over the claim of a leader that stops. The store need not be
+// reached for it: the leader has ended its own orders.
+func (c *Conductor) inherit(now time.Duration, b Beat) {
+	if b.Heir != c.self.ID || b.HandedClaim < c.knownClaim || b.HandedClaim == c.claim || c.stops {
+		return
+	}
+	c.claim, c.knownClaim, c.holder = b.HandedClaim, b.HandedClaim, c.self.ID
+	c.doubtful, c.leadsSince, c.formations = false, now, b.Formations+handoverGap
+	c.note("takes over the lead", map[string]any{"claim": c.claim, "from": b.From.ID})
+}
+
 // hearClaim learns of the leader from a heartbeat.
 func (c *Conductor) hearClaim(now time.Duration, b Beat) {
+	c.inherit(now, b)
 	if b.KnownClaim > c.knownClaim {
 		c.knownClaim, c.holder = b.KnownClaim, ""
 	}
@@ -105,6 +134,10 @@
 		c.emit(ClaimLead{Known: c.knownClaim})
 		return
 	}
+	if c.liveHosts(now) == 1 && now-c.storeBack < settledStore {
+		// The other hosts may be back in reach as well.
+		return
+	}
 	if c.leads(now) || now-c.lastHeard < peerTimeout && c.knownClaim > 0 {
 		return
 	}
--- a/internal/driver/beat.go
+++ b/internal/driver/beat.go
@@ -15,6 +15,9 @@
 	Started    int64       `json:"started"`
 	Claim      int64       `json:"claim,omitempty"`
 	KnownClaim int64       `json:"known-claim,omitempty"`
+	Heir       string      `json:"heir,omitempty"`
+	Handed     int64       `json:"handed-claim,omitempty"`
+	Formations int64       `json:"formations,omitempty"`
 	Busy       bool        `json:"busy,omitempty"`
 	Stopping   bool        `json:"stopping,omitempty"`
 	Loads      []loadBody  `json:"loads,omitempty"`
@@ -49,6 +52,7 @@
 	body := beatBody{
 		Host: string(b.From.ID), Address: b.From.Address, Started: b.Started,
 		Claim: b.Claim, KnownClaim: b.KnownClaim, Busy: b.Busy, Stopping: b.Stopping,
+		Heir: string(b.Heir), Handed: b.HandedClaim, Formations: b.Formations,
 	}
 	for _, l := range b.Loads {
 		body.Loads = append(body.Loads, loadBody{Server: string(l.Server), Running: l.Running, Unread: l.Unread, Silent: l.Silent.Milliseconds()})
@@ -76,6 +80,7 @@
 	b := conductor.Beat{
 		From:    conductor.Peer{ID: fuchsiapitch.HostID(body.Host), Address: body.Address},
 		Started: body.Started, Claim: body.Claim, KnownClaim: body.KnownClaim, Busy: body.Busy, Stopping: body.Stopping,
+		Heir: fuchsiapitch.HostID(body.Heir), HandedClaim: body.Handed, Formations: body.Formations,
 	}
 	for _, l := range body.Loads {
 		b.Loads = append(b.Loads, conductor.Load{
--- a/internal/standin/platform/installation.go
+++ b/internal/standin/platform/installation.go
@@ -133,3 +133,8 @@
 	defer c.Close()
 	return addresses[0], addresses[1], c.LocalAddr().(*net.UDPAddr).Port, nil
 }
+
+// CallerHeaders returns the header fields of a request as arguments of curl.
+func CallerHeaders() string {
+	return fmt.Sprintf("-H 'X-Request-Id: demo-1' -H 'X-Credential: %s' -H 'X-Deadline-Ms: 8000' -H 'X-Model: %s' -H 'X-Token-Usage: 20,120'", Key, LargeModel)
+}
