standin, commander: lint findings

Unchecked errors of the demo's folder and of the stand-in's sockets, and listeners without a context.

--- a/internal/commander/platform_demo.go
+++ b/internal/commander/platform_demo.go
@@ -26,7 +26,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	defer os.RemoveAll(folder)
+	defer func() {
+		if err := os.RemoveAll(folder); err != nil {
+			fmt.Fprintln(d.streams.Errors, err)
+		}
+	}()
 	hosts := demoPlatform{installation: installation, folder: folder, logs: io.Discard}
 	if d.logs {
 		hosts.logs = d.streams.Errors
--- a/internal/standin/platform/installation.go
+++ b/internal/standin/platform/installation.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -117,21 +118,23 @@
 
 // freePorts returns two free addresses for TCP and a free port for datagrams.
 func freePorts() (callers, ready string, peers int, err error) {
+	var config net.ListenConfig
+	ctx := context.Background()
 	var addresses [2]string
 	for n := range addresses {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := config.Listen(ctx, "tcp4", "127.0.0.1:0")
 		if err != nil {
 			return "", "", 0, err
 		}
 		addresses[n] = l.Addr().String()
 		defer l.Close()
 	}
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	c, err := config.ListenPacket(ctx, "udp4", "127.0.0.1:0")
 	if err != nil {
 		return "", "", 0, err
 	}
-	defer c.Close()
-	return addresses[0], addresses[1], c.LocalAddr().(*net.UDPAddr).Port, nil
+	address, _ := c.LocalAddr().(*net.UDPAddr)
+	return addresses[0], addresses[1], address.Port, c.Close()
 }
 
 // CallerHeaders returns the header fields of a request as arguments of curl.
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -74,10 +74,10 @@
 // Publish writes a configuration as the operator does.
 func (s *Store) Publish(configuration []byte) { s.put(operatorTopic, "config", configuration) }
 
-func (s *Store) put(name, key string, value []byte) int64 {
+func (s *Store) put(name, key string, value []byte) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.append(s.topic(name), key, value)
+	s.append(s.topic(name), key, value)
 }
 
 func (s *Store) topic(name string) *topic {
