conductor: a new leader asks every server before it plans

Cause: TestGracefulStop failed once beside other tests (stream cut after event 18, seen again with logs under load): the heir planned from a list that was older than the groups and took all of them apart; the stream's third try then waited for its whole time, since it avoided both servers that had failed it. Ruled out: the stop itself (the host waited its whole grace period). A leader new in office asks all servers, 0.6 s at most; formations wait for members that leave; servers that failed a request come last instead of never; a host that does not know the claim is not waited for; hosts count as gone after 0.8 s. Tests: fresh groups under a new leader (fails on the old rule).

--- a/internal/conductor/admission.go
+++ b/internal/conductor/admission.go
@@ -226,10 +226,10 @@
 		if !s.open || s.service != w.pool.service || s.model != w.pool.model || s.load() >= s.slots+c.beyond(s) {
 			continue
 		}
+		cost := c.cost(now, s, w.Prompt)
 		if slices.Contains(w.Avoid, id) {
-			continue
+			cost += avoidCost
 		}
-		cost := c.cost(now, s, w.Prompt)
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -237,6 +237,10 @@
 	return best
 }
 
+// avoidCost, in milliseconds, has a request that a server has failed go to any
+// other one first.
+const avoidCost = 10000
+
 // beyond returns how many requests a station is given beyond its slots.
 func (c *Conductor) beyond(s *station) int {
 	if s.model == "" {
@@ -305,7 +309,7 @@
 				c.grant(now, w, s)
 				continue
 			}
-			full[w.pool] = len(w.Avoid) == 0
+			full[w.pool] = true
 		}
 		kept = append(kept, w)
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -17,9 +17,11 @@
 	beatsPerSecond = 150
 	// peerTimeout is the silence after which a host counts as gone: several
 	// heartbeats, and longer than a short stall of a slow host.
-	peerTimeout = 1200 * time.Millisecond
+	peerTimeout = 800 * time.Millisecond
 	// probeGoneInterval is the time between heartbeats to a host that is gone.
 	probeGoneInterval = time.Second
+	// rereadInterval is the time between two calls for a later configuration.
+	rereadInterval = 300 * time.Millisecond
 	// suspectTime is how long a server named in a refusal is suspected.
 	suspectTime = time.Second
 )
@@ -41,6 +43,7 @@
 
 	peers    map[fuchsiapitch.HostID]*peer
 	nextBeat time.Duration
+	reread   time.Duration
 	suspects map[fuchsiapitch.ServerID]time.Duration
 
 	lead
@@ -186,6 +189,18 @@
 	c.hearClaim(now, b)
 	c.takeRemoteLoads()
 	c.serveQueue(now)
+	if b.Version > c.version() && now-c.reread > rereadInterval {
+		c.reread = now
+		c.emit(Reread{})
+	}
+}
+
+// version returns the version of the configuration, 0 for none.
+func (c *Conductor) version() int64 {
+	if c.table == nil {
+		return 0
+	}
+	return c.table.Version()
 }
 
 // isLive reports whether a host was heard a short time ago.
@@ -221,7 +236,7 @@
 	}
 	b := Beat{
 		From: c.self, Started: c.started, Claim: c.activeClaim(now), KnownClaim: c.knownClaim,
-		Busy: c.isBusy(now), Stopping: c.stops, Loads: c.loads(now), Queues: c.queues(),
+		Version: c.version(), Busy: c.isBusy(now), Stopping: c.stops, Loads: c.loads(now), Queues: c.queues(),
 	}
 	if c.stops && c.claim != 0 && c.claim == c.knownClaim && c.holder == c.self.ID {
 		b.Heir, b.HandedClaim, b.Formations = c.heir(now), c.claim, c.formations
--- a/internal/conductor/event.go
+++ b/internal/conductor/event.go
@@ -175,6 +175,9 @@
 	Known int64
 }
 
+// Reread has the configuration read again: another host has a later one.
+type Reread struct{}
+
 // Note is a line for the log.
 type Note struct {
 	// Message says what was decided.
@@ -190,6 +193,7 @@
 func (AskReport) isEffect() {}
 func (GiveOrder) isEffect() {}
 func (ClaimLead) isEffect() {}
+func (Reread) isEffect()    {}
 func (Note) isEffect()      {}
 
 // Reason is why a request got no place.
@@ -265,6 +269,8 @@
 	// HandedClaim that claim. Formations is the number of formations under it.
 	Heir                    fuchsiapitch.HostID
 	HandedClaim, Formations int64
+	// Version is the version of the host's configuration, 0 for none.
+	Version int64
 	// Busy states that the host has had requests.
 	Busy bool
 	// Stopping states that the host is about to stop.
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -38,6 +38,8 @@
 	nextProbe time.Duration
 	// wantProbe states that its report is needed.
 	wantProbe bool
+	// freeing states that an order to leave a silent leader is under way.
+	freeing bool
 	// opening states that an order to open was accepted and is not done.
 	opening bool
 	// openAt is when it will be done, by the profile.
@@ -270,7 +272,7 @@
 	if !ok {
 		return
 	}
-	s.ordering = false
+	s.ordering, s.freeing = false, false
 	switch e.Answer {
 	case fuchsiapitch.OrderBegun, fuchsiapitch.OrderDone:
 		s.failures, s.direct = 0, now
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -67,6 +67,9 @@
 	if c.table == nil {
 		return
 	}
+	if !c.survey(now) {
+		return
+	}
 	c.adopt(now)
 	for _, s := range c.servers {
 		if s.opening && now >= s.openAt {
@@ -85,7 +88,9 @@
 			c.form(now, name, d, p.Engine, domains[d])
 		}
 		for _, d := range sortedKeys(domains) {
-			c.warm(now, p.Engine, domains[d])
+			if c.isSettled(now, domains[d]) {
+				c.warm(now, p.Engine, domains[d])
+			}
 		}
 	}
 	for _, id := range sortedKeys(c.servers) {
@@ -95,6 +100,38 @@
 	}
 }
 
+// surveyLimit is the longest time that a new leader waits for the reports of all
+// servers.
+const surveyLimit = 600 * time.Millisecond
+
+// survey has a leader that is new in office ask every server before it plans: the
+// list may be older than the last orders of the leader before it.
+func (c *Conductor) survey(now time.Duration) bool {
+	if c.surveyed == c.leadsSince && c.leadsSince > 0 {
+		return true
+	}
+	if len(c.servers) == 0 {
+		return false
+	}
+	if c.surveyFrom < c.leadsSince {
+		c.surveyFrom = now
+	}
+	missing := 0
+	for _, id := range sortedKeys(c.servers) {
+		s := c.servers[id]
+		if c.profileOf(s) == nil || !s.listed || s.direct >= c.leadsSince || s.failures > 0 {
+			continue
+		}
+		missing++
+		c.ask(now, s)
+	}
+	if missing > 0 && now-c.surveyFrom < surveyLimit {
+		return false
+	}
+	c.surveyed = c.leadsSince
+	return true
+}
+
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
 	for k := range m {
@@ -413,7 +450,7 @@
 func (c *Conductor) leaveSilentHead(now time.Duration, s *server) {
 	ref := s.report.Membership.Group
 	if c.isHeadSilent(ref) && c.heads[ref] != s.report.ID {
-		c.order(now, s.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: ref})
+		s.freeing = c.order(now, s.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: ref}) || s.freeing
 	}
 }
 
@@ -514,6 +551,10 @@
 	}
 	for {
 		free := c.free(now, servers)
+		if slices.ContainsFunc(servers, func(s *server) bool { return s.freeing }) {
+			// More of them will be free in a moment.
+			return
+		}
 		model, ok := c.nextModel(service, domain, p, len(free))
 		if !ok {
 			break
@@ -546,6 +587,10 @@
 		if !s.isUsable() || c.isPlanned(s.report.ID) {
 			continue
 		}
+		if s.direct < c.leadsSince {
+			s.wantProbe = true
+			continue
+		}
 		m := s.report.Membership
 		if m.Group.Name != "" && !c.mayJoin(s) && !c.willBeFree(s) {
 			c.leaveSilentHead(now, s)
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -36,8 +36,11 @@
 	lastHeard  time.Duration
 	lastTry    time.Duration
 	formations int64
-	// leadsSince is when the own claim was entered.
-	leadsSince time.Duration
+	// leadsSince is when the own claim was entered, surveyed the same once all
+	// servers were asked since.
+	leadsSince, surveyed time.Duration
+	// surveyFrom is when it began to ask them.
+	surveyFrom time.Duration
 }
 
 // activeClaim returns the claim that the host leads by, 0 for none.
@@ -117,7 +120,11 @@
 		}
 		c.claim, c.doubtful = e.Number, false
 	}
-	if e.Number > c.knownClaim {
+	switch {
+	case e.Holder == c.self.ID && e.Started != c.started:
+		// The claim is that of the process before this one.
+		c.lastHeard = now - peerTimeout
+	case e.Number > c.knownClaim:
 		c.lastHeard = now
 	}
 	c.knownClaim, c.holder = e.Number, e.Holder
@@ -142,7 +149,7 @@
 		return
 	}
 	for id, p := range c.peers {
-		if id < c.self.ID && p.isLive(now) && !p.beat.Stopping {
+		if id < c.self.ID && p.isLive(now) && !p.beat.Stopping && p.beat.KnownClaim >= c.knownClaim {
 			return
 		}
 	}
--- a/internal/conductor/lead_test.go
+++ b/internal/conductor/lead_test.go
@@ -73,7 +73,7 @@
 	now := 3 * time.Second
 	_, other := newPair(now)
 	t.Run("not while the leader is heard", func(t *testing.T) {
-		if hasClaim(other.Apply(now+time.Second, Ticked{})) {
+		if hasClaim(other.Apply(now+peerTimeout/2, Ticked{})) {
 			t.Error("got a claim, want none")
 		}
 	})
@@ -101,3 +101,30 @@
 		}
 	})
 }
+
+// The list of a leader that is new in office is older than the last orders of the
+// one before it.
+func TestNewLeaderKeepsFreshGroups(t *testing.T) {
+	w := newWorld(1)
+	w.lead()
+	w.run(12 * time.Second)
+	for range 3 {
+		w.frozen, w.frozenUntil = w.list(), w.now+2*time.Second
+		for n := range w.frozen {
+			w.frozen[n].Membership = fuchsiapitch.Membership{}
+		}
+		w.conductors[len(w.conductors)-1] = nil
+		w.lead()
+		before := make(map[fuchsiapitch.GroupRef]bool)
+		for _, e := range w.engines {
+			before[e.group] = true
+		}
+		w.run(4 * time.Second)
+		assertNothingBroken(t, w)
+		for _, e := range w.engines {
+			if !before[e.group] {
+				t.Fatalf("got %s in %s, want it in its group of before", e.id, e.group.Name)
+			}
+		}
+	}
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -55,6 +55,7 @@
 	log       zerolog.Logger
 	started   time.Time
 	boot      func() time.Duration
+	reread    func()
 	ctx       context.Context //nolint:containedctx // Effects are carried out in the background until it ends.
 
 	mutex   sync.Mutex
@@ -73,12 +74,15 @@
 // WithBootClock sets the clock that also counts the time of a suspension.
 func WithBootClock(boot func() time.Duration) Option { return func(d *Driver) { d.boot = boot } }
 
+// WithReread sets what has the configuration read again. It must not wait.
+func WithReread(reread func()) Option { return func(d *Driver) { d.reread = reread } }
+
 // New returns a driver that sends heartbeats through a socket. Its effects end
 // with the context.
 func New(ctx context.Context, c *conductor.Conductor, controls Controls, claimer Claimer, socket net.PacketConn, options ...Option) *Driver {
 	d := &Driver{
 		conductor: c, controls: controls, claimer: claimer, socket: socket, log: zerolog.Nop(),
-		started: time.Now(), boot: bootTime, ctx: ctx,
+		started: time.Now(), boot: bootTime, reread: func() {}, ctx: ctx,
 		places: make(map[conductor.Ticket]*Place), addrs: make(map[string]net.Addr),
 	}
 	for _, o := range options {
@@ -131,6 +135,8 @@
 		d.background(func() { d.order(e.Order) })
 	case conductor.ClaimLead:
 		d.background(func() { d.claim(e.Known) })
+	case conductor.Reread:
+		d.reread()
 	case conductor.Note:
 		d.log.Info().Fields(e.Fields).Msg(e.Message)
 	}
--- a/internal/integrator/integrator.go
+++ b/internal/integrator/integrator.go
@@ -39,6 +39,9 @@
 	serversPause = 800 * time.Millisecond
 	// newsWait is how long a read of a topic that rarely changes waits for news.
 	newsWait = 15 * time.Second
+	// configurationWait is that of the configuration, which must be in force within
+	// two seconds even if a connection has gone silent.
+	configurationWait = 5 * time.Second
 	// announcePause is the time between tries to enter the host in the store.
 	announcePause = time.Second
 	// listenOn is the time during a stop in which new connections are still
@@ -73,6 +76,11 @@
 	started  int64
 	listed   atomic.Bool
 	servers  map[string]fuchsiapitch.ServerReport
+	// storeFails states that the last read of the list failed.
+	storeFails atomic.Bool
+	// news follow the topics that are read with long polls.
+	configuration *tracker.Tracker
+	news          []*tracker.Tracker
 }
 
 // New returns a host that is not yet at work, with settings from a file that is
@@ -105,7 +113,9 @@
 		conductor.WithRetryBudget(settings.RetryRatio, settings.RetrySlack, settings.RetryWindow),
 	)
 	h.driver = driver.New(ctx, c, platform.NewServers(once),
-		&claimer{store: h.store, self: h.self.ID, started: h.started}, socket, driver.WithLogger(logs.For("conductor")))
+		&claimer{store: h.store, self: h.self.ID, started: h.started}, socket,
+		driver.WithLogger(logs.For("conductor")), driver.WithReread(func() { h.configuration.Kick() }))
+	h.follow()
 	calls, closeCalls := sender.New(sender.WithConnectTimeout(connectLimit), sender.WithSilence(silenceLimit))
 	h.relayer = relayer.New(h.driver, calls, platform.Headers{}, relayer.WithLogger(logs.For("relayer")), relayer.WithMeter(h.meter))
 	return h, func() {
@@ -197,13 +207,24 @@
 	s.Add(h.driver)
 	s.Add(service(h.announce))
 	s.Add(service(h.watchSettings))
-	s.Add(tracker.New(h.store, platform.OperatorTopic, h.takeConfiguration, tracker.WithWait(newsWait), tracker.WithFailures(h.storeFailed("configuration"))))
 	s.Add(tracker.New(h.store, platform.ServersTopic, h.takeServers, tracker.WithPause(serversPause), tracker.WithFailures(h.listFailed)))
-	s.Add(tracker.New(h.store, platform.HostsTopic, h.takeHosts, tracker.WithWait(newsWait), tracker.WithFailures(h.storeFailed("hosts"))))
-	s.Add(tracker.New(h.store, platform.ClaimsTopic, h.takeClaims, tracker.WithWait(newsWait), tracker.WithFailures(h.storeFailed("claims"))))
+	for _, t := range h.news {
+		s.Add(t)
+	}
 	return s
 }
 
+// follow makes the trackers of the topics that rarely change.
+func (h *Host) follow() {
+	news := func(topic string, take func(tracker.Update), wait time.Duration) *tracker.Tracker {
+		return tracker.New(h.store, topic, take, tracker.WithWait(wait), tracker.WithFailures(h.storeFailed(topic)))
+	}
+	h.configuration = news(platform.OperatorTopic, h.takeConfiguration, configurationWait)
+	h.news = []*tracker.Tracker{
+		h.configuration, news(platform.HostsTopic, h.takeHosts, newsWait), news(platform.ClaimsTopic, h.takeClaims, newsWait),
+	}
+}
+
 // service is a function that implements suture.Service.
 type service func(ctx context.Context) error
 
@@ -215,7 +236,8 @@
 }
 
 func (h *Host) listFailed(err error) {
-	h.storeFailed("servers")(err)
+	h.storeFailed(platform.ServersTopic)(err)
+	h.storeFails.Store(true)
 	h.driver.Apply(conductor.StoreFailed{})
 }
 
@@ -260,6 +282,12 @@
 }
 
 func (h *Host) takeServers(u tracker.Update) {
+	if h.storeFails.Swap(false) {
+		// A long poll that the store has turned away may hang on its connection.
+		for _, t := range h.news {
+			t.Kick()
+		}
+	}
 	if u.Whole {
 		clear(h.servers)
 	}
--- a/internal/integrator/integrator_test.go
+++ b/internal/integrator/integrator_test.go
@@ -38,7 +38,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		host, cleanUp, err := New(ctx, path, make(chan os.Signal), logger.New(io.Discard))
+		host, cleanUp, err := New(ctx, path, make(chan os.Signal), logger.New(os.Stderr, logger.WithHost(fmt.Sprint(n))))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
@@ -44,6 +45,10 @@
 	pause  time.Duration
 	take   func(Update)
 	failed func(error)
+
+	mutex  sync.Mutex
+	cancel context.CancelFunc
+	kicked bool
 }
 
 // Option sets one optional property of a tracker.
@@ -67,17 +72,40 @@
 	return t
 }
 
+// Kick ends a read that is under way and has the topic read anew: there is reason
+// to think that the read has missed something.
+func (t *Tracker) Kick() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.kicked = true
+	if t.cancel != nil {
+		t.cancel()
+	}
+}
+
+// takeKick reports whether the tracker was kicked since the last call.
+func (t *Tracker) takeKick() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	kicked := t.kicked
+	t.kicked = false
+	return kicked
+}
+
 // Serve follows the topic until the context ends. It implements suture.Service.
 func (t *Tracker) Serve(ctx context.Context) error {
 	next, whole := int64(0), false
 	backOff := firstBackOff
 	for ctx.Err() == nil {
+		whole = !t.takeKick() && whole
 		page, err := t.read(ctx, next, whole)
 		var forgotten *platform.ForgottenError
 		switch {
 		case errors.As(err, &forgotten):
 			whole = false
 			continue
+		case err != nil && t.isKicked():
+			continue
 		case err != nil:
 			t.failed(err)
 			sleep(ctx, backOff/2+rand.N(backOff))
@@ -92,6 +120,12 @@
 	return ctx.Err()
 }
 
+func (t *Tracker) isKicked() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.kicked
+}
+
 func (t *Tracker) read(ctx context.Context, next int64, whole bool) (platform.Page, error) {
 	limit := answerLimit
 	if whole {
@@ -99,6 +133,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	t.mutex.Lock()
+	t.cancel = cancel
+	t.mutex.Unlock()
 	if !whole {
 		return t.store.Newest(ctx, t.topic)
 	}
