meter, logger: metrics of the platform's hosts, log lines that never wait

Cause: a refused place, a repair or a turned-away read left no number behind, and a line waited for its reader.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -108,10 +108,12 @@
 func (s *serve) servePlatform(ctx context.Context, path string) subcommands.ExitStatus {
 	signalled, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	lines, flush := logger.NewBounded(s.streams.Errors)
+	defer flush()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	host, cleanUp, err := integrator.New(ctx, path, reload, logger.New(s.streams.Errors))
+	host, cleanUp, err := integrator.New(ctx, path, reload, logger.New(lines))
 	var wrong *platform.SettingsError
 	switch {
 	case errors.As(err, &wrong):
--- a/internal/conductor/event.go
+++ b/internal/conductor/event.go
@@ -178,6 +178,14 @@
 // Reread has the configuration read again: another host has a later one.
 type Reread struct{}
 
+// GroupOpened states that a group takes requests.
+type GroupOpened struct {
+	Group fuchsiapitch.GroupID
+	Model string
+	// Took is the time since the group was planned or found.
+	Took time.Duration
+}
+
 // Note is a line for the log.
 type Note struct {
 	// Message says what was decided.
@@ -186,15 +194,16 @@
 	Fields map[string]any
 }
 
-func (Grant) isEffect()     {}
-func (Refuse) isEffect()    {}
-func (Withdraw) isEffect()  {}
-func (SendBeat) isEffect()  {}
-func (AskReport) isEffect() {}
-func (GiveOrder) isEffect() {}
-func (ClaimLead) isEffect() {}
-func (Reread) isEffect()    {}
-func (Note) isEffect()      {}
+func (Grant) isEffect()       {}
+func (Refuse) isEffect()      {}
+func (Withdraw) isEffect()    {}
+func (SendBeat) isEffect()    {}
+func (AskReport) isEffect()   {}
+func (GiveOrder) isEffect()   {}
+func (ClaimLead) isEffect()   {}
+func (Reread) isEffect()      {}
+func (GroupOpened) isEffect() {}
+func (Note) isEffect()        {}
 
 // Reason is why a request got no place.
 type Reason int
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -230,7 +230,7 @@
 	if c.isOpen(g) {
 		if g.opened == 0 {
 			g.opened = now
-			c.note("group is open", map[string]any{"group": g.ref.Name, "model": g.model, "took-ms": (now - g.since).Milliseconds()})
+			c.emit(GroupOpened{Group: g.ref.Name, Model: g.model, Took: now - g.since})
 		}
 		if g.retiring {
 			c.order(now, g.head(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderClose, Group: g.ref})
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -14,6 +14,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/conductor"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
 )
 
 const (
@@ -53,6 +54,7 @@
 	claimer   Claimer
 	socket    net.PacketConn
 	log       zerolog.Logger
+	meter     *meter.Meter
 	started   time.Time
 	boot      func() time.Duration
 	reread    func()
@@ -71,6 +73,9 @@
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(d *Driver) { d.log = log } }
 
+// WithMeter sets the metrics.
+func WithMeter(m *meter.Meter) Option { return func(d *Driver) { d.meter = m } }
+
 // WithBootClock sets the clock that also counts the time of a suspension.
 func WithBootClock(boot func() time.Duration) Option { return func(d *Driver) { d.boot = boot } }
 
@@ -81,7 +86,7 @@
 // with the context.
 func New(ctx context.Context, c *conductor.Conductor, controls Controls, claimer Claimer, socket net.PacketConn, options ...Option) *Driver {
 	d := &Driver{
-		conductor: c, controls: controls, claimer: claimer, socket: socket, log: zerolog.Nop(),
+		conductor: c, controls: controls, claimer: claimer, socket: socket, log: zerolog.Nop(), meter: meter.New(),
 		started: time.Now(), boot: bootTime, reread: func() {}, ctx: ctx,
 		places: make(map[conductor.Ticket]*Place), addrs: make(map[string]net.Addr),
 	}
@@ -116,15 +121,18 @@
 	case conductor.Grant:
 		if p, ok := d.places[e.Ticket]; ok {
 			p.grant = e
+			d.meter.Granted(time.Since(p.asked))
 			p.decided <- nil
 		}
 	case conductor.Refuse:
 		if p, ok := d.places[e.Ticket]; ok {
 			delete(d.places, e.Ticket)
+			d.meter.RefusedPlace(e.Reason.String())
 			p.decided <- &RefusedError{Reason: e.Reason, RetryAfter: e.RetryAfter}
 		}
 	case conductor.Withdraw:
 		if p, ok := d.places[e.Ticket]; ok {
+			d.meter.Withdrawn()
 			p.withdraw()
 		}
 	case conductor.SendBeat:
@@ -137,6 +145,9 @@
 		d.background(func() { d.claim(e.Known) })
 	case conductor.Reread:
 		d.reread()
+	case conductor.GroupOpened:
+		d.meter.Formed(e.Took)
+		d.log.Info().Str("group", string(e.Group)).Str("model", e.Model).Int64("took-ms", e.Took.Milliseconds()).Msg("group is open")
 	case conductor.Note:
 		d.log.Info().Fields(e.Fields).Msg(e.Message)
 	}
@@ -158,6 +169,7 @@
 	if err != nil {
 		d.log.Info().Str("server", string(e.Server)).Err(err).Msg("no report")
 	}
+	d.meter.Reported(err == nil)
 	d.Apply(conductor.Reported{Server: e.Server, Report: r, Err: err})
 }
 
@@ -168,6 +180,7 @@
 	if err != nil {
 		d.log.Info().Str("server", string(o.Server)).Str("order", o.Kind.String()).Str("answer", answer.String()).Err(err).Msg("order failed")
 	}
+	d.meter.Ordered(o.Kind.String(), answer.String())
 	d.Apply(conductor.Ordered{Order: o, Answer: answer})
 }
 
@@ -275,6 +288,7 @@
 type Place struct {
 	driver    *Driver
 	ticket    conductor.Ticket
+	asked     time.Time
 	decided   chan error
 	grant     conductor.Grant
 	lastByte  atomic.Int64
@@ -285,7 +299,7 @@
 // Acquire waits for a place. Its error is a RefusedError, or that of the
 // context.
 func (d *Driver) Acquire(ctx context.Context, e conductor.Arrived) (*Place, error) {
-	p := &Place{driver: d, decided: make(chan error, 1)}
+	p := &Place{driver: d, asked: time.Now(), decided: make(chan error, 1)}
 	d.mutex.Lock()
 	d.next++
 	p.ticket, e.Ticket = d.next, d.next
--- a/internal/integrator/integrator.go
+++ b/internal/integrator/integrator.go
@@ -114,10 +114,12 @@
 	)
 	h.driver = driver.New(ctx, c, platform.NewServers(once),
 		&claimer{store: h.store, self: h.self.ID, started: h.started}, socket,
-		driver.WithLogger(logs.For("conductor")), driver.WithReread(func() { h.configuration.Kick() }))
+		driver.WithLogger(logs.For("conductor")), driver.WithMeter(h.meter), driver.WithReread(func() { h.configuration.Kick() }))
 	h.follow()
 	calls, closeCalls := sender.New(sender.WithConnectTimeout(connectLimit), sender.WithSilence(silenceLimit))
 	h.relayer = relayer.New(h.driver, calls, platform.Headers{}, relayer.WithLogger(logs.For("relayer")), relayer.WithMeter(h.meter))
+	h.meter.Running(func() float64 { return float64(h.relayer.Active()) })
+	h.meter.Versioned(h.version)
 	return h, func() {
 		closeCalls()
 		kept.CloseIdleConnections()
@@ -140,7 +142,10 @@
 		Handler: h.relayer, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: headerBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
-	ready := &http.Server{Handler: http.HandlerFunc(h.ready), ReadHeaderTimeout: headerLimit}
+	operators := http.NewServeMux()
+	operators.HandleFunc("/", h.ready)
+	operators.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { h.meter.Write(w) })
+	ready := &http.Server{Handler: operators, ReadHeaderTimeout: headerLimit}
 	failed := make(chan error, 2)
 	go func() { failed <- front.Serve(callers) }()
 	go func() { failed <- ready.Serve(readiness) }()
@@ -207,17 +212,25 @@
 	s.Add(h.driver)
 	s.Add(service(h.announce))
 	s.Add(service(h.watchSettings))
-	s.Add(tracker.New(h.store, platform.ServersTopic, h.takeServers, tracker.WithPause(serversPause), tracker.WithFailures(h.listFailed)))
+	s.Add(tracker.New(h.store, platform.ServersTopic, h.counted(platform.ServersTopic, h.takeServers), tracker.WithPause(serversPause), tracker.WithFailures(h.listFailed)))
 	for _, t := range h.news {
 		s.Add(t)
 	}
 	return s
 }
 
+// counted counts the reads that brought an update.
+func (h *Host) counted(topic string, take func(tracker.Update)) func(tracker.Update) {
+	return func(u tracker.Update) {
+		h.meter.StoreCalled(topic, false)
+		take(u)
+	}
+}
+
 // follow makes the trackers of the topics that rarely change.
 func (h *Host) follow() {
 	news := func(topic string, take func(tracker.Update), wait time.Duration) *tracker.Tracker {
-		return tracker.New(h.store, topic, take, tracker.WithWait(wait), tracker.WithFailures(h.storeFailed(topic)))
+		return tracker.New(h.store, topic, h.counted(topic, take), tracker.WithWait(wait), tracker.WithFailures(h.storeFailed(topic)))
 	}
 	h.configuration = news(platform.OperatorTopic, h.takeConfiguration, configurationWait)
 	h.news = []*tracker.Tracker{
@@ -231,8 +244,19 @@
 // Serve implements suture.Service.
 func (f service) Serve(ctx context.Context) error { return f(ctx) }
 
+// version returns the version of the configuration in force, 0 for none.
+func (h *Host) version() float64 {
+	if t := h.relayer.Table(); t != nil {
+		return float64(t.Version())
+	}
+	return 0
+}
+
 func (h *Host) storeFailed(what string) func(error) {
-	return func(err error) { h.log.Info().Str("topic", what).Err(err).Msg("store cannot be read") }
+	return func(err error) {
+		h.meter.StoreCalled(what, true)
+		h.log.Info().Str("topic", what).Err(err).Msg("store cannot be read")
+	}
 }
 
 func (h *Host) listFailed(err error) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -284,6 +284,7 @@
 		out.Body = io.NopCloser(&onceReader{data: x.body})
 	}
 	response, outcome, err := x.relayer.sender.Exchange(out.WithContext(ctx), x.deadline)
+	defer func() { x.relayer.meter.Attempted(outcome.String()) }()
 	if err != nil {
 		if outcome == fuchsiapitch.Unknown {
 			x.sent++
