--- a/internal/conductor/admission.go
+++ b/internal/conductor/admission.go
@@ -29,6 +29,14 @@
 	mostRetry  = 2 * time.Second
 	// backOffTime is how long a server that refused a request is avoided.
 	backOffTime = 300 * time.Millisecond
+	// firstUnreached and lastUnreached bound the time for which a server that
+	// cannot be connected to gets no requests. It doubles with each failure.
+	firstUnreached = 500 * time.Millisecond
+	lastUnreached  = 4 * time.Second
+	// cutSilence is the silence of a server towards this host after which its
+	// requests go on elsewhere. Callers give a stream up after two seconds; the
+	// leader takes a group with a lost member apart sooner.
+	cutSilence = time.Second
 	// suspectSilence is the silence after which a server gets no new requests
 	// while others can take them.
 	suspectSilence = 300 * time.Millisecond
@@ -139,7 +147,7 @@
 // firstTime returns the time from a place to the first byte on an idle engine.
 func (c *Conductor) firstTime(w *wait) time.Duration {
 	for _, s := range c.stations {
-		if s.open && s.service == w.pool.service && s.model == w.pool.model && s.readPerSecond > 0 {
+		if s.serves(w.pool) && s.readPerSecond > 0 {
 			return time.Duration(float64(w.Prompt)/s.readPerSecond*s.pace*float64(time.Second)) + firstEvent
 		}
 	}
@@ -172,7 +180,7 @@
 func (c *Conductor) expectedWait(now time.Duration, w *wait) (time.Duration, bool) {
 	slots, running, ahead := 0, 0, 0
 	for _, s := range c.stations {
-		if s.open && s.service == w.pool.service && s.model == w.pool.model {
+		if s.serves(w.pool) && now >= s.shunned {
 			slots += s.slots
 			running += s.load()
 		}
@@ -223,7 +231,7 @@
 	var bestCost float64
 	for _, id := range sortedKeys(c.stations) {
 		s := c.stations[id]
-		if !s.open || s.service != w.pool.service || s.model != w.pool.model || s.load() >= s.slots+c.beyond(s) {
+		if !s.serves(w.pool) || now < s.shunned || s.load() >= s.slots+c.beyond(s) {
 			continue
 		}
 		cost := c.cost(now, s, w.Prompt)
@@ -345,9 +353,14 @@
 	if !p.began {
 		s.unread -= p.unread
 	}
-	if e.Failed {
+	switch {
+	case e.Unreached:
+		s.unreached = min(max(2*s.unreached, firstUnreached), lastUnreached)
+		s.shunned = now + s.unreached
+	case e.Failed:
 		s.backOff = now + backOffTime
-	} else {
+	default:
+		s.unreached = 0
 		held := now - p.since
 		c.holds[p.pool] = time.Duration((1-holdWeight)*float64(c.hold(p.pool)) + holdWeight*float64(held))
 	}
--- /dev/null
+++ b/internal/conductor/admission_test.go
@@ -0,0 +1,155 @@
+package conductor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+// newStations returns a conductor with open leaders of the large model.
+func newStations(now time.Duration, n int) *Conductor {
+	c := New(Peer{ID: "a"}, 1, WithRetryBudget(0.2, 100, 10*time.Second))
+	c.Apply(0, Configured{Table: worldTable()})
+	var list []fuchsiapitch.ServerReport
+	for i := range n {
+		list = append(list, fuchsiapitch.ServerReport{
+			ID: fuchsiapitch.ServerID(fmt.Sprintf("s%d", i)), Service: "llm", Slots: 26, Started: 1, Loaded: []string{"large"},
+			Membership: fuchsiapitch.Membership{Group: fuchsiapitch.GroupRef{Name: "g", Epoch: int64(i + 1)}, State: fuchsiapitch.MemberOpen},
+		})
+	}
+	c.Apply(now, ServersListed{Servers: list})
+	return c
+}
+
+func arrival(now time.Duration, ticket Ticket) Arrived {
+	return Arrived{
+		Ticket: ticket, Service: "llm", Model: "large", Prompt: 700, Output: 150,
+		InTime: now + 400*time.Millisecond, Deadline: now + 8*time.Second,
+	}
+}
+
+// answerTo returns the server that a ticket was granted, or why it was refused.
+func answerTo(effects []Effect, ticket Ticket) (fuchsiapitch.ServerID, Reason) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Grant:
+			if e.Ticket == ticket {
+				return e.Server, 0
+			}
+		case Refuse:
+			if e.Ticket == ticket {
+				return "", e.Reason
+			}
+		}
+	}
+	return "", 0
+}
+
+func TestArrivals(t *testing.T) {
+	now := 5 * time.Second
+	t.Run("spread over the groups", func(t *testing.T) {
+		c := newStations(now, 2)
+		counts := make(map[fuchsiapitch.ServerID]int)
+		for n := range Ticket(20) {
+			s, _ := answerTo(c.Apply(now, arrival(now, n+1)), n+1)
+			counts[s]++
+		}
+		if got, want := counts["s0"], 10; got != want {
+			t.Errorf("got %d at the first group, want %d", got, want)
+		}
+	})
+	t.Run("refused at once where nothing serves", func(t *testing.T) {
+		c := newStations(now, 1)
+		e := arrival(now, 1)
+		e.Model = "small"
+		if _, got := answerTo(c.Apply(now, e), 1); got != NoReplica {
+			t.Errorf("got %s, want %s", got, NoReplica)
+		}
+	})
+	t.Run("refused at once where the wait is too long", func(t *testing.T) {
+		c := newStations(now, 1)
+		refused := 0
+		for n := range Ticket(60) {
+			if _, reason := answerTo(c.Apply(now, arrival(now, n+1)), n+1); reason == Overloaded {
+				refused++
+			}
+		}
+		if refused == 0 || refused > 60-26 {
+			t.Errorf("got %d refused, want some, and none while places are free", refused)
+		}
+	})
+	t.Run("urgent first", func(t *testing.T) {
+		c := newStations(now, 1)
+		for n := range Ticket(28) {
+			c.Apply(now, arrival(now, n+1))
+		}
+		late, urgent := arrival(now, 100), arrival(now, 101)
+		late.Rank, urgent.Rank = 2, 0
+		c.Apply(now, late)
+		c.Apply(now, urgent)
+		effects := c.Apply(now+50*time.Millisecond, Ended{Ticket: 1})
+		if got, _ := answerTo(effects, 101); got == "" {
+			t.Error("got no place for the urgent request, want one")
+		}
+	})
+	t.Run("another server first after a failure", func(t *testing.T) {
+		c := newStations(now, 2)
+		e := arrival(now, 1)
+		e.Avoid, e.Repeat = []fuchsiapitch.ServerID{"s0"}, true
+		if got, _ := answerTo(c.Apply(now, e), 1); got != "s1" {
+			t.Errorf("got %s, want s1", got)
+		}
+	})
+	t.Run("none that cannot be connected to", func(t *testing.T) {
+		c := newStations(now, 2)
+		s, _ := answerTo(c.Apply(now, arrival(now, 1)), 1)
+		c.Apply(now, Ended{Ticket: 1, Failed: true, Unreached: true})
+		for n := range Ticket(5) {
+			if got, _ := answerTo(c.Apply(now, arrival(now, n+2)), n+2); got == s {
+				t.Errorf("got %s again, want the other one", got)
+			}
+		}
+	})
+}
+
+// A cut between this host and a group: its streams go on elsewhere.
+func TestSilentServerIsLeft(t *testing.T) {
+	now := 5 * time.Second
+	c := newStations(now, 2)
+	s, _ := answerTo(c.Apply(now, arrival(now, 1)), 1)
+	c.Apply(now, Began{Ticket: 1})
+	c.Apply(now+cutSilence/2, Ticked{LastBytes: map[fuchsiapitch.ServerID]time.Duration{s: now}})
+	var withdrawn bool
+	for _, e := range c.Apply(now+cutSilence+time.Millisecond, Ticked{LastBytes: map[fuchsiapitch.ServerID]time.Duration{s: now}}) {
+		if w, ok := e.(Withdraw); ok && w.Ticket == 1 {
+			withdrawn = true
+		}
+	}
+	if !withdrawn {
+		t.Error("got the request left at a silent server, want it withdrawn")
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	now := 5 * time.Second
+	c := newStations(now, 4)
+	allowed := 0
+	for n := range Ticket(300) {
+		e := arrival(now, n+1)
+		e.Repeat = true
+		if _, reason := answerTo(c.Apply(now, e), n+1); reason != NoBudget {
+			allowed++
+		}
+		c.Apply(now, Ended{Ticket: n + 1})
+	}
+	if got, want := allowed, int(budgetMargin*100); got != want {
+		t.Errorf("got %d repeats, want %d", got, want)
+	}
+	e := arrival(now+11*time.Second, 1000)
+	e.Repeat = true
+	if _, reason := answerTo(c.Apply(now+11*time.Second, e), 1000); reason == NoBudget {
+		t.Error("got a repeat refused in a new window, want it allowed")
+	}
+}
--- a/internal/conductor/budget.go
+++ b/internal/conductor/budget.go
@@ -45,29 +45,44 @@
 	if c.window <= 0 {
 		return true
 	}
-	s, ok := c.spent[e.Service]
+	s, i := c.spending(now, e.Service)
+	switch {
+	case !e.Repeat:
+		s.requests[i]++
+		return true
+	case !c.mayRepeat(now, e.Service):
+		return false
+	}
+	s.repeats[i]++
+	return true
+}
+
+// spending returns the count of a service and the part of the window that now is
+// in.
+func (c *Conductor) spending(now time.Duration, service fuchsiapitch.ServiceName) (*spending, int64) {
+	s, ok := c.spent[service]
 	if !ok || s.window != c.window {
 		s = &spending{window: c.window}
-		c.spent[e.Service] = s
+		c.spent[service] = s
 	}
 	n := int64(now / (c.window / budgetBuckets))
 	s.advance(n)
-	i := n % budgetBuckets
-	if !e.Repeat {
-		s.requests[i]++
+	return s, n % budgetBuckets
+}
+
+// mayRepeat reports whether the share of this host allows one more repeat.
+func (c *Conductor) mayRepeat(now time.Duration, service fuchsiapitch.ServiceName) bool {
+	if c.window <= 0 {
 		return true
 	}
+	s, _ := c.spending(now, service)
 	requests, repeats := 0.0, 0.0
 	for k := range s.requests {
 		requests += s.requests[k]
 		repeats += s.repeats[k]
 	}
 	hosts := float64(len(c.peers) + 1)
-	if repeats+1 > budgetMargin*(c.ratio*requests+c.slack/hosts) {
-		return false
-	}
-	s.repeats[i]++
-	return true
+	return repeats+1 <= budgetMargin*(c.ratio*requests+c.slack/hosts)
 }
 
 // advance clears the parts that have left the window.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -82,6 +82,7 @@
 		self: self, started: started, stall: defaultStall,
 		peers:    make(map[fuchsiapitch.HostID]*peer),
 		suspects: make(map[fuchsiapitch.ServerID]time.Duration),
+		lead:     lead{lastTry: -claimInterval},
 		fleet:    newFleet(), admission: newAdmission(), budget: newBudget(),
 	}
 	for _, o := range options {
@@ -149,6 +150,7 @@
 		c.plan(now)
 	}
 	c.refreshStations(now)
+	c.withdrawSilent(now)
 	c.serveQueue(now)
 	c.beat(now)
 }
@@ -236,7 +238,7 @@
 	}
 	b := Beat{
 		From: c.self, Started: c.started, Claim: c.activeClaim(now), KnownClaim: c.knownClaim,
-		Version: c.version(), Busy: c.isBusy(now), Stopping: c.stops, Loads: c.loads(now), Queues: c.queues(),
+		Version: c.version(), Eligible: c.isEligible(now), Busy: c.isBusy(now), Stopping: c.stops, Loads: c.loads(now), Queues: c.queues(),
 	}
 	if c.stops && c.claim != 0 && c.claim == c.knownClaim && c.holder == c.self.ID {
 		b.Heir, b.HandedClaim, b.Formations = c.heir(now), c.claim, c.formations
--- a/internal/conductor/event.go
+++ b/internal/conductor/event.go
@@ -48,6 +48,8 @@
 	Fault fuchsiapitch.ServerID
 	// Failed states that the server gave no whole answer.
 	Failed bool
+	// Unreached states that it could not be connected to.
+	Unreached bool
 }
 
 // ServersListed is a new state of the platform's list of servers.
@@ -280,6 +282,8 @@
 	HandedClaim, Formations int64
 	// Version is the version of the host's configuration, 0 for none.
 	Version int64
+	// Eligible states that the host would claim the lead if nobody held it.
+	Eligible bool
 	// Busy states that the host has had requests.
 	Busy bool
 	// Stopping states that the host is about to stop.
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -38,6 +38,12 @@
 	nextProbe time.Duration
 	// wantProbe states that its report is needed.
 	wantProbe bool
+	// refused states that its last order was refused, and heldUntil is until when it
+	// gets no other: its reports are older than what made it refuse.
+	refused   bool
+	heldUntil time.Duration
+	// epoch is the highest epoch of a formation that it was seen in since its start.
+	epoch int64
 	// freeing states that an order to leave a silent leader is under way.
 	freeing bool
 	// opening states that an order to open was accepted and is not done.
@@ -168,10 +174,11 @@
 	}
 	if reborn {
 		s.direct = 0
-		s.model, s.staging, s.loading = "", "", 0
+		s.model, s.staging, s.loading, s.epoch = "", "", 0, 0
 		s.failures = 0
 	}
 	s.report = r
+	s.epoch = max(s.epoch, r.Membership.Group.Epoch)
 	if g := r.Membership.Group; g.Name != "" {
 		if f, ok := c.groups[g]; ok {
 			s.model = f.model
@@ -200,7 +207,7 @@
 	if now-s.direct > listLag {
 		s.wantProbe = true
 	}
-	if m.Group.Epoch > r.Membership.Group.Epoch || m.Group == r.Membership.Group && m.State == fuchsiapitch.MemberBroken {
+	if m.Group.Epoch > s.epoch || m.Group == r.Membership.Group && m.State == fuchsiapitch.MemberBroken {
 		r.Membership, r.Loaded = m, listed.Loaded
 	}
 	return r
@@ -224,6 +231,13 @@
 	s.failures, s.direct = 0, now
 	s.wantProbe = false
 	e.Report.ID = e.Server
+	if s.refused {
+		s.refused = false
+		c.note("server reports after a refused order", map[string]any{
+			"server": e.Server, "orders": e.Report.Orders, "counted": s.report.Orders, "group": e.Report.Membership.Group.Name,
+			"state": e.Report.Membership.State.String(), "busy": e.Report.Busy, "started": e.Report.Started, "known-start": s.report.Started,
+		})
+	}
 	if c.isStale(now, s, e.Report) {
 		s.wantProbe, s.nextProbe = true, max(s.settled, now+joinPoll)
 	} else {
@@ -249,7 +263,7 @@
 	if r.Started > s.report.Started {
 		return false
 	}
-	return s.report.OrdersKnown && r.Orders < s.report.Orders || now < s.settled && r.Orders == s.report.Orders
+	return s.report.OrdersKnown && now < s.settled && r.Orders <= s.report.Orders
 }
 
 // fail counts a call that a server did not answer.
@@ -278,8 +292,10 @@
 		s.failures, s.direct = 0, now
 		c.assume(now, s, e.Order, e.Answer)
 	case fuchsiapitch.OrderRefused:
+		s.refused = true
+		s.heldUntil = now + c.reportLag(s)
 		s.failures, s.direct = 0, now
-		s.wantProbe, s.nextProbe = true, now
+		s.wantProbe, s.nextProbe = true, s.heldUntil
 		c.undoLoad(s, e.Order)
 	case fuchsiapitch.OrderUnknown:
 		c.fail(now, s)
@@ -307,6 +323,7 @@
 			*m = fuchsiapitch.Membership{Group: o.Group, Rank: rankOf(o.Members, o.Server), State: fuchsiapitch.MemberJoining}
 		}
 		s.wantProbe, s.nextProbe = true, now+c.joinTime(s, o.Model)+c.reportLag(s)
+		s.epoch = max(s.epoch, o.Group.Epoch)
 		s.model = o.Model
 	case fuchsiapitch.OrderOpen:
 		s.opening, s.openAt = true, now+c.formTime(s)
@@ -386,10 +403,13 @@
 // loadsEarly is the factor by which loads are faster before the first request.
 const loadsEarly = 10
 
+// lagMargin is added to the age of reports, for the way and for timers.
+const lagMargin = 30 * time.Millisecond
+
 // reportLag returns the age of what a server reports.
 func (c *Conductor) reportLag(s *server) time.Duration {
 	if p := c.profileOf(s); p != nil {
-		return p.ReportLag
+		return p.ReportLag + lagMargin
 	}
 	return 0
 }
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -32,8 +32,10 @@
 	// members are the servers in the order of their ranks, the leader first.
 	members []fuchsiapitch.ServerID
 	size    int
-	// joined are the members that were seen in the formation.
+	// joined are the members that were seen in the formation, and asked the numbers
+	// of orders after which others were first told to join it.
 	joined map[fuchsiapitch.ServerID]bool
+	asked  map[fuchsiapitch.ServerID]int64
 	// since is when the formation was planned or found.
 	since time.Duration
 	// opened is when it was first seen open, 0 for never.
@@ -88,7 +90,7 @@
 			c.form(now, name, d, p.Engine, domains[d])
 		}
 		for _, d := range sortedKeys(domains) {
-			if c.isSettled(now, domains[d]) {
+			if c.busy || c.isSettled(now, domains[d]) {
 				c.warm(now, p.Engine, domains[d])
 			}
 		}
@@ -208,9 +210,6 @@
 		if len(g.members) == 0 || g.size == 0 && g.model == "" {
 			continue
 		}
-		if g.members[0] == "" {
-			g.members[0] = c.heads[ref]
-		}
 		g.failed = g.size != len(g.members) || slices.Contains(g.members, "")
 		c.groups[ref] = g
 	}
@@ -397,9 +396,7 @@
 	for _, id := range g.members {
 		s := c.servers[id]
 		if !s.in(g.ref) {
-			if c.mayJoin(s) {
-				c.order(now, id, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderJoin, Group: g.ref, Model: g.model, Members: g.members})
-			}
+			c.join(now, g, s)
 			continue
 		}
 		switch s.report.Membership.State {
@@ -424,6 +421,25 @@
 	c.order(now, g.head(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderOpen, Group: g.ref})
 }
 
+// join has a server join a formation. What has left a formation never comes back
+// to it: a member that took the order and is not in it has left.
+func (c *Conductor) join(now time.Duration, g *group, s *server) {
+	id := s.report.ID
+	after, asked := g.asked[id]
+	switch {
+	case asked && s.report.OrdersKnown && s.report.Orders != after:
+		g.fail(c, "member left", id)
+	case !c.mayJoin(s):
+	case c.order(now, id, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderJoin, Group: g.ref, Model: g.model, Members: g.members}):
+		if g.asked == nil {
+			g.asked = make(map[fuchsiapitch.ServerID]int64)
+		}
+		if !asked {
+			g.asked[id] = s.report.Orders
+		}
+	}
+}
+
 // poll has a server that is at work asked a little later.
 func (c *Conductor) poll(now time.Duration, s *server) {
 	if !s.wantProbe {
@@ -458,7 +474,7 @@
 // a call to the server is under way or its state is not known.
 func (c *Conductor) order(now time.Duration, id fuchsiapitch.ServerID, o fuchsiapitch.GroupOrder) bool {
 	s, ok := c.servers[id]
-	if !ok || s.asking || s.ordering {
+	if !ok || s.asking || s.ordering || now < s.heldUntil {
 		return false
 	}
 	if s.failures > 0 || s.direct < c.leadsSince || !s.report.OrdersKnown || s.wantProbe && now >= s.nextProbe {
@@ -546,7 +562,8 @@
 
 // form plans new formations of the servers of a domain that are free.
 func (c *Conductor) form(now time.Duration, service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, p *fuchsiapitch.EngineProfile, servers []*server) {
-	if !c.isSettled(now, servers) {
+	settled := c.isSettled(now, servers)
+	if !settled && !c.busy {
 		return
 	}
 	for {
@@ -555,7 +572,7 @@
 			// More of them will be free in a moment.
 			return
 		}
-		model, ok := c.nextModel(service, domain, p, len(free))
+		model, ok := c.nextModel(service, domain, p, len(free), settled)
 		if !ok {
 			break
 		}
@@ -563,17 +580,17 @@
 	}
 }
 
-// settleTime is how long a domain without groups must be without news before its
-// first ones are formed: the servers appear on the list one after the other.
+// settleTime is how long a domain must be without news before its first groups are
+// formed, and before a model gets one because another does not fit: the servers
+// appear on the list one after the other.
 const settleTime = time.Second
 
-// isSettled reports whether all servers of a domain are likely to be known.
+// isSettled reports whether all servers of a domain are likely to be known and
+// usable.
 func (c *Conductor) isSettled(now time.Duration, servers []*server) bool {
-	if c.busy {
-		return true
-	}
 	for _, s := range servers {
-		if now-s.listedAt < settleTime {
+		back := s.recovered > 0 && now-s.recovered < settleTime
+		if s.listed && (now-s.listedAt < settleTime || back || s.failures > 0) {
 			return false
 		}
 	}
@@ -631,7 +648,7 @@
 const sparesBeyond = 2
 
 // nextModel returns the model that the next formation in a domain should serve.
-func (c *Conductor) nextModel(service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, p *fuchsiapitch.EngineProfile, free int) (fuchsiapitch.Model, bool) {
+func (c *Conductor) nextModel(service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, p *fuchsiapitch.EngineProfile, free int, settled bool) (fuchsiapitch.Model, bool) {
 	here := 0
 	counts := make(map[string]float64)
 	for _, g := range c.groups {
@@ -661,7 +678,7 @@
 			best = m
 		}
 	}
-	if best.Name != wanted.Name && c.pressure(service, best.Name) < fullPressure {
+	if best.Name != wanted.Name && (!settled || c.pressure(service, best.Name) < fullPressure) {
 		// The servers wait for others to come for the model that lacks groups.
 		return fuchsiapitch.Model{}, false
 	}
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -130,10 +130,15 @@
 	c.knownClaim, c.holder = e.Number, e.Holder
 }
 
+// isEligible reports whether the host knows enough to lead.
+func (c *Conductor) isEligible(now time.Duration) bool {
+	return !c.stops && c.table != nil && now >= electionDelay && !c.listStale
+}
+
 // elect claims the lead if its holder is silent and this host is the first of
 // the live ones.
 func (c *Conductor) elect(now time.Duration) {
-	if c.stops || c.table == nil || now < electionDelay || now-c.lastTry < claimInterval {
+	if !c.isEligible(now) || now-c.lastTry < claimInterval {
 		return
 	}
 	if c.doubtful {
@@ -149,7 +154,7 @@
 		return
 	}
 	for id, p := range c.peers {
-		if id < c.self.ID && p.isLive(now) && !p.beat.Stopping && p.beat.KnownClaim >= c.knownClaim {
+		if id < c.self.ID && p.isLive(now) && p.beat.Eligible && p.beat.KnownClaim >= c.knownClaim {
 			return
 		}
 	}
--- a/internal/conductor/station.go
+++ b/internal/conductor/station.go
@@ -27,10 +27,18 @@
 	lastByte, lastSent, firstDue time.Duration
 	// open states that the station takes new requests.
 	open bool
+	// shunned is until when the station gets no requests, since it could not be
+	// connected to, and unreached the last time of that kind.
+	shunned, unreached time.Duration
 	// backOff is until when the station is avoided after a refusal.
 	backOff time.Duration
 }
 
+// serves reports whether a station takes requests of a pool.
+func (s *station) serves(p pool) bool {
+	return s.open && s.service == p.service && s.model == p.model
+}
+
 // load returns the requests of all hosts at a station.
 func (s *station) load() int { return s.running + s.remoteRunning }
 
@@ -146,6 +154,25 @@
 	}
 }
 
+// withdrawSilent takes the requests of this host off the engines that no byte
+// reaches it from, as far as the budget for repeats goes. The way to them may be
+// cut for this host alone.
+func (c *Conductor) withdrawSilent(now time.Duration) {
+	for _, k := range sortedKeys(c.places) {
+		p := c.places[k]
+		s := p.station
+		if p.withdrawn || s.model == "" || s.silence(now) < cutSilence || now-p.since < cutSilence {
+			continue
+		}
+		if !c.mayRepeat(now, s.service) {
+			return
+		}
+		p.withdrawn = true
+		s.shunned = now + cutSilence
+		c.emit(Withdraw{Ticket: k})
+	}
+}
+
 // takeActivity takes in when servers last sent a byte.
 func (c *Conductor) takeActivity(lastBytes map[fuchsiapitch.ServerID]time.Duration) {
 	for id, at := range lastBytes {
--- a/internal/conductor/warm.go
+++ b/internal/conductor/warm.go
@@ -43,6 +43,9 @@
 	switch {
 	case s.staging != "" && now < s.stagedAt+stageSlack, s.report.Membership.State == fuchsiapitch.MemberJoining:
 		return
+	case !spare && s.report.Membership.State == 0:
+		// It is about to join.
+		return
 	case !spare:
 	case s.report.Membership.Group.Name != "" && !c.mayJoin(s):
 		c.leaveRestingHead(now, s)
--- a/internal/driver/beat.go
+++ b/internal/driver/beat.go
@@ -19,6 +19,7 @@
 	Handed     int64       `json:"handed-claim,omitempty"`
 	Formations int64       `json:"formations,omitempty"`
 	Version    int64       `json:"version,omitempty"`
+	Eligible   bool        `json:"eligible,omitempty"`
 	Busy       bool        `json:"busy,omitempty"`
 	Stopping   bool        `json:"stopping,omitempty"`
 	Loads      []loadBody  `json:"loads,omitempty"`
@@ -54,7 +55,7 @@
 		Host: string(b.From.ID), Address: b.From.Address, Started: b.Started,
 		Claim: b.Claim, KnownClaim: b.KnownClaim, Busy: b.Busy, Stopping: b.Stopping,
 		Heir: string(b.Heir), Handed: b.HandedClaim, Formations: b.Formations,
-		Version: b.Version,
+		Version: b.Version, Eligible: b.Eligible,
 	}
 	for _, l := range b.Loads {
 		body.Loads = append(body.Loads, loadBody{Server: string(l.Server), Running: l.Running, Unread: l.Unread, Silent: l.Silent.Milliseconds()})
@@ -83,7 +84,7 @@
 		From:    conductor.Peer{ID: fuchsiapitch.HostID(body.Host), Address: body.Address},
 		Started: body.Started, Claim: body.Claim, KnownClaim: body.KnownClaim, Busy: body.Busy, Stopping: body.Stopping,
 		Heir: fuchsiapitch.HostID(body.Heir), HandedClaim: body.Handed, Formations: body.Formations,
-		Version: body.Version,
+		Version: body.Version, Eligible: body.Eligible,
 	}
 	for _, l := range body.Loads {
 		b.Loads = append(b.Loads, conductor.Load{
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -360,9 +360,18 @@
 // Release frees the place. A server that gave no whole answer has failed; fault
 // is the one that it blames, if any.
 func (p *Place) Release(failed bool, fault fuchsiapitch.ServerID) {
+	p.end(conductor.Ended{Ticket: p.ticket, Failed: failed, Fault: fault})
+}
+
+// Unreached frees the place at a server that could not be connected to.
+func (p *Place) Unreached() {
+	p.end(conductor.Ended{Ticket: p.ticket, Failed: true, Unreached: true})
+}
+
+func (p *Place) end(e conductor.Ended) {
 	d := p.driver
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	delete(d.places, p.ticket)
-	d.apply(conductor.Ended{Ticket: p.ticket, Failed: failed, Fault: fault})
+	d.apply(e)
 }
--- a/internal/integrator/integrator.go
+++ b/internal/integrator/integrator.go
@@ -31,6 +31,9 @@
 	// connectLimit is the time for a new connection to a server or the store:
 	// several round trips between data centres, and one packet sent again.
 	connectLimit = 1200 * time.Millisecond
+	// requestConnectLimit is that for a request: some round trips, well below the
+	// shortest latency objective. Another server is tried after it.
+	requestConnectLimit = 150 * time.Millisecond
 	// silenceLimit is the time without an acknowledgement after which a
 	// connection is given up.
 	silenceLimit = 3 * time.Second
@@ -116,7 +119,7 @@
 		&claimer{store: h.store, self: h.self.ID, started: h.started}, socket,
 		driver.WithLogger(logs.For("conductor")), driver.WithMeter(h.meter), driver.WithReread(func() { h.configuration.Kick() }))
 	h.follow()
-	calls, closeCalls := sender.New(sender.WithConnectTimeout(connectLimit), sender.WithSilence(silenceLimit))
+	calls, closeCalls := sender.New(sender.WithConnectTimeout(requestConnectLimit), sender.WithSilence(silenceLimit))
 	h.relayer = relayer.New(h.driver, calls, platform.Headers{}, relayer.WithLogger(logs.For("relayer")), relayer.WithMeter(h.meter))
 	h.meter.Running(func() float64 { return float64(h.relayer.Active()) })
 	h.meter.Versioned(h.version)
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -57,8 +57,7 @@
 	}
 	response, outcome, err := x.send(x.ctx, place, "")
 	if err != nil {
-		place.Release(true, x.fault(response))
-		x.avoid = append(x.avoid, place.Server())
+		x.release(place, response, outcome)
 		return nil, outcome, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, plainLimitBytes+1))
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -311,12 +311,18 @@
 	return response, fuchsiapitch.Succeeded, nil
 }
 
-// fault returns the server that an answer blames.
-func (x *exchange) fault(response *http.Response) fuchsiapitch.ServerID {
-	if response == nil {
-		return ""
+// release frees a place whose server has not taken the request or not answered
+// it, with the server that a refusal blames.
+func (x *exchange) release(place *driver.Place, refusal *http.Response, outcome fuchsiapitch.Outcome) {
+	x.avoid = append(x.avoid, place.Server())
+	switch {
+	case refusal != nil:
+		place.Release(true, x.relayer.dialect.Answer(refusal.StatusCode, refusal.Header).Fault)
+	case outcome == fuchsiapitch.NotRun && x.ctx.Err() == nil:
+		place.Unreached()
+	default:
+		place.Release(true, "")
 	}
-	return x.relayer.dialect.Answer(response.StatusCode, response.Header).Fault
 }
 
 // onceReader reads a body that must not be sent twice.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -65,8 +65,7 @@
 	place.OnWithdraw(func(server fuchsiapitch.ServerID) { cancel(&WithdrawnError{Server: server}) })
 	response, outcome, err := x.send(ctx, place, p.last)
 	if err != nil {
-		x.avoid = append(x.avoid, place.Server())
-		place.Release(true, x.fault(response))
+		x.release(place, response, outcome)
 		return outcome, cause(ctx, err)
 	}
 	defer response.Body.Close()
