conductor: keep groups off the list where nothing replaces them; serve while new in office

Ruled out: slow starts (a host serves 0.03 s after its start). A leader off the list retires only if its domain could form a group again; the list tells the open groups until the survey is done. Both tests fail on the old rules.

--- a/engine_group.go
+++ b/engine_group.go
@@ -138,6 +138,8 @@
 	// Server and Address are the server that is asked.
 	Server  ServerID
 	Address string
+	// Fence rises with each leader; engines that check it refuse an older one.
+	Fence int64
 	// After is the number of orders that the server must have accepted before;
 	// it refuses the order otherwise.
 	After int64
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -252,7 +252,7 @@
 			delete(c.suspectedHere, s)
 		}
 	}
-	if b.Claim > 0 {
+	if b.Claim > 0 && c.isSurveyed() {
 		b.Groups = c.groupLines()
 	}
 	c.emit(SendBeat{Beat: b, To: to})
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -106,10 +106,13 @@
 // servers.
 const surveyLimit = 600 * time.Millisecond
 
+// isSurveyed reports whether a leader has asked all servers.
+func (c *Conductor) isSurveyed() bool { return c.leadsSince > 0 && c.surveyed == c.leadsSince }
+
 // survey has a leader that is new in office ask every server before it plans: the
 // list may be older than the last orders of the leader before it.
 func (c *Conductor) survey(now time.Duration) bool {
-	if c.surveyed == c.leadsSince && c.leadsSince > 0 {
+	if c.isSurveyed() {
 		return true
 	}
 	if len(c.servers) == 0 {
@@ -255,7 +258,7 @@
 			g.fail(c, "member left", id)
 		case s.report.Membership.State == fuchsiapitch.MemberBroken && s.in(g.ref):
 			g.fail(c, "group is broken", id)
-		case s.report.Leaving && !g.retiring, id == g.head() && !g.retiring && c.isOffList(now, s):
+		case s.report.Leaving && !g.retiring, id == g.head() && !g.retiring && c.isOffList(now, s) && c.isReplaceable(g):
 			if g.opened == 0 && !c.isOpen(g) {
 				g.fail(c, "member leaves", id)
 			} else {
@@ -298,6 +301,18 @@
 		now-max(s.unlistedAt, s.recovered) > relistTime
 }
 
+// isReplaceable reports whether a domain has enough servers on the list to form a
+// group again. Where it has not, its servers may be cut off from the list only.
+func (c *Conductor) isReplaceable(g *group) bool {
+	usable := 0
+	for id, s := range c.servers {
+		if s.report.Domain == g.domain && s.isUsable() && (slices.Contains(g.members, id) || !c.isPlanned(id)) {
+			usable++
+		}
+	}
+	return usable >= g.size
+}
+
 // freshTime is how old an answer of a server may be to show that it is in reach.
 const freshTime = time.Second
 
@@ -488,7 +503,7 @@
 	if o.Kind == fuchsiapitch.OrderOpen && s.wantProbe && now < s.nextProbe {
 		return false
 	}
-	o.Server, o.Address, o.After = id, s.report.Address, s.report.Orders
+	o.Server, o.Address, o.After, o.Fence = id, s.report.Address, s.report.Orders, c.claim
 	if err := c.check(o, s); err != nil {
 		c.violations++
 		c.note(err.Error(), map[string]any{"invariant": err.Invariant})
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -127,3 +127,24 @@
 		}
 	}
 }
+
+// All servers of a domain go off the list while they answer: their groups stay.
+func TestGroupsOffTheListAreKept(t *testing.T) {
+	w := newWorld(5)
+	w.lead()
+	w.run(8 * time.Second)
+	before := make(map[fuchsiapitch.GroupRef]bool)
+	for _, e := range w.engines {
+		before[e.group] = true
+	}
+	w.unlistedDomain = "d0"
+	w.run(8 * time.Second)
+	w.unlistedDomain = ""
+	w.run(4 * time.Second)
+	assertNothingBroken(t, w)
+	for _, e := range w.engines {
+		if !before[e.group] || e.group.Name[0] == 'g' && e.members[0] == e.id && e.state != fuchsiapitch.MemberOpen {
+			t.Errorf("got %s in %s (%s), want its open group of before", e.id, e.group.Name, e.state)
+		}
+	}
+}
--- a/internal/conductor/lead_test.go
+++ b/internal/conductor/lead_test.go
@@ -128,3 +128,15 @@
 		}
 	}
 }
+
+// A leader that is new in office has no groups of its own yet; the list tells which
+// ones take requests.
+func TestNewLeaderServesAtOnce(t *testing.T) {
+	now := 5 * time.Second
+	c := newStations(now, 2)
+	c.Apply(now, ClaimRead{Number: 1, Holder: "a", Started: 1})
+	c.Apply(now, Ticked{})
+	if got, _ := answerTo(c.Apply(now, arrival(now, 1)), 1); got == "" {
+		t.Error("got no place while the servers are asked, want one")
+	}
+}
--- a/internal/conductor/station.go
+++ b/internal/conductor/station.go
@@ -97,7 +97,7 @@
 // leader says, or as the list shows. The second result states that a leader
 // tells it.
 func (c *Conductor) openGroups(now time.Duration) ([]GroupLine, bool) {
-	if c.leads(now) {
+	if c.leads(now) && c.isSurveyed() {
 		return c.groupLines(), true
 	}
 	for _, p := range c.peers {
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -65,6 +65,8 @@
 	calls      []pendingCall
 	broken     []string
 	claims     int64
+	// unlistedDomain is a domain whose servers do not reach the list.
+	unlistedDomain string
 	// frozen is the list that is read until the servers can write to it again.
 	frozen      []fuchsiapitch.ServerReport
 	frozenUntil time.Duration
@@ -315,7 +317,7 @@
 	const lag = 60
 	for _, id := range w.order {
 		e := w.engines[id]
-		if w.now-e.lastBeat > worldExpiry || len(e.history) == 0 {
+		if w.now-e.lastBeat > worldExpiry || e.domain == w.unlistedDomain || len(e.history) == 0 {
 			continue
 		}
 		r := e.history[max(0, len(e.history)-1-lag)]
