--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
@@ -27,6 +28,10 @@
 // progress is what a caller has of a stream.
 type progress struct {
 	started bool
+	// first is the time to the first event, pause the longest time between two, and
+	// at the time of the last.
+	first, pause time.Duration
+	at           time.Time
 	// last is the identifier of the last whole event, "" for none.
 	last string
 }
@@ -39,6 +44,7 @@
 	for x.sent < x.rule.Attempts && x.tries < x.rule.Attempts+dialTries {
 		outcome, err := x.pass(&p)
 		if err == nil {
+			x.lineIfLate(&p)
 			return
 		}
 		last = err
@@ -172,9 +178,31 @@
 	if id := lastID(events); id != "" {
 		p.last = id
 	}
+	p.time(x.arrived)
 	return nil
 }
 
+// time notes the time of an event.
+func (p *progress) time(arrived time.Time) {
+	now := time.Now()
+	if p.at.IsZero() {
+		p.first = now.Sub(arrived)
+	} else {
+		p.pause = max(p.pause, now.Sub(p.at))
+	}
+	p.at = now
+}
+
+// lineIfLate writes the log line of a stream that was whole but not on time.
+func (x *exchange) lineIfLate(p *progress) {
+	if p.first <= x.rule.Target && (x.rule.GapTarget <= 0 || p.pause <= x.rule.GapTarget) {
+		return
+	}
+	x.relayer.log.Info().Str("request", string(x.facts.ID)).Str("route", x.rule.Name).Str("model", x.facts.Model).
+		Int64("waited-ms", x.waited.Milliseconds()).Int64("first-ms", p.first.Milliseconds()).Int64("pause-ms", p.pause.Milliseconds()).
+		Int("sent", x.sent).Int("prompt", x.facts.PromptTokens).Int64("took-ms", time.Since(x.arrived).Milliseconds()).Msg("late")
+}
+
 // lastID returns the identifier of the last event that has one.
 func lastID(events []byte) string {
 	at := bytes.LastIndex(events, idField)
