conductor: back to reading without a bound; lines for late streams stay

The relayer's line for a whole stream that was not on time stays; it tells the wait, the time to the first event, the longest pause and the prompt.

--- a/internal/conductor/admission.go
+++ b/internal/conductor/admission.go
@@ -40,8 +40,6 @@
 	// suspectSilence is the silence after which a server gets no new requests
 	// while others can take them.
 	suspectSilence = 300 * time.Millisecond
-	// maxUnread bounds the unread prompt tokens of a station in estimates.
-	maxUnread = 1 << 20
 	// lateShare is the part of the time to the deadline that a request which
 	// cannot be in time may wait.
 	lateShare = 0.25
@@ -84,16 +82,6 @@
 	Arrived
 	pool  pool
 	since time.Duration
-	// late states that it could not be in time when it came.
-	late bool
-}
-
-// begin returns the time in which the answer should begin, 0 if it is late.
-func (w *wait) begin(now time.Duration) time.Duration {
-	if w.late {
-		return 0
-	}
-	return max(0, w.InTime-now)
 }
 
 func newAdmission() admission {
@@ -106,7 +94,6 @@
 // arrive gives a request a place, a turn in the queue, or a refusal.
 func (c *Conductor) arrive(now time.Duration, e Arrived) {
 	w := &wait{Arrived: e, pool: pool{e.Service, e.Model}, since: now}
-	w.late = w.InTime-c.firstTime(w) <= now
 	if !c.spend(now, e) {
 		c.refuse(w, NoBudget, leastRetry)
 		return
@@ -131,22 +118,19 @@
 	c.serveQueue(now)
 }
 
-// compareWaits orders the queue: by rank, those that can be in time before those
-// that cannot, those that came back before the new, then by arrival.
+// compareWaits orders the queue: by rank, those that came back before the new,
+// then by arrival.
 func compareWaits(a, b *wait) int {
-	return cmp.Or(
-		cmp.Compare(a.Rank, b.Rank), compareFlags(b.late, a.late), compareFlags(a.Returned, b.Returned), cmp.Compare(a.since, b.since))
-}
-
-// compareFlags puts what is set first.
-func compareFlags(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
+	if n := cmp.Compare(a.Rank, b.Rank); n != 0 {
+		return n
+	}
+	if a.Returned != b.Returned {
+		if a.Returned {
+			return -1
+		}
+		return 1
 	}
-	return 1
+	return cmp.Compare(a.since, b.since)
 }
 
 // patience returns until when a request may wait for a place: as long as it can
@@ -195,16 +179,10 @@
 // serves the request at all.
 func (c *Conductor) expectedWait(now time.Duration, w *wait) (time.Duration, bool) {
 	slots, running, ahead := 0, 0, 0
-	unread, readable, speed := float64(w.Prompt), 0.0, 0.0
 	for _, s := range c.stations {
 		if s.serves(w.pool) && now >= s.shunned {
 			slots += s.slots
 			running += s.load()
-			if s.readPerSecond > 0 {
-				unread += float64(s.unread + s.remoteUnread)
-				readable += float64(min(s.readLimit(w.Pause, w.begin(now)), maxUnread))
-				speed += s.readPerSecond / max(s.pace, 0.1)
-			}
 		}
 	}
 	if slots == 0 {
@@ -213,7 +191,6 @@
 	for _, o := range c.waiting {
 		if o.pool == w.pool && compareWaits(o, w) <= 0 {
 			ahead++
-			unread += float64(o.Prompt)
 		}
 	}
 	for _, p := range c.peers {
@@ -223,19 +200,11 @@
 		for _, q := range p.beat.Queues {
 			if q.Service == w.pool.service && q.Model == w.pool.model {
 				ahead += q.Waiting
-				unread += float64(q.Waiting * w.Prompt)
 			}
 		}
 	}
 	over := max(0, running-slots) + ahead + 1
-	wait := time.Duration(float64(c.hold(w.pool)) * float64(over) / float64(slots))
-	if running+ahead < slots {
-		wait = 0
-	}
-	if speed > 0 {
-		wait = max(wait, time.Duration((unread-readable)/speed*float64(time.Second)))
-	}
-	return wait, true
+	return time.Duration(float64(c.hold(w.pool)) * float64(over) / float64(slots)), true
 }
 
 // repairTime returns the time until a group is likely where none serves.
@@ -262,7 +231,7 @@
 	var bestCost float64
 	for _, id := range sortedKeys(c.stations) {
 		s := c.stations[id]
-		if !s.serves(w.pool) || now < s.shunned || s.load() >= s.slots+c.beyond(s) || !s.mayRead(w.Prompt, w.Pause, w.begin(now)) {
+		if !s.serves(w.pool) || now < s.shunned || s.load() >= s.slots+c.beyond(s) {
 			continue
 		}
 		cost := c.cost(now, s, w.Prompt)
--- a/internal/conductor/event.go
+++ b/internal/conductor/event.go
@@ -24,8 +24,6 @@
 	// Prompt is the number of tokens to read, Output the number expected to be
 	// written.
 	Prompt, Output int
-	// Pause is the longest pause between two events that is on time, 0 for any.
-	Pause time.Duration
 	// InTime is the time by which the answer must begin, and Deadline that after
 	// which it is of no use.
 	InTime, Deadline time.Duration
--- a/internal/conductor/station.go
+++ b/internal/conductor/station.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"math"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -18,10 +17,6 @@
 	slots   int
 	// pace multiplies the times of the engine, readPerSecond is its reading speed.
 	pace, readPerSecond float64
-	// step and stepPerRequest are the time of a token step and what each request
-	// adds to it, stride the steps between two events.
-	step, stepPerRequest time.Duration
-	stride               int
 	// running and unread are the requests of this host and their unread prompt
 	// tokens; remoteRunning and remoteUnread those of the others.
 	running, unread             int
@@ -56,45 +51,6 @@
 	return time.Duration(tokens / s.readPerSecond * max(s.pace, 0.1) * float64(time.Second))
 }
 
-const (
-	// pauseMargin is the part of the longest pause that reading may stretch a pass
-	// to; the rest is for requests of other hosts that are not heard of yet.
-	pauseMargin = 0.7
-	// targetMargin is the part of the time to the first event that reading and the
-	// passes after it may take.
-	targetMargin = 0.85
-)
-
-// readLimit returns the number of prompt tokens that may be unread at a station
-// while its streams keep to a pause and a new one begins within a time, 0 for any.
-// An engine reads between the steps of a pass, and events come once a pass; the
-// first one comes a pass after the reading.
-func (s *station) readLimit(pause, begin time.Duration) int {
-	if s.readPerSecond <= 0 || s.stride <= 0 {
-		return math.MaxInt
-	}
-	pace := max(s.pace, 0.1)
-	pass := float64(s.stride) * float64(s.step+time.Duration(s.load())*s.stepPerRequest) * pace
-	left := math.Inf(1)
-	if pause > 0 {
-		left = pauseMargin*float64(pause) - pass
-	}
-	if begin > 0 {
-		left = min(left, (targetMargin*float64(begin)-pass)/2)
-	}
-	if math.IsInf(left, 1) {
-		return math.MaxInt
-	}
-	return int(max(0, left) / float64(time.Second) / pace * s.readPerSecond)
-}
-
-// mayRead reports whether a station may get one more prompt. One that reads
-// nothing may get any.
-func (s *station) mayRead(prompt int, pause, begin time.Duration) bool {
-	unread := s.unread + s.remoteUnread
-	return unread == 0 || unread+prompt <= s.readLimit(pause, begin)
-}
-
 // silence returns how long no byte has come though one was due.
 func (s *station) silence(now time.Duration) time.Duration {
 	if s.running == 0 {
@@ -172,7 +128,6 @@
 	t.slots, t.pace = s.report.Slots, 1
 	if p.Engine != nil {
 		t.slots, t.readPerSecond = p.Engine.Slots, p.Engine.ReadPerSecond
-		t.step, t.stepPerRequest, t.stride = p.Engine.Step, p.Engine.StepPerSequence, p.Engine.Stride
 		if m, ok := p.Engine.Model(model); ok && m.Pace > 0 {
 			t.pace = m.Pace
 		}
--- a/route.go
+++ b/route.go
@@ -93,8 +93,6 @@
 	// request adds to it, and StepPerThousand what a thousand tokens of context
 	// of a request add.
 	Step, StepPerSequence, StepPerThousand time.Duration
-	// Stride is the number of token steps between two events of a stream.
-	Stride int
 	// ReadPerSecond is the number of prompt tokens read in a second.
 	ReadPerSecond float64
 	// LoadsPerSecond bounds the loads that may begin in a second.
