conductor: requests that can be in time go before those that cannot

The caller's time limit tells what it used before; by it a request is late or not when it comes. Rank stays first; among the late, those that came back go before the new.

--- a/internal/conductor/admission.go
+++ b/internal/conductor/admission.go
@@ -82,6 +82,8 @@
 	Arrived
 	pool  pool
 	since time.Duration
+	// late states that it could not be in time when it came.
+	late bool
 }
 
 func newAdmission() admission {
@@ -94,6 +96,7 @@
 // arrive gives a request a place, a turn in the queue, or a refusal.
 func (c *Conductor) arrive(now time.Duration, e Arrived) {
 	w := &wait{Arrived: e, pool: pool{e.Service, e.Model}, since: now}
+	w.late = w.InTime-c.firstTime(w) <= now
 	if !c.spend(now, e) {
 		c.refuse(w, NoBudget, leastRetry)
 		return
@@ -118,19 +121,22 @@
 	c.serveQueue(now)
 }
 
-// compareWaits orders the queue: by rank, those that came back before the new,
-// then by arrival.
+// compareWaits orders the queue: by rank, those that can be in time before those
+// that cannot, those that came back before the new, then by arrival.
 func compareWaits(a, b *wait) int {
-	if n := cmp.Compare(a.Rank, b.Rank); n != 0 {
-		return n
-	}
-	if a.Returned != b.Returned {
-		if a.Returned {
-			return -1
-		}
-		return 1
+	return cmp.Or(
+		cmp.Compare(a.Rank, b.Rank), compareFlags(b.late, a.late), compareFlags(a.Returned, b.Returned), cmp.Compare(a.since, b.since))
+}
+
+// compareFlags puts what is set first.
+func compareFlags(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
 	}
-	return cmp.Compare(a.since, b.since)
+	return 1
 }
 
 // patience returns until when a request may wait for a place: as long as it can
--- a/internal/conductor/admission_test.go
+++ b/internal/conductor/admission_test.go
@@ -153,3 +153,19 @@
 		t.Error("got a repeat refused in a new window, want it allowed")
 	}
 }
+
+// A request that cannot be in time yields to one that can.
+func TestLateYields(t *testing.T) {
+	now := 5 * time.Second
+	c := newStations(now, 1)
+	for n := range Ticket(28) {
+		c.Apply(now, arrival(now, n+1))
+	}
+	late := arrival(now, 100)
+	late.Returned, late.InTime = true, now
+	c.Apply(now, late)
+	c.Apply(now, arrival(now, 101))
+	if got, _ := answerTo(c.Apply(now+20*time.Millisecond, Ended{Ticket: 1}), 101); got == "" {
+		t.Error("got no place for the request that can be in time, want one")
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -263,12 +263,21 @@
 	return x.relayer.places.Acquire(x.ctx, conductor.Arrived{
 		Service: x.service, Model: model, Rank: x.rank(),
 		Prompt: x.facts.PromptTokens, Output: x.facts.OutputLimit,
-		InTime: x.relayer.places.At(x.arrived.Add(target)), Deadline: x.relayer.places.At(x.deadline),
+		InTime: x.relayer.places.At(x.arrived.Add(target - x.usedBefore())), Deadline: x.relayer.places.At(x.deadline),
 		Returned: float64(x.facts.TimeLimit) < returnedShare*float64(x.rule.Timeout),
 		Resumed:  resumed, Repeat: x.sent > 0, Avoid: x.avoid,
 	})
 }
 
+// usedBefore returns the time that the caller has used on earlier tries, as far as
+// its time limit tells.
+func (x *exchange) usedBefore() time.Duration {
+	if x.facts.TimeLimit <= 0 {
+		return 0
+	}
+	return max(0, x.rule.Timeout-x.facts.TimeLimit)
+}
+
 // send sends the request to the server of a place.
 func (x *exchange) send(ctx context.Context, p *driver.Place, resume string) (*http.Response, fuchsiapitch.Outcome, error) {
 	urgency, engine := p.Urgency()
