--- a/internal/sender/header.go
+++ b/internal/sender/header.go
@@ -30,8 +30,8 @@
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// passOn returns the header fields that may travel to the next connection.
-func passOn(header map[string][]string) http.Header {
+// PassOn returns the header fields that may travel to the next connection.
+func PassOn(header map[string][]string) http.Header {
 	passed := make(http.Header, len(header)+4)
 	for k, v := range header {
 		passed[http.CanonicalHeaderKey(k)] = v
@@ -50,7 +50,7 @@
 // outgoing returns the header of a request to a backend server. The bearer key
 // of a caller concerns this system alone.
 func outgoing(call fuchsiapitch.Call, now time.Time) http.Header {
-	h := passOn(call.Header())
+	h := PassOn(call.Header())
 	for _, name := range [...]string{"Authorization", "Content-Length", "Host", "Expect", LastEventHeader, TimeoutHeader} {
 		h.Del(name)
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -189,7 +189,7 @@
 		refusal := &ServerRefusalError{Status: response.StatusCode, RetryAfter: retryAfter(response.Header)}
 		return fuchsiapitch.Answer{}, x.fail(fuchsiapitch.NotRun, refusal)
 	}
-	header := passOn(response.Header)
+	header := PassOn(response.Header)
 	if x.call.Stream() && isEventStream(response) {
 		return fuchsiapitch.NewAnswer(response.StatusCode, header, newStreamBody(x, response.Body)), nil
 	}
