relayer, integrator: limits on headers and idle connections by the configuration

Cause: both were constants of the program; the configuration names them and may change them. The stand-in carries orders out late, and a test repairs a group meanwhile.

--- a/internal/integrator/integrator.go
+++ b/internal/integrator/integrator.go
@@ -52,8 +52,9 @@
 	listenOn = 2500 * time.Millisecond
 	// stopMargin is kept between the end of a stop and the end by force.
 	stopMargin = 300 * time.Millisecond
-	// idleLimit is how long a connection of a caller stays open without a request.
-	idleLimit = 60 * time.Second
+	// longestIdle is how long a connection of a caller stays open without a request
+	// if the configuration sets no limit.
+	longestIdle = 60 * time.Second
 	// headerLimit is the time that a caller has to send a header before the
 	// configuration says otherwise.
 	headerLimit = 10 * time.Second
@@ -140,9 +141,12 @@
 	}
 	work, endWork := context.WithCancel(ctx)
 	defer endWork()
-	ended := h.supervisor().ServeBackground(work)
+	idle := &idleCloser{limit: h.idleLimit, log: h.log, since: make(map[net.Conn]time.Time)}
+	supervisor := h.supervisor()
+	supervisor.Add(service(idle.serve))
+	ended := supervisor.ServeBackground(work)
 	front := &http.Server{
-		Handler: h.relayer, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: headerBytes,
+		Handler: h.relayer, ConnState: idle.watch, ReadHeaderTimeout: headerLimit, IdleTimeout: longestIdle, MaxHeaderBytes: headerBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	operators := http.NewServeMux()
@@ -166,6 +170,14 @@
 	return err
 }
 
+// idleLimit returns how long a connection may stay without a request.
+func (h *Host) idleLimit() time.Duration {
+	if t := h.relayer.Table(); t != nil {
+		return t.Limits().IdleTimeout
+	}
+	return 0
+}
+
 func (h *Host) listen(ctx context.Context) (callers, readiness net.Listener, err error) {
 	var config net.ListenConfig
 	if callers, err = config.Listen(ctx, "tcp4", h.settings.Load().Callers); err != nil {
--- a/internal/integrator/integrator_test.go
+++ b/internal/integrator/integrator_test.go
@@ -195,6 +195,15 @@
 	b.await(t, "repaired group", func() bool { return len(b.Fleet.Leaders()) >= 4 })
 }
 
+// Orders without an answer are carried out late, in the middle of a repair.
+func TestLateOrders(t *testing.T) {
+	b := newBed(t, 2)
+	b.Fleet.DelayOrders(6)
+	leader := b.Fleet.Leaders()[0]
+	b.Fleet.Server(leader.Members()[1]).Lose()
+	b.await(t, "repaired group", func() bool { return len(b.Fleet.Leaders()) >= 4 })
+}
+
 func TestStoreTrouble(t *testing.T) {
 	b := newBed(t, 2)
 	b.Store.SetDown(true)
--- a/internal/relayer/failure.go
+++ b/internal/relayer/failure.go
@@ -27,6 +27,12 @@
 // Error implements error.
 func (e *WithdrawnError) Error() string { return fmt.Sprintf("the group of %s is no more", e.Server) }
 
+// HeaderError reports a request header that is too large.
+type HeaderError struct{ Limit int64 }
+
+// Error implements error.
+func (e *HeaderError) Error() string { return fmt.Sprintf("header of more than %d bytes", e.Limit) }
+
 // BodyError reports a request body that is too large.
 type BodyError struct{ Limit int64 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -172,6 +172,11 @@
 		x.answer(http.StatusServiceUnavailable, startRetry, "no configuration yet")
 		return false
 	}
+	if limit := t.Limits().HeaderBytes; limit > 0 && headerBytes(x.request) > limit {
+		x.writer.Header().Set("Connection", "close")
+		x.answer(http.StatusRequestHeaderFieldsTooLarge, 0, (&HeaderError{Limit: limit}).Error())
+		return false
+	}
 	path, _, _ := strings.Cut(x.request.RequestURI, "?")
 	rule, ok := t.Match(x.request.Host, path)
 	if !ok {
@@ -197,6 +202,18 @@
 	return true
 }
 
+// headerBytes returns the size of the header of a request.
+func headerBytes(r *http.Request) int64 {
+	const separators = 4 // the colon, the space and the end of a line
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return int64(n)
+}
+
 // pick chooses one of the destinations by their weights.
 func pick(services []fuchsiapitch.WeightedService) fuchsiapitch.ServiceName {
 	total := 0
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -77,7 +77,7 @@
 	}
 	table := fuchsiapitch.NewRouteTable(1, []fuchsiapitch.HostRoute{
 		route("/once/", fuchsiapitch.OnceRoute, 1), route("/look/", fuchsiapitch.RepeatableRoute, 2), route("/stream/", fuchsiapitch.StreamRoute, 2),
-	}, []fuchsiapitch.ServiceProfile{{Name: "desk"}}, map[string]fuchsiapitch.Tenancy{"k": {Customer: "c"}}, true, fuchsiapitch.CallerLimits{BodyBytes: 100})
+	}, []fuchsiapitch.ServiceProfile{{Name: "desk"}}, map[string]fuchsiapitch.Tenancy{"k": {Customer: "c"}}, true, fuchsiapitch.CallerLimits{BodyBytes: 100, HeaderBytes: 2000})
 	r.Configure(table)
 	d.Apply(conductor.Configured{Table: table})
 	var list []fuchsiapitch.ServerReport
@@ -202,6 +202,10 @@
 		response, _, _ := ask(t, url+"/once/x", strings.Repeat("x", 101))
 		assertStatus(t, response, http.StatusRequestEntityTooLarge)
 	})
+	t.Run("large header", func(t *testing.T) {
+		response, _, _ := ask(t, url+"/once/"+strings.Repeat("x", 3000), "")
+		assertStatus(t, response, http.StatusRequestHeaderFieldsTooLarge)
+	})
 	t.Run("no key", func(t *testing.T) {
 		response, err := http.Get(url + "/once/x")
 		if err != nil {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -68,6 +68,27 @@
 	stop    chan struct{}
 	done    chan struct{}
 	broken  []string
+	late    int
+}
+
+// lateTime is the time after which an order without an answer is carried out.
+const lateTime = 200 * time.Millisecond
+
+// DelayOrders has the next orders carried out late and not answered.
+func (f *Fleet) DelayOrders(n int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.late = n
+}
+
+func (f *Fleet) takeDelay() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.late == 0 {
+		return false
+	}
+	f.late--
+	return true
 }
 
 // NewFleet returns an empty fleet and a function that ends it.
@@ -267,6 +288,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.fleet.takeDelay() {
+		time.AfterFunc(lateTime, func() { s.carryOut(o) })
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(s.carryOut(o))
+}
+
+// carryOut takes an order and returns the HTTP status.
+func (s *Server) carryOut(o order) int {
 	if o.Op == "join" {
 		s.watchJoin(o)
 	}
@@ -274,10 +304,9 @@
 	defer s.mutex.Unlock()
 	s.advance()
 	if o.Expected != nil && *o.Expected != s.orders {
-		w.WriteHeader(http.StatusConflict)
-		return
+		return http.StatusConflict
 	}
-	w.WriteHeader(s.take(o))
+	return s.take(o)
 }
 
 // watchJoin notes a join of a server whose group takes requests.
