relayer: tests count without races

Cause: -race found counters of the tests' own servers shared without a lock; the product's code showed none (integrator, relayer, conductor, driver, tracker, logger and platform run clean).

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,15 +151,15 @@
 		"unsigned":                 {answer(http.StatusOK), http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runs := 0
+			var runs atomic.Int32
 			url := newBed(t, func(w http.ResponseWriter, r *http.Request) {
-				runs++
+				runs.Add(1)
 				c.handler(w, r)
 			})
 			response, _, _ := ask(t, url+"/once/x", "b")
 			assertStatus(t, response, c.want)
-			if runs != 1 {
-				t.Errorf("got %d sends, want 1", runs)
+			if got := runs.Load(); got != 1 {
+				t.Errorf("got %d sends, want 1", got)
 			}
 		})
 	}
@@ -174,10 +175,9 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			failed := false
+			var failed atomic.Bool
 			either := func(w http.ResponseWriter, r *http.Request) {
-				if !failed {
-					failed = true
+				if !failed.Swap(true) {
 					bad(w, r)
 					return
 				}
@@ -222,13 +222,12 @@
 
 // A stream that stops in the middle of an event goes on after the last whole one.
 func TestStreamGoesOn(t *testing.T) {
-	first := true
+	var resumed atomic.Bool
 	events := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Signed", "1")
 		w.Header().Set("Content-Type", "text/event-stream")
-		if first {
-			first = false
+		if !resumed.Swap(true) {
 			io.WriteString(w, "id: 1\ndata: a\n\nid: 2\ndata: b")
 			http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
