explainer, commander: the story of a request from the lines of all hosts

Adds fuchsiapitch explain; lines carry the host and milliseconds, without which they could not be put in order. The process after a stopped leader could claim the lead anew though its heir led; test fails on the old rule.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -36,6 +36,7 @@
 	return []subcommands.Command{
 		newServe(streams),
 		newDemo(streams),
+		newExplain(streams),
 		newCheck(streams),
 		newPublish(streams),
 		newStatus(streams),
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -108,12 +108,16 @@
 func (s *serve) servePlatform(ctx context.Context, path string) subcommands.ExitStatus {
 	signalled, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return s.streams.fail(ExitUsage, err)
+	}
 	lines, flush := logger.NewBounded(s.streams.Errors)
 	defer flush()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	host, cleanUp, err := integrator.New(ctx, path, reload, logger.New(lines))
+	host, cleanUp, err := integrator.New(ctx, path, reload, logger.New(lines, logger.WithHost(string(settings.Host))))
 	var wrong *platform.SettingsError
 	switch {
 	case errors.As(err, &wrong):
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -121,10 +121,11 @@
 		c.claim, c.doubtful = e.Number, false
 	}
 	switch {
+	case e.Number == c.knownClaim:
 	case e.Holder == c.self.ID && e.Started != c.started:
 		// The claim is that of the process before this one.
 		c.lastHeard = now - peerTimeout
-	case e.Number > c.knownClaim:
+	default:
 		c.lastHeard = now
 	}
 	c.knownClaim, c.holder = e.Number, e.Holder
--- a/internal/conductor/lead_test.go
+++ b/internal/conductor/lead_test.go
@@ -82,6 +82,19 @@
 			t.Error("got no claim, want one")
 		}
 	})
+	t.Run("not for the claim of the process before, while its heir leads", func(t *testing.T) {
+		leader, heir := newPair(now)
+		leader.Apply(now, Stopping{})
+		exchange(now, leader, heir)
+		again := New(Peer{ID: "a"}, 2)
+		again.Apply(0, Configured{Table: worldTable()})
+		again.Apply(now, ServersListed{})
+		exchange(now, heir, again)
+		again.Apply(now, ClaimRead{Number: 7, Holder: "a", Started: 1})
+		if hasClaim(again.Apply(now, Ticked{})) {
+			t.Error("got a claim, want none")
+		}
+	})
 	t.Run("not at once after a cut", func(t *testing.T) {
 		other.Apply(now+3*time.Second, StoreFailed{})
 		other.Apply(now+4*time.Second, ServersListed{})
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -35,10 +35,19 @@
 	return func(l *Logger) { l.root = l.root.With().Str("host", host).Logger() }
 }
 
+// stampFormat is the time of a line, in milliseconds, so that the lines of several
+// hosts can be put in order.
+const stampFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// stamp adds the time to a line.
+func stamp(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(stampFormat))
+}
+
 // New returns a logger that writes lines of level info and above.
 func New(w io.Writer, options ...Option) *Logger {
 	l := &Logger{
-		root:     zerolog.New(w).With().Timestamp().Logger(),
+		root:     zerolog.New(w).Hook(zerolog.HookFunc(stamp)),
 		standard: zerolog.InfoLevel,
 		levels:   make(map[string]zerolog.Level),
 	}
