conductor, relayer: tests of two promises that had none

Leaving servers get no new work, and a configuration never reverts, on the path of the platform. Both tests were made to fail once: without the check of the list a place was given at the leaving server, and with versions compared for equality alone version 5 followed 7. No change of the product's code.

--- a/internal/conductor/admission_test.go
+++ b/internal/conductor/admission_test.go
@@ -169,3 +169,26 @@
 		t.Error("got no place for the request that can be in time, want one")
 	}
 }
+
+// A leaving server, and one that is off the list, get no new work.
+func TestLeavingServersGetNothing(t *testing.T) {
+	now := 5 * time.Second
+	for name, change := range map[string]func([]fuchsiapitch.ServerReport) []fuchsiapitch.ServerReport{
+		"leaving": func(l []fuchsiapitch.ServerReport) []fuchsiapitch.ServerReport {
+			l[0].Leaving = true
+			return l
+		},
+		"off the list": func(l []fuchsiapitch.ServerReport) []fuchsiapitch.ServerReport { return l[1:] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newStations(now, 2)
+			list := []fuchsiapitch.ServerReport{c.servers["s0"].report, c.servers["s1"].report}
+			c.Apply(now, ServersListed{Servers: change(list)})
+			for n := range Ticket(10) {
+				if got, _ := answerTo(c.Apply(now, arrival(now, n+1)), n+1); got == "s0" {
+					t.Fatal("got a place at s0, want none")
+				}
+			}
+		})
+	}
+}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -267,3 +267,17 @@
 		}
 	}
 }
+
+// A configuration that is in force never gives way to an earlier one.
+func TestConfigurationNeverReverts(t *testing.T) {
+	version := func(n int64) *fuchsiapitch.RouteTable {
+		return fuchsiapitch.NewRouteTable(n, nil, nil, nil, false, fuchsiapitch.CallerLimits{})
+	}
+	r := New(nil, nil, plainDialect{})
+	for _, n := range []int64{3, 7, 5, 7} {
+		r.Configure(version(n))
+	}
+	if got, want := r.Table().Version(), int64(7); got != want {
+		t.Errorf("got version %d, want %d", got, want)
+	}
+}
