conductor: give stranded servers work

Now they wait six seconds, longer than a restart or a replacement takes. Then a group of a model with more supply and no more pressure retires if that makes room for the one that lacks groups; else the survivors form what they can. The number of groups of each model follows supply and pressure this way also after they were formed. How many groups of which model moved to balance.go.

Ruled out: acting at once (servers that restart come back within five seconds, and a group that retires serves nobody new meanwhile).

Before: TestSurvivorsAreNotStranded got no group, TestGroupMakesRoom no large one.

--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -93,6 +93,8 @@
 	dissolved map[fuchsiapitch.GroupRef]bool
 	// heads remembers the leader of each formation.
 	heads map[fuchsiapitch.GroupRef]fuchsiapitch.ServerID
+	// stranded is since when free servers are too few for the model that lacks groups.
+	stranded map[strand]time.Duration
 }
 
 func newFleet() fleet {
@@ -101,6 +103,7 @@
 		groups:    make(map[fuchsiapitch.GroupRef]*group),
 		dissolved: make(map[fuchsiapitch.GroupRef]bool),
 		heads:     make(map[fuchsiapitch.GroupRef]fuchsiapitch.ServerID),
+		stranded:  make(map[strand]time.Duration),
 	}
 }
 
--- a/internal/conductor/form.go
+++ b/internal/conductor/form.go
@@ -21,9 +21,9 @@
 			// More of them will be free in a moment.
 			return
 		}
-		model, ok := c.nextModel(service, domain, p, len(free), settled)
+		model, ok := c.nextModel(now, service, domain, p, len(free), settled)
 		if !ok {
-			break
+			return
 		}
 		c.formOne(now, service, domain, model, free)
 	}
@@ -92,77 +92,6 @@
 	return false
 }
 
-// sparesBeyond is the number of free servers that a domain keeps once it holds
-// a group of each model.
-const sparesBeyond = 2
-
-// nextModel returns the model that the next formation in a domain should serve.
-func (c *Conductor) nextModel(service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, p *fuchsiapitch.EngineProfile, free int, settled bool) (fuchsiapitch.Model, bool) {
-	here := 0
-	counts := make(map[string]float64)
-	for _, g := range c.groups {
-		if g.service != service || g.failed {
-			continue
-		}
-		counts[g.model]++
-		if g.domain == domain {
-			here++
-		}
-	}
-	if here >= len(p.Models) {
-		free -= sparesBeyond
-	}
-	weight := func(m fuchsiapitch.Model) float64 {
-		return counts[m.Name] * float64(m.Size) / max(m.Share, 0.01)
-	}
-	var best, wanted fuchsiapitch.Model
-	for _, m := range p.Models {
-		if wanted.Size == 0 || weight(m) < weight(wanted) || weight(m) == weight(wanted) && m.Size > wanted.Size {
-			wanted = m
-		}
-		if m.Size > free || m.Size <= 0 {
-			continue
-		}
-		if best.Size == 0 || weight(m) < weight(best) || weight(m) == weight(best) && m.Size > best.Size {
-			best = m
-		}
-	}
-	if best.Name != wanted.Name && (!settled || c.pressure(service, best.Name) < fullPressure) {
-		// The servers wait for others to come for the model that lacks groups.
-		return fuchsiapitch.Model{}, false
-	}
-	return best, best.Size > 0
-}
-
-// fullPressure is the share of the places of a model in use from which on it gets
-// groups beyond its share.
-const fullPressure = 0.85
-
-// pressure returns the requests for a model, running and waiting, as a share of
-// its places.
-func (c *Conductor) pressure(service fuchsiapitch.ServiceName, model string) float64 {
-	slots, wants := 0, 0
-	for _, s := range c.stations {
-		if s.open && s.service == service && s.model == model {
-			slots += s.slots
-			wants += s.load()
-		}
-	}
-	for _, w := range c.waiting {
-		if w.Service == service && w.Model == model {
-			wants++
-		}
-	}
-	for _, p := range c.peers {
-		for _, q := range p.beat.Queues {
-			if q.Service == service && q.Model == model && p.isLive(c.now) {
-				wants += q.Waiting
-			}
-		}
-	}
-	return float64(wants) / float64(max(slots, 1))
-}
-
 // formOne plans one formation. Servers that need the least time come first; a
 // leader that must go first for others to be free is taken in or told to leave.
 func (c *Conductor) formOne(now time.Duration, service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, model fuchsiapitch.Model, free []*server) {
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -148,3 +148,77 @@
 		}
 	}
 }
+
+// lose ends for good servers of a domain that are members of a group of a model, or
+// of none.
+func (w *world) lose(domain, model string, count int) {
+	for _, id := range w.order {
+		e := w.engines[id]
+		held := ""
+		if len(e.members) > 1 {
+			held = e.model
+		}
+		if count > 0 && !e.dead && e.domain == domain && held == model {
+			e.dead = true
+			count--
+		}
+	}
+}
+
+func (w *world) openModels(domain string) map[string]int {
+	models := make(map[string]int)
+	for _, e := range w.engines {
+		if e.state == fuchsiapitch.MemberOpen && !e.dead && e.domain == domain {
+			models[e.model]++
+		}
+	}
+	return models
+}
+
+func assertModels(t *testing.T, w *world, domain string, large, small int) {
+	t.Helper()
+	assertNothingBroken(t, w)
+	got := w.openModels(domain)
+	if got["large"] != large || got["small"] != small {
+		t.Errorf("got open groups %v in %s, want %d large and %d small", got, domain, large, small)
+	}
+}
+
+// Survivors that are too few for their model serve another after a while.
+func TestSurvivorsAreNotStranded(t *testing.T) {
+	w := newWorld(1)
+	w.lead()
+	w.run(12 * time.Second)
+	assertModels(t, w, "d0", 1, 1)
+	w.lose("d0", "large", 3)
+	w.lose("d0", "small", 1)
+	w.lose("d0", "", 2)
+	w.run(worldExpiry + strandLimit + 6*time.Second)
+	assertModels(t, w, "d0", 0, 1)
+}
+
+// A small group makes room where a large one is missing.
+func TestGroupMakesRoom(t *testing.T) {
+	w := newWorld(1)
+	w.lead()
+	w.run(12 * time.Second)
+	w.lose("d0", "large", 3)
+	w.run(worldExpiry + 2*time.Second)
+	assertModels(t, w, "d0", 0, 1)
+	w.run(strandLimit + 6*time.Second)
+	assertModels(t, w, "d0", 1, 0)
+}
+
+// Servers that come back in time find the others waiting.
+func TestModelReturnsWithItsServers(t *testing.T) {
+	w := newWorld(1)
+	w.lead()
+	w.run(12 * time.Second)
+	w.lose("d0", "large", 3)
+	w.run(worldExpiry)
+	for n := range 3 {
+		w.add("d0", fmt.Sprintf("late%d", n))
+	}
+	w.run(strandLimit + 6*time.Second)
+	assertModels(t, w, "d0", 1, 1)
+}
