platform, appender, pacer: name producers, bound calls to the store

Cause: appends carried a condition but no producer, so a call whose answer was lost could be entered twice, or late after a newer one of the same host; and the calls of a host were bounded by pauses alone, which at a thousand hosts would come near the store's limits.

Now an appender gives each append its producer, epoch and number: a repeat is entered once, another append raises the epoch and fences what is held back. An epoch that is behind (a clock stepped back between two lives) is raised once. A pacer shares half of the store's limits among the hosts that are heard. The stand-in of the store follows producers.

Ruled out: reading the expected number from a refusal; a higher epoch may start at any number, so that one rule serves both refusals.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -208,8 +208,8 @@
 // isLive reports whether a host was heard a short time ago.
 func (p *peer) isLive(now time.Duration) bool { return p.heard && now-p.last < peerTimeout }
 
-// liveHosts returns the number of live hosts, this one included.
-func (c *Conductor) liveHosts(now time.Duration) int {
+// LiveHosts returns the number of live hosts, this one included.
+func (c *Conductor) LiveHosts(now time.Duration) int {
 	n := 1
 	for _, p := range c.peers {
 		if p.isLive(now) {
--- a/internal/conductor/lead.go
+++ b/internal/conductor/lead.go
@@ -57,7 +57,7 @@
 	if c.claim == 0 || c.claim != c.knownClaim || c.doubtful || c.stops {
 		return false
 	}
-	return now-c.listRead < storeGrace || 2*c.liveHosts(now) > len(c.peers)+1
+	return now-c.listRead < storeGrace || 2*c.LiveHosts(now) > len(c.peers)+1
 }
 
 // resume is called after the process stood still: others may have claimed.
@@ -147,7 +147,7 @@
 		c.emit(ClaimLead{Known: c.knownClaim})
 		return
 	}
-	if c.liveHosts(now) == 1 && now-c.storeBack < settledStore {
+	if c.LiveHosts(now) == 1 && now-c.storeBack < settledStore {
 		// The other hosts may be back in reach as well.
 		return
 	}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -109,6 +109,13 @@
 	d.apply(e)
 }
 
+// LiveHosts returns the number of hosts that are heard, this one included.
+func (d *Driver) LiveHosts() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.conductor.LiveHosts(d.now())
+}
+
 func (d *Driver) apply(e conductor.Event) {
 	for _, effect := range d.conductor.Apply(d.now(), e) {
 		d.do(effect)
--- a/internal/integrator/integrator.go
+++ b/internal/integrator/integrator.go
@@ -17,10 +17,12 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/conductor"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/logger"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/pacer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/relayer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
@@ -73,7 +75,8 @@
 	logs     *logger.Logger
 	log      zerolog.Logger
 	meter    *meter.Meter
-	store    *platform.Store
+	calls    *platform.Store
+	store    *pacer.Pacer
 	driver   *driver.Driver
 	relayer  *relayer.Relayer
 	self     conductor.Peer
@@ -111,13 +114,14 @@
 	}
 	kept := &http.Transport{DialContext: sender.NewDialer(connectLimit, silenceLimit), DisableCompression: true, MaxIdleConnsPerHost: 8}
 	once := &http.Transport{DialContext: sender.NewDialer(connectLimit, silenceLimit), DisableCompression: true, DisableKeepAlives: true}
-	h.store = platform.NewStore(settings.Store, kept)
+	h.calls = platform.NewStore(settings.Store, kept)
+	h.store = pacer.New(h.calls)
 	c := conductor.New(h.self, h.started,
 		conductor.WithStall(settings.Stall), conductor.WithDataCentre(settings.DataCentre),
 		conductor.WithRetryBudget(settings.RetryRatio, settings.RetrySlack, settings.RetryWindow),
 	)
 	h.driver = driver.New(ctx, c, platform.NewServers(once),
-		&claimer{store: h.store, self: h.self.ID, started: h.started}, socket,
+		newClaimer(h.store, h.self.ID, h.started), socket,
 		driver.WithLogger(logs.For("conductor")), driver.WithMeter(h.meter), driver.WithReread(func() { h.configuration.Kick() }))
 	h.follow()
 	calls, closeCalls := sender.New(sender.WithConnectTimeout(requestConnectLimit), sender.WithSilence(silenceLimit))
@@ -286,9 +290,10 @@
 	if err != nil {
 		return err
 	}
+	hosts := appender.New(h.store, platform.HostsTopic, string(h.self.ID), h.started)
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, announcePause)
-		_, err := h.store.Append(call, platform.HostsTopic, string(h.self.ID), value, -1)
+		_, err := hosts.Append(call, string(h.self.ID), value, -1)
 		cancel()
 		if err == nil {
 			<-ctx.Done()
@@ -348,6 +353,8 @@
 		list = append(list, r)
 	}
 	h.driver.Apply(conductor.ServersListed{Servers: list})
+	settings := h.Settings()
+	h.store.Share(h.driver.LiveHosts(), settings.StoreReads, settings.StoreWrites)
 	h.listed.Store(true)
 }
 
--- a/internal/integrator/record.go
+++ b/internal/integrator/record.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/conductor"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/pacer"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
 
@@ -42,11 +44,18 @@
 
 // claimer enters claims to the lead in the store. It implements driver.Claimer.
 type claimer struct {
-	store   *platform.Store
+	store   pacer.Store
+	claims  *appender.Appender
 	self    fuchsiapitch.HostID
 	started int64
 }
 
+func newClaimer(store pacer.Store, self fuchsiapitch.HostID, started int64) *claimer {
+	return &claimer{
+		store: store, claims: appender.New(store, platform.ClaimsTopic, string(self), started), self: self, started: started,
+	}
+}
+
 // Claim implements driver.Claimer.
 func (c *claimer) Claim(ctx context.Context, known int64) (conductor.ClaimRead, error) {
 	page, err := c.store.Newest(ctx, platform.ClaimsTopic)
@@ -66,7 +75,7 @@
 	if err != nil {
 		return conductor.ClaimRead{}, err
 	}
-	offset, err := c.store.Append(ctx, platform.ClaimsTopic, leadKey, value, page.Next)
+	offset, err := c.claims.Append(ctx, leadKey, value, page.Next)
 	if err != nil {
 		return conductor.ClaimRead{}, err
 	}
--- /dev/null
+++ b/internal/integrator/record_test.go
@@ -0,0 +1,43 @@
+package integrator
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
+	standin "github.com/fuchsiapitch/fuchsiapitch/internal/standin/platform"
+	"github.com/fuchsiapitch/fuchsiapitch/platform"
+)
+
+// The answer to a claim is lost: the same claim again enters nothing twice.
+func TestClaimIsRepeated(t *testing.T) {
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	calls := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), http.DefaultTransport)
+	claims := appender.New(calls, platform.ClaimsTopic, "host", 1)
+	store.LoseAnswers(1)
+	if _, err := claims.Append(t.Context(), leadKey, []byte("claim"), 0); err == nil {
+		t.Fatal("got an answer, want it lost")
+	}
+	offset, err := claims.Append(t.Context(), leadKey, []byte("claim"), 0)
+	if err != nil || offset != 0 {
+		t.Errorf("got offset %d and error %v, want 0", offset, err)
+	}
+	assertEnd(t, calls, 1)
+	if _, err := appender.New(calls, platform.ClaimsTopic, "host", 0).Append(t.Context(), leadKey, []byte("late"), -1); err != nil {
+		t.Errorf("got error %v for a life with a lower epoch, want none", err)
+	}
+	assertEnd(t, calls, 2)
+}
+
+func assertEnd(t *testing.T, calls *platform.Store, want int64) {
+	t.Helper()
+	page, err := calls.Newest(context.Background(), platform.ClaimsTopic)
+	if err != nil || page.Next != want {
+		t.Errorf("got end %d and error %v, want %d", page.Next, err, want)
+	}
+}
--- a/internal/integrator/settings.go
+++ b/internal/integrator/settings.go
@@ -66,7 +66,7 @@
 		h.log.Warn().Msg("changed addresses to listen on are used after the next start")
 	}
 	h.settings.Store(&next)
-	h.store.Move(next.Store)
+	h.calls.Move(next.Store)
 	h.driver.Apply(conductor.Tuned{
 		Stall: next.Stall, RetryRatio: next.RetryRatio, RetrySlack: next.RetrySlack, RetryWindow: next.RetryWindow,
 	})
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -35,6 +35,18 @@
 	first   int64
 	end     int64
 	newest  map[string]record
+	// producers are those that have appended under a name.
+	producers map[string]*producer
+}
+
+// repeatable is the number of a producer's last appends that may be repeated.
+const repeatable = 5
+
+// producer is what a topic knows of one writer.
+type producer struct {
+	epoch, next int64
+	// offsets are those of the last appends by their numbers.
+	offsets map[int64]int64
 }
 
 // Store is the metadata store.
@@ -83,7 +95,7 @@
 func (s *Store) topic(name string) *topic {
 	t, ok := s.topics[name]
 	if !ok {
-		t = &topic{newest: make(map[string]record)}
+		t = &topic{newest: make(map[string]record), producers: make(map[string]*producer)}
 		s.topics[name] = t
 	}
 	return t
@@ -135,12 +147,25 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.topic(name)
+	p, number, reason, repeated := t.producer(r)
+	switch {
+	case reason != "":
+		writeJSON(w, http.StatusConflict, map[string]any{"reason": reason})
+		return
+	case repeated:
+		writeJSON(w, http.StatusOK, map[string]any{"offset": p.offsets[number], "end": t.end})
+		return
+	}
 	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(t.end, 10) {
 		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"end": t.end})
 		return
 	}
 	n := recordHead + 1 + int(data[recordHead])
 	offset := s.append(t, string(data[recordHead+1:n]), slices.Clone(data[n:]))
+	if p != nil {
+		p.offsets[number], p.next = offset, number+1
+		delete(p.offsets, number-repeatable)
+	}
 	if s.lost > 0 {
 		s.lost--
 		panic(http.ErrAbortHandler)
@@ -148,6 +173,33 @@
 	writeJSON(w, http.StatusOK, map[string]any{"offset": offset, "end": t.end})
 }
 
+// producer returns the writer that an append names, nil for none, with the number
+// of the append, why it is refused, and whether it is a repeat.
+func (t *topic) producer(r *http.Request) (p *producer, number int64, reason string, repeated bool) {
+	query := r.URL.Query()
+	name := query.Get("producer")
+	if name == "" {
+		return nil, 0, "", false
+	}
+	epoch, _ := strconv.ParseInt(query.Get("epoch"), 10, 64)
+	number, _ = strconv.ParseInt(query.Get("seq"), 10, 64)
+	p, ok := t.producers[name]
+	if !ok || epoch > p.epoch {
+		p = &producer{epoch: epoch, next: number, offsets: make(map[int64]int64)}
+		t.producers[name] = p
+	}
+	if epoch < p.epoch {
+		return p, number, "fenced", false
+	}
+	if _, repeated = p.offsets[number]; repeated {
+		return p, number, "", true
+	}
+	if number != p.next {
+		return p, number, "seq", false
+	}
+	return p, number, "", false
+}
+
 func readFull(r *http.Request, data []byte) (int, error) {
 	read := 0
 	for read < len(data) {
