grouper: a host that was started again waits for its earlier promises only

But where the earlier life of this very host was acknowledged, that controller needs a promise of that life, and the last of these ends PromiseTime (15 s) after it ended. So the wait is PromiseTime. The state keeps since when a host has been an elector all along.

Ruled out: trusting that the holder ended because its host was started again (it helps only if the holder's host comes back); a shorter OutageLimit (it bounds how long orders go on while the log is away).

--- a/internal/encoder/groups.go
+++ b/internal/encoder/groups.go
@@ -85,7 +85,7 @@
 		w.Groups = append(w.Groups, toGroup(g))
 	}
 	for _, e := range s.Electors {
-		w.Electors = append(w.Electors, &wire.Elector{Host: string(e.Host), Incarnation: e.Incarnation, Joined: uint64(e.Joined)})
+		w.Electors = append(w.Electors, &wire.Elector{Host: string(e.Host), Incarnation: e.Incarnation, Joined: uint64(e.Joined), Since: uint64(e.Since)})
 	}
 	for _, r := range s.Rejections {
 		w.Rejections = append(w.Rejections, &wire.Rejection{Service: string(r.Service), Version: r.Version})
@@ -105,6 +105,7 @@
 	for _, e := range w.GetElectors() {
 		s.Electors = append(s.Electors, grouper.Elector{
 			Host: fuchsiapitch.HostID(e.GetHost()), Incarnation: e.GetIncarnation(), Joined: fuchsiapitch.Offset(e.GetJoined()),
+			Since: fuchsiapitch.Offset(e.GetSince()),
 		})
 	}
 	for _, r := range w.GetRejections() {
--- a/internal/encoder/groups_test.go
+++ b/internal/encoder/groups_test.go
@@ -23,7 +23,7 @@
 		"a checkpoint": {ID: "k", Kind: grouper.Checkpoint, Host: "host-a", State: &grouper.Snapshot{
 			Offset: 20, Term: 9, Holder: "host-a", Incarnation: 4, Sequence: 5, Acknowledged: 12, Released: true,
 			Groups:     []grouper.Group{group},
-			Electors:   []grouper.Elector{{Host: "host-a", Incarnation: 4, Joined: 2}},
+			Electors:   []grouper.Elector{{Host: "host-a", Incarnation: 4, Joined: 2, Since: 1}},
 			Rejections: []grouper.Rejection{{Service: "redactor", Version: "2"}},
 		}},
 	}
--- a/internal/grouper/election.go
+++ b/internal/grouper/election.go
@@ -146,10 +146,17 @@
 // wait returns the time after the last record of the holder in which it may
 // still give orders without this host's knowledge. The holder asks every
 // elector that it has read of for a promise before it gives orders without a
-// lease, so an elector that it acknowledged need only wait for the lease.
+// lease, so an elector that it acknowledged need only wait for the lease. Of a
+// host whose earlier incarnation it acknowledged it has no promise but those that
+// this incarnation gave before it ended.
 func (g *Grouper) wait(self Elector) time.Duration {
-	if g.fold.Acknowledged() >= self.Joined && !g.fold.Restarted() {
+	switch {
+	case g.fold.Restarted():
+		return OutageLimit
+	case g.fold.Acknowledged() >= self.Joined:
 		return LeaseTime
+	case self.Since > 0 && g.fold.Acknowledged() >= self.Since:
+		return PromiseTime + clockMargin
 	}
 	return OutageLimit
 }
--- a/internal/grouper/fold.go
+++ b/internal/grouper/fold.go
@@ -212,10 +212,14 @@
 
 func (f *Fold) join(e Entry) bool {
 	r := e.Record
-	if old, ok := f.electors[r.Host]; ok && old.Incarnation >= r.Incarnation {
-		return false
+	since := e.Offset
+	if old, ok := f.electors[r.Host]; ok {
+		if old.Incarnation >= r.Incarnation {
+			return false
+		}
+		since = old.Since
 	}
-	f.electors[r.Host] = Elector{Host: r.Host, Incarnation: r.Incarnation, Joined: e.Offset}
+	f.electors[r.Host] = Elector{Host: r.Host, Incarnation: r.Incarnation, Joined: e.Offset, Since: since}
 	return true
 }
 
--- a/internal/grouper/record.go
+++ b/internal/grouper/record.go
@@ -129,6 +129,9 @@
 	Incarnation uint64
 	// Joined is the offset of its join record.
 	Joined fuchsiapitch.Offset
+	// Since is the offset of the first join record of the host, of whatever
+	// incarnation, since when it has been an elector all along.
+	Since fuchsiapitch.Offset
 }
 
 // Rejection is a version of a service that failed its first check.
--- a/internal/grouper/takeover_test.go
+++ b/internal/grouper/takeover_test.go
@@ -93,6 +93,26 @@
 		d := newSuccessor(false)
 		assertNotBefore(t, d.runUntil(t, "claim", d.isHolder), OutageLimit, "claim")
 	})
+	t.Run("an elector that was started again waits for the promises of its earlier life", func(t *testing.T) {
+		d := newSuccessor(true)
+		again := joinOf("a")
+		again.Incarnation = 2
+		d.incarnation = 2
+		d.write(again)
+		got := d.runUntil(t, "claim", d.isHolder)
+		assertNotBefore(t, got, PromiseTime+clockMargin, "claim")
+		if limit := PromiseTime + 2*time.Second; got > limit {
+			t.Errorf("claim: got it after %s, want it within %s", got, limit)
+		}
+	})
+	t.Run("an elector that was started again before it was acknowledged waits for the longest outage", func(t *testing.T) {
+		d := newSuccessor(false)
+		again := joinOf("a")
+		again.Incarnation = 2
+		d.incarnation = 2
+		d.write(again)
+		assertNotBefore(t, d.runUntil(t, "claim", d.isHolder), OutageLimit, "claim")
+	})
 	t.Run("after a restart of the stream a claim waits for the longest outage", func(t *testing.T) {
 		d := newSuccessor(true, fuchsiapitch.WithFencing())
 		d.write(Record{Kind: Checkpoint, State: &Snapshot{Offset: 5}})
