standin/platform: serve the platform's stand-ins with the faults of the others

Cause: the platform's stand-ins had servers and faults of their own beside those of the own interface, and fewer of them: no end of a process, no pause, no silent connection, no lost answer of a server.

Now its store and servers run on the faulter like all others and take the same commands; a lost server is a paused one (before, it was made to hang by hand). TestFaults plays three of them through hosts: a leader that ends in the middle of a stream (20 of 20 events), a booking whose answer is lost (502, one run), and a store whose connections fall silent (the next configuration arrives).

Ruled out: striking lost appends through the answers of the faulter, which strikes only requests with identifiers; the store has its own, named as in the log.

--- a/internal/commander/platform_demo.go
+++ b/internal/commander/platform_demo.go
@@ -20,7 +20,10 @@
 func (d *demo) runPlatform(ctx context.Context) error {
 	signalled, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	installation, end := standin.NewInstallation()
+	installation, end, err := standin.NewInstallation()
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	defer end()
 	folder, err := os.MkdirTemp("", "fuchsiapitch-demo-")
 	if err != nil {
--- a/internal/integrator/integrator_test.go
+++ b/internal/integrator/integrator_test.go
@@ -30,7 +30,10 @@
 
 func newBed(t *testing.T, hosts int) *bed {
 	t.Helper()
-	installation, stop := standin.NewInstallation()
+	installation, stop, err := standin.NewInstallation()
+	if err != nil {
+		t.Fatal(err)
+	}
 	b := &bed{Installation: installation}
 	ctx, cancel := context.WithCancel(context.Background())
 	for n := range hosts {
@@ -195,6 +198,53 @@
 	b.await(t, "repaired group", func() bool { return len(b.Fleet.Leaders()) >= 4 })
 }
 
+// Servers and the store misbehave as the stand-ins of the own interface do.
+func TestFaults(t *testing.T) {
+	b := newBed(t, 2)
+	t.Run("a stream goes on after its leader ends", func(t *testing.T) {
+		response, id := b.awaitAnswer(t, 0, http.MethodPost, standin.StreamPath+"x", "prompt")
+		defer response.Body.Close()
+		got := readEvents(t, response.Body, func(n int) {
+			for _, s := range b.Fleet.Leaders() {
+				if n == 5 && s.Runs(id) > 0 {
+					s.Faults().Die()
+				}
+			}
+		})
+		if want := 20; got != want {
+			t.Errorf("got %d events, want %d", got, want)
+		}
+	})
+	t.Run("a booking whose answer is lost is unknown and runs once", func(t *testing.T) {
+		servers := []string{"p0", "p1"}
+		for _, p := range servers {
+			b.Fleet.Server(p).Faults().LoseAnswers(1)
+		}
+		response, id := b.request(t, 0, http.MethodPost, standin.BookPath+"x", "booking")
+		defer response.Body.Close()
+		if got, want := response.StatusCode, http.StatusBadGateway; got != want {
+			t.Errorf("got status %d, want %d", got, want)
+		}
+		runs := 0
+		for _, p := range servers {
+			runs += b.Fleet.Server(p).Runs(id)
+			b.Fleet.Server(p).Faults().LoseAnswers(0)
+		}
+		if want := 1; runs != want {
+			t.Errorf("got %d runs, want %d", runs, want)
+		}
+	})
+	t.Run("a configuration reaches the hosts though their connections to the store fall silent", func(t *testing.T) {
+		b.Faults.Silence()
+		b.Store.Publish([]byte(strings.Replace(string(standin.Configuration(2)), standin.LookPath, "/heard/", 1)))
+		b.await(t, "new configuration", func() bool {
+			response, _ := b.request(t, 1, http.MethodGet, "/heard/x", "")
+			response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		})
+	})
+}
+
 // Orders without an answer are carried out late, in the middle of a repair.
 func TestLateOrders(t *testing.T) {
 	b := newBed(t, 2)
--- a/internal/integrator/record_test.go
+++ b/internal/integrator/record_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
@@ -15,11 +13,14 @@
 // The answer to a claim is lost: the same claim again enters nothing twice.
 func TestClaimIsRepeated(t *testing.T) {
 	store := standin.NewStore()
-	server := httptest.NewServer(store)
-	defer server.Close()
-	calls := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), http.DefaultTransport)
+	faults, stop, err := store.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	calls := platform.NewStore(faults.Address(), http.DefaultTransport)
 	claims := appender.New(calls, platform.ClaimsTopic, "host", 1)
-	store.LoseAnswers(1)
+	store.LoseAppendAnswers(1)
 	if _, err := claims.Append(t.Context(), leadKey, []byte("claim"), 0); err == nil {
 		t.Fatal("got an answer, want it lost")
 	}
--- a/internal/standin/platform/installation.go
+++ b/internal/standin/platform/installation.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"strings"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/faulter"
 )
 
 // Names of the installation.
@@ -38,27 +38,37 @@
 	// Store and Fleet are what the system meets.
 	Store *Store
 	Fleet *Fleet
-	http  *httptest.Server
+	// Faults strikes the connections and answers of the store.
+	Faults *faulter.Server
 }
 
 // NewInstallation starts a store, two fabric domains of engines and two plain
 // servers, and publishes a configuration. The function ends it all.
-func NewInstallation() (*Installation, func()) {
+func NewInstallation() (*Installation, func(), error) {
 	store := NewStore()
+	faults, stopStore, err := store.Listen()
+	if err != nil {
+		return nil, nil, err
+	}
 	fleet, stopFleet := NewFleet(store)
-	i := &Installation{Store: store, Fleet: fleet, http: httptest.NewServer(store)}
+	stop := func() {
+		stopFleet()
+		stopStore()
+	}
 	for d := range 2 {
 		for n := range domainSize {
-			fleet.Add(fmt.Sprintf("e%d%d", d, n), ModelService, fmt.Sprintf("domain-%d", d))
+			if _, err := fleet.Add(fmt.Sprintf("e%d%d", d, n), ModelService, fmt.Sprintf("domain-%d", d)); err != nil {
+				stop()
+				return nil, nil, err
+			}
+		}
+		if _, err := fleet.Add(fmt.Sprintf("p%d", d), PlainService, ""); err != nil {
+			stop()
+			return nil, nil, err
 		}
-		fleet.Add(fmt.Sprintf("p%d", d), PlainService, "")
 	}
 	store.Publish(Configuration(1))
-	return i, func() {
-		stopFleet()
-		i.http.CloseClientConnections()
-		i.http.Close()
-	}
+	return &Installation{Store: store, Fleet: fleet, Faults: faults}, stop, nil
 }
 
 // Configuration returns a configuration as an operator publishes it.
@@ -105,7 +115,7 @@
 	}
 	data, err := json.Marshal(map[string]any{
 		"node_id": host, "ip": "127.0.0.1", "zone": "z1", "listen": map[string]any{"front": callers, "ready": ready},
-		"port_range": []int{peers, peers}, "provider": map[string]any{"address": strings.TrimPrefix(i.http.URL, "http://")},
+		"port_range": []int{peers, peers}, "provider": map[string]any{"address": i.Faults.Address()},
 		"limits": map[string]any{"memory_mb": 284},
 		"bounds": map[string]any{"stall_ms": stallTime.Milliseconds(), "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 100, "budget_window_s": 10},
 	})
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/faulter"
 )
 
 const (
@@ -37,7 +37,7 @@
 	service string
 	domain  string
 	engine  bool
-	http    *httptest.Server
+	faults  *faulter.Server
 
 	mutex   sync.Mutex
 	born    int64
@@ -99,23 +99,26 @@
 		close(f.stop)
 		<-f.done
 		for _, s := range f.all() {
-			s.http.CloseClientConnections()
-			s.http.Close()
+			s.faults.Die()
 		}
 	}
 }
 
 // Add starts a server of a service, a model engine if it has a fabric domain.
-func (f *Fleet) Add(id, service, domain string) *Server {
+func (f *Fleet) Add(id, service, domain string) (*Server, error) {
 	s := &Server{
 		fleet: f, id: id, service: service, domain: domain, engine: domain != "",
 		born: time.Now().UnixMilli(), runs: make(map[string]int),
 	}
-	s.http = httptest.NewServer(s)
+	faults, _, err := faulter.Start(s)
+	if err != nil {
+		return nil, err
+	}
+	s.faults = faults
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.servers[id] = s
-	return s
+	return s, nil
 }
 
 // Broken returns what the servers saw that must never be.
@@ -177,10 +180,13 @@
 	s.mutex.Lock()
 	s.lost = true
 	s.mutex.Unlock()
-	s.http.CloseClientConnections()
+	s.faults.Pause()
 	time.AfterFunc(5*entryInterval, func() { s.fleet.store.put(serversTopic, s.id, nil) })
 }
 
+// Faults strikes the connections and answers of the server.
+func (s *Server) Faults() *faulter.Server { return s.faults }
+
 // ID returns the identifier of the server.
 func (s *Server) ID() string { return s.id }
 
@@ -240,7 +246,7 @@
 	}
 	s.entries++
 	d := s.describe()
-	d["service"], d["address"], d["zone"], d["slots"], d["seq"] = s.service, strings.TrimPrefix(s.http.URL, "http://"), "z1", 4, s.entries
+	d["service"], d["address"], d["zone"], d["slots"], d["seq"] = s.service, s.faults.Address(), "z1", 4, s.entries
 	data, err := json.Marshal(d)
 	return data, err == nil
 }
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/faulter"
 )
 
 const (
@@ -54,6 +56,8 @@
 	mutex  sync.Mutex
 	topics map[string]*topic
 	down   bool
+	// delay holds every call back.
+	delay time.Duration
 	// lost is the number of appends whose answers are lost next.
 	lost int
 }
@@ -61,6 +65,19 @@
 // NewStore returns an empty store.
 func NewStore() *Store { return &Store{topics: make(map[string]*topic)} }
 
+// Listen serves the store on a free loopback port. Its faults can also be struck
+// with POST /faults, under the names that the product's own log gives them.
+func (s *Store) Listen() (*faulter.Server, func(), error) {
+	server, stop, err := faulter.Start(s)
+	if err != nil {
+		return nil, nil, err
+	}
+	server.Extend("out", func(count int, _ time.Duration) { s.SetDown(count > 0) })
+	server.Extend("slow", func(_ int, d time.Duration) { s.SetDelay(d) })
+	server.Extend("lose-append-answers", func(count int, _ time.Duration) { s.LoseAppendAnswers(count) })
+	return server, stop, nil
+}
+
 // SetDown has every call refused, or served again.
 func (s *Store) SetDown(down bool) {
 	s.mutex.Lock()
@@ -68,8 +85,15 @@
 	s.down = down
 }
 
-// LoseAnswers has the answers of the next appends lost.
-func (s *Store) LoseAnswers(n int) {
+// SetDelay makes every call slow by d.
+func (s *Store) SetDelay(d time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.delay = d
+}
+
+// LoseAppendAnswers makes the next n appends take effect without an answer.
+func (s *Store) LoseAppendAnswers(n int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lost = n
@@ -115,8 +139,13 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
-	down := s.down
+	down, delay := s.down, s.delay
 	s.mutex.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-r.Context().Done():
+		return
+	}
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
