conductor: what one server says is never taken for another's word

Cause: a report does not name its server, and addresses are used again. The list still named a dead member while a new server stood at its address; the new one's reports were taken for the dead one's ("started again"). Both came into one formation, the new one reported ready in it, which counted for both, and the leader was told to open. Orders were refused with 421 meanwhile, which was taken for a refusal like others.

Now a later start at the address of a server, or an order that another server answers, ends the incarnation: it is lost, in no group, and neither asked nor given orders until the list shows a later start of it.

Ruled out: the new rules on stranded servers (the formation was planned by the old path); trusting refusals alone (the reports came first).

Test: TestAddressIsTakenOver and a random trouble that reuses addresses; the world excused a formation opened without a member that was already dead, which hid the fault, and no longer does.

--- a/engine_group.go
+++ b/engine_group.go
@@ -162,6 +162,8 @@
 	OrderDone
 	// OrderRefused states that the order does not fit the server's state.
 	OrderRefused
+	// OrderMisdirected states that another server answers at the address.
+	OrderMisdirected
 	// OrderUnknown states that the order may be carried out, perhaps later.
 	OrderUnknown
 )
@@ -175,6 +177,8 @@
 		return "done"
 	case OrderRefused:
 		return "refused"
+	case OrderMisdirected:
+		return "misdirected"
 	case OrderUnknown:
 		return "unknown"
 	}
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -32,6 +32,10 @@
 	recovered time.Duration
 	// failures is the number of unanswered calls in a row.
 	failures int
+	// ended states that the incarnation is over, since another answers at its
+	// address: the next one of this server, or another server. Only the list tells
+	// which.
+	ended bool
 	// asking and ordering state that a call is under way.
 	asking, ordering bool
 	// nextProbe is when the server may be asked again.
@@ -61,12 +65,12 @@
 	loading time.Duration
 }
 
-// isLost reports whether the server does not answer.
-func (s *server) isLost() bool { return s.failures >= deadFailures }
+// isLost reports whether the server does not answer, or another in its place.
+func (s *server) isLost() bool { return s.ended || s.failures >= deadFailures }
 
 // isUsable reports whether the server may take part in a new group.
 func (s *server) isUsable() bool {
-	return s.listed && !s.report.Leaving && s.failures == 0
+	return s.listed && !s.report.Leaving && !s.ended && s.failures == 0
 }
 
 // isOpening reports whether a ready leader may open by itself: an order to open
@@ -164,7 +168,7 @@
 		return
 	}
 	reborn := r.Started > old.Started
-	if !direct && !reborn && s.direct > 0 {
+	if !direct && !reborn && (s.direct > 0 || s.ended) {
 		r = c.mergeListed(now, s, r)
 	}
 	if direct {
@@ -178,7 +182,7 @@
 	if reborn {
 		s.direct = 0
 		s.model, s.staging, s.loading, s.epoch = "", "", 0, 0
-		s.failures = 0
+		s.failures, s.ended = 0, false
 	}
 	s.report = r
 	s.epoch = max(s.epoch, r.Membership.Group.Epoch)
@@ -204,7 +208,7 @@
 	r.Service, r.Address, r.DataCentre, r.Domain = listed.Service, listed.Address, listed.DataCentre, listed.Domain
 	r.Slots, r.Leaving = listed.Slots, listed.Leaving
 	m := listed.Membership
-	if m == r.Membership {
+	if m == r.Membership || s.ended {
 		return r
 	}
 	if now-s.direct > listLag {
@@ -227,6 +231,15 @@
 		c.fail(now, s)
 		return
 	}
+	if s.ended || e.Report.Started > s.report.Started {
+		c.end(now, s, "later start")
+		return
+	}
+	if e.Report.Started < s.report.Started {
+		// The list knows of a later incarnation than the one that answers.
+		c.fail(now, s)
+		return
+	}
 	if s.isLost() {
 		s.recovered = now
 		c.doubtLosses(now, s.report.Domain)
@@ -250,11 +263,27 @@
 	c.replan(now)
 }
 
+// end takes in that the incarnation of a server is over. A report does not name
+// its server, and addresses are used again: what another one says at the address
+// is not taken for this one until the list shows a later start of it.
+func (c *Conductor) end(now time.Duration, s *server, why string) {
+	s.wantProbe, s.opening, s.refused = false, false, false
+	if s.ended {
+		return
+	}
+	c.note("incarnation of a server is over", map[string]any{
+		"server": s.report.ID, "why": why, "group": s.report.Membership.Group.Name, "address": s.report.Address,
+	})
+	s.ended = true
+	s.report.Membership, s.report.Loaded, s.report.Busy = fuchsiapitch.Membership{}, nil, false
+	c.replan(now)
+}
+
 // doubtLosses has the lost servers of a domain asked once more: one of them has
 // answered again, so that the others may have been behind the same cut.
 func (c *Conductor) doubtLosses(now time.Duration, domain fuchsiapitch.FabricDomainName) {
 	for _, s := range c.servers {
-		if s.report.Domain == domain && s.isLost() {
+		if s.report.Domain == domain && s.isLost() && !s.ended {
 			s.failures, s.wantProbe, s.nextProbe = deadFailures-1, true, now
 		}
 	}
@@ -263,9 +292,6 @@
 // isStale reports whether a server's report is older than the last order that it
 // accepted.
 func (c *Conductor) isStale(now time.Duration, s *server, r fuchsiapitch.ServerReport) bool {
-	if r.Started > s.report.Started {
-		return false
-	}
 	return s.report.OrdersKnown && now < s.settled && r.Orders <= s.report.Orders
 }
 
@@ -300,6 +326,9 @@
 		s.failures, s.direct = 0, now
 		s.wantProbe, s.nextProbe = true, s.heldUntil
 		c.undoLoad(s, e.Order)
+	case fuchsiapitch.OrderMisdirected:
+		c.undoLoad(s, e.Order)
+		c.end(now, s, "order misdirected")
 	case fuchsiapitch.OrderUnknown:
 		c.fail(now, s)
 	}
@@ -358,7 +387,7 @@
 
 // ask emits a question to a server if none is under way and one is due.
 func (c *Conductor) ask(now time.Duration, s *server) {
-	if s.asking || s.ordering || now < s.nextProbe {
+	if s.asking || s.ordering || s.ended || now < s.nextProbe {
 		return
 	}
 	s.asking, s.nextProbe = true, 0
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -168,7 +168,7 @@
 // counts as lost only beside a member that has just answered.
 func (c *Conductor) isOutOfReach(now time.Duration, g *group) bool {
 	head, ok := c.servers[g.head()]
-	if !ok || head.failures == 0 {
+	if !ok || head.ended || head.failures == 0 {
 		return false
 	}
 	for _, id := range g.members {
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -222,3 +222,26 @@
 	w.run(strandLimit + 6*time.Second)
 	assertModels(t, w, "d0", 1, 1)
 }
+
+// The address of a lost member goes to a new server while the list names both: what
+// the new one says of itself is not taken for the lost one's word.
+func TestAddressIsTakenOver(t *testing.T) {
+	w := newWorld(1)
+	w.lead()
+	w.run(12 * time.Second)
+	var members []fuchsiapitch.ServerID
+	for _, e := range w.engines {
+		if e.domain == "d0" && len(e.members) == 6 {
+			members = e.members
+		}
+	}
+	// Five of the group's members are left, which wait for a sixth.
+	w.lose("d0", "", 2)
+	w.engines[members[2]].dead = true
+	w.run(worldExpiry + time.Second)
+	lost := w.engines[members[4]]
+	lost.dead = true
+	w.takeAddress(lost)
+	w.run(9 * time.Second)
+	assertNothingBroken(t, w)
+}
--- a/internal/conductor/plan.go
+++ b/internal/conductor/plan.go
@@ -76,7 +76,7 @@
 	missing := 0
 	for _, id := range sortedKeys(c.servers) {
 		s := c.servers[id]
-		if c.profileOf(s) == nil || !s.listed || s.direct >= c.leadsSince || s.failures > 0 {
+		if c.profileOf(s) == nil || !s.listed || s.direct >= c.leadsSince || s.failures > 0 || s.ended {
 			continue
 		}
 		missing++
--- a/internal/conductor/step.go
+++ b/internal/conductor/step.go
@@ -93,7 +93,7 @@
 // a call to the server is under way or its state is not known.
 func (c *Conductor) order(now time.Duration, id fuchsiapitch.ServerID, o fuchsiapitch.GroupOrder) bool {
 	s, ok := c.servers[id]
-	if !ok || s.asking || s.ordering || now < s.heldUntil {
+	if !ok || s.asking || s.ordering || s.ended || now < s.heldUntil {
 		return false
 	}
 	if s.failures > 0 || s.direct < c.leadsSince || !s.report.OrdersKnown || s.wantProbe && now >= s.nextProbe {
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -22,6 +22,7 @@
 // engine is a stand-in of one model engine that follows the rules of orders.
 type engine struct {
 	id       fuchsiapitch.ServerID
+	address  string
 	domain   string
 	started  int64
 	orders   int64
@@ -83,7 +84,7 @@
 }
 
 func (w *world) add(domain, id string) {
-	e := &engine{id: fuchsiapitch.ServerID(id), domain: domain, started: 1 + w.now.Milliseconds(), wasReady: make(map[fuchsiapitch.GroupRef]bool), lastBeat: w.now}
+	e := &engine{id: fuchsiapitch.ServerID(id), address: id, domain: domain, started: 1 + w.now.Milliseconds(), wasReady: make(map[fuchsiapitch.GroupRef]bool), lastBeat: w.now}
 	w.engines[e.id] = e
 	w.order = append(w.order, e.id)
 }
@@ -114,7 +115,7 @@
 	for _, effect := range w.conductors[n].Apply(w.now, e) {
 		switch f := effect.(type) {
 		case AskReport:
-			w.report(n, f.Server)
+			w.report(n, f)
 		case GiveOrder:
 			w.give(n, f.Order)
 		}
@@ -128,8 +129,30 @@
 	return !e.dead && w.now >= e.darkUntil && w.now >= e.hiddenUntil && (w.now >= w.cutUntil || e.domain != w.cutDomain)
 }
 
-func (w *world) report(n int, id fuchsiapitch.ServerID) {
-	e, ok := w.engines[id]
+// at returns the engine that answers at an address. The last that came there counts.
+func (w *world) at(address string) (*engine, bool) {
+	for n := len(w.order) - 1; n >= 0; n-- {
+		if e := w.engines[w.order[n]]; e.address == address && !e.dead {
+			return e, true
+		}
+	}
+	return nil, false
+}
+
+// takeAddress starts a new engine at the address of a dead one.
+func (w *world) takeAddress(e *engine) *engine {
+	id := fmt.Sprintf("n%d", len(w.order))
+	w.add(e.domain, id)
+	next := w.engines[fuchsiapitch.ServerID(id)]
+	next.address = e.address
+	w.live(next)
+	return next
+}
+
+// report answers what a server says of itself, which does not name it.
+func (w *world) report(n int, ask AskReport) {
+	id := ask.Server
+	e, ok := w.at(ask.Address)
 	if !ok || !w.reachable(e) {
 		w.calls = append(w.calls, pendingCall{at: w.now + 200*time.Millisecond, owner: n, event: func() Event {
 			return Reported{Server: id, Err: &fuchsiapitch.UnreachableError{Address: string(id)}}
@@ -145,11 +168,17 @@
 
 func (w *world) give(n int, o fuchsiapitch.GroupOrder) {
 	unknown := func() Event { return Ordered{Order: o, Answer: fuchsiapitch.OrderUnknown} }
-	e, ok := w.engines[o.Server]
+	e, ok := w.at(o.Address)
 	if !ok || !w.reachable(e) {
 		w.calls = append(w.calls, pendingCall{at: w.now + 500*time.Millisecond, owner: n, event: unknown})
 		return
 	}
+	if e.id != o.Server {
+		w.calls = append(w.calls, pendingCall{at: w.now + worldStep, owner: n, event: func() Event {
+			return Ordered{Order: o, Answer: fuchsiapitch.OrderMisdirected}
+		}})
+		return
+	}
 	if w.random.Float64() < w.late {
 		started := e.started
 		delay := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
@@ -272,7 +301,7 @@
 	case e.opening && w.now >= e.changeAt:
 		e.opening, e.state = false, fuchsiapitch.MemberOpen
 		for _, m := range e.members {
-			if o, ok := w.engines[m]; ok && !o.wasReady[e.group] && !o.dead {
+			if o, ok := w.engines[m]; ok && !o.wasReady[e.group] {
 				w.broken = append(w.broken, fmt.Sprintf("partial: %s opens without %s", e.group.Name, m))
 			}
 		}
@@ -281,7 +310,7 @@
 		w.missMembers(e)
 	}
 	r := fuchsiapitch.ServerReport{
-		ID: e.id, Service: "llm", Address: string(e.id), Domain: fuchsiapitch.FabricDomainName(e.domain), Slots: 26,
+		ID: e.id, Service: "llm", Address: e.address, Domain: fuchsiapitch.FabricDomainName(e.domain), Slots: 26,
 		Started: e.started, Orders: e.orders, OrdersKnown: true, Busy: e.opening || e.state == fuchsiapitch.MemberJoining, Staged: e.staged,
 	}
 	if e.group.Name != "" {
@@ -330,9 +359,14 @@
 // trouble does one random thing.
 func (w *world) trouble() {
 	e := w.engines[w.order[w.random.IntN(len(w.order))]]
-	switch w.random.IntN(10) {
+	switch w.random.IntN(11) {
 	case 0, 1:
 		e.dead = true
+	case 10:
+		e.dead = true
+		if _, taken := w.at(e.address); !taken {
+			w.takeAddress(e)
+		}
 	case 2:
 		e.darkUntil = w.now + time.Duration(w.random.Int64N(int64(8*time.Second)))
 	case 3:
@@ -362,11 +396,14 @@
 // restart starts an engine again under its name.
 func (w *world) restart(e *engine) {
 	fresh := &engine{
-		id: e.id, domain: e.domain, started: e.started + 1 + w.now.Milliseconds(), staged: e.staged,
+		id: e.id, address: e.address, domain: e.domain, started: e.started + 1 + w.now.Milliseconds(), staged: e.staged,
 		// A member that was ready and is lost is no fault of the order to open.
 		wasReady: e.wasReady, lastBeat: w.now,
 	}
 	e.dead = true
+	if _, taken := w.at(e.address); taken {
+		return
+	}
 	w.engines[e.id] = fresh
 	w.live(fresh)
 }
--- a/internal/reducer/group_world_test.go
+++ b/internal/reducer/group_world_test.go
@@ -11,6 +11,10 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
+// maxDeedsPerSecond bounds the events of a simulated second. A run stays below a
+// twentieth of it; effects that cause each other without end exceed it.
+const maxDeedsPerSecond = 20_000
+
 // deed is something that happens at a time of the world.
 type deed struct {
 	at    time.Duration
@@ -83,6 +87,9 @@
 	highest  fuchsiapitch.Term
 	snapshot map[fuchsiapitch.Offset]string
 	failure  string
+	// deeds counts the events of the simulated second.
+	deeds    int
+	second   time.Duration
 	orders   int
 	asked    int
 	finished int
@@ -158,7 +165,13 @@
 	end := w.now + d
 	for w.failure == "" && len(w.queue) > 0 && w.queue[0].at <= end {
 		next := heap.Pop(&w.queue).(deed)
+		if second := next.at.Truncate(time.Second); second != w.second {
+			w.second, w.deeds = second, 0
+		}
 		w.now = next.at
+		if w.deeds++; w.deeds > maxDeedsPerSecond {
+			w.fail("storm: more than %d events in a second", maxDeedsPerSecond)
+		}
 		next.do()
 	}
 	w.now = end
