conductor, driver: ask a server that started again for its name

Now the driver asks the address for its name when a report tells of a later start, and the conductor takes the report if it is the same server.

Ruled out: finding out by an order (a refusal costs one, and an accepted one has begun something).

--- a/internal/conductor/event.go
+++ b/internal/conductor/event.go
@@ -68,6 +68,9 @@
 type Reported struct {
 	Server fuchsiapitch.ServerID
 	Report fuchsiapitch.ServerReport
+	// Named is the server that says to stand at the address, empty if it was not
+	// asked or did not say. It is asked when the report tells of a later start.
+	Named fuchsiapitch.ServerID
 	// Err is the failure, nil for none.
 	Err error
 }
@@ -166,6 +169,8 @@
 type AskReport struct {
 	Server  fuchsiapitch.ServerID
 	Address string
+	// Started is the incarnation that is known.
+	Started int64
 }
 
 // GiveOrder gives an order to a server.
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -231,7 +231,7 @@
 		c.fail(now, s)
 		return
 	}
-	if s.ended || e.Report.Started > s.report.Started {
+	if (s.ended || e.Report.Started > s.report.Started) && e.Named != e.Server {
 		c.end(now, s, "later start")
 		return
 	}
@@ -240,7 +240,7 @@
 		c.fail(now, s)
 		return
 	}
-	if s.isLost() {
+	if s.isLost() && !s.ended {
 		s.recovered = now
 		c.doubtLosses(now, s.report.Domain)
 	}
@@ -264,8 +264,8 @@
 }
 
 // end takes in that the incarnation of a server is over. A report does not name
-// its server, and addresses are used again: what another one says at the address
-// is not taken for this one until the list shows a later start of it.
+// its server, and addresses are used again: what is said at the address is not
+// taken for this server's word until the list shows a later start of it.
 func (c *Conductor) end(now time.Duration, s *server, why string) {
 	s.wantProbe, s.opening, s.refused = false, false, false
 	if s.ended {
@@ -292,6 +292,9 @@
 // isStale reports whether a server's report is older than the last order that it
 // accepted.
 func (c *Conductor) isStale(now time.Duration, s *server, r fuchsiapitch.ServerReport) bool {
+	if r.Started > s.report.Started {
+		return false
+	}
 	return s.report.OrdersKnown && now < s.settled && r.Orders <= s.report.Orders
 }
 
@@ -391,7 +394,7 @@
 		return
 	}
 	s.asking, s.nextProbe = true, 0
-	c.emit(AskReport{Server: s.report.ID, Address: s.report.Address})
+	c.emit(AskReport{Server: s.report.ID, Address: s.report.Address, Started: s.report.Started})
 }
 
 // profileOf returns the engine profile of a server's service, nil for none.
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -245,3 +245,21 @@
 	w.run(9 * time.Second)
 	assertNothingBroken(t, w)
 }
+
+// A server that starts again and says its name is used before the list shows it.
+func TestRestartIsNotAwaited(t *testing.T) {
+	w := newWorld(1)
+	w.lead()
+	w.run(12 * time.Second)
+	w.frozen, w.frozenUntil = w.list(), w.now+time.Minute
+	for _, id := range w.order {
+		if e := w.engines[id]; e.domain == "d0" {
+			w.restart(e)
+		}
+	}
+	for n := 0; n < 8; n++ {
+		w.feed(0, BeatHeard{Beat: Beat{From: Peer{ID: "other"}, Suspects: w.order}})
+		w.run(time.Second)
+	}
+	assertModels(t, w, "d0", 1, 1)
+}
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -163,7 +163,11 @@
 	if old.Started != e.started {
 		old = e.history[len(e.history)-1]
 	}
-	w.calls = append(w.calls, pendingCall{at: w.now + worldStep, owner: n, event: func() Event { return Reported{Server: id, Report: old} }})
+	var named fuchsiapitch.ServerID
+	if old.Started > ask.Started {
+		named = e.id
+	}
+	w.calls = append(w.calls, pendingCall{at: w.now + worldStep, owner: n, event: func() Event { return Reported{Server: id, Named: named, Report: old} }})
 }
 
 func (w *world) give(n int, o fuchsiapitch.GroupOrder) {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -36,6 +36,8 @@
 type Controls interface {
 	// Report asks a server for its report.
 	Report(ctx context.Context, id fuchsiapitch.ServerID, address string) (fuchsiapitch.ServerReport, error)
+	// Identify asks which server stands at an address.
+	Identify(ctx context.Context, address string) (fuchsiapitch.ServerID, error)
 	// Order gives an order.
 	Order(ctx context.Context, o fuchsiapitch.GroupOrder) (fuchsiapitch.OrderAnswer, error)
 }
@@ -177,7 +179,13 @@
 		d.log.Info().Str("server", string(e.Server)).Err(err).Msg("no report")
 	}
 	d.meter.Reported(err == nil)
-	d.Apply(conductor.Reported{Server: e.Server, Report: r, Err: err})
+	reported := conductor.Reported{Server: e.Server, Report: r, Err: err}
+	if err == nil && r.Started > e.Started {
+		if reported.Named, err = d.controls.Identify(ctx, e.Address); err != nil {
+			d.log.Info().Str("server", string(e.Server)).Err(err).Msg("server does not say its name")
+		}
+	}
+	d.Apply(reported)
 }
 
 func (d *Driver) order(o fuchsiapitch.GroupOrder) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -48,6 +48,10 @@
 	return fuchsiapitch.ServerReport{}, &fuchsiapitch.UnreachableError{}
 }
 
+func (noControls) Identify(context.Context, string) (fuchsiapitch.ServerID, error) {
+	return "", nil
+}
+
 func (noControls) Order(context.Context, fuchsiapitch.GroupOrder) (fuchsiapitch.OrderAnswer, error) {
 	return fuchsiapitch.OrderUnknown, &fuchsiapitch.UnreachableError{}
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -274,6 +274,9 @@
 		writeJSON(w, http.StatusOK, d)
 	case "/order":
 		s.handleOrder(w, r)
+	case "/health":
+		w.Header().Set("X-Instance-Id", s.id)
+		w.WriteHeader(http.StatusOK)
 	default:
 		s.run(w, r)
 	}
