--- a/internal/conductor/warm.go
+++ b/internal/conductor/warm.go
@@ -20,7 +20,7 @@
 // warm prepares the servers of a domain for the next repair. A server joins the
 // fastest with the model of its last group, and fast with a model that is staged
 // on its host. So a spare joins the largest model once, in a formation of its
-// own that never opens, and then stages another; members hold their own model.
+// own that never opens, and then every server stages another model than its last.
 func (c *Conductor) warm(now time.Duration, p *fuchsiapitch.EngineProfile, servers []*server) {
 	if len(p.Models) == 0 {
 		return
@@ -57,22 +57,15 @@
 		c.stage(now, s, models[0])
 		return
 	}
-	if m, ok := stagedFor(models, s.model, spare); ok && !slices.Contains(s.report.Staged, m.Name) {
-		c.stage(now, s, m)
-	}
-}
-
-// stagedFor returns the model that a server should hold on its host, of the models
-// from the largest down. A member holds its own: where servers start again together,
-// what is staged is all that is left of them. A spare holds another than it has
-// loaded.
-func stagedFor(models []fuchsiapitch.Model, loaded string, spare bool) (fuchsiapitch.Model, bool) {
 	for _, m := range models {
-		if (m.Name == loaded) != spare {
-			return m, true
+		if m.Name == s.model {
+			continue
 		}
+		if !slices.Contains(s.report.Staged, m.Name) {
+			c.stage(now, s, m)
+		}
+		return
 	}
-	return fuchsiapitch.Model{}, false
 }
 
 // leaveRestingHead has the leader of a server's last formation leave it, so that
