conductor: loads go to whole groups, of both models first, before staging

Staging took up to five of the eight loads that are possible at once, the others went to formations in the order of their plans, and those that waited longest were given up after load time and 8 s and began anew; small groups of the site were missing for 20 s.

Now loads go to one formation after the other: models that no group serves first, then those that need the fewest. Nothing is staged meanwhile, and the time limit of a formation counts from its last missing load.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -136,6 +136,9 @@
 
 func (c *Conductor) emit(e Effect) { c.effects = append(c.effects, e) }
 
+// fieldServer names the server in the fields of a note.
+const fieldServer = "server"
+
 func (c *Conductor) note(message string, fields map[string]any) {
 	c.emit(Note{Message: message, Fields: fields})
 }
--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -90,6 +90,8 @@
 	storeBack time.Duration
 	// groups are the formations that the leader plans or has found.
 	groups map[fuchsiapitch.GroupRef]*group
+	// loadsAwaited states that a formation has loads to begin.
+	loadsAwaited bool
 	// nextLoad is when the next load may begin.
 	nextLoad time.Duration
 	// dissolved are formations that are taken apart; some members may not have
@@ -250,7 +252,7 @@
 	if s.refused {
 		s.refused = false
 		c.note("server reports after a refused order", map[string]any{
-			"server": e.Server, "orders": e.Report.Orders, "counted": s.report.Orders, "group": e.Report.Membership.Group.Name,
+			fieldServer: e.Server, "orders": e.Report.Orders, "counted": s.report.Orders, "group": e.Report.Membership.Group.Name,
 			"state": e.Report.Membership.State.String(), "busy": e.Report.Busy, "started": e.Report.Started, "known-start": s.report.Started,
 		})
 	}
@@ -272,7 +274,7 @@
 		return
 	}
 	c.note("incarnation of a server is over", map[string]any{
-		"server": s.report.ID, "why": why, "group": s.report.Membership.Group.Name, "address": s.report.Address,
+		fieldServer: s.report.ID, "why": why, "group": s.report.Membership.Group.Name, "address": s.report.Address,
 	})
 	s.ended = true
 	s.report.Membership, s.report.Loaded, s.report.Busy = fuchsiapitch.Membership{}, nil, false
@@ -307,7 +309,7 @@
 		s.nextProbe = now + retryLost
 	}
 	if s.failures == deadFailures {
-		c.note("server is lost", map[string]any{"server": s.report.ID, "group": s.report.Membership.Group.Name})
+		c.note("server is lost", map[string]any{fieldServer: s.report.ID, "group": s.report.Membership.Group.Name})
 		c.replan(now)
 	}
 }
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -42,6 +42,10 @@
 	failed bool
 	// retiring states that it finishes its requests first.
 	retiring bool
+	// mayLoad states that its members may begin loads, and lacked is when it last
+	// had some to begin.
+	mayLoad bool
+	lacked  time.Duration
 	// nextProbe is when its members may be asked again for its silence.
 	nextProbe time.Duration
 }
@@ -150,12 +154,12 @@
 			if g.opened == 0 && !c.isOpen(g) {
 				g.fail(c, "member leaves", id)
 			} else {
-				c.note("group retires", map[string]any{"group": g.ref.Name, "server": id})
+				c.note("group retires", map[string]any{"group": g.ref.Name, fieldServer: id})
 				g.retiring = true
 			}
 		}
 	}
-	if g.opened == 0 && !c.isOpen(g) && now-g.since > c.loadLimit(g) {
+	if g.opened == 0 && !c.isOpen(g) && now-max(g.since, g.lacked) > c.loadLimit(g) {
 		g.fail(c, "formation took too long", "")
 	}
 	if s, ok := c.servers[g.head()]; g.retiring && ok && s.in(g.ref) && s.report.Membership.State == fuchsiapitch.MemberReady && g.opened > 0 {
@@ -218,7 +222,7 @@
 		return
 	}
 	g.failed = true
-	c.note("group is taken apart", map[string]any{"group": g.ref.Name, "model": g.model, "why": why, "server": id})
+	c.note("group is taken apart", map[string]any{"group": g.ref.Name, "model": g.model, "why": why, fieldServer: id})
 }
 
 // dissolve takes a failed formation off the plan. Its leader must have refused
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -257,9 +257,42 @@
 			w.restart(e)
 		}
 	}
-	for n := 0; n < 8; n++ {
+	w.suspectAll(8)
+	assertModels(t, w, "d0", 1, 1)
+}
+
+// suspectAll has another host suspect all servers for a number of seconds.
+func (w *world) suspectAll(seconds int) {
+	for range seconds {
 		w.feed(0, BeatHeard{Beat: Beat{From: Peer{ID: "other"}, Suspects: w.order}})
 		w.run(time.Second)
 	}
-	assertModels(t, w, "d0", 1, 1)
+}
+
+// All servers start again at once with nothing staged: the loads that are possible
+// at once go to whole groups, and to both models.
+func TestLoadsGoToWholeGroups(t *testing.T) {
+	w := newWorld(1)
+	w.lead()
+	w.run(15 * time.Second)
+	w.feed(0, Arrived{Ticket: 1, Service: "llm", Model: "large", Deadline: time.Minute})
+	for _, id := range w.order {
+		w.engines[id].staged = nil
+		w.restart(w.engines[id])
+	}
+	w.stages = 0
+	w.suspectAll(7)
+	assertNothingBroken(t, w)
+	if got, want := w.stages, 0; got != want {
+		t.Errorf("got %d servers staged while groups wait for loads, want %d", got, want)
+	}
+	models := make(map[string]int)
+	for _, d := range []string{"d0", "d1"} {
+		for m, n := range w.openModels(d) {
+			models[m] += n
+		}
+	}
+	if models["large"] < 1 || models["small"] < 1 {
+		t.Errorf("got open groups %v after 7 s, want one of each model", models)
+	}
 }
--- a/internal/conductor/plan.go
+++ b/internal/conductor/plan.go
@@ -30,6 +30,7 @@
 			s.opening, s.report.Membership.State = false, fuchsiapitch.MemberOpen
 		}
 	}
+	c.shareLoads(now)
 	for _, g := range c.sortedGroups() {
 		c.tend(now, g)
 	}
--- a/internal/conductor/step.go
+++ b/internal/conductor/step.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -114,7 +113,7 @@
 		return false
 	}
 	s.ordering = true
-	c.note("order", map[string]any{"order": o.Kind.String(), "server": id, "group": o.Group.Name, "model": o.Model, "after": o.After})
+	c.note("order", map[string]any{"order": o.Kind.String(), fieldServer: id, "group": o.Group.Name, "model": o.Model, "after": o.After})
 	c.emit(GiveOrder{Order: o})
 	return true
 }
@@ -143,38 +142,3 @@
 	}
 	return &fuchsiapitch.InvariantError{Invariant: broken, Detail: fmt.Sprintf("%s to %s for %s", o.Kind, o.Server, o.Group.Name)}
 }
-
-// reserveLoad reports whether a server may begin an order: those that need no
-// load always, others within the limits of the weight store.
-func (c *Conductor) reserveLoad(now time.Duration, s *server, o fuchsiapitch.GroupOrder) bool {
-	switch o.Kind {
-	case fuchsiapitch.OrderJoin:
-		if s.model == o.Model || slices.Contains(s.report.Staged, o.Model) || s.staging == o.Model {
-			return true
-		}
-	case fuchsiapitch.OrderStage:
-	case fuchsiapitch.OrderOpen, fuchsiapitch.OrderClose, fuchsiapitch.OrderEvict, fuchsiapitch.OrderLeave:
-		return true
-	}
-	return c.beginLoad(now, s, o.Model)
-}
-
-// beginLoad notes a load if the weight store has room for it.
-func (c *Conductor) beginLoad(now time.Duration, s *server, model string) bool {
-	p := c.profileOf(s)
-	if p == nil {
-		return false
-	}
-	if !c.busy {
-		// Loads before the first request are fast and not limited.
-		return true
-	}
-	if p.LoadsAtOnce > 0 && c.runningLoads(now) >= p.LoadsAtOnce || now < c.nextLoad {
-		return false
-	}
-	if p.LoadsPerSecond > 0 {
-		c.nextLoad = now + time.Duration(float64(time.Second)/p.LoadsPerSecond)
-	}
-	s.loading = now + c.joinTime(s, model)
-	return true
-}
--- a/internal/conductor/warm.go
+++ b/internal/conductor/warm.go
@@ -9,13 +9,9 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
-const (
-	// stageSlack is the time beyond that of a load after which a stage order
-	// counts as failed. Loads are slower while many are under way.
-	stageSlack = 8 * time.Second
-	// keptLoads is the number of loads at once that are left to new groups.
-	keptLoads = 3
-)
+// stageSlack is the time beyond that of a load after which a stage order
+// counts as failed. Loads are slower while many are under way.
+const stageSlack = 8 * time.Second
 
 // warm prepares the servers of a domain for the next repair. A server joins the
 // fastest with the model of its last group, and fast with a model that is staged
@@ -101,26 +97,3 @@
 		s.staging, s.stagedAt = m.Name, now+took
 	}
 }
-
-// mayWarm reports whether a server may begin a load that only prepares it.
-func (c *Conductor) mayWarm(now time.Duration, s *server, model string) bool {
-	p := c.profileOf(s)
-	if p == nil || s.asking || s.ordering {
-		return false
-	}
-	if !c.busy || slices.Contains(s.report.Staged, model) {
-		return true
-	}
-	return p.LoadsAtOnce <= 0 || c.runningLoads(now) < p.LoadsAtOnce-keptLoads
-}
-
-// runningLoads returns the number of loads that are under way by the profile.
-func (c *Conductor) runningLoads(now time.Duration) int {
-	n := 0
-	for _, s := range c.servers {
-		if now < s.loading {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -66,6 +66,8 @@
 	calls      []pendingCall
 	broken     []string
 	claims     int64
+	// stages counts the orders to stage that were taken.
+	stages int
 	// unlistedDomain is a domain whose servers do not reach the list.
 	unlistedDomain string
 	// frozen is the list that is read until the servers can write to it again.
@@ -244,6 +246,7 @@
 		e.orders++
 		return fuchsiapitch.OrderDone
 	case fuchsiapitch.OrderStage:
+		w.stages++
 		e.staged = []string{o.Model}
 	}
 	e.orders++
