conductor, integrator: status on the platform

Cause: `fuchsiapitch status` asked the operators' side of the own interface; on the platform nothing told who leads, what a host believes of servers and groups, what waits and how much of the budget for repeats is left, but by log lines.

The conductor gives a view, a plain record; the host answers it as JSON at /status of the address of readiness.

Ruled out: a listener of its own (the platform opens ports for callers and readiness alone).

Test: TestStatus (two hosts: one leads, each shows the four open groups and the other host); tried by hand on the demo.

--- a/internal/commander/operator.go
+++ b/internal/commander/operator.go
@@ -34,7 +34,9 @@
 		usage: `fuchsiapitch status [--address URL] [--token-file FILE]
 
 Prints the state of an entry host as JSON: its configuration, groups, leases and
-why a backend server is in no group.
+why a backend server is in no group. On the platform the address is that of
+readiness, and the state holds who leads, the hosts that are heard, groups,
+spares, queues and the budgets for repeats.
 
 Example:
   fuchsiapitch status --address http://127.0.0.1:8082
--- a/internal/commander/platform_demo.go
+++ b/internal/commander/platform_demo.go
@@ -43,8 +43,8 @@
 			return trace.Wrap(err)
 		}
 	}
-	for _, c := range hosts.callers {
-		fmt.Fprintf(d.streams.Out, "entry host: callers http://%s\n", c)
+	for n, c := range hosts.callers {
+		fmt.Fprintf(d.streams.Out, "entry host: callers http://%s operators http://%s\n", c, hosts.operators[n])
 	}
 	headers := fmt.Sprintf("-H 'Host: %s' %s", standin.HostName, standin.CallerHeaders())
 	fmt.Fprintf(d.streams.Out, "\ncurl -N http://%s%sx %s -d 'A quote for forty lamp shades?'\n\n", hosts.callers[0], standin.StreamPath, headers)
@@ -60,11 +60,12 @@
 	folder       string
 	logs         io.Writer
 	callers      []string
+	operators    []string
 	ends         []chan error
 }
 
 func (p *demoPlatform) start(ctx context.Context, name string, stop <-chan struct{}) error {
-	path, callers, err := p.installation.WriteSettings(p.folder, name)
+	path, callers, operators, err := p.installation.WriteSettings(p.folder, name)
 	if err != nil {
 		return err
 	}
@@ -77,7 +78,7 @@
 		defer cleanUp()
 		ended <- host.Serve(ctx, stop)
 	}()
-	p.callers, p.ends = append(p.callers, callers), append(p.ends, ended)
+	p.callers, p.operators, p.ends = append(p.callers, callers), append(p.operators, operators), append(p.ends, ended)
 	return nil
 }
 
--- a/internal/conductor/budget.go
+++ b/internal/conductor/budget.go
@@ -75,14 +75,25 @@
 	if c.window <= 0 {
 		return true
 	}
+	requests, repeats := c.spentIn(now, service)
+	return repeats+1 <= c.allowed(requests)
+}
+
+// spentIn returns the requests and the repeats for a service in the window.
+func (c *Conductor) spentIn(now time.Duration, service fuchsiapitch.ServiceName) (requests, repeats float64) {
 	s, _ := c.spending(now, service)
-	requests, repeats := 0.0, 0.0
 	for k := range s.requests {
 		requests += s.requests[k]
 		repeats += s.repeats[k]
 	}
+	return requests, repeats
+}
+
+// allowed returns the repeats that this host may make in a window with a number of
+// requests.
+func (c *Conductor) allowed(requests float64) float64 {
 	hosts := float64(len(c.peers) + 1)
-	return repeats+1 <= budgetMargin*(c.ratio*requests+c.slack/hosts)
+	return budgetMargin * (c.ratio*requests + c.slack/hosts)
 }
 
 // advance clears the parts that have left the window.
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -118,6 +118,13 @@
 	return d.conductor.LiveHosts(d.now())
 }
 
+// View returns what the host believes now.
+func (d *Driver) View() conductor.View {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.conductor.View(d.now())
+}
+
 func (d *Driver) apply(e conductor.Event) {
 	for _, effect := range d.conductor.Apply(d.now(), e) {
 		d.do(effect)
--- a/internal/integrator/integrator_test.go
+++ b/internal/integrator/integrator_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,6 +24,7 @@
 type bed struct {
 	*standin.Installation
 	callers []string
+	ready   []string
 	stops   []chan struct{}
 	ends    []chan error
 	number  atomic.Int64
@@ -37,7 +39,7 @@
 	b := &bed{Installation: installation}
 	ctx, cancel := context.WithCancel(context.Background())
 	for n := range hosts {
-		path, callers, err := b.WriteSettings(t.TempDir(), fmt.Sprintf("h%d", n))
+		path, callers, ready, err := b.WriteSettings(t.TempDir(), fmt.Sprintf("h%d", n))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -50,7 +52,8 @@
 			defer cleanUp()
 			ended <- host.Serve(ctx, stopHost)
 		}()
-		b.callers, b.stops, b.ends = append(b.callers, callers), append(b.stops, stopHost), append(b.ends, ended)
+		b.callers, b.ready = append(b.callers, callers), append(b.ready, ready)
+		b.stops, b.ends = append(b.stops, stopHost), append(b.ends, ended)
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -198,6 +201,51 @@
 	b.await(t, "repaired group", func() bool { return len(b.Fleet.Leaders()) >= 4 })
 }
 
+func TestStatus(t *testing.T) {
+	b := newBed(t, 2)
+	leaders := 0
+	for n := range 2 {
+		var got statusAnswer
+		b.await(t, "status with four open groups", func() bool {
+			got = b.status(t, n)
+			open := 0
+			for _, g := range got.Groups {
+				if g.Open {
+					open++
+				}
+			}
+			return open == 4
+		})
+		if got.Configuration != 1 || len(got.Hosts) != 1 || !got.Hosts[0].Live {
+			t.Errorf("host %d: got configuration %d and hosts %v, want 1 and one that lives", n, got.Configuration, got.Hosts)
+		}
+		if got.Leads {
+			leaders++
+		}
+	}
+	if want := 1; leaders != want {
+		t.Errorf("got %d leaders, want %d", leaders, want)
+	}
+}
+
+func (b *bed) status(t *testing.T, host int) statusAnswer {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+b.ready[host]+"/status", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var got statusAnswer
+	if err := json.NewDecoder(response.Body).Decode(&got); err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
 // Servers and the store misbehave as the stand-ins of the own interface do.
 func TestFaults(t *testing.T) {
 	b := newBed(t, 2)
--- a/internal/standin/platform/installation.go
+++ b/internal/standin/platform/installation.go
@@ -107,23 +107,23 @@
 }
 
 // WriteSettings writes the settings of an entry host into a folder, with free
-// ports, and returns their path and the address for callers.
-func (i *Installation) WriteSettings(folder, host string) (path, callers string, err error) {
-	callers, ready, peers, err := freePorts()
+// ports, and returns their path and the addresses for callers and for operators.
+func (i *Installation) WriteSettings(folder, host string) (path, callers, operators string, err error) {
+	callers, operators, peers, err := freePorts()
 	if err != nil {
-		return "", "", err
+		return "", "", "", err
 	}
 	data, err := json.Marshal(map[string]any{
-		"node_id": host, "ip": "127.0.0.1", "zone": "z1", "listen": map[string]any{"front": callers, "ready": ready},
+		"node_id": host, "ip": "127.0.0.1", "zone": "z1", "listen": map[string]any{"front": callers, "ready": operators},
 		"port_range": []int{peers, peers}, "provider": map[string]any{"address": i.Faults.Address()},
 		"limits": map[string]any{"memory_mb": 284},
 		"bounds": map[string]any{"stall_ms": stallTime.Milliseconds(), "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 100, "budget_window_s": 10},
 	})
 	if err != nil {
-		return "", "", err
+		return "", "", "", err
 	}
 	path = filepath.Join(folder, host+".json")
-	return path, callers, os.WriteFile(path, data, 0o600)
+	return path, callers, operators, os.WriteFile(path, data, 0o600)
 }
 
 // freePorts returns two free addresses for TCP and a free port for datagrams.
