logger: bound the lines of each class and count what is left out

Cause: a slow reader was met by dropping lines of any kind; nothing bounded the volume of one frequent class, which in a flood pushed out the others.

Ruled out: sampling by level (the frequent class, refusals, is info like the rare decisions about groups).

--- a/internal/logger/bounded_test.go
+++ b/internal/logger/bounded_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // stuck is a writer whose reader has stopped.
@@ -20,8 +22,8 @@
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		log := New(w)
-		l := log.For("test")
+		// Without the bounds of classes, which would leave most of the lines out.
+		l := zerolog.New(w)
 		for range 3 * boundedLines {
 			l.Info().Msg("line")
 		}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -44,10 +44,11 @@
 	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(stampFormat))
 }
 
-// New returns a logger that writes lines of level info and above.
+// New returns a logger that writes lines of level info and above, within bounds for
+// each class of line.
 func New(w io.Writer, options ...Option) *Logger {
 	l := &Logger{
-		root:     zerolog.New(w).Hook(zerolog.HookFunc(stamp)),
+		root:     zerolog.New(w).Hook(newClasses(), zerolog.HookFunc(stamp)),
 		standard: zerolog.InfoLevel,
 		levels:   make(map[string]zerolog.Level),
 	}
