meter, integrator: places, age of the list, budget and detection as metrics

Cause: the metrics of the platform told a repair from its plan on only, and neither places by group, the age of the list nor what is left of the budget.

Now a histogram has the silence of a group until it was taken apart, and gauges have the rest, read from the host's view when the page is asked for.

Ruled out: gauges kept up to date by the reducer (labels come and go with groups). Test: TestStatus reads the page.

--- a/internal/conductor/event.go
+++ b/internal/conductor/event.go
@@ -193,6 +193,15 @@
 	Took time.Duration
 }
 
+// GroupLost states that an open group is taken apart since a member was lost.
+type GroupLost struct {
+	Group fuchsiapitch.GroupID
+	Model string
+	// Silence is how long no byte came from the group to this host though one was
+	// due, 0 if none was.
+	Silence time.Duration
+}
+
 // Note is a line for the log.
 type Note struct {
 	// Message says what was decided.
@@ -210,6 +219,7 @@
 func (ClaimLead) isEffect()   {}
 func (Reread) isEffect()      {}
 func (GroupOpened) isEffect() {}
+func (GroupLost) isEffect()   {}
 func (Note) isEffect()        {}
 
 // Reason is why a request got no place.
--- a/internal/conductor/group.go
+++ b/internal/conductor/group.go
@@ -145,6 +145,9 @@
 		s, ok := c.servers[id]
 		switch {
 		case !ok, s.isLost():
+			if t, serves := c.stations[g.head()]; serves && !g.failed && g.opened > 0 {
+				c.emit(GroupLost{Group: g.ref.Name, Model: g.model, Silence: t.silence(now)})
+			}
 			g.fail(c, "member lost", id)
 		case g.joined[id] && !s.in(g.ref):
 			g.fail(c, "member left", id)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -161,6 +161,8 @@
 		d.background(func() { d.claim(e.Known) })
 	case conductor.Reread:
 		d.reread()
+	case conductor.GroupLost:
+		d.meter.Detected(e.Silence)
 	case conductor.GroupOpened:
 		d.meter.Formed(e.Took)
 		d.log.Info().Str("group", string(e.Group)).Str("model", e.Model).Int64("took-ms", e.Took.Milliseconds()).Msg("group is open")
--- a/internal/integrator/integrator.go
+++ b/internal/integrator/integrator.go
@@ -156,7 +156,7 @@
 	operators := http.NewServeMux()
 	operators.HandleFunc("/", h.ready)
 	operators.HandleFunc("/status", h.status)
-	operators.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { h.meter.Write(w) })
+	operators.HandleFunc("/metrics", h.metrics)
 	ready := &http.Server{Handler: operators, ReadHeaderTimeout: headerLimit}
 	failed := make(chan error, 2)
 	go func() { failed <- front.Serve(callers) }()
--- a/internal/integrator/integrator_test.go
+++ b/internal/integrator/integrator_test.go
@@ -223,6 +223,12 @@
 			leaders++
 		}
 	}
+	page := b.metrics(t, 0)
+	for _, want := range []string{"fuchsiapitch_list_age_seconds", "fuchsiapitch_places{", "fuchsiapitch_places_taken{"} {
+		if !strings.Contains(page, want) {
+			t.Errorf("got metrics without %s", want)
+		}
+	}
 	if want := 1; leaders != want {
 		t.Errorf("got %d leaders, want %d", leaders, want)
 	}
@@ -230,7 +236,22 @@
 
 func (b *bed) status(t *testing.T, host int) statusAnswer {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+b.ready[host]+"/status", http.NoBody)
+	var got statusAnswer
+	if err := json.Unmarshal([]byte(b.read(t, host, "/status")), &got); err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+func (b *bed) metrics(t *testing.T, host int) string {
+	t.Helper()
+	return b.read(t, host, "/metrics")
+}
+
+// read returns a page for operators.
+func (b *bed) read(t *testing.T, host int, path string) string {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+b.ready[host]+path, http.NoBody)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -239,11 +260,11 @@
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	var got statusAnswer
-	if err := json.NewDecoder(response.Body).Decode(&got); err != nil {
+	page, err := io.ReadAll(response.Body)
+	if err != nil {
 		t.Fatal(err)
 	}
-	return got
+	return string(page)
 }
 
 // Servers and the store misbehave as the stand-ins of the own interface do.
--- a/internal/integrator/status.go
+++ b/internal/integrator/status.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/fuchsiapitch/fuchsiapitch/internal/conductor"
 )
 
@@ -87,6 +90,24 @@
 	}
 }
 
+// metrics answers with the counters and with what the host believes now.
+func (h *Host) metrics(w http.ResponseWriter, _ *http.Request) {
+	h.meter.Write(w)
+	v := h.driver.View()
+	metrics.WriteGaugeFloat64(w, "fuchsiapitch_list_age_seconds", v.ListAge.Seconds())
+	for _, s := range v.Stations {
+		if !s.Open {
+			continue
+		}
+		labels := fmt.Sprintf("{service=%q,model=%q,server=%q}", s.Service, s.Model, s.Server)
+		metrics.WriteGaugeUint64(w, "fuchsiapitch_places"+labels, uint64(s.Slots))
+		metrics.WriteGaugeUint64(w, "fuchsiapitch_places_taken"+labels, uint64(s.Running+s.Elsewhere))
+	}
+	for _, b := range v.Budgets {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf("fuchsiapitch_repeats_left{service=%q}", b.Service), b.Allowed-b.Repeats)
+	}
+}
+
 func encodeView(v conductor.View) statusAnswer {
 	a := statusAnswer{
 		Host: string(v.Host), Configuration: v.Version, Leads: v.Leads, Holder: string(v.Holder), Claim: v.KnownClaim,
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -38,6 +38,11 @@
 	m.set.GetOrCreateHistogram("fuchsiapitch_formation_seconds").Update(took.Seconds())
 }
 
+// Detected records the silence of a group until it was taken apart.
+func (m *Meter) Detected(silence time.Duration) {
+	m.set.GetOrCreateHistogram("fuchsiapitch_detection_seconds").Update(silence.Seconds())
+}
+
 // StoreCalled counts a read of the platform's store.
 func (m *Meter) StoreCalled(topic string, failed bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_store_reads_total{topic=%q,failed=\"%t\"}", topic, failed)).Inc()
