conductor: a misdirected order asks for a report, it ends nothing

Cause, found in reading the diff: an order answered with 421 ended the incarnation of its server for good, on the word of one status. Were it given for another reason, a group that still serves would be taken for gone.

Now such an order counts as refused and has the server asked; if another stands at the address, its report tells a later start, which ends the incarnation.

Ruled out: asking for the name at each 421 (the report does the same and is due anyway).

--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -234,7 +234,7 @@
 		return
 	}
 	if (s.ended || e.Report.Started > s.report.Started) && e.Named != e.Server {
-		c.end(now, s, "later start")
+		c.end(now, s)
 		return
 	}
 	if e.Report.Started < s.report.Started {
@@ -268,13 +268,13 @@
 // end takes in that the incarnation of a server is over. A report does not name
 // its server, and addresses are used again: what is said at the address is not
 // taken for this server's word until the list shows a later start of it.
-func (c *Conductor) end(now time.Duration, s *server, why string) {
+func (c *Conductor) end(now time.Duration, s *server) {
 	s.wantProbe, s.opening, s.refused = false, false, false
 	if s.ended {
 		return
 	}
 	c.note("incarnation of a server is over", map[string]any{
-		fieldServer: s.report.ID, "why": why, "group": s.report.Membership.Group.Name, "address": s.report.Address,
+		fieldServer: s.report.ID, "group": s.report.Membership.Group.Name, "address": s.report.Address,
 	})
 	s.ended = true
 	s.report.Membership, s.report.Loaded, s.report.Busy = fuchsiapitch.Membership{}, nil, false
@@ -325,15 +325,13 @@
 	case fuchsiapitch.OrderBegun, fuchsiapitch.OrderDone:
 		s.failures, s.direct = 0, now
 		c.assume(now, s, e.Order, e.Answer)
-	case fuchsiapitch.OrderRefused:
+	case fuchsiapitch.OrderRefused, fuchsiapitch.OrderMisdirected:
+		// If another server stands at the address, its report tells a later start.
 		s.refused = true
 		s.heldUntil = now + c.reportLag(s)
 		s.failures, s.direct = 0, now
 		s.wantProbe, s.nextProbe = true, s.heldUntil
 		c.undoLoad(s, e.Order)
-	case fuchsiapitch.OrderMisdirected:
-		c.undoLoad(s, e.Order)
-		c.end(now, s, "order misdirected")
 	case fuchsiapitch.OrderUnknown:
 		c.fail(now, s)
 	}
