appender: a refused repeat leaves the first try open

Cause, found in reading the diff: after a call without an answer, a repeat that was refused (503, or no turn) closed it, and the next record went out under the same number. Had the first try been entered late, the store took that record for a repeat and answered with the old offset: the record was never entered.

Now only an answer of the store to this append closes it: entered, or the topic has moved on. Anything else that is appended then raises the epoch.

Ruled out: raising the epoch at each refusal (a repeat would be entered twice). Test: "a repeat that is refused leaves the first try open": before offset 0 and one record, after 1 and two.

--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -70,15 +70,18 @@
 	call := platform.Append{Topic: a.topic, Key: key, Value: value, At: at, Producer: a.producer, Epoch: a.epoch, Sequence: a.sequence}
 	offset, err := a.store.Append(ctx, call)
 	var unknown *fuchsiapitch.UnavailableError
+	var condition *platform.ConditionError
 	switch {
 	case err == nil:
 		a.sequence++
 		a.open = nil
 	case errors.As(err, &unknown):
 		a.open = &call
-	default:
-		// The store has refused it.
+	case errors.As(err, &condition):
+		// The topic has moved on, so that an earlier try cannot be entered either.
 		a.open = nil
+	default:
+		// This call was not carried out, but an earlier try of it still may be.
 	}
 	return offset, err
 }
--- a/internal/appender/appender_test.go
+++ b/internal/appender/appender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"testing"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -17,13 +18,17 @@
 	next    int64
 	// loseAnswer and late have the next append executed without an answer, at
 	// once or when asked to.
-	loseAnswer, late bool
-	delayed          []platform.Append
+	loseAnswer, late, refuse bool
+	delayed                  []platform.Append
 }
 
 var errLost = &fuchsiapitch.UnavailableError{System: "store", Action: "append", Err: errors.New("no answer")}
 
 func (s *fakeStore) Append(_ context.Context, a platform.Append) (int64, error) {
+	if s.refuse {
+		s.refuse = false
+		return 0, &platform.StatusError{Action: "append", Status: http.StatusServiceUnavailable}
+	}
 	if s.late {
 		s.late = false
 		s.delayed = append(s.delayed, a)
@@ -107,6 +112,19 @@
 		s.runDelayed()
 		assertRecords(t, s, 1)
 	})
+	t.Run("a repeat that is refused leaves the first try open", func(t *testing.T) {
+		s := &fakeStore{}
+		a := New(s, "topic", "host", 100)
+		s.late = true
+		assertLost(t, a, "old", -1)
+		s.refuse = true
+		if _, err := a.Append(t.Context(), "key", []byte("old"), -1); err == nil {
+			t.Error("got no error from a store that refuses, want one")
+		}
+		s.runDelayed()
+		assertAppend(t, a, "new", -1, 1)
+		assertRecords(t, s, 2)
+	})
 	t.Run("what an earlier life left is kept out", func(t *testing.T) {
 		s := &fakeStore{}
 		s.late = true
