conductor: stranded servers stay spares of a model that is more pressed

Now they form another model only if its requests take no smaller share of its places than those of the model that lacks groups, as for a group that makes room.

Ruled out: no such groups at all (TestSurvivorsAreNotStranded: without requests they serve what they can). Test: TestSurvivorsStaySpares, before one small group, after none.

--- a/internal/conductor/balance.go
+++ b/internal/conductor/balance.go
@@ -88,7 +88,8 @@
 
 // nextModel returns the model that the next formation in a domain should serve.
 // Servers that are too few for the model that lacks groups wait for others to come.
-// After strandLimit a group makes room for that model, or else they serve another.
+// After strandLimit a group makes room for that model, or else they serve another
+// that has no less pressure.
 func (c *Conductor) nextModel(now time.Duration, service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, p *fuchsiapitch.EngineProfile, free int, settled bool) (fuchsiapitch.Model, bool) {
 	k := c.count(service, domain, p)
 	wanted := k.lacking(maxGroupSize)
@@ -99,6 +100,10 @@
 		return best, true
 	}
 	room := c.roomFor(service, domain, k, wanted, free)
+	if best.Size > 0 && c.pressure(service, best.Name) < c.pressure(service, wanted.Name) {
+		// They are of more use as spares of the model that is pressed.
+		best = fuchsiapitch.Model{}
+	}
 	if best.Size == 0 && room == nil || k.moving > 0 || !settled {
 		delete(c.stranded, at)
 		return fuchsiapitch.Model{}, false
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -184,19 +184,38 @@
 	}
 }
 
+// loseMost leaves too few servers in a domain for a large group, and no group.
+func (w *world) loseMost(domain string) {
+	w.lose(domain, "large", 3)
+	w.lose(domain, "small", 1)
+	w.lose(domain, "", 2)
+}
+
 // Survivors that are too few for their model serve another after a while.
 func TestSurvivorsAreNotStranded(t *testing.T) {
 	w := newWorld(1)
 	w.lead()
 	w.run(12 * time.Second)
 	assertModels(t, w, "d0", 1, 1)
-	w.lose("d0", "large", 3)
-	w.lose("d0", "small", 1)
-	w.lose("d0", "", 2)
+	w.loseMost("d0")
 	w.run(worldExpiry + strandLimit + 6*time.Second)
 	assertModels(t, w, "d0", 0, 1)
 }
 
+// Survivors stay spares where the requests are for the model that they are too few
+// for.
+func TestSurvivorsStaySpares(t *testing.T) {
+	w := newWorld(1)
+	w.lead()
+	w.run(12 * time.Second)
+	for n := range Ticket(20) {
+		w.feed(0, Arrived{Ticket: n + 1, Service: "llm", Model: "large", InTime: time.Hour, Deadline: time.Hour})
+	}
+	w.loseMost("d0")
+	w.run(worldExpiry + strandLimit + 6*time.Second)
+	assertModels(t, w, "d0", 0, 0)
+}
+
 // A small group makes room where a large one is missing.
 func TestGroupMakesRoom(t *testing.T) {
 	w := newWorld(1)
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -8,7 +8,8 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
-// keptLoads is the number of loads at once that are left to new groups.
+// keptLoads is the number of loads at once that are left to new groups: those of
+// one small group, of the eight that are possible on the users' installations.
 const keptLoads = 3
 
 // needsLoad reports whether a server cannot join with a model but by a load.
