conductor: a stream that has begun waits where no group serves

The host that serves the stream hears of the second group of the model up to 100 ms after it is open; a stream whose leader ended in that time was refused a place like a new request, and broke. Ruled out: the stand-in's fault (the stream ends as one whose server died) and the budget of repeats (the reason is no-replica).

Now only new requests are refused at once where nothing serves. A stream that has begun waits for as long as it would in a queue.

--- a/internal/conductor/admission.go
+++ b/internal/conductor/admission.go
@@ -93,7 +93,9 @@
 	}
 }
 
-// arrive gives a request a place, a turn in the queue, or a refusal.
+// arrive gives a request a place, a turn in the queue, or a refusal. Where nothing
+// serves, a new request is refused at once; a stream that has begun waits, since
+// to its caller a refusal is a broken answer.
 func (c *Conductor) arrive(now time.Duration, e Arrived) {
 	w := &wait{Arrived: e, pool: pool{e.Service, e.Model}, since: now}
 	w.late = w.InTime-c.firstTime(w) <= now
@@ -108,11 +110,11 @@
 		}
 	}
 	expected, servable := c.expectedWait(now, w)
-	if !servable {
+	switch {
+	case !servable && !w.Resumed:
 		c.refuse(w, NoReplica, expected)
 		return
-	}
-	if now+expected > c.patience(now, w) {
+	case servable && now+expected > c.patience(now, w):
 		c.refuse(w, Overloaded, expected)
 		return
 	}
--- a/internal/conductor/admission_test.go
+++ b/internal/conductor/admission_test.go
@@ -68,6 +68,31 @@
 			t.Errorf("got %s, want %s", got, NoReplica)
 		}
 	})
+	t.Run("a stream that has begun waits for a group", func(t *testing.T) {
+		c := newStations(now, 1)
+		e := arrival(now, 1)
+		e.Model, e.Resumed, e.Repeat = "small", true, true
+		if _, got := answerTo(c.Apply(now, e), 1); got != 0 {
+			t.Fatalf("got %s, want a wait", got)
+		}
+		list := ServersListed{Servers: []fuchsiapitch.ServerReport{{
+			ID: "s1", Service: "llm", Slots: 26, Started: 1, Loaded: []string{"small"},
+			Membership: fuchsiapitch.Membership{Group: fuchsiapitch.GroupRef{Name: "g", Epoch: 2}, State: fuchsiapitch.MemberOpen},
+		}}}
+		c.Apply(now+time.Second, list)
+		if got, reason := answerTo(c.Apply(now+time.Second, Ticked{}), 1); got != "s1" {
+			t.Errorf("got %q and %s, want s1", got, reason)
+		}
+	})
+	t.Run("a stream that has begun does not wait for ever", func(t *testing.T) {
+		c := newStations(now, 1)
+		e := arrival(now, 1)
+		e.Model, e.Resumed, e.Repeat = "small", true, true
+		c.Apply(now, e)
+		if _, got := answerTo(c.Apply(e.Deadline, Ticked{}), 1); got == 0 {
+			t.Error("got a wait beyond the time limit, want a refusal")
+		}
+	})
 	t.Run("refused at once where the wait is too long", func(t *testing.T) {
 		c := newStations(now, 1)
 		refused := 0
