standin: the platform's store is the log under another protocol

Now it holds a log and adds what the platform's protocol has beyond it (newest records by key, conditions, producers); delays, outages and lost answers are the log's.

A first version held calls back before their bodies were read, so that a slow append was not carried out late any more: TestAppendFailures failed, the gate reads a call whole first now. Ruled out: other changes of the recorder.

Tests of recorder, integrator and stand-ins pass.

--- a/internal/integrator/integrator_test.go
+++ b/internal/integrator/integrator_test.go
@@ -325,13 +325,13 @@
 
 func TestStoreTrouble(t *testing.T) {
 	b := newBed(t, 2)
-	b.Store.SetDown(true)
+	b.Store.SetOut(true)
 	response, _ := b.awaitAnswer(t, 0, http.MethodPost, standin.StreamPath+"x", "prompt")
 	defer response.Body.Close()
 	if got, want := readEvents(t, response.Body, func(int) {}), 20; got != want {
 		t.Errorf("got %d events while the store is down, want %d", got, want)
 	}
-	b.Store.SetDown(false)
+	b.Store.SetOut(false)
 	b.Store.Forget("keyed.servers")
 	b.Store.Forget("keyed.op")
 	b.Store.Publish([]byte(strings.Replace(string(standin.Configuration(2)), standin.LookPath, "/seen/", 1)))
--- a/internal/standin/application/application.go
+++ b/internal/standin/application/application.go
@@ -26,6 +26,7 @@
 	*faulter.Server
 	id          fuchsiapitch.ServerID
 	ledger      *Ledger
+	protocol    http.Handler
 	slots       chan struct{}
 	concurrency int
 	serviceTime atomic.Int64
@@ -45,18 +46,23 @@
 // WithServiceTime sets the time that one request takes.
 func WithServiceTime(d time.Duration) Option { return func(a *Application) { a.SetServiceTime(d) } }
 
+// WithProtocol serves another protocol than the server's own, behind the same
+// limits.
+func WithProtocol(h http.Handler) Option { return func(a *Application) { a.protocol = h } }
+
 // Start starts a server that enters its bookings in a ledger. The clean-up
 // function closes it.
 func Start(id fuchsiapitch.ServerID, ledger *Ledger, options ...Option) (*Application, func(), error) {
 	a := &Application{id: id, ledger: ledger, concurrency: defaultConcurrency}
+	m := http.NewServeMux()
+	m.HandleFunc("POST /bookings", a.handleBooking)
+	m.HandleFunc("GET /lookups/{name...}", a.handleLookup)
+	a.protocol = m
 	for _, o := range options {
 		o(a)
 	}
 	a.slots = make(chan struct{}, a.concurrency)
-	m := http.NewServeMux()
-	m.HandleFunc("POST /bookings", a.handleBooking)
-	m.HandleFunc("GET /lookups/{name...}", a.handleLookup)
-	server, cleanUp, err := faulter.Start(a.limit(m))
+	server, cleanUp, err := faulter.Start(a.limit(a.protocol))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -145,7 +151,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	run := a.ledger.run(b.Reference)
+	run := a.ledger.Run(b.Reference)
 	writeJSON(w, http.StatusCreated, bookingAnswer{Reference: b.Reference, Run: run, Server: string(a.id)})
 }
 
--- a/internal/standin/application/ledger.go
+++ b/internal/standin/application/ledger.go
@@ -38,7 +38,8 @@
 	return len(l.runs)
 }
 
-func (l *Ledger) run(reference string) int {
+// Run counts a run of a booking and returns how often it was run.
+func (l *Ledger) Run(reference string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[reference]++
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,7 @@
 	id         fuchsiapitch.ServerID
 	registry   *Registry
 	loader     Loader
+	protocol   http.Handler
 	fenced     bool
 	batchLimit int
 	speed      Speed
@@ -132,6 +134,10 @@
 // WithLoader sets the source of model weights. Without it loads take no time.
 func WithLoader(l Loader) Option { return func(e *Engine) { e.loader = l } }
 
+// WithProtocol serves another protocol than the engine's own. Its handler gives
+// orders with Order and has tokens made with Generate.
+func WithProtocol(h http.Handler) Option { return func(e *Engine) { e.protocol = h } }
+
 // Start starts an engine that is in no group. The clean-up function ends it.
 func Start(id fuchsiapitch.ServerID, registry *Registry, options ...Option) (*Engine, func(), error) {
 	e := &Engine{
@@ -139,11 +145,12 @@
 		speed: Speed{Token: defaultTokenTime, Batch: defaultBatchTime, Prefill: defaultPrefill},
 		cache: newCache(defaultCacheBytes), wake: make(chan struct{}, 1),
 	}
+	e.protocol = e.routes()
 	for _, o := range options {
 		o(e)
 	}
 	e.holding.Store(&holding{})
-	server, stop, err := faulter.Start(e.routes())
+	server, stop, err := faulter.Start(e.protocol)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -1,12 +1,16 @@
 package engine
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
 const maxBodyBytes = 16 << 20
@@ -125,38 +129,86 @@
 func (e *Engine) answerStream(w http.ResponseWriter, r *http.Request, s *sequence, events *eventWriter) {
 	w.Header().Set(contentType, streamType)
 	flusher := http.NewResponseController(w)
-	written := s.made.Load()
-	for {
-		made := s.made.Load()
+	err := e.follow(r.Context(), s, func(written, made int64) error {
 		for n := written + 1; n <= made; n++ {
 			events.add(n)
 		}
-		written = made
 		if made >= s.limit {
 			events.buffer = append(events.buffer, streamEnd...)
 		}
-		if len(events.buffer) > 0 {
-			if _, err := w.Write(events.buffer); err != nil || flusher.Flush() != nil {
+		_, err := w.Write(events.buffer)
+		events.buffer = events.buffer[:0]
+		if err != nil {
+			return err
+		}
+		return flusher.Flush()
+	})
+	var broken *BrokenError
+	if errors.As(err, &broken) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// BrokenError reports that the group of a request is not whole any more.
+type BrokenError struct {
+	// Group is the group.
+	Group fuchsiapitch.GroupID
+}
+
+// Error implements error.
+func (e *BrokenError) Error() string { return "group " + string(e.Group) + " is not whole" }
+
+// follow passes the tokens of a sequence on until the last: those after written,
+// up to made. A sequence that has all its tokens from the start is passed on once.
+func (e *Engine) follow(ctx context.Context, s *sequence, pass func(written, made int64) error) error {
+	written, first := s.made.Load(), true
+	for {
+		made := s.made.Load()
+		if made > written || first && made >= s.limit {
+			if err := pass(written, made); err != nil {
 				e.leave(s)
-				return
+				return err
 			}
-			events.buffer = events.buffer[:0]
 		}
+		written, first = made, false
 		if made >= s.limit {
-			return
+			return nil
 		}
 		select {
 		case <-s.notify:
-		case <-r.Context().Done():
+		case <-ctx.Done():
 			e.leave(s)
-			return
+			return ctx.Err()
 		}
 		if s.broken.Load() && s.made.Load() == written {
-			panic(http.ErrAbortHandler)
+			return &BrokenError{Group: s.holding.assignment.Group()}
 		}
 	}
 }
 
+// Generate makes the tokens of a prompt after the first made ones, up to limit, and
+// calls each for every one. It returns the error of each or of the context, or a
+// BrokenError.
+func (e *Engine) Generate(ctx context.Context, prompt string, made, limit int64, each func(n int64) error) error {
+	h := e.holding.Load()
+	if !e.isWhole(h) {
+		return &BrokenError{Group: h.assignment.Group()}
+	}
+	s := &sequence{holding: h, prompt: prompt, limit: limit, notify: make(chan struct{}, 1)}
+	s.made.Store(min(made, limit))
+	if made < limit {
+		e.enqueue(s)
+	}
+	return e.follow(ctx, s, func(written, made int64) error {
+		for n := written + 1; n <= made; n++ {
+			if err := each(n); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
 // leave cancels a sequence whose caller went away.
 func (e *Engine) leave(s *sequence) {
 	s.gone.Store(true)
--- a/internal/standin/log/handler.go
+++ b/internal/standin/log/handler.go
@@ -1,6 +1,7 @@
 package log
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -43,8 +44,27 @@
 	return m
 }
 
+// gate holds every call back by the delay, and refuses it during an outage. A call
+// is read whole first: it is carried out also where its caller has given it up.
+func (l *Log) gate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(data))
+		l.hold(r.Context())
+		if l.isOut() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (l *Log) handleAppend(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	data, err := io.ReadAll(r.Body)
 	id := r.Header.Get(recordIDHeader)
 	if err != nil || id == "" {
 		w.WriteHeader(http.StatusBadRequest)
@@ -54,33 +74,13 @@
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	}
-	l.hold(r.Context())
-	offset, lost, out := l.take(r.PathValue("name"), entry{id: id, data: data, appended: time.Now()})
-	if out {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if lost {
+	offset := l.Append(r.PathValue("name"), id, data)
+	if l.LosesAnswer() {
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(w, http.StatusOK, appendAnswer{Offset: offset})
 }
 
-// take appends unless the log is out, and reports whether the answer is lost.
-func (l *Log) take(name string, e entry) (offset uint64, lost, out bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.out {
-		return 0, false, true
-	}
-	offset = l.append(name, e)
-	if l.lose > 0 {
-		l.lose--
-		lost = true
-	}
-	return offset, lost, false
-}
-
 func (l *Log) hold(ctx context.Context) {
 	l.mu.Lock()
 	delay := l.delay
@@ -98,7 +98,6 @@
 	from := number(r, "from", 1)
 	limit := number(r, "limit", defaultLimit)
 	wait := min(time.Duration(number(r, "wait-ms", 0))*time.Millisecond, maxWait)
-	l.hold(r.Context())
 	deadline := time.After(wait)
 	for {
 		answer, status, changed := l.read(r.PathValue("name"), max(from, 1), limit)
@@ -122,24 +121,19 @@
 
 // read returns what is there now, and a channel that is closed at the next append.
 func (l *Log) read(name string, from, limit uint64) (readAnswer, int, <-chan struct{}) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.out {
+	if l.isOut() {
 		return readAnswer{}, http.StatusServiceUnavailable, nil
 	}
-	s := l.stream(name)
-	l.expire(s, time.Now())
-	answer := readAnswer{Records: []recordAnswer{}, Oldest: s.oldest, Next: from}
-	if from < s.oldest {
+	page := l.Read(name, from, limit)
+	answer := readAnswer{Records: []recordAnswer{}, Oldest: page.Oldest, Next: from}
+	if from < page.Oldest {
 		return answer, http.StatusGone, nil
 	}
-	for from < s.next() && uint64(len(answer.Records)) < limit {
-		e := s.entries[from-s.oldest]
-		answer.Records = append(answer.Records, recordAnswer{ID: e.id, Offset: from, Data: e.data})
-		from++
+	for _, r := range page.Records {
+		answer.Records = append(answer.Records, recordAnswer(r))
 	}
-	answer.Next = from
-	return answer, http.StatusOK, s.changed
+	answer.Next += uint64(len(page.Records))
+	return answer, http.StatusOK, page.Changed
 }
 
 func number(r *http.Request, name string, otherwise uint64) uint64 {
--- a/internal/standin/log/log.go
+++ b/internal/standin/log/log.go
@@ -84,8 +84,12 @@
 
 // Listen serves the log at one more endpoint, which has faults of its own, so
 // that a part of the readers can be cut off. It returns a clean-up function.
-func (l *Log) Listen() (*faulter.Server, func(), error) {
-	server, cleanUp, err := faulter.Start(l.routes())
+func (l *Log) Listen() (*faulter.Server, func(), error) { return l.ListenAs(l.routes()) }
+
+// ListenAs serves the log at one more endpoint under another protocol than its
+// own. Delays and outages of the log strike it too.
+func (l *Log) ListenAs(protocol http.Handler) (*faulter.Server, func(), error) {
+	server, cleanUp, err := faulter.Start(l.gate(protocol))
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -4,10 +4,11 @@
 package platform
 
 import (
-	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,28 +16,21 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/faulter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/log"
 )
 
 const (
 	operatorTopic = "keyed.op"
 	serversTopic  = "keyed.servers"
 	recordHead    = 4
-	readHead      = 16
-	// pollInterval is the time between two looks at a topic that is waited for.
-	pollInterval = 10 * time.Millisecond
+	// firstOffset is the log's offset of the record that the platform calls 0.
+	firstOffset = 1
 )
 
-type record struct {
-	offset int64
-	key    string
-	value  []byte
-}
-
+// topic is what the store knows of a stream beyond its records.
 type topic struct {
-	records []record
-	first   int64
-	end     int64
-	newest  map[string]record
+	// newest are the newest records of each key, deleted ones left out.
+	newest map[string]log.Record
 	// producers are those that have appended under a name.
 	producers map[string]*producer
 }
@@ -51,61 +45,31 @@
 	offsets map[int64]int64
 }
 
-// Store is the metadata store.
+// Store is the metadata store: the log under the platform's protocol, with keys,
+// conditions and producers.
 type Store struct {
+	*log.Log
 	mutex  sync.Mutex
 	topics map[string]*topic
-	down   bool
-	// delay holds every call back.
-	delay time.Duration
-	// lost is the number of appends whose answers are lost next.
-	lost int
 }
 
 // NewStore returns an empty store.
-func NewStore() *Store { return &Store{topics: make(map[string]*topic)} }
-
-// Listen serves the store on a free loopback port. Its faults can also be struck
-// with POST /faults, under the names that the product's own log gives them.
-func (s *Store) Listen() (*faulter.Server, func(), error) {
-	server, stop, err := faulter.Start(s)
-	if err != nil {
-		return nil, nil, err
-	}
-	server.Extend("out", func(count int, _ time.Duration) { s.SetDown(count > 0) })
-	server.Extend("slow", func(_ int, d time.Duration) { s.SetDelay(d) })
-	server.Extend("lose-append-answers", func(count int, _ time.Duration) { s.LoseAppendAnswers(count) })
-	return server, stop, nil
-}
+func NewStore() *Store { return &Store{Log: log.New(), topics: make(map[string]*topic)} }
 
-// SetDown has every call refused, or served again.
-func (s *Store) SetDown(down bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.down = down
-}
-
-// SetDelay makes every call slow by d.
-func (s *Store) SetDelay(d time.Duration) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.delay = d
-}
+// Listen serves the store on a free loopback port. Each endpoint has faults of its
+// own beside those of the log.
+func (s *Store) Listen() (*faulter.Server, func(), error) { return s.ListenAs(s.routes()) }
 
-// LoseAppendAnswers makes the next n appends take effect without an answer.
-func (s *Store) LoseAppendAnswers(n int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.lost = n
+func (s *Store) routes() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("/log-append", s.handleAppend)
+	m.HandleFunc("/log-read", s.handleRead)
+	m.HandleFunc("/log-newest", s.handleNewest)
+	return m
 }
 
 // Forget drops the history of a topic; the newest record of each key stays.
-func (s *Store) Forget(name string) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	t := s.topic(name)
-	t.records, t.first = nil, t.end
-}
+func (s *Store) Forget(name string) { s.Truncate(name, 0) }
 
 // Publish writes a configuration as the operator does.
 func (s *Store) Publish(configuration []byte) { s.put(operatorTopic, "config", configuration) }
@@ -113,59 +77,37 @@
 func (s *Store) put(name, key string, value []byte) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.append(s.topic(name), key, value)
+	s.append(name, key, value)
 }
 
 func (s *Store) topic(name string) *topic {
 	t, ok := s.topics[name]
 	if !ok {
-		t = &topic{newest: make(map[string]record), producers: make(map[string]*producer)}
+		t = &topic{newest: make(map[string]log.Record), producers: make(map[string]*producer)}
 		s.topics[name] = t
 	}
 	return t
 }
 
-func (s *Store) append(t *topic, key string, value []byte) int64 {
-	r := record{offset: t.end, key: key, value: value}
-	t.records = append(t.records, r)
-	t.end++
-	t.newest[key] = r
+// append adds a record and returns its offset in the platform's count, which
+// begins at 0.
+func (s *Store) append(name, key string, value []byte) int64 {
+	offset := s.Append(name, key, value)
+	t := s.topic(name)
+	t.newest[key] = log.Record{ID: key, Offset: offset, Data: value}
 	if len(value) == 0 {
 		delete(t.newest, key)
 	}
-	return r.offset
+	return int64(offset) - firstOffset
 }
 
-// ServeHTTP implements http.Handler.
-func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mutex.Lock()
-	down, delay := s.down, s.delay
-	s.mutex.Unlock()
-	select {
-	case <-time.After(delay):
-	case <-r.Context().Done():
-		return
-	}
-	if down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	name := r.URL.Query().Get("topic")
-	switch r.URL.Path {
-	case "/log-append":
-		s.handleAppend(w, r, name)
-	case "/log-read":
-		s.handleRead(r.Context(), w, r, name)
-	case "/log-newest":
-		s.handleNewest(w, name)
-	default:
-		w.WriteHeader(http.StatusNotFound)
-	}
-}
+// end returns the offset of the next record of a topic in the platform's count.
+func (s *Store) end(name string) int64 { return int64(s.Read(name, 0, 0).Next) - firstOffset }
 
-func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request, name string) {
-	data := make([]byte, r.ContentLength)
-	if _, err := readFull(r, data); err != nil || len(data) <= recordHead || len(data) <= recordHead+1+int(data[recordHead]) {
+func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
+	name := r.URL.Query().Get("topic")
+	data, err := io.ReadAll(r.Body)
+	if err != nil || len(data) <= recordHead || len(data) <= recordHead+1+int(data[recordHead]) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -182,24 +124,23 @@
 		writeJSON(w, http.StatusConflict, map[string]any{"reason": reason})
 		return
 	case repeated:
-		writeJSON(w, http.StatusOK, map[string]any{"offset": p.offsets[number], "end": t.end})
+		writeJSON(w, http.StatusOK, map[string]any{"offset": p.offsets[number], "end": s.end(name)})
 		return
 	}
-	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(t.end, 10) {
-		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"end": t.end})
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(s.end(name), 10) {
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"end": s.end(name)})
 		return
 	}
 	n := recordHead + 1 + int(data[recordHead])
-	offset := s.append(t, string(data[recordHead+1:n]), slices.Clone(data[n:]))
+	offset := s.append(name, string(data[recordHead+1:n]), slices.Clone(data[n:]))
 	if p != nil {
 		p.offsets[number], p.next = offset, number+1
 		delete(p.offsets, number-repeatable)
 	}
-	if s.lost > 0 {
-		s.lost--
+	if s.LosesAnswer() {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"offset": offset, "end": t.end})
+	writeJSON(w, http.StatusOK, map[string]any{"offset": offset, "end": s.end(name)})
 }
 
 // producer returns the writer that an append names, nil for none, with the number
@@ -229,68 +170,57 @@
 	return p, number, "", false
 }
 
-func readFull(r *http.Request, data []byte) (int, error) {
-	read := 0
-	for read < len(data) {
-		n, err := r.Body.Read(data[read:])
-		read += n
-		if err != nil && read < len(data) {
-			return read, err
-		}
-	}
-	return read, nil
-}
-
-func (s *Store) handleRead(ctx context.Context, w http.ResponseWriter, r *http.Request, name string) {
-	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseUint(query.Get("from"), 10, 63)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
-		body, status := s.read(name, from)
-		if status != http.StatusOK || len(body) > readHead || time.Now().After(deadline) || ctx.Err() != nil {
-			w.WriteHeader(status)
-			w.Write(body)
+		page := s.Read(query.Get("topic"), from+firstOffset, math.MaxUint64)
+		switch {
+		case from+firstOffset < page.Oldest:
+			writeJSON(w, http.StatusGone, map[string]any{"first": page.Oldest - firstOffset})
+			return
+		case len(page.Records) > 0 || wait <= 0:
+			w.Write(encode(page))
 			return
 		}
 		select {
-		case <-time.After(pollInterval):
-		case <-ctx.Done():
+		case <-page.Changed:
+		case <-deadline:
+			wait = 0
+		case <-r.Context().Done():
+			return
 		}
 	}
 }
 
-func (s *Store) read(name string, from int64) ([]byte, int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	t := s.topic(name)
-	if from < t.first {
-		return []byte(`{"first":` + strconv.FormatInt(t.first, 10) + `}`), http.StatusGone
-	}
-	body := binary.BigEndian.AppendUint64(nil, uint64(t.end))
-	body = binary.BigEndian.AppendUint64(body, uint64(t.first))
-	for _, r := range t.records {
-		if r.offset < from {
-			continue
-		}
-		body = binary.BigEndian.AppendUint32(body, uint32(1+len(r.key)+len(r.value)))
-		body = append(append(append(body, byte(len(r.key))), r.key...), r.value...)
+// encode returns a page as the platform writes it.
+func encode(page log.Page) []byte {
+	body := binary.BigEndian.AppendUint64(nil, page.Next-firstOffset)
+	body = binary.BigEndian.AppendUint64(body, page.Oldest-firstOffset)
+	for _, r := range page.Records {
+		body = binary.BigEndian.AppendUint32(body, uint32(1+len(r.ID)+len(r.Data)))
+		body = append(append(append(body, byte(len(r.ID))), r.ID...), r.Data...)
 	}
-	return body, http.StatusOK
+	return body
 }
 
-func (s *Store) handleNewest(w http.ResponseWriter, name string) {
+func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
+	name := r.URL.Query().Get("topic")
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	t := s.topic(name)
 	items := []map[string]any{}
-	for key, r := range t.newest {
-		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString(r.value), "offset": r.offset})
+	for key, n := range s.topic(name).newest {
+		items = append(items, map[string]any{
+			"key": key, "value": base64.StdEncoding.EncodeToString(n.Data), "offset": n.Offset - firstOffset,
+		})
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "end": t.end})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "end": s.end(name)})
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
