standin: the platform's servers are the engine and application stand-ins

The platform's servers had token loops, loads and members of their own. Now an engine makes their tokens in its batches, loads their models and stands still with a paused member; a plain server is the application stand-in with its ledger. The platform's protocol (orders, counts, states, reports) stays in internal/standin/platform. Each entry host has an endpoint of the store of its own, so that it can be struck alone.

New tests without the bench: a slow store, and a store that is away for the host that leads alone. 'Repaired' now means that all members of four groups are there, not that four leaders say open: stricter.

--- a/internal/integrator/integrator_test.go
+++ b/internal/integrator/integrator_test.go
@@ -39,7 +39,7 @@
 	b := &bed{Installation: installation}
 	ctx, cancel := context.WithCancel(context.Background())
 	for n := range hosts {
-		path, callers, ready, err := b.WriteSettings(t.TempDir(), fmt.Sprintf("h%d", n))
+		path, callers, ready, err := b.WriteSettings(t.TempDir(), hostName(n))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -65,10 +65,27 @@
 			t.Errorf("got %q, want no broken rule", got[0])
 		}
 	})
-	b.await(t, "four groups", func() bool { return len(b.Fleet.Leaders()) >= 4 })
+	b.await(t, "four groups", func() bool { return b.Fleet.Whole() >= 4 })
 	return b
 }
 
+func hostName(n int) string { return fmt.Sprintf("h%d", n) }
+
+// leader returns the number of the host that leads the groups.
+func (b *bed) leader(t *testing.T) int {
+	t.Helper()
+	leader := -1
+	b.await(t, "leader", func() bool {
+		for n := range b.callers {
+			if b.status(t, n).Leads {
+				leader = n
+			}
+		}
+		return leader >= 0
+	})
+	return leader
+}
+
 func (b *bed) await(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !holds(); time.Sleep(20 * time.Millisecond) {
@@ -198,7 +215,7 @@
 	if want := 20; got != want {
 		t.Errorf("got %d events, want %d", got, want)
 	}
-	b.await(t, "repaired group", func() bool { return len(b.Fleet.Leaders()) >= 4 })
+	b.await(t, "repaired group", func() bool { return b.Fleet.Whole() >= 4 })
 }
 
 func TestStatus(t *testing.T) {
@@ -304,13 +321,11 @@
 		}
 	})
 	t.Run("a configuration reaches the hosts though their connections to the store fall silent", func(t *testing.T) {
-		b.Faults.Silence()
+		for n := range 2 {
+			b.Endpoint(hostName(n)).Silence()
+		}
 		b.Store.Publish([]byte(strings.Replace(string(standin.Configuration(2)), standin.LookPath, "/heard/", 1)))
-		b.await(t, "new configuration", func() bool {
-			response, _ := b.request(t, 1, http.MethodGet, "/heard/x", "")
-			response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		})
+		b.awaitRoute(t, 1, "/heard/x")
 	})
 }
 
@@ -320,7 +335,7 @@
 	b.Fleet.DelayOrders(6)
 	leader := b.Fleet.Leaders()[0]
 	b.Fleet.Server(leader.Members()[1]).Lose()
-	b.await(t, "repaired group", func() bool { return len(b.Fleet.Leaders()) >= 4 })
+	b.await(t, "repaired group", func() bool { return b.Fleet.Whole() >= 4 })
 }
 
 func TestStoreTrouble(t *testing.T) {
@@ -335,8 +350,51 @@
 	b.Store.Forget("keyed.servers")
 	b.Store.Forget("keyed.op")
 	b.Store.Publish([]byte(strings.Replace(string(standin.Configuration(2)), standin.LookPath, "/seen/", 1)))
+	b.awaitRoute(t, 1, "/seen/x")
+}
+
+// The store answers slowly: requests are served, a group is repaired, and a new
+// configuration arrives.
+func TestSlowStore(t *testing.T) {
+	b := newBed(t, 2)
+	b.Store.SetDelay(400 * time.Millisecond)
+	b.Fleet.Server(b.Fleet.Leaders()[0].Members()[1]).Lose()
+	b.assertStream(t, 0)
+	b.await(t, "repaired group", func() bool { return b.Fleet.Whole() >= 4 })
+	b.Store.Publish([]byte(strings.Replace(string(standin.Configuration(2)), standin.LookPath, "/slow/", 1)))
+	b.awaitRoute(t, 1, "/slow/x")
+}
+
+// The store is away for the host that leads alone: the host goes on serving, a
+// group is repaired, and afterwards the host takes a new configuration.
+func TestStoreAwayForLeader(t *testing.T) {
+	b := newBed(t, 2)
+	leader := b.leader(t)
+	b.Endpoint(hostName(leader)).Pause()
+	b.Fleet.Server(b.Fleet.Leaders()[0].Members()[1]).Lose()
+	b.assertStream(t, leader)
+	b.await(t, "repaired group", func() bool { return b.Fleet.Whole() >= 4 })
+	b.Store.Publish([]byte(strings.Replace(string(standin.Configuration(2)), standin.LookPath, "/away/", 1)))
+	b.awaitRoute(t, 1-leader, "/away/x")
+	b.Endpoint(hostName(leader)).Resume()
+	b.awaitRoute(t, leader, "/away/x")
+}
+
+// assertStream expects a whole stream through a host.
+func (b *bed) assertStream(t *testing.T, host int) {
+	t.Helper()
+	response, _ := b.awaitAnswer(t, host, http.MethodPost, standin.StreamPath+"x", "prompt")
+	defer response.Body.Close()
+	if got, want := readEvents(t, response.Body, func(int) {}), 20; got != want {
+		t.Errorf("got %d events, want %d", got, want)
+	}
+}
+
+// awaitRoute waits until a host answers a path.
+func (b *bed) awaitRoute(t *testing.T, host int, path string) {
+	t.Helper()
 	b.await(t, "new configuration", func() bool {
-		response, _ := b.request(t, 1, http.MethodGet, "/seen/x", "")
+		response, _ := b.request(t, host, http.MethodGet, path, "")
 		response.Body.Close()
 		return response.StatusCode == http.StatusOK
 	})
--- a/internal/standin/platform/installation.go
+++ b/internal/standin/platform/installation.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/faulter"
 )
@@ -38,22 +39,51 @@
 	// Store and Fleet are what the system meets.
 	Store *Store
 	Fleet *Fleet
-	// Faults strikes the connections and answers of the store.
-	Faults *faulter.Server
+
+	mutex sync.Mutex
+	// endpoints are those of the store, one for each entry host.
+	endpoints map[string]*faulter.Server
+	stops     []func()
+}
+
+// Endpoint returns the endpoint of the store that an entry host uses. Its faults
+// strike this host alone.
+func (i *Installation) Endpoint(host string) *faulter.Server {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.endpoints[host]
+}
+
+// open opens an endpoint of the store for an entry host.
+func (i *Installation) open(host string) (*faulter.Server, error) {
+	endpoint, stop, err := i.Store.Listen()
+	if err != nil {
+		return nil, err
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.endpoints[host] = endpoint
+	i.stops = append(i.stops, stop)
+	return endpoint, nil
+}
+
+func (i *Installation) close() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for _, stop := range i.stops {
+		stop()
+	}
 }
 
 // NewInstallation starts a store, two fabric domains of engines and two plain
 // servers, and publishes a configuration. The function ends it all.
 func NewInstallation() (*Installation, func(), error) {
 	store := NewStore()
-	faults, stopStore, err := store.Listen()
-	if err != nil {
-		return nil, nil, err
-	}
 	fleet, stopFleet := NewFleet(store)
+	i := &Installation{Store: store, Fleet: fleet, endpoints: make(map[string]*faulter.Server)}
 	stop := func() {
 		stopFleet()
-		stopStore()
+		i.close()
 	}
 	for d := range 2 {
 		for n := range domainSize {
@@ -68,7 +98,7 @@
 		}
 	}
 	store.Publish(Configuration(1))
-	return &Installation{Store: store, Fleet: fleet, Faults: faults}, stop, nil
+	return i, stop, nil
 }
 
 // Configuration returns a configuration as an operator publishes it.
@@ -113,9 +143,13 @@
 	if err != nil {
 		return "", "", "", err
 	}
+	endpoint, err := i.open(host)
+	if err != nil {
+		return "", "", "", err
+	}
 	data, err := json.Marshal(map[string]any{
 		"node_id": host, "ip": "127.0.0.1", "zone": "z1", "listen": map[string]any{"front": callers, "ready": operators},
-		"port_range": []int{peers, peers}, "provider": map[string]any{"address": i.Faults.Address()},
+		"port_range": []int{peers, peers}, "provider": map[string]any{"address": endpoint.Address()},
 		"limits": map[string]any{"memory_mb": 284},
 		"bounds": map[string]any{"stall_ms": stallTime.Milliseconds(), "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 100, "budget_window_s": 10},
 	})
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,6 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/application"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/engine"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/faulter"
 )
 
@@ -30,14 +34,25 @@
 	defaultPieces = 20
 )
 
+// States of a member of a group, as the platform writes them.
+const (
+	stateJoining = "joining"
+	stateReady   = "ready"
+	stateOpen    = "open"
+	stateBroken  = "broken"
+)
+
 // Server is a backend server: a member of groups, or a plain server.
 type Server struct {
 	fleet   *Fleet
 	id      string
 	service string
 	domain  string
-	engine  bool
 	faults  *faulter.Server
+	// engine makes the tokens; a plain server has none.
+	engine *engine.Engine
+	runs   *application.Ledger
+	end    func()
 
 	mutex   sync.Mutex
 	born    int64
@@ -52,23 +67,23 @@
 	model   string
 	last    string
 	staged  []string
-	ready   time.Time
 	opens   time.Time
-	missing time.Time
+	streams int64
+	cuts    map[int64]context.CancelFunc
 	lost    bool
 	leaving bool
-	runs    map[string]int
 }
 
 // Fleet is a set of backend servers and the store that lists them.
 type Fleet struct {
-	store   *Store
-	mutex   sync.Mutex
-	servers map[string]*Server
-	stop    chan struct{}
-	done    chan struct{}
-	broken  []string
-	late    int
+	store    *Store
+	registry *engine.Registry
+	mutex    sync.Mutex
+	servers  map[string]*Server
+	stop     chan struct{}
+	done     chan struct{}
+	broken   []string
+	late     int
 }
 
 // lateTime is the time after which an order without an answer is carried out.
@@ -93,13 +108,13 @@
 
 // NewFleet returns an empty fleet and a function that ends it.
 func NewFleet(store *Store) (*Fleet, func()) {
-	f := &Fleet{store: store, servers: make(map[string]*Server), stop: make(chan struct{}), done: make(chan struct{})}
+	f := &Fleet{store: store, registry: engine.NewRegistry(), servers: make(map[string]*Server), stop: make(chan struct{}), done: make(chan struct{})}
 	go f.announce()
 	return f, func() {
 		close(f.stop)
 		<-f.done
 		for _, s := range f.all() {
-			s.faults.Die()
+			s.end()
 		}
 	}
 }
@@ -107,20 +122,37 @@
 // Add starts a server of a service, a model engine if it has a fabric domain.
 func (f *Fleet) Add(id, service, domain string) (*Server, error) {
 	s := &Server{
-		fleet: f, id: id, service: service, domain: domain, engine: domain != "",
-		born: time.Now().UnixMilli(), runs: make(map[string]int),
+		fleet: f, id: id, service: service, domain: domain, born: time.Now().UnixMilli(), runs: application.NewLedger(),
+		cuts: make(map[int64]context.CancelFunc),
 	}
-	faults, _, err := faulter.Start(s)
-	if err != nil {
+	if err := s.start(); err != nil {
 		return nil, err
 	}
-	s.faults = faults
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.servers[id] = s
 	return s, nil
 }
 
+// start starts the engine or the application server behind the protocol.
+func (s *Server) start() error {
+	if s.domain == "" {
+		a, end, err := application.Start(fuchsiapitch.ServerID(s.id), s.runs, application.WithProtocol(s))
+		if err != nil {
+			return err
+		}
+		s.faults, s.end = a.Server, end
+		return nil
+	}
+	e, end, err := engine.Start(fuchsiapitch.ServerID(s.id), s.fleet.registry,
+		engine.WithProtocol(s), engine.WithLoader(s), engine.WithSpeed(engine.Speed{Token: pieceTime}))
+	if err != nil {
+		return err
+	}
+	s.faults, s.engine, s.end = e.Server, e, end
+	return nil
+}
+
 // Broken returns what the servers saw that must never be.
 func (f *Fleet) Broken() []string {
 	f.mutex.Lock()
@@ -149,13 +181,30 @@
 func (f *Fleet) Leaders() []*Server {
 	var leaders []*Server
 	for _, s := range f.all() {
-		if state, lost := s.status(); state == "open" && !lost {
+		if state, lost := s.status(); state == stateOpen && !lost {
 			leaders = append(leaders, s)
 		}
 	}
 	return leaders
 }
 
+// Whole returns the number of groups that take requests and whose members are all
+// there.
+func (f *Fleet) Whole() int {
+	n := 0
+	for _, leader := range f.Leaders() {
+		group, epoch := leader.holds()
+		whole := true
+		for _, id := range leader.Members() {
+			whole = whole && f.Server(id).isIn(group, epoch)
+		}
+		if whole {
+			n++
+		}
+	}
+	return n
+}
+
 // announce writes the entries of all servers that live.
 func (f *Fleet) announce() {
 	defer close(f.done)
@@ -198,11 +247,7 @@
 }
 
 // Runs returns how often a request was run.
-func (s *Server) Runs(request string) int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.runs[request]
-}
+func (s *Server) Runs(request string) int { return s.runs.Runs(request) }
 
 func (s *Server) status() (string, bool) {
 	s.mutex.Lock()
@@ -211,21 +256,27 @@
 	return s.state, s.lost
 }
 
-// advance carries on what takes time.
+// advance follows the engine, and carries on what takes time.
 func (s *Server) advance() {
-	now := time.Now()
-	if s.state == "joining" && now.After(s.ready) {
-		s.state = "ready"
+	if s.engine == nil || s.group == "" {
+		return
 	}
-	if !s.opens.IsZero() && now.After(s.opens) {
-		s.state, s.opens = "open", time.Time{}
+	ready := s.engine.Account().Ready()
+	switch {
+	case s.state == stateJoining && ready:
+		s.state = stateReady
+	case s.state == stateOpen && !ready:
+		s.state = stateBroken
+	}
+	if !s.opens.IsZero() && time.Now().After(s.opens) {
+		s.state, s.opens = stateOpen, time.Time{}
 	}
 }
 
 func (s *Server) describe() map[string]any {
 	s.advance()
 	d := map[string]any{
-		"state": "ready", "born": s.born, "stage": "colocated", "busy": s.state == "joining" || !s.opens.IsZero(),
+		"state": stateReady, "born": s.born, "stage": "colocated", "busy": s.state == stateJoining || !s.opens.IsZero(),
 		"domain": s.domain, "staged": s.staged, "models": []any{}, "queued": 0, "running": 0, "pace": 1.0,
 	}
 	if s.leaving {
@@ -253,13 +304,6 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mutex.Lock()
-	lost := s.lost
-	s.mutex.Unlock()
-	if lost {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	if target := r.Header.Get("X-Target-Instance"); target != "" && target != s.id {
 		w.Header().Set("X-Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -289,6 +333,7 @@
 	Epoch    int64    `json:"epoch"`
 	Model    string   `json:"model"`
 	Members  []string `json:"members"`
+	Mode     string   `json:"close_mode"`
 }
 
 func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request) {
@@ -331,7 +376,7 @@
 		return
 	}
 	head.mutex.Lock()
-	open := head.group == group && (head.state == "open" || !head.opens.IsZero()) && !head.lost
+	open := head.group == group && (head.state == stateOpen || !head.opens.IsZero()) && !head.lost
 	head.mutex.Unlock()
 	if open {
 		s.fleet.mutex.Lock()
@@ -350,12 +395,16 @@
 		s.join(o)
 	case o.Op == "stage":
 		s.staged = []string{o.Model}
-	case o.Op == "open" && same && s.rank == 0 && s.state == "ready":
+	case o.Op == "open" && same && s.rank == 0 && s.state == stateReady:
 		s.opens = time.Now().Add(formTime)
-	case o.Op == "close" && same && s.state == "open":
-		s.state = "ready"
+	case o.Op == "close" && same && s.state == stateOpen:
+		s.state = stateReady
+		if o.Mode == "evict" {
+			s.cutStreams()
+		}
 	case o.Op == "leave" && same:
 		s.group, s.state, s.members, s.opens = "", "", nil, time.Time{}
+		s.assign(o.Epoch)
 	default:
 		return http.StatusConflict
 	}
@@ -367,43 +416,30 @@
 }
 
 func (s *Server) join(o order) {
-	took := loadTime
-	switch {
-	case s.last == o.Model:
-		took = sameTime
-	case slices.Contains(s.staged, o.Model):
-		took = warmTime
-	default:
-		s.staged = []string{o.Model}
-	}
 	s.group, s.epoch, s.seen, s.members = o.Group, o.Epoch, o.Epoch, o.Members
-	s.rank, s.state, s.opens = slices.Index(o.Members, s.id), "joining", time.Time{}
-	s.model, s.last, s.ready, s.missing = o.Model, o.Model, time.Now().Add(took), time.Time{}
+	s.rank, s.state, s.opens = slices.Index(o.Members, s.id), stateJoining, time.Time{}
+	s.model = o.Model
+	s.assign(o.Epoch)
 }
 
-// isWhole reports whether all members of the server's group are there. A leader
-// that misses one for long is broken.
-func (s *Server) isWhole() bool {
-	s.mutex.Lock()
-	group, epoch, members := s.group, s.epoch, slices.Clone(s.members)
-	s.mutex.Unlock()
-	whole := true
-	for _, id := range members {
-		if m := s.fleet.Server(id); m != s {
-			whole = whole && m.isIn(group, epoch)
+// assign brings the engine in line with the group of the server.
+func (s *Server) assign(epoch int64) {
+	var a fuchsiapitch.Assignment
+	if s.group != "" {
+		members := make([]fuchsiapitch.ServerID, 0, len(s.members))
+		for _, id := range s.members {
+			members = append(members, fuchsiapitch.ServerID(id))
 		}
+		group := fuchsiapitch.GroupID(fmt.Sprintf("%s/%d", s.group, epoch))
+		a = fuchsiapitch.NewAssignment(group, fuchsiapitch.ServiceName(s.service), members, s.model, "1")
 	}
+	s.engine.Order(fuchsiapitch.NewOrder(fuchsiapitch.NewFence(fuchsiapitch.Term(epoch), 0), a))
+}
+
+func (s *Server) holds() (group string, epoch int64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	switch {
-	case whole:
-		s.missing = time.Time{}
-	case s.missing.IsZero():
-		s.missing = time.Now()
-	case time.Since(s.missing) > stallTime:
-		s.state = "broken"
-	}
-	return whole
+	return s.group, s.epoch
 }
 
 func (s *Server) isIn(group string, epoch int64) bool {
@@ -412,9 +448,31 @@
 	return !s.lost && s.group == group && s.epoch == epoch
 }
 
+// Load implements engine.Loader: it takes the time of a join.
+func (s *Server) Load(ctx context.Context, model, _ string) bool {
+	s.mutex.Lock()
+	took := loadTime
+	switch {
+	case s.last == model:
+		took = sameTime
+	case slices.Contains(s.staged, model):
+		took = warmTime
+	default:
+		s.staged = []string{model}
+	}
+	s.last = model
+	s.mutex.Unlock()
+	select {
+	case <-time.After(took):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // run answers a request.
 func (s *Server) run(w http.ResponseWriter, r *http.Request) {
-	if state, _ := s.status(); s.engine && state != "open" {
+	if state, _ := s.status(); s.engine != nil && state != stateOpen {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -424,43 +482,67 @@
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
-	s.mutex.Lock()
-	s.runs[id]++
-	s.mutex.Unlock()
+	s.runs.Run(id)
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Seal", "seal-"+s.id)
-	if s.engine {
-		s.stream(w, r)
+	if s.engine != nil {
+		s.stream(w, r, string(body))
 		return
 	}
 	w.Write([]byte(s.id + " got " + string(body)))
 }
 
-// stream writes events with rising identifiers and stands still while a member of
-// the group is missing.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request) {
+// stream writes events with rising identifiers. It stands still while a member of
+// the group is missing; after a time the leader gives the group up.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, prompt string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
-	next := 1
-	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
-		next = last + 1
-	}
-	for n := next; n <= defaultPieces; {
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(pieceTime):
-		}
-		if state, lost := s.status(); state != "open" || lost {
-			panic(http.ErrAbortHandler)
-		}
-		if !s.isWhole() {
-			continue
-		}
+	made, _ := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64)
+	ctx, cancel := s.cuttable(r.Context())
+	defer cancel()
+	stall := time.AfterFunc(stallTime, func() {
+		s.giveUp()
+		cancel()
+	})
+	defer stall.Stop()
+	err := s.engine.Generate(ctx, prompt, made, defaultPieces, func(n int64) error {
+		stall.Reset(stallTime)
 		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n)
-		if http.NewResponseController(w).Flush() != nil {
-			return
-		}
-		n++
+		return http.NewResponseController(w).Flush()
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// cuttable returns a context for a stream that cutStreams ends.
+func (s *Server) cuttable(parent context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(parent)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.streams++
+	n := s.streams
+	s.cuts[n] = cancel
+	return ctx, func() {
+		cancel()
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		delete(s.cuts, n)
+	}
+}
+
+// cutStreams ends all streams. Callers hold the lock.
+func (s *Server) cutStreams() {
+	for _, cancel := range s.cuts {
+		cancel()
+	}
+}
+
+// giveUp marks a group broken that a member has been missing from for long.
+func (s *Server) giveUp() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.state == stateOpen {
+		s.state = stateBroken
 	}
 }
