conductor: an order to leave is given again while a formation needs it

Cause: a formation that takes members of an old one has the old leader leave it first, and gave this order once. Refused (here since the count of orders was one behind after a close that was answered at once), the members could not join, and after eight seconds the formation was given up. Found by TestStoreAwayForLeader (17 s); the new test TestLeaveIsRepeated fails without the change. Ruled out: the store (the orders go to the servers) and the election (the leader kept its lead).

--- a/internal/conductor/form.go
+++ b/internal/conductor/form.go
@@ -121,7 +121,6 @@
 	c.groups[g.ref] = g
 	c.heads[g.ref] = head.report.ID
 	c.note("group is formed", map[string]any{"group": g.ref.Name, "model": g.model, "domain": domain, "members": g.members})
-	c.releaseHeads(now, chosen, g)
 	c.gather(now, g)
 }
 
@@ -133,15 +132,13 @@
 	return 0
 }
 
-// releaseHeads has the leaders that are not part of a formation leave the
-// formations that its members were in.
-func (c *Conductor) releaseHeads(now time.Duration, chosen []*server, g *group) {
-	for _, s := range chosen {
-		ref := s.report.Membership.Group
-		head, ok := c.servers[c.heads[ref]]
-		if ref.Name == "" || !ok || !head.in(ref) || slices.Contains(g.members, head.report.ID) {
-			continue
-		}
-		c.order(now, head.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: ref})
+// releaseHead has the leader of a server's last formation leave it, if it is at rest
+// and not part of the new formation.
+func (c *Conductor) releaseHead(now time.Duration, s *server, g *group) {
+	ref := s.report.Membership.Group
+	head, ok := c.servers[c.heads[ref]]
+	if ref.Name == "" || !ok || !c.willBeFree(s) || slices.Contains(g.members, head.report.ID) {
+		return
 	}
+	c.order(now, head.report.ID, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: ref})
 }
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -228,6 +228,43 @@
 	assertModels(t, w, "d0", 1, 0)
 }
 
+// newTightWorld returns a world whose domains hold a group of each model and one
+// spare, opened long ago.
+func newTightWorld() *world {
+	w := newWorldOf(1, tableOf(
+		fuchsiapitch.Model{Name: "large", Size: 3, Share: 0.5, Pace: 1, Load: worldLoad, Warm: worldWarm},
+		fuchsiapitch.Model{Name: "small", Size: 2, Share: 0.5, Pace: 1, Load: worldLoad, Warm: worldWarm},
+	), 6)
+	w.lead()
+	w.run(5 * time.Second)
+	return w
+}
+
+// No group makes room for a model that has enough: after it, its own would lack.
+func TestRetirementMustPay(t *testing.T) {
+	w := newTightWorld()
+	w.run(20 * time.Second)
+	assertModels(t, w, "d0", 1, 1)
+	for ref, g := range w.conductors[0].groups {
+		if g.since > 5*time.Second {
+			t.Errorf("got %s formed at %s, want the groups of the start", ref.Name, g.since)
+		}
+	}
+}
+
+// A leader that refuses to leave its old group once is told again: its members are
+// needed.
+func TestLeaveIsRepeated(t *testing.T) {
+	w := newTightWorld()
+	w.refusedLeaves = 2
+	for _, g := range w.conductors[0].groups {
+		g.retiring = g.model == "large"
+	}
+	w.run(4 * time.Second)
+	assertModels(t, w, "d0", 1, 1)
+	assertModels(t, w, "d1", 1, 1)
+}
+
 // Servers that come back in time find the others waiting.
 func TestModelReturnsWithItsServers(t *testing.T) {
 	w := newWorld(1)
--- a/internal/conductor/step.go
+++ b/internal/conductor/step.go
@@ -48,6 +48,7 @@
 	case asked && s.report.OrdersKnown && s.report.Orders != after:
 		g.fail(c, "member left", id)
 	case !c.mayJoin(s):
+		c.releaseHead(now, s, g)
 	case c.order(now, id, fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderJoin, Group: g.ref, Model: g.model, Members: g.members}):
 		if g.asked == nil {
 			g.asked = make(map[fuchsiapitch.ServerID]int64)
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -68,6 +68,10 @@
 	claims     int64
 	// stages counts the orders to stage that were taken.
 	stages int
+	// table is the configuration, and refusedLeaves the number of orders to leave
+	// that are refused next.
+	table         *fuchsiapitch.RouteTable
+	refusedLeaves int
 	// unlistedDomain is a domain whose servers do not reach the list.
 	unlistedDomain string
 	// frozen is the list that is read until the servers can write to it again.
@@ -76,9 +80,14 @@
 }
 
 func newWorld(seed uint64) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 1)), engines: make(map[fuchsiapitch.ServerID]*engine)}
+	return newWorldOf(seed, worldTable(), 11)
+}
+
+// newWorldOf returns a world of two domains with a number of servers each.
+func newWorldOf(seed uint64, table *fuchsiapitch.RouteTable, servers int) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 1)), engines: make(map[fuchsiapitch.ServerID]*engine), table: table}
 	for d := range 2 {
-		for n := range 11 {
+		for n := range servers {
 			w.add(fmt.Sprintf("d%d", d), fmt.Sprintf("s%d-%02d", d, n))
 		}
 	}
@@ -92,12 +101,17 @@
 }
 
 func worldTable() *fuchsiapitch.RouteTable {
+	return tableOf(
+		fuchsiapitch.Model{Name: "large", Size: 6, Share: 0.67, Pace: 1, Load: worldLoad, Warm: worldWarm},
+		fuchsiapitch.Model{Name: "small", Size: 3, Share: 0.33, Pace: 0.6, Load: worldLoad, Warm: worldWarm},
+	)
+}
+
+// tableOf returns a configuration with one service of some models.
+func tableOf(models ...fuchsiapitch.Model) *fuchsiapitch.RouteTable {
 	profile := &fuchsiapitch.EngineProfile{
 		Slots: 26, ReadPerSecond: 56000, LoadsPerSecond: 5.5, LoadsAtOnce: 8, Form: worldForm, ReportLag: worldLag,
-		Models: []fuchsiapitch.Model{
-			{Name: "large", Size: 6, Share: 0.67, Pace: 1, Load: worldLoad, Warm: worldWarm},
-			{Name: "small", Size: 3, Share: 0.33, Pace: 0.6, Load: worldLoad, Warm: worldWarm},
-		},
+		Models: models,
 	}
 	return fuchsiapitch.NewRouteTable(1, nil, []fuchsiapitch.ServiceProfile{{Name: "llm", Engine: profile}}, nil, false, fuchsiapitch.CallerLimits{})
 }
@@ -109,7 +123,7 @@
 	c := New(Peer{ID: id}, w.claims, WithStall(worldStall))
 	w.conductors = append(w.conductors, c)
 	n := len(w.conductors) - 1
-	w.feed(n, Configured{Table: worldTable()})
+	w.feed(n, Configured{Table: w.table})
 	w.feed(n, ClaimRead{Number: w.claims, Holder: id, Started: w.claims})
 }
 
@@ -239,6 +253,10 @@
 		e.orders++
 		return fuchsiapitch.OrderDone
 	case fuchsiapitch.OrderLeave:
+		if w.refusedLeaves > 0 {
+			w.refusedLeaves--
+			return fuchsiapitch.OrderRefused
+		}
 		if !same {
 			return fuchsiapitch.OrderRefused
 		}
