conductor: a group makes room only where its own model keeps more

Cause: the rule for stranded servers let a group retire when its model would have had as much supply as the other one had after it; with a group less it had the least, and was formed again. Groups that retire were counted as supply, so that two domains did this at once. An idle installation of twelve servers took two of four groups apart six seconds after its start (TestStoreAwayForLeader, log). TestRetirementMustPay fails without the change.

--- a/internal/conductor/balance.go
+++ b/internal/conductor/balance.go
@@ -22,7 +22,7 @@
 // census counts the formations of a service.
 type census struct {
 	profile *fuchsiapitch.EngineProfile
-	// counts are the formations of each model in all domains.
+	// counts are the formations of each model in all domains but those that retire.
 	counts map[string]int
 	// here are those of one domain, moving those that are not yet open or retire.
 	here, moving int
@@ -34,7 +34,9 @@
 		if g.service != service || g.failed {
 			continue
 		}
-		k.counts[g.model]++
+		if !g.retiring {
+			k.counts[g.model]++
+		}
 		if g.domain != domain {
 			continue
 		}
@@ -127,15 +129,16 @@
 }
 
 // roomFor returns a group of another model whose servers and the free ones of the
-// domain are enough for a model that has less supply and no less pressure.
+// domain are enough for a model that has no less pressure, and less supply than the
+// other one keeps.
 func (c *Conductor) roomFor(service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, k census, wanted fuchsiapitch.Model, free int) *group {
-	after := supply(wanted, k.counts[wanted.Name]+1)
+	least := supply(wanted, k.counts[wanted.Name])
 	for _, g := range c.sortedGroups() {
 		m, ok := k.profile.Model(g.model)
 		switch {
 		case !ok, g.service != service, g.domain != domain, g.failed, m.Name == wanted.Name:
 		case k.spare(free+g.size, k.here-1) < wanted.Size:
-		case supply(m, k.counts[m.Name]) < after, c.pressure(service, m.Name) > c.pressure(service, wanted.Name):
+		case supply(m, k.counts[m.Name]-1) <= least, c.pressure(service, m.Name) > c.pressure(service, wanted.Name):
 		default:
 			return g
 		}
