conductor: unread prompts of a group are held to the pause of a stream

All streams of a group wait for the prompts that a pass takes in, and a group that has opened was given all that fitted into its places at once. Ruled out: the way of the events (the time of a pass explains it to the millisecond) and reading as a bottleneck (a place is held for 25 passes, so that on average a pass reads one prompt).

Now a group is given prompts as long as a pass keeps to nine tenths of the pause of the request's route; the next go to it as it reads.

--- a/internal/conductor/admission.go
+++ b/internal/conductor/admission.go
@@ -239,7 +239,7 @@
 	var bestCost float64
 	for _, id := range sortedKeys(c.stations) {
 		s := c.stations[id]
-		if !s.serves(w.pool) || now < s.shunned || s.load() >= s.slots+c.beyond(s) {
+		if !s.serves(w.pool) || now < s.shunned || s.load() >= s.slots+c.beyond(s) || !s.mayRead(w.Prompt, w.Pause) {
 			continue
 		}
 		cost := c.cost(now, s, w.Prompt)
--- a/internal/conductor/admission_test.go
+++ b/internal/conductor/admission_test.go
@@ -139,6 +139,38 @@
 	})
 }
 
+// A group that has just opened is not given more prompts at once than its streams can
+// wait for; what it has no turn for goes to it as it reads.
+func TestPromptsKeepToPauses(t *testing.T) {
+	now := 5 * time.Second
+	c := newStations(now, 1)
+	granted := make(map[Ticket]bool)
+	count := func(effects []Effect) {
+		for _, e := range effects {
+			if g, ok := e.(Grant); ok {
+				granted[g.Ticket] = true
+			}
+		}
+	}
+	for n := range Ticket(20) {
+		e := arrival(now, n+1)
+		e.Prompt, e.Pause, e.InTime = 1400, 250*time.Millisecond, now+time.Second
+		count(c.Apply(now, e))
+	}
+	// A pass of six steps leaves 0.18 s to read at 56,000 tokens a second.
+	if got, want := len(granted), 7; got != want {
+		t.Errorf("got %d prompts at once, want %d", got, want)
+	}
+	now += 250 * time.Millisecond
+	for ticket := range granted {
+		c.Apply(now, Began{Ticket: ticket})
+	}
+	count(c.Apply(now, Ticked{}))
+	if got, want := len(granted), 14; got != want {
+		t.Errorf("got %d prompts after the first were read, want %d", got, want)
+	}
+}
+
 // A cut between this host and a group: its streams go on elsewhere.
 func TestSilentServerIsLeft(t *testing.T) {
 	now := 5 * time.Second
--- a/internal/conductor/event.go
+++ b/internal/conductor/event.go
@@ -27,6 +27,8 @@
 	// InTime is the time by which the answer must begin, and Deadline that after
 	// which it is of no use.
 	InTime, Deadline time.Duration
+	// Pause is the longest pause between two events that is in time, 0 for any.
+	Pause time.Duration
 	// Returned states that the caller was refused before and has come back.
 	Returned bool
 	// Repeat states that the request was sent to a server before.
--- a/internal/conductor/station.go
+++ b/internal/conductor/station.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"math"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -17,6 +18,10 @@
 	slots   int
 	// pace multiplies the times of the engine, readPerSecond is its reading speed.
 	pace, readPerSecond float64
+	// step and stepPerRequest are the time of a step and what each request adds to
+	// it, stride the number of steps between two events.
+	step, stepPerRequest time.Duration
+	stride               int
 	// running and unread are the requests of this host and their unread prompt
 	// tokens; remoteRunning and remoteUnread those of the others.
 	running, unread             int
@@ -51,6 +56,30 @@
 	return time.Duration(tokens / s.readPerSecond * max(s.pace, 0.1) * float64(time.Second))
 }
 
+// pauseMargin is the part of the longest pause that a pass may take. The rest is for
+// prompts of other hosts that are not heard of yet, and for the way of an event.
+const pauseMargin = 0.9
+
+// readLimit returns the number of prompt tokens that may be unread at a station
+// while its streams keep to a pause. An engine reads in every step of a pass, so
+// that all streams wait for the prompts that it takes in.
+func (s *station) readLimit(pause time.Duration) int {
+	if pause <= 0 || s.readPerSecond <= 0 || s.stride <= 0 {
+		return math.MaxInt
+	}
+	pace := max(s.pace, 0.1)
+	pass := float64(s.stride) * float64(s.step+time.Duration(s.load())*s.stepPerRequest) * pace
+	left := time.Duration(pauseMargin*float64(pause) - pass)
+	return int(max(0, left).Seconds() / pace * s.readPerSecond)
+}
+
+// mayRead reports whether a station may get one more prompt while its streams keep
+// to a pause. One that has nothing to read may get any.
+func (s *station) mayRead(prompt int, pause time.Duration) bool {
+	unread := s.unread + s.remoteUnread
+	return unread == 0 || unread+prompt <= s.readLimit(pause)
+}
+
 // silence returns how long no byte has come though one was due.
 func (s *station) silence(now time.Duration) time.Duration {
 	if s.running == 0 {
@@ -128,6 +157,7 @@
 	t.slots, t.pace = s.report.Slots, 1
 	if p.Engine != nil {
 		t.slots, t.readPerSecond = p.Engine.Slots, p.Engine.ReadPerSecond
+		t.step, t.stepPerRequest, t.stride = p.Engine.Step, p.Engine.StepPerSequence, p.Engine.Stride
 		if m, ok := p.Engine.Model(model); ok && m.Pace > 0 {
 			t.pace = m.Pace
 		}
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -110,7 +110,7 @@
 // tableOf returns a configuration with one service of some models.
 func tableOf(models ...fuchsiapitch.Model) *fuchsiapitch.RouteTable {
 	profile := &fuchsiapitch.EngineProfile{
-		Slots: 26, ReadPerSecond: 56000, LoadsPerSecond: 5.5, LoadsAtOnce: 8, Form: worldForm, ReportLag: worldLag,
+		Slots: 26, Step: 6450 * time.Microsecond, StepPerSequence: 97 * time.Microsecond, Stride: 6, ReadPerSecond: 56000, LoadsPerSecond: 5.5, LoadsAtOnce: 8, Form: worldForm, ReportLag: worldLag,
 		Models: models,
 	}
 	return fuchsiapitch.NewRouteTable(1, nil, []fuchsiapitch.ServiceProfile{{Name: "llm", Engine: profile}}, nil, false, fuchsiapitch.CallerLimits{})
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -281,6 +281,7 @@
 		Service: x.service, Model: model, Rank: x.rank(),
 		Prompt: x.facts.PromptTokens, Output: x.facts.OutputLimit,
 		InTime: x.relayer.places.At(x.arrived.Add(target - x.usedBefore())), Deadline: x.relayer.places.At(x.deadline),
+		Pause:    x.rule.GapTarget,
 		Returned: float64(x.facts.TimeLimit) < returnedShare*float64(x.rule.Timeout),
 		Resumed:  resumed, Repeat: x.sent > 0, Avoid: x.avoid,
 	})
--- a/route.go
+++ b/route.go
@@ -93,8 +93,12 @@
 	// request adds to it, and StepPerThousand what a thousand tokens of context
 	// of a request add.
 	Step, StepPerSequence, StepPerThousand time.Duration
-	// ReadPerSecond is the number of prompt tokens read in a second.
+	// Stride is the number of steps of a pass; an event comes once a pass.
+	Stride int
+	// ReadPerSecond is the number of prompt tokens read in a second, Chunk the
+	// largest number read in a step.
 	ReadPerSecond float64
+	Chunk         int
 	// LoadsPerSecond bounds the loads that may begin in a second.
 	LoadsPerSecond float64
 	// LoadsAtOnce is the number of loads beyond which each takes longer.
