conductor: hosts hear early of prompts that an engine has to read

Cause: hosts told each other of unread prompts every 100 ms, as long as a pass takes; within it several gave the same group as much as it could read (scratch run with a line for each grant: 18,000 tokens in 40 ms against a limit of 10,000). Now a heartbeat goes out early once a thousand tokens are new, at most 500 a second from a host.

--- a/internal/conductor/admission.go
+++ b/internal/conductor/admission.go
@@ -292,6 +292,9 @@
 	}
 	s.running++
 	s.unread += w.Prompt
+	if s.readPerSecond > 0 {
+		c.news += w.Prompt
+	}
 	s.lastSent = now
 	c.emit(Grant{Ticket: w.Ticket, Server: s.server, Address: s.address, Urgency: c.urgency(now, w), Engine: s.model != ""})
 }
@@ -341,6 +344,9 @@
 	}
 	p.began = true
 	p.station.unread -= p.unread
+	if p.station.readPerSecond > 0 {
+		c.news += p.unread
+	}
 	p.station.lastByte = max(p.station.lastByte, now)
 }
 
--- a/internal/conductor/admission_test.go
+++ b/internal/conductor/admission_test.go
@@ -171,6 +171,20 @@
 	}
 }
 
+// Other hosts hear early of prompts that an engine has to read.
+func TestPromptsAreAnnounced(t *testing.T) {
+	now := 5 * time.Second
+	c := newStations(now, 1)
+	c.Apply(now, BeatHeard{Beat: Beat{From: Peer{ID: "b", Address: "b"}, Started: 1}})
+	c.Apply(now, Ticked{})
+	e := arrival(now, 1)
+	e.Prompt = newsTokens
+	b, ok := lastBeat(c.Apply(now+10*time.Millisecond, e))
+	if !ok || len(b.Loads) != 1 || b.Loads[0].Unread != newsTokens {
+		t.Errorf("got heartbeat %v with loads %v, want one with the prompt", ok, b.Loads)
+	}
+}
+
 // A cut between this host and a group: its streams go on elsewhere.
 func TestSilentServerIsLeft(t *testing.T) {
 	now := 5 * time.Second
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -15,6 +15,13 @@
 	// beatsPerSecond bounds the heartbeats that a host sends in all, for large
 	// numbers of hosts.
 	beatsPerSecond = 150
+	// earlyBeatsPerSecond bounds them where loads have changed: about half a percent
+	// of a core.
+	earlyBeatsPerSecond = 500
+	// newsTokens is the change in unread prompt tokens that other hosts hear of
+	// early: a prompt of usual length. A pass that reads takes as long as the usual
+	// time between heartbeats.
+	newsTokens = 1000
 	// peerTimeout is the silence after which a host counts as gone: several
 	// heartbeats, and longer than a short stall of a slow host.
 	peerTimeout = 800 * time.Millisecond
@@ -43,6 +50,9 @@
 
 	peers    map[fuchsiapitch.HostID]*peer
 	nextBeat time.Duration
+	lastBeat time.Duration
+	// news is the change in unread prompt tokens since the last heartbeat.
+	news     int
 	reread   time.Duration
 	suspects map[fuchsiapitch.ServerID]time.Duration
 
@@ -131,6 +141,10 @@
 	case Ticked:
 		c.tick(now, e)
 	}
+	if c.news >= newsTokens {
+		c.nextBeat = min(c.nextBeat, c.lastBeat+time.Duration(len(c.peers))*time.Second/earlyBeatsPerSecond)
+		c.beat(now)
+	}
 	return c.effects
 }
 
@@ -227,6 +241,7 @@
 	if now < c.nextBeat {
 		return
 	}
+	c.lastBeat, c.news = now, 0
 	c.nextBeat = now + max(beatInterval, time.Duration(len(c.peers))*time.Second/beatsPerSecond)
 	var to []string
 	for _, p := range c.peers {
