conductor: what a server has staged is known from the list

The list tells what is staged within a second, but of a server that had once reported itself only its own reports were believed in this, and nobody asks a server that stages. Eight seconds after the expected end it was told to stage again, answered that it was done, and was then taken to be at it for another load: its next join was not asked for until 10 s later, when it had been ready for 9. Ruled out: loads (the server's report says staged) and lost orders (the count stands).

Now the list tells what is staged once it is later than the server's own word, and the answer 'done' is taken for what it says. Two tests fail without this.

--- a/internal/conductor/fleet.go
+++ b/internal/conductor/fleet.go
@@ -209,6 +209,9 @@
 	r := s.report
 	r.Service, r.Address, r.DataCentre, r.Domain = listed.Service, listed.Address, listed.DataCentre, listed.Domain
 	r.Slots, r.Leaving = listed.Slots, listed.Leaving
+	if now-s.direct > listLag {
+		r.Staged = listed.Staged
+	}
 	m := listed.Membership
 	if m == r.Membership || s.ended {
 		return r
@@ -376,6 +379,10 @@
 			*m = fuchsiapitch.Membership{}
 		}
 	case fuchsiapitch.OrderStage:
+		if answer == fuchsiapitch.OrderDone {
+			s.staging, s.loading = "", 0
+			s.report.Staged = append(slices.Clone(s.report.Staged), o.Model)
+		}
 	}
 }
 
--- a/internal/conductor/group_test.go
+++ b/internal/conductor/group_test.go
@@ -240,6 +240,32 @@
 	return w
 }
 
+// Servers that have staged a model are known by the list and not told again.
+func TestStagedServersAreKnown(t *testing.T) {
+	w := newWorld(1)
+	w.lead()
+	w.run(8 * time.Second)
+	before := w.stages
+	w.feed(0, Arrived{Ticket: 1, Service: "llm", Model: "large", Deadline: time.Minute})
+	w.run(worldLoad + stageSlack + 2*time.Second)
+	if got, want := w.stages, before; got != want {
+		t.Errorf("got %d orders to stage, want the %d of the start", got, want)
+	}
+}
+
+// A server that answers that it has a model staged joins with it at once.
+func TestStagedAnswerIsTaken(t *testing.T) {
+	c := New(Peer{ID: "a"}, 1)
+	c.Apply(0, Configured{Table: worldTable()})
+	c.Apply(0, ServersListed{Servers: []fuchsiapitch.ServerReport{{ID: "s", Service: "llm", Started: 1}}})
+	s := c.servers["s"]
+	s.staging, s.stagedAt = "small", 10*time.Second
+	c.Apply(time.Second, Ordered{Answer: fuchsiapitch.OrderDone, Order: fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderStage, Server: "s", Model: "small"}})
+	if got, want := c.joinTime(s, "small"), worldWarm; got != want {
+		t.Errorf("got a join of %s, want %s", got, want)
+	}
+}
+
 // No group makes room for a model that has enough: after it, its own would lack.
 func TestRetirementMustPay(t *testing.T) {
 	w := newTightWorld()
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -265,6 +266,9 @@
 		return fuchsiapitch.OrderDone
 	case fuchsiapitch.OrderStage:
 		w.stages++
+		if slices.Contains(e.staged, o.Model) {
+			return fuchsiapitch.OrderDone
+		}
 		e.staged = []string{o.Model}
 	}
 	e.orders++
