conductor: servers that fail all get no requests for a moment

Ruled out: the budget (9 others were refused for it) and the leader (its list was right 0.2 s later). A server that says it is not what the request was sent to, or that fails four in a row, now gets none for 0.3 s; with no other the requests wait.

--- a/internal/conductor/admission.go
+++ b/internal/conductor/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -31,6 +32,9 @@
 	mostRetry  = 2 * time.Second
 	// backOffTime is how long a server that refused a request is avoided.
 	backOffTime = 300 * time.Millisecond
+	// mostFailures is the number of failures in a row after which it gets no requests
+	// for that time: a server that fails four in ten has as many once in forty.
+	mostFailures = 4
 	// firstUnreached and lastUnreached bound the time for which a server that
 	// cannot be connected to gets no requests. It doubles with each failure.
 	firstUnreached = 500 * time.Millisecond
@@ -210,13 +214,21 @@
 // serves the request at all.
 func (c *Conductor) expectedWait(now time.Duration, w *wait) (time.Duration, bool) {
 	slots, running, ahead := 0, 0, 0
+	back := time.Duration(math.MaxInt64)
 	for _, s := range c.stations {
-		if s.serves(w.pool) && now >= s.shunned {
+		switch {
+		case !s.serves(w.pool):
+		case now < s.shunned:
+			back = min(back, s.shunned-now)
+		default:
 			slots += s.slots
 			running += s.load()
 		}
 	}
-	if slots == 0 {
+	switch {
+	case slots == 0 && back <= backOffTime:
+		return back, true
+	case slots == 0:
 		return c.repairTime(w), false
 	}
 	for _, o := range c.waiting {
@@ -412,8 +424,13 @@
 		s.shunned = now + s.unreached
 	case e.Failed:
 		s.backOff = now + backOffTime
+		s.failures++
+		if e.Misdirected || s.failures >= mostFailures {
+			// A server with free places would be given all that wait.
+			s.shunned = now + backOffTime
+		}
 	default:
-		s.unreached = 0
+		s.unreached, s.failures = 0, 0
 		held := now - p.since
 		c.holds[p.pool] = time.Duration((1-holdWeight)*float64(c.hold(p.pool)) + holdWeight*float64(held))
 	}
--- a/internal/conductor/admission_test.go
+++ b/internal/conductor/admission_test.go
@@ -128,6 +128,27 @@
 			t.Errorf("got %s, want s1", got)
 		}
 	})
+	t.Run("none at a server that is not what it was taken for", func(t *testing.T) {
+		c := newStations(now, 1)
+		c.Apply(now, arrival(now, 1))
+		c.Apply(now, Ended{Ticket: 1, Failed: true, Misdirected: true})
+		if got, reason := answerTo(c.Apply(now, arrival(now, 2)), 2); got != "" {
+			t.Errorf("got %s, want none (%s)", got, reason)
+		}
+	})
+	t.Run("none for a while at a server that fails all", func(t *testing.T) {
+		c := newStations(now, 1)
+		granted := 0
+		for n := range Ticket(20) {
+			if got, _ := answerTo(c.Apply(now, arrival(now, n+1)), n+1); got != "" {
+				granted++
+				c.Apply(now, Ended{Ticket: n + 1, Failed: true})
+			}
+		}
+		if got, want := granted, mostFailures; got != want {
+			t.Errorf("got %d places, want %d", got, want)
+		}
+	})
 	t.Run("none that cannot be connected to", func(t *testing.T) {
 		c := newStations(now, 2)
 		s, _ := answerTo(c.Apply(now, arrival(now, 1)), 1)
--- a/internal/conductor/event.go
+++ b/internal/conductor/event.go
@@ -52,6 +52,8 @@
 	Failed bool
 	// Unreached states that it could not be connected to.
 	Unreached bool
+	// Misdirected states that it is not what the request was sent to.
+	Misdirected bool
 }
 
 // ServersListed is a new state of the platform's list of servers.
--- a/internal/conductor/station.go
+++ b/internal/conductor/station.go
@@ -35,8 +35,10 @@
 	// shunned is until when the station gets no requests, since it could not be
 	// connected to, and unreached the last time of that kind.
 	shunned, unreached time.Duration
-	// backOff is until when the station is avoided after a refusal.
-	backOff time.Duration
+	// backOff is until when the station is avoided after a refusal, and failures the
+	// number of its failures in a row.
+	backOff  time.Duration
+	failures int
 }
 
 // serves reports whether a station takes requests of a pool.
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -392,6 +392,11 @@
 	p.end(conductor.Ended{Ticket: p.ticket, Failed: true, Unreached: true})
 }
 
+// Misdirected frees the place at a server that is not what it was taken for.
+func (p *Place) Misdirected() {
+	p.end(conductor.Ended{Ticket: p.ticket, Failed: true, Misdirected: true})
+}
+
 func (p *Place) end(e conductor.Ended) {
 	d := p.driver
 	d.mutex.Lock()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -346,6 +346,8 @@
 func (x *exchange) release(place *driver.Place, refusal *http.Response, outcome fuchsiapitch.Outcome) {
 	x.avoid = append(x.avoid, place.Server())
 	switch {
+	case refusal != nil && refusal.StatusCode == http.StatusMisdirectedRequest:
+		place.Misdirected()
 	case refusal != nil:
 		place.Release(true, x.relayer.dialect.Answer(refusal.StatusCode, refusal.Header).Fault)
 	case outcome == fuchsiapitch.NotRun && x.ctx.Err() == nil:
