integrator: a host that starts without the store asks another for its state

Ruled out: readiness (it said no; callers that had its address came all the same) and the reading of the store (every dial timed out).

A host that has no configuration half a second after its start now asks the host with the latest one that it hears, at the address for heartbeats, and takes the list of servers as that of a store that cannot be read. TestHostStartsWithoutStore gets no readiness within a minute without this and one in under a second with it.

--- a/internal/conductor/view.go
+++ b/internal/conductor/view.go
@@ -32,6 +32,7 @@
 // PeerView is what is known of another host. It is a plain record.
 type PeerView struct {
 	ID      fuchsiapitch.HostID
+	Address string
 	Live    bool
 	Heard   time.Duration
 	Version int64
@@ -78,7 +79,7 @@
 	}
 	for _, id := range sortedKeys(c.peers) {
 		p := c.peers[id]
-		v.Peers = append(v.Peers, PeerView{ID: id, Live: p.isLive(now), Heard: now - p.last, Version: p.beat.Version})
+		v.Peers = append(v.Peers, PeerView{ID: id, Address: p.Address, Live: p.isLive(now), Heard: now - p.last, Version: p.beat.Version})
 	}
 	v.Groups, _ = c.openGroups(now)
 	for _, id := range sortedKeys(c.servers) {
--- a/internal/integrator/integrator.go
+++ b/internal/integrator/integrator.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -83,6 +84,10 @@
 	started  int64
 	listed   atomic.Bool
 	servers  map[string]fuchsiapitch.ServerReport
+	// hosts carries questions to other hosts.
+	hosts      *http.Transport
+	stateMutex sync.Mutex
+	state      hostState
 	// storeFails states that the last read of the list failed.
 	storeFails atomic.Bool
 	// news follow the topics that are read with long polls.
@@ -115,6 +120,7 @@
 	kept := &http.Transport{DialContext: sender.NewDialer(connectLimit, silenceLimit), DisableCompression: true, MaxIdleConnsPerHost: 8}
 	once := &http.Transport{DialContext: sender.NewDialer(connectLimit, silenceLimit), DisableCompression: true, DisableKeepAlives: true}
 	h.calls = platform.NewStore(settings.Store, kept)
+	h.hosts = once
 	h.store = pacer.New(h.calls)
 	c := conductor.New(h.self, h.started,
 		conductor.WithStall(settings.Stall), conductor.WithDataCentre(settings.DataCentre),
@@ -232,6 +238,8 @@
 	s.Add(h.driver)
 	s.Add(service(h.announce))
 	s.Add(service(h.watchSettings))
+	s.Add(service(h.listenToHosts))
+	s.Add(service(h.catchUp))
 	s.Add(tracker.New(h.store, platform.ServersTopic, h.counted(platform.ServersTopic, h.takeServers), tracker.WithPause(serversPause), tracker.WithFailures(h.listFailed)))
 	for _, t := range h.news {
 		s.Add(t)
@@ -310,6 +318,7 @@
 }
 
 func (h *Host) takeConfiguration(u tracker.Update) {
+	h.note(u, false)
 	for _, i := range u.Items {
 		if i.Key != platform.ConfigurationKey || i.Dropped() {
 			continue
@@ -333,6 +342,7 @@
 			t.Kick()
 		}
 	}
+	h.note(u, true)
 	if u.Whole {
 		clear(h.servers)
 	}
--- a/internal/integrator/integrator_test.go
+++ b/internal/integrator/integrator_test.go
@@ -25,6 +25,7 @@
 	*standin.Installation
 	callers []string
 	ready   []string
+	paths   []string
 	stops   []chan struct{}
 	ends    []chan error
 	number  atomic.Int64
@@ -43,17 +44,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		host, cleanUp, err := New(ctx, path, make(chan os.Signal), logger.New(os.Stderr, logger.WithHost(fmt.Sprint(n))))
-		if err != nil {
-			t.Fatal(err)
-		}
-		stopHost, ended := make(chan struct{}), make(chan error, 1)
-		go func() {
-			defer cleanUp()
-			ended <- host.Serve(ctx, stopHost)
-		}()
-		b.callers, b.ready = append(b.callers, callers), append(b.ready, ready)
-		b.stops, b.ends = append(b.stops, stopHost), append(b.ends, ended)
+		b.callers, b.ready, b.paths = append(b.callers, callers), append(b.ready, ready), append(b.paths, path)
+		b.stops, b.ends = append(b.stops, nil), append(b.ends, nil)
+		b.start(ctx, t, n)
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -69,6 +62,22 @@
 	return b
 }
 
+// start starts a host with its settings.
+func (b *bed) start(ctx context.Context, t *testing.T, n int) {
+	t.Helper()
+	host, cleanUp, err := New(ctx, b.paths[n], make(chan os.Signal), logger.New(os.Stderr, logger.WithHost(fmt.Sprint(n))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		err := host.Serve(ctx, stop)
+		cleanUp()
+		ended <- err
+	}()
+	b.stops[n], b.ends[n] = stop, ended
+}
+
 func hostName(n int) string { return fmt.Sprintf("h%d", n) }
 
 // leader returns the number of the host that leads the groups.
@@ -380,6 +389,44 @@
 	b.awaitRoute(t, leader, "/away/x")
 }
 
+// A host that starts while the store is away for it takes the configuration and the
+// servers from another host.
+func TestHostStartsWithoutStore(t *testing.T) {
+	b := newBed(t, 2)
+	b.assertStream(t, 0)
+	close(b.stops[1])
+	if err := <-b.ends[1]; err != nil {
+		t.Fatalf("got %v, want a clean end", err)
+	}
+	b.Endpoint(hostName(1)).Pause()
+	ctx, cancel := context.WithCancel(context.Background())
+	b.start(ctx, t, 1)
+	t.Cleanup(cancel)
+	b.await(t, "readiness", func() bool {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+b.ready[1]+"/", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	b.assertStream(t, 1)
+}
+
+func FuzzDecodeState(f *testing.F) {
+	f.Add([]byte(`{"configuration":"e30=","servers":{"a":"e30="}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := decodeState("host", data)
+		if err != nil && s.Servers != nil {
+			t.Errorf("got servers %v beside an error, want none", s.Servers)
+		}
+	})
+}
+
 // assertStream expects a whole stream through a host.
 func (b *bed) assertStream(t *testing.T, host int) {
 	t.Helper()
