--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return s.streams.fail(ExitUsage, err)
 	}
-	lines, flush := logger.NewBounded(s.streams.Errors)
+	lines, flush := logger.NewBounded(s.streams.Out)
 	defer flush()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -138,7 +138,7 @@
 const memoryShare = 2
 
 func (s *serve) run(ctx context.Context, settings loader.Settings) error {
-	options, cleanUpOptions, err := hostOptions(ctx, settings, s.streams.Errors)
+	options, cleanUpOptions, err := hostOptions(ctx, settings, s.streams.Out)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -7,7 +7,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/health"
 	"google.golang.org/grpc/health/grpc_health_v1"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder"
@@ -90,6 +89,3 @@
 	s.data.Data, s.data.Tokens = chunk.Data(), int32(chunk.Tokens())
 	return s.frames.send(&s.frame)
 }
-
-// Size returns the size of a heartbeat on the wire in bytes, without framing.
-func Size(h gossiper.Heartbeat) int { return proto.Size(encoder.EncodeHeartbeat(h)) }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -78,9 +78,6 @@
 // WithMeter sets the metrics.
 func WithMeter(m *meter.Meter) Option { return func(d *Driver) { d.meter = m } }
 
-// WithBootClock sets the clock that also counts the time of a suspension.
-func WithBootClock(boot func() time.Duration) Option { return func(d *Driver) { d.boot = boot } }
-
 // WithReread sets what has the configuration read again. It must not wait.
 func WithReread(reread func()) Option { return func(d *Driver) { d.reread = reread } }
 
--- a/internal/integrator/state.go
+++ b/internal/integrator/state.go
@@ -106,8 +106,8 @@
 	case err := <-ended:
 		return err
 	case <-ctx.Done():
-		server.Close()
-		<-ended
+		ends := []error{server.Close(), <-ended}
+		h.log.Debug().Errs("ends", ends).Msg("other hosts are served no more")
 		return ctx.Err()
 	}
 }
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -38,9 +38,6 @@
 // Option sets one optional property of a lister.
 type Option func(*Lister)
 
-// WithTimeout limits the time of one read.
-func WithTimeout(timeout time.Duration) Option { return func(l *Lister) { l.timeout = timeout } }
-
 // New returns a client of the host list at an IP number and port. Without
 // options a read may take 3 s. The clean-up function closes the kept
 // connections.
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -66,6 +66,3 @@
 	}
 	return l.root.Level(level).With().Str("subsystem", subsystem).Logger()
 }
-
-// Duration returns a duration as it stands in log lines: in milliseconds.
-func Duration(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/publisher/waiter.go
+++ b/internal/publisher/waiter.go
@@ -47,9 +47,6 @@
 // WithToken sets the bearer token of operators.
 func WithToken(token string) WaiterOption { return func(w *Waiter) { w.token = token } }
 
-// WithClient sets the HTTP client.
-func WithClient(client *http.Client) WaiterOption { return func(w *Waiter) { w.client = client } }
-
 // NewWaiter returns a waiter for the entry hosts with the given base URLs of
 // their operator APIs.
 func NewWaiter(addresses []string, options ...WaiterOption) *Waiter {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -65,9 +65,6 @@
 // WithMeter sets the metrics.
 func WithMeter(m *meter.Meter) Option { return func(r *Receiver) { r.meter = m } }
 
-// WithBodyLimit sets the largest body of a request in bytes.
-func WithBodyLimit(limit int64) Option { return func(r *Receiver) { r.bodies.limit = limit } }
-
 // WithBodyTime sets the longest time that a caller may take for a body.
 func WithBodyTime(limit time.Duration) Option { return func(r *Receiver) { r.bodies.time = limit } }
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -44,9 +44,6 @@
 // WithWait sets the time that the log waits for the first record of a read.
 func WithWait(wait time.Duration) Option { return func(r *Recorder) { r.wait = wait } }
 
-// WithTimeout limits the time of an append.
-func WithTimeout(timeout time.Duration) Option { return func(r *Recorder) { r.timeout = timeout } }
-
 // New returns a client of the log at an IP number and port. Without options a
 // read waits for 2 s and an append may take 10 s. The clean-up function closes
 // the kept connections.
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -25,11 +25,6 @@
 	Allow(now fuchsiapitch.Instant, service fuchsiapitch.ServiceName) bool
 }
 
-// WithRetryBudget sets the budget that retries are taken from.
-func WithRetryBudget(budget RetryBudget) Option {
-	return func(s *State) { s.retryBudget = budget }
-}
-
 // begin gives a request the number of its next attempt. It returns false, and
 // ends the request, when another attempt is not allowed.
 //
--- a/internal/sender/body.go
+++ b/internal/sender/body.go
@@ -99,6 +99,5 @@
 	default:
 		err = x.lost("reading the answer", err)
 	}
-	x.sender.report(x.server.ID(), err)
 	return err
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -25,15 +25,11 @@
 	headerLimitBytes = 64 << 10
 )
 
-// FaultReport takes each answer that was refused or lost, for counting.
-type FaultReport func(server fuchsiapitch.ServerID, err error)
-
 // Sender sends calls to backend servers. It implements fuchsiapitch.Caller.
 type Sender struct {
 	silence   time.Duration
 	prompt    time.Duration
 	connect   time.Duration
-	report    FaultReport
 	transport *http.Transport
 }
 
@@ -50,9 +46,6 @@
 // WithConnectTimeout sets the longest time for a new connection.
 func WithConnectTimeout(limit time.Duration) Option { return func(s *Sender) { s.connect = limit } }
 
-// WithFaultReport has refused and lost answers reported.
-func WithFaultReport(report FaultReport) Option { return func(s *Sender) { s.report = report } }
-
 // New returns a sender and a function that closes what it holds.
 //
 // Each call gets a new connection. A kept one may have gone silent while it was
@@ -62,7 +55,6 @@
 func New(options ...Option) (*Sender, func()) {
 	s := &Sender{
 		silence: defaultSilence, prompt: defaultPrompt, connect: defaultConnect,
-		report: func(fuchsiapitch.ServerID, error) {},
 	}
 	for _, o := range options {
 		o(s)
@@ -93,7 +85,6 @@
 	answer, err := x.run()
 	if err != nil {
 		x.end()
-		s.report(server.ID(), err)
 	}
 	return answer, err
 }
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -142,7 +142,6 @@
 func (b *streamBody) stop(err error) {
 	b.ended = err
 	b.exchange.end()
-	b.exchange.sender.report(b.exchange.server.ID(), err)
 }
 
 // limit returns the longest time without a byte. An engine that has not begun
--- a/internal/weigher/weigher.go
+++ b/internal/weigher/weigher.go
@@ -31,9 +31,6 @@
 // Option sets one optional property of a weigher.
 type Option func(*Weigher)
 
-// WithTimeout limits the time of one question.
-func WithTimeout(timeout time.Duration) Option { return func(w *Weigher) { w.timeout = timeout } }
-
 // New returns a client of the weight store at an IP number and port. Without
 // options an answer may take 3 s. The clean-up function closes the kept
 // connections.
