conductor: one request at a time tries a server that could not be connected to

A server that could not be connected to got requests again after half a second, then one, two and four, and being without load got several at once from each host, which all waited for the limit. Ruled out: streams that were at work across the cut (they show waits beyond a second).

Now one request of a host tries such a server until it answers. The new test gets three at once without this. No rule broken.

--- a/internal/conductor/admission.go
+++ b/internal/conductor/admission.go
@@ -274,7 +274,7 @@
 	var bestCost float64
 	for _, id := range sortedKeys(c.stations) {
 		s := c.stations[id]
-		if !s.serves(w.pool) || now < s.shunned || s.load() >= s.slots+c.beyond(s) || !s.mayRead(w.Prompt, w.Pause) {
+		if !s.serves(w.pool) || now < s.shunned || s.isOnTrial() || s.load() >= s.slots+c.beyond(s) || !s.mayRead(w.Prompt, w.Pause) {
 			continue
 		}
 		cost := c.cost(now, s, w.Prompt)
@@ -392,6 +392,7 @@
 		return
 	}
 	p.began = true
+	p.station.unreached = 0
 	seen := now - p.since - p.station.ownReadTime(p.unread)
 	c.firsts[p.pool] = time.Duration((1-firstWeight)*float64(c.first(p.pool)) + firstWeight*float64(max(0, seen)))
 	p.station.unread -= p.unread
--- a/internal/conductor/admission_test.go
+++ b/internal/conductor/admission_test.go
@@ -128,6 +128,21 @@
 			t.Errorf("got %s, want s1", got)
 		}
 	})
+	t.Run("one at a time that could not be connected to", func(t *testing.T) {
+		c := newStations(now, 2)
+		s, _ := answerTo(c.Apply(now, arrival(now, 1)), 1)
+		c.Apply(now, Ended{Ticket: 1, Failed: true, Unreached: true})
+		later := now + firstUnreached + time.Millisecond
+		tried := 0
+		for n := range Ticket(6) {
+			if got, _ := answerTo(c.Apply(later, arrival(later, n+2)), n+2); got == s {
+				tried++
+			}
+		}
+		if want := 1; tried != want {
+			t.Errorf("got %d requests at once, want %d", tried, want)
+		}
+	})
 	t.Run("none at a server that is not what it was taken for", func(t *testing.T) {
 		c := newStations(now, 1)
 		c.Apply(now, arrival(now, 1))
--- a/internal/conductor/station.go
+++ b/internal/conductor/station.go
@@ -46,6 +46,10 @@
 	return s.open && s.service == p.service && s.model == p.model
 }
 
+// isOnTrial reports whether one request of this host shows whether a station can be
+// connected to again: others would wait for the same time limit.
+func (s *station) isOnTrial() bool { return s.unreached > 0 && s.running > 0 }
+
 // load returns the requests of all hosts at a station.
 func (s *station) load() int { return s.running + s.remoteRunning }
 
