relayer: a caller that leaves a stream is not a broken stream

The line is 'caller left' now, as before the first event. The new test fails without this. Its first version hung for ten minutes: its server did not read the body, and so did not see the end of the connection.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/conductor"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
@@ -63,6 +65,11 @@
 // newBed returns the address of a relayer before servers that answer by a handler
 // each.
 func newBed(t *testing.T, handlers ...http.HandlerFunc) string {
+	t.Helper()
+	return newLoggedBed(t, io.Discard, handlers...)
+}
+
+func newLoggedBed(t *testing.T, lines io.Writer, handlers ...http.HandlerFunc) string {
 	t.Helper()
 	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
@@ -72,7 +79,7 @@
 	d := driver.New(t.Context(), conductor.New(conductor.Peer{ID: "a"}, 1), noControls{}, noControls{}, socket)
 	calls, cleanUp := sender.New()
 	t.Cleanup(cleanUp)
-	r := New(d, calls, plainDialect{})
+	r := New(d, calls, plainDialect{}, WithLogger(zerolog.New(lines)))
 	services := []fuchsiapitch.WeightedService{{Service: "desk", Weight: 1}}
 	route := func(prefix string, kind fuchsiapitch.RouteKind, attempts int) fuchsiapitch.HostRoute {
 		return fuchsiapitch.HostRoute{
@@ -262,6 +269,45 @@
 	}
 }
 
+// lineWriter passes log lines on.
+type lineWriter chan string
+
+// Write implements io.Writer.
+func (l lineWriter) Write(line []byte) (int, error) {
+	l <- string(line)
+	return len(line), nil
+}
+
+// A caller that leaves in the middle of a stream is not taken for a failure.
+func TestCallerLeaves(t *testing.T) {
+	lines := make(lineWriter, 10)
+	events := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		io.WriteString(w, "id: 1\ndata: a\n\n")
+		http.NewResponseController(w).Flush()
+		// The end of the connection is seen once the body is read.
+		io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	url := newLoggedBed(t, lines, events)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/stream/x", strings.NewReader("p"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "k")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if got, want := <-lines, "caller left"; !strings.Contains(got, want) {
+		t.Errorf("got line %q, want %q", got, want)
+	}
+}
+
 func TestLastID(t *testing.T) {
 	for text, want := range map[string]string{
 		"id: 7\ndata: x\n\n": "7", "data: id: 9\n\n": "", "id:1\n\nid: 2\ndata: id: 3\n\n": "2",
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -56,7 +56,11 @@
 		x.giveUp(last)
 		return
 	}
-	x.line(http.StatusOK, "stream broken off: "+last.Error())
+	if x.request.Context().Err() != nil {
+		x.line(http.StatusOK, "caller left")
+	} else {
+		x.line(http.StatusOK, "stream broken off: "+last.Error())
+	}
 	panic(http.ErrAbortHandler)
 }
 
