--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -106,7 +106,7 @@
 	return front.URL
 }
 
-func ask(t *testing.T, url, body string) (*http.Response, string, error) {
+func send(t *testing.T, url, body string) (*http.Response, error) {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
@@ -114,7 +114,12 @@
 	}
 	r.Header.Set("Id", "r1")
 	r.Header.Set("Key", "k")
-	response, err := http.DefaultTransport.RoundTrip(r)
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+func ask(t *testing.T, url, body string) (*http.Response, string, error) {
+	t.Helper()
+	response, err := send(t, url, body)
 	if err != nil {
 		return nil, "", err
 	}
@@ -291,14 +296,7 @@
 		io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	}
-	url := newLoggedBed(t, lines, events)
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/stream/x", strings.NewReader("p"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Header.Set("Id", "r1")
-	r.Header.Set("Key", "k")
-	response, err := http.DefaultTransport.RoundTrip(r)
+	response, err := send(t, newLoggedBed(t, lines, events)+"/stream/x", "p")
 	if err != nil {
 		t.Fatal(err)
 	}
