standin: ports of a host are found after its endpoint of the store is open

The port for other hosts is now also looked for free for TCP, since hosts are asked for their state there. No product code changed.

--- a/internal/standin/platform/installation.go
+++ b/internal/standin/platform/installation.go
@@ -139,11 +139,12 @@
 // WriteSettings writes the settings of an entry host into a folder, with free
 // ports, and returns their path and the addresses for callers and for operators.
 func (i *Installation) WriteSettings(folder, host string) (path, callers, operators string, err error) {
-	callers, operators, peers, err := freePorts()
+	// The endpoint comes first: it might take a port that was found free.
+	endpoint, err := i.open(host)
 	if err != nil {
 		return "", "", "", err
 	}
-	endpoint, err := i.open(host)
+	callers, operators, peers, err := freePorts()
 	if err != nil {
 		return "", "", "", err
 	}
@@ -160,11 +161,12 @@
 	return path, callers, operators, os.WriteFile(path, data, 0o600)
 }
 
-// freePorts returns two free addresses for TCP and a free port for datagrams.
+// freePorts returns two free addresses for TCP, and a port that is free for
+// datagrams and for TCP.
 func freePorts() (callers, ready string, peers int, err error) {
 	var config net.ListenConfig
 	ctx := context.Background()
-	var addresses [2]string
+	var addresses [3]string
 	for n := range addresses {
 		l, err := config.Listen(ctx, "tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -173,7 +175,7 @@
 		addresses[n] = l.Addr().String()
 		defer l.Close()
 	}
-	c, err := config.ListenPacket(ctx, "udp4", "127.0.0.1:0")
+	c, err := config.ListenPacket(ctx, "udp4", addresses[2])
 	if err != nil {
 		return "", "", 0, err
 	}
