--- a/internal/integrator/record_test.go
+++ b/internal/integrator/record_test.go
@@ -35,6 +35,19 @@
 	assertEnd(t, calls, 2)
 }
 
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add(leadKey, []byte(`{"address":"10.0.0.1:1","holder":"h","started":5}`))
+	f.Fuzz(func(t *testing.T, key string, data []byte) {
+		item := platform.Item{Key: key, Value: data}
+		if p, ok := decodePeer(item); ok && p.Address == "" {
+			t.Error("got a host without an address")
+		}
+		if c, ok := decodeClaim(item); ok && (c.Holder == "" || c.Number <= 0) {
+			t.Errorf("got a claim of %q with number %d", c.Holder, c.Number)
+		}
+	})
+}
+
 func assertEnd(t *testing.T, calls *platform.Store, want int64) {
 	t.Helper()
 	page, err := calls.Newest(context.Background(), platform.ClaimsTopic)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -317,6 +317,15 @@
 }
 
 // A configuration that is in force never gives way to an earlier one.
+func FuzzLastID(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: id:2\n\n"))
+	f.Fuzz(func(t *testing.T, events []byte) {
+		if id := lastID(events); strings.ContainsAny(id, "\n") {
+			t.Errorf("got identifier %q over two lines", id)
+		}
+	})
+}
+
 func TestConfigurationNeverReverts(t *testing.T) {
 	version := func(n int64) *fuchsiapitch.RouteTable {
 		return fuchsiapitch.NewRouteTable(n, nil, nil, nil, false, fuchsiapitch.CallerLimits{})
