standin: hosts of tests get ports that outgoing connections do not take

Hosts are told ports that were found free and closed again; they lay in the range of outgoing connections, which other tests open all the time.

Ports are drawn below that range and held for TCP and datagrams until all are found. No product code changed.

--- a/internal/integrator/integrator_test.go
+++ b/internal/integrator/integrator_test.go
@@ -73,6 +73,9 @@
 	go func() {
 		err := host.Serve(ctx, stop)
 		cleanUp()
+		if err != nil && ctx.Err() == nil {
+			t.Errorf("host %d ended: %v", n, err)
+		}
 		ended <- err
 	}()
 	b.stops[n], b.ends[n] = stop, ended
--- a/internal/standin/platform/installation.go
+++ b/internal/standin/platform/installation.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/faulter"
@@ -161,28 +164,64 @@
 	return path, callers, operators, os.WriteFile(path, data, 0o600)
 }
 
-// freePorts returns two free addresses for TCP, and a port that is free for
-// datagrams and for TCP.
+// firstPort and lastPort bound the ports of hosts. They lie below those that the
+// system gives to outgoing connections, which could take a port between the look
+// whether it is free and its use.
+const firstPort, lastPort = 20000, 30000
+
+// portTries is the number of ports that are tried for one that is free.
+const portTries = 100
+
+// NoPortError reports that no free port was found.
+type NoPortError struct{ Err error }
+
+// Error implements error.
+func (e *NoPortError) Error() string { return "no free port: " + e.Err.Error() }
+
+// Unwrap returns the last failure to listen.
+func (e *NoPortError) Unwrap() error { return e.Err }
+
+// freePorts returns two free addresses, and a port that is free for datagrams and
+// for TCP.
 func freePorts() (callers, ready string, peers int, err error) {
-	var config net.ListenConfig
-	ctx := context.Background()
-	var addresses [3]string
-	for n := range addresses {
-		l, err := config.Listen(ctx, "tcp4", "127.0.0.1:0")
+	var ports [3]int
+	for n := range ports {
+		port, release, err := freePort()
 		if err != nil {
 			return "", "", 0, err
 		}
-		addresses[n] = l.Addr().String()
-		defer l.Close()
+		defer release()
+		ports[n] = port
 	}
-	c, err := config.ListenPacket(ctx, "udp4", addresses[2])
-	if err != nil {
-		return "", "", 0, err
+	return loopback(ports[0]), loopback(ports[1]), ports[2], nil
+}
+
+// freePort holds a port that is free for datagrams and for TCP until release.
+func freePort() (port int, release func(), err error) {
+	var config net.ListenConfig
+	ctx := context.Background()
+	for range portTries {
+		port = firstPort + rand.IntN(lastPort-firstPort)
+		var stream net.Listener
+		if stream, err = config.Listen(ctx, "tcp4", loopback(port)); err != nil {
+			continue
+		}
+		var datagrams net.PacketConn
+		if datagrams, err = config.ListenPacket(ctx, "udp4", loopback(port)); err != nil {
+			stream.Close()
+			continue
+		}
+		return port, func() {
+			for _, c := range []io.Closer{stream, datagrams} {
+				c.Close()
+			}
+		}, nil
 	}
-	address, _ := c.LocalAddr().(*net.UDPAddr)
-	return addresses[0], addresses[1], address.Port, c.Close()
+	return 0, nil, &NoPortError{Err: err}
 }
 
+func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
 // CallerHeaders returns the header fields of a request as arguments of curl.
 func CallerHeaders() string {
 	return fmt.Sprintf("-H 'X-Request-Id: demo-1' -H 'X-Credential: %s' -H 'X-Deadline-Ms: 8000' -H 'X-Model: %s' -H 'X-Token-Usage: 20,120'", Key, LargeModel)
