--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -1,7 +1,13 @@
 package tracker
 
 import (
+	"bytes"
 	"context"
+	"encoding/base64"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,3 +93,126 @@
 		t.Errorf("got %d snapshots and %d failures, want 2 snapshots and at most 1 failure, at the end of the run", got, failures)
 	}
 }
+
+// slowStore is the handler of a store whose responses have the given size and are sent
+// in chunks, one in each interval.
+type slowStore struct {
+	chunks   int
+	interval time.Duration
+}
+
+func (s *slowStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/log-newest" {
+		<-r.Context().Done()
+		return
+	}
+	value := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{'v'}, s.chunks<<10))
+	body := []byte(`{"items":[{"key":"k","value":"` + value + `","offset":0}],"end":1}`)
+	for chunk := range slices.Chunk(body, len(body)/s.chunks+1) {
+		time.Sleep(s.interval)
+		if _, err := w.Write(chunk); err != nil {
+			return
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+	}
+}
+
+// newPipeClient returns a client of a store that is served over in-memory connections
+// until the test ends.
+func newPipeClient(t *testing.T, handler http.Handler) *platform.StoreClient {
+	t.Helper()
+	listener := newPipeListener()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	serveResult := make(chan error, 1)
+	go func() { serveResult <- server.Serve(listener) }()
+	transport := &http.Transport{DialContext: listener.dial}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		if err := server.Shutdown(context.Background()); err != nil {
+			t.Errorf("got error %v at shutdown, want none", err)
+		}
+		<-serveResult
+	})
+	return platform.NewStoreClient("store", transport)
+}
+
+// pipeListener is a net.Listener for connections within the process.
+type pipeListener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+	closeOnce   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case l.connections <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.connections:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+// Guards against hosts that respond with 404 on new routes, because each heartbeat with a
+// later version makes them restart the read of a large configuration.
+func TestResyncDoesNotRestartReadInProgress(t *testing.T) {
+	const resyncInterval = 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		client := newPipeClient(t, &slowStore{chunks: 60, interval: 10 * time.Millisecond})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		updates := 0
+		tr := New(client, "t", func(Update) { updates++ }, WithLongPoll(5*time.Second))
+		serveResult := make(chan error, 1)
+		go func() { serveResult <- tr.Serve(ctx) }()
+		for ctx.Err() == nil {
+			time.Sleep(resyncInterval)
+			tr.Resync()
+		}
+		<-serveResult
+		if updates == 0 {
+			t.Errorf("got no update within 3s, want one after each response of 600ms")
+		}
+	})
+}
+
+// A response that takes long to transfer is not cut off while its bytes arrive.
+func TestSlowTransferDoesNotTimeOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newPipeClient(t, &slowStore{chunks: 60, interval: 50 * time.Millisecond})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		updates := 0
+		tr := New(client, "t", func(Update) { updates++ }, WithLongPoll(5*time.Second))
+		serveResult := make(chan error, 1)
+		go func() { serveResult <- tr.Serve(ctx) }()
+		<-serveResult
+		if updates == 0 {
+			t.Errorf("got no update within 10s, want one after the response of 3s")
+		}
+	})
+}
