tracker, meter: reads that are restarted are counted and logged

Each read now reports its result, its duration and the bytes that arrived; fuchsiapitch_store_reads_total has the label result beside failed, fuchsiapitch_store_read_bytes_total the bytes, and a restart has a log line.

No decision changes.

--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -48,9 +48,11 @@
 	m.set.GetOrCreateHistogram("fuchsiapitch_detection_seconds").Update(silence.Seconds())
 }
 
-// CountStoreRead counts a read of a topic of the platform's store.
-func (m *Meter) CountStoreRead(topic string, failed bool) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_store_reads_total{topic=%q,failed=\"%t\"}", topic, failed)).Inc()
+// CountStoreRead counts a read of a topic of the platform's store by its result
+// ("succeeded", "failed" or "restarted"), and the bytes of the response that were received.
+func (m *Meter) CountStoreRead(topic, result string, receivedBytes int64) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_store_reads_total{topic=%q,failed=\"%t\",result=%q}", topic, result != "succeeded", result)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_store_read_bytes_total{topic=%q,result=%q}", topic, result)).Add(int(receivedBytes))
 }
 
 // RegisterInFlightGauge registers the gauge of the requests in flight at the host.
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -260,19 +260,26 @@
 	s.Add(serviceFunc(h.watchSettings))
 	s.Add(serviceFunc(h.servePeers))
 	s.Add(serviceFunc(h.fetchInitialState))
-	s.Add(tracker.New(h.pacedStore, platform.ServersTopic, h.countReads(platform.ServersTopic, h.applyServerList), tracker.WithInterval(serverListInterval), tracker.WithErrorHandler(h.handleServerListFailure)))
+	s.Add(tracker.New(h.pacedStore, platform.ServersTopic, h.applyServerList, tracker.WithInterval(serverListInterval), tracker.WithErrorHandler(h.handleServerListFailure), tracker.WithReadHandler(h.readCounter(platform.ServersTopic))))
 	for _, t := range h.longPollTrackers {
 		s.Add(t)
 	}
 	return s
 }
 
-// countReads wraps the handler of a topic's updates so that successful reads are
-// counted.
-func (h *Host) countReads(topic string, handle func(tracker.Update)) func(tracker.Update) {
-	return func(u tracker.Update) {
-		h.meter.CountStoreRead(topic, false)
-		handle(u)
+// readCounter returns a handler that counts the reads of a topic and the bytes received,
+// and logs the reads that were restarted.
+func (h *Host) readCounter(topic string) func(tracker.ReadResult) {
+	return func(r tracker.ReadResult) {
+		result := "succeeded"
+		switch {
+		case r.Restarted:
+			result = "restarted"
+			h.log.Info().Str("topic", topic).Int64("received-bytes", r.Bytes).Int64("after-ms", r.Elapsed.Milliseconds()).Msg("read of the store restarted")
+		case r.Err != nil:
+			result = "failed"
+		}
+		h.meter.CountStoreRead(topic, result, r.Bytes)
 	}
 }
 
@@ -280,7 +287,7 @@
 // read with long polls.
 func (h *Host) createTrackers() {
 	newLongPollTracker := func(topic string, handle func(tracker.Update), wait time.Duration) *tracker.Tracker {
-		return tracker.New(h.pacedStore, topic, h.countReads(topic, handle), tracker.WithLongPoll(wait), tracker.WithErrorHandler(h.readFailureHandler(topic)))
+		return tracker.New(h.pacedStore, topic, handle, tracker.WithLongPoll(wait), tracker.WithErrorHandler(h.readFailureHandler(topic)), tracker.WithReadHandler(h.readCounter(topic)))
 	}
 	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyConfiguration, configurationLongPollWait)
 	h.longPollTrackers = []*tracker.Tracker{
@@ -302,10 +309,9 @@
 	return 0
 }
 
-// readFailureHandler returns a handler that counts and logs failed reads of a topic.
+// readFailureHandler returns a handler that logs failed reads of a topic.
 func (h *Host) readFailureHandler(topicName string) func(error) {
 	return func(err error) {
-		h.meter.CountStoreRead(topicName, true)
 		h.log.Info().Str("topic", topicName).Err(err).Msg("store cannot be read")
 	}
 }
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
@@ -40,6 +41,18 @@
 	IsSnapshot bool
 }
 
+// ReadResult describes a read that has ended. It is a plain record.
+type ReadResult struct {
+	// Bytes is the number of bytes of the response that were received.
+	Bytes int64
+	// Elapsed is the time from the start of the read to its end.
+	Elapsed time.Duration
+	// Restarted is true if the read was cancelled by a resync.
+	Restarted bool
+	// Err is the error of the read, nil if it succeeded.
+	Err error
+}
+
 // Tracker follows one topic.
 type Tracker struct {
 	store    Store
@@ -48,6 +61,7 @@
 	interval time.Duration
 	handle   func(Update)
 	onError  func(error)
+	onRead   func(ReadResult)
 
 	mutex           sync.Mutex
 	cancelRead      context.CancelFunc
@@ -68,9 +82,13 @@
 // read.
 func WithErrorHandler(onError func(error)) Option { return func(t *Tracker) { t.onError = onError } }
 
+// WithReadHandler sets a function that is called at the end of each read, before its
+// update is handled.
+func WithReadHandler(onRead func(ReadResult)) Option { return func(t *Tracker) { t.onRead = onRead } }
+
 // New returns a tracker that calls handle with each update.
 func New(store Store, topic string, handle func(Update), options ...Option) *Tracker {
-	t := &Tracker{store: store, topic: topic, handle: handle, onError: func(error) {}}
+	t := &Tracker{store: store, topic: topic, handle: handle, onError: func(error) {}, onRead: func(ReadResult) {}}
 	for _, o := range options {
 		o(t)
 	}
@@ -134,8 +152,17 @@
 }
 
 // read reads the records from an offset on if the tracker is synced, or a snapshot
-// if it is not.
+// if it is not, and reports the result to the read handler.
 func (t *Tracker) read(ctx context.Context, nextOffset int64, synced bool) (platform.Page, error) {
+	var received atomic.Int64
+	startedAt := time.Now()
+	page, err := t.call(platform.WithResponseObserver(ctx, func(n int) { received.Add(int64(n)) }), nextOffset, synced)
+	t.onRead(ReadResult{Bytes: received.Load(), Elapsed: time.Since(startedAt), Restarted: err != nil && t.needsResync(), Err: err})
+	return page, err
+}
+
+// call calls the store for a read.
+func (t *Tracker) call(ctx context.Context, nextOffset int64, synced bool) (platform.Page, error) {
 	timeout := responseTimeout
 	if synced {
 		timeout += t.pollWait
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -94,6 +94,32 @@
 	}
 }
 
+// The read handler learns how much of a response arrived before a resync cancelled the
+// read.
+func TestReadHandlerLearnsOfRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newPipeClient(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/log-newest" {
+				w.Write([]byte(`{"items":[],"end":1}`))
+				return
+			}
+			<-r.Context().Done()
+		}))
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		var results []ReadResult
+		tr := New(client, "t", func(Update) {}, WithLongPoll(time.Minute), WithReadHandler(func(r ReadResult) { results = append(results, r) }))
+		serveResult := make(chan error, 1)
+		go func() { serveResult <- tr.Serve(ctx) }()
+		time.Sleep(time.Second)
+		tr.Resync()
+		<-serveResult
+		if len(results) < 3 || results[0].Bytes != 20 || results[0].Err != nil || !results[1].Restarted || results[2].Err != nil {
+			t.Errorf("got reads %+v, want one of 20 bytes, one that was restarted and one that succeeded", results)
+		}
+	})
+}
+
 // slowStore is the handler of a store whose responses have the given size and are sent
 // in chunks, one in each interval.
 type slowStore struct {
