tracker: a read whose response arrives is completed

Cause: a heartbeat with a later configuration version makes a host give up its read of the configuration and begin a new one, at most every 0.3 s. A configuration with 1,560 routes more (0.4 MB) takes longer than that to arrive over 20 Mbit/s while 78 other hosts read it too. Each host began anew before its read had ended, the store went on serving the abandoned ones, and the load that this made kept all of them from ending: a livelock. The time-out of 1.5 s for the whole transfer has the same effect for larger ones.

Ruled out: processors (median 3%), failed reads (none logged), a stale configuration after a restart (no host restarted).

Change: a read is cancelled only when the store is silent (internal/watcher): 1.5 s until the first byte on top of the wait of a long poll, and between two bytes. A resync shortens the silence of a long poll to 0.8 s and leaves every other read alone; one that comes between two reads applies to the next.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -8,17 +8,21 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
 
 const (
-	// responseTimeout bounds the time until the store responds, on top of the
-	// requested long-poll wait. The store responds within a few milliseconds, or
-	// within half a second if it is slow.
+	// responseTimeout bounds the time until the first byte of a response, on top of the
+	// requested long-poll wait, and between two of its bytes. The store responds within
+	// a few milliseconds, or within half a second if it is slow.
 	responseTimeout = 1500 * time.Millisecond
+	// resyncTimeout is how long a long poll may still be silent after a resync was
+	// requested. It covers the time in which the store serves a large record to many
+	// hosts.
+	resyncTimeout = 800 * time.Millisecond
 	// minBackOff and maxBackOff bound the back-off after a failed read, which
 	// doubles with each failure. The actual pause is randomised.
 	minBackOff = 200 * time.Millisecond
@@ -63,8 +67,12 @@
 	onError  func(error)
 	onRead   func(ReadResult)
 
-	mutex           sync.Mutex
-	cancelRead      context.CancelFunc
+	// mutex guards the fields below.
+	mutex sync.Mutex
+	// readWatcher watches the read in progress; it is nil between two reads.
+	// readIsLongPoll is true if the store may wait for new records before it responds.
+	readWatcher     *watcher.Watcher
+	readIsLongPoll  bool
 	resyncRequested bool
 }
 
@@ -95,14 +103,19 @@
 	return t
 }
 
-// Resync cancels the current read and makes the tracker read a new snapshot. It is
-// called when the current read may never return or may have missed records.
+// Resync requests a new snapshot, because a long poll may never return or may have missed
+// records. It cancels a long poll that stays silent. A read whose response is arriving is
+// completed: a new one would have to transfer the same records again.
 func (t *Tracker) Resync() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.resyncRequested = true
-	if t.cancelRead != nil {
-		t.cancelRead()
+	if t.readWatcher == nil {
+		t.resyncRequested = true
+		return
+	}
+	if t.readIsLongPoll && t.readWatcher.ReceivedBytes() == 0 {
+		t.resyncRequested = true
+		t.readWatcher.ExpectWithin(resyncTimeout)
 	}
 }
 
@@ -152,26 +165,46 @@
 }
 
 // read reads the records from an offset on if the tracker is synced, or a snapshot
-// if it is not, and reports the result to the read handler.
+// if it is not, and reports the result to the read handler. It is cancelled when the store
+// is silent for too long.
 func (t *Tracker) read(ctx context.Context, nextOffset int64, synced bool) (platform.Page, error) {
-	var received atomic.Int64
+	firstByteTimeout := responseTimeout
+	if synced {
+		firstByteTimeout += t.pollWait
+	}
 	startedAt := time.Now()
-	page, err := t.call(platform.WithResponseObserver(ctx, func(n int) { received.Add(int64(n)) }), nextOffset, synced)
-	t.onRead(ReadResult{Bytes: received.Load(), Elapsed: time.Since(startedAt), Restarted: err != nil && t.needsResync(), Err: err})
+	ctx, w, stop := watcher.New(ctx, "topic "+t.topic, firstByteTimeout, responseTimeout)
+	defer stop()
+	t.startRead(w, synced && t.pollWait > 0)
+	page, err := t.call(platform.WithResponseObserver(ctx, w.RecordBytes), nextOffset, synced)
+	if err != nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	restarted := t.endRead(w, err)
+	t.onRead(ReadResult{Bytes: w.ReceivedBytes(), Elapsed: time.Since(startedAt), Restarted: restarted, Err: err})
 	return page, err
 }
 
+func (t *Tracker) startRead(w *watcher.Watcher, isLongPoll bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.readWatcher, t.readIsLongPoll = w, isLongPoll
+}
+
+// endRead reports whether a resync made the read fail. A read that succeeded, or whose
+// response had begun, has answered the request for a resync.
+func (t *Tracker) endRead(w *watcher.Watcher, err error) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.readWatcher = nil
+	if err == nil || w.ReceivedBytes() > 0 {
+		t.resyncRequested = false
+	}
+	return t.resyncRequested
+}
+
 // call calls the store for a read.
 func (t *Tracker) call(ctx context.Context, nextOffset int64, synced bool) (platform.Page, error) {
-	timeout := responseTimeout
-	if synced {
-		timeout += t.pollWait
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	t.mutex.Lock()
-	t.cancelRead = cancel
-	t.mutex.Unlock()
 	if !synced {
 		return t.store.Newest(ctx, t.topic)
 	}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -4,14 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/base64"
-	"net"
 	"net/http"
-	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/pipe"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
 
@@ -134,75 +132,22 @@
 	}
 	value := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{'v'}, s.chunks<<10))
 	body := []byte(`{"items":[{"key":"k","value":"` + value + `","offset":0}],"end":1}`)
-	for chunk := range slices.Chunk(body, len(body)/s.chunks+1) {
-		time.Sleep(s.interval)
-		if _, err := w.Write(chunk); err != nil {
-			return
-		}
-		if err := http.NewResponseController(w).Flush(); err != nil {
-			return
-		}
-	}
+	pipe.WriteSlowly(w, body, s.chunks, s.interval)
 }
 
 // newPipeClient returns a client of a store that is served over in-memory connections
 // until the test ends.
 func newPipeClient(t *testing.T, handler http.Handler) *platform.StoreClient {
 	t.Helper()
-	listener := newPipeListener()
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	serveResult := make(chan error, 1)
-	go func() { serveResult <- server.Serve(listener) }()
-	transport := &http.Transport{DialContext: listener.dial}
+	transport, stop := pipe.Serve(handler)
 	t.Cleanup(func() {
-		transport.CloseIdleConnections()
-		if err := server.Shutdown(context.Background()); err != nil {
+		if err := stop(); err != nil {
 			t.Errorf("got error %v at shutdown, want none", err)
 		}
-		<-serveResult
 	})
 	return platform.NewStoreClient("store", transport)
 }
 
-// pipeListener is a net.Listener for connections within the process.
-type pipeListener struct {
-	connections chan net.Conn
-	closed      chan struct{}
-	closeOnce   sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	client, server := net.Pipe()
-	select {
-	case l.connections <- server:
-		return client, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.connections:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.closeOnce.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
-
 // Guards against hosts that respond with 404 on new routes, because each heartbeat with a
 // later version makes them restart the read of a large configuration.
 func TestResyncDoesNotRestartReadInProgress(t *testing.T) {
--- /dev/null
+++ b/internal/watcher/watcher_test.go
@@ -0,0 +1,70 @@
+package watcher
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// newWatcher returns a watched context with time-outs of 2 s until the first byte and of
+// 1 s between bytes.
+func newWatcher(t *testing.T) (context.Context, *Watcher) {
+	t.Helper()
+	ctx, w, stop := New(t.Context(), "store", 2*time.Second, time.Second)
+	t.Cleanup(stop)
+	return ctx, w
+}
+
+func assertCancelledAfter(ctx context.Context, t *testing.T, want time.Duration, wantBytes int64) {
+	t.Helper()
+	startedAt := time.Now()
+	<-ctx.Done()
+	if got := time.Since(startedAt); got != want {
+		t.Errorf("got cancelled after %s, want %s", got, want)
+	}
+	var silence *SilenceError
+	if !errors.As(context.Cause(ctx), &silence) || silence.ReceivedBytes != wantBytes {
+		t.Errorf("got cause %v, want a SilenceError after %d bytes", context.Cause(ctx), wantBytes)
+	}
+}
+
+func TestWatcher(t *testing.T) {
+	t.Run("no byte", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, _ := newWatcher(t)
+			assertCancelledAfter(ctx, t, 2*time.Second, 0)
+		})
+	})
+	t.Run("bytes that stop", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, w := newWatcher(t)
+			for range 100 {
+				time.Sleep(900 * time.Millisecond)
+				w.RecordBytes(3)
+			}
+			if err := ctx.Err(); err != nil {
+				t.Errorf("got error %v while bytes arrive, want none", err)
+			}
+			assertCancelledAfter(ctx, t, time.Second, 300)
+		})
+	})
+	t.Run("first byte expected earlier", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, w := newWatcher(t)
+			w.ExpectWithin(500 * time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
+			w.ExpectWithin(500 * time.Millisecond)
+			assertCancelledAfter(ctx, t, 200*time.Millisecond, 0)
+		})
+	})
+	t.Run("expected earlier while bytes arrive", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, w := newWatcher(t)
+			w.RecordBytes(1)
+			w.ExpectWithin(100 * time.Millisecond)
+			assertCancelledAfter(ctx, t, time.Second, 1)
+		})
+	})
+}
