watcher: a transfer whose bytes drip is cancelled

At least 16 KiB must arrive within each silence time-out now, so that the size bounds the duration. The new subtest failed before: "got a transfer of a byte each 300ms cancelled after 1m0s, want within 2s". The subtest of bytes that stop sends 16 KiB at a time instead of 3 bytes, which the rule no longer takes for progress; its times are the same.

--- a/internal/platformassembler/state_test.go
+++ b/internal/platformassembler/state_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,7 +43,7 @@
 func TestSilentStateTransferIsCancelled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		transport, stop := pipe.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			pipe.WriteSlowly(w, []byte(`{"configuration":`), 2, 500*time.Millisecond)
+			pipe.WriteSlowly(w, []byte(`{"configuration":"`+strings.Repeat("c", 64<<10)), 2, 500*time.Millisecond)
 			<-r.Context().Done()
 		}))
 		h := &Host{peerTransport: transport}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -1,17 +1,21 @@
-// Package watcher cancels a transfer whose bytes have stopped arriving. The duration of the
-// whole transfer is not bounded, because it depends on the size and on the load of the link: a
-// transfer that is cancelled for its duration alone, and repeated, adds to the load that made
-// it slow.
+// Package watcher cancels a transfer that makes no progress. The duration of the whole transfer
+// is bounded only by its size, because it depends on the load of the link: a transfer that is
+// cancelled for its duration alone, and repeated, adds to the load that made it slow.
 package watcher
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"time"
 )
 
-// SilenceError reports a transfer that was cancelled because no byte arrived in time.
+// minProgressBytes is the number of bytes that must arrive within each silence time-out. It
+// bounds the duration of a transfer whose bytes drip.
+const minProgressBytes = 16 << 10
+
+// SilenceError reports a transfer that was cancelled because too few bytes arrived in time.
 type SilenceError struct {
 	// Source names where the bytes come from.
 	Source string
@@ -20,7 +24,9 @@
 }
 
 // Error implements error.
-func (e *SilenceError) Error() string { return "no byte from " + e.Source + " arrived in time" }
+func (e *SilenceError) Error() string {
+	return fmt.Sprintf("transfer from %s made no progress after %d bytes", e.Source, e.ReceivedBytes)
+}
 
 // Watcher watches one transfer. It is safe for concurrent use.
 type Watcher struct {
@@ -31,13 +37,15 @@
 	// mutex guards the fields below.
 	mutex    sync.Mutex
 	received int64
-	timer    *time.Timer
-	deadline time.Time
+	// unaccounted is the number of bytes that have arrived since the deadline was set.
+	unaccounted int
+	timer       *time.Timer
+	deadline    time.Time
 }
 
 // New returns a context for a transfer from a source, its watcher, and a function that ends
 // both. The context is cancelled with a SilenceError if the first byte has not arrived within
-// firstByteTimeout, or if no byte has arrived for silenceTimeout.
+// firstByteTimeout, or if fewer than minProgressBytes arrive within silenceTimeout.
 func New(ctx context.Context, source string, firstByteTimeout, silenceTimeout time.Duration) (context.Context, *Watcher, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &Watcher{source: source, silenceTimeout: silenceTimeout, cancel: cancel, deadline: time.Now().Add(firstByteTimeout)}
@@ -54,8 +62,12 @@
 func (w *Watcher) RecordBytes(n int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	isFirst := w.received == 0
 	w.received += int64(n)
-	w.setDeadline(w.silenceTimeout)
+	w.unaccounted += n
+	if isFirst || w.unaccounted >= minProgressBytes {
+		w.setDeadline(w.silenceTimeout)
+	}
 }
 
 // Watch returns a reader that reads from r and records the bytes.
@@ -95,11 +107,12 @@
 
 // setDeadline sets the time until the transfer is cancelled. The caller holds the mutex.
 func (w *Watcher) setDeadline(timeout time.Duration) {
+	w.unaccounted = 0
 	w.deadline = time.Now().Add(timeout)
 	w.timer.Reset(timeout)
 }
 
-// expire cancels the transfer unless bytes have arrived since the timer was set.
+// expire cancels the transfer unless its deadline has been moved since the timer was set.
 func (w *Watcher) expire() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -42,12 +42,25 @@
 			ctx, w := newWatcher(t)
 			for range 100 {
 				time.Sleep(900 * time.Millisecond)
-				w.RecordBytes(3)
+				w.RecordBytes(minProgressBytes)
 			}
 			if err := ctx.Err(); err != nil {
 				t.Errorf("got error %v while bytes arrive, want none", err)
 			}
-			assertCancelledAfter(ctx, t, time.Second, 300)
+			assertCancelledAfter(ctx, t, time.Second, 100*minProgressBytes)
+		})
+	})
+	t.Run("bytes that drip", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, w := newWatcher(t)
+			startedAt := time.Now()
+			for ctx.Err() == nil && time.Since(startedAt) < time.Minute {
+				time.Sleep(300 * time.Millisecond)
+				w.RecordBytes(1)
+			}
+			if got, limit := time.Since(startedAt), 2*time.Second; got > limit {
+				t.Errorf("got a transfer of a byte each 300ms cancelled after %s, want within %s", got, limit)
+			}
 		})
 	})
 	t.Run("first byte expected earlier", func(t *testing.T) {
