--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -275,7 +275,7 @@
 		switch {
 		case r.Restarted:
 			result = "restarted"
-			h.log.Info().Str("topic", topic).Int64("received-bytes", r.Bytes).Int64("after-ms", r.Elapsed.Milliseconds()).Msg("read of the store restarted")
+			h.log.Info().Str("topic", topic).Int64("after-ms", r.Elapsed.Milliseconds()).Msg("read of the store restarted")
 		case r.Err != nil:
 			result = "failed"
 		}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -19,9 +19,10 @@
 	// requested long-poll wait, and between two of its bytes. The store responds within
 	// a few milliseconds, or within half a second if it is slow.
 	responseTimeout = 1500 * time.Millisecond
-	// resyncTimeout is how long a long poll may still be silent after a resync was
-	// requested. It covers the time in which the store serves a large record to many
-	// hosts.
+	// resyncTimeout is how long a read may still be silent after a resync was requested.
+	// It is longer than the store needs to serve a large record to many hosts, and short
+	// enough to replace a connection that no longer delivers data within the time in
+	// which a new configuration must be in force.
 	resyncTimeout = 800 * time.Millisecond
 	// minBackOff and maxBackOff bound the back-off after a failed read, which
 	// doubles with each failure. The actual pause is randomised.
@@ -70,10 +71,11 @@
 	// mutex guards the fields below.
 	mutex sync.Mutex
 	// readWatcher watches the read in progress; it is nil between two reads.
-	// readIsLongPoll is true if the store may wait for new records before it responds.
-	readWatcher     *watcher.Watcher
-	readIsLongPoll  bool
+	readWatcher *watcher.Watcher
+	// resyncRequested is true if a resync has shortened the read in progress.
 	resyncRequested bool
+	// previousReadRestarted is true if a resync made the last read fail.
+	previousReadRestarted bool
 }
 
 // Option sets one optional property of a tracker.
@@ -103,30 +105,19 @@
 	return t
 }
 
-// Resync requests a new snapshot, because a long poll may never return or may have missed
-// records. It cancels a long poll that stays silent. A read whose response is arriving is
-// completed: a new one would have to transfer the same records again.
+// Resync requests a new snapshot, because the read in progress may never return. It cancels a
+// read that stays silent, but no two in a row: the second one may wait for a store that serves
+// many hosts. A read whose response is arriving is completed, since a new one would have to
+// transfer the same records again. Between two reads there is nothing to cancel, and the next
+// read misses no record.
 func (t *Tracker) Resync() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.readWatcher == nil {
-		t.resyncRequested = true
+	if t.readWatcher == nil || t.readWatcher.ReceivedBytes() > 0 || t.previousReadRestarted {
 		return
 	}
-	if t.readIsLongPoll && t.readWatcher.ReceivedBytes() == 0 {
-		t.resyncRequested = true
-		t.readWatcher.ExpectWithin(resyncTimeout)
-	}
-}
-
-// takeResync reports whether a resync was requested since the last call, and clears
-// the request.
-func (t *Tracker) takeResync() bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	requested := t.resyncRequested
-	t.resyncRequested = false
-	return requested
+	t.resyncRequested = true
+	t.readWatcher.ExpectWithin(resyncTimeout)
 }
 
 // Serve follows the topic until the context ends. It implements suture.Service.
@@ -134,15 +125,12 @@
 	nextOffset, synced := int64(0), false
 	backOff := minBackOff
 	for ctx.Err() == nil {
-		synced = !t.takeResync() && synced
-		page, err := t.read(ctx, nextOffset, synced)
+		page, restarted, err := t.read(ctx, nextOffset, synced)
 		var expired *platform.OffsetExpiredError
 		switch {
-		case errors.As(err, &expired):
+		case restarted, errors.As(err, &expired):
 			synced = false
 			continue
-		case err != nil && t.needsResync():
-			continue
 		case err != nil:
 			t.onError(err)
 			sleep(ctx, backOff/2+rand.N(backOff))
@@ -157,17 +145,10 @@
 	return ctx.Err()
 }
 
-// needsResync reports whether a resync is requested, without clearing the request.
-func (t *Tracker) needsResync() bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.resyncRequested
-}
-
 // read reads the records from an offset on if the tracker is synced, or a snapshot
 // if it is not, and reports the result to the read handler. It is cancelled when the store
-// is silent for too long.
-func (t *Tracker) read(ctx context.Context, nextOffset int64, synced bool) (platform.Page, error) {
+// is silent for too long. It returns true if a resync made it fail.
+func (t *Tracker) read(ctx context.Context, nextOffset int64, synced bool) (platform.Page, bool, error) {
 	firstByteTimeout := responseTimeout
 	if synced {
 		firstByteTimeout += t.pollWait
@@ -175,32 +156,27 @@
 	startedAt := time.Now()
 	ctx, w, stop := watcher.New(ctx, "topic "+t.topic, firstByteTimeout, responseTimeout)
 	defer stop()
-	t.startRead(w, synced && t.pollWait > 0)
+	t.startRead(w)
 	page, err := t.call(platform.WithResponseObserver(ctx, w.RecordBytes), nextOffset, synced)
-	if err != nil && ctx.Err() != nil {
-		err = context.Cause(ctx)
-	}
-	restarted := t.endRead(w, err)
+	restarted := t.endRead(err != nil && w.ReceivedBytes() == 0)
 	t.onRead(ReadResult{Bytes: w.ReceivedBytes(), Elapsed: time.Since(startedAt), Restarted: restarted, Err: err})
-	return page, err
+	return page, restarted, err
 }
 
-func (t *Tracker) startRead(w *watcher.Watcher, isLongPoll bool) {
+func (t *Tracker) startRead(w *watcher.Watcher) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.readWatcher, t.readIsLongPoll = w, isLongPoll
+	t.readWatcher, t.resyncRequested = w, false
 }
 
-// endRead reports whether a resync made the read fail. A read that succeeded, or whose
-// response had begun, has answered the request for a resync.
-func (t *Tracker) endRead(w *watcher.Watcher, err error) bool {
+// endRead reports whether a resync made the read fail. stayedSilent is true if the read failed
+// before a byte of the response arrived.
+func (t *Tracker) endRead(stayedSilent bool) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.readWatcher = nil
-	if err == nil || w.ReceivedBytes() > 0 {
-		t.resyncRequested = false
-	}
-	return t.resyncRequested
+	t.previousReadRestarted = stayedSilent && t.resyncRequested
+	return t.previousReadRestarted
 }
 
 // call calls the store for a read.
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -92,8 +92,99 @@
 	}
 }
 
-// The read handler learns how much of a response arrived before a resync cancelled the
-// read.
+// newestFunc is a store whose snapshots are read by a function. Its long polls never return.
+type newestFunc func(ctx context.Context, call int) (platform.Page, error)
+
+// countingStore counts the calls of a newestFunc.
+type countingStore struct {
+	newest newestFunc
+	calls  int
+}
+
+func (s *countingStore) Newest(ctx context.Context, _ string) (platform.Page, error) {
+	s.calls++
+	return s.newest(ctx, s.calls)
+}
+
+func (s *countingStore) Read(ctx context.Context, _ string, _ int64, _ time.Duration) (platform.Page, error) {
+	return blockUntilDone(ctx)
+}
+
+// Guards against a host that waits for a snapshot on a connection that no longer delivers
+// data, although a resync says that the store can be read.
+func TestResyncCancelsSilentSnapshot(t *testing.T) {
+	s := &countingStore{newest: func(ctx context.Context, call int) (platform.Page, error) {
+		if call == 1 {
+			return blockUntilDone(ctx)
+		}
+		return platform.Page{}, nil
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		updated := make(chan time.Time, 10)
+		tr := New(s, "t", func(Update) { updated <- time.Now() }, WithLongPoll(time.Minute))
+		serveResult := make(chan error, 1)
+		go func() { serveResult <- tr.Serve(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		resyncAt := time.Now()
+		tr.Resync()
+		if got := (<-updated).Sub(resyncAt); got != resyncTimeout {
+			t.Errorf("got an update %s after the resync, want after %s", got, resyncTimeout)
+		}
+		cancel()
+		<-serveResult
+	})
+}
+
+// Guards against reads that are cancelled again and again while a store that serves many
+// hosts needs longer than resyncTimeout until the first byte.
+func TestResyncCancelsNoTwoReadsInARow(t *testing.T) {
+	s := &countingStore{newest: func(ctx context.Context, _ int) (platform.Page, error) {
+		select {
+		case <-time.After(resyncTimeout + 100*time.Millisecond):
+			return platform.Page{}, nil
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		}
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		updates := 0
+		tr := New(s, "t", func(Update) { updates++ }, WithLongPoll(time.Minute))
+		serveResult := make(chan error, 1)
+		go func() { serveResult <- tr.Serve(ctx) }()
+		for ctx.Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+			tr.Resync()
+		}
+		<-serveResult
+		if updates == 0 {
+			t.Errorf("got no update after %d reads within 3s, want one by the second read", s.calls)
+		}
+	})
+}
+
+// Guards against hosts that read a configuration a second time, because they are told of
+// it while they put it into force.
+func TestResyncBetweenReadsReadsNothingAgain(t *testing.T) {
+	s := &countingStore{newest: func(context.Context, int) (platform.Page, error) { return platform.Page{}, nil }}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		tr := New(s, "t", func(Update) { time.Sleep(50 * time.Millisecond) }, WithLongPoll(time.Minute))
+		serveResult := make(chan error, 1)
+		go func() { serveResult <- tr.Serve(ctx) }()
+		time.Sleep(20 * time.Millisecond)
+		tr.Resync()
+		<-serveResult
+		if s.calls != 1 {
+			t.Errorf("got %d snapshots, want 1", s.calls)
+		}
+	})
+}
+
+// The read handler learns of a read that a resync cancelled.
 func TestReadHandlerLearnsOfRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client := newPipeClient(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
