platformassembler: a late configuration does not replace the one in force

What callers would see: a host that starts without the store takes a configuration that is older than the one that its source has in force, or invalid, and stays without routes.

Cause: the records that other hosts can fetch were cached before the configuration was decoded and compared with the one in force. The state of another host can arrive after a later version from the store, since its transfer may now take long. In the same race the coordinator could get the older version last.

The cache, the relayer and the coordinator are updated together, under one mutex, and only by a newer valid configuration. The test failed before: "got configuration {"version": with error <nil>, want {"version":9}".

--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -351,7 +351,6 @@
 // applyConfiguration puts a configuration into force unless it is invalid or not newer
 // than the current one.
 func (h *Host) applyConfiguration(u tracker.Update) {
-	h.cacheRecords(u, false)
 	for _, r := range u.Records {
 		if r.Key != platform.ConfigurationKey || r.IsTombstone() {
 			continue
@@ -361,9 +360,8 @@
 			h.log.Error().Err(err).Msg("ignoring invalid configuration")
 			continue
 		}
-		if h.relayer.Configure(table) {
+		if h.configure(table, r.Value) {
 			h.log.Info().Int64("version", table.Version()).Msg("configuration is in force")
-			h.driver.Apply(coordinator.ConfigurationChanged{Routes: table})
 		}
 	}
 }
@@ -379,7 +377,7 @@
 			t.Resync()
 		}
 	}
-	h.cacheRecords(u, true)
+	h.cacheServers(u)
 	if u.IsSnapshot {
 		clear(h.serversByKey)
 	}
--- a/internal/platformassembler/state.go
+++ b/internal/platformassembler/state.go
@@ -63,24 +63,34 @@
 	return s, nil
 }
 
-// cacheRecords updates the state for other hosts with records of the store, from the
-// servers topic if isServerList is set, from the operators' topic otherwise.
-func (h *Host) cacheRecords(u tracker.Update, isServerList bool) {
+// cacheServers updates the state for other hosts with records of the servers topic.
+func (h *Host) cacheServers(u tracker.Update) {
 	h.stateMutex.Lock()
 	defer h.stateMutex.Unlock()
-	if isServerList && u.IsSnapshot || h.state.Servers == nil {
+	if u.IsSnapshot || h.state.Servers == nil {
 		h.state.Servers = make(map[string][]byte)
 	}
 	for _, r := range u.Records {
-		switch {
-		case !isServerList && r.Key == platform.ConfigurationKey && !r.IsTombstone():
-			h.state.Configuration = r.Value
-		case isServerList && r.IsTombstone():
+		if r.IsTombstone() {
 			delete(h.state.Servers, r.Key)
-		case isServerList:
-			h.state.Servers[r.Key] = r.Value
+			continue
 		}
+		h.state.Servers[r.Key] = r.Value
+	}
+}
+
+// configure puts a configuration into force, in the relayer, in the coordinator and in the
+// state for other hosts, unless it is not newer than the current one. It reports whether it
+// is in force now. The mutex keeps the three in step when two sources deliver at once.
+func (h *Host) configure(table *fuchsiapitch.RouteTable, value []byte) bool {
+	h.stateMutex.Lock()
+	defer h.stateMutex.Unlock()
+	if !h.relayer.Configure(table) {
+		return false
 	}
+	h.state.Configuration = value
+	h.driver.Apply(coordinator.ConfigurationChanged{Routes: table})
+	return true
 }
 
 // serveState sends the state to another host. It responds with 503 as long as this
--- a/internal/platformassembler/state_test.go
+++ b/internal/platformassembler/state_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -12,8 +13,12 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/relayer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/pipe"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
+	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
 
 // Guards against hosts that start without the store and never get the state of another host,
@@ -90,3 +95,25 @@
 		t.Error("got a dead host as source, want none")
 	}
 }
+
+// Guards against hosts that start with a configuration older than the one that their source
+// has in force, because the source received an older one, or an invalid one, afterwards.
+func TestServedStateHoldsConfigurationInForce(t *testing.T) {
+	h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
+	want := `{"version":9}`
+	for _, value := range []string{want, `{"version":7}`, `{"version":`} {
+		h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: []byte(value)}}})
+	}
+	recorder := httptest.NewRecorder()
+	h.serveState(recorder, httptest.NewRequest(http.MethodGet, statePath, http.NoBody))
+	s, err := decodeState("host", recorder.Body.Bytes())
+	if got := string(s.Configuration); err != nil || got != want {
+		t.Errorf("got configuration %s with error %v, want %s", got, err, want)
+	}
+}
+
+// newIdleDriver returns a driver that has no socket, servers or store.
+func newIdleDriver(t *testing.T) *driver.Driver {
+	t.Helper()
+	return driver.New(t.Context(), coordinator.New(coordinator.Peer{ID: "host"}, 1), nil, nil, nil)
+}
