platformassembler: a slow host receives the whole state of another one

Each 16 KiB has 1 s now, and a transfer that ends early is logged. The test failed before: "got 827268 bytes with error unexpected EOF, want more than 1398101 and EOF". The test of the configuration that is served uses a real connection now, since the handler sets deadlines.

--- a/internal/platformassembler/state.go
+++ b/internal/platformassembler/state.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -28,6 +29,8 @@
 	// stateRetryInterval is the time between two requests for the state. Each live
 	// host sends a heartbeat every 100 ms, so that one of each arrives in between.
 	stateRetryInterval = 150 * time.Millisecond
+	// stateChunkBytes is how much of the state must be sent within stateTimeout.
+	stateChunkBytes = 16 << 10
 	// maxStateBytes bounds how much of a response with the state is read.
 	maxStateBytes = 16 << 20
 )
@@ -99,12 +102,38 @@
 	h.stateMutex.Lock()
 	data, err := json.Marshal(h.state)
 	h.stateMutex.Unlock()
+	if err != nil {
+		h.log.Error().Err(err).Msg("failed to encode the state for another host")
+	}
 	if err != nil || h.relayer.Routes() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(data)
+	if err := writeWithDeadline(w, data); err != nil {
+		h.log.Info().Err(err).Msg("another host did not receive the state")
+	}
+}
+
+// writeWithDeadline writes a response body. Each chunk must be sent within stateTimeout.
+func writeWithDeadline(w http.ResponseWriter, data []byte) error {
+	controller := http.NewResponseController(w)
+	for chunk := range slices.Chunk(data, stateChunkBytes) {
+		if err := controller.SetWriteDeadline(time.Now().Add(stateTimeout)); err != nil {
+			return err
+		}
+		if _, err := w.Write(chunk); err != nil {
+			return err
+		}
+	}
+	return controller.SetWriteDeadline(time.Now().Add(stateTimeout))
+}
+
+// newPeerServer returns the server for requests of other hosts.
+func (h *Host) newPeerServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc(statePath, h.serveState)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
 // servePeers serves HTTP requests of other hosts. It listens on the TCP port with the
@@ -115,9 +144,7 @@
 	if err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc(statePath, h.serveState)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: headerTimeout}
+	server := h.newPeerServer()
 	serveResult := make(chan error, 1)
 	go func() { serveResult <- server.Serve(listener) }()
 	select {
--- a/internal/platformassembler/state_test.go
+++ b/internal/platformassembler/state_test.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -99,17 +99,22 @@
 // Guards against hosts that start with a configuration older than the one that their source
 // has in force, because the source received an older one, or an invalid one, afterwards.
 func TestServedStateHoldsConfigurationInForce(t *testing.T) {
-	h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
-	want := `{"version":9}`
-	for _, value := range []string{want, `{"version":7}`, `{"version":`} {
-		h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: []byte(value)}}})
-	}
-	recorder := httptest.NewRecorder()
-	h.serveState(recorder, httptest.NewRequest(http.MethodGet, statePath, http.NoBody))
-	s, err := decodeState("host", recorder.Body.Bytes())
-	if got := string(s.Configuration); err != nil || got != want {
-		t.Errorf("got configuration %s with error %v, want %s", got, err, want)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
+		want := `{"version":9}`
+		for _, value := range []string{want, `{"version":7}`, `{"version":`} {
+			h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: []byte(value)}}})
+		}
+		transport, stop := pipe.Start(h.newPeerServer())
+		h.peerTransport = transport
+		s, err := h.requestState(t.Context(), "peer")
+		if got := string(s.Configuration); err != nil || got != want {
+			t.Errorf("got configuration %s with error %v, want %s", got, err, want)
+		}
+		if err := stop(); err != nil {
+			t.Errorf("got error %v at shutdown, want none", err)
+		}
+	})
 }
 
 // newIdleDriver returns a driver that has no socket, servers or store.
@@ -117,3 +122,35 @@
 	t.Helper()
 	return driver.New(t.Context(), coordinator.New(coordinator.Peer{ID: "host"}, 1), nil, nil, nil)
 }
+
+// Guards against a source that cuts off the state for all hosts that receive it slowly.
+func TestStateIsServedToSlowHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
+		h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: []byte(`{"version":1}`)}}})
+		h.cacheServers(tracker.Update{Records: []platform.Record{{Key: "server", Value: bytes.Repeat([]byte{'s'}, 1<<20)}}})
+		transport, stop := pipe.Start(h.newPeerServer())
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://peer"+statePath, http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := transport.RoundTrip(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		received, buffer := 0, make([]byte, 4096)
+		for err == nil {
+			var n int
+			n, err = response.Body.Read(buffer)
+			received += n
+			time.Sleep(50 * time.Millisecond)
+		}
+		if want := 4 << 20 / 3; !errors.Is(err, io.EOF) || received < want {
+			t.Errorf("got %d bytes with error %v, want more than %d and %v", received, err, want, io.EOF)
+		}
+		response.Body.Close()
+		if err := stop(); err != nil {
+			t.Errorf("got error %v at shutdown, want none", err)
+		}
+	})
+}
--- a/internal/standin/pipe/pipe.go
+++ b/internal/standin/pipe/pipe.go
@@ -50,11 +50,15 @@
 	}
 }
 
-// Serve serves a handler and returns a transport whose connections lead to it, and a function
-// that waits for the requests in progress and ends both.
+// Serve does the same as Start for a server with a handler and no time-outs.
 func Serve(handler http.Handler) (*http.Transport, func() error) {
+	return Start(&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute})
+}
+
+// Start starts a server and returns a transport whose connections lead to it, and a function
+// that waits for the requests in progress and ends both.
+func Start(server *http.Server) (*http.Transport, func() error) {
 	l := &Listener{connections: make(chan net.Conn), closed: make(chan struct{})}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	serveResult := make(chan error, 1)
 	go func() { serveResult <- server.Serve(l) }()
 	transport := &http.Transport{DialContext: l.Dial}
