--- a/internal/platformassembler/state_test.go
+++ b/internal/platformassembler/state_test.go
@@ -4,15 +4,21 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/relayer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/pipe"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
+	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
 
 // Guards against hosts that start without the store and never get the state of another host,
@@ -42,7 +48,7 @@
 func TestSilentStateTransferIsCancelled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		transport, stop := pipe.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			pipe.WriteSlowly(w, []byte(`{"configuration":`), 2, 500*time.Millisecond)
+			pipe.WriteSlowly(w, []byte(`{"configuration":"`+strings.Repeat("c", 64<<10)), 2, 500*time.Millisecond)
 			<-r.Context().Done()
 		}))
 		h := &Host{peerTransport: transport}
@@ -89,3 +95,62 @@
 		t.Error("got a dead host as source, want none")
 	}
 }
+
+// Guards against hosts that start with a configuration older than the one that their source
+// has in force, because the source received an older one, or an invalid one, afterwards.
+func TestServedStateHoldsConfigurationInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
+		want := `{"version":9}`
+		for _, value := range []string{want, `{"version":7}`, `{"version":`} {
+			h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: []byte(value)}}})
+		}
+		transport, stop := pipe.Start(h.newPeerServer())
+		h.peerTransport = transport
+		s, err := h.requestState(t.Context(), "peer")
+		if got := string(s.Configuration); err != nil || got != want {
+			t.Errorf("got configuration %s with error %v, want %s", got, err, want)
+		}
+		if err := stop(); err != nil {
+			t.Errorf("got error %v at shutdown, want none", err)
+		}
+	})
+}
+
+// newIdleDriver returns a driver that has no socket, servers or store.
+func newIdleDriver(t *testing.T) *driver.Driver {
+	t.Helper()
+	return driver.New(t.Context(), coordinator.New(coordinator.Peer{ID: "host"}, 1), nil, nil, nil)
+}
+
+// Guards against a source that cuts off the state for all hosts that receive it slowly.
+func TestStateIsServedToSlowHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
+		h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: []byte(`{"version":1}`)}}})
+		h.cacheServers(tracker.Update{Records: []platform.Record{{Key: "server", Value: bytes.Repeat([]byte{'s'}, 1<<20)}}})
+		transport, stop := pipe.Start(h.newPeerServer())
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://peer"+statePath, http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := transport.RoundTrip(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		received, buffer := 0, make([]byte, 4096)
+		for err == nil {
+			var n int
+			n, err = response.Body.Read(buffer)
+			received += n
+			time.Sleep(50 * time.Millisecond)
+		}
+		if want := 4 << 20 / 3; !errors.Is(err, io.EOF) || received < want {
+			t.Errorf("got %d bytes with error %v, want more than %d and %v", received, err, want, io.EOF)
+		}
+		response.Body.Close()
+		if err := stop(); err != nil {
+			t.Errorf("got error %v at shutdown, want none", err)
+		}
+	})
+}
