--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -1,11 +1,15 @@
 package tracker
 
 import (
+	"bytes"
 	"context"
+	"encoding/base64"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/pipe"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
 
@@ -87,3 +91,99 @@
 		t.Errorf("got %d snapshots and %d failures, want 2 snapshots and at most 1 failure, at the end of the run", got, failures)
 	}
 }
+
+// The read handler learns how much of a response arrived before a resync cancelled the
+// read.
+func TestReadHandlerLearnsOfRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newPipeClient(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/log-newest" {
+				w.Write([]byte(`{"items":[],"end":1}`))
+				return
+			}
+			<-r.Context().Done()
+		}))
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		var results []ReadResult
+		tr := New(client, "t", func(Update) {}, WithLongPoll(time.Minute), WithReadHandler(func(r ReadResult) { results = append(results, r) }))
+		serveResult := make(chan error, 1)
+		go func() { serveResult <- tr.Serve(ctx) }()
+		time.Sleep(time.Second)
+		tr.Resync()
+		<-serveResult
+		if len(results) < 3 || results[0].Bytes != 20 || results[0].Err != nil || !results[1].Restarted || results[2].Err != nil {
+			t.Errorf("got reads %+v, want one of 20 bytes, one that was restarted and one that succeeded", results)
+		}
+	})
+}
+
+// slowStore is the handler of a store whose responses have the given size and are sent
+// in chunks, one in each interval.
+type slowStore struct {
+	chunks   int
+	interval time.Duration
+}
+
+func (s *slowStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/log-newest" {
+		<-r.Context().Done()
+		return
+	}
+	value := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{'v'}, s.chunks<<10))
+	body := []byte(`{"items":[{"key":"k","value":"` + value + `","offset":0}],"end":1}`)
+	pipe.WriteSlowly(w, body, s.chunks, s.interval)
+}
+
+// newPipeClient returns a client of a store that is served over in-memory connections
+// until the test ends.
+func newPipeClient(t *testing.T, handler http.Handler) *platform.StoreClient {
+	t.Helper()
+	transport, stop := pipe.Serve(handler)
+	t.Cleanup(func() {
+		if err := stop(); err != nil {
+			t.Errorf("got error %v at shutdown, want none", err)
+		}
+	})
+	return platform.NewStoreClient("store", transport)
+}
+
+// Guards against hosts that respond with 404 on new routes, because each heartbeat with a
+// later version makes them restart the read of a large configuration.
+func TestResyncDoesNotRestartReadInProgress(t *testing.T) {
+	const resyncInterval = 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		client := newPipeClient(t, &slowStore{chunks: 60, interval: 10 * time.Millisecond})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		updates := 0
+		tr := New(client, "t", func(Update) { updates++ }, WithLongPoll(5*time.Second))
+		serveResult := make(chan error, 1)
+		go func() { serveResult <- tr.Serve(ctx) }()
+		for ctx.Err() == nil {
+			time.Sleep(resyncInterval)
+			tr.Resync()
+		}
+		<-serveResult
+		if updates == 0 {
+			t.Errorf("got no update within 3s, want one after each response of 600ms")
+		}
+	})
+}
+
+// A response that takes long to transfer is not cut off while its bytes arrive.
+func TestSlowTransferDoesNotTimeOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newPipeClient(t, &slowStore{chunks: 60, interval: 50 * time.Millisecond})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		updates := 0
+		tr := New(client, "t", func(Update) { updates++ }, WithLongPoll(5*time.Second))
+		serveResult := make(chan error, 1)
+		go func() { serveResult <- tr.Serve(ctx) }()
+		<-serveResult
+		if updates == 0 {
+			t.Errorf("got no update within 10s, want one after the response of 3s")
+		}
+	})
+}
