standin/counter: a write counts before the peer can read it

TestUnchangedStatusIsNotResent (internal/orderer) failed in a tenth of the runs beside load: "got 724 bytes for an unchanged status, want fewer than the 126 of a full response" (also 583 and 672).

Cause: connection.Write counted its bytes after the system call. The client can have read the response by then. A trace of a failing run (times in microseconds):

267038 read counted 74 -> 126 267873 write of 321 begins 268011 test reads 126 268043 read counted 1 -> 179 268059 write of 321 returns and counts

So the 126 are the request alone (74 bytes and one segment), and the first response counts towards the second status. In a run that passes the counts are 499 for the first status and 299 for the second; the orderer does not send an unchanged status again in either.

The bytes are counted before the system call, and those that were not sent are taken back after it. What a peer has read is then counted. The check in internal/orderer and its bound are unchanged.

--- a/internal/standin/counter/counter.go
+++ b/internal/standin/counter/counter.go
@@ -32,6 +32,13 @@
 	}
 }
 
+func (c *Counter) removeSegment(n int) {
+	if n > 0 {
+		c.payloadBytes.Add(-int64(n))
+		c.segmentCount.Add(-1)
+	}
+}
+
 // CountConnections wraps a listener so that the traffic of its connections is
 // counted.
 func (c *Counter) CountConnections(l net.Listener) net.Listener {
@@ -64,9 +71,14 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It counts the bytes first, because the peer can have read
+// them before the call returns.
 func (c *connection) Write(data []byte) (int, error) {
+	c.counter.addSegment(len(data))
 	n, err := c.Conn.Write(data)
-	c.counter.addSegment(n)
+	if n != len(data) {
+		c.counter.removeSegment(len(data))
+		c.counter.addSegment(n)
+	}
 	return n, err
 }
