grouper: a new group takes no requests until its members report

A group that had just been planned was routable until its members reported for the first time, and then not until it was whole, 0.4 s later. AwaitReplicas could return in the few milliseconds between, and the chat after it was refused: "503 Service Unavailable ... no-replica, want no error" (TestOpenAIClient).

Cause: the dispatcher of a group includes it without slots while a member has not reported, so that requests wait when a host has just become the dispatcher of a group that works. It did so for a new assignment as well, whose members cannot be ready. Groups of the controller's own were not affected: it has probed their members before.

A host now notes the assignments that it reads while it dispatches for their groups, also those that a controller announces before they are in the stream. Such a group is not routable until all members have reported. Records from before the host's own join are of any age, and a host that takes a group over has not dispatched for it; both still wait without slots as before.

TestReplicas had "a new group has no slots until its members report", which asserted the fault. It now wants no replica there, also after one of two members has reported, and asserts the group without slots in the cases that it is meant for.

The tests of the launcher repeated refused requests because of this fault. They send once now, so that they are stricter.

--- a/internal/grouper/election.go
+++ b/internal/grouper/election.go
@@ -232,9 +232,27 @@
 	if g.committed.Term() != previousTerm {
 		g.startTerm(e, settledAt, noEarlierTerm)
 	}
+	g.noteNewAssignments(e.Record)
 	g.recordApplied(now, e.Record)
 }
 
+// noteNewAssignments notes the assignments in a record of the controller to groups that
+// this host dispatches for. Records before this host's own join may be of any age, and
+// another host may have dispatched for their groups since.
+func (g *Grouper) noteNewAssignments(r Record) {
+	if e, ok := g.committed.Elector(g.self); r.Kind != Renewal || !ok || e.Incarnation != g.incarnation {
+		return
+	}
+	for _, c := range r.Changes {
+		switch {
+		case c.Kind == Assign && g.isDispatcher(fuchsiapitch.ReplicaID(c.Group.ID)):
+			g.newAssignments[c.Group.ID] = fuchsiapitch.NewFencingToken(r.Term, r.Sequence)
+		case c.Kind == Disband:
+			delete(g.newAssignments, c.Group.ID)
+		}
+	}
+}
+
 // ordersSettledAt returns the time by which every order of the current holder
 // has certainly taken effect, assuming that this host's claim is the next valid
 // record.
@@ -344,5 +362,8 @@
 		return
 	}
 	g.receivedPending = records
+	for _, r := range records {
+		g.noteNewAssignments(r)
+	}
 	g.refreshSpeculative()
 }
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -85,7 +85,10 @@
 	// busyReplicas are the replicas of this host with running requests.
 	isDispatcher func(fuchsiapitch.ReplicaID) bool
 	busyReplicas map[fuchsiapitch.ReplicaID]bool
-	candidate    candidate
+	// newAssignments holds the latest assignment of each group that was assigned while
+	// this host dispatched for it, for as long as it does.
+	newAssignments map[fuchsiapitch.GroupID]fuchsiapitch.FencingToken
+	candidate      candidate
 	// controller is nil unless this host is the controller.
 	controller    *controllerState
 	ownPromise    ownPromise
@@ -115,6 +118,7 @@
 		isDispatcher:      func(fuchsiapitch.ReplicaID) bool { return false },
 		backoffs:          make(map[fuchsiapitch.ServerID]backoff),
 		busyReplicas:      make(map[fuchsiapitch.ReplicaID]bool),
+		newAssignments:    make(map[fuchsiapitch.GroupID]fuchsiapitch.FencingToken),
 		downtimeCountedAt: make(map[fuchsiapitch.GroupID]time.Duration),
 	}
 }
@@ -136,6 +140,9 @@
 // the replicas that this host dispatches for.
 func (g *Grouper) SetHosts(hosts []fuchsiapitch.Host, isDispatcher func(fuchsiapitch.ReplicaID) bool) {
 	g.liveHosts, g.isDispatcher = hosts, isDispatcher
+	maps.DeleteFunc(g.newAssignments, func(id fuchsiapitch.GroupID, _ fuchsiapitch.FencingToken) bool {
+		return !g.groupExists(id) || !isDispatcher(fuchsiapitch.ReplicaID(id))
+	})
 }
 
 // SetBusyReplicas sets the replicas of this host that have running requests.
@@ -263,10 +270,11 @@
 // requests, ordered by identifier. Draining groups are left out.
 //
 // A group that this host dispatches for is included only while every member
-// reports the recorded assignment and is ready. If a member has not reported yet,
-// because this host has just become the dispatcher, the group is included without
-// slots, so that requests wait for it. Any other group is included unless a member
-// is leaving or silent, because its dispatcher knows its state better.
+// reports the recorded assignment and is ready. If a member has not reported yet
+// because this host has just become the dispatcher, and not because the group has
+// just been assigned, the group is included without slots, so that requests wait for
+// it. Any other group is included unless a member is leaving or silent, because its
+// dispatcher knows its state better.
 func (g *Grouper) RoutableReplicas(now fuchsiapitch.Instant) []fuchsiapitch.Replica {
 	var list []fuchsiapitch.Replica
 	for _, group := range g.speculative.Groups() {
@@ -291,7 +299,7 @@
 	if g.isDispatcher(fuchsiapitch.ReplicaID(group.ID)) {
 		fault := g.health.CheckGroup(now, group, g.isLeaving)
 		if fault == MemberUnproved {
-			return 0, true
+			return 0, g.newAssignments[group.ID] != group.FencingToken
 		}
 		return service.Concurrency(), fault == 0
 	}
--- a/internal/grouper/takeover_test.go
+++ b/internal/grouper/takeover_test.go
@@ -70,19 +70,86 @@
 	assertNotBefore(t, f.runUntil(t, "order", f.hasIssuedOrder), want, "first order")
 }
 
+// setDispatcher sets whether this host dispatches for every replica.
+func (f *fixture) setDispatcher(isDispatcher bool) {
+	f.SetHosts([]fuchsiapitch.Host{fuchsiapitch.NewHost("a", "", "dc", 1)}, func(fuchsiapitch.ReplicaID) bool { return isDispatcher })
+}
+
+// reportReady makes a server report that it is ready in a group.
+func (f *fixture) reportReady(group fuchsiapitch.GroupID, id fuchsiapitch.ServerID) {
+	g, _ := f.speculative.Group(group)
+	f.ServerReported(newInstant(0, 0), newEngineStatus(id, g, fuchsiapitch.WithReady()))
+}
+
+// assertServesOnceReported checks that the only group, of s1 and s2, takes requests once
+// both have reported, and no longer after a silence.
+func assertServesOnceReported(t *testing.T, f *fixture) {
+	t.Helper()
+	now := newInstant(0, 0)
+	f.reportReady("g", "s1")
+	f.reportReady("g", "s2")
+	f.assertReplicas(t, 1)
+	assertEqual(t, f.RoutableReplicas(now)[0].Slots(), 16, "slots after")
+	f.ServerUnresponsive(now, "s2")
+	assertEqual(t, len(f.RoutableReplicas(now)), 0, "replicas after a silence")
+}
+
 func TestReplicas(t *testing.T) {
-	t.Run("a new group has no slots until its members report", func(t *testing.T) {
+	assign := newRenewal("b", 2, 3, newAssign("g", "s1", "s2"))
+	newServingFixture := func() *fixture {
 		f := newSuccessorFixture(true)
-		f.appendRecords(newRenewal("b", 2, 3, newAssign("g", "s1", "s2")))
-		g, _ := f.Committed().Group("g")
 		f.Configure(fuchsiapitch.NewConfiguration(1, 1, []fuchsiapitch.Service{newModelService("redactor", 1, 2)}, nil, nil))
-		now := newInstant(0, 0)
-		assertEqual(t, f.RoutableReplicas(now)[0].Slots(), 0, "slots before")
-		f.ServerReported(now, newEngineStatus("s1", g, fuchsiapitch.WithReady()))
-		f.ServerReported(now, newEngineStatus("s2", g, fuchsiapitch.WithReady()))
-		assertEqual(t, f.RoutableReplicas(now)[0].Slots(), 16, "slots after")
-		f.ServerUnresponsive(now, "s2")
-		assertEqual(t, len(f.RoutableReplicas(now)), 0, "replicas after a silence")
+		return f
+	}
+	t.Run("a new group is not routable until its members report", func(t *testing.T) {
+		f := newServingFixture()
+		f.appendRecords(assign)
+		f.assertReplicas(t, 0)
+		f.reportReady("g", "s1")
+		f.assertReplicas(t, 0)
+		assertServesOnceReported(t, f)
+	})
+	t.Run("nor is one that is not in the stream yet", func(t *testing.T) {
+		f := newServingFixture()
+		f.PendingRecordsReceived([]Record{assign})
+		f.assertReplicas(t, 0)
+		f.appendRecords(assign)
+		f.assertReplicas(t, 0)
+		assertServesOnceReported(t, f)
+	})
+	t.Run("nor is one with a new member", func(t *testing.T) {
+		f := newServingFixture()
+		f.appendRecords(newRenewal("b", 2, 3, newAssign("g", "s1")))
+		f.reportReady("g", "s1")
+		f.assertReplicas(t, 1)
+		f.appendRecords(newRenewal("b", 2, 4, newAssign("g", "s2", "s1")))
+		f.assertReplicas(t, 0)
+		assertServesOnceReported(t, f)
+	})
+	t.Run("a group of another dispatcher has no slots here until its members report", func(t *testing.T) {
+		f := newServingFixture()
+		f.setDispatcher(false)
+		f.appendRecords(assign)
+		f.setDispatcher(true)
+		f.assertReplicas(t, 1)
+		assertEqual(t, f.RoutableReplicas(newInstant(0, 0))[0].Slots(), 0, "slots before")
+		assertServesOnceReported(t, f)
+	})
+	t.Run("a group that this host passed to another dispatcher has none either", func(t *testing.T) {
+		f := newServingFixture()
+		f.appendRecords(assign)
+		f.setDispatcher(false)
+		f.setDispatcher(true)
+		f.assertReplicas(t, 1)
+		assertEqual(t, f.RoutableReplicas(newInstant(0, 0))[0].Slots(), 0, "slots before")
+		assertServesOnceReported(t, f)
+	})
+	t.Run("nor has a group from before the start of this host", func(t *testing.T) {
+		f := newFixture("s1", "s2")
+		f.appendRecords(newJoin("b"), newClaim("b", 0), newRenewal("b", 2, 1, newAssign("g", "s1", "s2")), newJoin("a"))
+		f.assertReplicas(t, 1)
+		assertEqual(t, f.RoutableReplicas(newInstant(0, 0))[0].Slots(), 0, "slots before")
+		assertServesOnceReported(t, f)
 	})
 }
 
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -60,24 +60,7 @@
 	return cluster, fleet
 }
 
-// sendWithRetry sends a request and retries it for up to one minute if it was not run
-// because no replica was available. A group that has just been planned counts as
-// routable until its members report for the first time, and then not until it is
-// whole. A request that arrives in between is refused as not run.
-func sendWithRetry(t *testing.T, method, url, key, body string, header ...string) (int, http.Header, string) {
-	t.Helper()
-	deadline := time.Now().Add(time.Minute)
-	for {
-		status, responseHeader, content := sendOnce(t, method, url, key, body, header...)
-		noReplica := status == http.StatusServiceUnavailable && responseHeader.Get("X-Request-Outcome") == "not-run"
-		if !noReplica || time.Now().After(deadline) {
-			return status, responseHeader, content
-		}
-		time.Sleep(pollInterval)
-	}
-}
-
-func sendOnce(t *testing.T, method, url, key, body string, header ...string) (int, http.Header, string) {
+func send(t *testing.T, method, url, key, body string, header ...string) (int, http.Header, string) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
 	assertNoError(t, err, "create the request")
@@ -105,7 +88,7 @@
 	t.Run("a chat stream is complete through every entry host", func(t *testing.T) {
 		for _, h := range cluster.Hosts() {
 			for range 4 {
-				status, header, body := sendWithRetry(t, "POST", h.URL()+"/v1/chat/completions", testAPIKey,
+				status, header, body := send(t, "POST", h.URL()+"/v1/chat/completions", testAPIKey,
 					`{"model":"vidrio-llm","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hi"}]}`)
 				assertStatus(t, status, http.StatusOK, body)
 				if got := strings.Count(body, "\nid: ") + 1; got != 8 || !strings.HasSuffix(body, "data: [DONE]\n\n") {
@@ -118,7 +101,7 @@
 		}
 	})
 	t.Run("a plain completion succeeds", func(t *testing.T) {
-		status, header, body := sendWithRetry(t, "POST", cluster.Hosts()[1].URL()+"/v1/completions", testAPIKey,
+		status, header, body := send(t, "POST", cluster.Hosts()[1].URL()+"/v1/completions", testAPIKey,
 			`{"model":"vidrio-llm","max_tokens":4,"prompt":"hi"}`)
 		assertStatus(t, status, http.StatusOK, body)
 		if got := header.Get("X-Request-Outcome"); got != "succeeded" {
@@ -126,7 +109,7 @@
 		}
 	})
 	t.Run("a booking runs once", func(t *testing.T) {
-		status, _, body := sendWithRetry(t, "POST", cluster.Hosts()[2].URL()+"/services/taller-app/bookings", testAPIKey,
+		status, _, body := send(t, "POST", cluster.Hosts()[2].URL()+"/services/taller-app/bookings", testAPIKey,
 			`{"reference":"b-1"}`, "Content-Type", "application/json")
 		assertStatus(t, status, http.StatusCreated, body)
 		if got := fleet.Ledger().RunCount("b-1"); got != 1 {
@@ -145,7 +128,7 @@
 			{"/v1/chat/completions", testAPIKey, `{"model":"` + strings.Repeat("x", 9<<20) + `"}`, http.StatusRequestEntityTooLarge},
 			{"/services/absent/x", testAPIKey, ``, http.StatusNotFound},
 		} {
-			status, header, body := sendWithRetry(t, "POST", base+c.path, c.key, c.body)
+			status, header, body := send(t, "POST", base+c.path, c.key, c.body)
 			assertStatus(t, status, c.want, body)
 			if got := header.Get("X-Request-Outcome"); got != "not-run" {
 				t.Errorf("got outcome %q, want not-run", got)
--- a/internal/launcher/trace_test.go
+++ b/internal/launcher/trace_test.go
@@ -25,7 +25,7 @@
 	provider := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spanRecorder))
 	cluster, _ := startCluster(t, WithHostOptions(assembler.WithTracer(provider.Tracer("test"))))
 	for _, h := range cluster.Hosts() {
-		status, _, body := sendWithRetry(t, "POST", h.URL()+"/v1/completions", testAPIKey,
+		status, _, body := send(t, "POST", h.URL()+"/v1/completions", testAPIKey,
 			`{"model":"vidrio-llm","max_tokens":2,"prompt":"hi"}`, "Traceparent", testTraceParent)
 		assertStatus(t, status, http.StatusOK, body)
 	}
