coordinator: a server silent for 6 s no longer holds its domain unsettled

While the store was away for the controller, servers that remained after a loss and were too few for their model stayed unused until the store was back (TestStoreAwayForLeader: "got no repaired group within 1m0s", 1 of 240 runs, when the start had put both groups of the large model into one domain). They should form a group of a smaller model after strandedTimeout.

Cause: that wait begins when the domain is settled, and isDomainSettled waited for every listed server to respond or to leave the list. A controller that cannot read the list never sees a server leave it.

A server now holds its domain unsettled for returnTimeout (6 s) after its first failed call. strandedTimeout, which has the same length, is longer than a restart takes, so a server that is silent for longer does not come back by a restart within the wait after it. With the store there, a server that has ended leaves the list sooner, after three missed reports, so that little changes. If the server does respond again, the domain is unsettled and the wait starts anew, as before. The group forms 12 s after the loss is found: 6 s and 6 s.

TestSurvivorsAreNotStrandedWithoutStore (list frozen) failed before: "got open groups map[] in d0, want 0 large and 1 small". The second test keeps a domain waiting for a server that returns after 5 s and after 9 s; it passed before.

--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -34,6 +34,8 @@
 	recoveredAt time.Duration
 	// consecutiveFailures is the number of calls in a row that got no response.
 	consecutiveFailures int
+	// silentSince is when the first of these calls failed.
+	silentSince time.Duration
 	// replaced is true if the known incarnation has ended, because another one responds
 	// at its address. That may be the next incarnation of this server or another
 	// server; only the list shows which.
@@ -318,6 +320,9 @@
 
 // recordFailure counts a call that got no response from a server.
 func (c *Coordinator) recordFailure(now time.Duration, s *server) {
+	if s.consecutiveFailures == 0 {
+		s.silentSince = now
+	}
 	s.consecutiveFailures++
 	s.needsProbe = true
 	s.nextProbeAt = now + failedProbeInterval
--- a/internal/coordinator/form.go
+++ b/internal/coordinator/form.go
@@ -34,12 +34,19 @@
 // Servers appear on the list one after the other.
 const settleDuration = time.Second
 
+// returnTimeout is how long a domain waits for a listed server that does not respond. It
+// exceeds the time in which a server restarts. A server that has ended leaves the list
+// sooner, unless the store is away.
+const returnTimeout = strandedTimeout
+
 // isDomainSettled reports whether the servers of a domain have been listed and
 // responsive for settleDuration, so that all of them are likely to be known and usable.
+// A server that has been silent for returnTimeout is not waited for.
 func (c *Coordinator) isDomainSettled(now time.Duration, servers []*server) bool {
 	for _, s := range servers {
 		recovering := s.recoveredAt > 0 && now-s.recoveredAt < settleDuration
-		if s.listed && (now-s.listedAt < settleDuration || recovering || s.consecutiveFailures > 0) {
+		mayReturn := s.consecutiveFailures > 0 && now-s.silentSince < returnTimeout
+		if s.listed && (now-s.listedAt < settleDuration || recovering || mayReturn) {
 			return false
 		}
 	}
--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -208,6 +208,50 @@
 	assertOpenGroups(t, sm, "d0", 0, 1)
 }
 
+// loseStore makes the list show the servers of now until the end of the simulation, in
+// the middle of the traffic.
+func (sm *simulation) loseStore() {
+	sm.coordinators[0].hasReceivedRequests = true
+	sm.frozenList, sm.listFrozenUntil = sm.serverList(), sm.now+time.Hour
+}
+
+// The same holds while the store is away, so that the lost servers stay on the list.
+func TestSurvivorsAreNotStrandedWithoutStore(t *testing.T) {
+	sm := newSimulation(1)
+	sm.startController()
+	sm.run(12 * time.Second)
+	assertOpenGroups(t, sm, "d0", 1, 1)
+	sm.loseStore()
+	sm.killMostServers("d0")
+	sm.suspectAllServers(int(strandedTimeout / time.Second))
+	assertOpenGroups(t, sm, "d0", 0, 0)
+	sm.suspectAllServers(int((simulatedListExpiry + 6*time.Second) / time.Second))
+	assertOpenGroups(t, sm, "d0", 0, 1)
+}
+
+// Free servers must wait for a lost server that the platform brings back while the store
+// is away.
+func TestSurvivorsWaitForLostServerWithoutStore(t *testing.T) {
+	for _, awayTime := range []time.Duration{returnTimeout - time.Second, returnTimeout + strandedTimeout/2} {
+		t.Run(awayTime.String(), func(t *testing.T) {
+			sm := newSimulation(1)
+			sm.startController()
+			sm.run(12 * time.Second)
+			sm.loseStore()
+			sm.killServers("d0", "", 2)
+			for _, e := range sm.engines {
+				if e.domain == "d0" && e.model == "large" && rankOf(e.members, e.id) == 1 && len(e.members) == 6 {
+					e.isolatedUntil = sm.now + awayTime
+				}
+			}
+			sm.suspectAllServers(int(awayTime / time.Second))
+			assertOpenGroups(t, sm, "d0", 0, 1)
+			sm.suspectAllServers(3)
+			assertOpenGroups(t, sm, "d0", 1, 1)
+		})
+	}
+}
+
 // Free servers that are too few for the model that lacks groups must stay spares if the
 // requests are for that model.
 func TestSurvivorsStaySpares(t *testing.T) {
