relayer: a cut body is never delivered as complete

A request for a stream whose server answered with something else of more than 16 MiB got the first 16 MiB with status 200, a matching Content-Length and the server's signature, as if that were the whole response. deliverNonStream read through a LimitReader and did not look whether anything was left. Requests whose responses are buffered had that check.

Both now read a body in readBody, which returns a ResponseTooLargeError beyond 16 MiB. Such an attempt has failed after the request may have run: 502, or the next server where the route may be resumed. A body that breaks off keeps its own error instead of "no stream", so that a passed deadline is a 504 and the log says why.

TestEndlessResponseToStreamRequest failed for all three kinds of endless body (with a length, in chunks, without a length), at resumable and other routes: "got status 200 and bytes, want status 502", and where another server had the stream: "got status 200 and bytes, want status 200 and "id: 1\ndata: a\n\n"".

Ruled out, with tests that passed before: for requests that run once and for idempotent ones, endless status lines, header lines, informational responses, chunk sizes, chunk extensions, trailers and bodies were 502 or replaced by the next server, with the connection closed; for streams also endless events, before the first complete event and after it. The test codec drops Content-Length from a server's header, as the real one does.

--- /dev/null
+++ b/internal/relayer/endless_test.go
@@ -0,0 +1,238 @@
+package relayer
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+const (
+	// signedHead starts a response to request r1 that would be valid.
+	signedHead = "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\n"
+	// chunkedHead is the complete header of a chunked response to request r1.
+	chunkedHead = signedHead + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// endlessResponse is a response that starts with bytes and then repeats a block until
+// the connection is closed.
+type endlessResponse struct{ start, block string }
+
+// endlessHeads are responses whose header never ends, or whose body is never valid.
+var endlessHeads = map[string]endlessResponse{
+	"bytes":           {"", "x"},
+	"status line":     {"HTTP/1.1 200 ", "x"},
+	"header line":     {signedHead + "Long: ", "x"},
+	"header lines":    {signedHead, "A: b\r\n"},
+	"early responses": {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+	"chunk size":      {chunkedHead, "0"},
+	"chunk extension": {chunkedHead + "1;", "x"},
+	"extensions":      {chunkedHead, "1;" + strings.Repeat("x", 1000) + "\r\ny\r\n"},
+	"trailer line":    {chunkedHead + "0\r\nA: ", "x"},
+	"trailers":        {chunkedHead + "0\r\n", "A: b\r\n"},
+}
+
+// endlessBodies are responses whose body never ends.
+var endlessBodies = map[string]endlessResponse{
+	"body with a length":    {signedHead + "Content-Length: 9000000000000\r\n\r\n", "x"},
+	"body in chunks":        {chunkedHead, "4\r\nxxxx\r\n"},
+	"body without a length": {signedHead + "\r\n", "x"},
+}
+
+// endlessServer sends endless responses and counts its connections.
+type endlessServer struct {
+	endlessResponse
+	requests atomic.Int32
+	closed   sync.WaitGroup
+}
+
+// ServeHTTP sends the response until the connection is closed.
+func (s *endlessServer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	s.requests.Add(1)
+	s.closed.Add(1)
+	defer s.closed.Done()
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	block := []byte(strings.Repeat(s.block, 1+(32<<10)/len(s.block)))
+	if _, err = io.WriteString(c, s.start); err != nil {
+		return
+	}
+	for err == nil {
+		_, err = c.Write(block)
+	}
+}
+
+// A request that may run at most once gets 502 when the response does not end, and the
+// connection to the server is closed.
+func TestEndlessResponse(t *testing.T) {
+	test := func(name string, e endlessResponse) {
+		t.Run(name, func(t *testing.T) {
+			s := &endlessServer{endlessResponse: e}
+			response, _, err := sendAndRead(t, newTestRelayer(t, s.ServeHTTP)+"/once/x", "b")
+			if err != nil {
+				t.Fatal(err)
+			}
+			assertStatus(t, response, http.StatusBadGateway)
+			s.closed.Wait()
+			if got := s.requests.Load(); got != 1 {
+				t.Errorf("got %d requests at the server, want 1", got)
+			}
+		})
+	}
+	for name, e := range endlessHeads {
+		test(name, e)
+	}
+	for name, e := range endlessBodies {
+		test(name, e)
+	}
+}
+
+// An idempotent request whose response does not end gets the response of another server.
+func TestEndlessResponseIsReplaced(t *testing.T) {
+	test := func(name string, e endlessResponse) {
+		t.Run(name, func(t *testing.T) {
+			s := &endlessServer{endlessResponse: e}
+			endlessOnce := func(w http.ResponseWriter, r *http.Request) {
+				if s.requests.Load() == 0 {
+					s.ServeHTTP(w, r)
+					return
+				}
+				succeed(w, r)
+			}
+			response, body, err := sendAndRead(t, newTestRelayer(t, endlessOnce, endlessOnce)+"/look/x", "b")
+			if err != nil {
+				t.Fatal(err)
+			}
+			assertStatus(t, response, http.StatusOK)
+			if got, want := body, "whole b"; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+			s.closed.Wait()
+		})
+	}
+	for name, e := range endlessHeads {
+		test(name, e)
+	}
+	for name, e := range endlessBodies {
+		test(name, e)
+	}
+}
+
+// endlessEvents are streams whose first event never ends.
+var endlessEvents = map[string]endlessResponse{
+	"event without a line end":    {signedHead + "Content-Type: text/event-stream\r\n\r\n", "x"},
+	"event without an empty line": {signedHead + "Content-Type: text/event-stream\r\n\r\n", "data: x\n"},
+	"event in chunks":             {signedHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+	"event with a length":         {signedHead + "Content-Type: text/event-stream\r\nContent-Length: 9000000000000\r\n\r\n", "x"},
+}
+
+// eventStream responds with a stream of one event.
+func eventStream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Signed", "1")
+	w.Header().Set("Content-Type", "text/event-stream")
+	io.WriteString(w, "id: 1\ndata: a\n\n")
+}
+
+// A request for a stream gets 502 if the response of every server does not end, and the
+// stream of another server if there is one. No part of an endless response is delivered.
+func TestEndlessResponseToStreamRequest(t *testing.T) {
+	test := func(name string, e endlessResponse) {
+		t.Run(name, func(t *testing.T) {
+			first, second := &endlessServer{endlessResponse: e}, &endlessServer{endlessResponse: e}
+			response, body, err := sendAndRead(t, newTestRelayer(t, first.ServeHTTP, second.ServeHTTP)+"/stream/x", "p")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, want := response.StatusCode, http.StatusBadGateway; got != want {
+				t.Errorf("got status %d and %d bytes, want status %d", got, len(body), want)
+			}
+			first.closed.Wait()
+			second.closed.Wait()
+		})
+		t.Run(name+", not resumable", func(t *testing.T) {
+			s := &endlessServer{endlessResponse: e}
+			response, body, err := sendAndRead(t, newTestRelayer(t, s.ServeHTTP, s.ServeHTTP)+"/one-stream/x", "p")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, want := response.StatusCode, http.StatusBadGateway; got != want {
+				t.Errorf("got status %d and %d bytes, want status %d", got, len(body), want)
+			}
+			s.closed.Wait()
+			if got := s.requests.Load(); got != 1 {
+				t.Errorf("got %d requests at the servers, want 1", got)
+			}
+		})
+		t.Run(name+", resumed", func(t *testing.T) {
+			s := &endlessServer{endlessResponse: e}
+			endlessOnce := func(w http.ResponseWriter, r *http.Request) {
+				if s.requests.Load() == 0 {
+					s.ServeHTTP(w, r)
+					return
+				}
+				eventStream(w, r)
+			}
+			response, body, err := sendAndRead(t, newTestRelayer(t, endlessOnce, endlessOnce)+"/stream/x", "p")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, want := body, "id: 1\ndata: a\n\n"; got != want || response.StatusCode != http.StatusOK {
+				t.Errorf("got status %d and %d bytes, want status 200 and %q", response.StatusCode, len(got), want)
+			}
+			s.closed.Wait()
+		})
+	}
+	for _, cases := range []map[string]endlessResponse{endlessHeads, endlessBodies, endlessEvents} {
+		for name, e := range cases {
+			test(name, e)
+		}
+	}
+}
+
+// A stream in which an event does not end is resumed after the last complete event. If
+// it does not end at any server, the connection to the client is aborted.
+func TestEndlessEventInStream(t *testing.T) {
+	for name, e := range endlessEvents {
+		if strings.Contains(e.start, "chunked") {
+			e.start += "f\r\nid: 1\ndata: a\n\n\r\n"
+		} else {
+			e.start += "id: 1\ndata: a\n\n"
+		}
+		t.Run(name, func(t *testing.T) {
+			first, second := &endlessServer{endlessResponse: e}, &endlessServer{endlessResponse: e}
+			_, body, err := sendAndRead(t, newTestRelayer(t, first.ServeHTTP, second.ServeHTTP)+"/stream/x", "p")
+			if err == nil {
+				t.Errorf("got a complete response of %d bytes, want an aborted one", len(body))
+			}
+			first.closed.Wait()
+			second.closed.Wait()
+		})
+		t.Run(name+", resumed", func(t *testing.T) {
+			s := &endlessServer{endlessResponse: e}
+			endlessOnce := func(w http.ResponseWriter, r *http.Request) {
+				if s.requests.Load() == 0 {
+					s.ServeHTTP(w, r)
+					return
+				}
+				if got, want := r.Header.Get("Last"), "1"; got != want {
+					t.Errorf("got stream resumed after event %q, want %q", got, want)
+				}
+				w.Header().Set("Id", "r1")
+				w.Header().Set("Signed", "1")
+				w.Header().Set("Content-Type", "text/event-stream")
+				io.WriteString(w, "id: 2\ndata: b\n\n")
+			}
+			_, body, err := sendAndRead(t, newTestRelayer(t, endlessOnce, endlessOnce)+"/stream/x", "p")
+			if got, want := body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"; got != want || err != nil {
+				t.Errorf("got %d bytes and %v, want %q", len(got), err, want)
+			}
+			s.closed.Wait()
+		})
+	}
+}
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 // maxUnsentAttempts is the number of attempts beyond the limit of the route that may
@@ -63,11 +64,7 @@
 		x.releaseFailed(slot, response, outcome)
 		return nil, outcome, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	response.Body.Close()
-	if err == nil && len(body) > maxBufferedBytes {
-		err = &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "too large"}
-	}
+	body, err := readBody(response)
 	slot.Release(err != nil, "")
 	if err != nil || response.StatusCode >= http.StatusInternalServerError {
 		x.failedServers = append(x.failedServers, slot.Server())
@@ -78,6 +75,20 @@
 	return &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}, fuchsiapitch.OutcomeSucceeded, nil
 }
 
+// readBody reads the complete body of a response and closes it. Its error is a
+// sender.ResponseTooLargeError if the body exceeds maxBufferedBytes.
+func readBody(response *http.Response) ([]byte, error) {
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxBufferedBytes {
+		return nil, &sender.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
+	}
+	return body, nil
+}
+
 // deliver forwards a complete response to the client. A status from which the client
 // would conclude that the request was not run is replaced by 502, because the server
 // has not confirmed that.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -38,7 +38,11 @@
 	return fuchsiapitch.ResponseMetadata{Request: fuchsiapitch.RequestID(h.Get("Id")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
 }
 
-func (fakeHeaderCodec) ResponseHeader(h http.Header) http.Header { return h.Clone() }
+func (fakeHeaderCodec) ResponseHeader(h http.Header) http.Header {
+	out := h.Clone()
+	out.Del("Content-Length")
+	return out
+}
 
 func (fakeHeaderCodec) SetErrorHeader(h http.Header, _ fuchsiapitch.RequestID, _ time.Duration) {
 	h.Set("Own", "1")
@@ -90,8 +94,11 @@
 			Timeout: 10 * time.Second, LatencyTarget: 5 * time.Second, Resumable: kind == fuchsiapitch.StreamRoute,
 		}
 	}
+	oneStream := route("/one-stream/", fuchsiapitch.StreamRoute, 2)
+	oneStream.Resumable = false
 	routes := fuchsiapitch.NewRouteTable(1, []fuchsiapitch.HostRoute{
 		route("/once/", fuchsiapitch.AtMostOnceRoute, 1), route("/look/", fuchsiapitch.IdempotentRoute, 2), route("/stream/", fuchsiapitch.StreamRoute, 2),
+		oneStream,
 	}, []fuchsiapitch.ServiceProfile{{Name: "desk"}}, map[string]fuchsiapitch.Principal{"k": {Customer: "c"}}, true, fuchsiapitch.ClientLimits{BodyBytes: 100, HeaderBytes: 2000})
 	r.Configure(routes)
 	d.Apply(coordinator.ConfigurationChanged{Routes: routes})
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -83,7 +83,8 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK || !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		return x.deliverNonStream(slot, response, p)
+		outcome, err = x.deliverNonStream(slot, response, p)
+		return outcome, cancellationCause(ctx, err)
 	}
 	err = x.forwardEvents(slot, response, p)
 	var clientGone *clientGoneError
@@ -96,9 +97,12 @@
 	return fuchsiapitch.OutcomeSucceeded, nil
 }
 
-// cancellationCause returns the cause of the cancellation of a context if one was
-// given, and err otherwise.
+// cancellationCause returns the cause of the cancellation of a context if an operation
+// failed and a cause was given, and err otherwise.
 func cancellationCause(ctx context.Context, err error) error {
+	if err == nil {
+		return nil
+	}
 	if c := context.Cause(ctx); c != nil && !errors.Is(c, context.Canceled) {
 		return c
 	}
@@ -106,13 +110,16 @@
 }
 
 // deliverNonStream forwards a response that is not a stream. It returns an error
-// instead if the body cannot be read, if the client has received part of a stream, or
-// if the status is 5xx and the request may be sent again.
+// instead if the body cannot be read or is too large, if the client has received part
+// of a stream, or if the status is 5xx and the request may be sent again.
 func (x *exchange) deliverNonStream(slot *driver.Slot, response *http.Response, p *streamProgress) (fuchsiapitch.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	body, err := readBody(response)
 	slot.Release(true, "")
 	x.failedServers = append(x.failedServers, slot.Server())
-	if err != nil || p.headerSent || response.StatusCode >= http.StatusInternalServerError && x.sendCount < x.route.AttemptLimit {
+	if err != nil {
+		return fuchsiapitch.OutcomeUnknown, err
+	}
+	if p.headerSent || response.StatusCode >= http.StatusInternalServerError && x.sendCount < x.route.AttemptLimit {
 		return fuchsiapitch.OutcomeUnknown, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "no stream"}
 	}
 	x.deliver(&bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
