relayer: a response that is cut off is logged

If the response of one server exceeded a bound and another server answered the request, nothing was logged: the error of a failed attempt appears only in the line of a request that fails. An operator could not see which server sends bytes without an end.

A failed attempt with a ResponseTooLargeError now writes the warning "answer cut off" with request, route, server, part and bound.

TestCutResponseIsLogged failed before for a header, a body, and a body to a request for a stream: the log had only the line "response delivered".

--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -67,6 +68,33 @@
 	}
 }
 
+// lockedBuffer is a buffer for the log of a relayer.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+// text returns what was written so far.
+func (b *lockedBuffer) text() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+func assertLogged(t *testing.T, logs *lockedBuffer, want string) {
+	t.Helper()
+	if got := logs.text(); !strings.Contains(got, want) {
+		t.Errorf("got log %q, want a line with %q", got, want)
+	}
+}
+
 // A request that may run at most once gets 502 when the response does not end, and the
 // connection to the server is closed.
 func TestEndlessResponse(t *testing.T) {
@@ -236,3 +264,35 @@
 		})
 	}
 }
+
+// A response that is cut off is logged with its server and the size limit, also if
+// another server responds then.
+func TestCutResponseIsLogged(t *testing.T) {
+	for name, c := range map[string]struct {
+		endlessResponse
+		path, want string
+	}{
+		"header":                   {endlessHeads["header lines"], "/look/x", "response header exceeds 65536 bytes"},
+		"body":                     {endlessBodies["body in chunks"], "/look/x", "response body exceeds 16777216 bytes"},
+		"body to a stream request": {endlessBodies["body in chunks"], "/stream/x", "response body exceeds 16777216 bytes"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			logs := new(lockedBuffer)
+			s := &endlessServer{endlessResponse: c.endlessResponse}
+			endlessOnce := func(w http.ResponseWriter, r *http.Request) {
+				if s.requests.Load() == 0 {
+					s.ServeHTTP(w, r)
+					return
+				}
+				eventStream(w, r)
+			}
+			response, _, err := sendAndRead(t, newLoggedTestRelayer(t, logs, endlessOnce, endlessOnce)+c.path, "b")
+			if err != nil {
+				t.Fatal(err)
+			}
+			assertStatus(t, response, http.StatusOK)
+			assertLogged(t, logs, "answer cut off: "+c.want)
+			assertLogged(t, logs, `"server":"`)
+		})
+	}
+}
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -32,6 +32,7 @@
 			continue
 		}
 		lastErr = err
+		x.logIfTooLarge(err)
 		if outcome != fuchsiapitch.OutcomeNotRun && x.route.Kind != fuchsiapitch.IdempotentRoute {
 			break
 		}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -408,6 +409,17 @@
 		Int64("after-ms", time.Since(x.receivedAt).Milliseconds()).Msg(message)
 }
 
+// logIfTooLarge logs a failed attempt whose response exceeded a size limit. Another
+// attempt may succeed, after which nothing else is logged about this one.
+func (x *exchange) logIfTooLarge(err error) {
+	tooLarge, ok := errors.AsType[*sender.ResponseTooLargeError](err)
+	if !ok {
+		return
+	}
+	x.relayer.log.Warn().Str("request", string(x.metadata.ID)).Str("route", x.route.Name).
+		Str("server", string(x.failedServers[len(x.failedServers)-1])).Msg("answer cut off: " + tooLarge.Error())
+}
+
 // fail responds to a request for which no server returned a usable response.
 func (x *exchange) fail(err error) {
 	var rejected *driver.AdmissionError
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -50,6 +50,7 @@
 			return
 		}
 		lastErr = err
+		x.logIfTooLarge(err)
 		if x.ctx.Err() != nil || outcome != fuchsiapitch.OutcomeNotRun && !x.route.Resumable {
 			break
 		}
