relayer: an endless event names its bound

A stream in which an event grows beyond 1 MiB was broken off or resumed as it should, but as a ResponseError "event too large", which names no bound and left no line in the log when the stream was resumed. It is a ResponseTooLargeError now, like a header or a body that is cut off.

The case "event" of TestCutResponseIsLogged failed before with an empty log.

--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -274,6 +274,7 @@
 	}{
 		"header":                   {endlessHeads["header lines"], "/look/x", "response header exceeds 65536 bytes"},
 		"body":                     {endlessBodies["body in chunks"], "/look/x", "response body exceeds 16777216 bytes"},
+		"event":                    {endlessEvents["event without an empty line"], "/stream/x", "response event exceeds 1048576 bytes"},
 		"body to a stream request": {endlessBodies["body in chunks"], "/stream/x", "response body exceeds 16777216 bytes"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -171,7 +172,7 @@
 		}
 		if buffered == len(buffer) {
 			if buffered >= maxEventBytes {
-				return &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "event too large"}
+				return &sender.ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes}
 			}
 			buffer = append(buffer, make([]byte, buffered)...)
 		}
