sender: an endless event names its bound

An event of a token stream that grew beyond 1 MiB ended the stream as truncated, which is right, but nothing told it from a server that broke off. The TruncatedResponseError is now within a ResponseTooLargeError that names the event and its bound. TestStream/endless_event holds unchanged.

TestEndlessEvent failed before for events without a line end and without an empty line: "response to request r1 was truncated after 1 tokens, want a ResponseTooLargeError". Ruled out by TestEndlessChunkedBody, which passed before: endless chunk sizes, chunk extensions and trailers end a body as an UnreachableError and close the connection.

--- a/internal/sender/endless_test.go
+++ b/internal/sender/endless_test.go
@@ -46,8 +46,8 @@
 	if !errors.As(err, &tooLarge) {
 		t.Fatalf("got error %v, want a ResponseTooLargeError", err)
 	}
-	if want := (sender.ResponseTooLargeError{Part: part, LimitBytes: limitBytes}); *tooLarge != want {
-		t.Errorf("got %+v, want %+v", *tooLarge, want)
+	if tooLarge.Part != part || tooLarge.LimitBytes != limitBytes {
+		t.Errorf("got a %s of over %d bytes, want a %s of over %d", tooLarge.Part, tooLarge.LimitBytes, part, limitBytes)
 	}
 }
 
@@ -84,3 +84,43 @@
 		})
 	}
 }
+
+// A body with an endless chunk size or endless trailers breaks off, and the connection is
+// closed.
+func TestEndlessChunkedBody(t *testing.T) {
+	for name, e := range map[string]endlessResponse{
+		"chunk size":      {chunkedHeader, "0"},
+		"chunk extension": {chunkedHeader + "1;", "x"},
+		"extensions":      {chunkedHeader, "1;" + strings.Repeat("x", 1000) + "\r\ny\r\n"},
+		"trailer line":    {chunkedHeader + "0\r\nA: ", "x"},
+		"trailers":        {chunkedHeader + "0\r\n", "A: b\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, closed := startEndlessServer(t, e)
+			response, err := newTestSender(t).Call(context.Background(), server, newBookingCall("r1"))
+			assertNoError(t, err, "call")
+			_, _, err = readAll(response)
+			assertType[*fuchsiapitch.UnreachableError](t, err)
+			<-closed
+		})
+	}
+}
+
+// An event of more than 1 MiB ends its stream as broken, and the connection is closed.
+// The events before it are returned.
+func TestEndlessEvent(t *testing.T) {
+	for name, block := range map[string]string{"without a line end": "x", "without an empty line": "data: x\n"} {
+		t.Run(name, func(t *testing.T) {
+			server, closed := startEndlessServer(t, endlessResponse{streamHeader + tokenEvent("r1", 1), block})
+			response, err := newTestSender(t).Call(context.Background(), server, newBookingCall("r1", fuchsiapitch.WithStream(0)))
+			assertNoError(t, err, "call")
+			text, tokens, err := readAll(response)
+			assertTooLarge(t, err, "event", 1<<20)
+			assertType[*fuchsiapitch.TruncatedResponseError](t, err)
+			if text != tokenEvent("r1", 1) || tokens != 1 {
+				t.Errorf("got %d bytes and %d tokens, want the first event", len(text), tokens)
+			}
+			<-closed
+		})
+	}
+}
--- a/internal/sender/failure.go
+++ b/internal/sender/failure.go
@@ -21,13 +21,22 @@
 	Part string
 	// LimitBytes is the size limit in bytes.
 	LimitBytes int64
+	// Err says what was received before, nil if that is nothing.
+	Err error
 }
 
 // Error implements error.
 func (e *ResponseTooLargeError) Error() string {
-	return fmt.Sprintf("response %s exceeds %d bytes", e.Part, e.LimitBytes)
+	text := fmt.Sprintf("response %s exceeds %d bytes", e.Part, e.LimitBytes)
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
 }
 
+// Unwrap returns the underlying error.
+func (e *ResponseTooLargeError) Unwrap() error { return e.Err }
+
 // DeadlinePassedError reports that the deadline of a call passed on the monotonic
 // or the wall clock before its first byte was written.
 type DeadlinePassedError struct {
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -166,7 +166,8 @@
 	b.unreadStart = 0
 	if b.unreadEnd == len(b.buffer) {
 		if len(b.buffer) >= maxEventBytes {
-			b.fail(&fuchsiapitch.TruncatedResponseError{Request: b.exchange.call.Request(), Tokens: b.lastTokenNumber})
+			truncated := &fuchsiapitch.TruncatedResponseError{Request: b.exchange.call.Request(), Tokens: b.lastTokenNumber}
+			b.fail(&ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes, Err: truncated})
 			return
 		}
 		b.buffer = append(b.buffer, make([]byte, len(b.buffer))...)
