forwarder: only a stream is delivered as a stream

A caller that asked for a token stream and whose engine answered with something else (status 200, no text/event-stream) got those bytes as they came: without an end until the deadline, and when they broke off, followed by an error event in an HTTP response that ends as complete. A stream that was resumed at such an engine got the foreign bytes behind its events and ended as succeeded.

copyResponse took every response with status 200 for the stream. It now looks at the media type, as the sender does. Anything else is buffered until it is complete, and never follows events that were sent. As the response to a request for a stream cannot be cut visibly, one of 1 MiB or more fails the attempt with a ResponseTooLargeError before anything is sent, error statuses included. Responses to other requests are still passed on in parts beyond 1 MiB and aborted when they break off.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 // runAttempt sends the request to a replica, copies the response to the sink and
@@ -104,7 +105,7 @@
 // copyResponse copies a response to the sink and closes its body.
 func (h *requestHandler) copyResponse(ctx context.Context, response fuchsiapitch.BackendResponse, reporter *progressReporter) error {
 	defer response.Body().Close()
-	if h.request.Streaming() && isStreamStatus(response.Status()) {
+	if h.request.Streaming() && isTokenStream(response) {
 		return h.copyTokenStream(ctx, response, reporter)
 	}
 	return h.copyBuffered(ctx, response)
@@ -129,7 +130,8 @@
 
 // copyBuffered buffers a response until it is complete, so that another attempt can
 // replace a truncated one. A response of maxBufferedBytes or more is passed to the
-// sink in parts.
+// sink in parts, unless the request is for a token stream: the sink then could not
+// show the client that the response is not complete.
 func (h *requestHandler) copyBuffered(ctx context.Context, response fuchsiapitch.BackendResponse) error {
 	if h.headerSent {
 		return &fuchsiapitch.TruncatedResponseError{Request: h.request.ID(), Tokens: h.tokensDelivered}
@@ -148,6 +150,9 @@
 		if len(buffered) < maxBufferedBytes {
 			continue
 		}
+		if h.request.Streaming() {
+			return &sender.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
+		}
 		if err := h.flush(response, buffered); err != nil {
 			return err
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"mime"
 	"net/http"
 	"time"
 
@@ -19,8 +20,9 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracer"
 )
 
-// maxBufferedBytes is the size from which a response other than a token stream is
-// passed to the sink in parts. A smaller response is buffered until it is complete.
+// maxBufferedBytes is the size in bytes from which a response other than a token stream
+// is passed to the sink in parts, or refused if the request is for a token stream. A
+// smaller response is buffered until it is complete.
 const maxBufferedBytes = 1 << 20
 
 // Sink receives the response to one request.
@@ -201,6 +203,9 @@
 	))
 }
 
-// isStreamStatus reports whether a response with this status carries a token
-// stream.
-func isStreamStatus(status int) bool { return status == http.StatusOK }
+// isTokenStream reports whether a response to a request for a token stream carries one.
+// A server may answer with an error or a document instead.
+func isTokenStream(response fuchsiapitch.BackendResponse) bool {
+	mediaType, _, err := mime.ParseMediaType(http.Header(response.Header()).Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream" && response.Status() == http.StatusOK
+}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -96,6 +96,13 @@
 }
 
 func newTestForwarder(t *testing.T) (*Forwarder, *blockingClient) {
+	t.Helper()
+	client := &blockingClient{calls: make(chan fuchsiapitch.Call, 8), release: make(chan struct{})}
+	return newForwarderOf(t, client, "127.0.0.1:2"), client
+}
+
+// newForwarderOf returns a forwarder with one replica, at an address.
+func newForwarderOf(t *testing.T, client fuchsiapitch.BackendClient, address string) *Forwarder {
 	t.Helper()
 	localHost := fuchsiapitch.NewHost("host-a", "127.0.0.1:1", "heredia", 1)
 	log := &inMemoryLog{streams: make(map[fuchsiapitch.StreamName][]fuchsiapitch.Record)}
@@ -109,13 +116,12 @@
 	})
 	service := fuchsiapitch.NewService("mostrador", fuchsiapitch.ApplicationService, "counter")
 	rank := fuchsiapitch.NewRank("counter", 0, time.Second, time.Second, 1, 0)
-	server := fuchsiapitch.NewBackendServer("s1", fuchsiapitch.ApplicationServer, "127.0.0.1:2", "heredia")
+	server := fuchsiapitch.NewBackendServer("s1", fuchsiapitch.ApplicationServer, address, "heredia")
 	r.Submit(ctx, reducer.FleetOverridden{
 		Configuration: fuchsiapitch.NewConfiguration(1, 1, []fuchsiapitch.Service{service}, nil, []fuchsiapitch.Rank{rank}),
 		Replicas:      []fuchsiapitch.Replica{fuchsiapitch.NewReplica("a1", "mostrador", server, 8, "")},
 	})
-	client := &blockingClient{calls: make(chan fuchsiapitch.Call, 8), release: make(chan struct{})}
-	return New(r, client, nil), client
+	return New(r, client, nil)
 }
 
 func newKeyedRequest(id fuchsiapitch.RequestID, key string) (fuchsiapitch.Request, fuchsiapitch.Call) {
