relayer: an event that grows in small reads is searched once

forwardEvents searched all bytes of an unfinished event for its end after each read.

Only the new bytes are searched, and the last one before them. TestCompleteEventBytes checks every split of a delimiter between reads; it holds with either search, since the fault is one of time alone.

--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -297,3 +297,27 @@
 		})
 	}
 }
+
+// The delimiter of an event is found wherever the reads split it.
+func TestCompleteEventBytes(t *testing.T) {
+	for text, want := range map[string]int{
+		"": 0, "a": 0, "a\n": 0, "\n\n": 2, "a\n\n": 3, "a\n\nb\n": 3, "a\n\nb\n\n": 6, "a\n\n\n": 4,
+	} {
+		for newBytes := range len(text) + 1 {
+			if strings.Contains(text[:len(text)-newBytes], "\n\n") {
+				continue
+			}
+			if got := completeEventBytes([]byte(text), newBytes); got != want {
+				t.Errorf("got %d bytes of %q with %d new ones, want %d", got, text, newBytes, want)
+			}
+		}
+	}
+}
+
+// BenchmarkEndlessEvent measures one read of 8 bytes of an event that has grown to 512 KiB.
+func BenchmarkEndlessEvent(b *testing.B) {
+	data := bytes.Repeat([]byte("data: x\n"), 64<<10)
+	for b.Loop() {
+		completeEventBytes(data, 8)
+	}
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -155,8 +155,7 @@
 			}
 		}
 		buffered += n
-		if end := bytes.LastIndex(buffer[:buffered], eventDelimiter); end >= 0 {
-			end += len(eventDelimiter)
+		if end := completeEventBytes(buffer[:buffered], n); end > 0 {
 			if err := x.writeEvents(response, buffer[:end], p); err != nil {
 				return err
 			}
@@ -179,6 +178,18 @@
 	}
 }
 
+// completeEventBytes returns the number of bytes of the complete events at the start of
+// data. Only the last newBytes are new: the bytes before contain no delimiter, but may end
+// with its first byte.
+func completeEventBytes(data []byte, newBytes int) int {
+	start := max(0, len(data)-newBytes-len(eventDelimiter)+1)
+	end := bytes.LastIndex(data[start:], eventDelimiter)
+	if end < 0 {
+		return 0
+	}
+	return start + end + len(eventDelimiter)
+}
+
 // writeEvents writes complete events to the client, after the header if they are the
 // first.
 func (x *exchange) writeEvents(response *http.Response, events []byte, p *streamProgress) error {
