--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -34,6 +34,9 @@
 	buffer   []byte
 	// buffer[unreadStart:unreadEnd] holds the bytes that Next has not returned yet.
 	unreadStart, unreadEnd int
+	// searchedBytes is the number of unread bytes that contain no delimiter. The last of
+	// them may be its first byte.
+	searchedBytes int
 	// lastTokenNumber is the number of the last valid event, at first the token
 	// offset of the call.
 	lastTokenNumber int
@@ -79,7 +82,7 @@
 func (b *streamBody) takeEvents() (fuchsiapitch.Chunk, bool) {
 	chunkStart, priorTokenNumber := b.unreadStart, b.lastTokenNumber
 	for !b.doneReceived {
-		n := bytes.Index(b.buffer[b.unreadStart:b.unreadEnd], eventDelimiter)
+		n := b.findDelimiter()
 		if n < 0 {
 			break
 		}
@@ -104,6 +107,19 @@
 	return fuchsiapitch.NewChunk(b.buffer[chunkStart:b.unreadStart], b.lastTokenNumber-priorTokenNumber), true
 }
 
+// findDelimiter returns the index of the first delimiter in the unread bytes, -1 for none.
+func (b *streamBody) findDelimiter() int {
+	unread := b.buffer[b.unreadStart:b.unreadEnd]
+	start := max(0, b.searchedBytes-len(eventDelimiter)+1)
+	n := bytes.Index(unread[start:], eventDelimiter)
+	if n < 0 {
+		b.searchedBytes = len(unread)
+		return -1
+	}
+	b.searchedBytes = 0
+	return start + n
+}
+
 // isComment reports whether an event is empty or a comment, which servers send as a
 // keepalive.
 func isComment(event []byte) bool { return len(event) == 0 || event[0] == ':' }
