relayer, sender: tests play slow responses without an end

Responses below every bound of size, a block each millisecond without an end, end at the deadline of the request: header line, informational responses, chunk size, body, event, and comments of a token stream. The test codec takes a time limit from the request.

--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 const (
@@ -45,6 +46,8 @@
 // endlessServer sends endless responses and counts its connections.
 type endlessServer struct {
 	endlessResponse
+	// pause is the time between two blocks, 0 for as fast as possible.
+	pause    time.Duration
 	requests atomic.Int32
 	closed   sync.WaitGroup
 }
@@ -59,12 +62,16 @@
 		return
 	}
 	defer c.Close()
-	block := []byte(strings.Repeat(s.block, 1+(32<<10)/len(s.block)))
+	block := []byte(s.block)
+	if s.pause == 0 {
+		block = bytes.Repeat(block, 1+(32<<10)/len(block))
+	}
 	if _, err = io.WriteString(c, s.start); err != nil {
 		return
 	}
 	for err == nil {
 		_, err = c.Write(block)
+		time.Sleep(s.pause)
 	}
 }
 
@@ -265,6 +272,34 @@
 	}
 }
 
+// A response whose bytes arrive slowly and without an end is given up at the deadline of
+// the request, and the connection to the server is closed.
+func TestEndlessSlowResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		endlessResponse
+		path string
+	}{
+		"header line":     {endlessHeads["header line"], "/once/x"},
+		"early responses": {endlessHeads["early responses"], "/once/x"},
+		"chunk size":      {endlessHeads["chunk size"], "/look/x"},
+		"body":            {endlessBodies["body in chunks"], "/look/x"},
+		"event":           {endlessEvents["event without an empty line"], "/stream/x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &endlessServer{endlessResponse: c.endlessResponse, pause: time.Millisecond}
+			response, _, err := sendWithLimit(t, newTestRelayer(t, s.ServeHTTP, s.ServeHTTP)+c.path, "b", 300*time.Millisecond)
+			if err != nil {
+				t.Fatal(err)
+			}
+			// On a slow machine the limit may pass before the request is sent.
+			if s.requests.Load() > 0 {
+				assertStatus(t, response, http.StatusGatewayTimeout)
+			}
+			s.closed.Wait()
+		})
+	}
+}
+
 // A response that is cut off is logged with its server and the size limit, also if
 // another server responds then.
 func TestCutResponseIsLogged(t *testing.T) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -24,7 +24,11 @@
 type fakeHeaderCodec struct{}
 
 func (fakeHeaderCodec) ParseRequest(h http.Header) fuchsiapitch.RequestMetadata {
-	return fuchsiapitch.RequestMetadata{ID: fuchsiapitch.RequestID(h.Get("Id")), APIKey: h.Get("Key"), TimeLimit: 10 * time.Second, Model: h.Get("Model"), LastEventID: h.Get("Last")}
+	limit, err := time.ParseDuration(h.Get("Limit"))
+	if err != nil {
+		limit = 10 * time.Second
+	}
+	return fuchsiapitch.RequestMetadata{ID: fuchsiapitch.RequestID(h.Get("Id")), APIKey: h.Get("Key"), TimeLimit: limit, Model: h.Get("Model"), LastEventID: h.Get("Last")}
 }
 
 func (fakeHeaderCodec) ForwardHeader(h http.Header, f fuchsiapitch.ForwardMetadata) http.Header {
@@ -118,6 +122,11 @@
 
 // send posts a body as request r1 with a valid key.
 func send(t *testing.T, url, body string) (*http.Response, error) {
+	t.Helper()
+	return http.DefaultTransport.RoundTrip(newRequest(t, url, body))
+}
+
+func newRequest(t *testing.T, url, body string) *http.Request {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
@@ -125,13 +134,26 @@
 	}
 	r.Header.Set("Id", "r1")
 	r.Header.Set("Key", "k")
-	return http.DefaultTransport.RoundTrip(r)
+	return r
 }
 
 // sendAndRead is send, and reads the body of the response.
 func sendAndRead(t *testing.T, url, body string) (*http.Response, string, error) {
 	t.Helper()
 	response, err := send(t, url, body)
+	return readResponse(response, err)
+}
+
+// sendWithLimit is sendAndRead with a time limit of the client.
+func sendWithLimit(t *testing.T, url, body string, limit time.Duration) (*http.Response, string, error) {
+	t.Helper()
+	r := newRequest(t, url, body)
+	r.Header.Set("Limit", limit.String())
+	response, err := http.DefaultTransport.RoundTrip(r)
+	return readResponse(response, err)
+}
+
+func readResponse(response *http.Response, err error) (*http.Response, string, error) {
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/sender/endless_test.go
+++ b/internal/sender/endless_test.go
@@ -124,3 +124,41 @@
 		})
 	}
 }
+
+// A response whose bytes arrive slowly and without an end is given up at the deadline of
+// the call, and the connection is closed.
+func TestEndlessSlowResponse(t *testing.T) {
+	for name, e := range map[string]endlessResponse{
+		"header line":     {validHead + "Long: ", "x"},
+		"early responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"chunk size":      {chunkedHeader, "0"},
+		"body":            {chunkedHeader, "4\r\nxxxx\r\n"},
+		"event":           {streamHeader, "data: x\n"},
+		"comments":        {streamHeader, ": alive\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{})
+			server, requests := startServer(t, func(c net.Conn, _ *http.Request) bool {
+				defer close(closed)
+				_, err := io.WriteString(c, e.start)
+				for err == nil {
+					_, err = io.WriteString(c, e.block)
+					time.Sleep(time.Millisecond)
+				}
+				return false
+			})
+			call := newBookingCall("r1", fuchsiapitch.WithStream(0), fuchsiapitch.WithDeadline(time.Now().Add(200*time.Millisecond)))
+			response, err := newTestSender(t).Call(context.Background(), server, call)
+			if err == nil {
+				_, _, err = readAll(response)
+			}
+			if !errors.Is(err, context.DeadlineExceeded) && requests.Load() > 0 {
+				t.Errorf("got error %v, want the deadline", err)
+			}
+			// On a slow machine the deadline may pass before the call is sent.
+			if requests.Load() > 0 {
+				<-closed
+			}
+		})
+	}
+}
