relayer: large response bodies are read two at a time

Each buffered response was bounded, but not their number: a server that sends bodies without an end to all requests that it has makes the host hold 16 MiB for each, and twice that while ReadAll puts the parts together.

A body is read up to 1 MiB as before. Beyond that it waits until fewer than two others are being read, and no longer than the deadline of its request, which is then answered 504. Waiting costs no more than the pause of one connection, whereas a refusal would fail requests that have run at sound servers. A place is free again when the body is complete or cut off, so that a slow client holds none.

TestLargeBodiesWait (synctest, no server) fails without the wait: "got 4 large bodies read at the same time, want 2".

--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -356,3 +359,66 @@
 		completeEventBytes(data, 8)
 	}
 }
+
+// pipedBody is a response body whose bytes come from a test.
+func pipedBody() (*http.Response, *io.PipeWriter) {
+	reader, writer := io.Pipe()
+	return &http.Response{Body: reader}, writer
+}
+
+// However many large bodies arrive together, only maxLargeBodies are read beyond 1 MiB at
+// the same time. The others wait until their deadline.
+func TestLargeBodiesWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(nil, nil, fakeHeaderCodec{})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		const bodies = maxLargeBodies + 2
+		var large atomic.Int32
+		ends := make(chan struct{})
+		results := make(chan error, bodies)
+		for range bodies {
+			response, writer := pipedBody()
+			x := &exchange{relayer: r, ctx: ctx}
+			go func() {
+				_, err := x.readResponseBody(response)
+				results <- err
+			}()
+			go func() {
+				writer.Write(make([]byte, largeBodyBytes))
+				if _, err := writer.Write(make([]byte, 1)); err == nil {
+					large.Add(1)
+				}
+				<-ends
+				writer.Close()
+			}()
+		}
+		synctest.Wait()
+		if got := large.Load(); got != maxLargeBodies {
+			t.Errorf("got %d large bodies read at the same time, want %d", got, maxLargeBodies)
+		}
+		small, writer := pipedBody()
+		go func() {
+			writer.Write(make([]byte, largeBodyBytes-1))
+			writer.Close()
+		}()
+		if body, err := (&exchange{relayer: r, ctx: ctx}).readResponseBody(small); err != nil || len(body) != largeBodyBytes-1 {
+			t.Errorf("got %d bytes and %v of a small body, want all", len(body), err)
+		}
+		for range bodies - maxLargeBodies {
+			if err := <-results; !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("got error %v, want the deadline", err)
+			}
+		}
+		close(ends)
+		for range maxLargeBodies {
+			if err := <-results; err != nil {
+				t.Errorf("got error %v, want a complete body", err)
+			}
+		}
+		// Both places are free again.
+		if got := len(r.largeBodies); got != 0 {
+			t.Errorf("got %d places taken, want 0", got)
+		}
+	})
+}
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -65,7 +66,7 @@
 		x.releaseFailed(slot, response, outcome)
 		return nil, outcome, err
 	}
-	body, err := readBody(response)
+	body, err := x.readResponseBody(response)
 	slot.Release(err != nil, "")
 	if err != nil || response.StatusCode >= http.StatusInternalServerError {
 		x.failedServers = append(x.failedServers, slot.Server())
@@ -76,11 +77,22 @@
 	return &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}, fuchsiapitch.OutcomeSucceeded, nil
 }
 
-// readBody reads the complete body of a response and closes it. Its error is a
-// sender.ResponseTooLargeError if the body exceeds maxBufferedBytes.
-func readBody(response *http.Response) ([]byte, error) {
+// readResponseBody reads the complete body of a response and closes it. Its error is a
+// sender.ResponseTooLargeError if the body exceeds maxBufferedBytes. If the body is large,
+// it waits until fewer than maxLargeBodies others are being read.
+func (x *exchange) readResponseBody(response *http.Response) ([]byte, error) {
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	start, err := io.ReadAll(io.LimitReader(response.Body, largeBodyBytes))
+	if err != nil || len(start) < largeBodyBytes {
+		return start, err
+	}
+	select {
+	case x.relayer.largeBodies <- struct{}{}:
+		defer func() { <-x.relayer.largeBodies }()
+	case <-x.ctx.Done():
+		return nil, x.ctx.Err()
+	}
+	body, err := io.ReadAll(io.LimitReader(io.MultiReader(bytes.NewReader(start), response.Body), maxBufferedBytes+1))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -29,6 +29,10 @@
 	// maxBufferedBytes is the size of the largest response that is buffered, and of
 	// the largest request body if the configuration sets no limit.
 	maxBufferedBytes = 16 << 20
+	// largeBodyBytes is the size from which a response body is large, maxLargeBodies the
+	// number of large ones that are read at the same time. The others wait.
+	largeBodyBytes = 1 << 20
+	maxLargeBodies = 2
 	// defaultRetryAfter is the retry delay in the response if the host has no
 	// configuration yet, or if no server ran the request.
 	defaultRetryAfter = 500 * time.Millisecond
@@ -77,12 +81,14 @@
 
 // Relayer forwards the requests of clients to servers. It implements http.Handler.
 type Relayer struct {
-	admitter         Admitter
-	sender           Sender
-	codec            HeaderCodec
-	log              zerolog.Logger
-	meter            *meter.Meter
-	routes           atomic.Pointer[fuchsiapitch.RouteTable]
+	admitter Admitter
+	sender   Sender
+	codec    HeaderCodec
+	log      zerolog.Logger
+	meter    *meter.Meter
+	routes   atomic.Pointer[fuchsiapitch.RouteTable]
+	// largeBodies holds a value for each large response body that is being read.
+	largeBodies      chan struct{}
 	draining         atomic.Bool
 	inFlightRequests atomic.Int64
 }
@@ -99,7 +105,10 @@
 // New returns a relayer without a configuration. It refuses requests until Configure
 // is called.
 func New(admitter Admitter, sender Sender, codec HeaderCodec, options ...Option) *Relayer {
-	r := &Relayer{admitter: admitter, sender: sender, codec: codec, log: zerolog.Nop(), meter: meter.New()}
+	r := &Relayer{
+		admitter: admitter, sender: sender, codec: codec, log: zerolog.Nop(), meter: meter.New(),
+		largeBodies: make(chan struct{}, maxLargeBodies),
+	}
 	for _, o := range options {
 		o(r)
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -115,7 +115,7 @@
 // instead if the body cannot be read or is too large, if the client has received part
 // of a stream, or if the status is 5xx and the request may be sent again.
 func (x *exchange) deliverNonStream(slot *driver.Slot, response *http.Response, p *streamProgress) (fuchsiapitch.Outcome, error) {
-	body, err := readBody(response)
+	body, err := x.readResponseBody(response)
 	slot.Release(true, "")
 	x.failedServers = append(x.failedServers, slot.Server())
 	if err != nil {
