relayer: a body that declares too large a length is not read

It fails at once now, and the connection is closed.

TestDeclaredLengthTooLarge failed before: "got a read, want none". TestDeclaredLengthOfHead, a response to HEAD that declares such a length and has no body, passed before and after.

--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -422,3 +424,48 @@
 		}
 	})
 }
+
+// unreadBody is a response body that must not be read.
+type unreadBody struct {
+	t      *testing.T
+	closed bool
+}
+
+// Read implements io.Reader.
+func (b *unreadBody) Read([]byte) (int, error) {
+	b.t.Error("got a read, want none")
+	return 0, io.EOF
+}
+
+// Close implements io.Closer.
+func (b *unreadBody) Close() error {
+	b.closed = true
+	return nil
+}
+
+// A body that says that it is too large is not read.
+func TestDeclaredLengthTooLarge(t *testing.T) {
+	body := &unreadBody{t: t}
+	x := &exchange{relayer: New(nil, nil, fakeHeaderCodec{}), ctx: t.Context()}
+	_, err := x.readResponseBody(&http.Response{ContentLength: maxBufferedBytes + 1, Body: body})
+	if _, ok := errors.AsType[*sender.ResponseTooLargeError](err); !ok || !body.closed {
+		t.Errorf("got error %v and closed %v, want a ResponseTooLargeError and a closed body", err, body.closed)
+	}
+}
+
+// The response to a HEAD request has no body, whatever length it declares.
+func TestDeclaredLengthOfHead(t *testing.T) {
+	url := newTestRelayer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "r1")
+		w.Header().Set("Signed", "1")
+		w.Header().Set("Content-Length", "9000000000000")
+	})
+	r := newRequest(t, url+"/look/x", "")
+	r.Method = http.MethodHead
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	assertStatus(t, response, http.StatusOK)
+}
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -82,6 +82,10 @@
 // it waits until fewer than maxLargeBodies others are being read.
 func (x *exchange) readResponseBody(response *http.Response) ([]byte, error) {
 	defer response.Body.Close()
+	tooLarge := &sender.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
+	if response.ContentLength > maxBufferedBytes && response.Body != http.NoBody {
+		return nil, tooLarge
+	}
 	start, err := io.ReadAll(io.LimitReader(response.Body, largeBodyBytes))
 	if err != nil || len(start) < largeBodyBytes {
 		return start, err
@@ -97,7 +101,7 @@
 		return nil, err
 	}
 	if len(body) > maxBufferedBytes {
-		return nil, &sender.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
+		return nil, tooLarge
 	}
 	return body, nil
 }
