--- a/internal/sender/endless_test.go
+++ b/internal/sender/endless_test.go
@@ -162,3 +162,43 @@
 		})
 	}
 }
+
+// A server that sends bytes without an end before it reads anything: if the outcome is
+// not-run, it has got no byte of the call.
+func TestEndlessBytesBeforeRequest(t *testing.T) {
+	for name, block := range map[string]string{
+		"bytes": "x", "responses": validHead + "Content-Length: 0\r\n\r\n", "early responses": "HTTP/1.1 103 Early Hints\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assertNoError(t, err, "listen")
+			t.Cleanup(func() { listener.Close() })
+			receivedBytes := make(chan int64, 1)
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					blocks := []byte(strings.Repeat(block, 1+(32<<10)/len(block)))
+					for err == nil {
+						_, err = c.Write(blocks)
+					}
+				}()
+				n, _ := io.Copy(io.Discard, c)
+				c.Close()
+				receivedBytes <- n
+			}()
+			server := fuchsiapitch.NewBackendServer("s1", fuchsiapitch.ApplicationServer, listener.Addr().String(), "gt-xela")
+			response, err := newTestSender(t).Call(context.Background(), server, newBookingCall("r1"))
+			if err == nil {
+				response.Body().Close()
+			}
+			got := <-receivedBytes
+			var attemptErr *fuchsiapitch.AttemptError
+			if errors.As(err, &attemptErr) && attemptErr.Outcome == fuchsiapitch.OutcomeNotRun && got > 0 {
+				t.Errorf("got outcome %s and %d bytes at the server, want none", attemptErr.Outcome, got)
+			}
+		})
+	}
+}
