--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 // runAttempt sends the request to a replica, copies the response to the sink and
@@ -28,6 +29,7 @@
 	if err != nil {
 		h.classifyAttemptError(&attemptEnded, err)
 		span.RecordError(err)
+		h.logIfTooLarge(e.Replica.Server().ID(), err)
 	}
 	if ctx.Err() != nil {
 		return
@@ -59,6 +61,17 @@
 	attemptEnded.ReplicaUnreachable = errors.As(err, &unreachableErr) && !attemptEnded.Preempted
 }
 
+// logIfTooLarge logs a failed attempt whose response exceeded a size limit. Another
+// attempt may succeed, after which nothing else is logged about this one.
+func (h *requestHandler) logIfTooLarge(server fuchsiapitch.ServerID, err error) {
+	tooLarge, ok := errors.AsType[*sender.ResponseTooLargeError](err)
+	if !ok {
+		return
+	}
+	h.forwarder.logger.Warn().Str("request", string(h.request.ID())).Str("service", string(h.request.Service())).
+		Str("server", string(server)).Msg("answer cut off: " + tooLarge.Error())
+}
+
 // runForward sends the request to a dispatcher on another host, copies the response
 // to the sink and reports the result to the reducer.
 func (h *requestHandler) runForward(ctx context.Context, e reducer.ForwardRequest) {
@@ -104,7 +117,7 @@
 // copyResponse copies a response to the sink and closes its body.
 func (h *requestHandler) copyResponse(ctx context.Context, response fuchsiapitch.BackendResponse, reporter *progressReporter) error {
 	defer response.Body().Close()
-	if h.request.Streaming() && isStreamStatus(response.Status()) {
+	if h.request.Streaming() && isTokenStream(response) {
 		return h.copyTokenStream(ctx, response, reporter)
 	}
 	return h.copyBuffered(ctx, response)
@@ -129,7 +142,8 @@
 
 // copyBuffered buffers a response until it is complete, so that another attempt can
 // replace a truncated one. A response of maxBufferedBytes or more is passed to the
-// sink in parts.
+// sink in parts, unless the request is for a token stream: the sink then could not
+// show the client that the response is not complete.
 func (h *requestHandler) copyBuffered(ctx context.Context, response fuchsiapitch.BackendResponse) error {
 	if h.headerSent {
 		return &fuchsiapitch.TruncatedResponseError{Request: h.request.ID(), Tokens: h.tokensDelivered}
@@ -148,6 +162,9 @@
 		if len(buffered) < maxBufferedBytes {
 			continue
 		}
+		if h.request.Streaming() {
+			return &sender.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
+		}
 		if err := h.flush(response, buffered); err != nil {
 			return err
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"mime"
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -19,8 +21,9 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracer"
 )
 
-// maxBufferedBytes is the size from which a response other than a token stream is
-// passed to the sink in parts. A smaller response is buffered until it is complete.
+// maxBufferedBytes is the size in bytes from which a response other than a token stream
+// is passed to the sink in parts, or refused if the request is for a token stream. A
+// smaller response is buffered until it is complete.
 const maxBufferedBytes = 1 << 20
 
 // Sink receives the response to one request.
@@ -53,6 +56,7 @@
 	remoteDispatcher fuchsiapitch.RemoteDispatcher
 	tracer           trace.Tracer
 	meter            *meter.Meter
+	logger           zerolog.Logger
 }
 
 // Option sets one optional property of a forwarder.
@@ -64,10 +68,16 @@
 // WithMeter sets the metrics.
 func WithMeter(m *meter.Meter) Option { return func(f *Forwarder) { f.meter = m } }
 
+// WithLogger sets the logger.
+func WithLogger(logger zerolog.Logger) Option { return func(f *Forwarder) { f.logger = logger } }
+
 // New returns a forwarder that sends requests to replicas with backendClient and to
 // dispatchers on other hosts with remoteDispatcher.
 func New(r *runner.Runner, backendClient fuchsiapitch.BackendClient, remoteDispatcher fuchsiapitch.RemoteDispatcher, options ...Option) *Forwarder {
-	f := &Forwarder{runner: r, backendClient: backendClient, remoteDispatcher: remoteDispatcher, tracer: noop.NewTracerProvider().Tracer(""), meter: meter.New()}
+	f := &Forwarder{
+		runner: r, backendClient: backendClient, remoteDispatcher: remoteDispatcher,
+		tracer: noop.NewTracerProvider().Tracer(""), meter: meter.New(), logger: zerolog.Nop(),
+	}
 	for _, o := range options {
 		o(f)
 	}
@@ -201,6 +211,9 @@
 	))
 }
 
-// isStreamStatus reports whether a response with this status carries a token
-// stream.
-func isStreamStatus(status int) bool { return status == http.StatusOK }
+// isTokenStream reports whether a response to a request for a token stream carries one.
+// A server may answer with an error or a document instead.
+func isTokenStream(response fuchsiapitch.BackendResponse) bool {
+	mediaType, _, err := mime.ParseMediaType(http.Header(response.Header()).Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream" && response.Status() == http.StatusOK
+}
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -1,12 +1,14 @@
 package relayer
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 // maxUnsentAttempts is the number of attempts beyond the limit of the route that may
@@ -31,6 +33,7 @@
 			continue
 		}
 		lastErr = err
+		x.logIfTooLarge(err)
 		if outcome != fuchsiapitch.OutcomeNotRun && x.route.Kind != fuchsiapitch.IdempotentRoute {
 			break
 		}
@@ -63,11 +66,7 @@
 		x.releaseFailed(slot, response, outcome)
 		return nil, outcome, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	response.Body.Close()
-	if err == nil && len(body) > maxBufferedBytes {
-		err = &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "too large"}
-	}
+	body, err := x.readResponseBody(response)
 	slot.Release(err != nil, "")
 	if err != nil || response.StatusCode >= http.StatusInternalServerError {
 		x.failedServers = append(x.failedServers, slot.Server())
@@ -78,6 +77,35 @@
 	return &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}, fuchsiapitch.OutcomeSucceeded, nil
 }
 
+// readResponseBody reads the complete body of a response and closes it. Its error is a
+// sender.ResponseTooLargeError if the body exceeds maxBufferedBytes. If the body is large,
+// it waits until fewer than maxLargeBodies others are being read.
+func (x *exchange) readResponseBody(response *http.Response) ([]byte, error) {
+	defer response.Body.Close()
+	tooLarge := &sender.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
+	if response.ContentLength > maxBufferedBytes && response.Body != http.NoBody {
+		return nil, tooLarge
+	}
+	start, err := io.ReadAll(io.LimitReader(response.Body, largeBodyBytes))
+	if err != nil || len(start) < largeBodyBytes {
+		return start, err
+	}
+	select {
+	case x.relayer.largeBodies <- struct{}{}:
+		defer func() { <-x.relayer.largeBodies }()
+	case <-x.ctx.Done():
+		return nil, x.ctx.Err()
+	}
+	body, err := io.ReadAll(io.LimitReader(io.MultiReader(bytes.NewReader(start), response.Body), maxBufferedBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxBufferedBytes {
+		return nil, tooLarge
+	}
+	return body, nil
+}
+
 // deliver forwards a complete response to the client. A status from which the client
 // would conclude that the request was not run is replaced by 502, because the server
 // has not confirmed that.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -28,6 +29,10 @@
 	// maxBufferedBytes is the size of the largest response that is buffered, and of
 	// the largest request body if the configuration sets no limit.
 	maxBufferedBytes = 16 << 20
+	// largeBodyBytes is the size from which a response body is large, maxLargeBodies the
+	// number of large ones that are read at the same time. The others wait.
+	largeBodyBytes = 1 << 20
+	maxLargeBodies = 2
 	// defaultRetryAfter is the retry delay in the response if the host has no
 	// configuration yet, or if no server ran the request.
 	defaultRetryAfter = 500 * time.Millisecond
@@ -76,12 +81,14 @@
 
 // Relayer forwards the requests of clients to servers. It implements http.Handler.
 type Relayer struct {
-	admitter         Admitter
-	sender           Sender
-	codec            HeaderCodec
-	log              zerolog.Logger
-	meter            *meter.Meter
-	routes           atomic.Pointer[fuchsiapitch.RouteTable]
+	admitter Admitter
+	sender   Sender
+	codec    HeaderCodec
+	log      zerolog.Logger
+	meter    *meter.Meter
+	routes   atomic.Pointer[fuchsiapitch.RouteTable]
+	// largeBodies holds a value for each large response body that is being read.
+	largeBodies      chan struct{}
 	draining         atomic.Bool
 	inFlightRequests atomic.Int64
 }
@@ -98,7 +105,10 @@
 // New returns a relayer without a configuration. It refuses requests until Configure
 // is called.
 func New(admitter Admitter, sender Sender, codec HeaderCodec, options ...Option) *Relayer {
-	r := &Relayer{admitter: admitter, sender: sender, codec: codec, log: zerolog.Nop(), meter: meter.New()}
+	r := &Relayer{
+		admitter: admitter, sender: sender, codec: codec, log: zerolog.Nop(), meter: meter.New(),
+		largeBodies: make(chan struct{}, maxLargeBodies),
+	}
 	for _, o := range options {
 		o(r)
 	}
@@ -408,6 +418,17 @@
 		Int64("after-ms", time.Since(x.receivedAt).Milliseconds()).Msg(message)
 }
 
+// logIfTooLarge logs a failed attempt whose response exceeded a size limit. Another
+// attempt may succeed, after which nothing else is logged about this one.
+func (x *exchange) logIfTooLarge(err error) {
+	tooLarge, ok := errors.AsType[*sender.ResponseTooLargeError](err)
+	if !ok {
+		return
+	}
+	x.relayer.log.Warn().Str("request", string(x.metadata.ID)).Str("route", x.route.Name).
+		Str("server", string(x.failedServers[len(x.failedServers)-1])).Msg("answer cut off: " + tooLarge.Error())
+}
+
 // fail responds to a request for which no server returned a usable response.
 func (x *exchange) fail(err error) {
 	var rejected *driver.AdmissionError
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -24,7 +24,11 @@
 type fakeHeaderCodec struct{}
 
 func (fakeHeaderCodec) ParseRequest(h http.Header) fuchsiapitch.RequestMetadata {
-	return fuchsiapitch.RequestMetadata{ID: fuchsiapitch.RequestID(h.Get("Id")), APIKey: h.Get("Key"), TimeLimit: 10 * time.Second, Model: h.Get("Model"), LastEventID: h.Get("Last")}
+	limit, err := time.ParseDuration(h.Get("Limit"))
+	if err != nil {
+		limit = 10 * time.Second
+	}
+	return fuchsiapitch.RequestMetadata{ID: fuchsiapitch.RequestID(h.Get("Id")), APIKey: h.Get("Key"), TimeLimit: limit, Model: h.Get("Model"), LastEventID: h.Get("Last")}
 }
 
 func (fakeHeaderCodec) ForwardHeader(h http.Header, f fuchsiapitch.ForwardMetadata) http.Header {
@@ -38,7 +42,11 @@
 	return fuchsiapitch.ResponseMetadata{Request: fuchsiapitch.RequestID(h.Get("Id")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
 }
 
-func (fakeHeaderCodec) ResponseHeader(h http.Header) http.Header { return h.Clone() }
+func (fakeHeaderCodec) ResponseHeader(h http.Header) http.Header {
+	out := h.Clone()
+	out.Del("Content-Length")
+	return out
+}
 
 func (fakeHeaderCodec) SetErrorHeader(h http.Header, _ fuchsiapitch.RequestID, _ time.Duration) {
 	h.Set("Own", "1")
@@ -90,8 +98,11 @@
 			Timeout: 10 * time.Second, LatencyTarget: 5 * time.Second, Resumable: kind == fuchsiapitch.StreamRoute,
 		}
 	}
+	oneStream := route("/one-stream/", fuchsiapitch.StreamRoute, 2)
+	oneStream.Resumable = false
 	routes := fuchsiapitch.NewRouteTable(1, []fuchsiapitch.HostRoute{
 		route("/once/", fuchsiapitch.AtMostOnceRoute, 1), route("/look/", fuchsiapitch.IdempotentRoute, 2), route("/stream/", fuchsiapitch.StreamRoute, 2),
+		oneStream,
 	}, []fuchsiapitch.ServiceProfile{{Name: "desk"}}, map[string]fuchsiapitch.Principal{"k": {Customer: "c"}}, true, fuchsiapitch.ClientLimits{BodyBytes: 100, HeaderBytes: 2000})
 	r.Configure(routes)
 	d.Apply(coordinator.ConfigurationChanged{Routes: routes})
@@ -111,6 +122,11 @@
 
 // send posts a body as request r1 with a valid key.
 func send(t *testing.T, url, body string) (*http.Response, error) {
+	t.Helper()
+	return http.DefaultTransport.RoundTrip(newRequest(t, url, body))
+}
+
+func newRequest(t *testing.T, url, body string) *http.Request {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
@@ -118,13 +134,26 @@
 	}
 	r.Header.Set("Id", "r1")
 	r.Header.Set("Key", "k")
-	return http.DefaultTransport.RoundTrip(r)
+	return r
 }
 
 // sendAndRead is send, and reads the body of the response.
 func sendAndRead(t *testing.T, url, body string) (*http.Response, string, error) {
 	t.Helper()
 	response, err := send(t, url, body)
+	return readResponse(response, err)
+}
+
+// sendWithLimit is sendAndRead with a time limit of the client.
+func sendWithLimit(t *testing.T, url, body string, limit time.Duration) (*http.Response, string, error) {
+	t.Helper()
+	r := newRequest(t, url, body)
+	r.Header.Set("Limit", limit.String())
+	response, err := http.DefaultTransport.RoundTrip(r)
+	return readResponse(response, err)
+}
+
+func readResponse(response *http.Response, err error) (*http.Response, string, error) {
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -50,6 +51,7 @@
 			return
 		}
 		lastErr = err
+		x.logIfTooLarge(err)
 		if x.ctx.Err() != nil || outcome != fuchsiapitch.OutcomeNotRun && !x.route.Resumable {
 			break
 		}
@@ -83,7 +85,8 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK || !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		return x.deliverNonStream(slot, response, p)
+		outcome, err = x.deliverNonStream(slot, response, p)
+		return outcome, cancellationCause(ctx, err)
 	}
 	err = x.forwardEvents(slot, response, p)
 	var clientGone *clientGoneError
@@ -96,9 +99,12 @@
 	return fuchsiapitch.OutcomeSucceeded, nil
 }
 
-// cancellationCause returns the cause of the cancellation of a context if one was
-// given, and err otherwise.
+// cancellationCause returns the cause of the cancellation of a context if an operation
+// failed and a cause was given, and err otherwise.
 func cancellationCause(ctx context.Context, err error) error {
+	if err == nil {
+		return nil
+	}
 	if c := context.Cause(ctx); c != nil && !errors.Is(c, context.Canceled) {
 		return c
 	}
@@ -106,13 +112,16 @@
 }
 
 // deliverNonStream forwards a response that is not a stream. It returns an error
-// instead if the body cannot be read, if the client has received part of a stream, or
-// if the status is 5xx and the request may be sent again.
+// instead if the body cannot be read or is too large, if the client has received part
+// of a stream, or if the status is 5xx and the request may be sent again.
 func (x *exchange) deliverNonStream(slot *driver.Slot, response *http.Response, p *streamProgress) (fuchsiapitch.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	body, err := x.readResponseBody(response)
 	slot.Release(true, "")
 	x.failedServers = append(x.failedServers, slot.Server())
-	if err != nil || p.headerSent || response.StatusCode >= http.StatusInternalServerError && x.sendCount < x.route.AttemptLimit {
+	if err != nil {
+		return fuchsiapitch.OutcomeUnknown, err
+	}
+	if p.headerSent || response.StatusCode >= http.StatusInternalServerError && x.sendCount < x.route.AttemptLimit {
 		return fuchsiapitch.OutcomeUnknown, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "no stream"}
 	}
 	x.deliver(&bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
@@ -146,8 +155,7 @@
 			}
 		}
 		buffered += n
-		if end := bytes.LastIndex(buffer[:buffered], eventDelimiter); end >= 0 {
-			end += len(eventDelimiter)
+		if end := completeEventBytes(buffer[:buffered], n); end > 0 {
 			if err := x.writeEvents(response, buffer[:end], p); err != nil {
 				return err
 			}
@@ -163,13 +171,25 @@
 		}
 		if buffered == len(buffer) {
 			if buffered >= maxEventBytes {
-				return &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "event too large"}
+				return &sender.ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes}
 			}
 			buffer = append(buffer, make([]byte, buffered)...)
 		}
 	}
 }
 
+// completeEventBytes returns the number of bytes of the complete events at the start of
+// data. Only the last newBytes are new: the bytes before contain no delimiter, but may end
+// with its first byte.
+func completeEventBytes(data []byte, newBytes int) int {
+	start := max(0, len(data)-newBytes-len(eventDelimiter)+1)
+	end := bytes.LastIndex(data[start:], eventDelimiter)
+	if end < 0 {
+		return 0
+	}
+	return start + end + len(eventDelimiter)
+}
+
 // writeEvents writes complete events to the client, after the header if they are the
 // first.
 func (x *exchange) writeEvents(response *http.Response, events []byte, p *streamProgress) error {
