requester: the time-out bounds silence, not the whole transfer

Callers saw a large response of the log or the host list read for ever over a slow link: the time-out covered the whole transfer, so that a read was cut off while its bytes arrived, and the next one began at the first byte.

A changed host list of 6,200 servers is above 1 MB; 410 hosts that read it at once need 3.6 s of a link of 1 Gbit/s, and the bound was 3 s. A batch of the log may have 64 MB, 26 s at 20 Mbit/s, and the bound was 3 s at first.

The timer is now reset by each piece of the request body that is sent and of the response that is received. A server that sends nothing is given up after the same time as before. The error stays a context.DeadlineExceeded.

Before the change the tests failed with

a_slow_response_is_read_to_its_end: got error no complete response: context deadline exceeded, want none a_slow_request_is_sent_to_its_end: got error no complete response: context deadline exceeded, want none within_the_response: time until the time-out: got 3s, want 23s

The sizes are calculated, not measured.

--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -41,7 +41,7 @@
 type Option func(*Lister)
 
 // New returns a client of the host list at an IP address and port. A read times out
-// after 3 s. The returned function closes the idle connections.
+// after 3 s without a byte. The returned function closes the idle connections.
 func New(address string, options ...Option) (*Lister, func()) {
 	client, closeConnections := requester.New(maxResponseBytes)
 	l := &Lister{address: address, readTimeout: defaultReadTimeout, requester: client}
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -65,7 +66,9 @@
 	Header map[string]string
 	// Body is the request body, nil for none.
 	Body []byte
-	// Timeout bounds the time until the response has been read.
+	// Timeout bounds the time in which no byte of the request body is sent and no byte
+	// of the response is received. It does not bound the whole transfer; the context
+	// does.
 	Timeout time.Duration
 }
 
@@ -104,35 +107,37 @@
 // A POST request is sent at most once: the transport retries it only if the server had
 // closed the connection and no byte of the request was written to it.
 func (r *Requester) Send(ctx context.Context, request Request) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silenceTimer := newSilenceTimer(request.Timeout, cancel)
+	defer silenceTimer.stop()
 	var mayHaveBeenSent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { mayHaveBeenSent.Store(true) },
 	})
-	response, err := r.roundTrip(ctx, request)
+	response, err := r.roundTrip(ctx, request, silenceTimer)
 	if err != nil {
+		if silence, timedOut := errors.AsType[*SilenceError](context.Cause(ctx)); timedOut {
+			err = silence
+		}
 		r.transport.CloseIdleConnections()
 		return Response{}, &RequestError{MayHaveBeenSent: mayHaveBeenSent.Load(), Err: err}
 	}
 	return response, nil
 }
 
-func (r *Requester) roundTrip(ctx context.Context, request Request) (Response, error) {
-	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, request.URL, bytes.NewReader(request.Body))
+func (r *Requester) roundTrip(ctx context.Context, request Request, silenceTimer *silenceTimer) (Response, error) {
+	httpRequest, err := newHTTPRequest(ctx, request, silenceTimer)
 	if err != nil {
 		return Response{}, err
 	}
-	for name, value := range request.Header {
-		httpRequest.Header.Set(name, value)
-	}
-	httpRequest.Header.Set("User-Agent", "fuchsiapitch")
 	httpResponse, err := r.transport.RoundTrip(httpRequest)
 	if err != nil {
 		return Response{}, err
 	}
 	defer httpResponse.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, r.maxResponseBytes+1))
+	silenceTimer.reset()
+	body, err := io.ReadAll(io.LimitReader(&progressReader{reader: httpResponse.Body, timer: silenceTimer}, r.maxResponseBytes+1))
 	if err != nil {
 		return Response{}, err
 	}
@@ -141,3 +146,24 @@
 	}
 	return Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body}, nil
 }
+
+// newHTTPRequest returns the HTTP form of a request. Sending its body resets the timer.
+func newHTTPRequest(ctx context.Context, request Request, silenceTimer *silenceTimer) (*http.Request, error) {
+	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, request.URL, bytes.NewReader(request.Body))
+	if err != nil {
+		return nil, err
+	}
+	if len(request.Body) > 0 {
+		httpRequest.GetBody = func() (io.ReadCloser, error) {
+			return io.NopCloser(&progressReader{reader: bytes.NewReader(request.Body), timer: silenceTimer}), nil
+		}
+		if httpRequest.Body, err = httpRequest.GetBody(); err != nil {
+			return nil, err
+		}
+	}
+	for name, value := range request.Header {
+		httpRequest.Header.Set(name, value)
+	}
+	httpRequest.Header.Set("User-Agent", "fuchsiapitch")
+	return httpRequest, nil
+}
