recorder: a long transfer does not delay the detection of silence

The grace of a read adapted to the time of the whole response. After a batch that takes 30 s to transfer it was at its maximum, and a connection that then became silent was detected after 17 s instead of 3 s.

The grace now adapts to the time until the header, which the requester reports.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -110,7 +110,6 @@
 
 // Read implements fuchsiapitch.Log.
 func (r *Recorder) Read(ctx context.Context, stream fuchsiapitch.StreamName, from fuchsiapitch.Offset, limit int) (fuchsiapitch.Batch, error) {
-	sentAt := time.Now()
 	response, err := r.requester.Send(ctx, requester.Request{
 		Method: http.MethodGet, Timeout: r.readWait + r.currentReadGrace(),
 		URL: fmt.Sprintf("%s?from=%d&limit=%d&wait-ms=%d", r.recordsURL(stream), from, limit, r.readWait.Milliseconds()),
@@ -121,14 +120,14 @@
 		}
 		return fuchsiapitch.Batch{}, unavailableError("read", err)
 	}
-	r.setReadGrace(2 * (time.Since(sentAt) - r.readWait))
+	r.setReadGrace(2 * (response.HeaderDelay - r.readWait))
 	return decodeReadResponse(stream, from, response)
 }
 
-// currentReadGrace returns the time that a response to a read may take in addition
+// currentReadGrace returns the time without a byte that a read may take in addition
 // to the read wait. A short grace detects silent connections early. It adapts to
 // the latency of the log: a time-out doubles it, and a response sets it to twice the
-// time that the response took in addition to the read wait.
+// time that its header took in addition to the read wait.
 func (r *Recorder) currentReadGrace() time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -80,6 +80,8 @@
 	Header http.Header
 	// Body is the complete response body.
 	Body []byte
+	// HeaderDelay is the time from the call until the header was received.
+	HeaderDelay time.Duration
 }
 
 // Requester sends HTTP requests. It does not follow redirects.
@@ -88,15 +90,26 @@
 	maxResponseBytes int64
 }
 
+// Option sets one optional property of a requester.
+type Option func(*Requester)
+
+// WithDialContext sets the function that opens connections.
+func WithDialContext(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(r *Requester) { r.transport.DialContext = dial }
+}
+
 // New returns a requester that accepts response bodies of up to maxResponseBytes, and a
 // function that closes its idle connections.
-func New(maxResponseBytes int64) (*Requester, func()) {
+func New(maxResponseBytes int64, options ...Option) (*Requester, func()) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleConnTimeout,
 		MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true,
 	}
 	r := &Requester{transport: transport, maxResponseBytes: maxResponseBytes}
+	for _, o := range options {
+		o(r)
+	}
 	return r, transport.CloseIdleConnections
 }
 
@@ -127,6 +140,7 @@
 }
 
 func (r *Requester) roundTrip(ctx context.Context, request Request, silenceTimer *silenceTimer) (Response, error) {
+	start := time.Now()
 	httpRequest, err := newHTTPRequest(ctx, request, silenceTimer)
 	if err != nil {
 		return Response{}, err
@@ -137,6 +151,7 @@
 	}
 	defer httpResponse.Body.Close()
 	silenceTimer.reset()
+	headerDelay := time.Since(start)
 	body, err := io.ReadAll(io.LimitReader(&progressReader{reader: httpResponse.Body, timer: silenceTimer}, r.maxResponseBytes+1))
 	if err != nil {
 		return Response{}, err
@@ -144,7 +159,7 @@
 	if int64(len(body)) > r.maxResponseBytes {
 		return Response{}, &ResponseTooLargeError{LimitBytes: r.maxResponseBytes}
 	}
-	return Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body}, nil
+	return Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, HeaderDelay: headerDelay}, nil
 }
 
 // newHTTPRequest returns the HTTP form of a request. Sending its body resets the timer.
--- a/internal/requester/silence_test.go
+++ b/internal/requester/silence_test.go
@@ -60,8 +60,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	served := make(chan error)
 	go func() { served <- server.Serve(listener) }()
-	q, closeConnections := New(64 << 20)
-	q.transport.DialContext = listener.dial
+	q, closeConnections := New(64<<20, WithDialContext(listener.dial))
 	request.URL, request.Timeout = "http://server/", silenceTimeout
 	start := time.Now()
 	response, err := q.Send(t.Context(), request)
