runner: reads and appends that progress are not cancelled

A host on a slow link never got a large batch of the log or a large host list: the runner cancelled each read after 10 s and each append after 3 s in all, although bytes moved, and began again at the first byte. A batch may have 64 MB (26 s at 20 Mbit/s); a record of many completions or a checkpoint that is cut off while it is sent is appended again, and the records behind it wait.

The runner sets no bound on the whole any more. The clients bound the silence: a read 2 s and the grace, an append 3 s, the host list 3 s. So that a silent log is given up after the same times as before, the recorder's bound of an append goes from 10 s to 3 s, and the largest grace from 15 s to 8 s, which is what the runner's bounds left of them.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -22,9 +22,9 @@
 	maxResponseBytes = 64 << 20
 
 	defaultReadWait      = 2 * time.Second
-	defaultAppendTimeout = 10 * time.Second
+	defaultAppendTimeout = 3 * time.Second
 	minReadGrace         = time.Second
-	maxReadGrace         = 15 * time.Second
+	maxReadGrace         = 8 * time.Second
 )
 
 // Recorder is a client of the platform's log.
@@ -46,8 +46,8 @@
 func WithReadWait(wait time.Duration) Option { return func(r *Recorder) { r.readWait = wait } }
 
 // New returns a client of the log at an IP address and port. By default a read
-// waits for 2 s, and an append times out after 10 s. The returned function closes
-// the idle connections.
+// waits for 2 s, and an append times out after 3 s without a byte. The returned
+// function closes the idle connections.
 func New(address string, options ...Option) (*Recorder, func()) {
 	client, closeConnections := requester.New(maxResponseBytes)
 	r := &Recorder{
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -17,8 +17,6 @@
 	probeTimeout = 800 * time.Millisecond
 	// orderTimeout limits the time for which an order can be in flight.
 	orderTimeout = grouper.MaxOrderDelay
-	// appendTimeout limits the wait for the result of a log append.
-	appendTimeout = 3 * time.Second
 )
 
 // execute starts an effect. It never blocks: slow work runs on its own
@@ -91,9 +89,7 @@
 // appendRecord appends a record to the log. Only an UnavailableError proves that
 // the record was not appended; after any other error it may have been.
 func (r *Runner) appendRecord(ctx context.Context, e reducer.AppendRecord) {
-	timeoutContext, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	offset, err := r.dependencies.Log.Append(timeoutContext, e.Stream, e.Record)
+	offset, err := r.dependencies.Log.Append(ctx, e.Stream, e.Record)
 	appendEnded := reducer.AppendEnded{Stream: e.Stream, Record: e.Record.ID(), Offset: offset, Result: reducer.Appended}
 	var unavailable *fuchsiapitch.UnavailableError
 	switch {
--- a/internal/runner/follower.go
+++ b/internal/runner/follower.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// readTimeout limits one read of the log or of the host list.
-	readTimeout = 10 * time.Second
 	// maxReadBackoff is the longest back-off before a failed log read is retried.
 	maxReadBackoff = 2 * time.Second
 	// hostListInterval is the pause between two reads of the host list.
@@ -44,9 +42,7 @@
 	backOff := backoff.NewExponentialBackOff()
 	backOff.MaxInterval = maxReadBackoff
 	for ctx.Err() == nil {
-		timeoutContext, cancel := context.WithTimeout(ctx, readTimeout)
-		batch, err := r.dependencies.Log.Read(timeoutContext, stream, nextOffset, reducer.MaxReadBatch)
-		cancel()
+		batch, err := r.dependencies.Log.Read(ctx, stream, nextOffset, reducer.MaxReadBatch)
 		var truncated *fuchsiapitch.LogTruncatedError
 		switch {
 		case err == nil:
@@ -71,9 +67,7 @@
 	}
 	r.workers.start(ctx, func(ctx context.Context) {
 		for ctx.Err() == nil {
-			timeoutContext, cancel := context.WithTimeout(ctx, readTimeout)
-			servers, err := r.dependencies.HostList.BackendServers(timeoutContext)
-			cancel()
+			servers, err := r.dependencies.HostList.BackendServers(ctx)
 			if err == nil {
 				r.Submit(ctx, reducer.ServersListed{Servers: servers})
 			}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -48,7 +48,9 @@
 	onViolation     func(*fuchsiapitch.InvariantError)
 }
 
-// Dependencies are the clients for the external systems that effects use.
+// Dependencies are the clients for the external systems that effects use. The clients of
+// the log and of the host list end a call whose bytes do not move; the runner does not
+// limit its duration, since a transfer that is cancelled begins again at its first byte.
 type Dependencies struct {
 	// Log is the platform's append-only log. If it is nil, no stream is followed.
 	Log fuchsiapitch.Log
