publisher: reads and appends that progress are not cancelled

Before the change the test failed with "publish: got error log is unavailable for read: context deadline exceeded after 39 reads and 0 appends, want none".

--- a/internal/publisher/attempt.go
+++ b/internal/publisher/attempt.go
@@ -55,9 +55,7 @@
 
 // appendOnce appends the record once and reports whether the log acknowledged it.
 func (a *publishAttempt) appendOnce(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	_, err := a.publisher.log.Append(callCtx, configurer.StreamName, a.record)
+	_, err := a.publisher.log.Append(ctx, configurer.StreamName, a.record)
 	if err == nil {
 		a.mayBeAppended = true
 		return true
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -20,10 +20,6 @@
 	// the number of outcomes that a state machine keeps, so that an outcome cannot
 	// be evicted before it is looked up.
 	maxReadRecords = configurer.OutcomeLimit / 2
-	// readTimeout bounds one read of the log.
-	readTimeout = 5 * time.Second
-	// appendTimeout bounds one append to the log.
-	appendTimeout = 5 * time.Second
 	// maxRetryInterval bounds the back-off between calls to the log.
 	maxRetryInterval = 2 * time.Second
 )
@@ -101,7 +97,8 @@
 	return func(p *Publisher) { p.newBackOff = newBackOff }
 }
 
-// New returns a publisher that appends to a log under the name of an operator.
+// New returns a publisher that appends to a log under the name of an operator. The log
+// ends a call whose bytes do not move; the publisher does not limit its duration.
 func New(log fuchsiapitch.Log, operatorName string, options ...Option) *Publisher {
 	p := &Publisher{log: log, operatorName: operatorName, newID: newRecordID, newBackOff: defaultBackOff}
 	for _, o := range options {
@@ -213,10 +210,8 @@
 // returns true after a batch. A nil stopEarly means up to the end.
 func (p *Publisher) readToEnd(ctx context.Context, follower *configurer.Follower, stopEarly func() bool) error {
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		from := follower.NextOffset()
-		batch, err := p.log.Read(callCtx, configurer.StreamName, from, maxReadRecords)
-		cancel()
+		batch, err := p.log.Read(ctx, configurer.StreamName, from, maxReadRecords)
 		var truncated *fuchsiapitch.LogTruncatedError
 		switch {
 		case errors.As(err, &truncated):
--- /dev/null
+++ b/internal/publisher/transfer_test.go
@@ -0,0 +1,63 @@
+package publisher
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+// transferTime is the time of a transfer that progresses: a batch of 64 MB needs 26 s
+// at 20 Mbit/s.
+const transferTime = 26 * time.Second
+
+// slowLog is a log behind a slow link.
+type slowLog struct {
+	*fakeLog
+	reads, appends int
+}
+
+// transfer takes transferTime, unless its context ends first.
+func transfer(ctx context.Context) error {
+	select {
+	case <-time.After(transferTime):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *slowLog) Append(ctx context.Context, stream fuchsiapitch.StreamName, r fuchsiapitch.Record) (fuchsiapitch.Offset, error) {
+	l.appends++
+	if err := transfer(ctx); err != nil {
+		return 0, &fuchsiapitch.UncertainAppendError{Stream: stream, Record: r.ID(), Err: err}
+	}
+	return l.fakeLog.Append(ctx, stream, r)
+}
+
+func (l *slowLog) Read(ctx context.Context, stream fuchsiapitch.StreamName, from fuchsiapitch.Offset, limit int) (fuchsiapitch.Batch, error) {
+	l.reads++
+	if err := transfer(ctx); err != nil {
+		return fuchsiapitch.Batch{}, &fuchsiapitch.UnavailableError{System: "log", Action: "read", Err: err}
+	}
+	return l.fakeLog.Read(ctx, stream, from, limit)
+}
+
+// A transfer that is cancelled begins again at its first byte and never ends. A
+// publication over a slow link takes one read, one append and one read back.
+func TestSlowTransferIsNotCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &slowLog{fakeLog: newFakeLog()}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*transferTime)
+		defer cancel()
+		result, err := New(log, "operator").Publish(ctx, parse(t, rankYAML("a", 1, 0.1)))
+		if err != nil {
+			t.Fatalf("publish: got error %v after %d reads and %d appends, want none", err, log.reads, log.appends)
+		}
+		if result.Status != Accepted || log.reads != 2 || log.appends != 1 {
+			t.Errorf("got %v after %d reads and %d appends, want %v after 2 and 1", result.Status, log.reads, log.appends, Accepted)
+		}
+	})
+}
