publisher: a status that progresses is not cancelled

At 410 hosts the statuses together are some 14 MB (a calculation: 35 KB each), which need 6 s at 20 Mbit/s.

Before the change the test failed with "got {... InForce:false ... context deadline exceeded} after 124 requests, want the offset in force after 1".

--- a/internal/publisher/transfer_test.go
+++ b/internal/publisher/transfer_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,3 +64,48 @@
 		}
 	})
 }
+
+// slowStatus responds to each request with a status that takes transferTime, a byte at
+// a time.
+type slowStatus struct{ requests int }
+
+// RoundTrip implements http.RoundTripper.
+func (s *slowStatus) RoundTrip(request *http.Request) (*http.Response, error) {
+	s.requests++
+	status := `{"host":"h1","configuration-offset":7}`
+	body := &slowBody{ctx: request.Context(), remaining: status, interval: transferTime / time.Duration(len(status))}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(body)}, nil
+}
+
+type slowBody struct {
+	ctx       context.Context
+	remaining string
+	interval  time.Duration
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(buffer []byte) (int, error) {
+	select {
+	case <-time.After(b.interval):
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	n, err := strings.NewReader(b.remaining).Read(buffer[:1])
+	b.remaining = b.remaining[n:]
+	return n, err
+}
+
+// A status that is cancelled is requested again, and never read to its end.
+func TestSlowStatusIsNotCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host := &slowStatus{}
+		w := NewWaiter([]string{"http://h1"})
+		w.client = &http.Client{Transport: host}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*transferTime)
+		defer cancel()
+		status := w.Wait(ctx, 7)[0]
+		if !status.InForce || host.requests != 1 {
+			t.Errorf("got %+v after %d requests, want the offset in force after 1", status, host.requests)
+		}
+	})
+}
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -122,8 +122,8 @@
 func (r *Requester) Send(ctx context.Context, request Request) (Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silenceTimer := newSilenceTimer(request.Timeout, cancel)
-	defer silenceTimer.stop()
+	silenceTimer := NewSilenceTimer(request.Timeout, cancel)
+	defer silenceTimer.Stop()
 	var mayHaveBeenSent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { mayHaveBeenSent.Store(true) },
@@ -139,7 +139,7 @@
 	return response, nil
 }
 
-func (r *Requester) roundTrip(ctx context.Context, request Request, silenceTimer *silenceTimer) (Response, error) {
+func (r *Requester) roundTrip(ctx context.Context, request Request, silenceTimer *SilenceTimer) (Response, error) {
 	start := time.Now()
 	httpRequest, err := newHTTPRequest(ctx, request, silenceTimer)
 	if err != nil {
@@ -150,9 +150,9 @@
 		return Response{}, err
 	}
 	defer httpResponse.Body.Close()
-	silenceTimer.reset()
+	silenceTimer.Reset()
 	headerDelay := time.Since(start)
-	body, err := io.ReadAll(io.LimitReader(&progressReader{reader: httpResponse.Body, timer: silenceTimer}, r.maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(silenceTimer.Reader(httpResponse.Body), r.maxResponseBytes+1))
 	if err != nil {
 		return Response{}, err
 	}
@@ -163,14 +163,14 @@
 }
 
 // newHTTPRequest returns the HTTP form of a request. Sending its body resets the timer.
-func newHTTPRequest(ctx context.Context, request Request, silenceTimer *silenceTimer) (*http.Request, error) {
+func newHTTPRequest(ctx context.Context, request Request, silenceTimer *SilenceTimer) (*http.Request, error) {
 	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, request.URL, bytes.NewReader(request.Body))
 	if err != nil {
 		return nil, err
 	}
 	if len(request.Body) > 0 {
 		httpRequest.GetBody = func() (io.ReadCloser, error) {
-			return io.NopCloser(&progressReader{reader: bytes.NewReader(request.Body), timer: silenceTimer}), nil
+			return io.NopCloser(silenceTimer.Reader(bytes.NewReader(request.Body))), nil
 		}
 		if httpRequest.Body, err = httpRequest.GetBody(); err != nil {
 			return nil, err
--- a/internal/requester/silence.go
+++ b/internal/requester/silence.go
@@ -22,31 +22,39 @@
 // Is reports whether the target is context.DeadlineExceeded.
 func (*SilenceError) Is(target error) bool { return target == context.DeadlineExceeded }
 
-// silenceTimer cancels a request with a SilenceError after a time-out without a reset.
-type silenceTimer struct {
+// SilenceTimer cancels a transfer with a SilenceError after a time-out in which no byte
+// moves.
+type SilenceTimer struct {
 	timeout time.Duration
 	timer   *time.Timer
 }
 
-func newSilenceTimer(timeout time.Duration, cancel context.CancelCauseFunc) *silenceTimer {
-	return &silenceTimer{timeout: timeout, timer: time.AfterFunc(timeout, func() { cancel(&SilenceError{Timeout: timeout}) })}
+// NewSilenceTimer starts a timer that cancels a transfer.
+func NewSilenceTimer(timeout time.Duration, cancel context.CancelCauseFunc) *SilenceTimer {
+	return &SilenceTimer{timeout: timeout, timer: time.AfterFunc(timeout, func() { cancel(&SilenceError{Timeout: timeout}) })}
 }
 
-func (t *silenceTimer) reset() { t.timer.Reset(t.timeout) }
+// Reset starts the time-out anew.
+func (t *SilenceTimer) Reset() { t.timer.Reset(t.timeout) }
 
-func (t *silenceTimer) stop() { t.timer.Stop() }
+// Stop stops the timer.
+func (t *SilenceTimer) Stop() { t.timer.Stop() }
+
+// Reader returns a reader that resets the timer whenever it delivers bytes.
+func (t *SilenceTimer) Reader(reader io.Reader) io.Reader {
+	return &progressReader{reader: reader, timer: t}
+}
 
-// progressReader resets a timer whenever it delivers bytes.
 type progressReader struct {
 	reader io.Reader
-	timer  *silenceTimer
+	timer  *SilenceTimer
 }
 
 // Read implements io.Reader.
 func (p *progressReader) Read(buffer []byte) (int, error) {
 	n, err := p.reader.Read(buffer)
 	if n > 0 {
-		p.timer.reset()
+		p.timer.Reset()
 	}
 	return n, err
 }
