runner: a slow fetch of another host's configuration ends

While the log was away, a host on a slow link never got the configuration of another host: each fetch was cancelled after 2 s in all, and the next began at the first byte, 0.5 s later, for ever.

Only one fetch runs at a time: the reducer repeats one after 3 s, and the second would share the link with the first.

The runner cannot see whether bytes move, since gRPC delivers a message whole; a bound on silence needs the dispatcher.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -42,6 +42,7 @@
 	mailboxes       map[fuchsiapitch.RequestID]*Mailbox
 	cancelFollowers map[fuchsiapitch.StreamName]context.CancelFunc
 	workers         *workerGroup
+	fetchLimit      fetchLimit
 	configuration   atomic.Pointer[fuchsiapitch.Configuration]
 	inFlight        atomic.Int64
 	violationCount  atomic.Int64
