reducer: two failing tests of checkpoints that are the load themselves

A host appends its own unless it has read another's; the more checkpoints there are, the later it reads them. The model leaves out that hosts take states from each other; a host that does so skips the checkpoint and does not know of it either.

The stand-in rejects records above 1 MiB, some 1,500 documents of 600 bytes (calculated).

--- /dev/null
+++ b/internal/reducer/checkpoint_storm_test.go
@@ -0,0 +1,113 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/configurer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder"
+)
+
+// linkedHost reads the stream over a link on which a record takes a time.
+type linkedHost struct {
+	state      *State
+	nextOffset int
+	// receivedAt is the time at which the record at nextOffset has been received, 0 while
+	// there is none.
+	receivedAt time.Duration
+}
+
+// slowStream is a stream whose readers have slow links.
+type slowStream struct {
+	records      []fuchsiapitch.Record
+	transferTime time.Duration
+}
+
+func (s *slowStream) append(t *testing.T, id fuchsiapitch.RecordID, body configurer.RecordBody) {
+	t.Helper()
+	data, err := encoder.EncodeConfigurationRecord(body)
+	if err != nil {
+		t.Fatalf("encode: got error %v, want none", err)
+	}
+	s.appendRecord(fuchsiapitch.NewRecord(id, data))
+}
+
+func (s *slowStream) appendRecord(r fuchsiapitch.Record) {
+	s.records = append(s.records, r.WithOffset(fuchsiapitch.Offset(len(s.records)+1)))
+}
+
+// advance receives at most one record and applies a tick.
+func (s *slowStream) advance(now time.Duration, h *linkedHost) {
+	if h.nextOffset <= len(s.records) && h.receivedAt == 0 {
+		h.receivedAt = now + s.transferTime
+	}
+	if h.receivedAt > 0 && now >= h.receivedAt {
+		batch := fuchsiapitch.NewBatch(s.records[h.nextOffset-1:h.nextOffset], 1, fuchsiapitch.Offset(h.nextOffset+1))
+		h.state.Apply(at(now), RecordsRead{Stream: ConfigurationStream, From: fuchsiapitch.Offset(h.nextOffset), Batch: batch})
+		h.nextOffset++
+		h.receivedAt = 0
+	}
+	for _, e := range h.state.Apply(at(now), Ticked{}) {
+		if a, ok := e.(AppendRecord); ok && a.Stream == ConfigurationStream {
+			s.appendRecord(a.Record)
+		}
+	}
+}
+
+// At the target size a checkpoint of 6,000 documents takes 2 s to be read at 20 Mbit/s.
+// Hosts that have not read it yet append theirs, which all hosts have to read as well.
+func TestFewHostsAppendCheckpointOverSlowLinks(t *testing.T) {
+	const (
+		hostCount = 410
+		want      = 10
+		step      = 500 * time.Millisecond
+	)
+	for _, transferTime := range []time.Duration{0, 2 * time.Second} {
+		t.Run(transferTime.String(), func(t *testing.T) {
+			s := &slowStream{transferTime: transferTime}
+			publication := configurer.Publication{Changes: []configurer.Change{{Key: configurer.NewKey(configurer.RankKind, "a"), Content: []byte("1")}}}
+			sm := configurer.NewStateMachine()
+			sm.ApplyPublication("publication", 1, publication)
+			s.append(t, "publication", publication)
+			s.append(t, "checkpoint", sm.Snapshot())
+			initialCount := len(s.records)
+			var hosts []*linkedHost
+			for i := range hostCount {
+				host := fuchsiapitch.NewHost(fuchsiapitch.HostID(fmt.Sprint("host-", i)), "127.0.0.1:1", "gt-xela", 1)
+				hosts = append(hosts, &linkedHost{state: New(host), nextOffset: 1})
+			}
+			for now := step; now < checkpointInterval; now += step {
+				for _, h := range hosts {
+					s.advance(now, h)
+				}
+			}
+			if got := len(s.records) - initialCount; got > want {
+				t.Errorf("got %d checkpoints of %d hosts in %s, want at most %d", got, hostCount, checkpointInterval, want)
+			}
+		})
+	}
+}
+
+// A checkpoint that the log rejects each time, for example because it is larger than a
+// record may be, is not sent by every host again and again.
+func TestRejectedCheckpointIsRepeatedSeldom(t *testing.T) {
+	const want = 10
+	s := &slowStream{}
+	s.append(t, "publication", configurer.Publication{Changes: []configurer.Change{{Key: configurer.NewKey(configurer.RankKind, "a"), Content: []byte("1")}}})
+	state := New(self)
+	state.Apply(at(0), RecordsRead{Stream: ConfigurationStream, From: 1, Batch: fuchsiapitch.NewBatch(s.records, 1, 2)})
+	got := 0
+	for now := time.Second; now < time.Hour; now += time.Second {
+		for _, e := range state.Apply(at(now), Ticked{}) {
+			if a, ok := e.(AppendRecord); ok && a.Stream == ConfigurationStream {
+				got++
+				state.Apply(at(now), AppendEnded{Stream: a.Stream, Record: a.Record.ID(), Result: NotAppended})
+			}
+		}
+	}
+	if got > want {
+		t.Errorf("got %d appends in an hour, want at most %d", got, want)
+	}
+}
