--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -42,13 +42,16 @@
 	mailboxes       map[fuchsiapitch.RequestID]*Mailbox
 	cancelFollowers map[fuchsiapitch.StreamName]context.CancelFunc
 	workers         *workerGroup
+	fetchLimit      fetchLimit
 	configuration   atomic.Pointer[fuchsiapitch.Configuration]
 	inFlight        atomic.Int64
 	violationCount  atomic.Int64
 	onViolation     func(*fuchsiapitch.InvariantError)
 }
 
-// Dependencies are the clients for the external systems that effects use.
+// Dependencies are the clients for the external systems that effects use. The clients of
+// the log and of the host list end a call whose bytes do not move; the runner does not
+// limit its duration, since a transfer that is cancelled begins again at its first byte.
 type Dependencies struct {
 	// Log is the platform's append-only log. If it is nil, no stream is followed.
 	Log fuchsiapitch.Log
