assembler: the forwarder's log line is written

A response that is cut off at a bound is logged by the forwarder, whose logger the assembler did not set, so that operators of the own interface did not see which server sends bytes without an end. The line itself has a test in the forwarder (TestCutResponseIsLogged).

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -178,7 +178,10 @@
 		runner.Dependencies{Log: dependencies.Log, HostList: dependencies.HostList, EngineControl: dependencies.EngineControl, Transport: client, SnapshotFetcher: client},
 		runner.WithLogger(e.rootLogger.For("runner")), runner.WithMeter(e.meter), runner.WithViolationHandler(e.onViolation),
 	)
-	e.forwarder = forwarder.New(e.runner, dependencies.BackendClient, client, forwarder.WithTracer(e.tracer), forwarder.WithMeter(e.meter))
+	e.forwarder = forwarder.New(
+		e.runner, dependencies.BackendClient, client,
+		forwarder.WithLogger(e.rootLogger.For("forwarder")), forwarder.WithTracer(e.tracer), forwarder.WithMeter(e.meter),
+	)
 	e.buildServers()
 	e.buildSupervisor()
 }
