reducer: a replica without slots does not count as routable

AwaitReplicas counts the replicas to which every host routes. It counted those without slots too, for which requests only wait.

Only replicas with slots are counted. TestReplicaWithoutSlotsIsNotRoutable failed before: "got 2 routable replicas with one without slots, want 1".

--- a/internal/reducer/request_test.go
+++ b/internal/reducer/request_test.go
@@ -31,6 +31,22 @@
 	return s
 }
 
+// A replica without slots, whose members have not reported to their new dispatcher yet,
+// must not count as routable.
+func TestReplicaWithoutSlotsIsNotRoutable(t *testing.T) {
+	s := newTwoReplicaState(t)
+	if got, want := s.RoutableReplicas("vidrio-llm"), 2; got != want {
+		t.Errorf("got %d routable replicas, want %d", got, want)
+	}
+	first := s.replicas["g1"]
+	s.Apply(at(0), FleetOverridden{Configuration: s.Configuration(), Replicas: []fuchsiapitch.Replica{
+		first, fuchsiapitch.NewReplica("g2", "vidrio-llm", s.replicas["g2"].Server(), 0, "1"),
+	}})
+	if got, want := s.RoutableReplicas("vidrio-llm"), 1; got != want {
+		t.Errorf("got %d routable replicas with one without slots, want %d", got, want)
+	}
+}
+
 func newChatRequest(id fuchsiapitch.RequestID, options ...fuchsiapitch.RequestOption) fuchsiapitch.Request {
 	options = append(options, fuchsiapitch.WithTimeLimit(time.Minute))
 	return fuchsiapitch.NewRequest(id, "vidrio-llm", "customer", "chat", options...)
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -219,11 +219,12 @@
 func (s *State) LiveHosts() []fuchsiapitch.Host { return s.members.LiveHosts() }
 
 // RoutableReplicas returns the number of replicas of a service to which this data
-// centre routes requests.
+// centre routes requests. Requests for a replica without slots only wait for it, so it
+// does not count.
 func (s *State) RoutableReplicas(service fuchsiapitch.ServiceName) int {
 	count := 0
 	for _, r := range s.replicas {
-		if r.Service() == service {
+		if r.Service() == service && r.Slots() > 0 {
 			count++
 		}
 	}
