--- a/internal/dispatcher/snapshot.go
+++ b/internal/dispatcher/snapshot.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"google.golang.org/grpc"
+
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/configurer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder"
@@ -10,13 +12,16 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
 )
 
+// maxSnapshotBytes is the largest snapshot that is received, in bytes.
+const maxSnapshotBytes = 64 << 20
+
 // FetchSnapshot implements configurer.SnapshotFetcher.
 func (c *Client) FetchSnapshot(ctx context.Context, host fuchsiapitch.Host, since fuchsiapitch.Offset) (configurer.Snapshot, error) {
 	pc, err := c.connection(connectionKey{address: host.Address(), trafficClass: heartbeatClass})
 	if err != nil {
 		return configurer.Snapshot{}, &fuchsiapitch.UnreachableError{Address: host.Address(), Action: "snapshot", Err: err}
 	}
-	response, err := wire.NewSnapshotsClient(pc.clientConn).Fetch(ctx, &wire.SnapshotRequest{Since: uint64(since)})
+	response, err := wire.NewSnapshotsClient(pc.clientConn).Fetch(ctx, &wire.SnapshotRequest{Since: uint64(since)}, grpc.MaxCallRecvMsgSize(maxSnapshotBytes))
 	if err != nil {
 		return configurer.Snapshot{}, &fuchsiapitch.UnreachableError{Address: host.Address(), Action: "snapshot", Err: err}
 	}
