dispatcher: a retired connection is closed when its last exchange ends

What callers saw: a request that gets no frame retires the connection of its rank, and 2.5 s later all streams on it were cut off although their frames arrived.

Cause: the connection was closed after the frame time-out, by which time only exchanges without frames have ended.

Ruled out: a connection that is closed once no byte arrives, since bytes that belong to no exchange (HTTP/2 pings) keep it open without end.

A connection counts its open exchanges now. A retired one gets no new ones and is closed when the last has ended: each has the frame time-out or the deadline of its caller, so a dead connection is closed as soon as before. An exchange with frames that never end is cut off an hour after the retirement. The client closes retired connections with the others.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -49,9 +49,14 @@
 	localHost    fuchsiapitch.Host
 	credentials  credentials.TransportCredentials
 	frameTimeout time.Duration
+	// retiredLifetime limits the time for which a retired connection stays open.
+	retiredLifetime time.Duration
 
 	mutex       sync.Mutex
 	connections map[connectionKey]*peerConnection
+	// retired holds the retired connections that are still open, and the timers
+	// that close them.
+	retired map[*peerConnection]*time.Timer
 }
 
 // ClientOption sets one optional property of a client.
@@ -70,7 +75,10 @@
 
 // NewClient returns a client and the function that closes its connections.
 func NewClient(localHost fuchsiapitch.Host, options ...ClientOption) (*Client, func()) {
-	c := &Client{localHost: localHost, credentials: insecure.NewCredentials(), frameTimeout: defaultFrameTimeout, connections: make(map[connectionKey]*peerConnection)}
+	c := &Client{
+		localHost: localHost, credentials: insecure.NewCredentials(), frameTimeout: defaultFrameTimeout, retiredLifetime: defaultRetiredLifetime,
+		connections: make(map[connectionKey]*peerConnection), retired: make(map[*peerConnection]*time.Timer),
+	}
 	for _, o := range options {
 		o(c)
 	}
@@ -84,12 +92,20 @@
 		_ = pc.clientConn.Close()
 		delete(c.connections, key)
 	}
+	for pc, timer := range c.retired {
+		timer.Stop()
+		_ = pc.clientConn.Close()
+		delete(c.retired, pc)
+	}
 }
 
-func (c *Client) connection(key connectionKey) (*peerConnection, error) {
+// acquire returns the connection for a key and begins an exchange on it, which
+// release ends.
+func (c *Client) acquire(key connectionKey) (*peerConnection, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if pc, ok := c.connections[key]; ok {
+		pc.exchanges++
 		return pc, nil
 	}
 	conn, err := grpc.NewClient("passthrough:///"+key.address,
@@ -105,6 +121,7 @@
 		return nil, err
 	}
 	pc := newPeerConnection(conn)
+	pc.exchanges++
 	c.connections[key] = pc
 	return pc, nil
 }
@@ -112,10 +129,11 @@
 // SendHeartbeat implements gossiper.Transport.
 func (c *Client) SendHeartbeat(ctx context.Context, to fuchsiapitch.Host, heartbeat gossiper.Heartbeat) (gossiper.Heartbeat, error) {
 	key := connectionKey{address: to.Address(), trafficClass: heartbeatClass}
-	pc, err := c.connection(key)
+	pc, err := c.acquire(key)
 	if err != nil {
 		return gossiper.Heartbeat{}, &fuchsiapitch.UnreachableError{Address: to.Address(), Action: "heartbeat", Err: err}
 	}
+	defer c.release(pc)
 	response, err := wire.NewPeerClient(pc.clientConn).Beat(ctx, encoder.EncodeHeartbeat(heartbeat))
 	if err != nil {
 		// The connection may be broken although the host is alive.
@@ -143,14 +161,18 @@
 	stream, err := wire.NewPeerClient(pc.clientConn).Dispatch(ctx, message)
 	if err != nil {
 		cancel(nil)
+		c.release(pc)
 		dispatchError.Err, dispatchError.Outcome = err, tracker.outcome()
 		return fuchsiapitch.BackendResponse{}, dispatchError
 	}
 	body := newFrameBody(stream, cancel, tracker, dispatchError, c.frameTimeout)
 	body.onFrame, body.onTimeout = pc.recordResponse, func() { c.retire(key, pc) }
+	body.onEnd = sync.OnceFunc(func() {
+		cancel(nil)
+		c.release(pc)
+	})
 	frame, err := body.receiveContent()
 	if err != nil {
-		cancel(nil)
 		return fuchsiapitch.BackendResponse{}, err
 	}
 	start := frame.GetStart()
@@ -176,6 +198,8 @@
 	// onFrame is called for each frame, and onTimeout after the frame timeout has
 	// ended the exchange.
 	onFrame, onTimeout func()
+	// onEnd is called when the exchange has ended, possibly several times.
+	onEnd func()
 }
 
 func newFrameBody(stream grpc.ServerStreamingClient[wire.DispatchFrame], cancel context.CancelCauseFunc, tracker *sendTracker, dispatchError *fuchsiapitch.DispatchError, frameTimeout time.Duration) *frameBody {
@@ -207,12 +231,14 @@
 	frame, err := b.receiveFrame()
 	if err != nil {
 		b.dispatchError.Err, b.dispatchError.Outcome = b.failureCause(err), b.tracker.outcome()
+		b.onEnd()
 		return nil, b.dispatchError
 	}
 	end := frame.GetEnd()
 	if end == nil {
 		return frame, nil
 	}
+	b.onEnd()
 	if fuchsiapitch.Outcome(end.GetOutcome()) == fuchsiapitch.OutcomeSucceeded {
 		return nil, io.EOF
 	}
@@ -252,6 +278,6 @@
 // Close implements io.Closer.
 func (b *frameBody) Close() error {
 	b.frameTimer.Stop()
-	b.cancel(nil)
+	b.onEnd()
 	return nil
 }
--- a/internal/dispatcher/link.go
+++ b/internal/dispatcher/link.go
@@ -15,6 +15,9 @@
 	livenessWindow = time.Second
 	// healthCheckTimeout limits the health check of an idle connection.
 	healthCheckTimeout = 500 * time.Millisecond
+	// defaultRetiredLifetime is the time after which a retired connection is closed
+	// although exchanges on it are still open.
+	defaultRetiredLifetime = time.Hour
 )
 
 // peerConnection is a connection to another host and the time of the last response
@@ -23,6 +26,8 @@
 type peerConnection struct {
 	clientConn           *grpc.ClientConn
 	lastResponseUnixNano atomic.Int64
+	// exchanges is the number of open exchanges. The client's mutex guards it.
+	exchanges int
 }
 
 // newPeerConnection returns a connection that counts as live at first: gRPC
@@ -53,9 +58,9 @@
 }
 
 // liveConnection returns a connection with a recent response or a successful
-// health check, or a new connection.
+// health check, or a new connection. The caller releases it.
 func (c *Client) liveConnection(ctx context.Context, key connectionKey) (*peerConnection, error) {
-	pc, err := c.connection(key)
+	pc, err := c.acquire(key)
 	if err != nil || pc.hasRecentResponse() {
 		return pc, err
 	}
@@ -63,12 +68,13 @@
 		return pc, nil
 	}
 	c.retire(key, pc)
-	return c.connection(key)
+	c.release(pc)
+	return c.acquire(key)
 }
 
 // retire removes a connection that does not respond, so that the next call opens
-// a new one. It is closed after the frame timeout, by which time every exchange
-// without frames has timed out. Closing it aborts the exchanges that are still open.
+// a new one. Exchanges on it may still make progress, so it is closed when the last
+// of them has ended, or after retiredLifetime. The caller has acquired it.
 func (c *Client) retire(key connectionKey, pc *peerConnection) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -76,5 +82,29 @@
 		return
 	}
 	delete(c.connections, key)
-	time.AfterFunc(c.frameTimeout, func() { _ = pc.clientConn.Close() })
+	c.retired[pc] = time.AfterFunc(c.retiredLifetime, func() { c.closeRetired(pc) })
+}
+
+// release ends an exchange on a connection.
+func (c *Client) release(pc *peerConnection) {
+	c.mutex.Lock()
+	pc.exchanges--
+	isUnused := pc.exchanges == 0
+	c.mutex.Unlock()
+	if isUnused {
+		c.closeRetired(pc)
+	}
+}
+
+// closeRetired closes a connection if it is retired and still open. A retired
+// connection gets no further exchanges.
+func (c *Client) closeRetired(pc *peerConnection) {
+	c.mutex.Lock()
+	timer, ok := c.retired[pc]
+	delete(c.retired, pc)
+	c.mutex.Unlock()
+	if ok {
+		timer.Stop()
+		_ = pc.clientConn.Close()
+	}
 }
--- a/internal/dispatcher/snapshot.go
+++ b/internal/dispatcher/snapshot.go
@@ -17,10 +17,11 @@
 
 // FetchSnapshot implements configurer.SnapshotFetcher.
 func (c *Client) FetchSnapshot(ctx context.Context, host fuchsiapitch.Host, since fuchsiapitch.Offset) (configurer.Snapshot, error) {
-	pc, err := c.connection(connectionKey{address: host.Address(), trafficClass: heartbeatClass})
+	pc, err := c.acquire(connectionKey{address: host.Address(), trafficClass: heartbeatClass})
 	if err != nil {
 		return configurer.Snapshot{}, &fuchsiapitch.UnreachableError{Address: host.Address(), Action: "snapshot", Err: err}
 	}
+	defer c.release(pc)
 	response, err := wire.NewSnapshotsClient(pc.clientConn).Fetch(ctx, &wire.SnapshotRequest{Since: uint64(since)}, grpc.MaxCallRecvMsgSize(maxSnapshotBytes))
 	if err != nil {
 		return configurer.Snapshot{}, &fuchsiapitch.UnreachableError{Address: host.Address(), Action: "snapshot", Err: err}
