--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -23,9 +23,11 @@
 	streamWindowBytes = 1 << 20
 	// connectionWindowBytes is the HTTP/2 flow-control window of one connection.
 	connectionWindowBytes = 16 << 20
-	// heartbeatClass is the traffic class of the connection for heartbeats and
-	// configuration snapshots.
+	// heartbeatClass is the traffic class of the connection for heartbeats.
 	heartbeatClass = "heartbeats"
+	// snapshotClass is the traffic class of the connection for configuration
+	// snapshots, whose bytes would delay heartbeats.
+	snapshotClass = "snapshots"
 )
 
 // connectTimeout limits one connection attempt.
@@ -40,7 +42,7 @@
 // of another.
 type connectionKey struct {
 	address string
-	// trafficClass is the name of a rank or heartbeatClass.
+	// trafficClass is the name of a rank, heartbeatClass or snapshotClass.
 	trafficClass string
 }
 
--- a/internal/dispatcher/snapshot.go
+++ b/internal/dispatcher/snapshot.go
@@ -17,7 +17,7 @@
 
 // FetchSnapshot implements configurer.SnapshotFetcher.
 func (c *Client) FetchSnapshot(ctx context.Context, host fuchsiapitch.Host, since fuchsiapitch.Offset) (configurer.Snapshot, error) {
-	pc, err := c.acquire(connectionKey{address: host.Address(), trafficClass: heartbeatClass})
+	pc, err := c.liveConnection(ctx, connectionKey{address: host.Address(), trafficClass: snapshotClass})
 	if err != nil {
 		return configurer.Snapshot{}, &fuchsiapitch.UnreachableError{Address: host.Address(), Action: "snapshot", Err: err}
 	}
@@ -26,6 +26,7 @@
 	if err != nil {
 		return configurer.Snapshot{}, &fuchsiapitch.UnreachableError{Address: host.Address(), Action: "snapshot", Err: err}
 	}
+	pc.recordResponse()
 	return encoder.DecodeConfigurationSnapshot(response), nil
 }
 
--- a/internal/dispatcher/transfer_test.go
+++ b/internal/dispatcher/transfer_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/health"
+	"google.golang.org/grpc/health/grpc_health_v1"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder/wire"
@@ -161,3 +163,106 @@
 	}
 	assertRequestCount(t, s, 1)
 }
+
+// stallingLink passes connections on to an address. Each passes a number of bytes
+// towards the client, and the rest only when the test has ended.
+func stallingLink(t *testing.T, address string, passedBytes int64) net.Listener {
+	t.Helper()
+	listener := listen(t)
+	ctx := t.Context()
+	go func() {
+		for {
+			clientConn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serverConn, err := net.Dial("tcp", address)
+			if err != nil {
+				clientConn.Close()
+				return
+			}
+			go func() { io.Copy(serverConn, clientConn); serverConn.Close() }()
+			go func() {
+				defer clientConn.Close()
+				if _, err := io.CopyN(clientConn, serverConn, passedBytes); err == nil {
+					<-ctx.Done()
+				}
+			}()
+		}
+	}()
+	return listener
+}
+
+// A heartbeat does not wait behind the bytes of a snapshot.
+func TestHeartbeatPassesSnapshot(t *testing.T) {
+	const passedBytes = 64 << 10
+	fetching := make(chan struct{})
+	listener, grpcServer := listen(t), grpc.NewServer()
+	s := &beatingServer{snapshotServer{fetch: func(context.Context) (*wire.ConfigurationSnapshot, error) {
+		defer close(fetching)
+		return &wire.ConfigurationSnapshot{Documents: []*wire.DocumentState{{Content: make([]byte, 4*passedBytes)}}}, nil
+	}}}
+	wire.RegisterPeerServer(grpcServer, s)
+	wire.RegisterSnapshotsServer(grpcServer, s)
+	go grpcServer.Serve(listener)
+	t.Cleanup(grpcServer.Stop)
+	host := hostAt(stallingLink(t, listener.Addr().String(), passedBytes).Addr())
+	c := newTestClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	fetched := make(chan error)
+	go func() {
+		_, err := c.FetchSnapshot(ctx, host, 0)
+		fetched <- err
+	}()
+	<-fetching
+	time.Sleep(100 * time.Millisecond)
+	heartbeatContext, cancelHeartbeat := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancelHeartbeat()
+	if _, err := c.SendHeartbeat(heartbeatContext, host, gossiper.Heartbeat{}); err != nil {
+		t.Errorf("heartbeat: got error %v, want none", err)
+	}
+	cancel()
+	if err := <-fetched; err == nil {
+		t.Error("fetch: got no error, want one: the snapshot was to stall")
+	}
+}
+
+// beatingServer is a snapshotServer that accepts heartbeats.
+type beatingServer struct{ snapshotServer }
+
+// Beat implements wire.PeerServer.
+func (*beatingServer) Beat(context.Context, *wire.Heartbeat) (*wire.Heartbeat, error) {
+	return &wire.Heartbeat{}, nil
+}
+
+// A connection for snapshots that has stopped to pass bytes is replaced.
+func TestSnapshotConnectionIsReplaced(t *testing.T) {
+	const contentBytes = 40 << 10
+	listener, grpcServer := listen(t), grpc.NewServer()
+	s := &beatingServer{snapshotServer{fetch: func(context.Context) (*wire.ConfigurationSnapshot, error) {
+		return &wire.ConfigurationSnapshot{Documents: []*wire.DocumentState{{Content: make([]byte, contentBytes)}}}, nil
+	}}}
+	wire.RegisterSnapshotsServer(grpcServer, s)
+	grpc_health_v1.RegisterHealthServer(grpcServer, health.NewServer())
+	go grpcServer.Serve(listener)
+	t.Cleanup(grpcServer.Stop)
+	host := hostAt(stallingLink(t, listener.Addr().String(), contentBytes*3/2).Addr())
+	c := newTestClient(t)
+	if _, err := c.FetchSnapshot(t.Context(), host, 0); err != nil {
+		t.Fatalf("first fetch: got error %v, want none", err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := c.FetchSnapshot(ctx, host, 0); err == nil {
+		t.Fatal("second fetch: got no error, want one: the link was to stall")
+	}
+	for _, pc := range c.connections {
+		pc.lastResponseUnixNano.Store(0)
+	}
+	ctx, cancel = context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if _, err := c.FetchSnapshot(ctx, host, 0); err != nil {
+		t.Errorf("third fetch: got error %v, want none", err)
+	}
+	assertRetiredCount(t, c, 0)
+}
