dispatcher: a request that is being sent is not silent

What callers saw: a request whose body takes longer than the frame time-out to send (2.5 s, 6 MB at 20 Mbit/s) was cut off while it was sent, and repeated from its first byte.

Cause: the frame time-out began with the call, and the other host sends no frame before it has the whole request.

Evidence: TestSlowRequestBodyIsNotSilence failed before, always: "no frame received for 500ms, want none", "got 0 requests at the dispatcher, want 1". Ruled out: the report of grpc-go that the message was sent, which it gives when it queues the message.

Before its first frame, bytes that arrive on the connection count as progress: HTTP/2 acknowledges a body while it is read. They may belong to other exchanges, so that a request may only be in sending for as long as 16 KiB in each frame time-out need. Without that limit TestSilentRequestTimesOut, new, does not end.

The timer keeps its deadline under a mutex: one that expired while a frame arrived could otherwise start again after it was stopped.

Connections to other hosts are opened without a proxy of the environment, which grpc-go applies only to its own dialer.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -23,6 +23,9 @@
 	streamWindowBytes = 1 << 20
 	// connectionWindowBytes is the HTTP/2 flow-control window of one connection.
 	connectionWindowBytes = 16 << 20
+	// minUploadBytes is the number of bytes of a request that must be sent within
+	// each frame timeout. It limits the time in which a request may be sent.
+	minUploadBytes = 16 << 10
 	// heartbeatClass is the traffic class of the connection for heartbeats.
 	heartbeatClass = "heartbeats"
 	// snapshotClass is the traffic class of the connection for configuration
@@ -110,6 +113,7 @@
 		pc.exchanges++
 		return pc, nil
 	}
+	pc := newPeerConnection()
 	conn, err := grpc.NewClient("passthrough:///"+key.address,
 		grpc.WithTransportCredentials(c.credentials),
 		grpc.WithInitialWindowSize(streamWindowBytes),
@@ -117,12 +121,13 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithStatsHandler(sendStatsHandler{}),
+		grpc.WithContextDialer(pc.dial),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: connectTimeout}),
 	)
 	if err != nil {
 		return nil, err
 	}
-	pc := newPeerConnection(conn)
+	pc.clientConn = conn
 	pc.exchanges++
 	c.connections[key] = pc
 	return pc, nil
@@ -168,6 +173,8 @@
 		return fuchsiapitch.BackendResponse{}, dispatchError
 	}
 	body := newFrameBody(stream, cancel, tracker, dispatchError, c.frameTimeout)
+	body.uploadDeadline = time.Now().Add(time.Duration(len(call.Body())/minUploadBytes) * c.frameTimeout)
+	body.timeSinceBytes = pc.timeSinceBytes
 	body.onFrame, body.onTimeout = pc.recordResponse, func() { c.retire(key, pc) }
 	body.onEnd = sync.OnceFunc(func() {
 		cancel(nil)
@@ -195,32 +202,91 @@
 	tracker       *sendTracker
 	dispatchError *fuchsiapitch.DispatchError
 	frameTimeout  time.Duration
-	frameTimer    *time.Timer
 	frame         wire.DispatchFrame
+	// timeSinceBytes returns the time since the last bytes on the connection.
+	timeSinceBytes func() time.Duration
 	// onFrame is called for each frame, and onTimeout after the frame timeout has
 	// ended the exchange.
 	onFrame, onTimeout func()
 	// onEnd is called when the exchange has ended, possibly several times.
 	onEnd func()
+
+	// mutex guards the fields below.
+	mutex      sync.Mutex
+	frameTimer *time.Timer
+	// deadline is the time at which the awaited frame is late, zero if none is
+	// awaited.
+	deadline time.Time
+	// uploadDeadline is the time until which the request may still be being sent.
+	// It is zero after the first frame, which shows that the request has arrived.
+	uploadDeadline time.Time
 }
 
 func newFrameBody(stream grpc.ServerStreamingClient[wire.DispatchFrame], cancel context.CancelCauseFunc, tracker *sendTracker, dispatchError *fuchsiapitch.DispatchError, frameTimeout time.Duration) *frameBody {
-	frameTimer := time.AfterFunc(frameTimeout, func() { cancel(&FrameTimeoutError{Timeout: frameTimeout}) })
-	frameTimer.Stop()
-	return &frameBody{stream: stream, cancel: cancel, tracker: tracker, dispatchError: dispatchError, frameTimeout: frameTimeout, frameTimer: frameTimer}
+	b := &frameBody{stream: stream, cancel: cancel, tracker: tracker, dispatchError: dispatchError, frameTimeout: frameTimeout}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.frameTimer = time.AfterFunc(frameTimeout, b.expire)
+	b.frameTimer.Stop()
+	return b
+}
+
+// setTimeout sets the time until the awaited frame is late. The caller holds the
+// mutex.
+func (b *frameBody) setTimeout(timeout time.Duration) {
+	b.deadline = time.Now().Add(timeout)
+	b.frameTimer.Reset(timeout)
+}
+
+// expire cancels the exchange if the awaited frame is late. There is no frame while
+// the request is being sent, but bytes arrive on the connection, which acknowledge it.
+func (b *frameBody) expire() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.deadline.IsZero() || time.Now().Before(b.deadline) {
+		return
+	}
+	if remaining := min(b.frameTimeout-b.timeSinceBytes(), time.Until(b.uploadDeadline)); remaining > 0 {
+		b.setTimeout(remaining)
+		return
+	}
+	b.cancel(&FrameTimeoutError{Timeout: b.frameTimeout})
+}
+
+// startTimer starts the timer for the next frame.
+func (b *frameBody) startTimer() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.setTimeout(b.frameTimeout)
+}
+
+// stopTimer stops the timer. The exchange is not cancelled after that.
+func (b *frameBody) stopTimer() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.deadline = time.Time{}
+	b.frameTimer.Stop()
+}
+
+// recordFrame records that a frame has arrived.
+func (b *frameBody) recordFrame() {
+	b.mutex.Lock()
+	b.uploadDeadline = time.Time{}
+	b.mutex.Unlock()
+	b.onFrame()
 }
 
 // receiveFrame returns the next frame, skipping empty keepalive frames. The frame
 // is valid until the next call.
 func (b *frameBody) receiveFrame() (*wire.DispatchFrame, error) {
 	for {
-		b.frameTimer.Reset(b.frameTimeout)
+		b.startTimer()
 		err := b.stream.RecvMsg(&b.frame)
-		b.frameTimer.Stop()
+		b.stopTimer()
 		if err != nil {
 			return nil, err
 		}
-		b.onFrame()
+		b.recordFrame()
 		if b.frame.GetFrame() != nil {
 			return &b.frame, nil
 		}
@@ -279,7 +345,7 @@
 
 // Close implements io.Closer.
 func (b *frameBody) Close() error {
-	b.frameTimer.Stop()
+	b.stopTimer()
 	b.onEnd()
 	return nil
 }
--- a/internal/dispatcher/link.go
+++ b/internal/dispatcher/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -26,18 +27,49 @@
 type peerConnection struct {
 	clientConn           *grpc.ClientConn
 	lastResponseUnixNano atomic.Int64
+	// lastBytesUnixNano is the time of the last bytes from the host, 0 for none.
+	lastBytesUnixNano atomic.Int64
 	// exchanges is the number of open exchanges. The client's mutex guards it.
 	exchanges int
 }
 
 // newPeerConnection returns a connection that counts as live at first: gRPC
 // connects on the first call, which thus shows whether the host responds.
-func newPeerConnection(clientConn *grpc.ClientConn) *peerConnection {
-	pc := &peerConnection{clientConn: clientConn}
+func newPeerConnection() *peerConnection {
+	pc := &peerConnection{}
 	pc.recordResponse()
 	return pc
 }
 
+// dial opens a network connection that records when bytes arrive.
+func (pc *peerConnection) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &recordedConn{Conn: conn, peerConnection: pc}, nil
+}
+
+// recordedConn records when bytes arrive.
+type recordedConn struct {
+	net.Conn
+	peerConnection *peerConnection
+}
+
+// Read implements net.Conn.
+func (c *recordedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.peerConnection.lastBytesUnixNano.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// timeSinceBytes returns the time since the last bytes from the host.
+func (pc *peerConnection) timeSinceBytes() time.Duration {
+	return time.Since(time.Unix(0, pc.lastBytesUnixNano.Load()))
+}
+
 // recordResponse records that the host has responded.
 func (pc *peerConnection) recordResponse() { pc.lastResponseUnixNano.Store(time.Now().UnixNano()) }
 
--- a/internal/dispatcher/transfer_test.go
+++ b/internal/dispatcher/transfer_test.go
@@ -266,3 +266,38 @@
 	}
 	assertRetiredCount(t, c, 0)
 }
+
+// A request without a frame is given up although others have frames, and a large one
+// after the time in which it may have been sent.
+func TestSilentRequestTimesOut(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	for name, bodyBytes := range map[string]int{"small": minUploadBytes - 1, "large": 4 * minUploadBytes} {
+		t.Run(name, func(t *testing.T) {
+			first := make(chan struct{}, 1)
+			first <- struct{}{}
+			_, _, host := startScriptedDispatcher(t, func(stream grpc.ServerStreamingServer[wire.DispatchFrame]) error {
+				select {
+				case <-first:
+				default:
+					<-stream.Context().Done()
+					return nil
+				}
+				err := stream.Send(startFrame())
+				for err == nil {
+					time.Sleep(timeout / 20)
+					err = stream.Send(&wire.DispatchFrame{})
+				}
+				return err
+			})
+			c := newTestClient(t, WithFrameTimeout(timeout))
+			defer openExchange(t, c, host).Body().Close()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			request := fuchsiapitch.NewRequest("r2", "taller-app", "customer", "chat")
+			_, err := c.Dispatch(ctx, host, request, fuchsiapitch.NewCall("r2", "POST", "/", make([]byte, bodyBytes)))
+			if _, ok := errors.AsType[*FrameTimeoutError](err); !ok {
+				t.Errorf("got error %v, want a frame time-out", err)
+			}
+		})
+	}
+}
