publisher: a status whose bytes drip is given up

The waiter uses internal/watcher now: 16 KiB must arrive within each time-out, so that the size of the response bounds its duration. watcher.SilenceError is a context.DeadlineExceeded, and BeginPart gives the body the whole time-out after the header, as before.

--- a/internal/publisher/waiter.go
+++ b/internal/publisher/waiter.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/requester"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
 )
 
 const (
 	// pollInterval is the time between two status requests to an entry host.
 	pollInterval = 100 * time.Millisecond
-	// statusTimeout bounds the time without a byte of one status request.
+	// statusTimeout bounds the time without progress of one status request.
 	statusTimeout = 2 * time.Second
 	// maxStatusBytes is the largest status response that is read.
 	maxStatusBytes = 1 << 20
@@ -100,10 +100,8 @@
 }
 
 func (w *Waiter) fetchStatus(ctx context.Context, baseURL string) HostStatus {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silenceTimer := requester.NewSilenceTimer(statusTimeout, cancel)
-	defer silenceTimer.Stop()
+	ctx, watch, stop := watcher.New(ctx, baseURL, statusTimeout, statusTimeout)
+	defer stop()
 	fail := func(status int, err error) HostStatus {
 		return HostStatus{BaseURL: baseURL, Err: &StatusError{BaseURL: baseURL, HTTPStatus: status, Err: err}}
 	}
@@ -119,12 +117,12 @@
 		return fail(0, err)
 	}
 	defer response.Body.Close()
-	silenceTimer.Reset()
+	watch.BeginPart()
 	if response.StatusCode != http.StatusOK {
 		return fail(response.StatusCode, nil)
 	}
 	var body statusResponse
-	if err := json.NewDecoder(silenceTimer.Reader(http.MaxBytesReader(nil, response.Body, maxStatusBytes))).Decode(&body); err != nil {
+	if err := json.NewDecoder(watch.Watch(http.MaxBytesReader(nil, response.Body, maxStatusBytes))).Decode(&body); err != nil {
 		return fail(response.StatusCode, err)
 	}
 	return HostStatus{
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -28,6 +28,9 @@
 	return fmt.Sprintf("transfer from %s made no progress after %d bytes", e.Source, e.ReceivedBytes)
 }
 
+// Is reports whether the target is context.DeadlineExceeded.
+func (*SilenceError) Is(target error) bool { return target == context.DeadlineExceeded }
+
 // Watcher watches one transfer. It is safe for concurrent use.
 type Watcher struct {
 	source         string
@@ -88,6 +91,14 @@
 	return n, err
 }
 
+// BeginPart starts the silence time-out anew for a part of the transfer that begins, such as
+// the body after the header.
+func (w *Watcher) BeginPart() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.setDeadline(w.silenceTimeout)
+}
+
 // ReceivedBytes returns the number of bytes that have arrived.
 func (w *Watcher) ReceivedBytes() int64 {
 	w.mutex.Lock()
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -63,6 +63,18 @@
 			}
 		})
 	})
+	t.Run("a part that begins", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, w := newWatcher(t)
+			w.RecordBytes(1)
+			time.Sleep(900 * time.Millisecond)
+			w.BeginPart()
+			assertCancelledAfter(ctx, t, time.Second, 1)
+			if err := context.Cause(ctx); !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("got cause %v, want %v", err, context.DeadlineExceeded)
+			}
+		})
+	})
 	t.Run("first byte expected earlier", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, w := newWatcher(t)
