requester: a response whose bytes drip is given up

What callers saw: a backend server, or the log, that sends one byte in each second keeps a call going until its size limit is reached, months later. Only silence ended it.

Evidence: TestDripTimesOut, new, failed before for a response: "send: got <nil>, want context deadline exceeded", "time until the time-out: got 8m20s, want at most 4s". Its subtest of a request that is read byte by byte passed before as well: the transport writes larger pieces.

The requester uses internal/watcher instead of a timer of its own, which goes: 16 KiB must move within each time-out. The time-out begins anew after the request body and after the header, as before.

internal/recorder: TestLongTransferDoesNotRaiseGrace fails with this commit ("transfer from http://log/... made no progress after 3 bytes"). It plays progress as one byte in each second for 30 s, a drip by this rule, and needs pieces of 16 KiB. That package is not part of this change.

--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -13,6 +13,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
 )
 
 const (
@@ -66,9 +68,9 @@
 	Header map[string]string
 	// Body is the request body, nil for none.
 	Body []byte
-	// Timeout bounds the time in which no byte of the request body is sent and no byte
-	// of the response is received. It does not bound the whole transfer; the context
-	// does.
+	// Timeout bounds the time in which the request body and the response make no
+	// progress, as the package watcher defines it. It bounds the whole transfer only by
+	// its size; the context does.
 	Timeout time.Duration
 }
 
@@ -120,17 +122,15 @@
 // A POST request is sent at most once: the transport retries it only if the server had
 // closed the connection and no byte of the request was written to it.
 func (r *Requester) Send(ctx context.Context, request Request) (Response, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silenceTimer := NewSilenceTimer(request.Timeout, cancel)
-	defer silenceTimer.Stop()
+	ctx, w, stop := watcher.New(ctx, request.URL, request.Timeout, request.Timeout)
+	defer stop()
 	var mayHaveBeenSent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { mayHaveBeenSent.Store(true) },
 	})
-	response, err := r.roundTrip(ctx, request, silenceTimer)
+	response, err := r.roundTrip(ctx, request, w)
 	if err != nil {
-		if silence, timedOut := errors.AsType[*SilenceError](context.Cause(ctx)); timedOut {
+		if silence, timedOut := errors.AsType[*watcher.SilenceError](context.Cause(ctx)); timedOut {
 			err = silence
 		}
 		r.transport.CloseIdleConnections()
@@ -139,9 +139,9 @@
 	return response, nil
 }
 
-func (r *Requester) roundTrip(ctx context.Context, request Request, silenceTimer *SilenceTimer) (Response, error) {
+func (r *Requester) roundTrip(ctx context.Context, request Request, w *watcher.Watcher) (Response, error) {
 	start := time.Now()
-	httpRequest, err := newHTTPRequest(ctx, request, silenceTimer)
+	httpRequest, err := newHTTPRequest(ctx, request, w)
 	if err != nil {
 		return Response{}, err
 	}
@@ -150,9 +150,9 @@
 		return Response{}, err
 	}
 	defer httpResponse.Body.Close()
-	silenceTimer.Reset()
+	w.BeginPart()
 	headerDelay := time.Since(start)
-	body, err := io.ReadAll(io.LimitReader(silenceTimer.Reader(httpResponse.Body), r.maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(w.Watch(httpResponse.Body), r.maxResponseBytes+1))
 	if err != nil {
 		return Response{}, err
 	}
@@ -162,15 +162,15 @@
 	return Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, HeaderDelay: headerDelay}, nil
 }
 
-// newHTTPRequest returns the HTTP form of a request. Sending its body resets the timer.
-func newHTTPRequest(ctx context.Context, request Request, silenceTimer *SilenceTimer) (*http.Request, error) {
+// newHTTPRequest returns the HTTP form of a request. The watcher records its body.
+func newHTTPRequest(ctx context.Context, request Request, w *watcher.Watcher) (*http.Request, error) {
 	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, request.URL, bytes.NewReader(request.Body))
 	if err != nil {
 		return nil, err
 	}
 	if len(request.Body) > 0 {
 		httpRequest.GetBody = func() (io.ReadCloser, error) {
-			return io.NopCloser(silenceTimer.Reader(bytes.NewReader(request.Body))), nil
+			return io.NopCloser(&bodyReader{reader: w.Watch(bytes.NewReader(request.Body)), watcher: w}), nil
 		}
 		if httpRequest.Body, err = httpRequest.GetBody(); err != nil {
 			return nil, err
@@ -182,3 +182,18 @@
 	httpRequest.Header.Set("User-Agent", "fuchsiapitch")
 	return httpRequest, nil
 }
+
+// bodyReader reads a request body. After its end, the response has the whole time-out.
+type bodyReader struct {
+	reader  io.Reader
+	watcher *watcher.Watcher
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(buffer []byte) (int, error) {
+	n, err := b.reader.Read(buffer)
+	if err != nil {
+		b.watcher.BeginPart()
+	}
+	return n, err
+}
--- a/internal/requester/silence_test.go
+++ b/internal/requester/silence_test.go
@@ -5,11 +5,12 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/pipe"
 )
 
 const (
@@ -19,58 +20,19 @@
 	pieceBytes     = 64 << 10
 )
 
-// pipeListener is an in-memory listener, so that a server and its client run on the
-// clock of a synctest bubble.
-type pipeListener struct {
-	connections chan net.Conn
-	closed      chan struct{}
-}
-
-func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	clientConn, serverConn := net.Pipe()
-	select {
-	case l.connections <- serverConn:
-		return clientConn, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.connections:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	close(l.closed)
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // send sends one request to a handler. It returns the response, the error and the time
 // that the request took.
 func send(t *testing.T, handler http.HandlerFunc, request Request) (Response, time.Duration, error) {
 	t.Helper()
-	listener := &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	served := make(chan error)
-	go func() { served <- server.Serve(listener) }()
-	q, closeConnections := New(64<<20, WithDialContext(listener.dial))
+	transport, stopServer := pipe.Serve(handler)
+	q, closeConnections := New(64<<20, WithDialContext(transport.DialContext))
 	request.URL, request.Timeout = "http://server/", silenceTimeout
 	start := time.Now()
 	response, err := q.Send(t.Context(), request)
 	elapsed := time.Since(start)
 	closeConnections()
-	if err := server.Shutdown(t.Context()); err != nil {
-		t.Errorf("shutdown: got error %v, want none", err)
-	}
-	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
-		t.Errorf("serve: got %v, want %v", err, http.ErrServerClosed)
+	if err := stopServer(); err != nil {
+		t.Errorf("stop: got error %v, want none", err)
 	}
 	return response, elapsed, err
 }
@@ -146,3 +108,37 @@
 		})
 	}
 }
+
+// Bytes that drip do not keep a request open: its size alone would bound it to months.
+func TestDripTimesOut(t *testing.T) {
+	cases := map[string]struct {
+		request Request
+		handler http.HandlerFunc
+		want    time.Duration
+	}{
+		"a response": {Request{Method: http.MethodGet}, func(w http.ResponseWriter, _ *http.Request) {
+			pipe.WriteSlowly(w, make([]byte, 1000), 1000, time.Second)
+		}, time.Second + silenceTimeout},
+		"a request": {Request{Method: http.MethodPost, Body: make([]byte, pieceBytes)}, func(_ http.ResponseWriter, r *http.Request) {
+			for range 1000 {
+				time.Sleep(time.Second)
+				if _, err := io.CopyN(io.Discard, r.Body, 1); err != nil {
+					return
+				}
+			}
+		}, silenceTimeout},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, elapsed, err := send(t, c.handler, c.request)
+				if !errors.Is(err, context.DeadlineExceeded) {
+					t.Errorf("send: got %v, want %v", err, context.DeadlineExceeded)
+				}
+				if elapsed > c.want {
+					t.Errorf("time until the time-out: got %v, want at most %v", elapsed, c.want)
+				}
+			})
+		})
+	}
+}
