--- a/internal/recorder/transfer_test.go
+++ b/internal/recorder/transfer_test.go
@@ -15,19 +15,20 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/requester"
 )
 
-// respondSlowly reads one request and sends a batch without records in pieces, with a
-// second before each.
+// respondSlowly reads one request and sends a batch without records in pieces of 16 KiB,
+// with a second before each.
 func respondSlowly(conn net.Conn, pieces int) error {
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return err
 	}
-	body := strings.Repeat(" ", pieces) + `{"next":1}`
+	piece := strings.Repeat(" ", 16<<10)
+	body := strings.Repeat(piece, pieces) + `{"next":1}`
 	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body)); err != nil {
 		return err
 	}
 	for range pieces {
 		time.Sleep(time.Second)
-		if _, err := io.WriteString(conn, " "); err != nil {
+		if _, err := io.WriteString(conn, piece); err != nil {
 			return err
 		}
 	}
