requester: the header of a response is bounded at 64 KiB

The calls of the own interface to engines, the log and the host list read up to 10 MiB of a header that never ends, net/http's default. The sender's bound holds here too now. The test failed before: "got 1049418 bytes of the header read, want at most 131072".

--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
+
 	dialTimeout         = 2 * time.Second
 	idleConnTimeout     = 60 * time.Second
 	maxIdleConns        = 1024
@@ -107,6 +110,7 @@
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleConnTimeout,
 		MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	r := &Requester{transport: transport, maxResponseBytes: maxResponseBytes}
 	for _, o := range options {
