--- a/internal/platformassembler/state.go
+++ b/internal/platformassembler/state.go
@@ -20,8 +20,8 @@
 const (
 	// statePath is the path at which other hosts get this host's copy of the store.
 	statePath = "/state"
-	// stateTimeout bounds the time until the first byte of another host's state, and
-	// between two of its bytes. The size is a megabyte for a few thousand routes.
+	// stateTimeout bounds the time until the first byte of another host's state, and then
+	// the time without progress. The size is a megabyte for a few thousand routes.
 	stateTimeout = time.Second
 	// initialStateDelay is how long a starting host waits for the store before it
 	// asks other hosts: five times the response time of a slow store.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -16,8 +16,8 @@
 
 const (
 	// responseTimeout bounds the time until the first byte of a response, on top of the
-	// requested long-poll wait, and between two of its bytes. The store responds within
-	// a few milliseconds, or within half a second if it is slow.
+	// requested long-poll wait, and then the time without progress. The store responds
+	// within a few milliseconds, or within half a second if it is slow.
 	responseTimeout = 1500 * time.Millisecond
 	// resyncTimeout is how long a read may still be silent after a resync was requested.
 	// It is longer than the store needs to serve a large record to many hosts, and short
