reducer: few hosts append a checkpoint over slow links

At the target size a checkpoint takes seconds to be read. Every host planned its own at a time spread evenly over 5 minutes, over 10 s while the log holds none, and cancelled it when it read one of another host. All hosts whose time came in between appended theirs, and every host had to read those too.

Before the fix:

checkpoint_storm_test.go:87: got 98 checkpoints of 410 hosts in 10m0s, want at most 10 checkpoint_storm_test.go:135: got 99 checkpoints of 410 hosts, want at most 10

The second one is the new TestFewHostsAppendCheckpointAfterTruncationOverSlowLinks.

The times now have the truncated exponential distribution of RFC 5401, with the exponent for 410 hosts. The first host leads by a margin, so that the others mostly read its checkpoint before their time. It needs no knowledge of which hosts live: the latest time is the same as before, so that any host that is left appends in time (TestCheckpointIsAppendedInTimeWithoutFirstHosts, which passed before as well).

Ruled out: that a host waits while a peer is known to be ahead. Over equally slow links none is ahead before the checkpoint has been read. A rank over the live hosts needs time-outs for dead ones and is known within a data centre only.

--- a/internal/reducer/checkpoint.go
+++ b/internal/reducer/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,12 +15,14 @@
 	// checkpointInterval is the shortest time from a checkpoint in the stream to
 	// the next one.
 	checkpointInterval = 10 * time.Minute
-	// checkpointJitter is the longest delay by which a host staggers its
+	// checkpointStagger is the longest delay by which a host staggers its
 	// checkpoint.
-	checkpointJitter = 5 * time.Minute
-	// firstCheckpointJitter replaces checkpointJitter while the log holds no
+	checkpointStagger = 5 * time.Minute
+	// firstCheckpointStagger replaces checkpointStagger while the log holds no
 	// checkpoint.
-	firstCheckpointJitter = 10 * time.Second
+	firstCheckpointStagger = 10 * time.Second
+	// staggerExponent is ln(410)+1, for the 410 hosts of the target size.
+	staggerExponent = 7
 	// checkpointRetryInterval is the time after which a checkpoint is appended
 	// again if it has not appeared in the stream.
 	checkpointRetryInterval = 30 * time.Second
@@ -41,8 +44,8 @@
 //
 // Every host schedules its checkpoint at a time staggered by a hash of its name
 // and the offset of the last checkpoint. When a checkpoint appears in the
-// stream, all hosts reschedule theirs, so that only a few hosts append the same
-// state.
+// stream, all hosts reschedule theirs. Hosts whose time comes before they have
+// read it append the same state again.
 func (s *State) tickCheckpoint() {
 	r := &s.replication
 	if !r.ready || r.logUnavailable || r.follower.HasGap() || r.follower.StateMachine().Offset() == 0 {
@@ -63,15 +66,29 @@
 // checkpoint. A host that has just started does not know the age of the last
 // checkpoint and assumes that the checkpoint interval has passed.
 func (s *State) checkpointTime(lastCheckpoint fuchsiapitch.Offset) time.Duration {
-	jitter := time.Duration(xxhash.Sum64String(fmt.Sprint(s.self, "/", lastCheckpoint)) % uint64(checkpointJitter))
+	fraction := s.checkpointFraction(lastCheckpoint)
 	now := s.now.Monotonic()
 	if lastCheckpoint == 0 {
-		return now + jitter/(checkpointJitter/firstCheckpointJitter)
+		return now + stagger(firstCheckpointStagger, fraction)
 	}
 	if s.replication.checkpoint.planned {
-		return now + checkpointInterval + jitter
+		return now + checkpointInterval + stagger(checkpointStagger, fraction)
 	}
-	return now + jitter
+	return now + stagger(checkpointStagger, fraction)
+}
+
+// checkpointFraction returns a pseudo-random number in [0, 1). It differs
+// between hosts.
+func (s *State) checkpointFraction(lastCheckpoint fuchsiapitch.Offset) float64 {
+	return float64(xxhash.Sum64String(fmt.Sprint(s.self, "/", lastCheckpoint))>>11) / (1 << 53)
+}
+
+// stagger maps uniformly distributed fractions to delays up to a limit with the
+// truncated exponential distribution of RFC 5401. Few hosts have a short delay and
+// most a long one, so that about one host is the first by a margin, however many
+// of them run.
+func stagger(limit time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(limit) * math.Log1p(fraction*math.Expm1(staggerExponent)) / staggerExponent)
 }
 
 // appendCheckpoint appends a snapshot of the configuration. The record
--- a/internal/reducer/checkpoint_storm_test.go
+++ b/internal/reducer/checkpoint_storm_test.go
@@ -1,7 +1,9 @@
 package reducer
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +24,7 @@
 // slowStream is a stream whose readers have slow links.
 type slowStream struct {
 	records      []fuchsiapitch.Record
+	oldestOffset int
 	transferTime time.Duration
 }
 
@@ -43,8 +46,12 @@
 	if h.nextOffset <= len(s.records) && h.receivedAt == 0 {
 		h.receivedAt = now + s.transferTime
 	}
+	if h.nextOffset < s.oldestOffset {
+		h.state.Apply(at(now), StreamTruncated{Stream: ConfigurationStream, Oldest: fuchsiapitch.Offset(s.oldestOffset)})
+		h.nextOffset, h.receivedAt = s.oldestOffset, 0
+	}
 	if h.receivedAt > 0 && now >= h.receivedAt {
-		batch := fuchsiapitch.NewBatch(s.records[h.nextOffset-1:h.nextOffset], 1, fuchsiapitch.Offset(h.nextOffset+1))
+		batch := fuchsiapitch.NewBatch(s.records[h.nextOffset-1:h.nextOffset], fuchsiapitch.Offset(max(s.oldestOffset, 1)), fuchsiapitch.Offset(h.nextOffset+1))
 		h.state.Apply(at(now), RecordsRead{Stream: ConfigurationStream, From: fuchsiapitch.Offset(h.nextOffset), Batch: batch})
 		h.nextOffset++
 		h.receivedAt = 0
@@ -56,6 +63,23 @@
 	}
 }
 
+// start appends a publication and its checkpoint, and starts hosts that read them. It
+// returns the number of records and the hosts.
+func (s *slowStream) start(t *testing.T, hostCount int) (int, []*linkedHost) {
+	t.Helper()
+	publication := configurer.Publication{Changes: []configurer.Change{{Key: configurer.NewKey(configurer.RankKind, "a"), Content: []byte("1")}}}
+	sm := configurer.NewStateMachine()
+	sm.ApplyPublication("publication", 1, publication)
+	s.append(t, "publication", publication)
+	s.append(t, "checkpoint", sm.Snapshot())
+	var hosts []*linkedHost
+	for i := range hostCount {
+		host := fuchsiapitch.NewHost(fuchsiapitch.HostID(fmt.Sprint("host-", i)), "127.0.0.1:1", "gt-xela", 1)
+		hosts = append(hosts, &linkedHost{state: New(host), nextOffset: 1})
+	}
+	return len(s.records), hosts
+}
+
 // At the target size a checkpoint of 6,000 documents takes 2 s to be read at 20 Mbit/s.
 // Hosts that have not read it yet append theirs, which all hosts have to read as well.
 func TestFewHostsAppendCheckpointOverSlowLinks(t *testing.T) {
@@ -67,17 +91,7 @@
 	for _, transferTime := range []time.Duration{0, 2 * time.Second} {
 		t.Run(transferTime.String(), func(t *testing.T) {
 			s := &slowStream{transferTime: transferTime}
-			publication := configurer.Publication{Changes: []configurer.Change{{Key: configurer.NewKey(configurer.RankKind, "a"), Content: []byte("1")}}}
-			sm := configurer.NewStateMachine()
-			sm.ApplyPublication("publication", 1, publication)
-			s.append(t, "publication", publication)
-			s.append(t, "checkpoint", sm.Snapshot())
-			initialCount := len(s.records)
-			var hosts []*linkedHost
-			for i := range hostCount {
-				host := fuchsiapitch.NewHost(fuchsiapitch.HostID(fmt.Sprint("host-", i)), "127.0.0.1:1", "gt-xela", 1)
-				hosts = append(hosts, &linkedHost{state: New(host), nextOffset: 1})
-			}
+			initialCount, hosts := s.start(t, hostCount)
 			for now := step; now < checkpointInterval; now += step {
 				for _, h := range hosts {
 					s.advance(now, h)
@@ -90,6 +104,71 @@
 	}
 }
 
+// When the log drops the last checkpoint, another one is appended within
+// firstCheckpointStagger, by few hosts also while it is being read.
+func TestFewHostsAppendCheckpointAfterTruncationOverSlowLinks(t *testing.T) {
+	const (
+		hostCount = 410
+		want      = 10
+		step      = 100 * time.Millisecond
+	)
+	s := &slowStream{}
+	_, hosts := s.start(t, hostCount)
+	for now := step; now < time.Second; now += step {
+		for _, h := range hosts {
+			s.advance(now, h)
+		}
+	}
+	s.transferTime = 2 * time.Second
+	s.append(t, "publication 2", configurer.Publication{})
+	initialCount := len(s.records)
+	s.oldestOffset = initialCount
+	for now := time.Second; now < time.Minute; now += step {
+		for _, h := range hosts {
+			s.advance(now, h)
+		}
+		if got := len(s.records) - initialCount; now == time.Second+s.transferTime+firstCheckpointStagger && got == 0 {
+			t.Errorf("got no checkpoint within %s, want one", now)
+		}
+	}
+	if got := len(s.records) - initialCount; got > want {
+		t.Errorf("got %d checkpoints of %d hosts, want at most %d", got, hostCount, want)
+	}
+}
+
+// The hosts that would append first may have failed, be cut off or stand still. The
+// others append a checkpoint in time, whichever they are.
+func TestCheckpointIsAppendedInTimeWithoutFirstHosts(t *testing.T) {
+	const (
+		hostCount = 410
+		step      = 500 * time.Millisecond
+	)
+	for _, remaining := range []int{1, 4, 58} {
+		t.Run(fmt.Sprint(remaining), func(t *testing.T) {
+			s := &slowStream{}
+			initialCount, hosts := s.start(t, hostCount)
+			now := step
+			for ; now < 2*time.Second; now += step {
+				for _, h := range hosts {
+					s.advance(now, h)
+				}
+			}
+			planned := now
+			slices.SortFunc(hosts, func(a, b *linkedHost) int {
+				return cmp.Compare(a.state.replication.checkpoint.dueAt, b.state.replication.checkpoint.dueAt)
+			})
+			for ; now < planned+checkpointInterval+checkpointStagger; now += step {
+				for _, h := range hosts[hostCount-remaining:] {
+					s.advance(now, h)
+				}
+			}
+			if got := len(s.records) - initialCount; got == 0 {
+				t.Errorf("got no checkpoint of the last %d of %d hosts within %s, want one", remaining, hostCount, now)
+			}
+		})
+	}
+}
+
 // A checkpoint that the log rejects each time, for example because it is larger than a
 // record may be, is not sent by every host again and again.
 func TestRejectedCheckpointIsRepeatedSeldom(t *testing.T) {
