reducer: a rejected checkpoint is repeated with a growing delay

A checkpoint that the log rejects each time, such as one that is larger than a record may be (the stand-in: above 1 MiB), was sent again by every host each 30 s. No host reads one in the stream, so that none cancelled its own. Before the fix:

checkpoint_storm_test.go:190: got 120 appends in an hour, want at most 10

The delay now doubles with each attempt from 30 s to checkpointInterval, and is spread evenly over half of itself, so that hosts which began together drift apart. Whatever the result, each attempt counts: the result of an append does not tell a rejection from a log that is away, and a record that was appended but not read yet needs no repetition either. The count ends with the plan, which is made anew when the last checkpoint in the stream changes.

TestCheckpointIsAppendedInTimeAfterRejections guards the other side: after 6 hours of rejections the next one follows within 15 minutes, and within 10 s when the log drops the last checkpoint. It passed before as well.

--- a/internal/reducer/checkpoint.go
+++ b/internal/reducer/checkpoint.go
@@ -24,7 +24,8 @@
 	// staggerExponent is ln(410)+1, for the 410 hosts of the target size.
 	staggerExponent = 7
 	// checkpointRetryInterval is the time after which a checkpoint is appended
-	// again if it has not appeared in the stream.
+	// again if it has not appeared in the stream. It doubles with each attempt, up
+	// to checkpointInterval.
 	checkpointRetryInterval = 30 * time.Second
 )
 
@@ -37,6 +38,8 @@
 	// dueAt is the monotonic time at which the checkpoint is appended, unless
 	// another one appears in the stream first.
 	dueAt time.Duration
+	// attemptCount is the number of times that the checkpoint was appended.
+	attemptCount int
 }
 
 // tickCheckpoint appends a checkpoint of the configuration before the log
@@ -58,7 +61,8 @@
 	if s.now.Monotonic() < r.checkpoint.dueAt {
 		return
 	}
-	r.checkpoint.dueAt = s.now.Monotonic() + checkpointRetryInterval
+	r.checkpoint.dueAt = s.now.Monotonic() + s.checkpointRetryDelay()
+	r.checkpoint.attemptCount++
 	s.appendCheckpoint()
 }
 
@@ -66,7 +70,7 @@
 // checkpoint. A host that has just started does not know the age of the last
 // checkpoint and assumes that the checkpoint interval has passed.
 func (s *State) checkpointTime(lastCheckpoint fuchsiapitch.Offset) time.Duration {
-	fraction := s.checkpointFraction(lastCheckpoint)
+	fraction := s.checkpointFraction(fmt.Sprint(lastCheckpoint))
 	now := s.now.Monotonic()
 	if lastCheckpoint == 0 {
 		return now + stagger(firstCheckpointStagger, fraction)
@@ -77,10 +81,24 @@
 	return now + stagger(checkpointStagger, fraction)
 }
 
+// checkpointRetryDelay returns the time to the next attempt. A log that rejects a
+// checkpoint, for example because it is too large, rejects those of all hosts: none
+// reads one and cancels its own. The delay is spread evenly over half of itself, so
+// that the hosts do not send theirs at the same time.
+func (s *State) checkpointRetryDelay() time.Duration {
+	p := s.replication.checkpoint
+	delay := checkpointRetryInterval
+	for i := 0; i < p.attemptCount && delay < checkpointInterval; i++ {
+		delay *= 2
+	}
+	delay = min(delay, checkpointInterval)
+	return delay + time.Duration(float64(delay/2)*s.checkpointFraction(fmt.Sprint(p.lastCheckpoint, "/", p.attemptCount)))
+}
+
 // checkpointFraction returns a pseudo-random number in [0, 1). It differs
-// between hosts.
-func (s *State) checkpointFraction(lastCheckpoint fuchsiapitch.Offset) float64 {
-	return float64(xxhash.Sum64String(fmt.Sprint(s.self, "/", lastCheckpoint))>>11) / (1 << 53)
+// between hosts and between labels.
+func (s *State) checkpointFraction(label string) float64 {
+	return float64(xxhash.Sum64String(fmt.Sprint(s.self, "/", label))>>11) / (1 << 53)
 }
 
 // stagger maps uniformly distributed fractions to delays up to a limit with the
--- a/internal/reducer/checkpoint_storm_test.go
+++ b/internal/reducer/checkpoint_storm_test.go
@@ -190,3 +190,44 @@
 		t.Errorf("got %d appends in an hour, want at most %d", got, want)
 	}
 }
+
+// tickUntil applies ticks each 100 ms and returns the time of the first append to the
+// configuration stream, 0 if there is none. Every append is rejected.
+func tickUntil(state *State, from, end time.Duration) time.Duration {
+	var first time.Duration
+	for now := from; now < end; now += TickPeriod {
+		for _, e := range state.Apply(at(now), Ticked{}) {
+			a, ok := e.(AppendRecord)
+			if !ok || a.Stream != ConfigurationStream {
+				continue
+			}
+			if first == 0 {
+				first = now
+			}
+			state.Apply(at(now), AppendEnded{Stream: a.Stream, Record: a.Record.ID(), Result: NotAppended})
+		}
+	}
+	return first
+}
+
+// However often the log has rejected a checkpoint, the next one follows in time: within
+// the longest time between two checkpoints, and at once when the log drops the last one.
+func TestCheckpointIsAppendedInTimeAfterRejections(t *testing.T) {
+	const outage = 6 * time.Hour
+	s := &slowStream{}
+	_, hosts := s.start(t, 1)
+	state := hosts[0].state
+	state.Apply(at(0), RecordsRead{Stream: ConfigurationStream, From: 1, Batch: fuchsiapitch.NewBatch(s.records, 1, 3)})
+	if got := tickUntil(state, 0, outage); got == 0 || got > checkpointStagger {
+		t.Fatalf("got the first append at %s, want one within %s", got, checkpointStagger)
+	}
+	end := outage + checkpointInterval + checkpointStagger
+	if got := tickUntil(state, outage, end); got == 0 {
+		t.Errorf("got no append from %s to %s, want one", outage, end)
+	}
+	s.append(t, "publication 2", configurer.Publication{})
+	state.Apply(at(end), RecordsRead{Stream: ConfigurationStream, From: 3, Batch: fuchsiapitch.NewBatch(s.records[2:], 3, 4)})
+	if got := tickUntil(state, end, end+firstCheckpointStagger+TickPeriod); got == 0 {
+		t.Errorf("got no append within %s of the truncation, want one", firstCheckpointStagger)
+	}
+}
