reducer: few hosts append a checkpoint after an outage of the log

A host appends no checkpoint while its reads of the log fail, but its time went by meanwhile. After an outage of more than 15 minutes all hosts were due and appended theirs at the first tick. Before the fix:

--- FAIL: TestFewHostsAppendCheckpointAfterOutage (0.60s) checkpoint_storm_test.go:264: got 410 checkpoints of 410 hosts, want 1 to 10

It is deferred once for each attempt. Otherwise a log that is away again and again would prevent it: without that bound TestCheckpointIsAppendedDespiteRepeatedOutages fails with "got no append within 5m40s, want one".

--- a/internal/reducer/checkpoint.go
+++ b/internal/reducer/checkpoint.go
@@ -40,6 +40,9 @@
 	dueAt time.Duration
 	// attemptCount is the number of times that the checkpoint was appended.
 	attemptCount int
+	// missed is true if the checkpoint became due while this host could not append
+	// it. The checkpoint is deferred once for that.
+	missed, deferred bool
 }
 
 // tickCheckpoint appends a checkpoint of the configuration before the log
@@ -52,20 +55,36 @@
 func (s *State) tickCheckpoint() {
 	r := &s.replication
 	if !r.ready || r.logUnavailable || r.follower.HasGap() || r.follower.StateMachine().Offset() == 0 {
+		p := &r.checkpoint
+		p.missed = p.missed || p.planned && !p.deferred && s.now.Monotonic() >= p.dueAt
 		return
 	}
 	lastCheckpoint := r.follower.LastCheckpointOffset()
 	if !r.checkpoint.planned || r.checkpoint.lastCheckpoint != lastCheckpoint {
 		r.checkpoint = checkpointPlan{planned: true, lastCheckpoint: lastCheckpoint, dueAt: s.checkpointTime(lastCheckpoint)}
 	}
+	s.deferMissedCheckpoint()
 	if s.now.Monotonic() < r.checkpoint.dueAt {
 		return
 	}
 	r.checkpoint.dueAt = s.now.Monotonic() + s.checkpointRetryDelay()
 	r.checkpoint.attemptCount++
+	r.checkpoint.deferred = false
 	s.appendCheckpoint()
 }
 
+// deferMissedCheckpoint staggers a checkpoint that became due while the log was away,
+// since it did so at many hosts. It does it once, so that a log that is away again
+// and again does not prevent the checkpoint.
+func (s *State) deferMissedCheckpoint() {
+	p := &s.replication.checkpoint
+	if !p.missed {
+		return
+	}
+	p.missed, p.deferred = false, true
+	p.dueAt = s.now.Monotonic() + stagger(firstCheckpointStagger, s.checkpointFraction(fmt.Sprint(p.lastCheckpoint)))
+}
+
 // checkpointTime returns the monotonic time at which this host appends its next
 // checkpoint. A host that has just started does not know the age of the last
 // checkpoint and assumes that the checkpoint interval has passed.
--- a/internal/reducer/checkpoint_storm_test.go
+++ b/internal/reducer/checkpoint_storm_test.go
@@ -231,3 +231,56 @@
 		t.Errorf("got no append within %s of the truncation, want one", firstCheckpointStagger)
 	}
 }
+
+// Hosts whose time came while the log was away do not all append a checkpoint when it
+// returns.
+func TestFewHostsAppendCheckpointAfterOutage(t *testing.T) {
+	const (
+		hostCount = 410
+		want      = 10
+		step      = 100 * time.Millisecond
+		returnAt  = time.Hour
+	)
+	s := &slowStream{}
+	initialCount, hosts := s.start(t, hostCount)
+	for now := step; now < time.Second; now += step {
+		for _, h := range hosts {
+			s.advance(now, h)
+		}
+	}
+	s.transferTime = 2 * time.Second
+	for _, h := range hosts {
+		h.state.Apply(at(time.Second), ReadFailed{Stream: ConfigurationStream})
+		h.state.Apply(at(returnAt-step), Ticked{})
+		from := fuchsiapitch.Offset(h.nextOffset)
+		h.state.Apply(at(returnAt), RecordsRead{Stream: ConfigurationStream, From: from, Batch: fuchsiapitch.NewBatch(nil, 1, from)})
+	}
+	for now := returnAt; now < returnAt+time.Minute; now += step {
+		for _, h := range hosts {
+			s.advance(now, h)
+		}
+	}
+	if got := len(s.records) - initialCount; got == 0 || got > want {
+		t.Errorf("got %d checkpoints of %d hosts, want 1 to %d", got, hostCount, want)
+	}
+}
+
+// A log that is away again and again defers a checkpoint that is due only once.
+func TestCheckpointIsAppendedDespiteRepeatedOutages(t *testing.T) {
+	s := &slowStream{}
+	_, hosts := s.start(t, 1)
+	state := hosts[0].state
+	read := RecordsRead{Stream: ConfigurationStream, From: 3, Batch: fuchsiapitch.NewBatch(nil, 1, 3)}
+	state.Apply(at(0), RecordsRead{Stream: ConfigurationStream, From: 1, Batch: fuchsiapitch.NewBatch(s.records, 1, 3)})
+	const period = 2 * firstCheckpointStagger
+	end := checkpointStagger + 2*period
+	for now := period; now <= end; now += period {
+		state.Apply(at(now-period+2*TickPeriod), ReadFailed{Stream: ConfigurationStream})
+		tickUntil(state, now-period+2*TickPeriod, now)
+		state.Apply(at(now), read)
+		if got := tickUntil(state, now, now+TickPeriod); got > 0 {
+			return
+		}
+	}
+	t.Errorf("got no append within %s, want one", end)
+}
