failure: one error of a response that is too large

It is in the root package now, with the other errors that cross packages. The text of the requester's says "response body" instead of "response". No decision changes; the tests of the packages pass, and only names changed in them.

--- a/failure.go
+++ b/failure.go
@@ -224,6 +224,29 @@
 	return fmt.Sprintf("request %s was refused before it ran: %s", e.Request, e.Reason)
 }
 
+// ResponseTooLargeError reports a response of which one part exceeds its size limit. The
+// rest of the response was not read.
+type ResponseTooLargeError struct {
+	// Part is the part of the response: its header, its body, or one event of a stream.
+	Part string
+	// LimitBytes is the size limit in bytes.
+	LimitBytes int64
+	// Err says what was received before, nil if that is nothing.
+	Err error
+}
+
+// Error implements error.
+func (e *ResponseTooLargeError) Error() string {
+	text := fmt.Sprintf("response %s exceeds %d bytes", e.Part, e.LimitBytes)
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the underlying error.
+func (e *ResponseTooLargeError) Unwrap() error { return e.Err }
+
 // InvariantError reports the violation of an invariant.
 type InvariantError struct {
 	// Invariant names the violated invariant in kebab case.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -8,7 +8,6 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 // runAttempt sends the request to a replica, copies the response to the sink and
@@ -64,7 +63,7 @@
 // logIfTooLarge logs a failed attempt whose response exceeded a size limit. Another
 // attempt may succeed, after which nothing else is logged about this one.
 func (h *requestHandler) logIfTooLarge(server fuchsiapitch.ServerID, err error) {
-	tooLarge, ok := errors.AsType[*sender.ResponseTooLargeError](err)
+	tooLarge, ok := errors.AsType[*fuchsiapitch.ResponseTooLargeError](err)
 	if !ok {
 		return
 	}
@@ -163,7 +162,7 @@
 			continue
 		}
 		if h.request.Streaming() {
-			return &sender.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
+			return &fuchsiapitch.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
 		}
 		if err := h.flush(response, buffered); err != nil {
 			return err
--- a/internal/orderer/endless_test.go
+++ b/internal/orderer/endless_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/requester"
 )
 
 // startEndlessEngine starts a server that sends bytes and then repeats a block until the
@@ -64,7 +63,7 @@
 			<-closed
 			for action, err := range map[string]error{"account": statusErr, "order": orderErr, "cache events": eventsErr} {
 				assertUnreachable(t, err, action)
-				var tooLarge *requester.ResponseTooLargeError
+				var tooLarge *fuchsiapitch.ResponseTooLargeError
 				if got := errors.As(err, &tooLarge); got != c.tooLarge {
 					t.Errorf("%s: got error %v, want a ResponseTooLargeError: %v", action, err, c.tooLarge)
 				}
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -13,7 +13,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
+	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
 const (
@@ -451,7 +451,7 @@
 	body := &unreadBody{t: t}
 	x := &exchange{relayer: New(nil, nil, fakeHeaderCodec{}), ctx: t.Context()}
 	_, err := x.readResponseBody(&http.Response{ContentLength: maxBufferedBytes + 1, Body: body})
-	if _, ok := errors.AsType[*sender.ResponseTooLargeError](err); !ok || !body.closed {
+	if _, ok := errors.AsType[*fuchsiapitch.ResponseTooLargeError](err); !ok || !body.closed {
 		t.Errorf("got error %v and closed %v, want a ResponseTooLargeError and a closed body", err, body.closed)
 	}
 }
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 // maxUnsentAttempts is the number of attempts beyond the limit of the route that may
@@ -78,11 +77,11 @@
 }
 
 // readResponseBody reads the complete body of a response and closes it. Its error is a
-// sender.ResponseTooLargeError if the body exceeds maxBufferedBytes. If the body is large,
+// fuchsiapitch.ResponseTooLargeError if the body exceeds maxBufferedBytes. If the body is large,
 // it waits until fewer than maxLargeBodies others are being read.
 func (x *exchange) readResponseBody(response *http.Response) ([]byte, error) {
 	defer response.Body.Close()
-	tooLarge := &sender.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
+	tooLarge := &fuchsiapitch.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
 	if response.ContentLength > maxBufferedBytes && response.Body != http.NoBody {
 		return nil, tooLarge
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -20,7 +20,6 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -421,7 +420,7 @@
 // logIfTooLarge logs a failed attempt whose response exceeded a size limit. Another
 // attempt may succeed, after which nothing else is logged about this one.
 func (x *exchange) logIfTooLarge(err error) {
-	tooLarge, ok := errors.AsType[*sender.ResponseTooLargeError](err)
+	tooLarge, ok := errors.AsType[*fuchsiapitch.ResponseTooLargeError](err)
 	if !ok {
 		return
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -11,7 +11,6 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -171,7 +170,7 @@
 		}
 		if buffered == len(buffer) {
 			if buffered >= maxEventBytes {
-				return &sender.ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes}
+				return &fuchsiapitch.ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes}
 			}
 			buffer = append(buffer, make([]byte, buffered)...)
 		}
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
 )
 
@@ -27,17 +28,6 @@
 	maxIdleConnsPerHost = 2
 )
 
-// ResponseTooLargeError reports a response body that exceeds the size limit.
-type ResponseTooLargeError struct {
-	// LimitBytes is the size limit in bytes.
-	LimitBytes int64
-}
-
-// Error implements error.
-func (e *ResponseTooLargeError) Error() string {
-	return fmt.Sprintf("response exceeds %d bytes", e.LimitBytes)
-}
-
 // StatusError reports a response with an unexpected HTTP status.
 type StatusError struct {
 	// Status is the HTTP status.
@@ -161,7 +151,7 @@
 		return Response{}, err
 	}
 	if int64(len(body)) > r.maxResponseBytes {
-		return Response{}, &ResponseTooLargeError{LimitBytes: r.maxResponseBytes}
+		return Response{}, &fuchsiapitch.ResponseTooLargeError{Part: "body", LimitBytes: r.maxResponseBytes}
 	}
 	return Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, HeaderDelay: headerDelay}, nil
 }
--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
 // writeGuard decides whether bytes of a call may be written and records whether any
@@ -76,7 +78,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.conn != nil && g.conn.receivedBytes.Load() >= maxHeaderBytes {
-		return &ResponseTooLargeError{Part: "header", LimitBytes: maxHeaderBytes}
+		return &fuchsiapitch.ResponseTooLargeError{Part: "header", LimitBytes: maxHeaderBytes}
 	}
 	return err
 }
--- a/internal/sender/endless_test.go
+++ b/internal/sender/endless_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -42,7 +41,7 @@
 
 func assertTooLarge(t *testing.T, err error, part string, limitBytes int64) {
 	t.Helper()
-	var tooLarge *sender.ResponseTooLargeError
+	var tooLarge *fuchsiapitch.ResponseTooLargeError
 	if !errors.As(err, &tooLarge) {
 		t.Fatalf("got error %v, want a ResponseTooLargeError", err)
 	}
--- a/internal/sender/failure.go
+++ b/internal/sender/failure.go
@@ -14,29 +14,6 @@
 // Error implements error.
 func (e *ReadTimeoutError) Error() string { return fmt.Sprintf("no byte received for %s", e.Timeout) }
 
-// ResponseTooLargeError reports a response of which one part exceeds its size limit. The
-// rest of the response was not read.
-type ResponseTooLargeError struct {
-	// Part is the part of the response: its header, its body, or one event of a stream.
-	Part string
-	// LimitBytes is the size limit in bytes.
-	LimitBytes int64
-	// Err says what was received before, nil if that is nothing.
-	Err error
-}
-
-// Error implements error.
-func (e *ResponseTooLargeError) Error() string {
-	text := fmt.Sprintf("response %s exceeds %d bytes", e.Part, e.LimitBytes)
-	if e.Err != nil {
-		text += ": " + e.Err.Error()
-	}
-	return text
-}
-
-// Unwrap returns the underlying error.
-func (e *ResponseTooLargeError) Unwrap() error { return e.Err }
-
 // DeadlinePassedError reports that the deadline of a call passed on the monotonic
 // or the wall clock before its first byte was written.
 type DeadlinePassedError struct {
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -183,7 +183,7 @@
 	if b.unreadEnd == len(b.buffer) {
 		if len(b.buffer) >= maxEventBytes {
 			truncated := &fuchsiapitch.TruncatedResponseError{Request: b.exchange.call.Request(), Tokens: b.lastTokenNumber}
-			b.fail(&ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes, Err: truncated})
+			b.fail(&fuchsiapitch.ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes, Err: truncated})
 			return
 		}
 		b.buffer = append(b.buffer, make([]byte, len(b.buffer))...)
