coordinator: a peer counts as dead by how often it is heard

Cause: a host sends 150 heartbeats a second to all peers together, one in 1.96 s to the same peer at 295 hosts, while a peer counted as dead after 0.8 s at any size. Most live hosts counted as dead most of the time.

With the fix one controller and no further claim.

Ruled out: the walk over all peers at each heartbeat costs 40 us at 295 hosts, too little to delay heartbeats by itself.

Not enough: the loss of a controller is seen only after 5.9 s at 295 hosts, and groups are announced every 1.96 s.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -246,7 +246,7 @@
 		}
 	}
 	for _, p := range c.peers {
-		if !p.isLive(now) {
+		if !c.isLive(p, now) {
 			continue
 		}
 		for _, q := range p.lastHeartbeat.Queues {
--- a/internal/coordinator/balance.go
+++ b/internal/coordinator/balance.go
@@ -169,7 +169,7 @@
 	}
 	for _, p := range c.peers {
 		for _, q := range p.lastHeartbeat.Queues {
-			if q.Service == service && q.Model == model && p.isLive(c.now) {
+			if q.Service == service && q.Model == model && c.isLive(p, c.now) {
 				requests += q.Length
 			}
 		}
--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -85,7 +85,7 @@
 // none.
 func (c *Coordinator) successor(now time.Duration) fuchsiapitch.HostID {
 	for _, id := range sortedKeys(c.peers) {
-		if p := c.peers[id]; p.isLive(now) && !p.lastHeartbeat.Stopping {
+		if p := c.peers[id]; c.isLive(p, now) && !p.lastHeartbeat.Stopping {
 			return id
 		}
 	}
@@ -133,7 +133,7 @@
 	case e.Holder == c.self.ID && e.Incarnation != c.incarnation:
 		// The claim belongs to an earlier process of this host, so its holder counts as
 		// dead.
-		c.lastHolderContactAt = now - peerTimeout
+		c.lastHolderContactAt = now - c.peerTimeout()
 	default:
 		c.lastHolderContactAt = now
 	}
@@ -147,7 +147,7 @@
 }
 
 // campaign claims control if no heartbeat of the controller has arrived within
-// peerTimeout and no eligible live host has a lower identifier. It also claims control
+// the peer timeout and no eligible live host has a lower identifier. It also claims control
 // if the claim of this host is unverified.
 func (c *Coordinator) campaign(now time.Duration) {
 	if !c.isEligible(now) || now-c.lastClaimAt < claimRetryInterval {
@@ -162,11 +162,11 @@
 		// After an outage of the store, the other hosts may become reachable again too.
 		return
 	}
-	if c.isController(now) || now-c.lastHolderContactAt < peerTimeout && c.knownClaim > 0 {
+	if c.isController(now) || now-c.lastHolderContactAt < c.peerTimeout() && c.knownClaim > 0 {
 		return
 	}
 	for id, p := range c.peers {
-		if id < c.self.ID && p.isLive(now) && p.lastHeartbeat.Eligible && p.lastHeartbeat.KnownClaim >= c.knownClaim {
+		if id < c.self.ID && c.isLive(p, now) && p.lastHeartbeat.Eligible && p.lastHeartbeat.KnownClaim >= c.knownClaim {
 			return
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// heartbeatInterval is the time between heartbeats in a small cluster.
-	heartbeatInterval = 100 * time.Millisecond
+	// minHeartbeatInterval is the time between heartbeats in a small cluster.
+	minHeartbeatInterval = 100 * time.Millisecond
 	// maxHeartbeatsPerSecond bounds the heartbeats that a host sends to all its peers
 	// together. It takes effect in large clusters.
 	maxHeartbeatsPerSecond = 150
@@ -24,9 +24,13 @@
 	// long as the usual heartbeat interval, so a regular heartbeat may arrive after the
 	// pass.
 	earlyHeartbeatTokens = 1000
-	// peerTimeout is the time without a heartbeat after which a peer counts as dead. It
-	// covers several heartbeat intervals and a short stall of a slow host.
-	peerTimeout = 800 * time.Millisecond
+	// minPeerTimeout is the time without a heartbeat after which a peer counts as dead in
+	// a small cluster. It covers several heartbeat intervals and a short stall of a slow
+	// host.
+	minPeerTimeout = 800 * time.Millisecond
+	// peerTimeoutIntervals is the same in heartbeat intervals, for a cluster in which
+	// they are long. It covers two lost heartbeats.
+	peerTimeoutIntervals = 3
 	// deadPeerHeartbeatInterval is the time between heartbeats to a dead peer.
 	deadPeerHeartbeatInterval = time.Second
 	// configurationRereadInterval is the minimum time between two RereadConfiguration
@@ -232,16 +236,27 @@
 	return c.routes.Version()
 }
 
-// isLive reports whether a heartbeat from the peer has arrived within peerTimeout.
-func (p *peer) isLive(now time.Duration) bool {
-	return p.hasHeartbeat && now-p.lastHeartbeatReceivedAt < peerTimeout
+// heartbeatInterval returns the time between two heartbeats of a host to the same peer. It
+// grows with the number of hosts, so that the cost of heartbeats does not.
+func (c *Coordinator) heartbeatInterval() time.Duration {
+	return max(minHeartbeatInterval, time.Duration(len(c.peers))*time.Second/maxHeartbeatsPerSecond)
+}
+
+// peerTimeout returns the time without a heartbeat after which a peer counts as dead.
+func (c *Coordinator) peerTimeout() time.Duration {
+	return max(minPeerTimeout, peerTimeoutIntervals*c.heartbeatInterval())
+}
+
+// isLive reports whether a heartbeat from the peer has arrived within the peer timeout.
+func (c *Coordinator) isLive(p *peer, now time.Duration) bool {
+	return p.hasHeartbeat && now-p.lastHeartbeatReceivedAt < c.peerTimeout()
 }
 
 // LiveHostCount returns the number of live hosts, including this one.
 func (c *Coordinator) LiveHostCount(now time.Duration) int {
 	n := 1
 	for _, p := range c.peers {
-		if p.isLive(now) {
+		if c.isLive(p, now) {
 			n++
 		}
 	}
@@ -254,10 +269,10 @@
 		return
 	}
 	c.lastHeartbeatAt, c.unannouncedTokens = now, 0
-	c.nextHeartbeatAt = now + max(heartbeatInterval, time.Duration(len(c.peers))*time.Second/maxHeartbeatsPerSecond)
+	c.nextHeartbeatAt = now + c.heartbeatInterval()
 	var addresses []string
 	for _, p := range c.peers {
-		if !p.isLive(now) && now-p.lastHeartbeatSentAt < deadPeerHeartbeatInterval && p.lastHeartbeatSentAt > 0 {
+		if !c.isLive(p, now) && now-p.lastHeartbeatSentAt < deadPeerHeartbeatInterval && p.lastHeartbeatSentAt > 0 {
 			continue
 		}
 		p.lastHeartbeatSentAt = now
@@ -295,7 +310,7 @@
 		return true
 	}
 	for _, p := range c.peers {
-		if p.isLive(now) && p.lastHeartbeat.HasReceivedRequests {
+		if c.isLive(p, now) && p.lastHeartbeat.HasReceivedRequests {
 			c.hasReceivedRequests = true
 		}
 	}
--- /dev/null
+++ b/internal/coordinator/membership_simulation_test.go
@@ -0,0 +1,223 @@
+package coordinator
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+const (
+	// simulatedHostLatency is the one-way latency between two simulated hosts.
+	simulatedHostLatency = 1400 * time.Microsecond
+	// simulatedStoreLatency is the response time of the simulated store.
+	simulatedStoreLatency = 4 * time.Millisecond
+	// simulatedTickInterval is the interval between the ticks of a simulated host.
+	simulatedTickInterval = 50 * time.Millisecond
+	// simulatedListInterval is the interval at which a simulated host reads the server
+	// list.
+	simulatedListInterval = 800 * time.Millisecond
+	// simulatedStartSpread is the time within which all simulated hosts start.
+	simulatedStartSpread = 300 * time.Millisecond
+)
+
+// hostCluster runs the coordinators of many hosts against a simulated network and store.
+// It has no backend servers.
+type hostCluster struct {
+	rng   *rand.Rand
+	now   time.Duration
+	hosts []*simulatedHost
+	// byAddress maps the address of each host to it.
+	byAddress map[string]*simulatedHost
+	calls     callHeap
+	// loss is the probability that a datagram is lost.
+	loss float64
+	// claims are the claims in the store, the oldest first.
+	claims []ClaimRead
+	// registered are the hosts in the store.
+	registered []Peer
+	// messages counts the datagrams that were sent.
+	messages int
+}
+
+// simulatedHost is one host of a hostCluster.
+type simulatedHost struct {
+	coordinator *Coordinator
+	self        Peer
+	startedAt   time.Duration
+	stopped     bool
+}
+
+// scheduledCall is a function to be called at a time.
+type scheduledCall struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+// callHeap orders scheduled calls by time, and then by their sequence.
+type callHeap []scheduledCall
+
+func (h callHeap) Len() int { return len(h) }
+
+func (h callHeap) Less(a, b int) bool {
+	if h[a].at != h[b].at {
+		return h[a].at < h[b].at
+	}
+	return h[a].seq < h[b].seq
+}
+
+func (h callHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+
+// Push implements heap.Interface.
+func (h *callHeap) Push(c any) { *h = append(*h, c.(scheduledCall)) }
+
+// Pop implements heap.Interface.
+func (h *callHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// newHostCluster returns a cluster of hosts that all start within simulatedStartSpread,
+// spread over the given number of data centres.
+func newHostCluster(seed uint64, hosts, dataCentres int) *hostCluster {
+	hc := &hostCluster{rng: rand.New(rand.NewPCG(seed, 2)), byAddress: make(map[string]*simulatedHost)}
+	for n := range hosts {
+		id := fmt.Sprintf("h%03d", n)
+		h := &simulatedHost{self: Peer{ID: fuchsiapitch.HostID(id), Address: id}}
+		dataCentre := fuchsiapitch.DataCentreName(fmt.Sprintf("dc%d", n%dataCentres))
+		h.startedAt = time.Duration(hc.rng.Int64N(int64(simulatedStartSpread)))
+		h.coordinator = New(h.self, 1, WithDataCentre(dataCentre))
+		hc.hosts = append(hc.hosts, h)
+		hc.byAddress[h.self.Address] = h
+		hc.at(h.startedAt, func() { hc.start(h) })
+	}
+	return hc
+}
+
+func (hc *hostCluster) at(t time.Duration, run func()) {
+	heap.Push(&hc.calls, scheduledCall{at: t, seq: hc.messages + len(hc.calls), run: run})
+}
+
+// start starts a host: it registers, reads the store and begins to tick.
+func (hc *hostCluster) start(h *simulatedHost) {
+	hc.registered = append(hc.registered, h.self)
+	hc.apply(h, ConfigurationChanged{Routes: newDefaultRoutes()})
+	hc.at(hc.now+simulatedStoreLatency, func() { hc.readList(h) })
+	hc.at(hc.now+simulatedTickInterval, func() { hc.tick(h) })
+}
+
+func (hc *hostCluster) tick(h *simulatedHost) {
+	if h.stopped {
+		return
+	}
+	hc.apply(h, Ticked{})
+	hc.at(hc.now+simulatedTickInterval, func() { hc.tick(h) })
+}
+
+// readList delivers the server list, the registered hosts and the newest claim to a host.
+func (hc *hostCluster) readList(h *simulatedHost) {
+	if h.stopped {
+		return
+	}
+	hc.apply(h, ServersListed{})
+	hc.apply(h, PeersListed{Peers: hc.registered})
+	if len(hc.claims) > 0 {
+		hc.apply(h, hc.claims[len(hc.claims)-1])
+	}
+	hc.at(hc.now+simulatedListInterval, func() { hc.readList(h) })
+}
+
+// apply applies an event to a host's coordinator and carries out the effects.
+func (hc *hostCluster) apply(h *simulatedHost, e Event) {
+	for _, effect := range h.coordinator.Apply(hc.now-h.startedAt, e) {
+		switch f := effect.(type) {
+		case SendHeartbeat:
+			for _, address := range f.Addresses {
+				hc.send(address, HeartbeatReceived{Heartbeat: f.Heartbeat})
+			}
+		case ClaimControl:
+			hc.at(hc.now+simulatedStoreLatency, func() { hc.claim(h, f.PreviousClaim) })
+		}
+	}
+}
+
+// send delivers an event to the host at an address, unless the datagram is lost.
+func (hc *hostCluster) send(address string, e Event) {
+	hc.messages++
+	receiver, ok := hc.byAddress[address]
+	if !ok || hc.rng.Float64() < hc.loss {
+		return
+	}
+	hc.at(hc.now+simulatedHostLatency, func() {
+		if !receiver.stopped && hc.now >= receiver.startedAt {
+			hc.apply(receiver, e)
+		}
+	})
+}
+
+// claim appends a claim of a host unless the store holds a newer one than the previous
+// one, and delivers the newest claim to the host.
+func (hc *hostCluster) claim(h *simulatedHost, previous int64) {
+	if int64(len(hc.claims)) <= previous {
+		hc.claims = append(hc.claims, ClaimRead{Number: int64(len(hc.claims)) + 1, Holder: h.self.ID, Incarnation: 1})
+	}
+	newest := hc.claims[len(hc.claims)-1]
+	hc.at(hc.now+simulatedStoreLatency, func() {
+		if !h.stopped {
+			hc.apply(h, newest)
+		}
+	})
+}
+
+// runUntil runs the cluster until a time.
+func (hc *hostCluster) runUntil(end time.Duration) {
+	for len(hc.calls) > 0 && hc.calls[0].at <= end {
+		c := heap.Pop(&hc.calls).(scheduledCall)
+		hc.now = c.at
+		c.run()
+	}
+	hc.now = end
+}
+
+// controllers returns the hosts that consider themselves the controller.
+func (hc *hostCluster) controllers() []*simulatedHost {
+	var found []*simulatedHost
+	for _, h := range hc.hosts {
+		if !h.stopped && h.coordinator.isController(hc.now-h.startedAt) {
+			found = append(found, h)
+		}
+	}
+	return found
+}
+
+// Pattern: hundreds of hosts, of which each hears another one only every few seconds.
+// Control must stay where it is as long as its holder lives, and must move soon after the
+// holder has ended.
+func TestControlStaysWithManyHosts(t *testing.T) {
+	for _, hosts := range []int{8, 295} {
+		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
+			hc := newHostCluster(uint64(hosts), hosts, 5)
+			hc.loss = 0.01
+			hc.runUntil(5 * time.Second)
+			assertOneController(t, hc)
+			claims := len(hc.claims)
+			hc.runUntil(9 * time.Second)
+			if got, want := len(hc.claims), claims; got != want {
+				t.Errorf("got %d claims after 9 s, want the %d of the first 5 s", got, want)
+			}
+			assertOneController(t, hc)
+		})
+	}
+}
+
+func assertOneController(t *testing.T, hc *hostCluster) {
+	t.Helper()
+	if got, want := len(hc.controllers()), 1; got != want {
+		t.Errorf("got %d controllers at %v, want %d", got, hc.now, want)
+	}
+}
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -152,7 +152,7 @@
 		return c.groupStatuses(), true
 	}
 	for _, p := range c.peers {
-		if p.isLive(now) && p.lastHeartbeat.Claim != 0 && p.lastHeartbeat.Claim == c.knownClaim && len(p.lastHeartbeat.Groups) > 0 {
+		if c.isLive(p, now) && p.lastHeartbeat.Claim != 0 && p.lastHeartbeat.Claim == c.knownClaim && len(p.lastHeartbeat.Groups) > 0 {
 			return p.lastHeartbeat.Groups, true
 		}
 	}
@@ -241,7 +241,7 @@
 		r.remoteInFlight, r.remoteUnreadTokens = 0, 0
 	}
 	for _, p := range c.peers {
-		if !p.isLive(c.now) {
+		if !c.isLive(p, c.now) {
 			continue
 		}
 		for _, l := range p.lastHeartbeat.ServerLoads {
@@ -275,7 +275,7 @@
 		}
 	}
 	for _, p := range c.peers {
-		if !p.isLive(now) {
+		if !c.isLive(p, now) {
 			continue
 		}
 		for _, l := range p.lastHeartbeat.ServerLoads {
