coordinator, driver: heartbeats go through relays in large clusters

What was seen: with 295 hosts a host heard the loads of another one every 1.96 s, and the announced groups as seldom; the controller's heartbeat held all groups as JSON, some 15 KB for each of 294 peers.

Cause: every host sent its heartbeat to every other one, within a budget of 150 a second. What a host hears is older the more hosts there are.

Change: beyond 16 peers a host sends its heartbeat (protobuf) to two relays of its data centre, every 100 to 200 ms. Relays sum what their members report and send the sum to the relays of the other data centres and the sum of all hosts to their members. Hosts choose the strongest hosts that answer as relays; nobody elects them. The group table has a version and is sent to those that lack it. Control prefers strong hosts.

Weighed: epidemic gossip of each host's loads (hosts times servers in every message) and fixed subsets of groups for each host (no way to even out data centres).

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -245,16 +245,7 @@
 			queuedAhead++
 		}
 	}
-	for _, p := range c.peers {
-		if !c.isLive(p, now) {
-			continue
-		}
-		for _, q := range p.lastHeartbeat.Queues {
-			if q.Service == w.pool.service && q.Model == w.pool.model {
-				queuedAhead += q.Length
-			}
-		}
-	}
+	queuedAhead += c.remoteQueues[w.pool]
 	backlog := max(0, inFlight-slots) + queuedAhead + 1
 	return time.Duration(float64(c.slotTime(w.pool)) * float64(backlog) / float64(slots)), true
 }
--- a/internal/coordinator/balance.go
+++ b/internal/coordinator/balance.go
@@ -167,12 +167,6 @@
 			requests++
 		}
 	}
-	for _, p := range c.peers {
-		for _, q := range p.lastHeartbeat.Queues {
-			if q.Service == service && q.Model == model && c.isLive(p, c.now) {
-				requests += q.Length
-			}
-		}
-	}
+	requests += c.remoteQueues[poolKey{service, model}]
 	return float64(requests) / float64(max(slots, 1))
 }
--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -73,6 +73,9 @@
 		if p.hasHeartbeat {
 			p.lastHeartbeatReceivedAt = now
 		}
+		if p.hasDigest {
+			p.lastDigestReceivedAt = now
+		}
 	}
 	c.log("process was suspended", map[string]any{"claim": c.ownClaim})
 }
@@ -84,12 +87,26 @@
 // successor returns the host to which this host hands its claim when it stops, "" for
 // none.
 func (c *Coordinator) successor(now time.Duration) fuchsiapitch.HostID {
-	for _, id := range sortedKeys(c.peers) {
-		if p := c.peers[id]; c.isLive(p, now) && !p.lastHeartbeat.Stopping {
-			return id
+	var best *peer
+	for _, p := range c.peers {
+		stopping := p.lastHeartbeat.Stopping || p.digestStopping(now)
+		if c.isLive(p, now) && !stopping && (best == nil || outranks(p.Peer, best.Peer)) {
+			best = p
 		}
 	}
-	return ""
+	if best == nil {
+		return ""
+	}
+	return best.ID
+}
+
+// holderTimeout returns the time without news of the controller after which it counts as
+// dead.
+func (c *Coordinator) holderTimeout() time.Duration {
+	if c.usesRelays() {
+		return relayedHolderTimeout
+	}
+	return peerTimeout
 }
 
 // acceptHandover makes this host the holder of the claim of a stopping controller that
@@ -133,7 +150,7 @@
 	case e.Holder == c.self.ID && e.Incarnation != c.incarnation:
 		// The claim belongs to an earlier process of this host, so its holder counts as
 		// dead.
-		c.lastHolderContactAt = now - c.peerTimeout()
+		c.lastHolderContactAt = now - c.holderTimeout()
 	default:
 		c.lastHolderContactAt = now
 	}
@@ -146,9 +163,9 @@
 	return !c.stopping && c.routes != nil && now >= electionDelay && !c.listStale
 }
 
-// campaign claims control if no heartbeat of the controller has arrived within
-// the peer timeout and no eligible live host has a lower identifier. It also claims control
-// if the claim of this host is unverified.
+// campaign claims control if there was no news of the controller within the holder
+// timeout and no eligible live host outranks this one. It also claims control if the claim
+// of this host is unverified.
 func (c *Coordinator) campaign(now time.Duration) {
 	if !c.isEligible(now) || now-c.lastClaimAt < claimRetryInterval {
 		return
@@ -162,11 +179,14 @@
 		// After an outage of the store, the other hosts may become reachable again too.
 		return
 	}
-	if c.isController(now) || now-c.lastHolderContactAt < c.peerTimeout() && c.knownClaim > 0 {
+	if c.isController(now) || now-c.lastHolderContactAt < c.holderTimeout() && c.knownClaim > 0 {
+		return
+	}
+	if c.usesRelays() && c.relayedCandidate(now) {
 		return
 	}
-	for id, p := range c.peers {
-		if id < c.self.ID && c.isLive(p, now) && p.lastHeartbeat.Eligible && p.lastHeartbeat.KnownClaim >= c.knownClaim {
+	for _, p := range c.peers {
+		if outranks(p.Peer, c.self) && c.isLive(p, now) && p.lastHeartbeat.Eligible && p.lastHeartbeat.KnownClaim >= c.knownClaim {
 			return
 		}
 	}
--- a/internal/coordinator/controller_test.go
+++ b/internal/coordinator/controller_test.go
@@ -74,7 +74,7 @@
 	now := 3 * time.Second
 	_, other := newPair(now)
 	t.Run("not while the controller's heartbeats are recent", func(t *testing.T) {
-		if claimsControl(other.Apply(now+minPeerTimeout/2, Ticked{})) {
+		if claimsControl(other.Apply(now+peerTimeout/2, Ticked{})) {
 			t.Error("got a claim, want none")
 		}
 	})
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,11 +11,8 @@
 )
 
 const (
-	// minHeartbeatInterval is the time between heartbeats in a small cluster.
+	// minHeartbeatInterval is the shortest time between regular heartbeats.
 	minHeartbeatInterval = 100 * time.Millisecond
-	// maxHeartbeatsPerSecond bounds the heartbeats that a host sends to all its peers
-	// together. It takes effect in large clusters.
-	maxHeartbeatsPerSecond = 150
 	// maxEarlyHeartbeatsPerSecond is the bound for early heartbeats, which announce a
 	// changed load. This rate costs about 0.5 % of a core.
 	maxEarlyHeartbeatsPerSecond = 500
@@ -24,13 +21,9 @@
 	// long as the usual heartbeat interval, so a regular heartbeat may arrive after the
 	// pass.
 	earlyHeartbeatTokens = 1000
-	// minPeerTimeout is the time without a heartbeat after which a peer counts as dead in
-	// a small cluster. It covers several heartbeat intervals and a short stall of a slow
-	// host.
-	minPeerTimeout = 800 * time.Millisecond
-	// peerTimeoutIntervals is the same in heartbeat intervals, for a cluster in which
-	// they are long. It covers two lost heartbeats.
-	peerTimeoutIntervals = 3
+	// peerTimeout is the time without a message after which a peer counts as dead. It
+	// covers several heartbeat intervals and a short stall of a slow host.
+	peerTimeout = 800 * time.Millisecond
 	// deadPeerHeartbeatInterval is the time between heartbeats to a dead peer.
 	deadPeerHeartbeatInterval = time.Second
 	// configurationRereadInterval is the minimum time between two RereadConfiguration
@@ -69,6 +62,7 @@
 	cluster
 	admissionState
 	retryBudget
+	relayState
 }
 
 // peer is the last known state of another host. hasHeartbeat is true once a heartbeat
@@ -79,6 +73,13 @@
 	lastHeartbeatReceivedAt time.Duration
 	lastHeartbeatSentAt     time.Duration
 	lastHeartbeat           Heartbeat
+	// hasDigest is true once a digest from the peer has been received.
+	hasDigest            bool
+	lastDigestReceivedAt time.Duration
+	lastDigest           Digest
+	// awaitingDigestSince is when this host first sent the peer a message as a relay that
+	// it has not answered, 0 for none. It is not used as a relay until silentUntil.
+	awaitingDigestSince, silentUntil time.Duration
 }
 
 // Option configures a Coordinator.
@@ -106,7 +107,7 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), relayState: newRelayState(),
 	}
 	for _, o := range options {
 		o(c)
@@ -142,6 +143,8 @@
 		c.applyOrderResult(now, e)
 	case HeartbeatReceived:
 		c.applyHeartbeat(now, e.Heartbeat)
+	case DigestReceived:
+		c.applyDigest(now, e.Digest)
 	case PeersListed:
 		c.addPeers(e.Peers)
 	case ClaimRead:
@@ -155,7 +158,7 @@
 		c.tick(now, e)
 	}
 	if c.unannouncedTokens >= earlyHeartbeatTokens {
-		c.nextHeartbeatAt = min(c.nextHeartbeatAt, c.lastHeartbeatAt+time.Duration(len(c.peers))*time.Second/maxEarlyHeartbeatsPerSecond)
+		c.nextHeartbeatAt = min(c.nextHeartbeatAt, c.lastHeartbeatAt+c.earlyHeartbeatInterval())
 		c.sendHeartbeats(now)
 	}
 	return c.effects
@@ -175,6 +178,9 @@
 		c.handleSuspension(now)
 	}
 	c.recordLastByteTimes(e.LastByteTimes)
+	if c.usesRelays() {
+		c.sumRemoteLoads()
+	}
 	c.campaign(now)
 	if c.isController(now) {
 		c.reconcile(now)
@@ -183,6 +189,7 @@
 	c.revokeFromSilent(now)
 	c.dispatchQueue(now)
 	c.sendHeartbeats(now)
+	c.sendDigests(now)
 }
 
 // addPeers records the hosts found in the store. The address from a heartbeat takes
@@ -193,13 +200,26 @@
 			continue
 		}
 		if known, ok := c.peers[p.ID]; ok {
-			if !known.hasHeartbeat {
-				known.Address = p.Address
+			if !known.hasHeartbeat && !known.hasDigest && known.Peer != p {
+				known.Peer, c.rankedPeers = p, nil
 			}
 			continue
 		}
-		c.peers[p.ID] = &peer{Peer: p}
+		c.peers[p.ID], c.rankedPeers = &peer{Peer: p}, nil
+	}
+}
+
+// learnPeer returns the peer that has sent a message, with what the message says of it.
+func (c *Coordinator) learnPeer(sender Peer) *peer {
+	p, ok := c.peers[sender.ID]
+	if !ok {
+		p = &peer{}
+		c.peers[sender.ID] = p
+	}
+	if p.Peer != sender {
+		p.Peer, c.rankedPeers = sender, nil
 	}
+	return p
 }
 
 // applyHeartbeat processes a heartbeat from another host.
@@ -207,22 +227,31 @@
 	if b.From.ID == c.self.ID {
 		return
 	}
-	p, ok := c.peers[b.From.ID]
-	if !ok {
-		p = &peer{}
-		c.peers[b.From.ID] = p
-	}
+	p := c.learnPeer(b.From)
 	if p.hasHeartbeat && b.Incarnation < p.lastHeartbeat.Incarnation {
 		return
 	}
-	p.Peer, p.hasHeartbeat, p.lastHeartbeatReceivedAt, p.lastHeartbeat = b.From, true, now, b
-	for _, s := range b.Suspects {
+	p.hasHeartbeat, p.lastHeartbeatReceivedAt, p.lastHeartbeat = true, now, b
+	c.noteSuspects(now, b.Suspects)
+	c.adoptGroups(b)
+	c.observeClaim(now, b)
+	if !c.usesRelays() {
+		c.sumRemoteLoads()
+		c.dispatchQueue(now)
+	}
+	c.rereadIfBehind(now, b.ConfigurationVersion)
+}
+
+// noteSuspects records the servers that another host suspects.
+func (c *Coordinator) noteSuspects(now time.Duration, suspects []fuchsiapitch.ServerID) {
+	for _, s := range suspects {
 		c.suspectedUntil[s] = now + suspicionDuration
 	}
-	c.observeClaim(now, b)
-	c.sumRemoteLoads()
-	c.dispatchQueue(now)
-	if b.ConfigurationVersion > c.configurationVersion() && now-c.lastConfigurationRereadAt > configurationRereadInterval {
+}
+
+// rereadIfBehind reads the configuration again if another host has a later version.
+func (c *Coordinator) rereadIfBehind(now time.Duration, version int64) {
+	if version > c.configurationVersion() && now-c.lastConfigurationRereadAt > configurationRereadInterval {
 		c.lastConfigurationRereadAt = now
 		c.emit(RereadConfiguration{})
 	}
@@ -236,24 +265,27 @@
 	return c.routes.Version()
 }
 
-// heartbeatInterval returns the time between two heartbeats of a host to the same peer. It
-// grows with the number of hosts, so that the cost of heartbeats does not.
-func (c *Coordinator) heartbeatInterval() time.Duration {
-	return max(minHeartbeatInterval, time.Duration(len(c.peers))*time.Second/maxHeartbeatsPerSecond)
-}
-
-// peerTimeout returns the time without a heartbeat after which a peer counts as dead.
-func (c *Coordinator) peerTimeout() time.Duration {
-	return max(minPeerTimeout, peerTimeoutIntervals*c.heartbeatInterval())
+// earlyHeartbeatInterval returns the minimum interval between two heartbeats if the load
+// has changed.
+func (c *Coordinator) earlyHeartbeatInterval() time.Duration {
+	if c.usesRelays() {
+		return earlyMemberInterval
+	}
+	return time.Duration(len(c.peers)) * time.Second / maxEarlyHeartbeatsPerSecond
 }
 
-// isLive reports whether a heartbeat from the peer has arrived within the peer timeout.
+// isLive reports whether a heartbeat or a digest from the peer has arrived within the peer
+// timeout.
 func (c *Coordinator) isLive(p *peer, now time.Duration) bool {
-	return p.hasHeartbeat && now-p.lastHeartbeatReceivedAt < c.peerTimeout()
+	return p.hasHeartbeat && now-p.lastHeartbeatReceivedAt < peerTimeout ||
+		p.hasDigest && now-p.lastDigestReceivedAt < peerTimeout
 }
 
 // LiveHostCount returns the number of live hosts, including this one.
 func (c *Coordinator) LiveHostCount(now time.Duration) int {
+	if c.usesRelays() {
+		return c.relayedHostCount(now)
+	}
 	n := 1
 	for _, p := range c.peers {
 		if c.isLive(p, now) {
@@ -269,20 +301,30 @@
 		return
 	}
 	c.lastHeartbeatAt, c.unannouncedTokens = now, 0
-	c.nextHeartbeatAt = now + c.heartbeatInterval()
-	var addresses []string
+	if c.usesRelays() {
+		c.nextHeartbeatAt = now + c.memberInterval()
+		c.sendMemberHeartbeat(now)
+		return
+	}
+	c.nextHeartbeatAt = now + minHeartbeatInterval
+	var recipients []*peer
 	for _, p := range c.peers {
 		if !c.isLive(p, now) && now-p.lastHeartbeatSentAt < deadPeerHeartbeatInterval && p.lastHeartbeatSentAt > 0 {
 			continue
 		}
 		p.lastHeartbeatSentAt = now
-		addresses = append(addresses, p.Address)
+		recipients = append(recipients, p)
 	}
-	if len(addresses) == 0 {
-		return
+	if len(recipients) > 0 {
+		c.emitHeartbeat(c.newHeartbeat(now), recipients)
 	}
+}
+
+// newHeartbeat returns the next heartbeat of this host, without the group table.
+func (c *Coordinator) newHeartbeat(now time.Duration) Heartbeat {
+	c.sequence++
 	b := Heartbeat{
-		From: c.self, Incarnation: c.incarnation, Claim: c.activeClaim(now), KnownClaim: c.knownClaim,
+		From: c.self, Incarnation: c.incarnation, Sequence: c.sequence, Claim: c.activeClaim(now), KnownClaim: c.knownClaim,
 		ConfigurationVersion: c.configurationVersion(), Eligible: c.isEligible(now), HasReceivedRequests: c.anyHostHasReceivedRequests(now), Stopping: c.stopping, ServerLoads: c.serverLoads(now), Queues: c.queueLengths(),
 	}
 	if c.stopping && c.ownClaim != 0 && c.ownClaim == c.knownClaim && c.claimHolder == c.self.ID {
@@ -298,9 +340,10 @@
 		}
 	}
 	if b.Claim > 0 && c.isSurveyed() {
-		b.Groups = c.groupStatuses()
+		c.publishGroups()
 	}
-	c.emit(SendHeartbeat{Heartbeat: b, Addresses: addresses})
+	b.GroupsVersion = c.announcedVersion
+	return b
 }
 
 // anyHostHasReceivedRequests reports whether this host or a live peer has ever received
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -93,6 +93,9 @@
 // HeartbeatReceived reports a heartbeat from another host.
 type HeartbeatReceived struct{ Heartbeat Heartbeat }
 
+// DigestReceived reports a digest from a relay.
+type DigestReceived struct{ Digest Digest }
+
 // PeersListed reports the hosts registered in the store.
 type PeersListed struct{ Peers []Peer }
 
@@ -137,6 +140,7 @@
 func (ProbeCompleted) isEvent()       {}
 func (OrderResultReceived) isEvent()  {}
 func (HeartbeatReceived) isEvent()    {}
+func (DigestReceived) isEvent()       {}
 func (PeersListed) isEvent()          {}
 func (ClaimRead) isEvent()            {}
 func (Ticked) isEvent()               {}
@@ -175,6 +179,23 @@
 	Addresses []string
 }
 
+// SendDigest sends a digest to the hosts that this host serves as a relay.
+type SendDigest struct {
+	Digest Digest
+	// Groups is the group table for the recipients that lack it.
+	Groups     []GroupStatus
+	Recipients []DigestRecipient
+}
+
+// DigestRecipient is one recipient of a digest. It is a plain record.
+type DigestRecipient struct {
+	Address string
+	// EchoedSequence replaces that of the digest.
+	EchoedSequence uint64
+	// NeedsGroups is true if the recipient lacks the group table.
+	NeedsGroups bool
+}
+
 // ProbeServer requests a server's report.
 type ProbeServer struct {
 	Server  fuchsiapitch.ServerID
@@ -225,6 +246,7 @@
 func (Refuse) isEffect()              {}
 func (Revoke) isEffect()              {}
 func (SendHeartbeat) isEffect()       {}
+func (SendDigest) isEffect()          {}
 func (ProbeServer) isEffect()         {}
 func (SendOrder) isEffect()           {}
 func (ClaimControl) isEffect()        {}
@@ -265,8 +287,11 @@
 
 // Peer identifies another host. It is a plain record.
 type Peer struct {
-	ID      fuchsiapitch.HostID
-	Address string
+	ID         fuchsiapitch.HostID
+	Address    string
+	DataCentre fuchsiapitch.DataCentreName
+	// Capacity ranks the hosts for control and relaying; the strongest have the highest.
+	Capacity int
 }
 
 // ServerLoad is the load that one host puts on one server. It is a plain record.
@@ -301,6 +326,8 @@
 type Heartbeat struct {
 	From        Peer
 	Incarnation int64
+	// Sequence numbers the heartbeats of one incarnation.
+	Sequence uint64
 	// Claim is the number of the claim by which the sender is the controller, 0 if it
 	// is not. KnownClaim is the highest claim number that the sender knows.
 	Claim, KnownClaim int64
@@ -323,6 +350,30 @@
 	// Suspects are the servers that failed requests of the sender have named as the
 	// cause.
 	Suspects []fuchsiapitch.ServerID
-	// Groups are all groups, if the sender is the controller.
-	Groups []GroupStatus
+	// GroupsVersion is the version of the group table that the sender knows. Groups is
+	// that table, nil if the recipient is known to have it.
+	GroupsVersion GroupsVersion
+	Groups        []GroupStatus
+}
+
+// Digest is the periodic message of a relay. It is a plain record.
+type Digest struct {
+	// Sender is the heartbeat of the relay. Its loads, queues and suspects are those of
+	// all hosts that the digest covers.
+	Sender Heartbeat
+	// IsDataCentreOnly is true if only the data centre of the relay is covered.
+	IsDataCentreOnly bool
+	// HostCount is the number of live hosts that are covered.
+	HostCount int
+	// BestCandidate is the strongest of them that may become the controller, with an
+	// empty ID for none.
+	BestCandidate Peer
+	// Holder is the host that holds the claim HolderClaim, and HolderSilentFor the time
+	// since its last heartbeat.
+	Holder          fuchsiapitch.HostID
+	HolderClaim     int64
+	HolderSilentFor time.Duration
+	// EchoedSequence is the last heartbeat of the recipient that the sums contain, 0
+	// for none.
+	EchoedSequence uint64
 }
--- a/internal/coordinator/membership_simulation_test.go
+++ b/internal/coordinator/membership_simulation_test.go
@@ -88,8 +88,8 @@
 	hc := &hostCluster{rng: rand.New(rand.NewPCG(seed, 2)), byAddress: make(map[string]*simulatedHost)}
 	for n := range hosts {
 		id := fmt.Sprintf("h%03d", n)
-		h := &simulatedHost{self: Peer{ID: fuchsiapitch.HostID(id), Address: id}}
 		dataCentre := fuchsiapitch.DataCentreName(fmt.Sprintf("dc%d", n%dataCentres))
+		h := &simulatedHost{self: Peer{ID: fuchsiapitch.HostID(id), Address: id, DataCentre: dataCentre, Capacity: 20 + 180*(n%20/18)}}
 		h.startedAt = time.Duration(hc.rng.Int64N(int64(simulatedStartSpread)))
 		h.coordinator = New(h.self, 1, WithDataCentre(dataCentre))
 		hc.hosts = append(hc.hosts, h)
@@ -140,6 +140,15 @@
 			for _, address := range f.Addresses {
 				hc.send(address, HeartbeatReceived{Heartbeat: f.Heartbeat})
 			}
+		case SendDigest:
+			for _, r := range f.Recipients {
+				d := f.Digest
+				d.EchoedSequence = r.EchoedSequence
+				if r.NeedsGroups {
+					d.Sender.Groups = f.Groups
+				}
+				hc.send(r.Address, DigestReceived{Digest: d})
+			}
 		case ClaimControl:
 			hc.at(hc.now+simulatedStoreLatency, func() { hc.claim(h, f.PreviousClaim) })
 		}
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -31,6 +31,8 @@
 	// hosts.
 	inFlight, unreadTokens             int
 	remoteInFlight, remoteUnreadTokens int
+	// remoteLastByteAt is when the last byte arrived at another host, as far as known.
+	remoteLastByteAt time.Duration
 	// lastByteAt is when the last byte arrived from the replica, lastSentAt when this
 	// host last sent it a request, and busySince when this host last sent it one while
 	// no other was in flight there.
@@ -151,10 +153,8 @@
 	if c.isController(now) && c.isSurveyed() {
 		return c.groupStatuses(), true
 	}
-	for _, p := range c.peers {
-		if c.isLive(p, now) && p.lastHeartbeat.Claim != 0 && p.lastHeartbeat.Claim == c.knownClaim && len(p.lastHeartbeat.Groups) > 0 {
-			return p.lastHeartbeat.Groups, true
-		}
+	if len(c.announcedGroups) > 0 && c.hasCurrentGroups(now) {
+		return c.announcedGroups, true
 	}
 	var statuses []GroupStatus
 	for id, s := range c.servers {
@@ -167,6 +167,15 @@
 	return statuses, false
 }
 
+// hasCurrentGroups reports whether the known group table comes from a live controller. A
+// table that relays hand on outlasts a change of the controller.
+func (c *Coordinator) hasCurrentGroups(now time.Duration) bool {
+	if c.usesRelays() {
+		return now-c.lastHolderContactAt < groupsLifetime
+	}
+	return c.announcedVersion.Claim == c.knownClaim && c.claimHolder != c.self.ID && now-c.lastHolderContactAt < peerTimeout
+}
+
 func (c *Coordinator) updateReplica(id fuchsiapitch.ServerID, s *server, p fuchsiapitch.ServiceProfile, model string) {
 	r, ok := c.replicas[id]
 	if !ok {
@@ -238,17 +247,16 @@
 // other live hosts.
 func (c *Coordinator) sumRemoteLoads() {
 	for _, r := range c.replicas {
-		r.remoteInFlight, r.remoteUnreadTokens = 0, 0
+		r.remoteInFlight, r.remoteUnreadTokens, r.remoteLastByteAt = 0, 0, 0
+	}
+	clear(c.remoteQueues)
+	if c.usesRelays() {
+		c.addRelayedLoads(c.now)
+		return
 	}
 	for _, p := range c.peers {
-		if !c.isLive(p, c.now) {
-			continue
-		}
-		for _, l := range p.lastHeartbeat.ServerLoads {
-			if r, ok := c.replicas[l.Server]; ok {
-				r.remoteInFlight += l.InFlight
-				r.remoteUnreadTokens += l.UnreadTokens
-			}
+		if c.isLive(p, c.now) {
+			c.addLoads(p.lastHeartbeat, p.lastHeartbeatReceivedAt, 1)
 		}
 	}
 }
@@ -265,28 +273,18 @@
 }
 
 // isSilentToAllHosts reports whether a server has requests in flight and no host has
-// received a byte from it within groupSilenceTimeout.
+// received a byte from it within the silence timeout.
 func (c *Coordinator) isSilentToAllHosts(now time.Duration, id fuchsiapitch.ServerID) bool {
-	hasInFlight := false
-	if r, ok := c.replicas[id]; ok && r.inFlight > 0 {
-		hasInFlight = true
-		if r.silentFor(now) < groupSilenceTimeout {
-			return false
-		}
+	r, ok := c.replicas[id]
+	if !ok || r.totalInFlight() == 0 {
+		return false
 	}
-	for _, p := range c.peers {
-		if !c.isLive(p, now) {
-			continue
-		}
-		for _, l := range p.lastHeartbeat.ServerLoads {
-			if l.Server != id || l.InFlight == 0 {
-				continue
-			}
-			hasInFlight = true
-			if l.SilentFor+now-p.lastHeartbeatReceivedAt < groupSilenceTimeout {
-				return false
-			}
-		}
+	timeout := groupSilenceTimeout
+	if c.usesRelays() {
+		timeout += relayedSilenceMargin
+	}
+	if r.inFlight > 0 && r.silentFor(now) < groupSilenceTimeout {
+		return false
 	}
-	return hasInFlight
+	return r.remoteInFlight == 0 || now-r.remoteLastByteAt >= timeout
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -157,6 +157,8 @@
 		}
 	case coordinator.SendHeartbeat:
 		d.sendHeartbeat(e)
+	case coordinator.SendDigest:
+		d.sendDigest(e)
 	case coordinator.ProbeServer:
 		d.runInBackground(func() { d.probeServer(e) })
 	case coordinator.SendOrder:
@@ -230,7 +232,7 @@
 	d.Apply(claim)
 }
 
-// sendHeartbeat sends a heartbeat to each address. Datagrams may be lost.
+// sendHeartbeat sends a heartbeat to each address.
 func (d *Driver) sendHeartbeat(e coordinator.SendHeartbeat) {
 	data, err := encodeHeartbeat(e.Heartbeat)
 	if err != nil {
@@ -238,18 +240,51 @@
 		return
 	}
 	for _, address := range e.Addresses {
-		destination, ok := d.resolvedAddresses[address]
-		if !ok {
-			resolved, err := net.ResolveUDPAddr("udp4", address)
-			if err != nil {
-				d.log.Warn().Str("to", address).Err(err).Msg("could not resolve heartbeat address")
-				continue
+		d.sendDatagram(address, data)
+	}
+}
+
+// sendDigest sends a digest to each recipient, with the group table if it lacks that.
+func (d *Driver) sendDigest(e coordinator.SendDigest) {
+	var encoded, encodedWithGroups []byte
+	for _, r := range e.Recipients {
+		data := &encoded
+		if r.NeedsGroups {
+			data = &encodedWithGroups
+		}
+		if *data == nil {
+			digest := e.Digest
+			if r.NeedsGroups {
+				digest.Sender.Groups = e.Groups
+			}
+			var err error
+			if *data, err = encodeDigest(digest); err != nil {
+				d.log.Error().Err(err).Msg("could not encode digest")
+				return
 			}
-			d.resolvedAddresses[address], destination = resolved, resolved
 		}
-		if _, err := d.socket.WriteTo(data, destination); err != nil {
-			d.log.Debug().Str("to", address).Err(err).Msg("could not send heartbeat")
+		echo, err := encodeEcho(r.EchoedSequence)
+		if err != nil {
+			d.log.Error().Err(err).Msg("could not encode digest")
+			return
+		}
+		d.sendDatagram(r.Address, append((*data)[:len(*data):len(*data)], echo...))
+	}
+}
+
+// sendDatagram sends a datagram to another host. It may be lost.
+func (d *Driver) sendDatagram(address string, data []byte) {
+	destination, ok := d.resolvedAddresses[address]
+	if !ok {
+		resolved, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			d.log.Warn().Str("to", address).Err(err).Msg("could not resolve heartbeat address")
+			return
 		}
+		d.resolvedAddresses[address], destination = resolved, resolved
+	}
+	if _, err := d.socket.WriteTo(data, destination); err != nil {
+		d.log.Debug().Str("to", address).Err(err).Msg("could not send heartbeat")
 	}
 }
 
@@ -314,12 +349,12 @@
 			time.Sleep(tickInterval)
 			continue
 		}
-		b, err := decodeHeartbeat(buffer[:n])
+		event, err := decodeDatagram(buffer[:n])
 		if err != nil {
 			d.log.Warn().Err(err).Msg("discarded malformed heartbeat")
 			continue
 		}
-		d.Apply(coordinator.HeartbeatReceived{Heartbeat: b})
+		d.Apply(event)
 	}
 }
 
--- a/internal/driver/failure.go
+++ b/internal/driver/failure.go
@@ -7,7 +7,13 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 )
 
-// HeartbeatError reports a datagram that cannot be decoded as a heartbeat.
+// MissingSenderError reports a message between hosts that names no sender.
+type MissingSenderError struct{}
+
+// Error implements error.
+func (*MissingSenderError) Error() string { return "message names no sender" }
+
+// HeartbeatError reports a datagram that cannot be decoded as a heartbeat or digest.
 type HeartbeatError struct{ Err error }
 
 // Error implements error.
--- a/internal/driver/heartbeat.go
+++ b/internal/driver/heartbeat.go
@@ -1,111 +1,119 @@
 package driver
 
 import (
-	"encoding/json"
+	"math"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder/wire"
 )
 
-// heartbeatBody is the wire format of a heartbeat.
-type heartbeatBody struct {
-	Host                 string      `json:"host"`
-	Address              string      `json:"address"`
-	Incarnation          int64       `json:"started"`
-	Claim                int64       `json:"claim,omitempty"`
-	KnownClaim           int64       `json:"known-claim,omitempty"`
-	Successor            string      `json:"heir,omitempty"`
-	HandedOverClaim      int64       `json:"handed-claim,omitempty"`
-	FormationCount       int64       `json:"formations,omitempty"`
-	ConfigurationVersion int64       `json:"version,omitempty"`
-	Eligible             bool        `json:"eligible,omitempty"`
-	HasReceivedRequests  bool        `json:"busy,omitempty"`
-	Stopping             bool        `json:"stopping,omitempty"`
-	Loads                []loadBody  `json:"loads,omitempty"`
-	Queues               []queueBody `json:"queues,omitempty"`
-	Suspects             []string    `json:"suspects,omitempty"`
-	Groups               []groupBody `json:"groups,omitempty"`
+// encodeHeartbeat encodes a heartbeat in its wire format.
+func encodeHeartbeat(b coordinator.Heartbeat) ([]byte, error) {
+	return proto.Marshal(&wire.HostDatagram{Body: &wire.HostDatagram_Heartbeat{Heartbeat: encodeStatus(b)}})
 }
 
-// loadBody is the wire format of the load of one host at one server.
-type loadBody struct {
-	Server          string `json:"server"`
-	InFlight        int    `json:"running"`
-	UnreadTokens    int    `json:"unread,omitempty"`
-	SilentForMillis int64  `json:"silent-ms,omitempty"`
+// encodeDigest encodes a digest in its wire format.
+func encodeDigest(d coordinator.Digest) ([]byte, error) {
+	return proto.Marshal(&wire.HostDatagram{Body: &wire.HostDatagram_Digest{Digest: &wire.HostDigest{
+		Sender: encodeStatus(d.Sender), IsDataCentreOnly: d.IsDataCentreOnly, HostCount: toUint32(d.HostCount), BestCandidate: encodePeer(d.BestCandidate),
+		Holder: string(d.Holder), HolderClaim: d.HolderClaim, HolderSilentMs: toUint32(int(d.HolderSilentFor.Milliseconds())), EchoedSequence: d.EchoedSequence,
+	}}})
 }
 
-// queueBody is the wire format of the queue of one host for one model.
-type queueBody struct {
-	Service string `json:"service"`
-	Model   string `json:"model,omitempty"`
-	Length  int    `json:"waiting"`
+// encodeEcho encodes what differs between the recipients of one digest. Appended to the
+// digest, it sets the sequence: the fields of concatenated messages are merged.
+func encodeEcho(sequence uint64) ([]byte, error) {
+	return proto.Marshal(&wire.HostDatagram{Body: &wire.HostDatagram_Digest{Digest: &wire.HostDigest{EchoedSequence: sequence}}})
 }
 
-// groupBody is the wire format of a group.
-type groupBody struct {
-	Name   string `json:"name"`
-	Epoch  int64  `json:"epoch"`
-	Model  string `json:"model"`
-	Leader string `json:"head"`
-	Open   bool   `json:"open,omitempty"`
+func encodePeer(p coordinator.Peer) *wire.EntryHost {
+	return &wire.EntryHost{Id: string(p.ID), Address: p.Address, DataCentre: string(p.DataCentre), Capacity: toUint32(p.Capacity)}
 }
 
-// encodeHeartbeat encodes a heartbeat in its wire format.
-func encodeHeartbeat(b coordinator.Heartbeat) ([]byte, error) {
-	body := heartbeatBody{
-		Host: string(b.From.ID), Address: b.From.Address, Incarnation: b.Incarnation,
-		Claim: b.Claim, KnownClaim: b.KnownClaim, HasReceivedRequests: b.HasReceivedRequests, Stopping: b.Stopping,
+func decodePeer(w *wire.EntryHost) coordinator.Peer {
+	return coordinator.Peer{
+		ID: fuchsiapitch.HostID(w.GetId()), Address: w.GetAddress(), DataCentre: fuchsiapitch.DataCentreName(w.GetDataCentre()), Capacity: int(w.GetCapacity()),
+	}
+}
+
+// toUint32 converts a count, limited to the range of the type.
+func toUint32(n int) uint32 { return uint32(min(max(n, 0), math.MaxInt32)) } //nolint:gosec // The range is checked.
+
+// encodeStatus converts a heartbeat to its wire message.
+func encodeStatus(b coordinator.Heartbeat) *wire.HostStatus {
+	w := &wire.HostStatus{
+		From: encodePeer(b.From), Incarnation: b.Incarnation, Sequence: b.Sequence, Claim: b.Claim, KnownClaim: b.KnownClaim,
 		Successor: string(b.Successor), HandedOverClaim: b.HandedOverClaim, FormationCount: b.FormationCount,
-		ConfigurationVersion: b.ConfigurationVersion, Eligible: b.Eligible,
+		ConfigurationVersion: b.ConfigurationVersion, Eligible: b.Eligible, HasReceivedRequests: b.HasReceivedRequests, Stopping: b.Stopping,
+		GroupsClaim: b.GroupsVersion.Claim, GroupsRevision: b.GroupsVersion.Revision,
 	}
 	for _, l := range b.ServerLoads {
-		body.Loads = append(body.Loads, loadBody{Server: string(l.Server), InFlight: l.InFlight, UnreadTokens: l.UnreadTokens, SilentForMillis: l.SilentFor.Milliseconds()})
+		w.Loads = append(w.Loads, &wire.ReplicaLoad{
+			Server: string(l.Server), InFlight: toUint32(l.InFlight), UnreadTokens: toUint32(l.UnreadTokens), SilentMs: toUint32(int(l.SilentFor.Milliseconds())),
+		})
 	}
 	for _, q := range b.Queues {
-		body.Queues = append(body.Queues, queueBody{Service: string(q.Service), Model: q.Model, Length: q.Length})
+		w.Queues = append(w.Queues, &wire.ReplicaQueue{Service: string(q.Service), Model: q.Model, Length: toUint32(q.Length)})
 	}
 	for _, s := range b.Suspects {
-		body.Suspects = append(body.Suspects, string(s))
+		w.Suspects = append(w.Suspects, string(s))
 	}
 	for _, g := range b.Groups {
-		body.Groups = append(body.Groups, groupBody{
-			Name: string(g.Ref.Name), Epoch: g.Ref.Epoch, Model: g.Model, Leader: string(g.Leader), Open: g.Open,
-		})
+		w.Groups = append(w.Groups, &wire.GroupEntry{Name: string(g.Ref.Name), Epoch: g.Ref.Epoch, Model: g.Model, Leader: string(g.Leader), Open: g.Open})
 	}
-	return json.Marshal(body)
+	return w
 }
 
-// decodeHeartbeat decodes a heartbeat. Its error is a HeartbeatError.
-func decodeHeartbeat(data []byte) (coordinator.Heartbeat, error) {
-	var body heartbeatBody
-	if err := json.Unmarshal(data, &body); err != nil {
-		return coordinator.Heartbeat{}, &HeartbeatError{Err: err}
-	}
+// decodeStatus returns the heartbeat in a wire message.
+func decodeStatus(w *wire.HostStatus) coordinator.Heartbeat {
 	b := coordinator.Heartbeat{
-		From:        coordinator.Peer{ID: fuchsiapitch.HostID(body.Host), Address: body.Address},
-		Incarnation: body.Incarnation, Claim: body.Claim, KnownClaim: body.KnownClaim, HasReceivedRequests: body.HasReceivedRequests, Stopping: body.Stopping,
-		Successor: fuchsiapitch.HostID(body.Successor), HandedOverClaim: body.HandedOverClaim, FormationCount: body.FormationCount,
-		ConfigurationVersion: body.ConfigurationVersion, Eligible: body.Eligible,
+		From: decodePeer(w.GetFrom()), Incarnation: w.GetIncarnation(), Sequence: w.GetSequence(), Claim: w.GetClaim(), KnownClaim: w.GetKnownClaim(),
+		Successor: fuchsiapitch.HostID(w.GetSuccessor()), HandedOverClaim: w.GetHandedOverClaim(), FormationCount: w.GetFormationCount(),
+		ConfigurationVersion: w.GetConfigurationVersion(), Eligible: w.GetEligible(), HasReceivedRequests: w.GetHasReceivedRequests(), Stopping: w.GetStopping(),
+		GroupsVersion: coordinator.GroupsVersion{Claim: w.GetGroupsClaim(), Revision: w.GetGroupsRevision()},
 	}
-	for _, l := range body.Loads {
+	for _, l := range w.GetLoads() {
 		b.ServerLoads = append(b.ServerLoads, coordinator.ServerLoad{
-			Server: fuchsiapitch.ServerID(l.Server), InFlight: l.InFlight, UnreadTokens: l.UnreadTokens,
-			SilentFor: time.Duration(l.SilentForMillis) * time.Millisecond,
+			Server: fuchsiapitch.ServerID(l.GetServer()), InFlight: int(l.GetInFlight()), UnreadTokens: int(l.GetUnreadTokens()),
+			SilentFor: time.Duration(l.GetSilentMs()) * time.Millisecond,
 		})
 	}
-	for _, q := range body.Queues {
-		b.Queues = append(b.Queues, coordinator.Queue{Service: fuchsiapitch.ServiceName(q.Service), Model: q.Model, Length: q.Length})
+	for _, q := range w.GetQueues() {
+		b.Queues = append(b.Queues, coordinator.Queue{Service: fuchsiapitch.ServiceName(q.GetService()), Model: q.GetModel(), Length: int(q.GetLength())})
 	}
-	for _, s := range body.Suspects {
+	for _, s := range w.GetSuspects() {
 		b.Suspects = append(b.Suspects, fuchsiapitch.ServerID(s))
 	}
-	for _, g := range body.Groups {
+	for _, g := range w.GetGroups() {
 		b.Groups = append(b.Groups, coordinator.GroupStatus{
-			Ref:   fuchsiapitch.GroupRef{Name: fuchsiapitch.GroupID(g.Name), Epoch: g.Epoch},
-			Model: g.Model, Leader: fuchsiapitch.ServerID(g.Leader), Open: g.Open,
+			Ref:   fuchsiapitch.GroupRef{Name: fuchsiapitch.GroupID(g.GetName()), Epoch: g.GetEpoch()},
+			Model: g.GetModel(), Leader: fuchsiapitch.ServerID(g.GetLeader()), Open: g.GetOpen(),
 		})
 	}
-	return b, nil
+	return b
+}
+
+// decodeDatagram decodes a heartbeat or a digest into its event. Its error is a
+// HeartbeatError.
+func decodeDatagram(data []byte) (coordinator.Event, error) {
+	var datagram wire.HostDatagram
+	if err := proto.Unmarshal(data, &datagram); err != nil {
+		return nil, &HeartbeatError{Err: err}
+	}
+	if w := datagram.GetHeartbeat(); w.GetFrom().GetId() != "" {
+		return coordinator.HeartbeatReceived{Heartbeat: decodeStatus(w)}, nil
+	}
+	w := datagram.GetDigest()
+	if w.GetSender().GetFrom().GetId() == "" {
+		return nil, &HeartbeatError{Err: &MissingSenderError{}}
+	}
+	return coordinator.DigestReceived{Digest: coordinator.Digest{
+		Sender: decodeStatus(w.GetSender()), IsDataCentreOnly: w.GetIsDataCentreOnly(), HostCount: int(w.GetHostCount()), BestCandidate: decodePeer(w.GetBestCandidate()),
+		Holder: fuchsiapitch.HostID(w.GetHolder()), HolderClaim: w.GetHolderClaim(), HolderSilentFor: time.Duration(w.GetHolderSilentMs()) * time.Millisecond,
+		EchoedSequence: w.GetEchoedSequence(),
+	}}, nil
 }
--- a/internal/driver/heartbeat_test.go
+++ b/internal/driver/heartbeat_test.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"errors"
 	"reflect"
 	"testing"
 	"time"
@@ -9,30 +10,74 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 )
 
+// newFullHeartbeat returns a heartbeat in which every field is set.
+func newFullHeartbeat() coordinator.Heartbeat {
+	return coordinator.Heartbeat{
+		From: coordinator.Peer{ID: "h", Address: "10.0.0.1:7", DataCentre: "dc", Capacity: 200}, Incarnation: 5, Sequence: 6, Claim: 7, KnownClaim: 8,
+		Successor: "i", HandedOverClaim: 7, FormationCount: 3, ConfigurationVersion: 9, Eligible: true, HasReceivedRequests: true, Stopping: true,
+		ServerLoads:   []coordinator.ServerLoad{{Server: "s", InFlight: 2, UnreadTokens: 700, SilentFor: 250 * time.Millisecond}},
+		Queues:        []coordinator.Queue{{Service: "llm", Model: "m", Length: 3}},
+		Suspects:      []fuchsiapitch.ServerID{"s"},
+		GroupsVersion: coordinator.GroupsVersion{Claim: 7, Revision: 4},
+		Groups:        []coordinator.GroupStatus{{Ref: fuchsiapitch.GroupRef{Name: "g", Epoch: 4}, Model: "m", Leader: "s", Open: true}},
+	}
+}
+
+func assertDecodes(t *testing.T, data []byte, want coordinator.Event) {
+	t.Helper()
+	got, err := decodeDatagram(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 // Encoding and decoding preserve all fields of a heartbeat.
 func TestHeartbeatRoundTrip(t *testing.T) {
-	want := coordinator.Heartbeat{
-		From: coordinator.Peer{ID: "h", Address: "10.0.0.1:7"}, Incarnation: 5, Claim: 7, KnownClaim: 8, Successor: "i", HandedOverClaim: 7, FormationCount: 3,
-		ConfigurationVersion: 9, Eligible: true, HasReceivedRequests: true, Stopping: true,
-		ServerLoads: []coordinator.ServerLoad{{Server: "s", InFlight: 2, UnreadTokens: 700, SilentFor: 250 * time.Millisecond}},
-		Queues:      []coordinator.Queue{{Service: "llm", Model: "m", Length: 3}},
-		Suspects:    []fuchsiapitch.ServerID{"s"},
-		Groups:      []coordinator.GroupStatus{{Ref: fuchsiapitch.GroupRef{Name: "g", Epoch: 4}, Model: "m", Leader: "s", Open: true}},
-	}
+	want := newFullHeartbeat()
 	data, err := encodeHeartbeat(want)
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := decodeHeartbeat(data)
+	assertDecodes(t, data, coordinator.HeartbeatReceived{Heartbeat: want})
+}
+
+// Encoding and decoding preserve all fields of a digest. An appended echo replaces the
+// sequence alone.
+func TestDigestRoundTrip(t *testing.T) {
+	want := coordinator.Digest{
+		Sender: newFullHeartbeat(), IsDataCentreOnly: true, HostCount: 59, BestCandidate: coordinator.Peer{ID: "b", Address: "10.0.0.2:7", DataCentre: "dc", Capacity: 100},
+		Holder: "c", HolderClaim: 8, HolderSilentFor: 300 * time.Millisecond, EchoedSequence: 11,
+	}
+	data, err := encodeDigest(want)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !reflect.DeepEqual(got, want) {
-		t.Errorf("got %+v, want %+v", got, want)
+	assertDecodes(t, data, coordinator.DigestReceived{Digest: want})
+	echo, err := encodeEcho(12)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want.EchoedSequence = 12
+	assertDecodes(t, append(data, echo...), coordinator.DigestReceived{Digest: want})
+}
+
+func TestDatagramWithoutSender(t *testing.T) {
+	var failure *HeartbeatError
+	for name, data := range map[string][]byte{"empty": {}, "no message": {0xff}, "old format": []byte(`{"host":"h"}`)} {
+		if _, err := decodeDatagram(data); !errors.As(err, &failure) {
+			t.Errorf("%s: got error %v, want a HeartbeatError", name, err)
+		}
 	}
 }
 
-func FuzzDecodeHeartbeat(f *testing.F) {
-	f.Add([]byte(`{"host":"h","loads":[{"server":"s"}]}`))
-	f.Fuzz(func(_ *testing.T, data []byte) { decodeHeartbeat(data) }) //nolint:errcheck // Only panics are failures.
+func FuzzDecodeDatagram(f *testing.F) {
+	data, err := encodeHeartbeat(newFullHeartbeat())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) { decodeDatagram(data) }) //nolint:errcheck // Only panics are failures.
 }
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -126,7 +126,7 @@
 	}
 	h := &Host{
 		settingsPath: settingsPath, reloadSignals: reloadSignals, rootLogger: logs, log: logs.For("host"), meter: meter.New(),
-		self:              coordinator.Peer{ID: settings.Host, Address: address},
+		self:              coordinator.Peer{ID: settings.Host, Address: address, DataCentre: settings.DataCentre, Capacity: capacityOf(settings)},
 		startedUnixMillis: time.Now().UnixMilli(), serversByKey: make(map[string]fuchsiapitch.ServerReport),
 	}
 	h.settings.Store(&settings)
@@ -159,6 +159,15 @@
 	}, nil
 }
 
+// megabitsPerCore is the bandwidth with which one core counts in the capacity of a host.
+const megabitsPerCore = 250
+
+// capacityOf returns the capacity by which hosts are ranked for control and relaying: the
+// bandwidth that the link and the processor of the host suffice for, in Mbit/s.
+func capacityOf(s platform.Settings) int {
+	return int(min(s.LinkMegabits, megabitsPerCore*s.ProcessorCores))
+}
+
 // Serve serves requests until stop is closed, and then shuts down gracefully.
 func (h *Host) Serve(ctx context.Context, stop <-chan struct{}) error {
 	clientListener, readinessListener, err := h.listen(ctx)
@@ -326,7 +335,7 @@
 
 // register registers the host's address in the store, and retries until it succeeds.
 func (h *Host) register(ctx context.Context) error {
-	value, err := json.Marshal(hostRecord{Address: h.self.Address})
+	value, err := json.Marshal(hostRecord{Address: h.self.Address, DataCentre: string(h.self.DataCentre), Capacity: h.self.Capacity})
 	if err != nil {
 		return err
 	}
--- a/internal/platformassembler/record.go
+++ b/internal/platformassembler/record.go
@@ -17,7 +17,9 @@
 // hostRecord is the record by which an entry host registers in the store. Its key
 // is the host's identifier.
 type hostRecord struct {
-	Address string `json:"address"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data-centre,omitempty"`
+	Capacity   int    `json:"capacity,omitempty"`
 }
 
 // claimRecord is a host's claim to be the controller, which manages the groups of
@@ -32,7 +34,9 @@
 	if json.Unmarshal(record.Value, &r) != nil || r.Address == "" {
 		return coordinator.Peer{}, false
 	}
-	return coordinator.Peer{ID: fuchsiapitch.HostID(record.Key), Address: r.Address}, true
+	return coordinator.Peer{
+		ID: fuchsiapitch.HostID(record.Key), Address: r.Address, DataCentre: fuchsiapitch.DataCentreName(r.DataCentre), Capacity: r.Capacity,
+	}, true
 }
 
 func decodeClaimRecord(record platform.Record) (coordinator.ClaimRead, bool) {
