coordinator, driver: what a server's change costs does not grow with all servers

Cause: each report and order result reconciled all groups of all domains, asked for each server whether any group holds it (875 servers, 150 groups, 16 members) and sorted all servers several times. The controller has half a core; its answers lay unread until the time-out of 200 ms. And all 875 probes of its survey were made at once.

Change: servers and groups are indexed by domain and membership; a result reconciles its own domain, and a tick (50 ms) the rest; replicas are updated before they are used; loads in progress are counted once. The driver has at most 64 calls to servers in progress, and a call's time-out begins when it is made.

Ruled out: heartbeats (control did not move), the store and the servers (the small hosts were idle and the failed calls have no refusals).

--- a/internal/coordinator/balance.go
+++ b/internal/coordinator/balance.go
@@ -82,13 +82,6 @@
 	return freeCount
 }
 
-// strandedDomain identifies the free servers of one service in one domain that are too
-// few for the model that lacks groups.
-type strandedDomain struct {
-	service fuchsiapitch.ServiceName
-	domain  fuchsiapitch.FabricDomainName
-}
-
 // maxGroupSize exceeds the size of any group.
 const maxGroupSize = 1 << 16
 
@@ -101,7 +94,7 @@
 	gc := c.countGroups(service, domain, p)
 	wanted := gc.leastSupplied(maxGroupSize)
 	best := gc.leastSupplied(gc.availableServers(freeCount, gc.inDomain))
-	key := strandedDomain{service: service, domain: domain}
+	key := domainKey{service: service, domain: domain}
 	if best.GroupSize > 0 && (best.Name == wanted.Name || isSettled && c.demandRatio(service, best.Name) >= saturatedDemandRatio) {
 		delete(c.strandedSince, key)
 		return best, true
@@ -139,10 +132,10 @@
 // servers per share than the wanted model has now.
 func (c *Coordinator) groupToRetire(service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, gc groupCounts, wanted fuchsiapitch.Model, freeCount int) *group {
 	wantedSupply := serversPerShare(wanted, gc.byModel[wanted.Name])
-	for _, g := range c.sortedGroups() {
+	for _, g := range c.sortedDomainGroups(domainKey{service, domain}) {
 		m, ok := gc.profile.Model(g.model)
 		switch {
-		case !ok, g.service != service, g.domain != domain, g.failed, m.Name == wanted.Name:
+		case !ok, g.failed, m.Name == wanted.Name:
 		case gc.availableServers(freeCount+g.size, gc.inDomain-1) < wanted.GroupSize:
 		case serversPerShare(m, gc.byModel[m.Name]-1) <= wantedSupply, c.demandRatio(service, m.Name) > c.demandRatio(service, wanted.Name):
 		default:
--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -113,7 +113,19 @@
 	leaders map[fuchsiapitch.GroupRef]fuchsiapitch.ServerID
 	// strandedSince is when the free servers of a domain first were too few for the
 	// model that lacks groups.
-	strandedSince map[strandedDomain]time.Duration
+	strandedSince map[domainKey]time.Duration
+	// domains are the servers of each domain, sorted; nil if they have to be indexed
+	// again. domainGroups are the formations of each domain, and membershipCounts the
+	// number of formations of which a server is a member.
+	domains          map[domainKey][]*server
+	domainGroups     map[domainKey]map[fuchsiapitch.GroupRef]*group
+	membershipCounts map[fuchsiapitch.ServerID]int
+	// loadCount is the number of loads in progress at loadCountAt.
+	loadCount   int
+	loadCountAt time.Duration
+	// replicasStale is true if servers or groups have changed since the replicas were
+	// updated.
+	replicasStale bool
 }
 
 func newCluster() cluster {
@@ -122,7 +134,8 @@
 		groups:        make(map[fuchsiapitch.GroupRef]*group),
 		dissolved:     make(map[fuchsiapitch.GroupRef]bool),
 		leaders:       make(map[fuchsiapitch.GroupRef]fuchsiapitch.ServerID),
-		strandedSince: make(map[strandedDomain]time.Duration),
+		strandedSince: make(map[domainKey]time.Duration),
+		domainGroups:  make(map[domainKey]map[fuchsiapitch.GroupRef]*group), membershipCounts: make(map[fuchsiapitch.ServerID]int), loadCountAt: -1,
 	}
 }
 
@@ -138,7 +151,7 @@
 		s, ok := c.servers[r.ID]
 		if !ok {
 			s = &server{report: r}
-			c.servers[r.ID] = s
+			c.servers[r.ID], c.domains = s, nil
 		}
 		if !s.listed {
 			s.listed, s.listedAt = true, now
@@ -169,6 +182,7 @@
 	}
 	if !s.probeInFlight && !s.orderInFlight {
 		delete(c.servers, id)
+		c.domains = nil
 	}
 }
 
@@ -201,6 +215,9 @@
 		s.lastModel, s.stagingModel, s.expectedLoadEnd, s.highestEpoch = "", "", 0, 0
 		s.consecutiveFailures, s.replaced = 0, false
 	}
+	if r.Service != previous.Service || r.FabricDomain != previous.FabricDomain {
+		c.domains = nil
+	}
 	s.report = r
 	s.highestEpoch = max(s.highestEpoch, r.Membership.Group.Epoch)
 	if g := r.Membership.Group; g.Name != "" {
@@ -280,7 +297,7 @@
 		s.openInProgress = s.openInProgress && e.Report.OrderInProgress
 		c.mergeReport(now, s, e.Report, true)
 	}
-	c.reconcileIfController(now)
+	c.reconcileServer(now, s)
 }
 
 // markReplaced records that the known incarnation of a server has ended. A report does
@@ -296,7 +313,7 @@
 	})
 	s.replaced = true
 	s.report.Membership, s.report.LoadedModels, s.report.OrderInProgress = fuchsiapitch.Membership{}, nil, false
-	c.reconcileIfController(now)
+	c.reconcileServer(now, s)
 }
 
 // reprobeLostServers probes the lost servers of a domain again, after one of them has
@@ -331,7 +348,7 @@
 	}
 	if s.consecutiveFailures == lostAfterFailures {
 		c.log("server is lost", map[string]any{logFieldServer: s.report.ID, "group": s.report.Membership.Group.Name})
-		c.reconcileIfController(now)
+		c.reconcileServer(now, s)
 	}
 }
 
@@ -357,13 +374,14 @@
 	case fuchsiapitch.OrderUnknown:
 		c.recordFailure(now, s)
 	}
-	c.reconcileIfController(now)
+	c.reconcileServer(now, s)
 }
 
 // cancelLoad clears the expected load of a refused order.
 func (c *Coordinator) cancelLoad(s *server, o fuchsiapitch.GroupOrder) {
 	if o.Kind == fuchsiapitch.OrderStage || o.Kind == fuchsiapitch.OrderJoin {
 		s.stagingModel, s.expectedLoadEnd = "", 0
+		c.loadCountAt = -1
 	}
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -122,6 +122,9 @@
 // start of the process.
 func (c *Coordinator) Apply(now time.Duration, event Event) []Effect {
 	c.now, c.effects = now, nil
+	if c.replicasStale && usesReplicas(event) {
+		c.refreshReplicas(now)
+	}
 	switch e := event.(type) {
 	case RequestArrived:
 		c.hasReceivedRequests = true
@@ -164,6 +167,15 @@
 	return c.effects
 }
 
+// usesReplicas reports whether an event needs the replicas to be current.
+func usesReplicas(event Event) bool {
+	switch event.(type) {
+	case ProbeCompleted, OrderResultReceived, Ticked:
+		return false
+	}
+	return true
+}
+
 func (c *Coordinator) emit(e Effect) { c.effects = append(c.effects, e) }
 
 // logFieldServer is the log field that holds a server's identifier.
--- a/internal/coordinator/form.go
+++ b/internal/coordinator/form.go
@@ -90,14 +90,7 @@
 }
 
 // isGroupMember reports whether a server is a member of a current formation.
-func (c *Coordinator) isGroupMember(id fuchsiapitch.ServerID) bool {
-	for _, g := range c.groups {
-		if slices.Contains(g.members, id) {
-			return true
-		}
-	}
-	return false
-}
+func (c *Coordinator) isGroupMember(id fuchsiapitch.ServerID) bool { return c.membershipCounts[id] > 0 }
 
 // formGroup plans one formation. It prefers the servers that can join soonest. A member
 // of an earlier formation with an idle leader can join only once that leader has joined
@@ -126,7 +119,8 @@
 			g.members = append(g.members, s.report.ID)
 		}
 	}
-	c.groups[g.ref] = g
+	c.addGroup(g)
+	c.groupsAwaitLoads = c.groupsAwaitLoads || c.pendingLoads(g) > 0
 	c.leaders[g.ref] = leader.report.ID
 	c.log("group is formed", map[string]any{"group": g.ref.Name, "model": g.model, "domain": domain, "members": g.members})
 	c.assembleGroup(now, g)
--- a/internal/coordinator/group.go
+++ b/internal/coordinator/group.go
@@ -63,11 +63,10 @@
 
 // adoptReportedGroups adds the formations that servers report and that this host did
 // not plan.
-func (c *Coordinator) adoptReportedGroups(now time.Duration) {
-	adopted := make(map[fuchsiapitch.GroupRef]*group)
-	for _, id := range sortedKeys(c.servers) {
-		s := c.servers[id]
-		m := s.report.Membership
+func (c *Coordinator) adoptReportedGroups(now time.Duration, servers []*server) {
+	var adopted map[fuchsiapitch.GroupRef]*group
+	for _, s := range servers {
+		id, m := s.report.ID, s.report.Membership
 		if m.Group.Name == "" {
 			continue
 		}
@@ -89,6 +88,9 @@
 		g, ok := adopted[m.Group]
 		if !ok {
 			g = &group{ref: m.Group, service: s.report.Service, domain: s.report.FabricDomain, createdAt: now, seenMembers: make(map[fuchsiapitch.ServerID]bool)}
+			if adopted == nil {
+				adopted = make(map[fuchsiapitch.GroupRef]*group)
+			}
 			adopted[m.Group] = g
 		}
 		if len(s.report.LoadedModels) > 0 {
@@ -105,12 +107,12 @@
 			g.size = model.GroupSize
 		}
 	}
-	for ref, g := range adopted {
+	for _, g := range adopted {
 		if len(g.members) == 0 || g.size == 0 && g.model == "" {
 			continue
 		}
 		g.failed = g.size != len(g.members) || slices.Contains(g.members, "")
-		c.groups[ref] = g
+		c.addGroup(g)
 	}
 }
 
@@ -207,8 +209,9 @@
 // again. If it has not, its servers may merely be unable to reach the list.
 func (c *Coordinator) canReform(g *group) bool {
 	usable := 0
-	for id, s := range c.servers {
-		if s.report.FabricDomain == g.domain && s.isUsable() && (slices.Contains(g.members, id) || !c.isGroupMember(id)) {
+	c.indexDomains()
+	for _, s := range c.domains[domainKey{g.service, g.domain}] {
+		if id := s.report.ID; s.isUsable() && (slices.Contains(g.members, id) || !c.isGroupMember(id)) {
 			usable++
 		}
 	}
@@ -258,7 +261,7 @@
 		case fuchsiapitch.MemberJoining, fuchsiapitch.MemberBroken:
 		}
 	}
-	delete(c.groups, g.ref)
+	c.removeGroup(g)
 	c.dissolved[g.ref] = true
 }
 
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -93,13 +93,16 @@
 // loadsInProgress returns the number of loads that are in progress according to the
 // engine profile.
 func (c *Coordinator) loadsInProgress(now time.Duration) int {
-	n := 0
+	if c.loadCountAt == now {
+		return c.loadCount
+	}
+	c.loadCount, c.loadCountAt = 0, now
 	for _, s := range c.servers {
 		if now < s.expectedLoadEnd {
-			n++
+			c.loadCount++
 		}
 	}
-	return n
+	return c.loadCount
 }
 
 // reserveLoad reports whether the limits on loads allow an order, and records the load
@@ -137,5 +140,6 @@
 		c.nextLoadAt = now + time.Duration(float64(time.Second)/p.LoadStartsPerSecond)
 	}
 	s.expectedLoadEnd = now + c.joinTime(s, model)
+	c.loadCountAt = -1
 	return true
 }
--- a/internal/coordinator/reconcile.go
+++ b/internal/coordinator/reconcile.go
@@ -8,13 +8,23 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
-// reconcileIfController reconciles the groups after a change, if this host is the
-// controller.
-func (c *Coordinator) reconcileIfController(now time.Duration) {
-	if c.isController(now) {
-		c.reconcile(now)
+// domainKey identifies the servers of one service in one fabric domain. Groups are formed
+// within a domain, so that each is reconciled by itself.
+type domainKey struct {
+	service fuchsiapitch.ServiceName
+	domain  fuchsiapitch.FabricDomainName
+}
+
+func (s *server) domainKey() domainKey { return domainKey{s.report.Service, s.report.FabricDomain} }
+
+// reconcileServer reconciles the domain of a server after a change, if this host is the
+// controller. The rest follows at the next tick.
+func (c *Coordinator) reconcileServer(now time.Duration, s *server) {
+	c.replicasStale = true
+	if c.routes != nil && c.isController(now) && c.surveyServers(now) {
+		c.advanceGroups(now, s.domainKey())
+		c.probeServers(now, s.domainKey())
 	}
-	c.refreshReplicas(now)
 }
 
 // reconcile performs the next steps towards the desired state of all groups.
@@ -25,37 +35,107 @@
 	if !c.surveyServers(now) {
 		return
 	}
-	c.adoptReportedGroups(now)
-	for _, s := range c.servers {
+	c.allocateLoads(now)
+	keys := c.domainKeys()
+	for _, k := range keys {
+		c.advanceGroups(now, k)
+	}
+	// Preloading waits until the groups of all domains have got their loads.
+	for _, k := range keys {
+		c.preloadServers(now, k)
+		c.probeServers(now, k)
+	}
+}
+
+// domainKeys returns the domains that have servers or groups, sorted.
+func (c *Coordinator) domainKeys() []domainKey {
+	c.indexDomains()
+	keys := make([]domainKey, 0, len(c.domains))
+	for k := range c.domains {
+		keys = append(keys, k)
+	}
+	for k, groups := range c.domainGroups {
+		if _, ok := c.domains[k]; !ok && len(groups) > 0 {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b domainKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.domain, b.domain))
+	})
+	return keys
+}
+
+// indexDomains updates the servers of each domain after servers have come, gone or moved.
+func (c *Coordinator) indexDomains() {
+	if c.domains != nil {
+		return
+	}
+	c.domains = make(map[domainKey][]*server)
+	for _, id := range sortedKeys(c.servers) {
+		s := c.servers[id]
+		c.domains[s.domainKey()] = append(c.domains[s.domainKey()], s)
+	}
+}
+
+// advanceGroups performs the next steps of the groups of one domain, and plans new ones.
+func (c *Coordinator) advanceGroups(now time.Duration, key domainKey) {
+	c.indexDomains()
+	servers := c.domains[key]
+	c.adoptReportedGroups(now, servers)
+	for _, s := range servers {
 		if s.openInProgress && now >= s.expectedOpenEnd {
 			s.openInProgress, s.report.Membership.State = false, fuchsiapitch.MemberOpen
 		}
 	}
-	c.allocateLoads(now)
-	for _, g := range c.sortedGroups() {
+	for _, g := range c.sortedDomainGroups(key) {
 		c.reconcileGroup(now, g)
 	}
-	for name, p := range c.routes.Services() {
-		if p.Engine == nil {
-			continue
-		}
-		domains := c.serversByDomain(name)
-		for _, d := range sortedKeys(domains) {
-			c.formGroups(now, name, d, p.Engine, domains[d])
-		}
-		for _, d := range sortedKeys(domains) {
-			if c.hasReceivedRequests || c.isDomainSettled(now, domains[d]) {
-				c.preloadDomain(now, p.Engine, domains[d])
-			}
-		}
+	if p, ok := c.routes.Service(key.service); ok && p.Engine != nil {
+		c.formGroups(now, key.service, key.domain, p.Engine, servers)
 	}
-	for _, id := range sortedKeys(c.servers) {
-		if s := c.servers[id]; s.needsProbe && (s.listed || s.report.Membership.Group.Name != "") {
+}
+
+// preloadServers preloads models on the servers of one domain.
+func (c *Coordinator) preloadServers(now time.Duration, key domainKey) {
+	servers := c.domains[key]
+	if p, ok := c.routes.Service(key.service); ok && p.Engine != nil && (c.hasReceivedRequests || c.isDomainSettled(now, servers)) {
+		c.preloadDomain(now, p.Engine, servers)
+	}
+}
+
+// probeServers probes the servers of one domain whose report is needed.
+func (c *Coordinator) probeServers(now time.Duration, key domainKey) {
+	for _, s := range c.domains[key] {
+		if s.needsProbe && (s.listed || s.report.Membership.Group.Name != "") {
 			c.probe(now, s)
 		}
 	}
 }
 
+// addGroup adds a formation to the plan.
+func (c *Coordinator) addGroup(g *group) {
+	c.groups[g.ref] = g
+	key := domainKey{g.service, g.domain}
+	if c.domainGroups[key] == nil {
+		c.domainGroups[key] = make(map[fuchsiapitch.GroupRef]*group)
+	}
+	c.domainGroups[key][g.ref] = g
+	for _, id := range g.members {
+		c.membershipCounts[id]++
+	}
+}
+
+// removeGroup removes a formation from the plan.
+func (c *Coordinator) removeGroup(g *group) {
+	delete(c.groups, g.ref)
+	delete(c.domainGroups[domainKey{g.service, g.domain}], g.ref)
+	for _, id := range g.members {
+		if c.membershipCounts[id]--; c.membershipCounts[id] == 0 {
+			delete(c.membershipCounts, id)
+		}
+	}
+}
+
 // surveyTimeout is how long a new controller waits for the reports of all servers.
 const surveyTimeout = 600 * time.Millisecond
 
@@ -103,26 +183,22 @@
 	return keys
 }
 
-func (c *Coordinator) sortedGroups() []*group {
-	list := make([]*group, 0, len(c.groups))
-	for _, g := range c.groups {
+func (c *Coordinator) sortedGroups() []*group { return sortGroups(c.groups) }
+
+func (c *Coordinator) sortedDomainGroups(key domainKey) []*group {
+	return sortGroups(c.domainGroups[key])
+}
+
+// sortGroups returns formations in the order of their epochs.
+func sortGroups(groups map[fuchsiapitch.GroupRef]*group) []*group {
+	list := make([]*group, 0, len(groups))
+	for _, g := range groups {
 		list = append(list, g)
 	}
 	slices.SortFunc(list, func(a, b *group) int { return cmp.Compare(a.ref.Epoch, b.ref.Epoch) })
 	return list
 }
 
-// serversByDomain returns the servers of a service by fabric domain.
-func (c *Coordinator) serversByDomain(service fuchsiapitch.ServiceName) map[fuchsiapitch.FabricDomainName][]*server {
-	domains := make(map[fuchsiapitch.FabricDomainName][]*server)
-	for _, id := range sortedKeys(c.servers) {
-		if s := c.servers[id]; s.report.Service == service {
-			domains[s.report.FabricDomain] = append(domains[s.report.FabricDomain], s)
-		}
-	}
-	return domains
-}
-
 // groupStatuses returns all formations as the controller announces them.
 func (c *Coordinator) groupStatuses() []GroupStatus {
 	statuses := make([]GroupStatus, 0, len(c.groups))
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -115,6 +115,7 @@
 // refreshReplicas updates the replicas from the server list and the groups that the
 // controller announces.
 func (c *Coordinator) refreshReplicas(now time.Duration) {
+	c.replicasStale = false
 	for _, r := range c.replicas {
 		r.open = false
 	}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -29,6 +29,10 @@
 	// clock between two ticks before the process counts as suspended. During a
 	// suspension only the boot-time clock advances.
 	suspensionThreshold = 300 * time.Millisecond
+	// maxConcurrentCalls bounds the calls to backend servers in progress. The time-out of
+	// a call begins when it is made, so that a host that has to call hundreds of servers
+	// does not take its own backlog for their silence.
+	maxConcurrentCalls = 64
 	// maxHeartbeatBytes is the size of the largest heartbeat that can be received.
 	maxHeartbeatBytes = 64 << 10
 )
@@ -68,6 +72,8 @@
 	slots             map[coordinator.Ticket]*Slot
 	resolvedAddresses map[string]net.Addr
 	backgroundTasks   sync.WaitGroup
+	// callSlots holds a value for each call to a backend server in progress.
+	callSlots chan struct{}
 }
 
 // Option sets one optional property of a driver.
@@ -92,6 +98,7 @@
 		coordinator: c, servers: servers, claimer: claimer, socket: socket, log: zerolog.Nop(), meter: meter.New(),
 		startedAt: time.Now(), bootClock: bootTime, reloadConfiguration: func() {}, ctx: ctx,
 		slots: make(map[coordinator.Ticket]*Slot), resolvedAddresses: make(map[string]net.Addr),
+		callSlots: make(chan struct{}, maxConcurrentCalls),
 	}
 	for _, o := range options {
 		o(d)
@@ -160,9 +167,9 @@
 	case coordinator.SendDigest:
 		d.sendDigest(e)
 	case coordinator.ProbeServer:
-		d.runInBackground(func() { d.probeServer(e) })
+		d.callServer(func() { d.probeServer(e) })
 	case coordinator.SendOrder:
-		d.runInBackground(func() { d.sendOrder(e.Order) })
+		d.callServer(func() { d.sendOrder(e.Order) })
 	case coordinator.ClaimControl:
 		d.runInBackground(func() { d.claimControl(e.PreviousClaim) })
 	case coordinator.RereadConfiguration:
@@ -187,6 +194,20 @@
 	}()
 }
 
+// callServer runs a call to a backend server in a goroutine, once fewer than
+// maxConcurrentCalls are in progress.
+func (d *Driver) callServer(call func()) {
+	d.runInBackground(func() {
+		select {
+		case d.callSlots <- struct{}{}:
+		case <-d.ctx.Done():
+			return
+		}
+		defer func() { <-d.callSlots }()
+		call()
+	})
+}
+
 // probeServer requests the report of a server and applies the result. If the report
 // shows a later incarnation than the known one, it also requests the identifier of the
 // server, since another server may use the address now.
