coordinator, tracker: relays read the server list for their data centre

Change: in a cluster with relays only relays, the controller and hosts without a current directory read servers, hosts and claims. A relay sends its members a directory: the leaders of announced groups and the servers of plain services, with the offset and the age of the list behind it. It has a version and goes to those that lack it. A host whose directory is older than 2 s reads the list itself. Reads of the configuration wait for 15 s there, as digests announce its version. Only a host with a current list may claim.

--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -145,6 +145,11 @@
 		c.storeRecoveredAt = now
 	}
 	c.listReadAt, c.listStale = now, false
+	c.mergeServerList(now, list)
+}
+
+// mergeServerList updates the servers from a list. Those that are not on it are unlisted.
+func (c *Coordinator) mergeServerList(now time.Duration, list []fuchsiapitch.ServerReport) {
 	seen := make(map[fuchsiapitch.ServerID]bool, len(list))
 	for _, r := range list {
 		seen[r.ID] = true
--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -160,6 +160,9 @@
 // isEligible reports whether this host may claim control: electionDelay has passed, it is
 // not stopping, and it has a configuration and a current list.
 func (c *Coordinator) isEligible(now time.Duration) bool {
+	if c.usesRelays() && !c.hasCurrentList(now) {
+		return false
+	}
 	return !c.stopping && c.routes != nil && now >= electionDelay && !c.listStale
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -63,6 +63,7 @@
 	admissionState
 	retryBudget
 	relayState
+	directoryState
 }
 
 // peer is the last known state of another host. hasHeartbeat is true once a heartbeat
@@ -136,6 +137,7 @@
 	case ConfigurationChanged:
 		c.routes = e.Routes
 	case ServersListed:
+		c.listOffset = e.Offset
 		c.applyServerList(now, e.Servers)
 		c.refreshReplicas(now)
 	case StoreReadFailed:
@@ -354,7 +356,7 @@
 	if b.Claim > 0 && c.isSurveyed() {
 		c.publishGroups()
 	}
-	b.GroupsVersion = c.announcedVersion
+	b.GroupsVersion, b.DirectoryVersion = c.announcedVersion, c.directoryVersion
 	return b
 }
 
--- /dev/null
+++ b/internal/coordinator/directory.go
@@ -0,0 +1,150 @@
+package coordinator
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+const (
+	// directoryTimeout is the age of the list behind the newest directory from which on a
+	// host reads the list itself.
+	directoryTimeout = 2 * time.Second
+	// currentListAge is the age up to which the own list is current.
+	currentListAge = 3 * time.Second
+)
+
+// In a large cluster only relays and the controller read the platform's server list. They
+// send the other hosts a directory of the servers that accept requests: the leaders of the
+// announced groups and the servers of plain services.
+
+// DirectoryEntry is one server of a directory. It is a plain record.
+type DirectoryEntry struct {
+	Server            fuchsiapitch.ServerID
+	Service           fuchsiapitch.ServiceName
+	Address           string
+	DataCentre        fuchsiapitch.DataCentreName
+	Slots             int
+	Leaving           bool
+	StartedUnixMillis int64
+}
+
+// directoryState is the newest directory that this host has made or received.
+type directoryState struct {
+	// listOffset is the end of the own server list.
+	listOffset int64
+	// directory is the directory that this host sends as a relay.
+	directory []DirectoryEntry
+	// directoryVersion is a hash of the newest known directory, directoryOffset the end
+	// of the list that it is made from, and directoryConfirmedAt when that was current.
+	directoryVersion     uint64
+	directoryOffset      int64
+	directoryConfirmedAt time.Duration
+}
+
+// NeedsServerList reports whether this host has to read the platform's server list, hosts
+// and claims itself: in a small cluster, as a relay or the controller, and as long as no
+// relay sends it a current directory.
+func (c *Coordinator) NeedsServerList(now time.Duration) bool {
+	if !c.usesRelays() || c.ownClaim != 0 && c.ownClaim == c.knownClaim {
+		return true
+	}
+	if c.directoryVersion == 0 || now-c.directoryConfirmedAt >= directoryTimeout || len(c.members(now)) > 0 {
+		return true
+	}
+	_, isRelay := c.relayTargets(now, c.dataCentre)
+	return isRelay
+}
+
+// UsesRelays reports whether the cluster is so large that hosts send heartbeats to relays.
+func (c *Coordinator) UsesRelays() bool { return c.usesRelays() }
+
+// hasCurrentList reports whether this host reads the server list itself.
+func (c *Coordinator) hasCurrentList(now time.Duration) bool {
+	return c.listReadAt > 0 && now-c.listReadAt < currentListAge
+}
+
+// makeDirectory makes the directory that this host sends as a relay.
+func (c *Coordinator) makeDirectory(now time.Duration) {
+	if !c.hasCurrentList(now) || c.routes == nil {
+		return
+	}
+	directory := make([]DirectoryEntry, 0, len(c.announcedGroups))
+	add := func(s *server) {
+		r := s.report
+		directory = append(directory, DirectoryEntry{
+			Server: r.ID, Service: r.Service, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots, Leaving: r.Leaving, StartedUnixMillis: r.StartedUnixMillis,
+		})
+	}
+	for _, g := range c.announcedGroups {
+		if s, ok := c.servers[g.Leader]; ok && (s.listed || c.listStale) {
+			add(s)
+		}
+	}
+	c.indexDomains()
+	for key, servers := range c.domains {
+		if p, ok := c.routes.Service(key.service); !ok || p.Engine != nil {
+			continue
+		}
+		for _, s := range servers {
+			if s.listed {
+				add(s)
+			}
+		}
+	}
+	slices.SortFunc(directory, func(a, b DirectoryEntry) int { return cmp.Compare(a.Server, b.Server) })
+	c.directory = directory
+	c.directoryVersion, c.directoryOffset, c.directoryConfirmedAt = hashDirectory(c.directory), c.listOffset, c.listReadAt
+}
+
+// hashDirectory returns the version of a directory, which is never 0.
+func hashDirectory(directory []DirectoryEntry) uint64 {
+	h := fnv.New64a()
+	write := func(text string) {
+		h.Write([]byte(text))
+		h.Write([]byte{0})
+	}
+	for _, e := range directory {
+		write(string(e.Server))
+		write(string(e.Service))
+		write(e.Address)
+		write(string(e.DataCentre))
+		leaving := byte(0)
+		if e.Leaving {
+			leaving = 1
+		}
+		h.Write(append(binary.AppendVarint(binary.AppendVarint(nil, int64(e.Slots)), e.StartedUnixMillis), leaving))
+	}
+	return max(h.Sum64(), 1)
+}
+
+// adoptDirectory uses the directory of a relay, unless this host reads the list itself or
+// knows a later one.
+func (c *Coordinator) adoptDirectory(now time.Duration, d Digest) {
+	if d.Sender.DirectoryVersion == 0 || d.IsDataCentreOnly {
+		return
+	}
+	confirmedAt := now - d.ListAge
+	switch {
+	case d.Sender.DirectoryVersion == c.directoryVersion:
+		c.directoryConfirmedAt = max(c.directoryConfirmedAt, confirmedAt)
+		c.directoryOffset = max(c.directoryOffset, d.ListOffset)
+		return
+	case d.Directory == nil, d.ListOffset < c.directoryOffset, c.hasCurrentList(now):
+		return
+	}
+	c.directoryVersion, c.directoryOffset, c.directoryConfirmedAt = d.Sender.DirectoryVersion, d.ListOffset, confirmedAt
+	list := make([]fuchsiapitch.ServerReport, 0, len(d.Directory))
+	for _, e := range d.Directory {
+		list = append(list, fuchsiapitch.ServerReport{
+			ID: e.Server, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: e.Slots, Leaving: e.Leaving, StartedUnixMillis: e.StartedUnixMillis,
+		})
+	}
+	c.listStale = false
+	c.mergeServerList(now, list)
+	c.refreshReplicas(now)
+}
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -64,6 +64,8 @@
 type ServersListed struct {
 	// Servers are all servers on the list.
 	Servers []fuchsiapitch.ServerReport
+	// Offset is the end of the list in the store.
+	Offset int64
 }
 
 // StoreReadFailed reports that the platform's store could not be read.
@@ -183,7 +185,9 @@
 type SendDigest struct {
 	Digest Digest
 	// Groups is the group table for the recipients that lack it.
-	Groups     []GroupStatus
+	Groups []GroupStatus
+	// Directory is the directory for the recipients that lack it.
+	Directory  []DirectoryEntry
 	Recipients []DigestRecipient
 }
 
@@ -192,8 +196,9 @@
 	Address string
 	// EchoedSequence replaces that of the digest.
 	EchoedSequence uint64
-	// NeedsGroups is true if the recipient lacks the group table.
-	NeedsGroups bool
+	// NeedsGroups is true if the recipient lacks the group table, NeedsDirectory if it
+	// lacks the directory.
+	NeedsGroups, NeedsDirectory bool
 }
 
 // ProbeServer requests a server's report.
@@ -354,6 +359,8 @@
 	// that table, nil if the recipient is known to have it.
 	GroupsVersion GroupsVersion
 	Groups        []GroupStatus
+	// DirectoryVersion is the version of the directory that the sender knows.
+	DirectoryVersion uint64
 }
 
 // Digest is the periodic message of a relay. It is a plain record.
@@ -376,4 +383,10 @@
 	// EchoedSequence is the last heartbeat of the recipient that the sums contain, 0
 	// for none.
 	EchoedSequence uint64
+	// ListOffset is the end of the server list that the relay's directory is made from,
+	// and ListAge the time since it read that list.
+	ListOffset int64
+	ListAge    time.Duration
+	// Directory is the relay's directory, nil if the recipient is known to have it.
+	Directory []DirectoryEntry
 }
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -197,6 +197,7 @@
 	p.hasDigest, p.lastDigestReceivedAt, p.lastDigest = true, now, d
 	p.awaitingDigestSince, p.silentUntil = 0, 0
 	c.adoptGroups(d.Sender)
+	c.adoptDirectory(now, d)
 	c.noteSuspects(now, d.Sender.Suspects)
 	c.hasReceivedRequests = c.hasReceivedRequests || d.Sender.HasReceivedRequests
 	c.observeClaim(now, d.Sender)
@@ -237,6 +238,7 @@
 		return
 	}
 	c.nextDigestAt = now + c.memberInterval()
+	c.makeDirectory(now)
 	local := c.newDigest(now, members)
 	local.IsDataCentreOnly = true
 	if p, ok := c.peers[c.claimHolder]; c.claimHolder != c.self.ID && (!ok || p.DataCentre != c.dataCentre) {
@@ -252,13 +254,32 @@
 		whole.add(p.lastDigest, now-p.lastDigestReceivedAt)
 	}
 	whole.merge()
-	var recipients []DigestRecipient
-	for _, p := range members {
-		recipients = append(recipients, DigestRecipient{Address: p.Address, EchoedSequence: p.lastHeartbeat.Sequence, NeedsGroups: c.lacksGroups(p.lastHeartbeat.GroupsVersion)})
+	whole.ListOffset, whole.ListAge = c.directoryOffset, now-c.directoryConfirmedAt
+	if recipients := c.digestRecipients(now); len(recipients) > 0 {
+		c.emit(SendDigest{Digest: whole, Groups: c.announcedGroups, Directory: c.directory, Recipients: recipients})
 	}
-	if len(recipients) > 0 {
-		c.emit(SendDigest{Digest: whole, Groups: c.announcedGroups, Recipients: recipients})
+}
+
+// digestRecipients returns the members of this host, and now and then the other hosts of
+// its data centre: one that has just started may not be able to read the store, and then
+// knows no relay.
+func (c *Coordinator) digestRecipients(now time.Duration) []DigestRecipient {
+	var recipients []DigestRecipient
+	for _, p := range c.ranked(c.dataCentre) {
+		isMember := p.hasHeartbeat && now-p.lastHeartbeatReceivedAt < relayTimeout
+		if !isMember && now-p.lastHeartbeatSentAt < deadPeerHeartbeatInterval {
+			continue
+		}
+		r := DigestRecipient{Address: p.Address}
+		if isMember {
+			b := p.lastHeartbeat
+			r.EchoedSequence, r.NeedsGroups = b.Sequence, c.lacksGroups(b.GroupsVersion)
+			r.NeedsDirectory = len(c.directory) > 0 && b.DirectoryVersion != c.directoryVersion
+		}
+		p.lastHeartbeatSentAt = now
+		recipients = append(recipients, r)
 	}
+	return recipients
 }
 
 // sendDataCentreDigest sends the digest of this data centre to the relays of another one.
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -172,7 +172,7 @@
 // table that relays hand on outlasts a change of the controller.
 func (c *Coordinator) hasCurrentGroups(now time.Duration) bool {
 	if c.usesRelays() {
-		return now-c.lastHolderContactAt < groupsLifetime
+		return now-c.lastHolderContactAt < groupsLifetime || !c.hasCurrentList(now)
 	}
 	return c.announcedVersion.Claim == c.knownClaim && c.claimHolder != c.self.ID && now-c.lastHolderContactAt < peerTimeout
 }
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -82,7 +82,7 @@
 	}
 	for _, id := range sortedKeys(c.peers) {
 		p := c.peers[id]
-		v.Peers = append(v.Peers, PeerView{ID: id, Address: p.Address, IsLive: c.isLive(p, now), SinceLastHeartbeat: now - p.lastHeartbeatReceivedAt, ConfigurationVersion: p.lastHeartbeat.ConfigurationVersion})
+		v.Peers = append(v.Peers, PeerView{ID: id, Address: p.Address, IsLive: c.isLive(p, now), SinceLastHeartbeat: now - p.lastHeartbeatReceivedAt, ConfigurationVersion: max(p.lastHeartbeat.ConfigurationVersion, p.lastDigest.Sender.ConfigurationVersion)})
 	}
 	v.Groups, _ = c.knownGroups(now)
 	for _, id := range sortedKeys(c.servers) {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -127,6 +127,21 @@
 	return d.coordinator.LiveHostCount(d.now())
 }
 
+// NeedsServerList reports whether this host has to read the server list, the hosts and the
+// claims in the store itself.
+func (d *Driver) NeedsServerList() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.NeedsServerList(d.now())
+}
+
+// UsesRelays reports whether hosts send their heartbeats to relays.
+func (d *Driver) UsesRelays() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.UsesRelays()
+}
+
 // View returns a snapshot of the state of the coordinator.
 func (d *Driver) View() coordinator.View {
 	d.mutex.Lock()
@@ -265,31 +280,35 @@
 	}
 }
 
-// sendDigest sends a digest to each recipient, with the group table if it lacks that.
+// sendDigest sends a digest to each recipient, with the group table and the directory if it lacks
+// them.
 func (d *Driver) sendDigest(e coordinator.SendDigest) {
-	var encoded, encodedWithGroups []byte
+	type contents struct{ groups, directory bool }
+	encoded := make(map[contents][]byte)
 	for _, r := range e.Recipients {
-		data := &encoded
-		if r.NeedsGroups {
-			data = &encodedWithGroups
-		}
-		if *data == nil {
+		needed := contents{r.NeedsGroups, r.NeedsDirectory}
+		data, ok := encoded[needed]
+		if !ok {
 			digest := e.Digest
 			if r.NeedsGroups {
 				digest.Sender.Groups = e.Groups
 			}
+			if r.NeedsDirectory {
+				digest.Directory = e.Directory
+			}
 			var err error
-			if *data, err = encodeDigest(digest); err != nil {
+			if data, err = encodeDigest(digest); err != nil {
 				d.log.Error().Err(err).Msg("could not encode digest")
 				return
 			}
+			encoded[needed] = data
 		}
 		echo, err := encodeEcho(r.EchoedSequence)
 		if err != nil {
 			d.log.Error().Err(err).Msg("could not encode digest")
 			return
 		}
-		d.sendDatagram(r.Address, append((*data)[:len(*data):len(*data)], echo...))
+		d.sendDatagram(r.Address, append(data[:len(data):len(data)], echo...))
 	}
 }
 
--- a/internal/driver/heartbeat.go
+++ b/internal/driver/heartbeat.go
@@ -18,10 +18,18 @@
 
 // encodeDigest encodes a digest in its wire format.
 func encodeDigest(d coordinator.Digest) ([]byte, error) {
-	return proto.Marshal(&wire.HostDatagram{Body: &wire.HostDatagram_Digest{Digest: &wire.HostDigest{
+	w := &wire.HostDigest{
 		Sender: encodeStatus(d.Sender), IsDataCentreOnly: d.IsDataCentreOnly, HostCount: toUint32(d.HostCount), BestCandidate: encodePeer(d.BestCandidate),
 		Holder: string(d.Holder), HolderClaim: d.HolderClaim, HolderSilentMs: toUint32(int(d.HolderSilentFor.Milliseconds())), EchoedSequence: d.EchoedSequence,
-	}}})
+		ListOffset: d.ListOffset, ListAgeMs: toUint32(int(d.ListAge.Milliseconds())),
+	}
+	for _, e := range d.Directory {
+		w.Directory = append(w.Directory, &wire.DirectoryEntry{
+			Server: string(e.Server), Service: string(e.Service), Address: e.Address, DataCentre: string(e.DataCentre),
+			Slots: toUint32(e.Slots), Leaving: e.Leaving, StartedUnixMs: e.StartedUnixMillis,
+		})
+	}
+	return proto.Marshal(&wire.HostDatagram{Body: &wire.HostDatagram_Digest{Digest: w}})
 }
 
 // encodeEcho encodes what differs between the recipients of one digest. Appended to the
@@ -49,7 +57,7 @@
 		From: encodePeer(b.From), Incarnation: b.Incarnation, Sequence: b.Sequence, Claim: b.Claim, KnownClaim: b.KnownClaim,
 		Successor: string(b.Successor), HandedOverClaim: b.HandedOverClaim, FormationCount: b.FormationCount,
 		ConfigurationVersion: b.ConfigurationVersion, Eligible: b.Eligible, HasReceivedRequests: b.HasReceivedRequests, Stopping: b.Stopping,
-		GroupsClaim: b.GroupsVersion.Claim, GroupsRevision: b.GroupsVersion.Revision,
+		GroupsClaim: b.GroupsVersion.Claim, GroupsRevision: b.GroupsVersion.Revision, DirectoryVersion: b.DirectoryVersion,
 	}
 	for _, l := range b.ServerLoads {
 		w.Loads = append(w.Loads, &wire.ReplicaLoad{
@@ -74,7 +82,7 @@
 		From: decodePeer(w.GetFrom()), Incarnation: w.GetIncarnation(), Sequence: w.GetSequence(), Claim: w.GetClaim(), KnownClaim: w.GetKnownClaim(),
 		Successor: fuchsiapitch.HostID(w.GetSuccessor()), HandedOverClaim: w.GetHandedOverClaim(), FormationCount: w.GetFormationCount(),
 		ConfigurationVersion: w.GetConfigurationVersion(), Eligible: w.GetEligible(), HasReceivedRequests: w.GetHasReceivedRequests(), Stopping: w.GetStopping(),
-		GroupsVersion: coordinator.GroupsVersion{Claim: w.GetGroupsClaim(), Revision: w.GetGroupsRevision()},
+		GroupsVersion: coordinator.GroupsVersion{Claim: w.GetGroupsClaim(), Revision: w.GetGroupsRevision()}, DirectoryVersion: w.GetDirectoryVersion(),
 	}
 	for _, l := range w.GetLoads() {
 		b.ServerLoads = append(b.ServerLoads, coordinator.ServerLoad{
@@ -111,9 +119,16 @@
 	if w.GetSender().GetFrom().GetId() == "" {
 		return nil, &HeartbeatError{Err: &MissingSenderError{}}
 	}
-	return coordinator.DigestReceived{Digest: coordinator.Digest{
+	d := coordinator.Digest{
 		Sender: decodeStatus(w.GetSender()), IsDataCentreOnly: w.GetIsDataCentreOnly(), HostCount: int(w.GetHostCount()), BestCandidate: decodePeer(w.GetBestCandidate()),
 		Holder: fuchsiapitch.HostID(w.GetHolder()), HolderClaim: w.GetHolderClaim(), HolderSilentFor: time.Duration(w.GetHolderSilentMs()) * time.Millisecond,
-		EchoedSequence: w.GetEchoedSequence(),
-	}}, nil
+		EchoedSequence: w.GetEchoedSequence(), ListOffset: w.GetListOffset(), ListAge: time.Duration(w.GetListAgeMs()) * time.Millisecond,
+	}
+	for _, e := range w.GetDirectory() {
+		d.Directory = append(d.Directory, coordinator.DirectoryEntry{
+			Server: fuchsiapitch.ServerID(e.GetServer()), Service: fuchsiapitch.ServiceName(e.GetService()), Address: e.GetAddress(),
+			DataCentre: fuchsiapitch.DataCentreName(e.GetDataCentre()), Slots: int(e.GetSlots()), Leaving: e.GetLeaving(), StartedUnixMillis: e.GetStartedUnixMs(),
+		})
+	}
+	return coordinator.DigestReceived{Digest: d}, nil
 }
--- a/internal/driver/heartbeat_test.go
+++ b/internal/driver/heartbeat_test.go
@@ -15,11 +15,12 @@
 	return coordinator.Heartbeat{
 		From: coordinator.Peer{ID: "h", Address: "10.0.0.1:7", DataCentre: "dc", Capacity: 200}, Incarnation: 5, Sequence: 6, Claim: 7, KnownClaim: 8,
 		Successor: "i", HandedOverClaim: 7, FormationCount: 3, ConfigurationVersion: 9, Eligible: true, HasReceivedRequests: true, Stopping: true,
-		ServerLoads:   []coordinator.ServerLoad{{Server: "s", InFlight: 2, UnreadTokens: 700, SilentFor: 250 * time.Millisecond}},
-		Queues:        []coordinator.Queue{{Service: "llm", Model: "m", Length: 3}},
-		Suspects:      []fuchsiapitch.ServerID{"s"},
-		GroupsVersion: coordinator.GroupsVersion{Claim: 7, Revision: 4},
-		Groups:        []coordinator.GroupStatus{{Ref: fuchsiapitch.GroupRef{Name: "g", Epoch: 4}, Model: "m", Leader: "s", Open: true}},
+		ServerLoads:      []coordinator.ServerLoad{{Server: "s", InFlight: 2, UnreadTokens: 700, SilentFor: 250 * time.Millisecond}},
+		Queues:           []coordinator.Queue{{Service: "llm", Model: "m", Length: 3}},
+		Suspects:         []fuchsiapitch.ServerID{"s"},
+		GroupsVersion:    coordinator.GroupsVersion{Claim: 7, Revision: 4},
+		DirectoryVersion: 12,
+		Groups:           []coordinator.GroupStatus{{Ref: fuchsiapitch.GroupRef{Name: "g", Epoch: 4}, Model: "m", Leader: "s", Open: true}},
 	}
 }
 
@@ -50,6 +51,8 @@
 	want := coordinator.Digest{
 		Sender: newFullHeartbeat(), IsDataCentreOnly: true, HostCount: 59, BestCandidate: coordinator.Peer{ID: "b", Address: "10.0.0.2:7", DataCentre: "dc", Capacity: 100},
 		Holder: "c", HolderClaim: 8, HolderSilentFor: 300 * time.Millisecond, EchoedSequence: 11,
+		ListOffset: 900, ListAge: 400 * time.Millisecond,
+		Directory: []coordinator.DirectoryEntry{{Server: "s", Service: "llm", Address: "10.1.0.1:8", DataCentre: "dc", Slots: 13, Leaving: true, StartedUnixMillis: 5}},
 	}
 	data, err := encodeDigest(want)
 	if err != nil {
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -50,6 +50,9 @@
 	// longPollWait is how long a read of a topic that rarely changes waits for a new
 	// record.
 	longPollWait = 15 * time.Second
+	// hostListInterval is the pause between two reads of the registered hosts. Hosts that
+	// start together register one after the other.
+	hostListInterval = 500 * time.Millisecond
 	// configurationLongPollWait is the same for the configuration. It is shorter,
 	// because a new configuration must be in force within 2 s even if a connection
 	// no longer delivers data.
@@ -269,7 +272,7 @@
 	s.Add(serviceFunc(h.watchSettings))
 	s.Add(serviceFunc(h.servePeers))
 	s.Add(serviceFunc(h.fetchInitialState))
-	s.Add(tracker.New(h.pacedStore, platform.ServersTopic, h.applyServerList, tracker.WithInterval(serverListInterval), tracker.WithErrorHandler(h.handleServerListFailure), tracker.WithReadHandler(h.readCounter(platform.ServersTopic))))
+	s.Add(tracker.New(h.pacedStore, platform.ServersTopic, h.applyServerList, tracker.WithInterval(serverListInterval), tracker.WithNeed(h.driver.NeedsServerList), tracker.WithErrorHandler(h.handleServerListFailure), tracker.WithReadHandler(h.readCounter(platform.ServersTopic))))
 	for _, t := range h.longPollTrackers {
 		s.Add(t)
 	}
@@ -295,15 +298,28 @@
 // createTrackers creates the trackers of the topics that rarely change, which are
 // read with long polls.
 func (h *Host) createTrackers() {
-	newLongPollTracker := func(topic string, handle func(tracker.Update), wait time.Duration) *tracker.Tracker {
-		return tracker.New(h.pacedStore, topic, handle, tracker.WithLongPoll(wait), tracker.WithErrorHandler(h.readFailureHandler(topic)), tracker.WithReadHandler(h.readCounter(topic)))
+	newLongPollTracker := func(topic string, handle func(tracker.Update), options ...tracker.Option) *tracker.Tracker {
+		options = append(options, tracker.WithErrorHandler(h.readFailureHandler(topic)), tracker.WithReadHandler(h.readCounter(topic)))
+		return tracker.New(h.pacedStore, topic, handle, options...)
 	}
-	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyConfiguration, configurationLongPollWait)
+	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyConfiguration, tracker.WithVariableLongPoll(h.configurationPollWait))
+	needed := tracker.WithNeed(h.driver.NeedsServerList)
 	h.longPollTrackers = []*tracker.Tracker{
-		h.configurationTracker, newLongPollTracker(platform.HostsTopic, h.applyHostList, longPollWait), newLongPollTracker(platform.ClaimsTopic, h.applyClaims, longPollWait),
+		h.configurationTracker, newLongPollTracker(platform.HostsTopic, h.applyHostList, tracker.WithLongPoll(longPollWait), tracker.WithInterval(hostListInterval), needed),
+		newLongPollTracker(platform.ClaimsTopic, h.applyClaims, tracker.WithLongPoll(longPollWait), needed),
 	}
 }
 
+// configurationPollWait returns how long a read of the configuration waits for a new
+// version. In a large cluster relays announce each version to all hosts, which read it
+// again if their own read has not returned.
+func (h *Host) configurationPollWait() time.Duration {
+	if h.driver.UsesRelays() {
+		return longPollWait
+	}
+	return configurationLongPollWait
+}
+
 // serviceFunc adapts a function to suture.Service.
 type serviceFunc func(ctx context.Context) error
 
@@ -407,7 +423,7 @@
 	for _, r := range h.serversByKey {
 		reports = append(reports, r)
 	}
-	h.driver.Apply(coordinator.ServersListed{Servers: reports})
+	h.driver.Apply(coordinator.ServersListed{Servers: reports, Offset: u.NextOffset})
 	settings := h.Settings()
 	h.pacedStore.UpdateLimits(h.driver.LiveHostCount(), settings.StoreReadsPerSecond, settings.StoreWritesPerSecond)
 	h.serverListKnown.Store(true)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -28,6 +28,9 @@
 	// doubles with each failure. The actual pause is randomised.
 	minBackOff = 200 * time.Millisecond
 	maxBackOff = time.Second
+	// needInterval is how often a tracker asks whether a topic that is not needed has to
+	// be read again.
+	needInterval = 250 * time.Millisecond
 )
 
 // Store provides read access to the topics of the platform's store.
@@ -44,6 +47,8 @@
 	// IsSnapshot is true if Records is the complete state of the topic: keys that it
 	// does not contain have been deleted.
 	IsSnapshot bool
+	// NextOffset is the offset after the last record of the topic.
+	NextOffset int64
 }
 
 // ReadResult describes a read that has ended. It is a plain record.
@@ -62,8 +67,9 @@
 type Tracker struct {
 	store    Store
 	topic    string
-	pollWait time.Duration
+	pollWait func() time.Duration
 	interval time.Duration
+	isNeeded func() bool
 	handle   func(Update)
 	onError  func(error)
 	onRead   func(ReadResult)
@@ -83,7 +89,18 @@
 
 // WithLongPoll sets how long the store waits for new records before it returns an
 // empty response. The default is not to wait.
-func WithLongPoll(wait time.Duration) Option { return func(t *Tracker) { t.pollWait = wait } }
+func WithLongPoll(wait time.Duration) Option {
+	return WithVariableLongPoll(func() time.Duration { return wait })
+}
+
+// WithVariableLongPoll is like WithLongPoll, with a wait that may change.
+func WithVariableLongPoll(wait func() time.Duration) Option {
+	return func(t *Tracker) { t.pollWait = wait }
+}
+
+// WithNeed sets a function that reports whether the topic has to be read. No read starts
+// while it returns false.
+func WithNeed(isNeeded func() bool) Option { return func(t *Tracker) { t.isNeeded = isNeeded } }
 
 // WithInterval sets the pause between a successful read and the next one.
 func WithInterval(interval time.Duration) Option { return func(t *Tracker) { t.interval = interval } }
@@ -98,7 +115,10 @@
 
 // New returns a tracker that calls handle with each update.
 func New(store Store, topic string, handle func(Update), options ...Option) *Tracker {
-	t := &Tracker{store: store, topic: topic, handle: handle, onError: func(error) {}, onRead: func(ReadResult) {}}
+	t := &Tracker{
+		store: store, topic: topic, handle: handle, onError: func(error) {}, onRead: func(ReadResult) {},
+		isNeeded: func() bool { return true }, pollWait: func() time.Duration { return 0 },
+	}
 	for _, o := range options {
 		o(t)
 	}
@@ -125,6 +145,10 @@
 	nextOffset, synced := int64(0), false
 	backOff := minBackOff
 	for ctx.Err() == nil {
+		if !t.isNeeded() {
+			sleep(ctx, needInterval)
+			continue
+		}
 		page, restarted, err := t.read(ctx, nextOffset, synced)
 		var expired *platform.OffsetExpiredError
 		switch {
@@ -138,7 +162,7 @@
 			continue
 		}
 		backOff = minBackOff
-		t.handle(Update{Records: page.Records, IsSnapshot: !synced})
+		t.handle(Update{Records: page.Records, IsSnapshot: !synced, NextOffset: page.NextOffset})
 		nextOffset, synced = page.NextOffset, true
 		sleep(ctx, t.interval)
 	}
@@ -150,14 +174,15 @@
 // is silent for too long. It returns true if a resync made it fail.
 func (t *Tracker) read(ctx context.Context, nextOffset int64, synced bool) (platform.Page, bool, error) {
 	firstByteTimeout := responseTimeout
+	pollWait := t.pollWait()
 	if synced {
-		firstByteTimeout += t.pollWait
+		firstByteTimeout += pollWait
 	}
 	startedAt := time.Now()
 	ctx, w, stop := watcher.New(ctx, "topic "+t.topic, firstByteTimeout, responseTimeout)
 	defer stop()
 	t.startRead(w)
-	page, err := t.call(platform.WithResponseObserver(ctx, w.RecordBytes), nextOffset, synced)
+	page, err := t.call(platform.WithResponseObserver(ctx, w.RecordBytes), nextOffset, synced, pollWait)
 	restarted := t.endRead(err != nil && w.ReceivedBytes() == 0)
 	t.onRead(ReadResult{Bytes: w.ReceivedBytes(), Elapsed: time.Since(startedAt), Restarted: restarted, Err: err})
 	return page, restarted, err
@@ -180,11 +205,11 @@
 }
 
 // call calls the store for a read.
-func (t *Tracker) call(ctx context.Context, nextOffset int64, synced bool) (platform.Page, error) {
+func (t *Tracker) call(ctx context.Context, nextOffset int64, synced bool, pollWait time.Duration) (platform.Page, error) {
 	if !synced {
 		return t.store.Newest(ctx, t.topic)
 	}
-	return t.store.Read(ctx, t.topic, nextOffset, t.pollWait)
+	return t.store.Read(ctx, t.topic, nextOffset, pollWait)
 }
 
 // sleep waits until a duration has passed or the context ends.
