coordinator: a host that reads the list itself confirms directories too

Cause: a host with a list of its own ignored directories, so that none was ever confirmed and it went on reading. In the model the third host of each data centre also took itself for a relay, and a weak host became the controller, as it did not wait for strong ones.

Change: hosts that do not read for others confirm each directory and merge it if it is newer than their list; two relays count before a host counts itself; a host that a registered one outranks claims only after 3 s.

--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -10,6 +10,9 @@
 	// electionDelay is the time after the start before a host claims control, so that
 	// hosts that start together exchange heartbeats first.
 	electionDelay = 700 * time.Millisecond
+	// weakElectionDelay is the same in a cluster with relays for a host that a registered
+	// host outranks. The work of the controller would take most of a weak host.
+	weakElectionDelay = 3 * time.Second
 	// storeSettleDuration is how long the store must have been readable before a host
 	// without a live peer claims control.
 	storeSettleDuration = 2500 * time.Millisecond
@@ -185,7 +188,7 @@
 	if c.isController(now) || now-c.lastHolderContactAt < c.holderTimeout() && c.knownClaim > 0 {
 		return
 	}
-	if c.usesRelays() && c.relayedCandidate(now) {
+	if c.usesRelays() && (c.relayedCandidate(now) || now < weakElectionDelay && c.isOutranked()) {
 		return
 	}
 	for _, p := range c.peers {
@@ -197,6 +200,17 @@
 	c.emit(ClaimControl{PreviousClaim: c.knownClaim})
 }
 
+// isOutranked reports whether any known host, live or not, is preferred to this one as
+// controller.
+func (c *Coordinator) isOutranked() bool {
+	for _, p := range c.peers {
+		if outranks(p.Peer, c.self) {
+			return true
+		}
+	}
+	return false
+}
+
 // nextEpoch returns an epoch that no other formation has.
 func (c *Coordinator) nextEpoch() int64 {
 	c.formationCount++
--- a/internal/coordinator/directory.go
+++ b/internal/coordinator/directory.go
@@ -50,10 +50,13 @@
 // and claims itself: in a small cluster, as a relay or the controller, and as long as no
 // relay sends it a current directory.
 func (c *Coordinator) NeedsServerList(now time.Duration) bool {
-	if !c.usesRelays() || c.ownClaim != 0 && c.ownClaim == c.knownClaim {
-		return true
-	}
-	if c.directoryVersion == 0 || now-c.directoryConfirmedAt >= directoryTimeout || len(c.members(now)) > 0 {
+	return c.servesList(now) || c.directoryVersion == 0 || now-c.directoryConfirmedAt >= directoryTimeout
+}
+
+// servesList reports whether this host reads the server list for others: in a small
+// cluster, as the controller, or as a relay.
+func (c *Coordinator) servesList(now time.Duration) bool {
+	if !c.usesRelays() || c.ownClaim != 0 && c.ownClaim == c.knownClaim || len(c.members(now)) > 0 {
 		return true
 	}
 	_, isRelay := c.relayTargets(now, c.dataCentre)
@@ -122,10 +125,10 @@
 	return max(h.Sum64(), 1)
 }
 
-// adoptDirectory uses the directory of a relay, unless this host reads the list itself or
-// knows a later one.
+// adoptDirectory uses the directory of a relay, unless this host reads the list for others
+// or knows a later one.
 func (c *Coordinator) adoptDirectory(now time.Duration, d Digest) {
-	if d.Sender.DirectoryVersion == 0 || d.IsDataCentreOnly {
+	if d.Sender.DirectoryVersion == 0 || d.IsDataCentreOnly || c.servesList(now) {
 		return
 	}
 	confirmedAt := now - d.ListAge
@@ -134,10 +137,13 @@
 		c.directoryConfirmedAt = max(c.directoryConfirmedAt, confirmedAt)
 		c.directoryOffset = max(c.directoryOffset, d.ListOffset)
 		return
-	case d.Directory == nil, d.ListOffset < c.directoryOffset, c.hasCurrentList(now):
+	case d.Directory == nil, d.ListOffset < c.directoryOffset:
 		return
 	}
 	c.directoryVersion, c.directoryOffset, c.directoryConfirmedAt = d.Sender.DirectoryVersion, d.ListOffset, confirmedAt
+	if c.hasCurrentList(now) && c.listOffset >= d.ListOffset {
+		return
+	}
 	list := make([]fuchsiapitch.ServerReport, 0, len(d.Directory))
 	for _, e := range d.Directory {
 		list = append(list, fuchsiapitch.ServerReport{
--- a/internal/coordinator/membership_simulation_test.go
+++ b/internal/coordinator/membership_simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,12 +21,17 @@
 	// simulatedListInterval is the interval at which a simulated host reads the server
 	// list.
 	simulatedListInterval = 800 * time.Millisecond
+	// simulatedHostsInterval is the interval at which it reads the registered hosts.
+	simulatedHostsInterval = 500 * time.Millisecond
 	// simulatedStartSpread is the time within which all simulated hosts start.
 	simulatedStartSpread = 300 * time.Millisecond
 )
 
+// plainService is the service of the servers that a hostCluster lists.
+const plainService = "app"
+
 // hostCluster runs the coordinators of many hosts against a simulated network and store.
-// It has no backend servers.
+// Its backend servers are only listed.
 type hostCluster struct {
 	rng   *rand.Rand
 	now   time.Duration
@@ -39,8 +45,11 @@
 	claims []ClaimRead
 	// registered are the hosts in the store.
 	registered []Peer
-	// messages counts the datagrams that were sent.
-	messages int
+	// messages counts the datagrams that were sent, listReads the reads of the list.
+	messages, listReads int
+	// servers is the server list, and listVersion the number of its changes.
+	servers     []fuchsiapitch.ServerReport
+	listVersion int64
 }
 
 // simulatedHost is one host of a hostCluster.
@@ -85,11 +94,15 @@
 // newHostCluster returns a cluster of hosts that all start within simulatedStartSpread,
 // spread over the given number of data centres.
 func newHostCluster(seed uint64, hosts, dataCentres int) *hostCluster {
-	hc := &hostCluster{rng: rand.New(rand.NewPCG(seed, 2)), byAddress: make(map[string]*simulatedHost)}
+	hc := &hostCluster{rng: rand.New(rand.NewPCG(seed, 2)), byAddress: make(map[string]*simulatedHost), listVersion: 1}
+	for n := range 6 {
+		id := fmt.Sprintf("app%d", n)
+		hc.servers = append(hc.servers, fuchsiapitch.ServerReport{ID: fuchsiapitch.ServerID(id), Service: plainService, Address: id, Slots: 6})
+	}
 	for n := range hosts {
 		id := fmt.Sprintf("h%03d", n)
 		dataCentre := fuchsiapitch.DataCentreName(fmt.Sprintf("dc%d", n%dataCentres))
-		h := &simulatedHost{self: Peer{ID: fuchsiapitch.HostID(id), Address: id, DataCentre: dataCentre, Capacity: 20 + 180*(n%20/18)}}
+		h := &simulatedHost{self: Peer{ID: fuchsiapitch.HostID(id), Address: id, DataCentre: dataCentre, Capacity: 20 + 180*(n/dataCentres%6/5)}}
 		h.startedAt = time.Duration(hc.rng.Int64N(int64(simulatedStartSpread)))
 		h.coordinator = New(h.self, 1, WithDataCentre(dataCentre))
 		hc.hosts = append(hc.hosts, h)
@@ -106,8 +119,9 @@
 // start starts a host: it registers, reads the store and begins to tick.
 func (hc *hostCluster) start(h *simulatedHost) {
 	hc.registered = append(hc.registered, h.self)
-	hc.apply(h, ConfigurationChanged{Routes: newDefaultRoutes()})
+	hc.apply(h, ConfigurationChanged{Routes: fuchsiapitch.NewRouteTable(1, nil, []fuchsiapitch.ServiceProfile{{Name: plainService}}, nil, false, fuchsiapitch.ClientLimits{})})
 	hc.at(hc.now+simulatedStoreLatency, func() { hc.readList(h) })
+	hc.at(hc.now+simulatedStoreLatency, func() { hc.readHosts(h) })
 	hc.at(hc.now+simulatedTickInterval, func() { hc.tick(h) })
 }
 
@@ -119,19 +133,32 @@
 	hc.at(hc.now+simulatedTickInterval, func() { hc.tick(h) })
 }
 
-// readList delivers the server list, the registered hosts and the newest claim to a host.
+// readList delivers the server list and the newest claim to a host.
 func (hc *hostCluster) readList(h *simulatedHost) {
 	if h.stopped {
 		return
 	}
-	hc.apply(h, ServersListed{})
-	hc.apply(h, PeersListed{Peers: hc.registered})
-	if len(hc.claims) > 0 {
-		hc.apply(h, hc.claims[len(hc.claims)-1])
+	if h.coordinator.NeedsServerList(hc.now - h.startedAt) {
+		hc.listReads++
+		hc.apply(h, ServersListed{Servers: hc.servers, Offset: hc.listVersion})
+		if len(hc.claims) > 0 {
+			hc.apply(h, hc.claims[len(hc.claims)-1])
+		}
 	}
 	hc.at(hc.now+simulatedListInterval, func() { hc.readList(h) })
 }
 
+// readHosts delivers the registered hosts to a host.
+func (hc *hostCluster) readHosts(h *simulatedHost) {
+	if h.stopped {
+		return
+	}
+	if h.coordinator.NeedsServerList(hc.now - h.startedAt) {
+		hc.apply(h, PeersListed{Peers: hc.registered})
+	}
+	hc.at(hc.now+simulatedHostsInterval, func() { hc.readHosts(h) })
+}
+
 // apply applies an event to a host's coordinator and carries out the effects.
 func (hc *hostCluster) apply(h *simulatedHost, e Event) {
 	for _, effect := range h.coordinator.Apply(hc.now-h.startedAt, e) {
@@ -147,6 +174,9 @@
 				if r.NeedsGroups {
 					d.Sender.Groups = f.Groups
 				}
+				if r.NeedsDirectory {
+					d.Directory = f.Directory
+				}
 				hc.send(r.Address, DigestReceived{Digest: d})
 			}
 		case ClaimControl:
@@ -226,7 +256,85 @@
 
 func assertOneController(t *testing.T, hc *hostCluster) {
 	t.Helper()
-	if got, want := len(hc.controllers()), 1; got != want {
+	controllers := hc.controllers()
+	if got, want := len(controllers), 1; got != want {
 		t.Errorf("got %d controllers at %v, want %d", got, hc.now, want)
+		return
+	}
+	if got, want := controllers[0].self.Capacity, hc.highestCapacity(); got != want {
+		t.Errorf("got a controller of capacity %d, want %d", got, want)
+	}
+}
+
+// highestCapacity returns the capacity of the strongest live host.
+func (hc *hostCluster) highestCapacity() int {
+	highest := 0
+	for _, h := range hc.hosts {
+		if !h.stopped {
+			highest = max(highest, h.self.Capacity)
+		}
+	}
+	return highest
+}
+
+// Pattern: hundreds of hosts that all need the server list. Few of them read it, and a
+// change of it reaches every live host within the time in which a leaving server must get
+// no more requests.
+func TestFewHostsReadTheList(t *testing.T) {
+	const hosts, dataCentres = 295, 5
+	hc := newHostCluster(3, hosts, dataCentres)
+	hc.loss = 0.01
+	hc.runUntil(5 * time.Second)
+	reads := hc.listReads
+	hc.runUntil(7 * time.Second)
+	readsEach := int(2 * time.Second / simulatedListInterval)
+	if got, want := hc.listReads-reads, (relaysPerDataCentre*dataCentres+1)*(readsEach+1); got > want {
+		t.Errorf("got %d reads in 2 s, want at most %d", got, want)
+	}
+	t.Run("a leaving server", func(t *testing.T) {
+		hc.setLeaving("app3")
+		hc.runUntil(hc.now + 1500*time.Millisecond)
+		assertLeaving(t, hc, "app3")
+	})
+	t.Run("a leaving server after the loss of all relays of a data centre", func(t *testing.T) {
+		stopped := 0
+		for _, h := range hc.hosts {
+			if h.self.DataCentre == "dc1" && h.self.Capacity > 20 {
+				h.stopped = true
+				stopped++
+			}
+		}
+		if stopped < relaysPerDataCentre {
+			t.Fatalf("got %d strong hosts, want at least %d", stopped, relaysPerDataCentre)
+		}
+		hc.setLeaving("app4")
+		hc.runUntil(hc.now + 4*time.Second)
+		assertLeaving(t, hc, "app4")
+	})
+}
+
+// setLeaving lists a server as leaving.
+func (hc *hostCluster) setLeaving(id fuchsiapitch.ServerID) {
+	servers := slices.Clone(hc.servers)
+	for n := range servers {
+		if servers[n].ID == id {
+			servers[n].Leaving = true
+		}
+	}
+	hc.servers = servers
+	hc.listVersion++
+}
+
+// assertLeaving checks that every live host knows that a server is leaving.
+func assertLeaving(t *testing.T, hc *hostCluster, id fuchsiapitch.ServerID) {
+	t.Helper()
+	unaware := 0
+	for _, h := range hc.hosts {
+		if s, ok := h.coordinator.servers[id]; !h.stopped && (!ok || !s.report.Leaving) {
+			unaware++
+		}
+	}
+	if got, want := unaware, 0; got != want {
+		t.Errorf("got %d hosts that do not know that %s leaves, want %d", got, id, want)
 	}
 }
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -117,13 +117,15 @@
 func (c *Coordinator) relayTargets(now time.Duration, name fuchsiapitch.DataCentreName) (targets []*peer, includesSelf bool) {
 	answering := 0
 	for _, p := range c.ranked(name) {
-		if name == c.dataCentre && !includesSelf && outranks(c.self, p.Peer) {
-			includesSelf = true
-			answering++
-		}
 		if answering >= relaysPerDataCentre || len(targets) >= maxRelayTargets {
 			return targets, includesSelf
 		}
+		if name == c.dataCentre && !includesSelf && outranks(c.self, p.Peer) {
+			includesSelf = true
+			if answering++; answering >= relaysPerDataCentre {
+				return targets, includesSelf
+			}
+		}
 		if p.awaitingDigestSince > 0 && now-p.awaitingDigestSince > relayTimeout {
 			p.silentUntil, p.awaitingDigestSince = now+relayBackOff, 0
 		}
