coordinator: groups follow the demand for each model in large clusters

Pattern: requests for the model with large groups exceed what its groups serve, while the many groups of the other model are nearly idle. Groups were planned by the shares in the configuration alone; one group retired for another model only where that one sufficed, so never four of 4 servers for one of 16.

Change: the controller averages the requests that arrive for each model, which the digests carry, over 2 s, and works out the groups that they need at 85 % of the slots. If a model lacks two or more, groups of a model that can spare them retire together in a domain, in at most a third of the domains at a time and each domain once in 12 s.

Test: TestGroupsFollowDemand; without the call it gets 2 groups of the model in demand and wants 3.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -65,6 +65,7 @@
 	relayState
 	directoryState
 	allotmentState
+	demandState
 }
 
 // peer is the last known state of another host. hasHeartbeat is true once a heartbeat
@@ -109,7 +110,7 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), relayState: newRelayState(), allotmentState: newAllotmentState(self, incarnation),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), relayState: newRelayState(), allotmentState: newAllotmentState(self, incarnation), demandState: newDemandState(),
 	}
 	for _, o := range options {
 		o(c)
@@ -197,6 +198,7 @@
 		c.sumRemoteLoads()
 	}
 	c.campaign(now)
+	c.observeDemand(now)
 	if c.isController(now) {
 		c.reconcile(now)
 	}
