coordinator: an overload is shed by chance on arrival in large clusters

Cause: in an overload a host sent its queued requests when it heard of its share of the free slots. That takes some 0.3 s, by which time a chat with an objective of 0.25 s is late; late ones then take the slots of the next ones.

Change: from the sums of the digests each host works out which requests per second of each rank the replicas can take (what they complete, and what is free), and admits that share of new requests at once and refuses the others at once. Requests that were sent before or come back after a refusal are always admitted. Admitted ones are spread over all replicas of the pool, as few seem to have a free slot.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -118,7 +118,11 @@
 		c.refuse(w, NoBudget, minRetryAfter)
 		return
 	}
-	if !c.hasPredecessor(w) && c.mayDispatch(w.pool) {
+	if c.isShed(w) {
+		c.refuse(w, Overloaded, c.slotTime(w.pool))
+		return
+	}
+	if !c.hasPredecessor(w) {
 		if r := c.chooseReplica(now, w); r != nil {
 			c.grant(now, w, r)
 			return
@@ -279,7 +283,7 @@
 	var candidates []*replica
 	for _, id := range sortedKeys(c.replicas) {
 		r := c.replicas[id]
-		if !r.serves(w.pool) || now < r.unavailableUntil || r.isHalfOpen() || r.totalInFlight() >= r.slots+c.queueDepth(r) || !r.fitsPauseLimit(w.InputTokens, w.MaxPause) {
+		if !r.serves(w.pool) || now < r.unavailableUntil || r.isHalfOpen() || r.totalInFlight() >= c.slotLimit(r) || !r.fitsPauseLimit(w.InputTokens, w.MaxPause) {
 			continue
 		}
 		candidates = append(candidates, r)
@@ -331,7 +335,6 @@
 func (c *Coordinator) grant(now time.Duration, w *queuedRequest, r *replica) {
 	a := &assignment{replica: r, pool: w.pool, promptTokens: w.InputTokens, grantedAt: now}
 	c.assignments[w.Ticket] = a
-	c.useAllotment(w.pool)
 	if r.inFlight == 0 {
 		r.busySince = now
 	}
@@ -369,7 +372,7 @@
 			c.refuse(w, Overloaded, expectedWait)
 			continue
 		}
-		if !fullPools[w.pool] && c.mayDispatch(w.pool) {
+		if !fullPools[w.pool] {
 			if r := c.chooseReplica(now, w); r != nil {
 				c.grant(now, w, r)
 				continue
@@ -428,7 +431,6 @@
 	delete(c.assignments, e.Ticket)
 	r := a.replica
 	r.inFlight--
-	c.returnAllotment(r, a.pool)
 	if !a.responseStarted {
 		r.unreadTokens -= a.promptTokens
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -64,7 +64,7 @@
 	retryBudget
 	relayState
 	directoryState
-	allotmentState
+	admissionShareState
 	demandState
 }
 
@@ -110,7 +110,7 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), relayState: newRelayState(), allotmentState: newAllotmentState(self, incarnation), demandState: newDemandState(),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), demandState: newDemandState(),
 	}
 	for _, o := range options {
 		o(c)
--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -68,12 +68,10 @@
 			rates[p] = 0
 		}
 	}
-	// The counts cover one full bucket and on average half of another one.
-	const window = 1.5 * float64(arrivalBucket) / float64(time.Second)
 	// The average begins as a plain mean.
 	weight := min(1, float64(elapsed)/float64(min(demandTimeConstant, max(now-c.demandSince, elapsed))))
 	for p, n := range rates {
-		c.arrivalRates[p] += weight * (n/window - c.arrivalRates[p])
+		c.arrivalRates[p] += weight * (n/arrivalWindow.Seconds() - c.arrivalRates[p])
 	}
 }
 
--- a/internal/coordinator/rebalance_test.go
+++ b/internal/coordinator/rebalance_test.go
@@ -11,7 +11,7 @@
 // reportDemand runs a simulation for some seconds in which a relay reports the given
 // requests per second for the models large and small.
 func reportDemand(sm *simulation, seconds int, large, small float64) {
-	const window = 1.5 * float64(arrivalBucket) / float64(time.Second)
+	window := arrivalWindow.Seconds()
 	for range seconds * 10 {
 		sm.apply(0, DigestReceived{Digest: Digest{
 			Sender: Heartbeat{From: Peer{ID: "relay", DataCentre: "dc"}, Incarnation: 1, HasReceivedRequests: true, Queues: []Queue{
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -210,7 +210,7 @@
 	}
 	c.sumRemoteLoads()
 	if !d.IsDataCentreOnly {
-		c.allotSlots(now)
+		c.updateAdmissionShares(now)
 	}
 	c.dispatchQueue(now)
 	c.rereadIfBehind(now, d.Sender.ConfigurationVersion)
@@ -245,7 +245,7 @@
 	}
 	c.nextDigestAt = now + c.memberInterval()
 	c.makeDirectory(now)
-	c.allotSlots(now)
+	c.updateAdmissionShares(now)
 	local := c.newDigest(now, members)
 	local.IsDataCentreOnly = true
 	if p, ok := c.peers[c.claimHolder]; c.claimHolder != c.self.ID && (!ok || p.DataCentre != c.dataCentre) {
