coordinator: the demand for a model is what is in flight while slots are free

Cause: the demand was arrivals times the time for which a request occupies a slot, and that time is assumed as 1.5 s until enough requests have ended; the small model takes about half.

Change: while fewer than 95 % of a model's slots are taken, its demand is what is in flight, averaged over 2 s; arrivals count beyond that alone. The demand must be known for 3 s.

--- a/internal/coordinator/rebalance.go
+++ b/internal/coordinator/rebalance.go
@@ -19,7 +19,10 @@
 	// demandTimeConstant is the time constant of the moving average of the demand.
 	demandTimeConstant = 2 * time.Second
 	// minDemandAge is how long the demand must have been observed before it counts.
-	minDemandAge = 1500 * time.Millisecond
+	minDemandAge = 3 * time.Second
+	// saturatedOccupancy is the ratio of requests in flight to slots from which on more
+	// requests may be in demand than are in flight.
+	saturatedOccupancy = 0.95
 	// targetUtilisation is the share of the slots of a model that its demand may occupy.
 	targetUtilisation = 0.85
 	// maxRebalancedShare is the share of the domains whose groups may be changed at once.
@@ -34,8 +37,9 @@
 
 // demandState is the demand as the controller observes it.
 type demandState struct {
-	// arrivalRates is the moving average of the requests per second for each pool.
-	arrivalRates map[poolKey]float64
+	// arrivalRates and inFlightMeans are the moving averages of the requests per second for
+	// each pool and of those in flight there.
+	arrivalRates, inFlightMeans map[poolKey]float64
 	// demandSince is when the observation began, demandUpdatedAt when it was last
 	// continued.
 	demandSince, demandUpdatedAt time.Duration
@@ -44,7 +48,9 @@
 }
 
 func newDemandState() demandState {
-	return demandState{arrivalRates: make(map[poolKey]float64), rebalancedAt: make(map[domainKey]time.Duration)}
+	return demandState{
+		arrivalRates: make(map[poolKey]float64), inFlightMeans: make(map[poolKey]float64), rebalancedAt: make(map[domainKey]time.Duration),
+	}
 }
 
 // observeDemand continues the moving average of the demand.
@@ -54,8 +60,13 @@
 	if !c.usesRelays() || !c.isController(now) || !c.hasReceivedRequests || elapsed > demandTimeConstant {
 		c.demandSince = now
 		clear(c.arrivalRates)
+		clear(c.inFlightMeans)
 		return
 	}
+	inFlight := make(map[poolKey]float64)
+	for _, r := range c.replicas {
+		inFlight[poolKey{r.service, r.model}] += float64(r.totalInFlight())
+	}
 	rates := make(map[poolKey]float64)
 	for _, q := range c.queueLengths(now) {
 		rates[poolKey{q.Service, q.Model}] += float64(q.Arrivals)
@@ -72,18 +83,24 @@
 	weight := min(1, float64(elapsed)/float64(min(demandTimeConstant, max(now-c.demandSince, elapsed))))
 	for p, n := range rates {
 		c.arrivalRates[p] += weight * (n/arrivalWindow.Seconds() - c.arrivalRates[p])
+		c.inFlightMeans[p] += weight * (inFlight[p] - c.inFlightMeans[p])
 	}
 }
 
-// neededGroups returns how many groups of a model its demand needs, and whether that is
-// known.
-func (c *Coordinator) neededGroups(now time.Duration, service fuchsiapitch.ServiceName, p *fuchsiapitch.EngineProfile, m fuchsiapitch.Model) (int, bool) {
-	rate, ok := c.arrivalRates[poolKey{service, m.Name}]
+// neededGroups returns how many groups of a model its demand needs, given the number that it
+// has, and whether that is known. As long as slots are free, the demand is what is in
+// flight; the time for which a request occupies a slot is known less well.
+func (c *Coordinator) neededGroups(now time.Duration, service fuchsiapitch.ServiceName, p *fuchsiapitch.EngineProfile, m fuchsiapitch.Model, groups int) (int, bool) {
+	k := poolKey{service, m.Name}
+	rate, ok := c.arrivalRates[k]
 	if !ok || now-c.demandSince < minDemandAge || p.Slots <= 0 {
 		return 0, false
 	}
-	slots := rate * c.slotTime(poolKey{service, m.Name}).Seconds() / targetUtilisation
-	return int(math.Ceil(slots / float64(p.Slots))), true
+	slots := c.inFlightMeans[k]
+	if slots > saturatedOccupancy*float64(groups*p.Slots) {
+		slots = max(slots, rate*c.slotTime(k).Seconds())
+	}
+	return int(math.Ceil(slots / targetUtilisation / float64(p.Slots))), true
 }
 
 // modelInDemand returns the model that lacks groups for its demand: of several the one
@@ -91,7 +108,7 @@
 // demand is unknown.
 func (c *Coordinator) modelInDemand(now time.Duration, service fuchsiapitch.ServiceName, gc groupCounts) (fuchsiapitch.Model, bool) {
 	for _, m := range modelsByCost(gc.profile) {
-		if needed, ok := c.neededGroups(now, service, gc.profile, m); ok && gc.byModel[m.Name] < needed {
+		if needed, ok := c.neededGroups(now, service, gc.profile, m, gc.byModel[m.Name]); ok && gc.byModel[m.Name] < needed {
 			return m, true
 		}
 	}
@@ -118,7 +135,7 @@
 	if !ok {
 		return
 	}
-	needed, _ := c.neededGroups(now, service, p, short)
+	needed, _ := c.neededGroups(now, service, p, short, counts.byModel[short.Name])
 	shortage := needed - counts.byModel[short.Name]
 	if shortage < minShortage {
 		return
@@ -152,7 +169,7 @@
 // groups: those beyond its own demand, or, if its requests take more servers, all but one
 // for each two domains.
 func (c *Coordinator) spareGroups(now time.Duration, service fuchsiapitch.ServiceName, p *fuchsiapitch.EngineProfile, counts groupCounts, donor, short fuchsiapitch.Model) int {
-	needed, ok := c.neededGroups(now, service, p, donor)
+	needed, ok := c.neededGroups(now, service, p, donor, counts.byModel[donor.Name])
 	if !ok {
 		return 0
 	}
--- a/internal/coordinator/rebalance_test.go
+++ b/internal/coordinator/rebalance_test.go
@@ -8,17 +8,44 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
+// newDemandDigest returns a digest of a relay that reports the given requests per second for
+// the models large and small.
+func newDemandDigest(large, small float64, loads []ServerLoad) Digest {
+	window := arrivalWindow.Seconds()
+	return Digest{
+		Sender: Heartbeat{From: Peer{ID: "relay", DataCentre: "dc"}, Incarnation: 1, HasReceivedRequests: true, ServerLoads: loads, Queues: []Queue{
+			{Service: "llm", Model: "large", Arrivals: int(large * window)}, {Service: "llm", Model: "small", Arrivals: int(small * window)},
+		}},
+		HostCount: 20,
+	}
+}
+
 // reportDemand runs a simulation for some seconds in which a relay reports the given
-// requests per second for the models large and small.
+// requests per second for the models large and small, with all slots of the large one taken.
 func reportDemand(sm *simulation, seconds int, large, small float64) {
-	window := arrivalWindow.Seconds()
 	for range seconds * 10 {
-		sm.apply(0, DigestReceived{Digest: Digest{
-			Sender: Heartbeat{From: Peer{ID: "relay", DataCentre: "dc"}, Incarnation: 1, HasReceivedRequests: true, Queues: []Queue{
-				{Service: "llm", Model: "large", Arrivals: int(large * window)}, {Service: "llm", Model: "small", Arrivals: int(small * window)},
-			}},
-			HostCount: 20,
-		}})
+		var loads []ServerLoad
+		for id, r := range sm.coordinators[0].replicas {
+			if r.model == "large" && r.open {
+				loads = append(loads, ServerLoad{Server: id, InFlight: r.slots})
+			}
+		}
+		sm.apply(0, DigestReceived{Digest: newDemandDigest(large, small, loads)})
+		sm.run(100 * time.Millisecond)
+	}
+}
+
+// reportLoad is like reportDemand, with requests in flight at every open group of the small
+// model.
+func reportLoad(sm *simulation, seconds int, large, small float64, smallInFlight int) {
+	for range seconds * 10 {
+		var loads []ServerLoad
+		for id, r := range sm.coordinators[0].replicas {
+			if r.model == "small" && r.open {
+				loads = append(loads, ServerLoad{Server: id, InFlight: smallInFlight})
+			}
+		}
+		sm.apply(0, DigestReceived{Digest: newDemandDigest(large, small, loads)})
 		sm.run(100 * time.Millisecond)
 	}
 }
@@ -84,3 +111,12 @@
 		}
 	}
 }
+
+// Pattern: requests for a small model are shorter than assumed before the first one has
+// ended, so that its slots are half empty though many arrive. No group retires for it.
+func TestGroupsStayWithFreeSlots(t *testing.T) {
+	sm := newLargeSimulation()
+	before := countOpen(sm)
+	reportLoad(sm, 10, 5, 300, 13)
+	assertCounts(t, countOpen(sm), before)
+}
