--- a/internal/coordinator/balance.go
+++ b/internal/coordinator/balance.go
@@ -95,13 +95,6 @@
 	wanted := gc.leastSupplied(maxGroupSize)
 	best := gc.leastSupplied(gc.availableServers(freeCount, gc.inDomain))
 	key := domainKey{service: service, domain: domain}
-	if m, ok := c.modelInDemand(now, service, gc); ok {
-		wanted = m
-		if m.GroupSize <= freeCount {
-			// A group that requests wait for is worth more than spares.
-			best = m
-		}
-	}
 	if best.GroupSize > 0 && (best.Name == wanted.Name || isSettled && c.demandRatio(service, best.Name) >= saturatedDemandRatio) {
 		delete(c.strandedSince, key)
 		return best, true
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -65,7 +65,6 @@
 	relayState
 	directoryState
 	admissionShareState
-	demandState
 }
 
 // peer is the last known state of another host. hasHeartbeat is true once a heartbeat
@@ -110,7 +109,7 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), demandState: newDemandState(),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation),
 	}
 	for _, o := range options {
 		o(c)
@@ -198,7 +197,6 @@
 		c.sumRemoteLoads()
 	}
 	c.campaign(now)
-	c.observeDemand(now)
 	if c.isController(now) {
 		c.reconcile(now)
 	}
--- a/internal/coordinator/reconcile.go
+++ b/internal/coordinator/reconcile.go
@@ -36,13 +36,6 @@
 		return
 	}
 	c.allocateLoads(now)
-	if c.usesRelays() {
-		for name, p := range c.routes.Services() {
-			if p.Engine != nil {
-				c.rebalance(now, name, p.Engine)
-			}
-		}
-	}
 	keys := c.domainKeys()
 	for _, k := range keys {
 		c.advanceGroups(now, k)
