coordinator: a stopping controller hands its claim to one host alone

What could be seen: hosts that stop one after the other (one in 1.3 s with 8 s of grace, as on any release) leave two controllers with the same claim for a moment. Both number their formations from the same count, so that both may give orders for the same epochs. One of the faults that operators of similar systems report: around a hand-over between two processes both act, and orders go out twice.

Cause: a stopping controller chose its successor anew for each heartbeat. When the first one stopped too and handed the claim on itself, the old one named a third host for the same claim.

Change: the choice is made once. If that host dies before it takes over, others claim through the store after the usual timeout.

Test: TestClaimIsHandedToOneHost; failed before (the third host is controller too).

--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -42,6 +42,9 @@
 	lastHolderContactAt time.Duration
 	lastClaimAt         time.Duration
 	formationCount      int64
+	// chosenSuccessor is the host to which this host hands its claim when it stops. It
+	// stays the same, so that no two hosts get the same claim.
+	chosenSuccessor fuchsiapitch.HostID
 	// controllerSince is when this host last became the controller. surveyedSince is
 	// set to the same time once the survey of the servers is complete.
 	controllerSince, surveyedSince time.Duration
--- a/internal/coordinator/controller_test.go
+++ b/internal/coordinator/controller_test.go
@@ -68,6 +68,32 @@
 	}
 }
 
+// Hosts stop one after the other. The successor of a stopping controller stops too, and hands
+// the claim on itself. The first one must not hand the same claim to a third host: both would
+// give orders, and for the same epochs.
+func TestClaimIsHandedToOneHost(t *testing.T) {
+	now := 3 * time.Second
+	controller, successor := newPair(now)
+	third := New(Peer{ID: "c"}, 1)
+	third.Apply(0, ConfigurationChanged{Routes: newDefaultRoutes()})
+	third.Apply(now, ServersListed{})
+	third.Apply(now, PeersListed{Peers: []Peer{{ID: "a"}, {ID: "b"}}})
+	third.Apply(now, ClaimRead{Number: 7, Holder: "a", Incarnation: 1})
+	deliverHeartbeat(now, third, controller)
+	controller.Apply(now, HostStopping{})
+	deliverHeartbeat(now, controller, successor)
+	if !successor.isController(now) {
+		t.Fatal("got isController false at the successor, want true")
+	}
+	now += 200 * time.Millisecond
+	successor.Apply(now, HostStopping{})
+	deliverHeartbeat(now, successor, controller)
+	deliverHeartbeat(now, controller, third)
+	if third.isController(now) {
+		t.Error("got isController true at a host that the stopping controller did not name first, want false")
+	}
+}
+
 func newEpochOf(claim, formation int64) int64 { return claim<<formationBits | formation }
 
 func TestElection(t *testing.T) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -343,7 +343,10 @@
 		ConfigurationVersion: c.configurationVersion(), Eligible: c.isEligible(now), HasReceivedRequests: c.anyHostHasReceivedRequests(now), Stopping: c.stopping, ServerLoads: c.serverLoads(now), Queues: c.queueLengths(now),
 	}
 	if c.stopping && c.ownClaim != 0 && c.ownClaim == c.knownClaim && c.claimHolder == c.self.ID {
-		b.Successor, b.HandedOverClaim, b.FormationCount = c.successor(now), c.ownClaim, c.formationCount
+		if c.chosenSuccessor == "" {
+			c.chosenSuccessor = c.successor(now)
+		}
+		b.Successor, b.HandedOverClaim, b.FormationCount = c.chosenSuccessor, c.ownClaim, c.formationCount
 	}
 	for s, until := range c.suspectedUntil {
 		if now < until && c.suspectedLocally[s] {
