coordinator: hosts read the list sooner, and directories are not sent in turns

Cause of the bytes: two relays read the list at different moments; as long as their directories differ, each sends its own to every member with each digest.

Change: a list that is older than the directory makes the host ask for the directory again; hosts read by themselves after 1.3 s; the same table and directory go to the same host again after 0.4 s at the earliest.

Ruled out: datagrams above the size limit (directory, groups and loads take some 18 KB at 100 hosts), versions that collide.

Tests: TestOlderListDoesNotOutliveDirectory, TestStaleDirectoryIsNotUsedAlone (failed before), TestDirectoryIsNotRepeatedAtOnce (of the new rule).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -82,6 +82,10 @@
 	// awaitingDigestSince is when this host first sent the peer a message as a relay that
 	// it has not answered, 0 for none. It is not used as a relay until silentUntil.
 	awaitingDigestSince, silentUntil time.Duration
+	// sentContents is the group table and directory that this host last sent the peer, and
+	// contentsSentAt when.
+	sentContents   digestContents
+	contentsSentAt time.Duration
 }
 
 // Option configures a Coordinator.
@@ -139,6 +143,10 @@
 		c.routes = e.Routes
 	case ServersListed:
 		c.listOffset = e.Offset
+		if e.Offset < c.directoryOffset && !c.servesList(now) {
+			// This list is older than the directory, which has to be sent again.
+			c.directoryVersion = 0
+		}
 		c.applyServerList(now, e.Servers)
 		c.refreshReplicas(now)
 	case StoreReadFailed:
--- a/internal/coordinator/directory.go
+++ b/internal/coordinator/directory.go
@@ -12,8 +12,9 @@
 
 const (
 	// directoryTimeout is the age of the list behind the newest directory from which on a
-	// host reads the list itself.
-	directoryTimeout = 2 * time.Second
+	// host reads the list itself. Relays read it every 0.8 s. A read that hangs takes 1.5 s
+	// more, and a leaving server must get no more requests after 4 s.
+	directoryTimeout = 1300 * time.Millisecond
 	// currentListAge is the age up to which the own list is current.
 	currentListAge = 3 * time.Second
 )
--- /dev/null
+++ b/internal/coordinator/directory_test.go
@@ -0,0 +1,95 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+// newMember returns a host of a large cluster that outranks no other, and that a relay has
+// sent a digest, at the given time.
+func newMember(now time.Duration) *Coordinator {
+	c := New(Peer{ID: "z", DataCentre: "dc"}, 1, WithDataCentre("dc"))
+	var peers []Peer
+	for n := range maxDirectPeers + 1 {
+		peers = append(peers, Peer{ID: fuchsiapitch.HostID(fmt.Sprintf("p%02d", n)), Address: "p", DataCentre: "dc", Capacity: 100})
+	}
+	c.Apply(now, ConfigurationChanged{Routes: fuchsiapitch.NewRouteTable(1, nil, []fuchsiapitch.ServiceProfile{{Name: plainService}}, nil, false, fuchsiapitch.ClientLimits{})})
+	c.Apply(now, PeersListed{Peers: peers})
+	for _, p := range peers[:relaysPerDataCentre] {
+		c.Apply(now, DigestReceived{Digest: Digest{Sender: Heartbeat{From: p, Incarnation: 1}, HostCount: 18}})
+	}
+	return c
+}
+
+// newDirectoryDigest returns a digest of a relay with a directory of one server.
+func newDirectoryDigest(offset int64, leaving bool) Digest {
+	directory := []DirectoryEntry{{Server: "app", Service: plainService, Address: "a", Slots: 6, Leaving: leaving}}
+	return Digest{
+		Sender:    Heartbeat{From: Peer{ID: "p00", Address: "p", DataCentre: "dc", Capacity: 100}, Incarnation: 1, DirectoryVersion: hashDirectory(directory)},
+		HostCount: 18, ListOffset: offset, Directory: directory,
+	}
+}
+
+// A read of the list that was under way when a directory arrived brings an older list. The
+// host must not go on with it after the directory is confirmed.
+func TestOlderListDoesNotOutliveDirectory(t *testing.T) {
+	now := 5 * time.Second
+	c := newMember(now)
+	c.Apply(now, DigestReceived{Digest: newDirectoryDigest(10, true)})
+	now += 10 * time.Millisecond
+	c.Apply(now, ServersListed{Servers: []fuchsiapitch.ServerReport{{ID: "app", Service: plainService, Address: "a", Slots: 6}}, Offset: 9})
+	now += 100 * time.Millisecond
+	c.Apply(now, DigestReceived{Digest: newDirectoryDigest(10, true)})
+	if got, want := c.servers["app"].report.Leaving, true; got != want {
+		t.Errorf("got leaving %v, want %v", got, want)
+	}
+}
+
+// A host whose relays have not read the list for some time reads it itself, early enough for
+// a read that hangs.
+func TestStaleDirectoryIsNotUsedAlone(t *testing.T) {
+	now := 5 * time.Second
+	c := newMember(now)
+	digest := newDirectoryDigest(10, false)
+	c.Apply(now, DigestReceived{Digest: digest})
+	if c.NeedsServerList(now) {
+		t.Error("got NeedsServerList true with a fresh directory, want false")
+	}
+	now += 1500 * time.Millisecond
+	digest.ListAge = 1500 * time.Millisecond
+	for _, id := range []fuchsiapitch.HostID{"p00", "p01"} {
+		digest.Sender.From.ID = id
+		c.Apply(now, DigestReceived{Digest: digest})
+	}
+	if !c.NeedsServerList(now) {
+		t.Error("got NeedsServerList false with a list of 1.5 s ago, want true")
+	}
+}
+
+// A relay does not send a member the same directory again before the member can have
+// answered.
+func TestDirectoryIsNotRepeatedAtOnce(t *testing.T) {
+	c := newMember(time.Second)
+	p := c.peers["p05"]
+	c.directoryVersion = 7
+	send := func(now time.Duration) bool {
+		r := DigestRecipient{NeedsDirectory: true}
+		c.limitContents(now, p, &r)
+		return r.NeedsDirectory
+	}
+	for _, step := range []struct {
+		at   time.Duration
+		want bool
+	}{{time.Second, true}, {1100 * time.Millisecond, false}, {time.Second + contentsRepeatInterval, true}} {
+		if got := send(step.at); got != step.want {
+			t.Errorf("got sent %v at %v, want %v", got, step.at, step.want)
+		}
+	}
+	c.directoryVersion = 8
+	if !send(1500 * time.Millisecond) {
+		t.Error("got a new directory held back, want it sent")
+	}
+}
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -53,6 +53,9 @@
 	// groupsLifetime is the time without news of a controller for which its group table
 	// is used in a cluster with relays.
 	groupsLifetime = 8 * time.Second
+	// contentsRepeatInterval is the time after which a group table or directory is sent to
+	// the same host again. It covers the next heartbeat of that host.
+	contentsRepeatInterval = 400 * time.Millisecond
 	// hopLatency is added to the age of news at each relay, so that it grows on the way.
 	hopLatency = 5 * time.Millisecond
 	// keptSnapshots is the number of own heartbeats whose loads are kept, to subtract
@@ -282,6 +285,7 @@
 			b := p.lastHeartbeat
 			r.EchoedSequence, r.NeedsGroups = b.Sequence, c.lacksGroups(b.GroupsVersion)
 			r.NeedsDirectory = len(c.directory) > 0 && b.DirectoryVersion != c.directoryVersion
+			c.limitContents(now, p, &r)
 		}
 		p.lastHeartbeatSentAt = now
 		recipients = append(recipients, r)
@@ -289,6 +293,27 @@
 	return recipients
 }
 
+// digestContents are the versions of a group table and a directory. It is a plain record.
+type digestContents struct {
+	groups    GroupsVersion
+	directory uint64
+}
+
+// limitContents does not send the same group table and directory to a peer again until it
+// can have answered. Two relays may have read lists that differ for a moment, and would
+// send their directories in turns.
+func (c *Coordinator) limitContents(now time.Duration, p *peer, r *DigestRecipient) {
+	if !r.NeedsGroups && !r.NeedsDirectory {
+		return
+	}
+	contents := digestContents{groups: c.announcedVersion, directory: c.directoryVersion}
+	if contents == p.sentContents && now-p.contentsSentAt < contentsRepeatInterval {
+		r.NeedsGroups, r.NeedsDirectory = false, false
+		return
+	}
+	p.sentContents, p.contentsSentAt = contents, now
+}
+
 // sendDataCentreDigest sends the digest of this data centre to the relays of another one.
 func (c *Coordinator) sendDataCentreDigest(now time.Duration, name fuchsiapitch.DataCentreName, d Digest) {
 	targets, _ := c.relayTargets(now, name)
@@ -297,7 +322,9 @@
 		if p.awaitingDigestSince == 0 && (!p.hasDigest || now-p.lastDigestReceivedAt >= relayTimeout/2) {
 			p.awaitingDigestSince = now
 		}
-		recipients = append(recipients, DigestRecipient{Address: p.Address, NeedsGroups: c.lacksGroups(p.lastDigest.Sender.GroupsVersion)})
+		r := DigestRecipient{Address: p.Address, NeedsGroups: c.lacksGroups(p.lastDigest.Sender.GroupsVersion)}
+		c.limitContents(now, p, &r)
+		recipients = append(recipients, r)
 	}
 	if len(recipients) > 0 {
 		c.emit(SendDigest{Digest: d, Groups: c.announcedGroups, Recipients: recipients})
