standin/platform: hosts of one process get different ports

Cause: a port was drawn at random from 10,000, checked and released, and the host listened on it later. Another host, of the same or of another test process, could draw it in between.

Change: a process takes the ports of its own part of the range in turns.

Ruled out: outgoing connections (the range lies below the ephemeral ports, 32,768 to 60,999).

Test: TestHostsGetDifferentPorts.

--- a/internal/standin/platform/installation.go
+++ b/internal/standin/platform/installation.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/faulter"
 )
@@ -170,9 +170,23 @@
 // firstPort and lastPort limit the port range of hosts. The range lies below the ephemeral
 // ports, because an outgoing connection could take a port between the check that it is
 // free and its use.
-const firstPort, lastPort = 20000, 30000
+const firstPort, lastPort = 10000, 32000
 
-// maxPortAttempts is the number of random ports that are tried to find a free one.
+// portsPerProcess is the size of the part of the range that one process uses. Processes that
+// run at the same time have different parts as a rule, and within its part a process takes
+// the ports in turns, so that no other host takes a port between its check and its use.
+const portsPerProcess = 200
+
+// issuedPorts counts the ports that this process has tried.
+var issuedPorts atomic.Uint32
+
+// nextPort returns the next port of this process.
+func nextPort() int {
+	parts := (lastPort - firstPort) / portsPerProcess
+	return firstPort + os.Getpid()%parts*portsPerProcess + int((issuedPorts.Add(1)-1)%portsPerProcess)
+}
+
+// maxPortAttempts is the number of ports that are tried to find a free one.
 const maxPortAttempts = 100
 
 // NoPortError reports that no free port was found in maxPortAttempts attempts.
@@ -205,7 +219,7 @@
 	var config net.ListenConfig
 	ctx := context.Background()
 	for range maxPortAttempts {
-		port = firstPort + rand.IntN(lastPort-firstPort)
+		port = nextPort()
 		var stream net.Listener
 		if stream, err = config.Listen(ctx, "tcp4", loopbackAddress(port)); err != nil {
 			continue
