--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -95,7 +95,7 @@
 func (c *Coordinator) successor(now time.Duration) fuchsiapitch.HostID {
 	var best *peer
 	for _, p := range c.peers {
-		stopping := p.lastHeartbeat.Stopping || p.digestStopping(now)
+		stopping := p.lastHeartbeat.Stopping || p.hasAnnouncedStop(now)
 		if c.isLive(p, now) && !stopping && (best == nil || outranks(p.Peer, best.Peer)) {
 			best = p
 		}
@@ -191,7 +191,7 @@
 	if c.isController(now) || now-c.lastHolderContactAt < c.holderTimeout() && c.knownClaim > 0 {
 		return
 	}
-	if c.usesRelays() && (c.relayedCandidate(now) || now < weakElectionDelay && c.isOutranked()) {
+	if c.usesRelays() && (c.knowsStrongerCandidate(now) || now < weakElectionDelay && c.isOutranked()) {
 		return
 	}
 	for _, p := range c.peers {
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -133,7 +133,7 @@
 		if p.awaitingDigestSince > 0 && now-p.awaitingDigestSince > relayTimeout {
 			p.silentUntil, p.awaitingDigestSince = now+relayBackOff, 0
 		}
-		if now < p.silentUntil || p.digestStopping(now) {
+		if now < p.silentUntil || p.hasAnnouncedStop(now) {
 			continue
 		}
 		targets = append(targets, p)
@@ -144,8 +144,16 @@
 	return targets, includesSelf || name == c.dataCentre && answering < relaysPerDataCentre
 }
 
-// digestStopping reports whether a peer has announced in a recent digest that it stops.
-func (p *peer) digestStopping(now time.Duration) bool {
+// expectDigest notes that a message was sent to a peer as a relay, which has to answer with
+// a digest.
+func (p *peer) expectDigest(now time.Duration) {
+	if p.awaitingDigestSince == 0 && (!p.hasDigest || now-p.lastDigestReceivedAt >= relayTimeout/2) {
+		p.awaitingDigestSince = now
+	}
+}
+
+// hasAnnouncedStop reports whether a peer has announced in a recent digest that it stops.
+func (p *peer) hasAnnouncedStop(now time.Duration) bool {
 	return p.hasDigest && p.lastDigest.Sender.Stopping && now-p.lastDigestReceivedAt < relayBackOff
 }
 
@@ -228,9 +236,7 @@
 	}
 	c.snapshots[b.Sequence%keptSnapshots] = b
 	for _, p := range targets {
-		if p.awaitingDigestSince == 0 && (!p.hasDigest || now-p.lastDigestReceivedAt >= relayTimeout/2) {
-			p.awaitingDigestSince = now
-		}
+		p.expectDigest(now)
 	}
 	c.emitHeartbeat(b, targets)
 }
@@ -319,9 +325,7 @@
 	targets, _ := c.relayTargets(now, name)
 	var recipients []DigestRecipient
 	for _, p := range targets {
-		if p.awaitingDigestSince == 0 && (!p.hasDigest || now-p.lastDigestReceivedAt >= relayTimeout/2) {
-			p.awaitingDigestSince = now
-		}
+		p.expectDigest(now)
 		r := DigestRecipient{Address: p.Address, NeedsGroups: c.lacksGroups(p.lastDigest.Sender.GroupsVersion)}
 		c.limitContents(now, p, &r)
 		recipients = append(recipients, r)
@@ -461,9 +465,9 @@
 	return n
 }
 
-// relayedCandidate reports whether relays or members know a live host that is preferred to
-// this one as controller.
-func (c *Coordinator) relayedCandidate(now time.Duration) bool {
+// knowsStrongerCandidate reports whether a digest names a live host that is preferred to this
+// one as controller.
+func (c *Coordinator) knowsStrongerCandidate(now time.Duration) bool {
 	if relay := c.clusterDigest(now); relay != nil {
 		if b := relay.lastDigest.BestCandidate; b.ID != "" && outranks(b, c.self) {
 			return true
