platformassembler: log connections that a host closes, and those with unread data

Hosts' logs say nothing of the connections of clients that they close, so that the hypotheses about requests that end without a response cannot be told apart. A host now logs each connection that it closes for idleness with the time-out, and each connection that it closes although data has arrived that nobody has read; fuchsiapitch_closed_connections_total counts both. No change of behaviour.

--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -65,3 +65,9 @@
 func (m *Meter) RegisterConfigurationVersionGauge(version func() float64) {
 	m.set.NewGauge("fuchsiapitch_configuration_version", version)
 }
+
+// CountClosedConnection counts a connection of a client that this host has closed. unread
+// is true if data had arrived on it that was not read.
+func (m *Meter) CountClosedConnection(unread bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_closed_connections_total{unread=\"%t\"}", unread)).Inc()
+}
--- a/internal/platformassembler/idle.go
+++ b/internal/platformassembler/idle.go
@@ -48,6 +48,7 @@
 			return ctx.Err()
 		case now := <-ticker.C:
 			for _, connection := range c.removeOverdue(now) {
+				c.log.Info().Str("caller", connection.RemoteAddr().String()).Int64("timeout-ms", c.timeout().Milliseconds()).Msg("idle connection closed")
 				if err := connection.Close(); err != nil {
 					c.log.Debug().Err(err).Msg("failed to close an idle connection")
 				}
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -193,7 +193,9 @@
 	operatorMux.HandleFunc("/metrics", h.serveMetrics)
 	operatorServer := &http.Server{Handler: operatorMux, ReadHeaderTimeout: headerTimeout}
 	serveErrors := make(chan error, 2)
-	go func() { serveErrors <- clientServer.Serve(clientListener) }()
+	go func() {
+		serveErrors <- clientServer.Serve(&observedListener{Listener: clientListener, log: h.log, meter: h.meter})
+	}()
 	go func() { serveErrors <- operatorServer.Serve(readinessListener) }()
 	h.log.Info().Str("callers", h.settings.Load().ClientListenAddress).Msg("host serves")
 	select {
