platformassembler: log connections that close before a handler has seen their request

A request can also be read by the HTTP server and dropped before the handler. The log and fuchsiapitch_closed_connections_total now tell both cases apart. A body that is read after its response counts as unserved as well. No change of behaviour.

--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -67,7 +67,8 @@
 }
 
 // CountClosedConnection counts a connection of a client that this host has closed. unread
-// is true if data had arrived on it that was not read.
-func (m *Meter) CountClosedConnection(unread bool) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_closed_connections_total{unread=\"%t\"}", unread)).Inc()
+// is true if data had arrived on it that was not read, unserved if the host had read at least
+// a part of a request that no handler has seen.
+func (m *Meter) CountClosedConnection(unread, unserved bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_closed_connections_total{unread=\"%t\",unserved=\"%t\"}", unread, unserved)).Inc()
 }
--- a/internal/platformassembler/connection.go
+++ b/internal/platformassembler/connection.go
@@ -1,9 +1,12 @@
 package platformassembler
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -12,7 +15,7 @@
 )
 
 // observedListener accepts connections that log and count when this host closes them
-// although data has arrived that nobody has read.
+// although data has arrived that nobody has read, or whose request no handler has seen.
 type observedListener struct {
 	net.Listener
 	log   zerolog.Logger
@@ -32,15 +35,44 @@
 	net.Conn
 	listener *observedListener
 	once     sync.Once
+	// unserved is true from the first byte of a request until a handler serves it.
+	unserved atomic.Bool
+}
+
+// connectionKey is the context key of the observedConn of a request.
+type connectionKey struct{}
+
+// withConnection is a callback for http.Server.ConnContext.
+func withConnection(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
+
+// observeRequests returns a handler that records which requests reach next.
+func observeRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connectionKey{}).(*observedConn); ok {
+			c.unserved.Store(false)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Read implements net.Conn.
+func (c *observedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.unserved.Store(true)
+	}
+	return n, err
 }
 
 // Close implements net.Conn.
 func (c *observedConn) Close() error {
 	c.once.Do(func() {
-		unread := hasUnreadData(c.Conn)
-		c.listener.meter.CountClosedConnection(unread)
-		if unread {
-			c.listener.log.Info().Str("caller", c.RemoteAddr().String()).Msg("connection closed with unread data")
+		unread, unserved := hasUnreadData(c.Conn), c.unserved.Load()
+		c.listener.meter.CountClosedConnection(unread, unserved)
+		if unread || unserved {
+			c.listener.log.Info().Str("caller", c.RemoteAddr().String()).Bool("unread", unread).Bool("unserved", unserved).Msg("connection closed with a request")
 		}
 	})
 	return c.Conn.Close()
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -184,7 +184,7 @@
 	supervisor.Add(serviceFunc(connectionCloser.serve))
 	supervisorResult := supervisor.ServeBackground(backgroundCtx)
 	clientServer := &http.Server{
-		Handler: h.relayer, ConnState: connectionCloser.trackState, ReadHeaderTimeout: headerTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: observeRequests(h.relayer), ConnContext: withConnection, ConnState: connectionCloser.trackState, ReadHeaderTimeout: headerTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	operatorMux := http.NewServeMux()
