--- a/internal/platformassembler/connection.go
+++ b/internal/platformassembler/connection.go
@@ -51,6 +51,8 @@
 func observeRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connectionKey{}).(*observedConn); ok {
+			// Reading the body of the request has set it again at the end.
+			defer c.unserved.Store(false)
 			c.unserved.Store(false)
 		}
 		next.ServeHTTP(w, r)
