acceptor: connections of clients in a package of their own

Both interfaces close idle connections and stop in the same way and need the same care. The HTTP server of the platform's hosts, its check for idle connections and the log of closed connections move from platformassembler; the relayer no longer sets "Connection: close". No change of behaviour.

--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -19,6 +19,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/acceptor"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
@@ -66,14 +67,9 @@
 	// shutdownMargin is the time kept between the end of the graceful shutdown and
 	// the forced termination of the process.
 	shutdownMargin = 300 * time.Millisecond
-	// maxIdleTimeout is how long a client's connection stays open without a request
-	// if the configuration sets no shorter time-out.
-	maxIdleTimeout = 60 * time.Second
-	// headerTimeout bounds the time to read a request header, whatever the
-	// configuration says.
+	// headerTimeout bounds the time to read the header of an operator's or another host's
+	// request.
 	headerTimeout = 10 * time.Second
-	// maxHeaderBytes is the maximum size of a request header.
-	maxHeaderBytes = 64 << 10
 )
 
 // Settings returns the settings in force.
@@ -179,23 +175,17 @@
 	}
 	backgroundCtx, cancelBackground := context.WithCancel(ctx)
 	defer cancelBackground()
-	connectionCloser := &idleCloser{timeout: h.idleTimeout, log: h.log, idleSince: make(map[net.Conn]time.Time)}
 	supervisor := h.newSupervisor()
-	supervisor.Add(serviceFunc(connectionCloser.serve))
 	supervisorResult := supervisor.ServeBackground(backgroundCtx)
-	clientServer := &http.Server{
-		Handler: observeRequests(h.relayer), ConnContext: withConnection, ConnState: connectionCloser.trackState, ReadHeaderTimeout: headerTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return ctx },
-	}
+	clientServer := acceptor.New(h.relayer, acceptor.WithIdleTimeout(h.idleTimeout), acceptor.WithBaseContext(ctx),
+		acceptor.WithLogger(h.rootLogger.For("acceptor")), acceptor.WithMeter(h.meter))
 	operatorMux := http.NewServeMux()
 	operatorMux.HandleFunc("/", h.serveReadiness)
 	operatorMux.HandleFunc("/status", h.serveStatus)
 	operatorMux.HandleFunc("/metrics", h.serveMetrics)
 	operatorServer := &http.Server{Handler: operatorMux, ReadHeaderTimeout: headerTimeout}
 	serveErrors := make(chan error, 2)
-	go func() {
-		serveErrors <- clientServer.Serve(&observedListener{Listener: clientListener, log: h.log, meter: h.meter})
-	}()
+	go func() { serveErrors <- clientServer.Serve(clientListener) }()
 	go func() { serveErrors <- operatorServer.Serve(readinessListener) }()
 	h.log.Info().Str("callers", h.settings.Load().ClientListenAddress).Msg("host serves")
 	select {
@@ -236,10 +226,11 @@
 // shutDown reports the host as not ready at once, accepts new connections for the
 // linger period, and then waits for the requests in flight until shortly before the
 // end of the grace period.
-func (h *Host) shutDown(ctx context.Context, clientServer *http.Server) error {
+func (h *Host) shutDown(ctx context.Context, clientServer *acceptor.Acceptor) error {
 	h.log.Info().Int64("in-flight", h.relayer.InFlightRequests()).Msg("host stops")
 	deadline := time.Now().Add(h.settings.Load().GracePeriod - shutdownMargin)
 	h.relayer.StartDraining()
+	clientServer.StartDraining()
 	h.driver.Apply(coordinator.HostStopping{})
 	select {
 	case <-time.After(lingerPeriod):
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -131,8 +131,7 @@
 // Routes returns the configuration in force, nil for none.
 func (r *Relayer) Routes() *fuchsiapitch.RouteTable { return r.routes.Load() }
 
-// StartDraining makes the relayer send "Connection: close" with each response, so that
-// clients open a new connection for their next request.
+// StartDraining records that the host stops.
 func (r *Relayer) StartDraining() { r.draining.Store(true) }
 
 // InFlightRequests returns the number of requests in flight.
@@ -142,9 +141,6 @@
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.inFlightRequests.Add(1)
 	defer r.inFlightRequests.Add(-1)
-	if r.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{relayer: r, writer: w, request: request, receivedAt: time.Now(), metadata: r.codec.ParseRequest(request.Header)}
 	if !x.matchRoute() {
 		return
