acceptor: failing tests for requests that end without a response

Connections are in memory and time is simulated; a starved connection wakes no reader, as on a host without processor time.

http.Server.Shutdown closes connections in state idle whatever has arrived on them, and the HTTP server drops a request whose header it has read after Shutdown began; both by its source.

--- /dev/null
+++ b/internal/acceptor/acceptor_test.go
@@ -0,0 +1,335 @@
+package acceptor
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	testIdleTimeout = 15 * time.Second
+	// testGracePeriod is the time that a stop in a test may take.
+	testGracePeriod = 8 * time.Second
+	// testWork is how long the handler of the tests takes for a request to /slow.
+	testWork = 2 * time.Second
+)
+
+// testAcceptor is an acceptor that serves connections in memory.
+type testAcceptor struct {
+	*Acceptor
+	listener    *memoryListener
+	idleTimeout atomic.Int64
+	result      chan error
+	// served is the number of requests that the handler has begun.
+	served atomic.Int64
+}
+
+// startAcceptor starts an acceptor with testIdleTimeout. stop must be called before the
+// bubble ends.
+func startAcceptor(t *testing.T) (a *testAcceptor, stop func()) {
+	t.Helper()
+	a = &testAcceptor{listener: newMemoryListener(), result: make(chan error, 1)}
+	a.idleTimeout.Store(int64(testIdleTimeout))
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		a.served.Add(1)
+		io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/slow" {
+			http.NewResponseController(w).Flush()
+			time.Sleep(testWork)
+		}
+		io.WriteString(w, "done")
+	}
+	a.Acceptor = New(http.HandlerFunc(handler), WithIdleTimeout(func() time.Duration { return time.Duration(a.idleTimeout.Load()) }))
+	go func() { a.result <- a.Serve(a.listener) }()
+	return a, func() {
+		a.Close()
+		if err := <-a.result; !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("got error %v, want a closed server", err)
+		}
+	}
+}
+
+// testClient is a client that uses one connection until it is closed.
+type testClient struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (a *testAcceptor) dialClient(t *testing.T) *testClient {
+	t.Helper()
+	c, err := a.listener.dial(t.Context(), "", "")
+	if err != nil {
+		t.Fatalf("got error %v, want a connection", err)
+	}
+	return &testClient{Conn: c, reader: bufio.NewReader(c)}
+}
+
+// send sends a request without waiting for the response.
+func (c *testClient) send(t *testing.T, path string) {
+	t.Helper()
+	if _, err := io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"); err != nil {
+		t.Errorf("got error %v, want an open connection", err)
+	}
+}
+
+// receive reads the response to the last request.
+func (c *testClient) receive(t *testing.T) *http.Response {
+	t.Helper()
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Errorf("got error %v, want a response", err)
+		return &http.Response{Header: make(http.Header)}
+	}
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "done" {
+		t.Errorf("got body %q and error %v, want a complete response", body, err)
+	}
+	return response
+}
+
+// exchange sends a request and reads its response.
+func (c *testClient) exchange(t *testing.T, path string) *http.Response {
+	t.Helper()
+	c.send(t, path)
+	return c.receive(t)
+}
+
+// assertClosed checks that the server closes the connection within a time, and not before
+// another.
+func (c *testClient) assertClosed(t *testing.T, notBefore, within time.Duration) {
+	t.Helper()
+	start := time.Now()
+	c.SetReadDeadline(start.Add(within))
+	_, err := c.reader.ReadByte()
+	if !errors.Is(err, io.EOF) {
+		t.Errorf("got error %v within %s, want the end of the connection", err, within)
+	}
+	if got := time.Since(start); got < notBefore {
+		t.Errorf("got the end of the connection after %s, want it not before %s", got, notBefore)
+	}
+}
+
+// shutDown starts a graceful stop with a grace period and returns a channel that receives
+// its result.
+func (a *testAcceptor) shutDown(t *testing.T) <-chan error {
+	t.Helper()
+	result := make(chan error, 1)
+	a.StartDraining()
+	ctx, cancel := context.WithTimeout(t.Context(), testGracePeriod)
+	go func() {
+		defer cancel()
+		result <- a.Shutdown(ctx)
+	}()
+	return result
+}
+
+func TestIdleTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		idle, busy := a.dialClient(t), a.dialClient(t)
+		idle.exchange(t, "/")
+		for range 4 {
+			busy.exchange(t, "/")
+			time.Sleep(testIdleTimeout / 3)
+		}
+		busy.exchange(t, "/")
+		idle.assertClosed(t, 0, time.Second)
+	})
+}
+
+func TestIdleTimeoutIsLoweredForLaterRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		c.exchange(t, "/")
+		a.idleTimeout.Store(int64(2 * time.Second))
+		c.exchange(t, "/")
+		c.assertClosed(t, 2*time.Second, 6*time.Second)
+	})
+}
+
+// Guards against a request that is discarded because its connection counts as idle: it has
+// arrived, but the host had no processor time to read it before the idle time-out.
+func TestIdleTimeoutServesArrivedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		c.exchange(t, "/")
+		synctest.Wait()
+		a.listener.lastAccepted().starve(true)
+		time.Sleep(testIdleTimeout - time.Millisecond)
+		c.send(t, "/")
+		time.Sleep(4 * time.Second)
+		a.listener.lastAccepted().starve(false)
+		c.receive(t)
+	})
+}
+
+// Guards against a connection that is closed although its client may still use it: the
+// idle time-out that the client knows was lowered after its last response.
+func TestLoweredIdleTimeoutKeepsIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		c.exchange(t, "/")
+		time.Sleep(testIdleTimeout / 2)
+		a.idleTimeout.Store(int64(time.Second))
+		time.Sleep(testIdleTimeout / 3)
+		c.exchange(t, "/")
+	})
+}
+
+// Guards against a client that learns the idle time-out from nothing but a closed
+// connection, which may cross its next request.
+func TestIdleTimeoutIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		if got, want := c.exchange(t, "/").Header.Get("Keep-Alive"), "timeout=15"; got != want {
+			t.Errorf("got Keep-Alive %q, want %q", got, want)
+		}
+		c.send(t, "/slow")
+		time.Sleep(testWork / 2)
+		// The head of the response, and with it the announcement, has been sent.
+		a.idleTimeout.Store(int64(time.Second))
+		if got, want := c.receive(t).Header.Get("Keep-Alive"), "timeout=15"; got != want {
+			t.Errorf("got Keep-Alive %q, want %q", got, want)
+		}
+		c.assertClosed(t, testIdleTimeout, testIdleTimeout+5*time.Second)
+	})
+}
+
+// Guards against requests that a stop discards although their connection is open: on a
+// connection that is idle when the host stops, after a response that was begun before the
+// stop, and on a connection that has had no request yet.
+func TestShutdownServesOpenConnections(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// before and during are the paths of requests whose response ends before the stop
+		// and during it, "" for none.
+		before, during string
+	}{
+		{name: "idle", before: "/"},
+		{name: "response begun before the stop", during: "/slow"},
+		{name: "no request yet"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, stop := startAcceptor(t)
+				defer stop()
+				c := a.dialClient(t)
+				if test.before != "" {
+					c.exchange(t, test.before)
+				}
+				if test.during != "" {
+					c.send(t, test.during)
+				}
+				synctest.Wait()
+				result := a.shutDown(t)
+				if test.during != "" {
+					c.receive(t)
+				}
+				time.Sleep(testWork)
+				if got := c.exchange(t, "/").Header.Get("Connection"); got != "close" {
+					t.Errorf("got Connection %q, want close", got)
+				}
+				start := time.Now()
+				if err := <-result; err != nil {
+					t.Errorf("got error %v, want a complete stop", err)
+				}
+				if got, want := time.Since(start), time.Second; got > want {
+					t.Errorf("got a stop %s after the last connection ended, want at most %s", got, want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests that a stop discards in the queue of connections that the host
+// has not accepted yet.
+func TestShutdownServesQueuedConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		synctest.Wait()
+		result := a.shutDown(t)
+		clients := make([]*testClient, 8)
+		for i := range clients {
+			clients[i] = a.dialClient(t)
+			clients[i].send(t, "/")
+		}
+		for _, c := range clients {
+			c.receive(t)
+		}
+		if err := <-result; err != nil {
+			t.Errorf("got error %v, want a complete stop", err)
+		}
+	})
+}
+
+// Guards against a request that is discarded at the end of a stop: it has arrived, but the
+// host had no processor time to read it.
+func TestShutdownServesArrivedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		c.exchange(t, "/")
+		synctest.Wait()
+		a.listener.lastAccepted().starve(true)
+		result := a.shutDown(t)
+		c.send(t, "/")
+		c.receive(t)
+		if err := <-result; err != nil {
+			t.Errorf("got error %v, want a complete stop", err)
+		}
+	})
+}
+
+// A client that keeps its connection open and idle does not hold up a stop beyond the grace
+// period.
+func TestShutdownEndsWithIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		a.dialClient(t).exchange(t, "/")
+		a.dialClient(t)
+		synctest.Wait()
+		start := time.Now()
+		if err := <-a.shutDown(t); err != nil {
+			t.Errorf("got error %v, want a complete stop", err)
+		}
+		if got := time.Since(start); got >= testGracePeriod {
+			t.Errorf("got a stop of %s, want less than %s", got, testGracePeriod)
+		}
+	})
+}
+
+// A request that is still in flight at the end of the grace period fails the stop.
+func TestShutdownReportsRequestsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		c.send(t, "/slow")
+		synctest.Wait()
+		a.StartDraining()
+		ctx, cancel := context.WithTimeout(t.Context(), testWork/2)
+		defer cancel()
+		if err := a.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got error %v, want that of the context", err)
+		}
+		time.Sleep(testWork)
+	})
+}
