acceptor: close idle connections only when no request can have been sent on them

Callers saw: a complete request gets no response, its connection is closed (LOST).

Cause: a check listed connections that were idle by the time-out of the moment and then closed them. A client cannot know that time-out, and a request that arrives before the close, in the network, in the socket or already read, is discarded. Class: the host ends a connection by a state that is older than what has arrived on it.

Change: each response announces the idle time-out (Keep-Alive); a connection stays open for the longest one that was announced or in force since its last request, and a second more. The check no longer closes a connection: it lets the waiting read expire, and the reader looks for a request once more before it gives up.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -1,14 +1,20 @@
 // Package acceptor accepts the connections of clients and serves HTTP requests on them.
 // It closes connections that are idle for too long, and all connections when the host
-// stops.
+// stops, but none on which a request has arrived that has no response.
+//
+// HTTP/1.1 gives the server no way to close a connection that cannot cross a request of the
+// client. The acceptor therefore announces how long a connection stays open and keeps to
+// it, whatever the configuration says later.
 package acceptor
 
 import (
 	"context"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +27,12 @@
 const (
 	// checkInterval is the time between two checks for idle connections.
 	checkInterval = time.Second
+	// closeMargin is how much longer than announced a connection stays open, for requests
+	// that the network delays.
+	closeMargin = time.Second
+	// lastReadTimeout bounds the read that looks for a request before a connection is
+	// closed.
+	lastReadTimeout = 10 * time.Millisecond
 	// defaultMaxIdleTimeout is how long a connection stays open without a request if no
 	// shorter time-out is set.
 	defaultMaxIdleTimeout = time.Minute
@@ -89,7 +101,7 @@
 		o(a)
 	}
 	a.httpServer.Handler = a.wrapHandler(handler)
-	a.httpServer.IdleTimeout = a.maxIdleTimeout
+	a.httpServer.IdleTimeout = a.maxIdleTimeout + closeMargin
 	a.httpServer.ConnContext = withConnection
 	a.httpServer.ConnState = a.trackState
 	return a
@@ -152,28 +164,20 @@
 		select {
 		case <-a.closed:
 			return
-		case now := <-ticker.C:
-			for _, c := range a.overdueConnections(now) {
-				a.log.Info().Str("caller", c.RemoteAddr().String()).Int64("timeout-ms", a.currentIdleTimeout().Milliseconds()).Msg("idle connection closed")
-				if err := c.Close(); err != nil {
-					a.log.Debug().Err(err).Msg("failed to close an idle connection")
+		case <-ticker.C:
+			timeout := a.currentIdleTimeout()
+			for _, c := range a.openConnections() {
+				if c.expireIfIdle(time.Now(), timeout) {
+					a.log.Debug().Str("caller", c.RemoteAddr().String()).Msg("idle connection closed")
 				}
 			}
 		}
 	}
 }
 
-// overdueConnections returns the connections that have been idle for longer than the
-// time-out.
-func (a *Acceptor) overdueConnections(now time.Time) []*connection {
-	timeout := a.currentIdleTimeout()
+// openConnections returns the connections that are open.
+func (a *Acceptor) openConnections() []*connection {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	var overdue []*connection
-	for c := range a.connections {
-		if c.idleFor(now) > timeout {
-			overdue = append(overdue, c)
-		}
-	}
-	return overdue
+	return slices.Collect(maps.Keys(a.connections))
 }
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -22,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &connection{Conn: accepted, acceptor: l.acceptor}
+	c := &connection{Conn: accepted, acceptor: l.acceptor, waiting: true, waitingSince: time.Now()}
 	l.acceptor.mutex.Lock()
 	defer l.acceptor.mutex.Unlock()
 	l.acceptor.connections[c] = struct{}{}
@@ -35,10 +38,15 @@
 	acceptor *Acceptor
 
 	mutex sync.Mutex
-	// idle is true from the end of a request until the header of the next one has been
-	// read, idleSince the time at which it became true.
-	idle      bool
-	idleSince time.Time
+	// waiting is true while the host waits for the first byte of a request, waitingSince the
+	// time at which it became true.
+	waiting      bool
+	waitingSince time.Time
+	// served is true once a request has been served.
+	served bool
+	// idleTimeout is the longest idle time-out on which the client may rely: those that
+	// were announced since its last request, or in force while the connection was idle.
+	idleTimeout time.Duration
 	// unserved is true from the first byte of a request until a handler serves it.
 	unserved bool
 }
@@ -67,55 +75,112 @@
 	if c == nil {
 		return
 	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.idle = state == http.StateIdle
-	if c.idle {
-		c.idleSince = time.Now()
+	if state == http.StateIdle {
+		c.startWaiting()
 	}
 }
 
-// wrapHandler returns a handler that records which requests reach next, and announces the
-// end of their connections once the acceptor drains.
+// wrapHandler returns a handler that records which requests reach next, and announces how
+// long their connections stay open.
 func (a *Acceptor) wrapHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		timeout := a.currentIdleTimeout()
 		if c, ok := r.Context().Value(connectionKey{}).(*connection); ok && c != nil {
-			c.setUnserved(false)
+			c.startServing(timeout)
 			// Reading the body of the request sets it again.
 			defer c.setUnserved(false)
 		}
 		if a.draining.Load() {
 			w.Header().Set("Connection", "close")
+		} else if timeout >= time.Second {
+			w.Header().Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(timeout/time.Second), 10))
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// startServing records that a handler serves a request, whose response announces an idle
+// time-out.
+func (c *connection) startServing(announced time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.unserved, c.served, c.idleTimeout = false, true, announced
+}
+
+// startWaiting records that the host waits for the next request.
+func (c *connection) startWaiting() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.waiting, c.waitingSince = true, time.Now()
+}
+
 func (c *connection) setUnserved(unserved bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.unserved = unserved
 }
 
-// idleFor returns for how long the connection has been idle, 0 if it is not.
-func (c *connection) idleFor(now time.Time) time.Duration {
+// expireIfIdle makes the HTTP server close the connection if it has been idle for longer
+// than the client was told or could know. It reports whether it has.
+func (c *connection) expireIfIdle(now time.Time, currentTimeout time.Duration) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.idle {
-		return 0
+	c.idleTimeout = max(c.idleTimeout, currentTimeout)
+	if !c.waiting || !c.served || now.Sub(c.waitingSince) <= c.idleTimeout+closeMargin {
+		return false
+	}
+	return c.expire(now)
+}
+
+// expire makes the HTTP server close the connection unless a request has arrived. It does
+// not close the connection itself, because only the goroutine that reads knows whether it
+// has received a request. The caller holds the mutex.
+func (c *connection) expire(now time.Time) bool {
+	if err := c.SetReadDeadline(now); err != nil {
+		c.acceptor.log.Debug().Err(err).Msg("failed to close an idle connection")
+		return false
 	}
-	return now.Sub(c.idleSince)
+	return true
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. When the deadline of a read for the first byte of a request has
+// passed, it returns data that has arrived nevertheless: the deadline can wake the reader
+// before the data does.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isWaiting() {
+		if err := c.SetReadDeadline(time.Now().Add(lastReadTimeout)); err != nil {
+			return 0, err
+		}
+		n, err = c.Conn.Read(data)
+		if n > 0 {
+			c.acceptor.meter.CountRescuedRequest()
+			c.acceptor.log.Info().Str("caller", c.RemoteAddr().String()).Msg("request arrived on a connection that was to be closed")
+			// The HTTP server sets its own deadline once it has the start of a request.
+			if err := c.SetReadDeadline(time.Now().Add(defaultHeaderTimeout)); err != nil {
+				return n, err
+			}
+		}
+	}
 	if n > 0 {
-		c.setUnserved(true)
+		c.startReceiving()
 	}
 	return n, err
 }
 
+func (c *connection) isWaiting() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.waiting
+}
+
+// startReceiving records that bytes of a request have arrived.
+func (c *connection) startReceiving() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.waiting, c.unserved = false, true
+}
+
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.recordClose()
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -72,3 +72,9 @@
 func (m *Meter) CountClosedConnection(unread, unserved bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_closed_connections_total{unread=\"%t\",unserved=\"%t\"}", unread, unserved)).Inc()
 }
+
+// CountRescuedRequest counts a request that had arrived when its connection was to be closed
+// for idleness or for a stop, and was served nevertheless.
+func (m *Meter) CountRescuedRequest() {
+	m.set.GetOrCreateCounter("fuchsiapitch_rescued_requests_total").Inc()
+}
