acceptor: a stop serves the requests that arrive until the end

Callers saw: beside a stop, a complete request gets no response (LOST).

Cause: http.Server.Shutdown closes connections in state idle whatever has arrived on them, drops requests whose header it has read after it began, and closes connections after responses that did not announce it. Closing the listener resets connections that have not been accepted. The same class as the check for idle connections: the host ends connections by a state that is older than what has arrived.

Change: a stop keeps accepting and serving; each response announces the end of its connection, after which the client closes it. Connections that stay idle for 5 s, or until 0.5 s before the end, expire as idle ones do, with a last look for a request. The listener closes when its queue is empty.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -30,6 +30,17 @@
 	// closeMargin is how much longer than announced a connection stays open, for requests
 	// that the network delays.
 	closeMargin = time.Second
+	// drainIdlePeriod is how long a stopping host keeps idle connections open for one more
+	// request of their clients.
+	drainIdlePeriod = 5 * time.Second
+	// drainMargin is the time kept for the last requests between the close of idle
+	// connections and the end of a stop.
+	drainMargin = 500 * time.Millisecond
+	// drainPollInterval is the time between two checks for open connections.
+	drainPollInterval = 20 * time.Millisecond
+	// lastAcceptTimeout is the time without a new connection after which a stopping host
+	// accepts no more.
+	lastAcceptTimeout = 100 * time.Millisecond
 	// lastReadTimeout bounds the read that looks for a request before a connection is
 	// closed.
 	lastReadTimeout = 10 * time.Millisecond
@@ -56,6 +67,8 @@
 
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
+	// listener is that of Serve, nil before.
+	listener *trackedListener
 	// closed is closed when the acceptor no longer checks for idle connections.
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -115,14 +128,19 @@
 		defer close(checkerDone)
 		a.closeIdleConnections()
 	}()
-	listener = &trackedListener{Listener: listener, acceptor: a}
+	tracked := &trackedListener{Listener: listener, acceptor: a, done: make(chan struct{})}
+	a.mutex.Lock()
+	a.listener = tracked
+	a.mutex.Unlock()
 	var err error
 	if a.httpServer.TLSConfig != nil {
-		err = a.httpServer.ServeTLS(listener, "", "")
+		err = a.httpServer.ServeTLS(tracked, "", "")
 	} else {
-		err = a.httpServer.Serve(listener)
+		err = a.httpServer.Serve(tracked)
 	}
-	if !errors.Is(err, http.ErrServerClosed) {
+	if tracked.stopping.Load() {
+		err = http.ErrServerClosed
+	} else if !errors.Is(err, http.ErrServerClosed) {
 		a.stopChecks()
 	}
 	<-checkerDone
@@ -133,13 +151,64 @@
 // clients open a new connection for their next request.
 func (a *Acceptor) StartDraining() { a.draining.Store(true) }
 
-// Shutdown stops accepting connections, and waits until the requests in flight have been
-// served or the context ends.
+// Shutdown waits until the clients have closed their connections, each after the response
+// that announces its end. It accepts connections meanwhile. Connections that stay idle are
+// closed after drainIdlePeriod, or shortly before the deadline of the context. If the context
+// ends first, its error is returned, and the remaining connections stay open until Close.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	defer a.stopChecks()
+	a.StartDraining()
+	idleDeadline := time.Now().Add(drainIdlePeriod)
+	if deadline, ok := ctx.Deadline(); ok && idleDeadline.After(deadline.Add(-drainMargin)) {
+		idleDeadline = deadline.Add(-drainMargin)
+	}
+	a.await(ctx, func() bool {
+		return len(a.openConnections()) == 0 || !time.Now().Before(idleDeadline)
+	})
+	a.stopAccepting(ctx)
+	a.await(ctx, func() bool {
+		now := time.Now()
+		open := a.openConnections()
+		for _, c := range open {
+			if !now.Before(idleDeadline) {
+				c.expireIfWaiting(now)
+			}
+		}
+		return len(open) == 0
+	})
+	// Connections with HTTP/2 end by its own protocol.
 	return a.httpServer.Shutdown(ctx)
 }
 
+// await waits until a condition holds or the context ends.
+func (a *Acceptor) await(ctx context.Context, condition func() bool) {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// stopAccepting stops accepting connections once those in the queue of the listener have
+// been accepted, or the context ends.
+func (a *Acceptor) stopAccepting(ctx context.Context) {
+	a.mutex.Lock()
+	listener := a.listener
+	a.mutex.Unlock()
+	if listener == nil {
+		return
+	}
+	listener.stop()
+	select {
+	case <-listener.done:
+	case <-ctx.Done():
+	}
+}
+
 // Close closes all connections.
 func (a *Acceptor) Close() error {
 	defer a.stopChecks()
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -241,8 +241,8 @@
 					c.receive(t)
 				}
 				time.Sleep(testWork)
-				if got := c.exchange(t, "/").Header.Get("Connection"); got != "close" {
-					t.Errorf("got Connection %q, want close", got)
+				if response := c.exchange(t, "/"); !response.Close {
+					t.Error("got a response without the end of the connection, want one with it")
 				}
 				start := time.Now()
 				if err := <-result; err != nil {
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -17,11 +18,39 @@
 type trackedListener struct {
 	net.Listener
 	acceptor *Acceptor
+	stopping atomic.Bool
+	// done is closed once no more connections are accepted.
+	done     chan struct{}
+	doneOnce sync.Once
+}
+
+// deadlineSetter is a listener whose Accept can time out.
+type deadlineSetter interface{ SetDeadline(t time.Time) error }
+
+// stop makes Accept fail once the queue of the listener is empty.
+func (l *trackedListener) stop() {
+	l.stopping.Store(true)
+	l.armDeadline()
+}
+
+// armDeadline makes Accept time out after lastAcceptTimeout.
+func (l *trackedListener) armDeadline() {
+	if d, ok := l.Listener.(deadlineSetter); ok && d.SetDeadline(time.Now().Add(lastAcceptTimeout)) == nil {
+		return
+	}
+	l.Close()
 }
 
 // Accept implements net.Listener.
 func (l *trackedListener) Accept() (net.Conn, error) {
+	if l.stopping.Load() {
+		l.armDeadline()
+	}
 	accepted, err := l.Listener.Accept()
+	if err != nil && l.stopping.Load() {
+		l.doneOnce.Do(func() { close(l.done) })
+		return nil, net.ErrClosed
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -51,6 +80,9 @@
 	unserved bool
 }
 
+// http2Protocol is the name of HTTP/2 in the negotiation of TLS.
+const http2Protocol = "h2"
+
 // connectionKey is the context key of the connection of a request.
 type connectionKey struct{}
 
@@ -75,6 +107,10 @@
 	if c == nil {
 		return
 	}
+	if encrypted, ok := served.(*tls.Conn); ok && encrypted.ConnectionState().NegotiatedProtocol == http2Protocol {
+		a.forget(c)
+		return
+	}
 	if state == http.StateIdle {
 		c.startWaiting()
 	}
@@ -132,6 +168,16 @@
 	return c.expire(now)
 }
 
+// expireIfWaiting makes the HTTP server close the connection if no part of a request has
+// arrived on it.
+func (c *connection) expireIfWaiting(now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.waiting {
+		c.expire(now)
+	}
+}
+
 // expire makes the HTTP server close the connection unless a request has arrived. It does
 // not close the connection itself, because only the goroutine that reads knows whether it
 // has received a request. The caller holds the mutex.
@@ -187,15 +233,20 @@
 	return c.Conn.Close()
 }
 
+// forget stops tracking a connection. It reports whether the connection was tracked.
+func (a *Acceptor) forget(c *connection) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	_, tracked := a.connections[c]
+	delete(a.connections, c)
+	return tracked
+}
+
 // recordClose removes the connection from the acceptor. It logs if a request has arrived
 // that no handler has seen.
 func (c *connection) recordClose() {
 	a := c.acceptor
-	a.mutex.Lock()
-	_, open := a.connections[c]
-	delete(a.connections, c)
-	a.mutex.Unlock()
-	if !open {
+	if !a.forget(c) {
 		return
 	}
 	c.mutex.Lock()
