relayer: a request keeps the configuration in force when it arrived

Callers could get 413 for a body that the configuration by which their request was matched allows, or 503 "no-replica" for a service that it holds: the relayer loaded the table again for the size of the body and for the engine of the service, and a version could come in between. While the body is read and while the request waits or is retried that span is as long as the request.

The exchange now holds the table that it was matched by, and uses no other.

Ruled out: a limit that is lowered while the body is read. The limit was loaded once, before the first byte of the body.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -171,10 +171,12 @@
 	receivedAt time.Time
 	deadline   time.Time
 	metadata   fuchsiapitch.RequestMetadata
-	route      fuchsiapitch.HostRoute
-	principal  fuchsiapitch.Principal
-	service    fuchsiapitch.ServiceName
-	body       []byte
+	// routes is the configuration in force when the request arrived.
+	routes    *fuchsiapitch.RouteTable
+	route     fuchsiapitch.HostRoute
+	principal fuchsiapitch.Principal
+	service   fuchsiapitch.ServiceName
+	body      []byte
 	// sendCount is the number of attempts in which the request may have reached a
 	// server, acquisitions the number of times that a slot was requested for it.
 	sendCount, acquisitions int
@@ -191,6 +193,7 @@
 // request. If it returns false, it has responded with an error.
 func (x *exchange) matchRoute() bool {
 	t := x.relayer.routes.Load()
+	x.routes = t
 	if t == nil {
 		x.writeError(http.StatusServiceUnavailable, defaultRetryAfter, "no configuration yet")
 		return false
@@ -260,7 +263,7 @@
 // readBody reads the request body up to the size limit. If it returns false, it has
 // responded with an error.
 func (x *exchange) readBody() bool {
-	limit := x.relayer.routes.Load().Limits().BodyBytes
+	limit := x.routes.Limits().BodyBytes
 	if limit <= 0 {
 		limit = maxBufferedBytes
 	}
@@ -299,7 +302,7 @@
 		latencyTarget = time.Until(x.deadline) / 2
 	}
 	model := x.metadata.Model
-	if profile, ok := x.relayer.routes.Load().Service(x.service); !ok || profile.Engine == nil {
+	if profile, ok := x.routes.Service(x.service); !ok || profile.Engine == nil {
 		model = ""
 	}
 	return x.relayer.admitter.Acquire(x.ctx, coordinator.RequestArrived{
