receiver: a request keeps the configuration in force when it arrived

Callers could get 404 "unknown-service" for a model that was configured when their key was checked: the receiver read the configuration once for the key and again, after the body, for the service. While the body arrived a newer version could remove the service.

Each request now reads the configuration once.

--- a/internal/receiver/application.go
+++ b/internal/receiver/application.go
@@ -18,11 +18,12 @@
 func (r *Receiver) readApplicationRequest(w http.ResponseWriter, q *http.Request, id fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error) {
 	var noRequest fuchsiapitch.Request
 	var noCall fuchsiapitch.Call
-	customer, ok := r.authenticate(q)
+	configuration := r.configurationProvider.Configuration()
+	customer, ok := authenticate(configuration, q)
 	if !ok {
 		return noRequest, noCall, unknownKeyError()
 	}
-	service, path, err := r.findApplicationService(q)
+	service, path, err := findApplicationService(configuration, q)
 	if err != nil {
 		return noRequest, noCall, err
 	}
@@ -50,7 +51,7 @@
 
 // findApplicationService returns the application service that a request names in
 // its path or host name, and the path and query to send to the service.
-func (r *Receiver) findApplicationService(q *http.Request) (fuchsiapitch.Service, string, error) {
+func findApplicationService(configuration fuchsiapitch.Configuration, q *http.Request) (fuchsiapitch.Service, string, error) {
 	name, path := firstHostLabel(q), q.URL.RequestURI()
 	if rest, ok := strings.CutPrefix(path, servicePrefix); ok {
 		end := strings.IndexAny(rest, "/?")
@@ -62,7 +63,7 @@
 			path = "/" + path
 		}
 	}
-	service, ok := r.configurationProvider.Configuration().Service(fuchsiapitch.ServiceName(name))
+	service, ok := configuration.Service(fuchsiapitch.ServiceName(name))
 	if !ok || service.Kind() != fuchsiapitch.ApplicationService {
 		return service, "", &RequestError{Status: http.StatusNotFound, Code: "unknown-service", Detail: "no application service is named " + name}
 	}
--- a/internal/receiver/model.go
+++ b/internal/receiver/model.go
@@ -68,7 +68,8 @@
 func (r *Receiver) readModelRequest(w http.ResponseWriter, q *http.Request, id fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error) {
 	var noRequest fuchsiapitch.Request
 	var noCall fuchsiapitch.Call
-	customer, ok := r.authenticate(q)
+	configuration := r.configurationProvider.Configuration()
+	customer, ok := authenticate(configuration, q)
 	if !ok {
 		return noRequest, noCall, unknownKeyError()
 	}
@@ -80,7 +81,7 @@
 	if err := json.Unmarshal(body, &content); err != nil {
 		return noRequest, noCall, &RequestError{Status: http.StatusBadRequest, Code: "malformed-json", Detail: err.Error()}
 	}
-	service, err := r.findModelService(content.Model)
+	service, err := findModelService(configuration, content.Model)
 	if err != nil {
 		return noRequest, noCall, err
 	}
@@ -106,9 +107,9 @@
 
 // findModelService returns the model service that a request names. The part after
 // a colon selects an adapter; the engine reads it from the body.
-func (r *Receiver) findModelService(model string) (fuchsiapitch.Service, error) {
+func findModelService(configuration fuchsiapitch.Configuration, model string) (fuchsiapitch.Service, error) {
 	name, _, _ := strings.Cut(model, ":")
-	service, ok := r.configurationProvider.Configuration().Service(fuchsiapitch.ServiceName(name))
+	service, ok := configuration.Service(fuchsiapitch.ServiceName(name))
 	if !ok || service.Kind() != fuchsiapitch.ModelService {
 		return fuchsiapitch.Service{}, &RequestError{Status: http.StatusNotFound, Code: "unknown-service", Detail: "no model service is named " + name}
 	}
@@ -138,12 +139,13 @@
 }
 
 func (r *Receiver) serveModelList(w http.ResponseWriter, q *http.Request) {
-	if _, ok := r.authenticate(q); !ok {
+	configuration := r.configurationProvider.Configuration()
+	if _, ok := authenticate(configuration, q); !ok {
 		writeErrorResponse(w, newRequestID(), true, errorResponseOf(unknownKeyError()))
 		return
 	}
 	list := modelList{Object: "list", Data: []modelEntry{}}
-	for _, s := range r.configurationProvider.Configuration().Services() {
+	for _, s := range configuration.Services() {
 		if s.Kind() == fuchsiapitch.ModelService {
 			list.Data = append(list.Data, modelEntry{ID: string(s.Name()), Object: "model", OwnedBy: "fuchsiapitch"})
 		}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -105,13 +105,13 @@
 }
 
 // authenticate returns the customer to whom the bearer key of a request belongs.
-func (r *Receiver) authenticate(q *http.Request) (fuchsiapitch.Customer, bool) {
+func authenticate(configuration fuchsiapitch.Configuration, q *http.Request) (fuchsiapitch.Customer, bool) {
 	key, ok := strings.CutPrefix(q.Header.Get("Authorization"), bearerPrefix)
 	if !ok || key == "" {
 		return fuchsiapitch.Customer{}, false
 	}
 	hash := sha256.Sum256([]byte(key))
-	return r.configurationProvider.Configuration().CustomerByKeyHash(hex.EncodeToString(hash[:]))
+	return configuration.CustomerByKeyHash(hex.EncodeToString(hash[:]))
 }
 
 // requestParameters are the scheduling parameters that a request can set by its
