reducer: requests outlive their service in the configuration

Callers could see a stream end early with the outcome unknown, or get 404 "unknown-service" for a request whose service was configured when it arrived: a request is placed again after a failure, a back-off or an overflow, and each time the configuration in force had to hold its service, though its replicas still served.

The receiver has checked the service by the configuration of the request. The reducer asks no more whether the newest one has it: a request runs where a replica serves it, and is otherwise refused with "no-replica" or waits as before.

RefusedUnknownService keeps its number: hosts of an earlier build may send it.

--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -140,12 +140,9 @@
 }
 
 // place chooses a dispatcher for a request that a client or another data centre
-// sent to this host, and queues or forwards the request.
+// sent to this host, and queues or forwards the request. The receiver has checked the
+// service by the configuration of the request, which need not be the one in force.
 func (s *State) place(f *inFlightRequest) {
-	if _, ok := s.configuration.Service(f.request.Service()); !ok {
-		s.refuse(f, fuchsiapitch.RefusedUnknownService, 0)
-		return
-	}
 	if h, ok := s.chooseRemoteDataCentre(f); ok {
 		s.forward(f, h)
 		return
