coordinator: requests outlive their service in the configuration

Callers whose request waited for a service that a newer configuration removed were refused only at the end of the longest wait, and a stream that had to be resumed there broke off, though the servers of the service went on serving. And a route to a service that a configuration adds got 503 "no-replica" until the next tick, up to 50 ms.

The coordinator dropped the servers of a service with its entry in the table, and used those of a new one from the next tick on. It now keeps the profile of a removed service until the deadline of the last request for it, which the relayer matched by an earlier configuration, and applies a configuration to its servers at once. New requests cannot name a removed service, since they are matched by the newest table. The controller goes on to plan groups for configured services alone.

Ruled out: a waiting request that gets neither a grant nor a refusal. It was refused at the limit of its wait, before its deadline.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -62,10 +62,11 @@
 	lateUrgency    = 1
 )
 
-// admissionState holds the replicas, the requests in flight and the queue.
+// admissionState holds the services, the replicas, the requests in flight and the queue.
 // suspectedLocally marks the servers that failed requests of this host have named as
 // the cause.
 type admissionState struct {
+	services         map[fuchsiapitch.ServiceName]*knownService
 	replicas         map[fuchsiapitch.ServerID]*replica
 	assignments      map[Ticket]*assignment
 	queue            []*queuedRequest
@@ -101,7 +102,7 @@
 
 func newAdmissionState() admissionState {
 	return admissionState{
-		replicas: make(map[fuchsiapitch.ServerID]*replica), assignments: make(map[Ticket]*assignment),
+		services: make(map[fuchsiapitch.ServiceName]*knownService), replicas: make(map[fuchsiapitch.ServerID]*replica), assignments: make(map[Ticket]*assignment),
 		slotTimes: make(map[poolKey]time.Duration), firstByteDelays: make(map[poolKey]time.Duration), suspectedLocally: make(map[fuchsiapitch.ServerID]bool),
 	}
 }
@@ -112,6 +113,7 @@
 func (c *Coordinator) admit(now time.Duration, e RequestArrived) {
 	w := &queuedRequest{RequestArrived: e, pool: poolKey{e.Service, e.Model}, arrivedAt: now}
 	w.isLate = c.cannotBeInTime(now, w)
+	c.retainService(e)
 	c.countArrival(now, queueKey{w.pool, w.Rank})
 	c.demoteLate(now)
 	if !c.chargeRetryBudget(now, e) {
@@ -270,13 +272,6 @@
 	return m.WarmLoadTime + p.Engine.OpenOrderTime
 }
 
-func (c *Coordinator) serviceProfile(name fuchsiapitch.ServiceName) (fuchsiapitch.ServiceProfile, bool) {
-	if c.routes == nil {
-		return fuchsiapitch.ServiceProfile{}, false
-	}
-	return c.routes.Service(name)
-}
-
 // chooseReplica returns the replica with the lowest cost, or nil if none has a free
 // slot.
 func (c *Coordinator) chooseReplica(now time.Duration, w *queuedRequest) *replica {
--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -450,10 +450,7 @@
 
 // engineProfile returns the engine profile of a server's service, nil for none.
 func (c *Coordinator) engineProfile(s *server) *fuchsiapitch.EngineProfile {
-	if c.routes == nil {
-		return nil
-	}
-	p, _ := c.routes.Service(s.report.Service)
+	p, _ := c.serviceProfile(s.report.Service)
 	return p.Engine
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -140,7 +140,7 @@
 	case TicketReleased:
 		c.releaseTicket(now, e)
 	case ConfigurationChanged:
-		c.routes = e.Routes
+		c.configure(now, e.Routes)
 	case ServersListed:
 		c.listOffset = e.Offset
 		if e.Offset < c.directoryOffset && !c.servesList(now) {
--- a/internal/coordinator/directory.go
+++ b/internal/coordinator/directory.go
@@ -91,7 +91,7 @@
 	}
 	c.indexDomains()
 	for key, servers := range c.domains {
-		if p, ok := c.routes.Service(key.service); !ok || p.Engine != nil {
+		if p, ok := c.serviceProfile(key.service); !ok || p.Engine != nil {
 			continue
 		}
 		for _, s := range servers {
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -122,13 +122,14 @@
 	if c.routes == nil {
 		return
 	}
-	for name, p := range c.routes.Services() {
-		if p.Engine != nil {
+	c.forgetServices(now)
+	for name, service := range c.services {
+		if service.profile.Engine != nil {
 			continue
 		}
 		for id, s := range c.servers {
 			if s.report.Service == name && s.listed && !s.report.Leaving {
-				c.updateReplica(id, s, p, "")
+				c.updateReplica(id, s, service.profile, "")
 			}
 		}
 	}
@@ -138,7 +139,7 @@
 		if !ok || !g.Open || s.report.Leaving || !s.listed && !c.listStale {
 			continue
 		}
-		if p, ok := c.routes.Service(s.report.Service); ok && p.Engine != nil {
+		if p, ok := c.serviceProfile(s.report.Service); ok && p.Engine != nil {
 			c.updateReplica(g.Leader, s, p, g.Model)
 		}
 	}
