coordinator: the retry budget outlives a change of its window

After new settings (SIGHUP) with another window of the retry budget a stream that had to be resumed was refused with "no-budget" and broke off, and after more requests the host could use its share a second time in the same span.

A changed window began with empty counts of requests and retries. The counts now move to the new window, where they count as new, which is never later than they are.

Evidence: TestRetryBudgetOutlivesItsWindow, 14 retries allowed by 100 requests and half of them used before the change, failed before:

got 0 retries after the change, want 7

Ruled out: anything else that new limits do to requests that wait or run. They change the stall time-out and the figures of the budget, and touch no ticket.

--- a/internal/coordinator/budget.go
+++ b/internal/coordinator/budget.go
@@ -61,15 +61,31 @@
 // currentUsage returns the usage of a service and the index of the current bucket.
 func (c *Coordinator) currentUsage(now time.Duration, service fuchsiapitch.ServiceName) (*retryUsage, int64) {
 	u, ok := c.retryUsages[service]
-	if !ok || u.window != c.retryWindow {
+	if !ok {
 		u = &retryUsage{window: c.retryWindow}
 		c.retryUsages[service] = u
 	}
+	if u.window != c.retryWindow {
+		u.changeWindow(now, c.retryWindow)
+	}
 	n := int64(now / (c.retryWindow / windowBuckets))
 	u.expireBuckets(n)
 	return u, n % windowBuckets
 }
 
+// changeWindow changes the length of the window. What the former one holds counts as new.
+func (u *retryUsage) changeWindow(now, window time.Duration) {
+	u.expireBuckets(int64(now / (u.window / windowBuckets)))
+	changed := retryUsage{window: window}
+	n := int64(now / (window / windowBuckets))
+	changed.expireBuckets(n)
+	for k := range u.requests {
+		changed.requests[n%windowBuckets] += u.requests[k]
+		changed.retries[n%windowBuckets] += u.retries[k]
+	}
+	*u = changed
+}
+
 // mayRetry reports whether this host's share of the budget allows one more retry.
 func (c *Coordinator) mayRetry(now time.Duration, service fuchsiapitch.ServiceName) bool {
 	if c.retryWindow <= 0 {
