coordinator: random runs with requests and changes of the configuration

The random runs had groups and faults, and no request. In the new ones requests arrive for two plain services and the groups of an engine, up to 0.3 s after they were matched, while configurations remove, add and change these services and the settings change the retry budget, 30 to 620 ms apart. Each request must get exactly one grant or refusal before its deadline plus a tick. Without faults no request of a configured service may be refused and no slot be revoked; with faults (engines out of reach for up to 5 s, or restarted) the plain servers have one slot each, so that requests wait.

--- a/internal/coordinator/simulation_test.go
+++ b/internal/coordinator/simulation_test.go
@@ -111,6 +111,12 @@
 	// cannot update it.
 	frozenList      []fuchsiapitch.ServerReport
 	listFrozenUntil time.Duration
+	// plainServers are listed besides the engines.
+	plainServers []fuchsiapitch.ServerReport
+	// onEffect is called with the effects that apply does not carry out itself, and
+	// lastByteTimes returns what ticks report. Both may be nil.
+	onEffect      func(n int, e Effect)
+	lastByteTimes func() map[fuchsiapitch.ServerID]time.Duration
 }
 
 // newSimulation returns a simulation in which each domain has servers for one large
@@ -165,7 +171,7 @@
 }
 
 // apply applies an event to a coordinator and carries out the resulting probes and
-// orders. It ignores all other effects.
+// orders. It passes all other effects to onEffect.
 func (sm *simulation) apply(n int, e Event) {
 	for _, effect := range sm.coordinators[n].Apply(sm.now, e) {
 		switch f := effect.(type) {
@@ -173,6 +179,10 @@
 			sm.respondToProbe(n, f)
 		case SendOrder:
 			sm.deliverOrder(n, f.Order)
+		default:
+			if sm.onEffect != nil {
+				sm.onEffect(n, effect)
+			}
 		}
 	}
 	if got := sm.coordinators[n].Violations(); got != 0 {
@@ -362,7 +372,11 @@
 			sm.apply(n, ServersListed{Servers: sm.serverList()})
 		}
 		if sm.now%(50*time.Millisecond) == 0 {
-			sm.apply(n, Ticked{})
+			ticked := Ticked{}
+			if sm.lastByteTimes != nil {
+				ticked.LastByteTimes = sm.lastByteTimes()
+			}
+			sm.apply(n, ticked)
 		}
 	}
 }
@@ -422,7 +436,7 @@
 	if sm.now < sm.listFrozenUntil {
 		return sm.frozenList
 	}
-	var list []fuchsiapitch.ServerReport
+	list := slices.Clone(sm.plainServers)
 	const lagSteps = 60
 	for _, id := range sm.engineOrder {
 		e := sm.engines[id]
