relayer: a stopping host refuses what is not likely to end, and answers what it aborts

Callers saw: streams that arrive late in a stop are cut off at its end; bookings in flight then get no response.

Cause: a stop accepted all requests until its end, and closed the connections of those in flight. Change: once the linger period is over, a request is refused at once (503, not run) if neither its time limit nor the time in which nearly all requests of its route end lies before the end of the stop. Shortly before that end requests in flight are aborted and get 503 or 502 by what is known of them; a stream that has begun is cut off. Idle connections stay open for 1.5 s after the linger period on the platform.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -30,9 +30,9 @@
 	// closeMargin is how much longer than announced a connection stays open, for requests
 	// that the network delays.
 	closeMargin = time.Second
-	// drainIdlePeriod is how long a stopping host keeps idle connections open for one more
-	// request of their clients.
-	drainIdlePeriod = 5 * time.Second
+	// defaultDrainIdlePeriod is how long a stopping host keeps idle connections open for one
+	// more request of their clients.
+	defaultDrainIdlePeriod = 5 * time.Second
 	// drainMargin is the time kept for the last requests between the close of idle
 	// connections and the end of a stop.
 	drainMargin = 500 * time.Millisecond
@@ -60,8 +60,10 @@
 	// idleTimeout returns how long a connection may be idle, 0 for maxIdleTimeout.
 	idleTimeout    func() time.Duration
 	maxIdleTimeout time.Duration
-	log            zerolog.Logger
-	meter          *meter.Meter
+	// drainIdlePeriod is how long Shutdown keeps idle connections open.
+	drainIdlePeriod time.Duration
+	log             zerolog.Logger
+	meter           *meter.Meter
 
 	draining atomic.Bool
 
@@ -88,6 +90,12 @@
 	return func(a *Acceptor) { a.maxIdleTimeout = timeout }
 }
 
+// WithDrainIdlePeriod sets how long Shutdown keeps idle connections open for one more request
+// of their clients.
+func WithDrainIdlePeriod(period time.Duration) Option {
+	return func(a *Acceptor) { a.drainIdlePeriod = period }
+}
+
 // WithTLS sets the TLS configuration. Without one, connections are not encrypted.
 func WithTLS(c *tls.Config) Option { return func(a *Acceptor) { a.httpServer.TLSConfig = c } }
 
@@ -107,7 +115,8 @@
 	a := &Acceptor{
 		httpServer:  &http.Server{ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes},
 		idleTimeout: func() time.Duration { return 0 }, maxIdleTimeout: defaultMaxIdleTimeout,
-		log: zerolog.Nop(), meter: meter.New(),
+		drainIdlePeriod: defaultDrainIdlePeriod,
+		log:             zerolog.Nop(), meter: meter.New(),
 		connections: make(map[*connection]struct{}), closed: make(chan struct{}),
 	}
 	for _, o := range options {
@@ -153,12 +162,12 @@
 
 // Shutdown waits until the clients have closed their connections, each after the response
 // that announces its end. It accepts connections meanwhile. Connections that stay idle are
-// closed after drainIdlePeriod, or shortly before the deadline of the context. If the context
+// closed after the period of WithDrainIdlePeriod, or shortly before the deadline of the context. If the context
 // ends first, its error is returned, and the remaining connections stay open until Close.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	defer a.stopChecks()
 	a.StartDraining()
-	idleDeadline := time.Now().Add(drainIdlePeriod)
+	idleDeadline := time.Now().Add(a.drainIdlePeriod)
 	if deadline, ok := ctx.Deadline(); ok && idleDeadline.After(deadline.Add(-drainMargin)) {
 		idleDeadline = deadline.Add(-drainMargin)
 	}
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -227,6 +227,15 @@
 	c.waiting, c.unserved = false, true
 }
 
+// CloseWrite closes the sending half of the connection. The HTTP server uses it so that a
+// client receives a response although the rest of its request is not read.
+func (c *connection) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.recordClose()
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -64,6 +64,13 @@
 	// lingerPeriod is how long a stopping host still accepts new connections, until
 	// the load balancer has noticed that it is not ready.
 	lingerPeriod = 2500 * time.Millisecond
+	// drainIdlePeriod is how long a stopping host keeps idle connections open after the
+	// linger period. It is short, because balancers go on sending new connections to a host
+	// that is not ready while few others are, and the host serves fully after its restart.
+	drainIdlePeriod = 1500 * time.Millisecond
+	// abortMargin is the time kept between the abort of the requests in flight and the end
+	// of the graceful shutdown, in which their responses are sent.
+	abortMargin = 250 * time.Millisecond
 	// shutdownMargin is the time kept between the end of the graceful shutdown and
 	// the forced termination of the process.
 	shutdownMargin = 300 * time.Millisecond
@@ -177,7 +184,7 @@
 	defer cancelBackground()
 	supervisor := h.newSupervisor()
 	supervisorResult := supervisor.ServeBackground(backgroundCtx)
-	clientServer := acceptor.New(h.relayer, acceptor.WithIdleTimeout(h.idleTimeout), acceptor.WithBaseContext(ctx),
+	clientServer := acceptor.New(h.relayer, acceptor.WithIdleTimeout(h.idleTimeout), acceptor.WithDrainIdlePeriod(drainIdlePeriod), acceptor.WithBaseContext(ctx),
 		acceptor.WithLogger(h.rootLogger.For("acceptor")), acceptor.WithMeter(h.meter))
 	operatorMux := http.NewServeMux()
 	operatorMux.HandleFunc("/", h.serveReadiness)
@@ -223,13 +230,13 @@
 	return clientListener, readinessListener, nil
 }
 
-// shutDown reports the host as not ready at once, accepts new connections for the
-// linger period, and then waits for the requests in flight until shortly before the
-// end of the grace period.
+// shutDown reports the host as not ready at once. It serves what arrives until the clients
+// have closed their connections, and for the linger period at least. Requests still in
+// flight are aborted shortly before the end of the grace period.
 func (h *Host) shutDown(ctx context.Context, clientServer *acceptor.Acceptor) error {
 	h.log.Info().Int64("in-flight", h.relayer.InFlightRequests()).Msg("host stops")
 	deadline := time.Now().Add(h.settings.Load().GracePeriod - shutdownMargin)
-	h.relayer.StartDraining()
+	h.relayer.StartDraining(lingerPeriod, time.Until(deadline)-abortMargin)
 	clientServer.StartDraining()
 	h.driver.Apply(coordinator.HostStopping{})
 	select {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -87,9 +87,14 @@
 	meter    *meter.Meter
 	routes   atomic.Pointer[fuchsiapitch.RouteTable]
 	// largeBodies holds a value for each large response body that is being read.
-	largeBodies      chan struct{}
-	draining         atomic.Bool
+	largeBodies chan struct{}
+	// drain is the schedule of the stop, nil before.
+	drain atomic.Pointer[drain]
+	// aborted ends when abort is called.
+	aborted          context.Context //nolint:containedctx // It lives as long as the relayer.
+	abort            context.CancelCauseFunc
 	inFlightRequests atomic.Int64
+	durations        durationEstimator
 }
 
 // Option sets one optional property of a relayer.
@@ -108,6 +113,7 @@
 		admitter: admitter, sender: sender, codec: codec, log: zerolog.Nop(), meter: meter.New(),
 		largeBodies: make(chan struct{}, maxLargeBodies),
 	}
+	r.aborted, r.abort = context.WithCancelCause(context.Background())
 	for _, o := range options {
 		o(r)
 	}
@@ -131,9 +137,6 @@
 // Routes returns the configuration in force, nil for none.
 func (r *Relayer) Routes() *fuchsiapitch.RouteTable { return r.routes.Load() }
 
-// StartDraining records that the host stops.
-func (r *Relayer) StartDraining() { r.draining.Store(true) }
-
 // InFlightRequests returns the number of requests in flight.
 func (r *Relayer) InFlightRequests() int64 { return r.inFlightRequests.Load() }
 
@@ -145,10 +148,10 @@
 	if !x.matchRoute() {
 		return
 	}
-	if !x.readBody() {
+	if !x.readBody() || x.refuseIfDraining() {
 		return
 	}
-	ctx, cancel := context.WithDeadline(request.Context(), x.deadline)
+	ctx, cancel := x.newContext()
 	defer cancel()
 	x.ctx = ctx
 	if x.route.Kind == fuchsiapitch.StreamRoute {
@@ -301,7 +304,7 @@
 	if profile, ok := x.routes.Service(x.service); !ok || profile.Engine == nil {
 		model = ""
 	}
-	return x.relayer.admitter.Acquire(x.ctx, coordinator.RequestArrived{
+	slot, err := x.relayer.admitter.Acquire(x.ctx, coordinator.RequestArrived{
 		Service: x.service, Model: model, Rank: x.rank(),
 		InputTokens: x.metadata.PromptTokens, OutputTokens: x.metadata.MaxOutputTokens,
 		FirstByteBy: x.relayer.admitter.SinceStart(x.receivedAt.Add(latencyTarget - x.priorElapsed())), Deadline: x.relayer.admitter.SinceStart(x.deadline),
@@ -309,6 +312,12 @@
 		ReturnedAfterRefusal: float64(x.metadata.TimeLimit) < retriedTimeoutRatio*float64(x.route.Timeout),
 		Resumed:              resumed, IsRetry: x.sendCount > 0, FailedServers: x.failedServers,
 	})
+	if err == nil && x.relayer.aborted.Err() != nil {
+		// The slot of an aborted request has become free. This one must not run any more.
+		slot.Release(false, "")
+		return nil, context.Cause(x.relayer.aborted)
+	}
+	return slot, err
 }
 
 // priorElapsed returns the time that the client has spent on earlier attempts: the part
@@ -443,6 +452,3 @@
 		x.writeError(http.StatusServiceUnavailable, defaultRetryAfter, "not run: "+err.Error())
 	}
 }
-
-// Draining reports whether StartDraining was called.
-func (r *Relayer) Draining() bool { return r.draining.Load() }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -81,6 +81,14 @@
 
 // newLoggedTestRelayer is newTestRelayer with the log of the relayer written to logs.
 func newLoggedTestRelayer(t *testing.T, logs io.Writer, handlers ...http.HandlerFunc) string {
+	t.Helper()
+	proxy := httptest.NewServer(newRelayerWithServers(t, logs, handlers...))
+	t.Cleanup(proxy.Close)
+	return proxy.URL
+}
+
+// newRelayerWithServers returns a relayer with one server for each handler.
+func newRelayerWithServers(t *testing.T, logs io.Writer, handlers ...http.HandlerFunc) *Relayer {
 	t.Helper()
 	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
@@ -115,9 +123,7 @@
 		})
 	}
 	d.Apply(coordinator.ServersListed{Servers: reports})
-	proxy := httptest.NewServer(r)
-	t.Cleanup(proxy.Close)
-	return proxy.URL
+	return r
 }
 
 // send posts a body as request r1 with a valid key.
