assembler: a stop serves the requests that arrive on open connections

A stop closed idle connections and the listener after the linger period, whatever had arrived on them, and dropped requests that were read after that. The clients' server is now an acceptor, which announces the idle time-out and the end of connections and serves what arrives meanwhile.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -20,6 +20,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/acceptor"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/dispatcher"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/forwarder"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/logger"
@@ -30,13 +31,11 @@
 )
 
 const (
-	// readHeaderTimeout limits the time in which a client must send the request
+	// readHeaderTimeout limits the time in which an operator must send the request
 	// header.
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is the time after which an idle connection of a client is closed.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes is the largest request header of a client, in bytes.
-	maxHeaderBytes = 64 << 10
 	// maxMessageBytes is the largest message from another entry host, in bytes.
 	maxMessageBytes = 16 << 20
 	// defaultLinger is the time for which a stopping host still accepts new
@@ -90,7 +89,7 @@
 
 	runner           *runner.Runner
 	forwarder        *forwarder.Forwarder
-	clientServer     *http.Server
+	clientServer     *acceptor.Acceptor
 	peerServer       *grpc.Server
 	operatorServer   *http.Server
 	supervisor       *suture.Supervisor
@@ -188,10 +187,8 @@
 
 func (e *EntryHost) buildServers() {
 	handler := receiver.New(e.runner, e.forwarder, receiver.WithTracer(e.tracer), receiver.WithMeter(e.meter))
-	e.clientServer = &http.Server{
-		Handler: handler, TLSConfig: e.serverTLS, ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	e.clientServer = acceptor.New(handler, acceptor.WithTLS(e.serverTLS), acceptor.WithMaxIdleTimeout(idleTimeout),
+		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter))
 	e.operatorServer = &http.Server{Handler: e.operatorHandler(), TLSConfig: e.serverTLS, ReadHeaderTimeout: readHeaderTimeout}
 	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes)}
 	if e.peerTLS != nil {
@@ -210,7 +207,9 @@
 	})
 	e.supervisor.Add(e.runner)
 	e.supervisor.Add(newSupervisedServer("callers", func(ctx context.Context) error { return serveHTTP(ctx, e.clientServer, e.listeners.Clients) }))
-	e.supervisor.Add(newSupervisedServer("operators", func(ctx context.Context) error { return serveHTTP(ctx, e.operatorServer, e.listeners.Operators) }))
+	e.supervisor.Add(newSupervisedServer("operators", func(ctx context.Context) error {
+		return serveHTTP(ctx, operatorServer{e.operatorServer}, e.listeners.Operators)
+	}))
 	e.supervisor.Add(newSupervisedServer("peers", e.servePeers))
 }
 
@@ -253,6 +252,7 @@
 // requests in flight up to the drain limit.
 func (e *EntryHost) drain(ctx context.Context) {
 	e.runner.Submit(ctx, reducer.StopRequested{})
+	e.clientServer.StartDraining()
 	e.assemblerLogger.Info().Dur("linger", e.linger).Msg("graceful shutdown of the entry host started")
 	sleep(ctx, e.linger)
 	if e.drainLimit > 0 {
--- a/internal/assembler/service.go
+++ b/internal/assembler/service.go
@@ -27,17 +27,28 @@
 // String implements fmt.Stringer. The supervisor logs the name.
 func (s *supervisedServer) String() string { return s.name }
 
+// httpServer serves HTTP on a listener.
+type httpServer interface {
+	Serve(listener net.Listener) error
+	Close() error
+}
+
+// operatorServer is an HTTP server that uses TLS if it is configured.
+type operatorServer struct{ *http.Server }
+
+// Serve implements httpServer.
+func (s operatorServer) Serve(listener net.Listener) error {
+	if s.TLSConfig != nil {
+		return s.ServeTLS(listener, "", "")
+	}
+	return s.Server.Serve(listener)
+}
+
 // serveHTTP runs an HTTP server until the context ends or the server is shut down.
 // After a shutdown the supervisor does not restart it.
-func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
+func serveHTTP(ctx context.Context, server httpServer, listener net.Listener) error {
 	serveResult := make(chan error, 1)
-	go func() {
-		if server.TLSConfig != nil {
-			serveResult <- server.ServeTLS(listener, "", "")
-			return
-		}
-		serveResult <- server.Serve(listener)
-	}()
+	go func() { serveResult <- server.Serve(listener) }()
 	select {
 	case err := <-serveResult:
 		if errors.Is(err, http.ErrServerClosed) {
