--- /dev/null
+++ b/internal/relayer/refusal_test.go
@@ -0,0 +1,136 @@
+package relayer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+)
+
+// rawServer responds to requests with bytes of its own, on connections that stay open, and
+// counts its requests and connections.
+type rawServer struct {
+	// respond returns the bytes that are written after the request with a number, from 1.
+	respond               func(request int32) string
+	requests, connections atomic.Int32
+}
+
+// ServeHTTP reads requests on the connection of r until the client closes it.
+func (s *rawServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.connections.Add(1)
+	io.Copy(io.Discard, r.Body)
+	c, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	s.serve(c, buffered.Reader)
+}
+
+func (s *rawServer) serve(c net.Conn, reader *bufio.Reader) {
+	for {
+		if _, err := io.WriteString(c, s.respond(s.requests.Add(1))); err != nil {
+			return
+		}
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+	}
+}
+
+// refusal returns a response with a status, the header fields given and no body.
+func refusal(status int, fields string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), fields)
+}
+
+func always(text string) func(int32) string { return func(int32) string { return text } }
+
+func assertRequests(t *testing.T, want int32, servers ...*rawServer) {
+	t.Helper()
+	got := int32(0)
+	for _, s := range servers {
+		got += s.requests.Load()
+	}
+	if got != want {
+		t.Errorf("got %d requests at the servers, want %d", got, want)
+	}
+}
+
+// refusalStatuses are the statuses of a refusal.
+var refusalStatuses = []int{
+	http.StatusBadRequest, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+	http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
+
+// Guards against a refusal of another request that is taken for one of this request: the
+// client is told that the request was not run, or it runs at a second server, although the
+// first one is running it.
+func TestRefusalOfAnotherRequestProvesNothing(t *testing.T) {
+	for _, status := range refusalStatuses {
+		for _, path := range []string{"/once-of-two/x", "/one-stream/x"} {
+			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
+				s := &rawServer{respond: always(refusal(status, "Id: r0\r\nNot-Run: 1\r\n"))}
+				response, _, err := sendAndRead(t, newTestRelayer(t, s.ServeHTTP, s.ServeHTTP)+path, "b")
+				if err != nil {
+					t.Fatal(err)
+				}
+				assertRequests(t, 1, s)
+				assertStatus(t, response, http.StatusBadGateway)
+			})
+		}
+	}
+}
+
+// A refusal that names the request lets it be sent to another server.
+func TestRefusalOfTheRequest(t *testing.T) {
+	for _, status := range refusalStatuses {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			s := &rawServer{respond: func(n int32) string {
+				if n == 1 {
+					return refusal(status, "Id: r1\r\nNot-Run: 1\r\n")
+				}
+				return signedHead + "Content-Length: 2\r\n\r\nok"
+			}}
+			response, body, _ := sendAndRead(t, newTestRelayer(t, s.ServeHTTP, s.ServeHTTP)+"/once-of-two/x", "b")
+			assertStatus(t, response, http.StatusOK)
+			assertRequests(t, 2, s)
+			if got, want := body, "ok"; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+// Guards against a refusal that a server writes once more where the response to the next
+// request is due, also if both requests have the same identifier: no request is sent on a
+// connection that another one was sent on, whatever the server wrote there.
+func TestRepeatedRefusalMeetsNoRequest(t *testing.T) {
+	refused := refusal(http.StatusServiceUnavailable, "Id: r1\r\nNot-Run: 1\r\n")
+	for name, first := range map[string]string{
+		"refused once": refused, "refused twice": refused + refused, "bytes after the refusal": refused + "HTTP/1.1 200 OK\r\n",
+		"early responses": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + refused + refused,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &rawServer{respond: func(n int32) string {
+				if n == 1 {
+					return first
+				}
+				return signedHead + "Content-Length: 2\r\n\r\nok"
+			}}
+			url := newTestRelayer(t, s.ServeHTTP)
+			response, _, _ := sendAndRead(t, url+"/once/x", "b")
+			assertStatus(t, response, http.StatusServiceUnavailable)
+			response, _, _ = sendAndRead(t, url+"/once/x", "b")
+			assertStatus(t, response, http.StatusOK)
+			assertRequests(t, 2, s)
+			if got := s.connections.Load(); got != 2 {
+				t.Errorf("got %d connections of 2 requests, want 2", got)
+			}
+		})
+	}
+}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -101,7 +101,7 @@
 	oneStream := route("/one-stream/", fuchsiapitch.StreamRoute, 2)
 	oneStream.Resumable = false
 	routes := fuchsiapitch.NewRouteTable(1, []fuchsiapitch.HostRoute{
-		route("/once/", fuchsiapitch.AtMostOnceRoute, 1), route("/look/", fuchsiapitch.IdempotentRoute, 2), route("/stream/", fuchsiapitch.StreamRoute, 2),
+		route("/once/", fuchsiapitch.AtMostOnceRoute, 1), route("/once-of-two/", fuchsiapitch.AtMostOnceRoute, 2), route("/look/", fuchsiapitch.IdempotentRoute, 2), route("/stream/", fuchsiapitch.StreamRoute, 2),
 		oneStream,
 	}, []fuchsiapitch.ServiceProfile{{Name: "desk"}}, map[string]fuchsiapitch.Principal{"k": {Customer: "c"}}, true, fuchsiapitch.ClientLimits{BodyBytes: 100, HeaderBytes: 2000})
 	r.Configure(routes)
