relayer, standin/platform: a refusal that names no request proves nothing

Callers saw 503 "not run" for a request whose bytes were at a server that could run them (REFUSED), or the request was sent to a second server (TWICE).

Cause: a refusal without an identifier counted for the request that had been sent on the connection. A connection carries one request here, but that does not make the refusal an answer to it: a server may write one before it has read anything, and run the request afterwards. The protocol says that servers echo the identifier of a request in their responses, 421 included, and that it tells to which request a response belongs; 400 without an identifier answers a request that has none. So a refusal without an identifier refuses a request without one, and any other request has an unknown outcome then. If its route allows it to run twice it is sent to another server as before; otherwise the client gets 502, which promises nothing.

The stand-in refused without the identifier (421 and 503); it echoes it now, as the protocol says.

TestRefusalBeforeRequest failed before, for a refusal written as soon as the connection is open:

refusal_test.go:204: got status 503 and 180 bytes of the request at the server, want status 502

and so did TestRefusalWithoutRequestProvesNothing, for 400, 408, 421, 429 and 503:

refusal_test.go:151: got 2 requests at the servers, want 1 refusal_test.go:152: got &{503 Service Unavailable ...}, want status 502

--- a/internal/relayer/refusal_test.go
+++ b/internal/relayer/refusal_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 )
@@ -134,3 +135,74 @@
 		})
 	}
 }
+
+// Guards against a request that a server runs although the client is told that it was not
+// run: a refusal that names no request may be one of another request, since servers name the
+// request that they refuse.
+func TestRefusalWithoutRequestProvesNothing(t *testing.T) {
+	for _, status := range refusalStatuses {
+		for _, path := range []string{"/once-of-two/x", "/one-stream/x"} {
+			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
+				s := &rawServer{respond: always(refusal(status, "Not-Run: 1\r\n"))}
+				response, _, err := sendAndRead(t, newTestRelayer(t, s.ServeHTTP, s.ServeHTTP)+path, "b")
+				if err != nil {
+					t.Fatal(err)
+				}
+				assertRequests(t, 1, s)
+				assertStatus(t, response, http.StatusBadGateway)
+			})
+		}
+	}
+}
+
+// A request without an identifier is refused without one.
+func TestRefusalOfRequestWithoutIdentifier(t *testing.T) {
+	s := &rawServer{respond: always(refusal(http.StatusBadRequest, "Not-Run: 1\r\n"))}
+	r := newRequest(t, newTestRelayer(t, s.ServeHTTP)+"/once/x", "b")
+	r.Header.Del("Id")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	assertStatus(t, response, http.StatusServiceUnavailable)
+}
+
+// Guards against a refusal that a server writes before the request is sent: if the client is
+// told that the request was not run, no byte of it has arrived at the server.
+func TestRefusalBeforeRequest(t *testing.T) {
+	for name, early := range map[string]string{
+		"of no request":                refusal(http.StatusServiceUnavailable, "Not-Run: 1\r\n"),
+		"of another request":           refusal(http.StatusMisdirectedRequest, "Id: r0\r\nNot-Run: 1\r\n"),
+		"of no request, twice":         strings.Repeat(refusal(http.StatusServiceUnavailable, "Not-Run: 1\r\n"), 2),
+		"after an early response":      "HTTP/1.1 103 Early Hints\r\n\r\n" + refusal(http.StatusServiceUnavailable, "Not-Run: 1\r\n"),
+		"of another request, in parts": "HTTP/1.1 503 Service Unavailable\r\nId: r0\r\nNot-",
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { listener.Close() })
+			received := make(chan int64, 1)
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				io.WriteString(c, early)
+				c.(*net.TCPConn).CloseWrite()
+				n, _ := io.Copy(io.Discard, c)
+				received <- n
+			}()
+			response, _, err := sendAndRead(t, newTestRelayerOf(t, io.Discard, listener.Addr().String())+"/once/x", "b")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n := <-received; n > 0 && response.StatusCode != http.StatusBadGateway {
+				t.Errorf("got status %d and %d bytes of the request at the server, want status 502", response.StatusCode, n)
+			}
+		})
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -351,13 +351,12 @@
 	}
 	x.sendCount++
 	responseMetadata := x.relayer.codec.ParseResponse(response.StatusCode, response.Header)
-	refused := responseMetadata.NotRun && response.StatusCode >= http.StatusBadRequest
 	switch {
-	case responseMetadata.Request != x.metadata.ID && (!refused || responseMetadata.Request != ""):
+	case responseMetadata.Request != x.metadata.ID:
 		response.Body.Close()
 		x.mayHaveRun = true
 		return response, fuchsiapitch.OutcomeUnknown, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "for another request"}
-	case refused:
+	case responseMetadata.NotRun && response.StatusCode >= http.StatusBadRequest:
 		response.Body.Close()
 		return response, fuchsiapitch.OutcomeNotRun, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "not run"}
 	case !responseMetadata.Signed && response.StatusCode < http.StatusMultipleChoices:
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -81,6 +81,18 @@
 
 // newLoggedTestRelayer is newTestRelayer with the log of the relayer written to logs.
 func newLoggedTestRelayer(t *testing.T, logs io.Writer, handlers ...http.HandlerFunc) string {
+	t.Helper()
+	var addresses []string
+	for _, h := range handlers {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		addresses = append(addresses, strings.TrimPrefix(s.URL, "http://"))
+	}
+	return newTestRelayerOf(t, logs, addresses...)
+}
+
+// newTestRelayerOf starts a relayer of the servers at the addresses, and returns its URL.
+func newTestRelayerOf(t *testing.T, logs io.Writer, addresses ...string) string {
 	t.Helper()
 	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
@@ -107,11 +119,9 @@
 	r.Configure(routes)
 	d.Apply(coordinator.ConfigurationChanged{Routes: routes})
 	var reports []fuchsiapitch.ServerReport
-	for n, h := range handlers {
-		s := httptest.NewServer(h)
-		t.Cleanup(s.Close)
+	for n, address := range addresses {
 		reports = append(reports, fuchsiapitch.ServerReport{
-			ID: fuchsiapitch.ServerID(rune('a' + n)), Service: "desk", Address: strings.TrimPrefix(s.URL, "http://"), Slots: 4, StartedUnixMillis: 1,
+			ID: fuchsiapitch.ServerID(rune('a' + n)), Service: "desk", Address: address, Slots: 4, StartedUnixMillis: 1,
 		})
 	}
 	d.Apply(coordinator.ServersListed{Servers: reports})
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -179,6 +179,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		w.Header().Set("X-Request-Id", id)
+	}
 	if target := r.Header.Get("X-Target-Instance"); target != "" && target != s.id {
 		w.Header().Set("X-Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
