relayer: only a refusal of the request says which server is at fault

A response for another request was read for what it says of servers: with status 421 the server got no requests for a while, and a server that it names as the cause was suspected, which may start a repair of its group. Callers saw less capacity than there was.

Cause: send returned every response that it did not accept, and releaseFailed evaluated all of them. send returns a refusal of the request alone now.

TestOnlyRefusalsNameFaultyServers failed before:

refusal_test.go:244: got a rejection: true and error answer of with status 421: for another request, want false and an error

--- a/internal/relayer/refusal_test.go
+++ b/internal/relayer/refusal_test.go
@@ -9,6 +9,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 )
 
 // rawServer responds to requests with bytes of its own, on connections that stay open, and
@@ -206,3 +210,39 @@
 		})
 	}
 }
+
+// senderOf is a Sender that returns a response.
+type senderOf struct{ response http.Response }
+
+// Exchange implements Sender.
+func (s senderOf) Exchange(*http.Request, time.Time) (*http.Response, fuchsiapitch.Outcome, error) {
+	s.response.Body = http.NoBody
+	return &s.response, fuchsiapitch.OutcomeUnknown, nil
+}
+
+// Guards against servers that are avoided or suspected because of a response that does not
+// belong to the request: only a refusal of the request says which server is at fault.
+func TestOnlyRefusalsNameFaultyServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		header http.Header
+		want   bool
+	}{
+		"refusal":                    {http.StatusMisdirectedRequest, http.Header{"Id": {"r1"}, "Not-Run": {"1"}}, true},
+		"refusal of another request": {http.StatusMisdirectedRequest, http.Header{"Id": {"r0"}, "Not-Run": {"1"}}, false},
+		"refusal of no request":      {http.StatusMisdirectedRequest, http.Header{"Not-Run": {"1"}}, false},
+		"success without signature":  {http.StatusOK, http.Header{"Id": {"r1"}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sender := senderOf{http.Response{StatusCode: c.status, Header: c.header}}
+			x := &exchange{
+				relayer: New(nil, sender, fakeHeaderCodec{}), request: newRequest(t, "http://host/once/x", "b"),
+				deadline: time.Now().Add(time.Minute), metadata: fuchsiapitch.RequestMetadata{ID: "r1"},
+			}
+			rejection, _, err := x.send(t.Context(), new(driver.Slot), "")
+			if got := rejection != nil; err == nil || got != c.want {
+				t.Errorf("got a rejection: %v and error %v, want %v and an error", got, err, c.want)
+			}
+		})
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -322,8 +322,9 @@
 }
 
 // send sends the request to the server of a slot and validates the response header.
-// If the response is not usable, send closes its body and returns it with an error.
-// Streams resume after lastEventID, "" for the beginning.
+// If the response is not usable, send closes its body and returns an error, together with
+// the response if it is a refusal of the request. Streams resume after lastEventID, "" for
+// the beginning.
 func (x *exchange) send(ctx context.Context, slot *driver.Slot, lastEventID string) (*http.Response, fuchsiapitch.Outcome, error) {
 	enginePriority, toEngine := slot.Urgency()
 	header := x.relayer.codec.ForwardHeader(x.request.Header, fuchsiapitch.ForwardMetadata{
@@ -351,20 +352,21 @@
 	}
 	x.sendCount++
 	responseMetadata := x.relayer.codec.ParseResponse(response.StatusCode, response.Header)
+	problem := ""
 	switch {
 	case responseMetadata.Request != x.metadata.ID:
-		response.Body.Close()
-		x.mayHaveRun = true
-		return response, fuchsiapitch.OutcomeUnknown, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "for another request"}
+		problem = "for another request"
 	case responseMetadata.NotRun && response.StatusCode >= http.StatusBadRequest:
 		response.Body.Close()
 		return response, fuchsiapitch.OutcomeNotRun, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "not run"}
 	case !responseMetadata.Signed && response.StatusCode < http.StatusMultipleChoices:
-		response.Body.Close()
-		x.mayHaveRun = true
-		return response, fuchsiapitch.OutcomeUnknown, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "without a signature"}
+		problem = "without a signature"
 	}
 	x.mayHaveRun = true
+	if problem != "" {
+		response.Body.Close()
+		return nil, fuchsiapitch.OutcomeUnknown, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: problem}
+	}
 	return response, fuchsiapitch.OutcomeSucceeded, nil
 }
 
