relayer, sender: a response below status 200 is none

Callers lost the connection without a response when a server answered with a status from 000 to 099, and got status 101 for a request that asked for no other protocol.

Cause: net/http reads any status of three digits, and skips only 1xx other than 101. Nothing checked the rest, and WriteHeader panics below 100. Such a response has an unknown outcome now: the client gets another server's response or 502, on the own interface `unknown`.

TestStatusThatEndsNoRequest failed before:

http: panic serving 127.0.0.1:57424: invalid WriteHeader code 0

and of TestPlainAnswer the statuses 000 and 099:

sender_test.go:213: got error <nil>, want an attempt error with outcome unknown

101 was refused there before, as close-delimited; the test now wants the reason.

--- a/internal/relayer/refusal_test.go
+++ b/internal/relayer/refusal_test.go
@@ -246,3 +246,20 @@
 		})
 	}
 }
+
+// Guards against a response whose status ends no request being forwarded, for which the HTTP
+// server would panic or switch protocols.
+func TestStatusThatEndsNoRequest(t *testing.T) {
+	for _, status := range []string{"000", "042", "099", "101"} {
+		for _, path := range []string{"/once/x", "/one-stream/x", "/look/x"} {
+			t.Run(status+path, func(t *testing.T) {
+				s := &rawServer{respond: always("HTTP/1.1 " + status + " Odd\r\nId: r1\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok")}
+				response, _, err := sendAndRead(t, newTestRelayer(t, s.ServeHTTP, s.ServeHTTP)+path, "b")
+				if err != nil {
+					t.Fatal(err)
+				}
+				assertStatus(t, response, http.StatusBadGateway)
+			})
+		}
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -354,6 +354,8 @@
 	responseMetadata := x.relayer.codec.ParseResponse(response.StatusCode, response.Header)
 	problem := ""
 	switch {
+	case response.StatusCode < http.StatusOK:
+		problem = "not a final status"
 	case responseMetadata.Request != x.metadata.ID:
 		problem = "for another request"
 	case responseMetadata.NotRun && response.StatusCode >= http.StatusBadRequest:
--- a/internal/sender/body.go
+++ b/internal/sender/body.go
@@ -38,9 +38,6 @@
 
 // isCloseDelimited reports whether only the end of the connection ends the response.
 func isCloseDelimited(response *http.Response) bool {
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		return true
-	}
 	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
 }
 
--- a/internal/sender/failure.go
+++ b/internal/sender/failure.go
@@ -60,3 +60,14 @@
 func (e *CloseDelimitedResponseError) Error() string {
 	return fmt.Sprintf("response with status %d is delimited only by the end of the connection", e.Status)
 }
+
+// InvalidStatusError reports a response whose status is not one of a final response.
+type InvalidStatusError struct {
+	// Status is the HTTP status of that response.
+	Status int
+}
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("status %d ends no request", e.Status)
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -193,6 +193,9 @@
 		refusal := &ServerRefusalError{Status: response.StatusCode, RetryAfter: parseRetryAfter(response.Header)}
 		return fuchsiapitch.BackendResponse{}, x.attemptError(fuchsiapitch.OutcomeNotRun, refusal)
 	}
+	if response.StatusCode < http.StatusOK {
+		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, &InvalidStatusError{Status: response.StatusCode})
+	}
 	header := StripHopByHop(response.Header)
 	if x.call.Streaming() && isEventStream(response) {
 		return fuchsiapitch.NewBackendResponse(response.StatusCode, header, newStreamBody(x, response.Body)), nil
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -202,6 +202,18 @@
 		assertOutcome(t, err, fuchsiapitch.OutcomeUnknown)
 		assertType[*sender.CloseDelimitedResponseError](t, err)
 	})
+	// Guards against a status that the HTTP server panics about or that switches protocols.
+	for _, status := range []string{"000", "099", "101"} {
+		t.Run("status "+status, func(t *testing.T) {
+			server, _ := startServer(t, func(c net.Conn, _ *http.Request) bool {
+				fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok", status)
+				return false
+			})
+			_, err := newTestSender(t).Call(context.Background(), server, newBookingCall("r1"))
+			assertOutcome(t, err, fuchsiapitch.OutcomeUnknown)
+			assertType[*sender.InvalidStatusError](t, err)
+		})
+	}
 	t.Run("a redirect is returned as a response", func(t *testing.T) {
 		server, requests := startServer(t, func(c net.Conn, _ *http.Request) bool {
 			fmt.Fprint(c, "HTTP/1.1 307 Elsewhere\r\nX-Request-Id: r1\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n")
