relayer, platform, sender: only valid events of a stream are delivered

Cause: the relayer forwarded whatever ended with an empty line. A server that writes an error behind a part of an event, or that resumes a stream at its first event, was passed on. An HTTP response that is an error was never mixed in: it is not a stream, and after the first event the attempt fails (these cases of TestErrorAtResumption passed before).

Each line of an event has to be a field or a comment of server-sent events, or as the first line the version of the platform; an event has data and one identifier, a number greater than the last one that the client has. Otherwise the events before are delivered, the outcome is unknown, and the stream resumes after them at another server if its route allows it; else the response is cut off. What is not detectable: an event that the server left out, and bytes without a line end behind "data:".

TestLastID and FuzzLastID went with the function; TestValidateEvents and FuzzValidateEvents check the same of the new one, and that identifiers increase.

--- a/internal/relayer/failure.go
+++ b/internal/relayer/failure.go
@@ -22,6 +22,21 @@
 	return fmt.Sprintf("answer of %s with status %d: %s", e.Server, e.Status, e.Reason)
 }
 
+// InvalidEventError reports bytes in the stream of a server that are no event of it.
+type InvalidEventError struct {
+	// Server sent the stream.
+	Server fuchsiapitch.ServerID
+	// LastID is the identifier of the event before, -1 for none.
+	LastID int64
+	// Problem says what is wrong with the event.
+	Problem string
+}
+
+// Error implements error.
+func (e *InvalidEventError) Error() string {
+	return fmt.Sprintf("invalid event of %s after event %d: %s", e.Server, e.LastID, e.Problem)
+}
+
 // GroupClosedError reports that the group of a server was dissolved before the response
 // of the server was complete.
 type GroupClosedError struct{ Server fuchsiapitch.ServerID }
--- a/internal/relayer/refusal_test.go
+++ b/internal/relayer/refusal_test.go
@@ -15,12 +15,14 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 )
 
-// rawServer responds to requests with bytes of its own, on connections that stay open, and
-// counts its requests and connections.
+// rawServer responds to requests with bytes of its own, and counts its requests and
+// connections.
 type rawServer struct {
 	// respond returns the bytes that are written after the request with a number, from 1.
 	respond               func(request int32) string
 	requests, connections atomic.Int32
+	// closes is true if the server closes the connection after each response.
+	closes bool
 }
 
 // ServeHTTP reads requests on the connection of r until the client closes it.
@@ -37,7 +39,7 @@
 
 func (s *rawServer) serve(c net.Conn, reader *bufio.Reader) {
 	for {
-		if _, err := io.WriteString(c, s.respond(s.requests.Add(1))); err != nil {
+		if _, err := io.WriteString(c, s.respond(s.requests.Add(1))); err != nil || s.closes {
 			return
 		}
 		r, err := http.ReadRequest(reader)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -73,6 +73,9 @@
 	// ResponseHeader returns the header of the response to a client for the header of
 	// a server's response.
 	ResponseHeader(h http.Header) http.Header
+	// IsEventMetadata reports whether the first line of an event carries metadata of the
+	// server instead of a field of the event.
+	IsEventMetadata(line []byte) bool
 	// SetErrorHeader sets the header fields of a response that the system itself
 	// generates.
 	SetErrorHeader(h http.Header, request fuchsiapitch.RequestID, retryAfter time.Duration)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -1,11 +1,13 @@
 package relayer
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -48,6 +50,12 @@
 	return out
 }
 
+func (fakeHeaderCodec) IsEventMetadata(line []byte) bool {
+	version, ok := bytes.CutPrefix(line, []byte("version:"))
+	_, err := strconv.Atoi(string(bytes.TrimSpace(version)))
+	return ok && err == nil
+}
+
 func (fakeHeaderCodec) SetErrorHeader(h http.Header, _ fuchsiapitch.RequestID, _ time.Duration) {
 	h.Set("Own", "1")
 }
@@ -114,6 +122,7 @@
 	oneStream.Resumable = false
 	routes := fuchsiapitch.NewRouteTable(1, []fuchsiapitch.HostRoute{
 		route("/once/", fuchsiapitch.AtMostOnceRoute, 1), route("/once-of-two/", fuchsiapitch.AtMostOnceRoute, 2), route("/look/", fuchsiapitch.IdempotentRoute, 2), route("/stream/", fuchsiapitch.StreamRoute, 2),
+		route("/long-stream/", fuchsiapitch.StreamRoute, 3),
 		oneStream,
 	}, []fuchsiapitch.ServiceProfile{{Name: "desk"}}, map[string]fuchsiapitch.Principal{"k": {Customer: "c"}}, true, fuchsiapitch.ClientLimits{BodyBytes: 100, HeaderBytes: 2000})
 	r.Configure(routes)
@@ -362,27 +371,6 @@
 	}
 }
 
-// Only fields at the start of a line are identifiers, and the last one counts.
-func TestLastID(t *testing.T) {
-	for text, want := range map[string]string{
-		"id: 7\ndata: x\n\n": "7", "data: id: 9\n\n": "", "id:1\n\nid: 2\ndata: id: 3\n\n": "2",
-	} {
-		if got := lastID([]byte(text)); got != want {
-			t.Errorf("got identifier %q from %q, want %q", got, text, want)
-		}
-	}
-}
-
-// An identifier never spans lines, whatever the events contain.
-func FuzzLastID(f *testing.F) {
-	f.Add([]byte("id: 1\ndata: id:2\n\n"))
-	f.Fuzz(func(t *testing.T, events []byte) {
-		if id := lastID(events); strings.ContainsAny(id, "\n") {
-			t.Errorf("got identifier %q with a line break", id)
-		}
-	})
-}
-
 // A configuration that is in force is never replaced by an earlier version.
 func TestConfigurationNeverReverts(t *testing.T) {
 	withVersion := func(n int64) *fuchsiapitch.RouteTable {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,10 +21,7 @@
 	maxEventBytes = 1 << 20
 )
 
-var (
-	eventDelimiter = []byte("\n\n")
-	idField        = []byte("id:")
-)
+var eventDelimiter = []byte("\n\n")
 
 // streamProgress is what a client has received of a stream.
 type streamProgress struct {
@@ -33,15 +31,37 @@
 	// of the last event.
 	timeToFirstEvent, longestGap time.Duration
 	lastEventAt                  time.Time
-	// lastEventID is the identifier of the last complete event, "" for none.
-	lastEventID string
+	// resumeAfter is the value of the client's own request to resume, "" for none.
+	resumeAfter string
+	// lastEventID is the identifier of the last event that the client has received,
+	// noEventID for none.
+	lastEventID int64
+}
+
+// newStreamProgress returns the progress of a client that has received nothing of the
+// response. If it resumes a stream, it has received the events up to the one it names.
+func newStreamProgress(resumeAfter string, resumable bool) streamProgress {
+	p := streamProgress{resumeAfter: resumeAfter, lastEventID: noEventID}
+	if resumable {
+		p.lastEventID = parseEventID(resumeAfter)
+	}
+	return p
+}
+
+// resumptionID returns the identifier of the event after which the next server resumes the
+// stream, "" for the beginning.
+func (p *streamProgress) resumptionID() string {
+	if !p.headerSent || p.lastEventID == noEventID {
+		return p.resumeAfter
+	}
+	return strconv.FormatInt(p.lastEventID, 10)
 }
 
 // serveStream serves a request whose response is a stream of events. If the route is
 // resumable, a stream that breaks off resumes at another server after the last
 // complete event.
 func (x *exchange) serveStream() {
-	p := streamProgress{lastEventID: x.metadata.LastEventID}
+	p := newStreamProgress(x.metadata.LastEventID, x.route.Resumable)
 	var lastErr error
 	for x.sendCount < x.route.AttemptLimit && x.acquisitions < x.route.AttemptLimit+maxUnsentAttempts {
 		outcome, err := x.attemptStream(&p)
@@ -77,7 +97,7 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(context.Canceled)
 	slot.OnRevoke(func(server fuchsiapitch.ServerID) { cancel(&GroupClosedError{Server: server}) })
-	response, outcome, err := x.send(ctx, slot, p.lastEventID)
+	response, outcome, err := x.send(ctx, slot, p.resumptionID())
 	if err != nil {
 		x.releaseFailed(slot, response, outcome)
 		return outcome, cancellationCause(ctx, err)
@@ -138,7 +158,7 @@
 
 // forwardEvents forwards complete events to the client until the stream ends. If the
 // stream ends within an event, or before the client has received any event, it returns
-// io.ErrUnexpectedEOF.
+// io.ErrUnexpectedEOF. If an event is invalid, it returns an InvalidEventError.
 func (x *exchange) forwardEvents(slot *driver.Slot, response *http.Response, p *streamProgress) error {
 	buffer := make([]byte, initialBufferBytes)
 	buffered := 0
@@ -155,9 +175,13 @@
 		}
 		buffered += n
 		if end := completeEventBytes(buffer[:buffered], n); end > 0 {
-			if err := x.writeEvents(response, buffer[:end], p); err != nil {
+			validBytes, lastID, problem := validateEvents(buffer[:end], p.lastEventID, x.relayer.codec)
+			if err := x.writeEvents(response, buffer[:validBytes], lastID, p); err != nil {
 				return err
 			}
+			if problem != "" {
+				return &InvalidEventError{Server: slot.Server(), LastID: lastID, Problem: problem}
+			}
 			buffered = copy(buffer, buffer[end:buffered])
 		}
 		switch {
@@ -189,9 +213,12 @@
 	return start + end + len(eventDelimiter)
 }
 
-// writeEvents writes complete events to the client, after the header if they are the
-// first.
-func (x *exchange) writeEvents(response *http.Response, events []byte, p *streamProgress) error {
+// writeEvents writes valid events to the client, the last of which has an identifier. The
+// header precedes the first of them.
+func (x *exchange) writeEvents(response *http.Response, events []byte, lastID int64, p *streamProgress) error {
+	if len(events) == 0 {
+		return nil
+	}
 	if !p.headerSent {
 		h := x.writer.Header()
 		for n, v := range x.relayer.codec.ResponseHeader(response.Header) {
@@ -206,9 +233,7 @@
 	if err := http.NewResponseController(x.writer).Flush(); err != nil {
 		return &clientGoneError{err: err}
 	}
-	if id := lastID(events); id != "" {
-		p.lastEventID = id
-	}
+	p.lastEventID = lastID
 	p.recordEvent(x.receivedAt)
 	return nil
 }
@@ -233,16 +258,3 @@
 		Int64("waited-ms", x.admissionWait.Milliseconds()).Int64("first-ms", p.timeToFirstEvent.Milliseconds()).Int64("pause-ms", p.longestGap.Milliseconds()).
 		Int("sent", x.sendCount).Int("prompt", x.metadata.PromptTokens).Int64("took-ms", time.Since(x.receivedAt).Milliseconds()).Msg("stream missed a latency target")
 }
-
-// lastID returns the identifier of the last event that has one.
-func lastID(events []byte) string {
-	start := bytes.LastIndex(events, idField)
-	for start > 0 && events[start-1] != '\n' {
-		start = bytes.LastIndex(events[:start], idField)
-	}
-	if start < 0 {
-		return ""
-	}
-	line, _, _ := bytes.Cut(events[start+len(idField):], []byte("\n"))
-	return string(bytes.TrimSpace(line))
-}
