sender: an event of a token stream consists of fields

Callers of the own interface could find the text or the header of an error inside a token, in a stream that was complete otherwise.

Cause: of an event only the identifier in its first line was checked. A server that breaks off within an event and writes an error into the same body, with an empty line behind it, was passed on. The lines behind the identifier have to be fields now, none of them another identifier and at least one with data; otherwise the stream breaks off before the event and resumes elsewhere.

--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -18,6 +18,7 @@
 )
 
 var (
+	lineFeed       = []byte("\n")
 	eventDelimiter = []byte("\n\n")
 	idFieldPrefix  = []byte("id: ")
 	doneEvent      = []byte("data: [DONE]")
@@ -25,8 +26,8 @@
 
 // streamBody reads a token stream. Every event has the identifier "<request>/<n>",
 // where n is the number of the token: it starts at the token offset of the call
-// plus 1 and increases by 1. doneEvent ends the stream. The data of the events is
-// not parsed.
+// plus 1 and increases by 1. Its other lines are fields of server-sent events. doneEvent
+// ends the stream. The data of the events is not parsed.
 type streamBody struct {
 	exchange *exchange
 	body     io.ReadCloser
@@ -124,7 +125,23 @@
 // keepalive.
 func isComment(event []byte) bool { return len(event) == 0 || event[0] == ':' }
 
-// checkEvent validates the identifier of an event and advances lastTokenNumber.
+// isTokenData reports whether the lines behind the identifier of an event are its data and
+// other fields, and not part of something else, such as the text of an error.
+func isTokenData(lines []byte) bool {
+	hasData := false
+	for len(lines) > 0 {
+		line, rest, _ := bytes.Cut(lines, lineFeed)
+		field, _, ok := ParseEventField(line)
+		if !ok || field == IDField {
+			return false
+		}
+		hasData = hasData || field == DataField
+		lines = rest
+	}
+	return hasData
+}
+
+// checkEvent validates the lines of an event and advances lastTokenNumber.
 func (b *streamBody) checkEvent(event []byte) error {
 	if bytes.Equal(event, doneEvent) {
 		b.doneReceived = true
@@ -141,7 +158,7 @@
 	}
 	number, data := parseNumber(rest)
 	switch {
-	case number == b.lastTokenNumber+1 && len(data) > 1 && data[0] == '\n':
+	case number == b.lastTokenNumber+1 && len(data) > 1 && data[0] == '\n' && isTokenData(data[1:]):
 		b.lastTokenNumber = number
 		return nil
 	case number > 0 && number <= b.lastTokenNumber:
