sender: two headers in one are no response

Callers could get 200 with the body of a failure, complete and signed (MIXED), and 503 "not run" of a response that had begun as another one (REFUSED).

Cause: if a server stops within a line of its header and writes another response on the same connection, such as that of its error handler, the status line of the second one becomes the end of a field of the first, or of its status text, and the rest is a valid header: the first status with the second one's fields and body. net/http reads that as one response. Only a header in which the line that is cut has no colon yet was refused.

A response is refused if its status text or one of its fields contains a status line: version, space, three digits. The outcome is unknown, on both interfaces. A field that only names a protocol, such as Via, stays valid.

TestHeaderWithinHeader cuts ten headers at each byte and sends a failure behind; before it failed for all ten, for example

got 200, Signed:[1], body "failed\n", error <nil> and 1 requests after "HTTP/1.1 200 ", want status 502 and 1 request

and on the own interface for all seven, for example

TestHeaderWithinHeader/failure_and_refusal: got error request r1 to backend server s1 ended with outcome not-run: backend server did not run the call, status 500, want an attempt error with outcome unknown

--- a/internal/relayer/head_test.go
+++ b/internal/relayer/head_test.go
@@ -146,3 +146,21 @@
 		}
 	}
 }
+
+// Guards against a success that consists of two responses: a server stops within a field of
+// its header and writes the response of a failure on the same connection, whose status line
+// becomes the end of that field.
+func TestHeaderWithinHeader(t *testing.T) {
+	const failure = "HTTP/1.1 500 Internal Server Error\r\nId: r1\r\nSigned: 1\r\nContent-Length: 7\r\n\r\nfailed\n"
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for n := range head {
+				got := sendToCutServers(t, "/once-of-two/x", head[:n]+failure, false)
+				if got.status < http.StatusInternalServerError || got.err != nil || got.requests != 1 {
+					t.Fatalf("got %+v after %q, want a failure and one request", got, head[:n])
+				}
+			}
+		})
+	}
+}
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -23,6 +23,10 @@
 		}
 	}}
 	response, err := s.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err == nil && isMerged(response) {
+		response.Body.Close()
+		err = &MergedHeadersError{Status: response.StatusCode}
+	}
 	if err == nil {
 		return response, fuchsiapitch.OutcomeUnknown, nil
 	}
--- a/internal/sender/failure.go
+++ b/internal/sender/failure.go
@@ -71,3 +71,15 @@
 func (e *InvalidStatusError) Error() string {
 	return fmt.Sprintf("status %d ends no request", e.Status)
 }
+
+// MergedHeadersError reports a response whose header contains the status line of another
+// response: its server stopped within the header and began again.
+type MergedHeadersError struct {
+	// Status is the HTTP status of the first response.
+	Status int
+}
+
+// Error implements error.
+func (e *MergedHeadersError) Error() string {
+	return fmt.Sprintf("the header of the response with status %d contains the status line of another response", e.Status)
+}
--- a/internal/sender/head_test.go
+++ b/internal/sender/head_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 // ownHeads are headers of successful responses, complete with the empty line.
@@ -94,3 +95,40 @@
 		})
 	}
 }
+
+// Guards against a success, or a refusal, that consists of two responses: a server stops within
+// its header and writes another response on the same connection.
+func TestHeaderWithinHeader(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Leaving\r\nX-Request-Id: r1\r\nX-Request-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+	const failure = "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: r1\r\nContent-Length: 7\r\n\r\nfailed\n"
+	for name, text := range map[string]string{
+		"success and failure":            validHead + "X-Note: a" + failure,
+		"failure behind the status":      "HTTP/1.1 200 " + failure,
+		"success and refusal":            validHead + "X-Note: a" + refusal,
+		"failure and refusal":            "HTTP/1.1 500 Internal" + refusal,
+		"refusal and success":            "HTTP/1.1 503 Leaving\r\nX-Request-Outcome: not-run\r\nX-Note: a" + validHead + "\r\n",
+		"failure of another version":     validHead + "X-Note: a" + strings.Replace(failure, "HTTP/1.1", "HTTP/1.0", 1),
+		"failure behind another version": validHead + "X-Note: HTTP/1.1 a" + failure,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, _ := startServer(t, func(c net.Conn, _ *http.Request) bool {
+				io.WriteString(c, text)
+				return false
+			})
+			_, err := newTestSender(t).Call(context.Background(), server, newBookingCall("r1"))
+			if err == nil {
+				t.Fatal("got a response, want none")
+			}
+			assertOutcome(t, err, fuchsiapitch.OutcomeUnknown)
+			assertType[*sender.MergedHeadersError](t, err)
+		})
+	}
+	t.Run("a field that names a protocol", func(t *testing.T) {
+		server, _ := startServer(t, func(c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, validHead+"Via: HTTP/1.1 proxy, HTTP/1.0 20, 1.1 other\r\nContent-Length: 0\r\n\r\n")
+			return false
+		})
+		_, err := newTestSender(t).Call(context.Background(), server, newBookingCall("r1"))
+		assertNoError(t, err, "call")
+	})
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -185,6 +185,9 @@
 // checkResponse checks the header of a response. It returns the response if it
 // belongs to the call and its end can be detected, and an AttemptError otherwise.
 func (x *exchange) checkResponse(response *http.Response) (fuchsiapitch.BackendResponse, error) {
+	if isMerged(response) {
+		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, &MergedHeadersError{Status: response.StatusCode})
+	}
 	if got := response.Header.Get(RequestIDHeader); got != string(x.call.Request()) {
 		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, &fuchsiapitch.MismatchedResponseError{Request: x.call.Request(), Got: got})
 	}
