relayer, sender: tests of refusals on the own interface and of bytes behind a response

On the own interface a refusal without the identifier of the call proves nothing, and one written twice meets no other call: the sender compares the identifier first and gives each call a connection of its own. Bytes behind a complete response, be they another response or a refusal of the same request, are not read, since the connection is closed then (DisableKeepAlives); behind a response without a length they cannot be told from it.

--- a/internal/relayer/head_test.go
+++ b/internal/relayer/head_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -33,33 +34,60 @@
 	requests int32
 }
 
-// sendToCutServers sends a request to one of two servers, which respond with a part of a
-// response and then close or reset the connection.
-func sendToCutServers(t *testing.T, path, part string, reset bool) cutResponse {
+// cutServers are two servers that respond with a part of a response and then close or reset
+// the connection, and a relayer.
+type cutServers struct {
+	addresses []string
+	url       string
+	relayer   atomic.Pointer[Relayer]
+	part      atomic.Pointer[string]
+	reset     bool
+	requests  atomic.Int32
+}
+
+func startCutServers(t *testing.T, reset bool) *cutServers {
 	t.Helper()
-	var requests atomic.Int32
-	s := func(w http.ResponseWriter, r *http.Request) {
-		requests.Add(1)
-		io.Copy(io.Discard, r.Body)
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		io.WriteString(c, part)
-		if tcp, ok := c.(*net.TCPConn); ok && reset {
-			tcp.SetLinger(0)
-		}
-		c.Close()
+	c := &cutServers{reset: reset}
+	for range 2 {
+		s := httptest.NewServer(http.HandlerFunc(c.serveCut))
+		t.Cleanup(s.Close)
+		c.addresses = append(c.addresses, strings.TrimPrefix(s.URL, "http://"))
+	}
+	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { c.relayer.Load().ServeHTTP(w, r) }))
+	t.Cleanup(proxy.Close)
+	c.url = proxy.URL
+	return c
+}
+
+// serveCut sends the part of the response.
+func (c *cutServers) serveCut(w http.ResponseWriter, r *http.Request) {
+	c.requests.Add(1)
+	io.Copy(io.Discard, r.Body)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	io.WriteString(conn, *c.part.Load())
+	if tcp, ok := conn.(*net.TCPConn); ok && c.reset {
+		tcp.SetLinger(0)
 	}
+	conn.Close()
+}
+
+// send sends a request through a relayer of its own, which knows of no earlier failures.
+func (c *cutServers) send(t *testing.T, path, part string) cutResponse {
+	t.Helper()
+	c.part.Store(&part)
+	c.requests.Store(0)
 	var got cutResponse
-	// The servers of each request are stopped after it.
 	t.Run(fmt.Sprint(len(part), " bytes"), func(t *testing.T) {
+		c.relayer.Store(newRelayerOf(t, io.Discard, c.addresses...))
 		var response *http.Response
-		if response, got.body, got.err = sendAndRead(t, newTestRelayer(t, s, s)+path, "b"); response != nil {
+		if response, got.body, got.err = sendAndRead(t, c.url+path, "b"); response != nil {
 			got.status = response.StatusCode
 		}
 	})
-	got.requests = requests.Load()
+	got.requests = c.requests.Load()
 	return got
 }
 
@@ -68,22 +96,19 @@
 // is sent once.
 func TestHeaderCutOff(t *testing.T) {
 	for name, head := range heads {
-		for _, c := range []struct {
-			path  string
-			reset bool
-		}{{"/once-of-two/x", false}, {"/one-stream/x", true}, {"/one-stream/x", false}, {"/once-of-two/x", true}} {
-			if isStream := strings.HasPrefix(name, "stream"); isStream != (c.path == "/one-stream/x") && c.reset != isStream {
-				continue
-			}
-			t.Run(fmt.Sprint(name, c.path, ", reset ", c.reset), func(t *testing.T) {
-				t.Parallel()
-				for n := range head {
-					got := sendToCutServers(t, c.path, head[:n], c.reset)
-					if got.status != http.StatusBadGateway || got.err != nil || got.requests != 1 {
-						t.Fatalf("got %+v after %q, want status 502 and one request", got, head[:n])
+		for _, path := range []string{"/once-of-two/x", "/one-stream/x", "/look/x"} {
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprint(name, path, ", reset ", reset), func(t *testing.T) {
+					t.Parallel()
+					servers := startCutServers(t, reset)
+					for n := range head {
+						got := servers.send(t, path, head[:n])
+						if got.status != http.StatusBadGateway || got.err != nil || path != "/look/x" && got.requests != 1 {
+							t.Fatalf("got %+v after %q, want status 502, and one request if it may run once", got, head[:n])
+						}
 					}
-				}
-			})
+				})
+			}
 		}
 	}
 }
@@ -100,8 +125,9 @@
 		for _, reset := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, ", reset ", reset), func(t *testing.T) {
 				t.Parallel()
+				servers := startCutServers(t, reset)
 				for n := strings.Index(whole, "\r\n\r\n") + len("\r\n\r\n"); n < len(whole); n++ {
-					got := sendToCutServers(t, "/once-of-two/x", whole[:n], reset)
+					got := servers.send(t, "/once-of-two/x", whole[:n])
 					if got.status != http.StatusBadGateway || got.err != nil || got.requests != 1 {
 						t.Fatalf("got %+v after %q, want status 502 and one request", got, whole[:n])
 					}
@@ -110,8 +136,9 @@
 		}
 	}
 	t.Run("end of the connection, reset", func(t *testing.T) {
+		servers := startCutServers(t, true)
 		for n := range len(text) + 1 {
-			got := sendToCutServers(t, "/once-of-two/x", signedHead+"\r\n"+text[:n], true)
+			got := servers.send(t, "/once-of-two/x", signedHead+"\r\n"+text[:n])
 			if got.status != http.StatusBadGateway || got.err != nil {
 				t.Fatalf("got %+v after %d bytes, want status 502", got, n)
 			}
@@ -127,12 +154,13 @@
 		for _, reset := range []bool{false, true} {
 			t.Run(fmt.Sprint(framing, ", reset ", reset), func(t *testing.T) {
 				t.Parallel()
+				servers := startCutServers(t, reset)
 				for n := range len(whole) {
 					if framing == "end of the connection" && !reset && strings.HasSuffix(whole[:n], "\n\n") {
 						// Such a stream may be complete.
 						continue
 					}
-					got := sendToCutServers(t, "/one-stream/x", frame(streamHead, whole[:n], false), reset)
+					got := servers.send(t, "/one-stream/x", frame(streamHead, whole[:n], false))
 					delivered := whole[:completeEventBytes([]byte(whole[:n]), n)]
 					switch {
 					case got.status == http.StatusBadGateway && (reset || delivered == ""):
@@ -155,8 +183,9 @@
 	for name, head := range heads {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			servers := startCutServers(t, false)
 			for n := range head {
-				got := sendToCutServers(t, "/once-of-two/x", head[:n]+failure, false)
+				got := servers.send(t, "/once-of-two/x", head[:n]+failure)
 				if got.status < http.StatusInternalServerError || got.err != nil || got.requests != 1 {
 					t.Fatalf("got %+v after %q, want a failure and one request", got, head[:n])
 				}
@@ -164,3 +193,41 @@
 		})
 	}
 }
+
+// Guards against bytes behind a complete response that are delivered as part of it, or as the
+// response to the next request.
+func TestBytesBehindResponse(t *testing.T) {
+	const next = "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nother"
+	for name, whole := range map[string]string{
+		"length":     signedHead + "Content-Length: 2\r\n\r\nok",
+		"chunks":     signedHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"no content": "HTTP/1.1 204 No Content\r\nId: r1\r\nSigned: 1\r\n\r\n",
+		"failure":    "HTTP/1.1 500 Internal Server Error\r\nId: r1\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		for behind, text := range map[string]string{"bytes": "xyz", "response": next, "refusal": refusal(http.StatusServiceUnavailable, "Id: r1\r\nNot-Run: 1\r\n")} {
+			t.Run(name+"/"+behind, func(t *testing.T) {
+				s := &rawServer{respond: always(whole + text)}
+				url := newTestRelayer(t, s.ServeHTTP)
+				for range 3 {
+					response, body, err := sendAndRead(t, url+"/once/x", "b")
+					if err != nil || response.StatusCode == http.StatusServiceUnavailable || body != "ok" && response.StatusCode != http.StatusNoContent {
+						t.Fatalf("got %v, body %q and error %v, want the complete response alone", response, body, err)
+					}
+				}
+				assertRequests(t, 3, s)
+			})
+		}
+	}
+	t.Run("stream", func(t *testing.T) {
+		for framing, frame := range framings {
+			if framing == "end of the connection" {
+				continue
+			}
+			s := &rawServer{respond: always(frame(streamHead, events(1, 3), true) + events(4, 5) + next)}
+			_, body, err := sendAndRead(t, newTestRelayer(t, s.ServeHTTP)+"/one-stream/x", "p")
+			if want := events(1, 3); body != want || err != nil {
+				t.Errorf("got %q and error %v, want %q", body, err, want)
+			}
+		}
+	})
+}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -101,6 +101,14 @@
 
 // newTestRelayerOf starts a relayer of the servers at the addresses, and returns its URL.
 func newTestRelayerOf(t *testing.T, logs io.Writer, addresses ...string) string {
+	t.Helper()
+	proxy := httptest.NewServer(newRelayerOf(t, logs, addresses...))
+	t.Cleanup(proxy.Close)
+	return proxy.URL
+}
+
+// newRelayerOf returns a relayer of the servers at the addresses.
+func newRelayerOf(t *testing.T, logs io.Writer, addresses ...string) *Relayer {
 	t.Helper()
 	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
@@ -134,9 +142,7 @@
 		})
 	}
 	d.Apply(coordinator.ServersListed{Servers: reports})
-	proxy := httptest.NewServer(r)
-	t.Cleanup(proxy.Close)
-	return proxy.URL
+	return r
 }
 
 // send posts a body as request r1 with a valid key.
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -170,6 +170,34 @@
 		assertOutcome(t, err, fuchsiapitch.OutcomeUnknown)
 		assertType[*fuchsiapitch.MismatchedResponseError](t, err)
 	})
+	t.Run("a not-run answer to no request proves nothing", func(t *testing.T) {
+		server, _ := startServer(t, func(c net.Conn, _ *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 503 Leaving\r\nX-Request-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		_, err := newTestSender(t).Call(context.Background(), server, newBookingCall("r1"))
+		assertOutcome(t, err, fuchsiapitch.OutcomeUnknown)
+		assertType[*fuchsiapitch.MismatchedResponseError](t, err)
+	})
+	// Guards against a refusal that a server writes once more where the response to the next
+	// call is due: each call has a connection of its own.
+	t.Run("a repeated not-run answer meets no call", func(t *testing.T) {
+		refusal := "HTTP/1.1 503 Leaving\r\nX-Request-Id: r1\r\nX-Request-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+		var refused atomic.Bool
+		server, requests := startServer(t, func(c net.Conn, r *http.Request) bool {
+			if !refused.Swap(true) {
+				fmt.Fprint(c, refusal+refusal)
+				return true
+			}
+			return respondOK(c, r)
+		})
+		s := newTestSender(t)
+		_, err := s.Call(context.Background(), server, newBookingCall("r1"))
+		assertOutcome(t, err, fuchsiapitch.OutcomeNotRun)
+		_, err = s.Call(context.Background(), server, newBookingCall("r1"))
+		assertNoError(t, err, "second call")
+		assertRequestCount(t, requests, 2)
+	})
 }
 
 func TestPlainAnswer(t *testing.T) {
