relayer: invalid events are logged

An attempt that ended at an invalid event left no line if another server completed the stream, so that operators could not see which server wrote it. TestInvalidEventIsLogged wants "stream cut off" with the server, the event before and what is wrong.

--- a/internal/relayer/events_test.go
+++ b/internal/relayer/events_test.go
@@ -188,6 +188,24 @@
 	}
 }
 
+// An invalid event is logged with its server, also if another server completes the stream.
+func TestInvalidEventIsLogged(t *testing.T) {
+	logs := new(lockedBuffer)
+	s := closingServer(func(n int32) string {
+		if n == 1 {
+			return framings["chunks"](streamHead, events(1, 2)+invalidEvents["error text"], true)
+		}
+		return framings["chunks"](streamHead, events(3, 5), true)
+	})
+	response, _, err := sendAndRead(t, newLoggedTestRelayer(t, logs, s.ServeHTTP, s.ServeHTTP)+"/stream/x", "p")
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertStatus(t, response, http.StatusOK)
+	assertLogged(t, logs, "stream cut off: invalid event of ")
+	assertLogged(t, logs, "after event 2: a line is no field")
+}
+
 // Guards against an event that was delivered twice because the client itself resumes a stream
 // and the server begins with an event that the client has.
 func TestClientResumes(t *testing.T) {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -71,6 +71,7 @@
 		}
 		lastErr = err
 		x.logIfTooLarge(err)
+		x.logIfInvalid(err)
 		if x.ctx.Err() != nil || outcome != fuchsiapitch.OutcomeNotRun && !x.route.Resumable {
 			break
 		}
@@ -118,6 +119,17 @@
 	return fuchsiapitch.OutcomeSucceeded, nil
 }
 
+// logIfInvalid logs a failed attempt whose stream contained an invalid event. Another
+// attempt may succeed, after which nothing else is logged about this one.
+func (x *exchange) logIfInvalid(err error) {
+	invalid, ok := errors.AsType[*InvalidEventError](err)
+	if !ok {
+		return
+	}
+	x.relayer.log.Warn().Str("request", string(x.metadata.ID)).Str("route", x.route.Name).
+		Str("server", string(invalid.Server)).Msg("stream cut off: " + invalid.Error())
+}
+
 // cancellationCause returns the cause of the cancellation of a context if an operation
 // failed and a cause was given, and err otherwise.
 func cancellationCause(ctx context.Context, err error) error {
