--- a/internal/sender/failure.go
+++ b/internal/sender/failure.go
@@ -60,3 +60,26 @@
 func (e *CloseDelimitedResponseError) Error() string {
 	return fmt.Sprintf("response with status %d is delimited only by the end of the connection", e.Status)
 }
+
+// InvalidStatusError reports a response whose status is not one of a final response.
+type InvalidStatusError struct {
+	// Status is the HTTP status of that response.
+	Status int
+}
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("status %d ends no request", e.Status)
+}
+
+// MergedHeadersError reports a response whose header contains the status line of another
+// response: its server stopped within the header and began again.
+type MergedHeadersError struct {
+	// Status is the HTTP status of the first response.
+	Status int
+}
+
+// Error implements error.
+func (e *MergedHeadersError) Error() string {
+	return fmt.Sprintf("the header of the response with status %d contains the status line of another response", e.Status)
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -185,6 +185,9 @@
 // checkResponse checks the header of a response. It returns the response if it
 // belongs to the call and its end can be detected, and an AttemptError otherwise.
 func (x *exchange) checkResponse(response *http.Response) (fuchsiapitch.BackendResponse, error) {
+	if isMerged(response) {
+		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, &MergedHeadersError{Status: response.StatusCode})
+	}
 	if got := response.Header.Get(RequestIDHeader); got != string(x.call.Request()) {
 		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, &fuchsiapitch.MismatchedResponseError{Request: x.call.Request(), Got: got})
 	}
@@ -193,6 +196,9 @@
 		refusal := &ServerRefusalError{Status: response.StatusCode, RetryAfter: parseRetryAfter(response.Header)}
 		return fuchsiapitch.BackendResponse{}, x.attemptError(fuchsiapitch.OutcomeNotRun, refusal)
 	}
+	if response.StatusCode < http.StatusOK {
+		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, &InvalidStatusError{Status: response.StatusCode})
+	}
 	header := StripHopByHop(response.Header)
 	if x.call.Streaming() && isEventStream(response) {
 		return fuchsiapitch.NewBackendResponse(response.StatusCode, header, newStreamBody(x, response.Body)), nil
