coordinator, driver: a silent server that accepts connections may go on

Callers lost their group, and streams that could not be moved broke off, when a sound server (the head or a member) was silent for a second or so: its group was taken apart 0.7 s after its last byte.

A probe that gets no response in 200 ms counted as a failed one, whatever the server was, and two in a row as the loss of the server. The driver now tells a server that accepts the connection and sends nothing, whose process stands still, from one that accepts none, because it has ended or its machine is cut off. The first counts as lost only after 1.5 s without a response to probes, 1.7 to 2.1 s after its last byte, or once it is off the platform's list; meanwhile it gets no orders and joins no group. Clients abandon a silent stream after two seconds at the earliest. The second is lost after two probes, as before, and so is one that resets connections.

What remains: a sound machine that accepts no connections for a second is taken for a dead one.

--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -11,6 +11,10 @@
 	// lostAfterFailures is the number of consecutive failed calls after which a server
 	// counts as lost.
 	lostAfterFailures = 2
+	// silentServerTimeout is the time without a response, from the first call without one
+	// on, after which a server counts as lost though it accepts connections. A sound server
+	// may be silent for a second or so. Clients abandon a silent stream after two seconds.
+	silentServerTimeout = 1500 * time.Millisecond
 	// failedProbeInterval is the time between probes of a server that has not
 	// responded, lostProbeInterval the time between probes of a lost server.
 	failedProbeInterval = 20 * time.Millisecond
@@ -32,7 +36,8 @@
 	// recoveredAt is when the server first responded again after it had counted as
 	// lost.
 	recoveredAt time.Duration
-	// consecutiveFailures is the number of calls in a row that got no response.
+	// consecutiveFailures is the number of calls in a row that got no response. Those to a
+	// silent server count as one.
 	consecutiveFailures int
 	// silentSince is when the first of these calls failed.
 	silentSince time.Duration
@@ -270,7 +275,7 @@
 	}
 	s.probeInFlight = false
 	if e.Err != nil {
-		c.recordFailure(now, s)
+		c.recordFailure(now, s, e.Silent)
 		return
 	}
 	if (s.replaced || e.Report.StartedUnixMillis > s.report.StartedUnixMillis) && e.IdentifiedAs != e.Server {
@@ -279,7 +284,7 @@
 	}
 	if e.Report.StartedUnixMillis < s.report.StartedUnixMillis {
 		// The list shows a later incarnation than the one that responded.
-		c.recordFailure(now, s)
+		c.recordFailure(now, s, false)
 		return
 	}
 	if s.isLost() && !s.replaced {
@@ -340,12 +345,17 @@
 	return s.report.AcceptedOrdersKnown && now < s.reportsStaleUntil && r.AcceptedOrders <= s.report.AcceptedOrders
 }
 
-// recordFailure counts a call that got no response from a server.
-func (c *Coordinator) recordFailure(now time.Duration, s *server) {
+// recordFailure counts a call that got no response from a server. isSilent is true if the
+// server accepted the connection: it may go on, and counts as lost only after
+// silentServerTimeout, or once it is off the list. A server that has ended or is cut off
+// accepts none.
+func (c *Coordinator) recordFailure(now time.Duration, s *server, isSilent bool) {
 	if s.consecutiveFailures == 0 {
 		s.silentSince = now
 	}
-	s.consecutiveFailures++
+	if !isSilent || !s.listed || s.consecutiveFailures != lostAfterFailures-1 || now-s.silentSince >= silentServerTimeout {
+		s.consecutiveFailures++
+	}
 	s.needsProbe = true
 	s.nextProbeAt = now + failedProbeInterval
 	if s.isLost() {
@@ -377,7 +387,7 @@
 		s.needsProbe, s.nextProbeAt = true, s.noOrdersUntil
 		c.cancelLoad(s, e.Order)
 	case fuchsiapitch.OrderUnknown:
-		c.recordFailure(now, s)
+		c.recordFailure(now, s, e.Silent)
 	}
 	c.reconcileServer(now, s)
 }
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -38,6 +38,11 @@
 	IsRetry bool
 	// Resumed is true if the client already has part of the response.
 	Resumed bool
+	// MayMove is true if the request may be sent to another server while it runs, without
+	// the loss of what its client has received.
+	MayMove bool
+	// PreviousTicket is the ticket of the last attempt of the request, 0 for none.
+	PreviousTicket Ticket
 	// FailedServers are servers at which this request has failed.
 	FailedServers []fuchsiapitch.ServerID
 }
@@ -84,12 +89,16 @@
 	IdentifiedAs fuchsiapitch.ServerID
 	// Err is the error of the probe, nil if it succeeded.
 	Err error
+	// Silent is true if a connection was established and no response came in time.
+	Silent bool
 }
 
 // OrderResultReceived reports the result of an order.
 type OrderResultReceived struct {
 	Order  fuchsiapitch.GroupOrder
 	Result fuchsiapitch.OrderResult
+	// Silent is true if a connection was established and no response came in time.
+	Silent bool
 }
 
 // HeartbeatReceived reports a heartbeat from another host.
--- a/internal/coordinator/simulation_test.go
+++ b/internal/coordinator/simulation_test.go
@@ -19,6 +19,8 @@
 	// simulatedReportLag is the age of the reports that engines send in response to
 	// probes.
 	simulatedReportLag = 200 * time.Millisecond
+	// simulatedProbeTimeout is the time after which a probe without a response fails.
+	simulatedProbeTimeout = 200 * time.Millisecond
 	// simulatedListExpiry is the time after which an unreachable engine disappears from
 	// the server list.
 	simulatedListExpiry = 3600 * time.Millisecond
@@ -58,6 +60,9 @@
 	isolatedUntil    time.Duration
 	unreachableUntil time.Duration
 	lastReachableAt  time.Duration
+	// silentUntil is the time until which the engine accepts connections and sends no byte,
+	// neither to hosts nor to the members of its group.
+	silentUntil time.Duration
 	// readyFormations are the formations in which the engine has been ready.
 	readyFormations map[fuchsiapitch.GroupRef]bool
 	// reports holds the state after each step. Probes and the server list read earlier
@@ -220,9 +225,14 @@
 func (sm *simulation) respondToProbe(n int, probe ProbeServer) {
 	id := probe.Server
 	e, ok := sm.engineAt(probe.Address)
-	if !ok || !sm.isReachable(e) {
-		sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: sm.now + 200*time.Millisecond, coordinatorIndex: n, event: func() Event {
-			return ProbeCompleted{Server: id, Err: &fuchsiapitch.UnreachableError{Address: string(id)}}
+	silent := ok && sm.isReachable(e) && sm.now < e.silentUntil
+	switch {
+	case silent && e.silentUntil <= sm.now+simulatedProbeTimeout:
+		sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: e.silentUntil, coordinatorIndex: -1, run: func() { sm.respondToProbe(n, probe) }})
+		return
+	case silent || !ok || !sm.isReachable(e):
+		sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: sm.now + simulatedProbeTimeout, coordinatorIndex: n, event: func() Event {
+			return ProbeCompleted{Server: id, Err: &fuchsiapitch.UnreachableError{Address: string(id)}, Silent: silent}
 		}})
 		return
 	}
@@ -242,9 +252,12 @@
 // executes the order 2 to 12 s later, unless it has restarted or died by then. With a
 // quarter of that probability, the order is executed at once and the result is unknown.
 func (sm *simulation) deliverOrder(n int, o fuchsiapitch.GroupOrder) {
-	unknownResult := func() Event { return OrderResultReceived{Order: o, Result: fuchsiapitch.OrderUnknown} }
 	e, ok := sm.engineAt(o.Address)
-	if !ok || !sm.isReachable(e) {
+	silent := ok && sm.isReachable(e) && sm.now < e.silentUntil
+	unknownResult := func() Event {
+		return OrderResultReceived{Order: o, Result: fuchsiapitch.OrderUnknown, Silent: silent}
+	}
+	if silent || !ok || !sm.isReachable(e) {
 		sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: sm.now + 500*time.Millisecond, coordinatorIndex: n, event: unknownResult})
 		return
 	}
@@ -413,16 +426,23 @@
 	e.reports = append(e.reports, r)
 }
 
-// breakIfMemberMissing breaks a group whose leader has been without a member for longer
-// than the stall timeout.
-func (sm *simulation) breakIfMemberMissing(e *simulatedEngine) {
-	missing := sm.now < e.isolatedUntil
+// isMemberMissing reports whether a leader cannot work, because a member of its group is
+// not there.
+func (sm *simulation) isMemberMissing(e *simulatedEngine) bool {
 	for _, m := range e.members {
 		o, ok := sm.engines[m]
-		missing = missing || !ok || o.dead || sm.now < o.isolatedUntil || o.group != e.group
+		if !ok || o.dead || sm.now < o.isolatedUntil || sm.now < o.silentUntil || o.group != e.group {
+			return true
+		}
 	}
+	return sm.now < e.isolatedUntil
+}
+
+// breakIfMemberMissing breaks a group whose leader has been without a member for longer
+// than the stall timeout.
+func (sm *simulation) breakIfMemberMissing(e *simulatedEngine) {
 	switch {
-	case !missing:
+	case !sm.isMemberMissing(e):
 		e.memberMissingSince = 0
 	case e.memberMissingSince == 0:
 		e.memberMissingSince = sm.now
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -182,9 +182,9 @@
 	case coordinator.SendDigest:
 		d.sendDigest(e)
 	case coordinator.ProbeServer:
-		d.callServer(func() { d.probeServer(e) })
+		d.callServer(func() { d.Apply(d.probeServer(e)) })
 	case coordinator.SendOrder:
-		d.callServer(func() { d.sendOrder(e.Order) })
+		d.callServer(func() { d.Apply(d.sendOrder(e.Order)) })
 	case coordinator.ClaimControl:
 		d.runInBackground(func() { d.claimControl(e.PreviousClaim) })
 	case coordinator.RereadConfiguration:
@@ -223,36 +223,38 @@
 	})
 }
 
-// probeServer requests the report of a server and applies the result. If the report
+// probeServer requests the report of a server and returns the result. If the report
 // shows a later incarnation than the known one, it also requests the identifier of the
 // server, since another server may use the address now.
-func (d *Driver) probeServer(e coordinator.ProbeServer) {
+func (d *Driver) probeServer(e coordinator.ProbeServer) coordinator.ProbeCompleted {
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
 	defer cancel()
+	ctx, isSilent := withSilenceDetection(ctx)
 	r, err := d.servers.Report(ctx, e.Server, e.Address)
 	if err != nil {
 		d.log.Info().Str("server", string(e.Server)).Err(err).Msg("could not get report of server")
 	}
 	d.meter.CountReportRequest(err == nil)
-	result := coordinator.ProbeCompleted{Server: e.Server, Report: r, Err: err}
+	result := coordinator.ProbeCompleted{Server: e.Server, Report: r, Err: err, Silent: err != nil && isSilent()}
 	if err == nil && r.StartedUnixMillis > e.KnownIncarnation {
 		if result.IdentifiedAs, err = d.servers.Identify(ctx, e.Address); err != nil {
 			d.log.Info().Str("server", string(e.Server)).Err(err).Msg("could not get identifier of server")
 		}
 	}
-	d.Apply(result)
+	return result
 }
 
-// sendOrder sends an order to a server and applies the result.
-func (d *Driver) sendOrder(o fuchsiapitch.GroupOrder) {
+// sendOrder sends an order to a server and returns the result.
+func (d *Driver) sendOrder(o fuchsiapitch.GroupOrder) coordinator.OrderResultReceived {
 	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
 	defer cancel()
+	ctx, isSilent := withSilenceDetection(ctx)
 	result, err := d.servers.Order(ctx, o)
 	if err != nil {
 		d.log.Info().Str("server", string(o.Server)).Str("order", o.Kind.String()).Str("answer", result.String()).Err(err).Msg("order failed")
 	}
 	d.meter.CountOrder(o.Kind.String(), result.String())
-	d.Apply(coordinator.OrderResultReceived{Order: o, Result: result})
+	return coordinator.OrderResultReceived{Order: o, Result: result, Silent: err != nil && isSilent()}
 }
 
 // claimControl claims the role of the controller from the holder of the previous claim,
