coordinator, relayer: a silent server keeps the streams that cannot be resumed

Callers' streams were ended after a second without a byte from their server, although it was sound and went on: the host took every stream of a silent engine from it, within the retry budget, to resume it at another one. One that cannot be resumed, by its kind or since its attempts were used, was ended by that. So was one whose retry was then refused: the budget was asked for each stream and charged only when it came back, so that one free retry ended all streams but one. And a resumed stream was refused when no slot became free within a quarter of the time that it had.

Requests now say whether they may move. Of a silent engine only such streams are taken, each with its retry reserved, and they wait for a slot until their deadline; a slot of the same engine will do if it goes on. All others stay where they are. What is given up as before, at once and so that the caller can send it again: streams at a server that this host could not connect to, and those of a group that the controller has taken apart, which cannot be completed.

Evidence: TestStreamsOutliveSilence, 12 streams at two groups, the head or a member of one silent for 0.5, 1 and 1.5 s; on, where the group stays:

streams_that_may_not_move,_leader_for_1.5s: got 6 of 12 streams broken off, want 0 a_retry_budget_for_four,_leader_for_1.5s: got 2 of 12 streams broken off, want 0

TestResponsesOutliveSilence pauses the servers of the stand-in for 0.5, 1, 1.5 and 4 s below streams, bookings and lookups; it passed before too, as its streams could move.

TestSlotAtSilentServerIsRevoked now has a stream that may move: the others keep their slot.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -89,6 +89,8 @@
 	grantedAt       time.Duration
 	responseStarted bool
 	revoked         bool
+	// mayMove is true if the request may be sent to another server while it runs.
+	mayMove bool
 }
 
 // queuedRequest is a request that has not been granted a slot.
@@ -140,7 +142,7 @@
 		w.isLate = true
 		expectedWait, _ = c.expectedWait(now, w)
 	}
-	if servable && now+expectedWait > c.waitLimit(now, w) {
+	if servable && !w.Resumed && now+expectedWait > c.waitLimit(now, w) {
 		c.refuse(w, Overloaded, expectedWait)
 		return
 	}
@@ -168,12 +170,16 @@
 }
 
 // waitLimit returns the time until which a request may be queued: the latest grant that
-// still gets the first byte in time. A late, resumed or returned request may in any
-// case be queued for lateWaitShare of the time to its deadline.
+// still gets the first byte in time. A late or returned request may in any case be queued
+// for lateWaitShare of the time to its deadline. A refusal of a resumed stream would end it,
+// so that it may be queued until its deadline.
 func (c *Coordinator) waitLimit(now time.Duration, w *queuedRequest) time.Duration {
+	if w.Resumed {
+		return w.Deadline
+	}
 	inTimeLimit := w.FirstByteBy - c.timeToFirstByte(w)
 	lateLimit := now + time.Duration(float64(w.Deadline-now)*lateWaitShare)
-	if w.ReturnedAfterRefusal || w.Resumed || w.isLate {
+	if w.ReturnedAfterRefusal || w.isLate {
 		return max(inTimeLimit, lateLimit)
 	}
 	return inTimeLimit
@@ -328,7 +334,7 @@
 
 // grant assigns a slot of a replica to a request.
 func (c *Coordinator) grant(now time.Duration, w *queuedRequest, r *replica) {
-	a := &assignment{replica: r, pool: w.pool, promptTokens: w.InputTokens, grantedAt: now}
+	a := &assignment{replica: r, pool: w.pool, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove}
 	c.assignments[w.Ticket] = a
 	if r.inFlight == 0 {
 		r.busySince = now
@@ -362,7 +368,7 @@
 	remaining := c.queue[:0]
 	fullPools := make(map[poolKey]bool)
 	for _, w := range c.queue {
-		if now > c.waitLimit(w.arrivedAt, w) {
+		if now > c.waitLimit(w.arrivedAt, w) || now >= w.Deadline {
 			expectedWait, _ := c.expectedWait(now, w)
 			c.refuse(w, Overloaded, expectedWait)
 			continue
--- a/internal/coordinator/admission_test.go
+++ b/internal/coordinator/admission_test.go
@@ -254,7 +254,9 @@
 func TestSlotAtSilentServerIsRevoked(t *testing.T) {
 	now := 5 * time.Second
 	c := newCoordinatorWithReplicas(now, 2)
-	s, _ := decisionFor(c.Apply(now, newArrival(now, 1)), 1)
+	stream := newArrival(now, 1)
+	stream.MayMove = true
+	s, _ := decisionFor(c.Apply(now, stream), 1)
 	c.Apply(now, ResponseStarted{Ticket: 1})
 	c.Apply(now+revocationSilence/2, Ticked{LastByteTimes: map[fuchsiapitch.ServerID]time.Duration{s: now}})
 	var revoked bool
--- a/internal/coordinator/budget.go
+++ b/internal/coordinator/budget.go
@@ -43,17 +43,26 @@
 // chargeRetryBudget counts a request in the retry budget and reports whether the budget
 // allows it.
 func (c *Coordinator) chargeRetryBudget(now time.Duration, e RequestArrived) bool {
-	if c.retryWindow <= 0 {
+	if c.takeReservedRetry(e.PreviousTicket) {
 		return true
 	}
+	if e.IsRetry || c.retryWindow <= 0 {
+		return c.takeRetry(now, e.Service)
+	}
 	u, i := c.currentUsage(now, e.Service)
-	switch {
-	case !e.IsRetry:
-		u.requests[i]++
+	u.requests[i]++
+	return true
+}
+
+// takeRetry counts a retry if the budget allows it, and reports whether it does.
+func (c *Coordinator) takeRetry(now time.Duration, service fuchsiapitch.ServiceName) bool {
+	if c.retryWindow <= 0 {
 		return true
-	case !c.mayRetry(now, e.Service):
+	}
+	if !c.mayRetry(now, service) {
 		return false
 	}
+	u, i := c.currentUsage(now, service)
 	u.retries[i]++
 	return true
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -62,6 +62,7 @@
 	cluster
 	admissionState
 	retryBudget
+	revocationState
 	relayState
 	directoryState
 	admissionShareState
@@ -113,7 +114,7 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation),
 	}
 	for _, o := range options {
 		o(c)
@@ -209,6 +210,7 @@
 		c.reconcile(now)
 	}
 	c.refreshReplicas(now)
+	c.forgetReservedRetries(now)
 	c.revokeFromSilent(now)
 	c.dispatchQueue(now)
 	c.sendHeartbeats(now)
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -197,45 +197,6 @@
 	}
 }
 
-// revokeFromDissolved revokes the slots of this host's requests at groups that the
-// controller has dissolved, once they are silent.
-func (c *Coordinator) revokeFromDissolved(now time.Duration, statuses []GroupStatus) {
-	announced := make(map[fuchsiapitch.ServerID]bool, len(statuses))
-	for _, g := range statuses {
-		announced[g.Leader] = true
-	}
-	for id, r := range c.replicas {
-		if r.open || announced[id] || r.model == "" || r.inFlight == 0 || r.silentFor(now) < groupSilenceTimeout {
-			continue
-		}
-		for _, k := range sortedKeys(c.assignments) {
-			if a := c.assignments[k]; a.replica == r && !a.revoked {
-				a.revoked = true
-				c.emit(Revoke{Ticket: k})
-			}
-		}
-	}
-}
-
-// revokeFromSilent revokes the slots of this host's requests at engines that have sent
-// it no byte for revocationSilence, as far as the retry budget allows. The controller
-// does not detect a network partition that affects this host alone.
-func (c *Coordinator) revokeFromSilent(now time.Duration) {
-	for _, k := range sortedKeys(c.assignments) {
-		a := c.assignments[k]
-		r := a.replica
-		if a.revoked || r.model == "" || r.silentFor(now) < revocationSilence || now-a.grantedAt < revocationSilence {
-			continue
-		}
-		if !c.mayRetry(now, r.service) {
-			return
-		}
-		a.revoked = true
-		r.unavailableUntil = now + revocationSilence
-		c.emit(Revoke{Ticket: k})
-	}
-}
-
 // recordLastByteTimes records when servers last sent a byte.
 func (c *Coordinator) recordLastByteTimes(lastByteTimes map[fuchsiapitch.ServerID]time.Duration) {
 	for id, at := range lastByteTimes {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -435,6 +435,9 @@
 	}
 }
 
+// Ticket returns the ticket of the slot.
+func (s *Slot) Ticket() coordinator.Ticket { return s.ticket }
+
 // Server returns the server to which the slot belongs.
 func (s *Slot) Server() fuchsiapitch.ServerID { return s.grant.Server }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -180,6 +180,8 @@
 	// sendCount is the number of attempts in which the request may have reached a
 	// server, acquisitions the number of times that a slot was requested for it.
 	sendCount, acquisitions int
+	// lastTicket is that of the last slot, 0 for none.
+	lastTicket coordinator.Ticket
 	// admissionWait is the time from the receipt of the request until the end of the
 	// last wait for a slot.
 	admissionWait time.Duration
@@ -305,14 +307,26 @@
 	if profile, ok := x.routes.Service(x.service); !ok || profile.Engine == nil {
 		model = ""
 	}
-	return x.relayer.admitter.Acquire(x.ctx, coordinator.RequestArrived{
+	slot, err := x.relayer.admitter.Acquire(x.ctx, coordinator.RequestArrived{
 		Service: x.service, Model: model, Rank: x.rank(),
 		InputTokens: x.metadata.PromptTokens, OutputTokens: x.metadata.MaxOutputTokens,
 		FirstByteBy: x.relayer.admitter.SinceStart(x.receivedAt.Add(latencyTarget - x.priorElapsed())), Deadline: x.relayer.admitter.SinceStart(x.deadline),
 		MaxPause:             x.route.InterEventTarget,
 		ReturnedAfterRefusal: float64(x.metadata.TimeLimit) < retriedTimeoutRatio*float64(x.route.Timeout),
 		Resumed:              resumed, IsRetry: x.sendCount > 0, FailedServers: x.failedServers,
+		MayMove: x.mayMove(), PreviousTicket: x.lastTicket,
 	})
+	if err == nil {
+		x.lastTicket = slot.Ticket()
+	}
+	return slot, err
+}
+
+// mayMove reports whether the request may be taken from the server that it is about to be
+// sent to, since its response can be resumed and another attempt is left.
+func (x *exchange) mayMove() bool {
+	return x.route.Kind == fuchsiapitch.StreamRoute && x.route.Resumable &&
+		x.sendCount+1 < x.route.AttemptLimit && x.acquisitions < x.route.AttemptLimit+maxUnsentAttempts
 }
 
 // priorElapsed returns the time that the client has spent on earlier attempts: the part
