--- a/engine_group.go
+++ b/engine_group.go
@@ -248,4 +248,6 @@
 	NotRun bool
 	// FaultyServer is the server that caused a refusal, "" if not stated.
 	FaultyServer ServerID
+	// Notice is what the server states about itself.
+	Notice ServerNotice
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -182,6 +182,8 @@
 	// sendCount is the number of attempts in which the request may have reached a
 	// server, acquisitions the number of times that a slot was requested for it.
 	sendCount, acquisitions int
+	// lastTicket is that of the last slot, 0 for none.
+	lastTicket coordinator.Ticket
 	// admissionWait is the time from the receipt of the request until the end of the
 	// last wait for a slot.
 	admissionWait time.Duration
@@ -314,13 +316,25 @@
 		MaxPause:             x.route.InterEventTarget,
 		ReturnedAfterRefusal: float64(x.metadata.TimeLimit) < retriedTimeoutRatio*float64(x.route.Timeout),
 		Resumed:              resumed, IsRetry: x.sendCount > 0, FailedServers: x.failedServers,
+		MayMove: x.mayMove(), PreviousTicket: x.lastTicket,
 	})
-	if err == nil && x.relayer.aborted.Err() != nil {
+	if err != nil {
+		return nil, err
+	}
+	if x.relayer.aborted.Err() != nil {
 		// The slot of an aborted request has become free. This one must not run any more.
 		slot.Release(false, "")
 		return nil, context.Cause(x.relayer.aborted)
 	}
-	return slot, err
+	x.lastTicket = slot.Ticket()
+	return slot, nil
+}
+
+// mayMove reports whether the request may be taken from the server that it is about to be
+// sent to, since its response can be resumed and another attempt is left.
+func (x *exchange) mayMove() bool {
+	return x.route.Kind == fuchsiapitch.StreamRoute && x.route.Resumable &&
+		x.sendCount+1 < x.route.AttemptLimit && x.acquisitions < x.route.AttemptLimit+maxUnsentAttempts
 }
 
 // priorElapsed returns the time that the client has spent on earlier attempts: the part
