acceptor: a stop gives each connection its idle period

Cause: at the end of the idle period a stop closed all connections without a request, also those that had just been accepted or had just sent a response that did not announce the end. And a connection that expired between the arrival of the first bytes of a request and their being recorded timed out within the request.

Change: each connection is closed when it has been without a request for the idle period, shortly before the deadline all are; a read that times out by expiry within a request goes on.

Tests that failed before: TestShutdownKeepsConnectionsAfterLateResponses ("got error unexpected EOF, want a response"), TestExpiryAfterStartOfRequest (the same).

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -161,27 +161,30 @@
 func (a *Acceptor) StartDraining() { a.draining.Store(true) }
 
 // Shutdown waits until the clients have closed their connections, each after the response
-// that announces its end. It accepts connections meanwhile. Connections that stay idle are
-// closed after the period of WithDrainIdlePeriod, or shortly before the deadline of the context. If the context
-// ends first, its error is returned, and the remaining connections stay open until Close.
+// that announces its end. It accepts connections for the period of WithDrainIdlePeriod.
+// After that it closes those that have been without a request for as long, and shortly before
+// the deadline of the context all without one. If the context ends first, its error is
+// returned, and the remaining connections stay open until Close.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	defer a.stopChecks()
 	a.StartDraining()
-	idleDeadline := time.Now().Add(a.drainIdlePeriod)
-	if deadline, ok := ctx.Deadline(); ok && idleDeadline.After(deadline.Add(-drainMargin)) {
-		idleDeadline = deadline.Add(-drainMargin)
+	end := time.Now().Add(a.drainIdlePeriod)
+	lastEnd, bounded := ctx.Deadline()
+	lastEnd = lastEnd.Add(-drainMargin)
+	if bounded && end.After(lastEnd) {
+		end = lastEnd
 	}
-	a.await(ctx, func() bool {
-		return len(a.openConnections()) == 0 || !time.Now().Before(idleDeadline)
-	})
+	a.await(ctx, func() bool { return len(a.openConnections()) == 0 || !time.Now().Before(end) })
 	a.stopAccepting(ctx)
 	a.await(ctx, func() bool {
 		now := time.Now()
+		waitingSince := now.Add(-a.drainIdlePeriod)
+		if bounded && !now.Before(lastEnd) {
+			waitingSince = now
+		}
 		open := a.openConnections()
 		for _, c := range open {
-			if !now.Before(idleDeadline) {
-				c.expireIfWaiting(now)
-			}
+			c.expireIfWaiting(now, waitingSince)
 		}
 		return len(open) == 0
 	})
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -297,6 +297,46 @@
 	})
 }
 
+// Guards against a connection that is closed right after a response that did not announce
+// it, when its client is most likely to use it: the response was begun before the stop and
+// ends when idle connections are closed.
+func TestShutdownKeepsConnectionsAfterLateResponses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		a.drainIdlePeriod = testWork - time.Second
+		c := a.dialClient(t)
+		c.send(t, "/slow")
+		synctest.Wait()
+		result := a.shutDown(t)
+		c.receive(t)
+		time.Sleep(a.drainIdlePeriod / 2)
+		c.exchange(t, "/")
+		if err := <-result; err != nil {
+			t.Errorf("got error %v, want a complete stop", err)
+		}
+	})
+}
+
+// Guards against a request that is discarded because its connection expires between the
+// arrival of its first bytes and their being recorded.
+func TestExpiryAfterStartOfRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n")
+		synctest.Wait()
+		tracked := a.openConnections()[0]
+		tracked.mutex.Lock()
+		tracked.expire(time.Now())
+		tracked.mutex.Unlock()
+		synctest.Wait()
+		io.WriteString(c, "Content-Length: 4\r\n\r\nbody")
+		c.receive(t)
+	})
+}
+
 // A client that keeps its connection open and idle does not hold up a stop beyond the grace
 // period.
 func TestShutdownEndsWithIdleConnections(t *testing.T) {
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -71,6 +71,9 @@
 	// time at which it became true.
 	waiting      bool
 	waitingSince time.Time
+	// expired is true from the time at which the connection was to be closed until the read
+	// that waits has noticed.
+	expired bool
 	// served is true once a request has been served.
 	served bool
 	// idleTimeout is the longest idle time-out on which the client may rely: those that
@@ -168,12 +171,12 @@
 	return c.expire(now)
 }
 
-// expireIfWaiting makes the HTTP server close the connection if no part of a request has
-// arrived on it.
-func (c *connection) expireIfWaiting(now time.Time) {
+// expireIfWaiting makes the HTTP server close the connection if it has been without a
+// request since a time or longer.
+func (c *connection) expireIfWaiting(now, since time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.waiting {
+	if c.waiting && !c.waitingSince.After(since) {
 		c.expire(now)
 	}
 }
@@ -186,26 +189,18 @@
 		c.acceptor.log.Debug().Err(err).Msg("failed to close an idle connection")
 		return false
 	}
+	c.expired = true
 	return true
 }
 
-// Read implements net.Conn. When the deadline of a read for the first byte of a request has
-// passed, it returns data that has arrived nevertheless: the deadline can wake the reader
-// before the data does.
+// Read implements net.Conn. When the connection has expired, or its deadline has passed
+// before the first byte of a request, Read returns data that has arrived nevertheless: the
+// deadline can wake the reader before the data does.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isWaiting() {
-		if err := c.SetReadDeadline(time.Now().Add(lastReadTimeout)); err != nil {
-			return 0, err
-		}
-		n, err = c.Conn.Read(data)
-		if n > 0 {
-			c.acceptor.meter.CountRescuedRequest()
-			c.acceptor.log.Info().Str("caller", c.RemoteAddr().String()).Msg("request arrived on a connection that was to be closed")
-			// The HTTP server sets its own deadline once it has the start of a request.
-			if err := c.SetReadDeadline(time.Now().Add(defaultHeaderTimeout)); err != nil {
-				return n, err
-			}
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if timeout, again := c.lastReadTimeout(); again {
+			n, err = c.readAgain(data, timeout)
 		}
 	}
 	if n > 0 {
@@ -214,10 +209,39 @@
 	return n, err
 }
 
-func (c *connection) isWaiting() bool {
+// lastReadTimeout returns how long a read that timed out is to wait once more. It is false if
+// the timeout stands.
+func (c *connection) lastReadTimeout() (time.Duration, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.waiting
+	expired := c.expired
+	c.expired = false
+	switch {
+	case c.waiting:
+		return lastReadTimeout, true
+	case expired:
+		// The start of a request has arrived after all. The rest has the usual time.
+		return defaultHeaderTimeout, true
+	}
+	return 0, false
+}
+
+// readAgain reads with a new deadline.
+func (c *connection) readAgain(data []byte, timeout time.Duration) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(data)
+	if n == 0 {
+		return 0, err
+	}
+	c.acceptor.meter.CountRescuedRequest()
+	c.acceptor.log.Info().Str("caller", c.RemoteAddr().String()).Msg("request arrived on a connection that was to be closed")
+	// The HTTP server sets its own deadline once it has the start of a request.
+	if err := c.SetReadDeadline(time.Now().Add(defaultHeaderTimeout)); err != nil {
+		return n, err
+	}
+	return n, nil
 }
 
 // startReceiving records that bytes of a request have arrived.
