--- a/internal/relayer/drain.go
+++ b/internal/relayer/drain.go
@@ -27,7 +27,7 @@
 func (e *HostStoppingError) Error() string { return "host stops" }
 
 // StartDraining makes the relayer abort the requests in flight after a time, and refuse
-// from an earlier time on those that are likely to last longer. Aborted requests get a response
+// from an earlier time on those whose time limit is later. Aborted requests get a response
 // unless theirs has begun.
 func (r *Relayer) StartDraining(refuseAfter, abortAfter time.Duration) {
 	now := time.Now()
@@ -43,14 +43,7 @@
 // reports whether it has.
 func (x *exchange) refuseIfDraining() bool {
 	d := x.relayer.drain.Load()
-	if d == nil || x.receivedAt.Before(d.refuseFrom) {
-		return false
-	}
-	end := x.deadline
-	if estimate, ok := x.relayer.durations.estimate(x.route.Name); ok && x.receivedAt.Add(estimate).Before(end) {
-		end = x.receivedAt.Add(estimate)
-	}
-	if end.Before(d.end) {
+	if d == nil || x.receivedAt.Before(d.refuseFrom) || x.deadline.Before(d.end) {
 		return false
 	}
 	x.relayer.meter.CountRequest(x.service, fuchsiapitch.RankName(x.route.Name), fuchsiapitch.OutcomeNotRun)
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -126,7 +126,6 @@
 		return
 	}
 	x.relayer.meter.CountRequest(x.service, fuchsiapitch.RankName(x.route.Name), fuchsiapitch.OutcomeSucceeded)
-	x.relayer.durations.record(x.route.Name, time.Since(x.receivedAt))
 	x.relayer.log.Debug().Str("request", string(x.metadata.ID)).Int("status", b.status).
 		Dur("took", time.Since(x.receivedAt)).Msg("response delivered")
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -97,7 +97,6 @@
 	aborted          context.Context //nolint:containedctx // It lives as long as the relayer.
 	abort            context.CancelCauseFunc
 	inFlightRequests atomic.Int64
-	durations        durationEstimator
 }
 
 // Option sets one optional property of a relayer.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -116,7 +116,6 @@
 		return fuchsiapitch.OutcomeUnknown, cancellationCause(ctx, err)
 	}
 	x.relayer.meter.CountRequest(x.service, fuchsiapitch.RankName(x.route.Name), fuchsiapitch.OutcomeSucceeded)
-	x.relayer.durations.record(x.route.Name, time.Since(x.receivedAt))
 	return fuchsiapitch.OutcomeSucceeded, nil
 }
 
