platformassembler: the soak names the time since the stop of a lost request

A finding said only that the host was stopping. Whether the request came in the linger period, after it or at the end of the grace period tells the causes apart.

--- a/internal/platformassembler/soak_client_test.go
+++ b/internal/platformassembler/soak_client_test.go
@@ -204,7 +204,7 @@
 	// with unread data resets it.
 	unacknowledged := unacknowledgedBytes(conn.Conn)
 	hasArrived := errors.Is(f.err, syscall.ECONNRESET) || unacknowledged == 0
-	isStopping := conn.process.stopped.Load() != 0
+	stopped := conn.process.stopped.Load()
 	switch {
 	case f.sendError != nil:
 		c.soak.count("connections closed in the middle of a request")
@@ -212,12 +212,15 @@
 		c.soak.count("requests after the announced time that arrived and got no response")
 	case !f.isReliable:
 		c.soak.count("requests after the announced time that crossed the close")
-	case !hasArrived && isStopping:
+	case !hasArrived && stopped != 0:
 		c.soak.recordCrossing(conn.process, f.sent)
 	default:
-		caller := conn.LocalAddr().String()
-		c.soak.report("%s: lost request %s to %s, number %d of its connection, sent %s after the one before: got error %q after %s and %d bytes of a body, %d bytes unacknowledged, host stopping: %t, its log: %q",
-			caller, r.id, r.path, conn.requests, f.sent.Sub(f.lastUsed), f.err, time.Since(f.sent), f.bodyBytes, unacknowledged, isStopping, c.soak.log.find(caller))
+		caller, sinceStop := conn.LocalAddr().String(), "no stop"
+		if stopped != 0 {
+			sinceStop = fmt.Sprintf("%s after the stop", f.sent.Sub(time.Unix(0, stopped)))
+		}
+		c.soak.report("%s: lost request %s to %s, number %d of its connection, sent %s after the one before (%s): got error %q after %s and %d bytes of a body, %d bytes unacknowledged; log of the host: %q",
+			caller, r.id, r.path, conn.requests, f.sent.Sub(f.lastUsed), sinceStop, f.err, time.Since(f.sent), f.bodyBytes, unacknowledged, c.soak.log.find(caller))
 	}
 }
 
