acceptor: a stop ends while new connections arrive

Callers saw: requests without a response 7.7 s after the stop of their host, when the process ends.

Cause: a stopping host accepts until no connection has arrived for 100 ms. With more than ten a second that does not happen before the deadline; then http.Server closes all connections, with the requests on them.

Change: after 500 ms the listener accepts only what is in its queue, and closes as soon as the queue is empty. A time-out of Accept with connections in the queue no longer ends it, and no time passes between the last look at the queue and the close.

TestShutdownEndsWhileConnectionsArrive failed before: "got a new connection 8s after the stop, want none after 8s", "got error unexpected EOF, want a response".

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -41,6 +41,8 @@
 	// lastAcceptTimeout is the time without a new connection after which a stopping host
 	// accepts no more.
 	lastAcceptTimeout = 100 * time.Millisecond
+	// maxLastAcceptPeriod is how long a stopping host waits for that.
+	maxLastAcceptPeriod = 500 * time.Millisecond
 	// lastReadTimeout bounds the read that looks for a request before a connection is
 	// closed.
 	lastReadTimeout = 10 * time.Millisecond
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -278,6 +279,68 @@
 	})
 }
 
+// Guards against requests that a stop discards at the end of the grace period, because it
+// goes on accepting for as long as new connections arrive.
+func TestShutdownEndsWhileConnectionsArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		synctest.Wait()
+		result := a.shutDown(t)
+		var clients sync.WaitGroup
+		defer clients.Wait()
+		for start := time.Now(); ; time.Sleep(lastAcceptTimeout / 2) {
+			conn, err := a.listener.dial(t.Context(), "", "")
+			if err != nil {
+				break
+			}
+			if got := time.Since(start); got >= testGracePeriod {
+				t.Fatalf("got a new connection %s after the stop, want none after %s", got, testGracePeriod)
+			}
+			clients.Go(func() {
+				time.Sleep(lastAcceptTimeout)
+				c := &testClient{Conn: conn, reader: bufio.NewReader(conn)}
+				c.exchange(t, "/")
+			})
+		}
+		if err := <-result; err != nil {
+			t.Errorf("got error %v, want a complete stop", err)
+		}
+	})
+}
+
+// Guards against a connection that a stop resets in the queue of the listener, because the
+// host had no processor time to accept it.
+func TestStoppingListenerEmptiesQueue(t *testing.T) {
+	socket, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	client, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", socket.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	for !hasQueuedConnection(socket) {
+		time.Sleep(time.Millisecond)
+	}
+	l := &trackedListener{Listener: socket, acceptor: New(http.NotFoundHandler()), done: make(chan struct{})}
+	l.stop()
+	l.lastAcceptEnd = time.Now()
+	if err := socket.(*net.TCPListener).SetDeadline(time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatalf("got error %v, want the connection in the queue", err)
+	}
+	accepted.Close()
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("got error %v, want a closed listener", err)
+	}
+}
+
 // Guards against a request that is discarded at the end of a stop: it has arrived, but the
 // host had no processor time to read it.
 func TestShutdownServesArrivedRequest(t *testing.T) {
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // trackedListener accepts connections that are tracked by an acceptor.
@@ -19,6 +21,9 @@
 	net.Listener
 	acceptor *Acceptor
 	stopping atomic.Bool
+	// lastAcceptEnd is the time from which a stopping listener accepts only what is in its
+	// queue. It is set before stopping.
+	lastAcceptEnd time.Time
 	// done is closed once no more connections are accepted.
 	done     chan struct{}
 	doneOnce sync.Once
@@ -27,8 +32,10 @@
 // deadlineSetter is a listener whose Accept can time out.
 type deadlineSetter interface{ SetDeadline(t time.Time) error }
 
-// stop makes Accept fail once the queue of the listener is empty.
+// stop makes Accept fail once no connection has arrived for lastAcceptTimeout, or the queue
+// of the listener is empty after maxLastAcceptPeriod.
 func (l *trackedListener) stop() {
+	l.lastAcceptEnd = time.Now().Add(maxLastAcceptPeriod)
 	l.stopping.Store(true)
 	l.armDeadline()
 }
@@ -43,11 +50,10 @@
 
 // Accept implements net.Listener.
 func (l *trackedListener) Accept() (net.Conn, error) {
-	if l.stopping.Load() {
-		l.armDeadline()
-	}
-	accepted, err := l.Listener.Accept()
+	accepted, err := l.acceptNext()
 	if err != nil && l.stopping.Load() {
+		// Connections that arrive from now on are refused.
+		l.Close()
 		l.doneOnce.Do(func() { close(l.done) })
 		return nil, net.ErrClosed
 	}
@@ -61,6 +67,46 @@
 	return c, nil
 }
 
+// acceptNext returns the next connection. While the listener stops, it fails if there is
+// none in the queue and time is up.
+func (l *trackedListener) acceptNext() (net.Conn, error) {
+	for {
+		if l.stopping.Load() {
+			if !time.Now().Before(l.lastAcceptEnd) && !hasQueuedConnection(l.Listener) {
+				return nil, net.ErrClosed
+			}
+			l.armDeadline()
+		}
+		accepted, err := l.Listener.Accept()
+		if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) && hasQueuedConnection(l.Listener) {
+			continue
+		}
+		return accepted, err
+	}
+}
+
+// hasQueuedConnection reports whether a connection waits to be accepted.
+func hasQueuedConnection(listener net.Listener) bool {
+	socket, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isQueued := false
+	poll := func(descriptor uintptr) {
+		events := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+		n, err := unix.Poll(events, 0)
+		isQueued = err == nil && n > 0 && events[0].Revents&unix.POLLIN != 0
+	}
+	if err := raw.Control(poll); err != nil {
+		return false
+	}
+	return isQueued
+}
+
 // connection is the connection of a client.
 type connection struct {
 	net.Conn
