acceptor: a request that arrived early does not count as idle

Callers would see: a request without its response once the idle time-out is over, or a stop closes idle connections, although it is being served.

Cause: a connection stops waiting when a read returns bytes. A request that arrived together with the one before it is served from the buffer of the HTTP server (or of TLS, if the client sends it before the handler has returned), without a read. The connection then counts as idle, its deadline expires, and the HTTP server cancels the context of the request.

Change: the start of the handler also ends the wait.

TestIdleTimeoutKeepsRequestThatArrivedEarly failed before: got body "aborted", want a complete response. The handler of the tests now reports a cancelled context, which makes the other tests stricter.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -45,6 +45,10 @@
 			http.NewResponseController(w).Flush()
 			time.Sleep(testWork)
 		}
+		if r.Context().Err() != nil {
+			io.WriteString(w, "aborted")
+			return
+		}
 		io.WriteString(w, "done")
 	}
 	a.Acceptor = New(http.HandlerFunc(handler), WithIdleTimeout(func() time.Duration { return time.Duration(a.idleTimeout.Load()) }))
@@ -190,6 +194,23 @@
 	})
 }
 
+// Guards against a request that is aborted as idle while it is served: it arrived together
+// with the one before it, so that no read told of it.
+func TestIdleTimeoutKeepsRequestThatArrivedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		a.idleTimeout.Store(int64(testWork / 10))
+		c := a.dialClient(t)
+		time.Sleep(checkInterval / 2)
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /slow HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		c.receive(t)
+		c.receive(t)
+	})
+}
+
 // Guards against a client that learns the idle time-out from nothing but a closed
 // connection, which may cross its next request.
 func TestIdleTimeoutIsAnnounced(t *testing.T) {
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -184,12 +184,12 @@
 	})
 }
 
-// startServing records that a handler serves a request, whose response announces an idle
-// time-out.
+// startServing records that a handler serves a request, which may have arrived together with
+// the one before it. Its response announces an idle time-out.
 func (c *connection) startServing(announced time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.unserved, c.served, c.idleTimeout = false, true, announced
+	c.waiting, c.unserved, c.served, c.idleTimeout = false, false, true, announced
 }
 
 // startWaiting records that the host waits for the next request.
