acceptor: the expiry of a connection ends with the request that arrives

A connection that expired in the moment in which a request arrived hung for up to 10 s after its response: the HTTP server ends its read in the background by a deadline in the past, which was taken for that of the expiry, so that the read went on. Found by reading. TestExpiryEndsWithRequest failed before ("got the next response after 10s, want it at once").

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -337,6 +337,29 @@
 	})
 }
 
+// Guards against a connection that hangs after a response, because it expired when the
+// request arrived: the HTTP server ends its reads by a deadline of its own.
+func TestExpiryEndsWithRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n")
+		synctest.Wait()
+		tracked := a.openConnections()[0]
+		tracked.mutex.Lock()
+		tracked.expired = true
+		tracked.mutex.Unlock()
+		io.WriteString(c, "Content-Length: 4\r\n\r\nbody")
+		c.receive(t)
+		start := time.Now()
+		c.exchange(t, "/")
+		if got := time.Since(start); got > time.Second {
+			t.Errorf("got the next response after %s, want it at once", got)
+		}
+	})
+}
+
 // A client that keeps its connection open and idle does not hold up a stop beyond the grace
 // period.
 func TestShutdownEndsWithIdleConnections(t *testing.T) {
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -143,7 +143,7 @@
 func (c *connection) startServing(announced time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.unserved, c.served, c.idleTimeout = false, true, announced
+	c.expired, c.unserved, c.served, c.idleTimeout = false, false, true, announced
 }
 
 // startWaiting records that the host waits for the next request.
