--- a/internal/coordinator/configuration_simulation_test.go
+++ b/internal/coordinator/configuration_simulation_test.go
@@ -164,7 +164,7 @@
 // sounds reports whether bytes of a server arrive.
 func (st *simulatedTraffic) sounds(id fuchsiapitch.ServerID) bool {
 	e, ok := st.engines[id]
-	return !ok || st.isReachable(e)
+	return !ok || st.isReachable(e) && st.now >= e.silentUntil
 }
 
 // advance advances the simulation by one step, and then the requests.
@@ -192,16 +192,18 @@
 	}
 }
 
-// isolateEngine makes one engine unreachable, or restarts it.
+// isolateEngine makes one engine unreachable or silent, or restarts it.
 func (st *simulatedTraffic) isolateEngine() {
 	e := st.engines[st.engineOrder[st.rng.IntN(len(st.engineOrder))]]
-	switch st.rng.IntN(3) {
+	switch st.rng.IntN(4) {
 	case 0:
 		e.isolatedUntil = st.now + time.Duration(st.rng.Int64N(int64(5*time.Second)))
 	case 1:
 		e.unreachableUntil = st.now + time.Duration(st.rng.Int64N(int64(3*time.Second)))
 	case 2:
 		st.restart(e)
+	case 3:
+		e.silentUntil = st.now + time.Duration(st.rng.Int64N(int64(5*time.Second)))
 	}
 }
 
--- a/internal/coordinator/simulation_test.go
+++ b/internal/coordinator/simulation_test.go
@@ -248,15 +248,19 @@
 }
 
 // deliverOrder executes an order at the engine that responds at its address, and
-// schedules the result. With lateOrderProbability, the result is unknown and the engine
-// executes the order 2 to 12 s later, unless it has restarted or died by then. With a
-// quarter of that probability, the order is executed at once and the result is unknown.
+// schedules the result. A silent engine executes the order once it goes on. With
+// lateOrderProbability, the result is unknown and the engine executes the order 2 to 12 s
+// later, unless it has restarted or died by then. With a quarter of that probability, the
+// order is executed at once and the result is unknown.
 func (sm *simulation) deliverOrder(n int, o fuchsiapitch.GroupOrder) {
 	e, ok := sm.engineAt(o.Address)
 	silent := ok && sm.isReachable(e) && sm.now < e.silentUntil
 	unknownResult := func() Event {
 		return OrderResultReceived{Order: o, Result: fuchsiapitch.OrderUnknown, Silent: silent}
 	}
+	if silent {
+		sm.executeLater(e, o, e.silentUntil)
+	}
 	if silent || !ok || !sm.isReachable(e) {
 		sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: sm.now + 500*time.Millisecond, coordinatorIndex: n, event: unknownResult})
 		return
@@ -268,14 +272,8 @@
 		return
 	}
 	if sm.rng.Float64() < sm.lateOrderProbability {
-		incarnation := e.incarnation
-		delay := 2*time.Second + time.Duration(sm.rng.Int64N(int64(10*time.Second)))
-		sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: sm.now + 500*time.Millisecond, coordinatorIndex: n, event: unknownResult},
-			pendingCall{dueAt: sm.now + delay, coordinatorIndex: -1, run: func() {
-				if e.incarnation == incarnation && !e.dead {
-					sm.executeOrder(e, o)
-				}
-			}})
+		sm.executeLater(e, o, sm.now+2*time.Second+time.Duration(sm.rng.Int64N(int64(10*time.Second))))
+		sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: sm.now + 500*time.Millisecond, coordinatorIndex: n, event: unknownResult})
 		return
 	}
 	result := sm.executeOrder(e, o)
@@ -286,6 +284,16 @@
 	sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: sm.now + simulationStep, coordinatorIndex: n, event: func() Event { return OrderResultReceived{Order: o, Result: result} }})
 }
 
+// executeLater executes an order at a time, unless the engine has restarted or died by then.
+func (sm *simulation) executeLater(e *simulatedEngine, o fuchsiapitch.GroupOrder, at time.Duration) {
+	incarnation := e.incarnation
+	sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: at, coordinatorIndex: -1, run: func() {
+		if e.incarnation == incarnation && !e.dead {
+			sm.executeOrder(e, o)
+		}
+	}})
+}
+
 // executeOrder executes an order at an engine, or refuses it. For a join, it checks that
 // the engine is not a member of an open group.
 func (sm *simulation) executeOrder(e *simulatedEngine, o fuchsiapitch.GroupOrder) fuchsiapitch.OrderResult {
@@ -473,7 +481,7 @@
 // injectFault injects one random fault.
 func (sm *simulation) injectFault() {
 	e := sm.engines[sm.engineOrder[sm.rng.IntN(len(sm.engineOrder))]]
-	switch sm.rng.IntN(11) {
+	switch sm.rng.IntN(12) {
 	case 0, 1:
 		e.dead = true
 	case 10:
@@ -485,6 +493,8 @@
 		e.isolatedUntil = sm.now + time.Duration(sm.rng.Int64N(int64(8*time.Second)))
 	case 3:
 		sm.restart(e)
+	case 11:
+		e.silentUntil = sm.now + time.Duration(sm.rng.Int64N(int64(5*time.Second)))
 	case 4:
 		sm.addEngine(e.domain, fmt.Sprintf("n%d", len(sm.engineOrder)))
 	case 5:
