acceptor: connections with answered requests are not logged as cut

Change: bytes start a request only while the host waits for one, and unread data counts only if no handler has seen its request.

TestClosedConnectionsWithResponsesAreNotLogged failed before in both cases (unserved, unread).

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -211,6 +216,50 @@
 	})
 }
 
+// Guards against a log line on a request that was cut off, though it has a response: its
+// body was not read before the response, or never.
+func TestClosedConnectionsWithResponsesAreNotLogged(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		bodyBytes int
+	}{
+		{name: "body read after the response", bodyBytes: 100 << 10},
+		{name: "body never read", bodyBytes: 1 << 20},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var log bytes.Buffer
+			refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusRequestEntityTooLarge) }
+			a := New(http.HandlerFunc(refuse), WithDrainIdlePeriod(time.Second), WithLogger(zerolog.New(&log)))
+			socket, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			result := make(chan error, 1)
+			go func() { result <- a.Serve(socket) }()
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", socket.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			go fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", test.bodyBytes, strings.Repeat("x", test.bodyBytes))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || response.StatusCode != http.StatusRequestEntityTooLarge {
+				t.Errorf("got %v and error %v, want status %d", response, err, http.StatusRequestEntityTooLarge)
+			}
+			for len(a.openConnections()) > 0 && test.bodyBytes > 256<<10 {
+				time.Sleep(time.Millisecond)
+			}
+			if err := a.Shutdown(t.Context()); err != nil {
+				t.Errorf("got error %v, want a complete stop", err)
+			}
+			<-result
+			if got := log.String(); got != "" {
+				t.Errorf("got log %q, want none", got)
+			}
+		})
+	}
+}
+
 // Guards against a client that learns the idle time-out from nothing but a closed
 // connection, which may cross its next request.
 func TestIdleTimeoutIsAnnounced(t *testing.T) {
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -172,8 +172,6 @@
 		timeout := a.currentIdleTimeout()
 		if c, ok := r.Context().Value(connectionKey{}).(*connection); ok && c != nil {
 			c.startServing(timeout)
-			// Reading the body of the request sets it again.
-			defer c.setUnserved(false)
 		}
 		if a.draining.Load() {
 			w.Header().Set("Connection", "close")
@@ -199,12 +197,6 @@
 	c.waiting, c.waitingSince = true, time.Now()
 }
 
-func (c *connection) setUnserved(unserved bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.unserved = unserved
-}
-
 // expireIfIdle makes the HTTP server close the connection if it has been idle for longer
 // than the client was told or could know. It reports whether it has.
 func (c *connection) expireIfIdle(now time.Time, currentTimeout time.Duration) bool {
@@ -290,11 +282,14 @@
 	return n, nil
 }
 
-// startReceiving records that bytes of a request have arrived.
+// startReceiving records that bytes have arrived: the start of a request if the host waits for
+// one.
 func (c *connection) startReceiving() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.waiting, c.unserved = false, true
+	if c.waiting {
+		c.waiting, c.unserved = false, true
+	}
 }
 
 // CloseWrite closes the sending half of the connection. The HTTP server uses it so that a
@@ -329,9 +324,10 @@
 		return
 	}
 	c.mutex.Lock()
-	unserved := c.unserved
+	waiting, unserved := c.waiting, c.unserved
 	c.mutex.Unlock()
-	unread := hasUnreadData(c.Conn)
+	// What is unread behind a request that a handler has seen belongs to its body.
+	unread := (waiting || unserved) && hasUnreadData(c.Conn)
 	a.meter.CountClosedConnection(unread, unserved)
 	if unread || unserved {
 		a.log.Info().Str("caller", c.RemoteAddr().String()).Bool("unread", unread).Bool("unserved", unserved).Msg("connection closed with a request")
