platformassembler: the soak counts every request that the host read

A request sent after the announced time was excused even if the host had read it. Now only requests that the host never read are: those that crossed the close, and those that a close reset unread.

--- a/internal/platformassembler/soak_client_test.go
+++ b/internal/platformassembler/soak_client_test.go
@@ -202,15 +202,15 @@
 	// A host that closes before the request arrives has sent the end of the connection,
 	// and its kernel does not acknowledge the request. One that closes a connection
 	// with unread data resets it.
-	unacknowledged := unacknowledgedBytes(conn.Conn)
-	hasArrived := errors.Is(f.err, syscall.ECONNRESET) || unacknowledged == 0
+	unacknowledged, isReset := unacknowledgedBytes(conn.Conn), errors.Is(f.err, syscall.ECONNRESET)
+	hasArrived := isReset || unacknowledged == 0
 	stopped := conn.process.stopped.Load()
 	switch {
 	case f.sendError != nil:
 		c.soak.count("connections closed in the middle of a request")
-	case !f.isReliable && hasArrived:
-		c.soak.count("requests after the announced time that arrived and got no response")
-	case !f.isReliable:
+	case !f.isReliable && isReset:
+		c.soak.count("requests after the announced time that were not read")
+	case !f.isReliable && !hasArrived:
 		c.soak.count("requests after the announced time that crossed the close")
 	case !hasArrived && stopped != 0:
 		c.soak.recordCrossing(conn.process, f.sent)
