--- a/internal/platformassembler/soak_client_test.go
+++ b/internal/platformassembler/soak_client_test.go
@@ -219,8 +219,8 @@
 		if stopped != 0 {
 			sinceStop = fmt.Sprintf("%s after the stop", f.sent.Sub(time.Unix(0, stopped)))
 		}
-		c.soak.report("%s: lost request %s to %s, number %d of its connection, sent %s after the one before (%s): got error %q after %s and %d bytes of a body, %d bytes unacknowledged; log of the host: %q",
-			caller, r.id, r.path, conn.requests, f.sent.Sub(f.lastUsed), sinceStop, f.err, time.Since(f.sent), f.bodyBytes, unacknowledged, c.soak.log.find(caller))
+		c.soak.report("%s: lost request %s to %s, number %d of its connection, sent %s after the one before (%s): got error %q after %s and %d bytes of a body, %d bytes unacknowledged; logs: %q",
+			caller, r.id, r.path, conn.requests, f.sent.Sub(f.lastUsed), sinceStop, f.err, time.Since(f.sent), f.bodyBytes, unacknowledged, append(c.soak.log.find(caller), c.soak.log.find(strconv.Quote(r.id))...))
 	}
 }
 
