acceptor: a stop does not fail because its listener is closed

If http.Server.Shutdown closed it before Serve had returned, a clean stop ended with "close tcp4 127.0.0.1:38181: use of closed network connection" (TestClosedConnectionsWithResponsesAreNotLogged under the race detector, one of five runs). The listener now closes once and returns the same result after that. TestStoppingListenerEmptiesQueue closes it again, and fails without the change.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -409,6 +409,10 @@
 	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("got error %v, want a closed listener", err)
 	}
+	// The HTTP server closes the listener once more, and reports the error as that of the stop.
+	if err := l.Close(); err != nil {
+		t.Errorf("got error %v, want none from a second close", err)
+	}
 }
 
 // Guards against a request that is discarded at the end of a stop: it has arrived, but the
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -25,8 +25,24 @@
 	// queue. It is set before stopping.
 	lastAcceptEnd time.Time
 	// done is closed once no more connections are accepted.
-	done     chan struct{}
-	doneOnce sync.Once
+	done      chan struct{}
+	doneOnce  sync.Once
+	closeOnce sync.Once
+	closeErr  error
+}
+
+// Close implements net.Listener. It can be called again, as the listener closes itself while
+// it stops.
+func (l *trackedListener) Close() error {
+	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
+}
+
+// closeQuietly closes the listener. Its error is also that of later calls of Close.
+func (l *trackedListener) closeQuietly() {
+	if err := l.Close(); err != nil {
+		l.acceptor.log.Debug().Err(err).Msg("failed to close the listener")
+	}
 }
 
 // deadlineSetter is a listener whose Accept can time out.
@@ -45,7 +61,7 @@
 	if d, ok := l.Listener.(deadlineSetter); ok && d.SetDeadline(time.Now().Add(lastAcceptTimeout)) == nil {
 		return
 	}
-	l.Close()
+	l.closeQuietly()
 }
 
 // Accept implements net.Listener.
@@ -53,7 +69,7 @@
 	accepted, err := l.acceptNext()
 	if err != nil && l.stopping.Load() {
 		// Connections that arrive from now on are refused.
-		l.Close()
+		l.closeQuietly()
 		l.doneOnce.Do(func() { close(l.done) })
 		return nil, net.ErrClosed
 	}
