acceptor: an expired connection is closed by the read that finds no request

Cause: the read that looks for a request a last time reported that there is none, and the HTTP server closed the connection later. What arrived between was discarded, and more the busier the host was.

Change: the read looks once more and closes the connection itself. Some microseconds between the last look and the close remain, since no system call does both. Encrypted connections end as before, with a message of the server.

TestExpiredConnectionIsClosedByItsRead failed before: "got error <nil> from a write to the connection, want a closed one".

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -282,12 +282,16 @@
 
 // readAgain reads with a new deadline.
 func (c *connection) readAgain(data []byte, timeout time.Duration) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Read(data)
-	if n == 0 {
-		return 0, err
+	n := 0
+	for n == 0 {
+		if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+			return 0, err
+		}
+		var err error
+		if n, err = c.Conn.Read(data); n == 0 && (!errors.Is(err, os.ErrDeadlineExceeded) || !hasUnreadData(c.Conn)) {
+			c.closeIfIdle(err)
+			return 0, err
+		}
 	}
 	c.acceptor.meter.CountRescuedRequest()
 	c.acceptor.log.Info().Str("caller", c.RemoteAddr().String()).Msg("request arrived on a connection that was to be closed")
@@ -298,6 +302,21 @@
 	return n, nil
 }
 
+// closeIfIdle closes the connection if the last read for a request timed out. It does not
+// leave that to the HTTP server, so that as little time as possible passes between the last
+// look for a request and the close. An encrypted connection ends with a message of the
+// server.
+func (c *connection) closeIfIdle(err error) {
+	c.mutex.Lock()
+	waiting := c.waiting
+	c.mutex.Unlock()
+	if waiting && errors.Is(err, os.ErrDeadlineExceeded) && c.acceptor.httpServer.TLSConfig == nil {
+		if err := c.Close(); err != nil {
+			c.acceptor.log.Debug().Err(err).Msg("failed to close an idle connection")
+		}
+	}
+}
+
 // startReceiving records that bytes have arrived: the start of a request if the host waits for
 // one.
 func (c *connection) startReceiving() {
