--- a/internal/platformassembler/soak_client_test.go
+++ b/internal/platformassembler/soak_client_test.go
@@ -208,6 +208,8 @@
 	switch {
 	case f.sendError != nil:
 		c.soak.count("connections closed in the middle of a request")
+	case f.bodyBytes > 0 && conn.answered.Sub(conn.used) >= soakDeadline:
+		c.soak.count("streams that reached their time limit")
 	case !f.isReliable && isReset:
 		c.soak.count("requests after the announced time that were not read")
 	case !f.isReliable && !hasArrived:
