commander: SIGHUP never ends a host

Callers saw their connections close without a response when an operator sent SIGHUP, as DEPLOY.md allows at any time: the default action of the signal ends the process. On the users' platform that was so until the settings had been read, and again after the stop; with the own interface, always.

The command now handles its signals before it does anything else, and SIGHUP until the process ends. The own interface reads its settings at the start only and logs that. A signal to stop that arrives during the start stops the host gracefully as well.

Not covered: signals before the first instruction of the command, while the Go runtime and the packages are initialised.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -54,7 +54,8 @@
 
 On the users' platform the settings are those of the platform's file, which the
 variable ` + platform.SettingsVariable + ` names; the flags are not used then.
-SIGHUP makes the host read the file again.
+SIGHUP makes the host read the file again. Otherwise the settings are read at the
+start only, and SIGHUP changes nothing.
 
 Examples:
   fuchsiapitch serve --settings /etc/fuchsiapitch/settings.yaml
@@ -91,33 +92,48 @@
 		f.Usage()
 		return ExitUsage
 	}
+	signals, release := catchSignals(ctx)
+	defer release()
 	if path := os.Getenv(platform.SettingsVariable); path != "" {
-		return s.servePlatform(ctx, path)
+		return s.servePlatform(ctx, path, signals)
 	}
 	settings, err := loader.ReadSettings(s.settingsPath, s.settingOverrides.options...)
 	if err != nil {
 		return s.streams.fail(ExitUsage, err)
 	}
-	if err := s.serveHost(ctx, settings); err != nil {
+	if err := s.serveHost(ctx, settings, signals); err != nil {
 		return s.streams.fail(ExitFailure, err)
 	}
 	return ExitSuccess
 }
 
+// hostSignals are the signals that an entry host handles.
+type hostSignals struct {
+	// stop is closed at the first signal to stop.
+	stop <-chan struct{}
+	// reload receives the signals to read the settings again.
+	reload <-chan os.Signal
+}
+
+// catchSignals handles the signals for an entry host. By default each of them ends the process
+// at once, with all requests in flight. SIGHUP is handled until the process ends, the
+// signals to stop until release is called.
+func catchSignals(ctx context.Context) (signals hostSignals, release func()) {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	stopCtx, release := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	return hostSignals{stop: stopCtx.Done(), reload: reload}, release
+}
+
 // servePlatform runs an entry host with the settings of the users' platform.
-func (s *serve) servePlatform(ctx context.Context, settingsPath string) subcommands.ExitStatus {
-	signalCtx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
+func (s *serve) servePlatform(ctx context.Context, settingsPath string, signals hostSignals) subcommands.ExitStatus {
 	settings, err := platform.ReadSettings(settingsPath)
 	if err != nil {
 		return s.streams.fail(ExitUsage, err)
 	}
 	nonBlockingOutput, flush := logger.NewNonBlockingWriter(s.streams.Stdout)
 	defer flush()
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(reloadSignals)
-	host, cleanUp, err := platformassembler.New(ctx, settingsPath, reloadSignals, logger.New(nonBlockingOutput, logger.WithHost(string(settings.Host))))
+	host, cleanUp, err := platformassembler.New(ctx, settingsPath, signals.reload, logger.New(nonBlockingOutput, logger.WithHost(string(settings.Host))))
 	var settingsError *platform.SettingsError
 	switch {
 	case errors.As(err, &settingsError):
@@ -127,7 +143,7 @@
 	}
 	debug.SetMemoryLimit(host.Settings().MemoryLimitBytes / memoryLimitDivisor)
 	defer cleanUp()
-	if err := host.Serve(ctx, signalCtx.Done()); err != nil {
+	if err := host.Serve(ctx, signals.stop); err != nil {
 		return s.streams.fail(ExitFailure, err)
 	}
 	return ExitSuccess
@@ -137,8 +153,9 @@
 // limit from which the garbage collector runs more often.
 const memoryLimitDivisor = 2
 
-func (s *serve) serveHost(ctx context.Context, settings loader.Settings) error {
-	options, closeOptions, err := entryHostOptions(ctx, settings, s.streams.Stdout)
+func (s *serve) serveHost(ctx context.Context, settings loader.Settings, signals hostSignals) error {
+	hostLogger := newLogger(settings, s.streams.Stdout)
+	options, closeOptions, err := entryHostOptions(ctx, settings, hostLogger)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -154,22 +171,24 @@
 	self := fuchsiapitch.NewHost(settings.Host(), settings.PeersAddress(), settings.DataCentre(), assembler.NewIncarnation())
 	entryHost, closeEntryHost := assembler.New(self, listeners, clients, options...)
 	defer closeEntryHost()
-	return trace.Wrap(serveUntilSignal(ctx, entryHost))
+	return trace.Wrap(serveUntilSignal(ctx, entryHost, signals, hostLogger.For("commander")))
 }
 
-// serveUntilSignal runs an entry host and stops it gracefully at the first signal.
-func serveUntilSignal(ctx context.Context, entryHost *assembler.EntryHost) error {
-	signalCtx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
+// serveUntilSignal runs an entry host and stops it gracefully at the first signal to stop.
+func serveUntilSignal(ctx context.Context, entryHost *assembler.EntryHost, signals hostSignals, log zerolog.Logger) error {
 	serveResult := make(chan error, 1)
 	go func() { serveResult <- entryHost.Serve(ctx) }()
-	select {
-	case err := <-serveResult:
-		return err
-	case <-signalCtx.Done():
+	for {
+		select {
+		case err := <-serveResult:
+			return err
+		case <-signals.stop:
+			entryHost.Stop()
+			signals.stop = nil
+		case <-signals.reload:
+			log.Info().Msg("settings are not reloaded on a signal; changes take effect at the next start")
+		}
 	}
-	entryHost.Stop()
-	return <-serveResult
 }
 
 // openListeners opens the listeners at the addresses of the settings.
@@ -188,14 +207,14 @@
 
 // entryHostOptions returns the options that the settings define, and a function that
 // stops the tracer.
-func entryHostOptions(ctx context.Context, settings loader.Settings, logOutput io.Writer) ([]assembler.Option, func(), error) {
+func entryHostOptions(ctx context.Context, settings loader.Settings, hostLogger *logger.Logger) ([]assembler.Option, func(), error) {
 	spanTracer, stopTracer, err := tracer.New(ctx, traceOptions(settings.Trace())...)
 	if err != nil {
 		return nil, nil, err
 	}
 	options := []assembler.Option{
 		assembler.WithCandidates(settings.Candidates()...),
-		assembler.WithLogger(newLogger(settings, logOutput)),
+		assembler.WithLogger(hostLogger),
 		assembler.WithTracer(spanTracer),
 		assembler.WithLinger(settings.Linger()),
 		assembler.WithDrainLimit(settings.DrainLimit()),
