assembler: requests that the drain limit aborts get a response

Callers whose requests were in flight at the drain limit of a stop saw their connection end without a response: nothing ended the requests themselves, so that they were cut off with the process. The other hosts for which this one dispatched saw a broken call.

The forwarder can now abort its requests. That ends their calls to servers and other hosts, and gives each a result: unknown, or not run if it was not sent anywhere. The responses have a second, during which the connections stay open; later requests are refused as not run.

TestAbort covers the forwarder alone.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -42,6 +42,9 @@
 	// connections. The load balancer needs it to notice that the host is no longer
 	// ready.
 	defaultLinger = 3 * time.Second
+	// abortTimeout is the time for the responses to the requests that are aborted at the
+	// drain limit.
+	abortTimeout = time.Second
 	// drainPollInterval is the time between two checks for remaining requests.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -249,7 +252,7 @@
 
 // drain performs the graceful shutdown: it announces the shutdown to the other
 // hosts, keeps accepting connections for the linger time, and waits for the
-// requests in flight up to the drain limit.
+// requests in flight. Those that are left at the drain limit are aborted with a response.
 func (e *EntryHost) drain(ctx context.Context) {
 	e.runner.Submit(ctx, reducer.StopRequested{})
 	e.clientServer.StartDraining()
@@ -257,8 +260,13 @@
 	sleep(ctx, e.linger)
 	if e.drainLimit > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, e.drainLimit)
+		ctx, cancel = context.WithTimeout(ctx, e.drainLimit+abortTimeout)
 		defer cancel()
+		abortTimer := time.AfterFunc(e.drainLimit, func() {
+			e.logAbortedRequests(ctx)
+			e.forwarder.Abort()
+		})
+		defer abortTimer.Stop()
 	}
 	if err := e.clientServer.Shutdown(ctx); err != nil {
 		e.logAbortedRequests(ctx)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -15,6 +15,7 @@
 func (h *requestHandler) runAttempt(ctx context.Context, e reducer.StartAttempt) {
 	attemptCtx, cancel := h.mailbox.AttemptContext(ctx, e.Attempt)
 	defer cancel()
+	defer context.AfterFunc(h.forwarder.aborted, cancel)()
 	attemptCtx, span := h.startSpan(attemptCtx, "send", e.Replica.Server().Address())
 	defer span.End()
 
@@ -74,7 +75,10 @@
 // runForward sends the request to a dispatcher on another host, copies the response
 // to the sink and reports the result to the reducer.
 func (h *requestHandler) runForward(ctx context.Context, e reducer.ForwardRequest) {
-	forwardCtx, span := h.startSpan(ctx, "forward", e.Host.Address())
+	forwardCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(h.forwarder.aborted, cancel)()
+	forwardCtx, span := h.startSpan(forwardCtx, "forward", e.Host.Address())
 	defer span.End()
 
 	forwardEnded := reducer.ForwardEnded{Request: h.request.ID(), Attempt: e.Attempt, Host: e.Host.ID(), Outcome: fuchsiapitch.OutcomeSucceeded}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -57,6 +57,9 @@
 	tracer           trace.Tracer
 	meter            *meter.Meter
 	logger           zerolog.Logger
+	// aborted ends when Abort is called.
+	aborted context.Context //nolint:containedctx // It lives as long as the forwarder.
+	abort   context.CancelFunc
 }
 
 // Option sets one optional property of a forwarder.
@@ -78,12 +81,16 @@
 		runner: r, backendClient: backendClient, remoteDispatcher: remoteDispatcher,
 		tracer: noop.NewTracerProvider().Tracer(""), meter: meter.New(), logger: zerolog.Nop(),
 	}
+	f.aborted, f.abort = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(f)
 	}
 	return f
 }
 
+// Abort ends all requests in flight, and refuses later ones.
+func (f *Forwarder) Abort() { f.abort() }
+
 // Receive handles a request that a client sent to this host.
 func (f *Forwarder) Receive(ctx context.Context, request fuchsiapitch.Request, call fuchsiapitch.Call, sink Sink) Result {
 	return f.serve(ctx, request, call, sink, reducer.RequestReceived{Request: request})
@@ -95,6 +102,12 @@
 }
 
 func (f *Forwarder) serve(ctx context.Context, request fuchsiapitch.Request, call fuchsiapitch.Call, sink Sink, event reducer.Event) Result {
+	if f.aborted.Err() != nil {
+		return abortedResult
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(f.aborted, cancel)()
 	h := &requestHandler{
 		forwarder: f, request: request, call: call, sink: sink,
 		receivedAt: time.Now(), tokensDelivered: call.TokenOffset(),
@@ -105,6 +118,9 @@
 	return result
 }
 
+// abortedResult is the end of a request that is aborted before it was sent anywhere.
+var abortedResult = Result{Outcome: fuchsiapitch.OutcomeNotRun, Refusal: fuchsiapitch.RefusedNotReady}
+
 // requestHandler handles one request at this host.
 type requestHandler struct {
 	forwarder  *Forwarder
@@ -118,6 +134,8 @@
 	// tokensDelivered is the number of tokens that the client has received, including
 	// those from before a resumption.
 	tokensDelivered int
+	// sent is true once the request was to be sent to a replica or a dispatcher.
+	sent bool
 }
 
 // run executes the reducer's effects for the request until one ends it.
@@ -135,8 +153,10 @@
 		case reducer.ReplayResponse:
 			return h.replayResponse(e)
 		case reducer.StartAttempt:
+			h.sent = true
 			h.runAttempt(h.upstreamContext(ctx), e)
 		case reducer.ForwardRequest:
+			h.sent = true
 			h.runForward(h.upstreamContext(ctx), e)
 		}
 	}
@@ -158,9 +178,13 @@
 	return h.mailbox.NextEffect(ctx)
 }
 
-// reportAbandoned reports to the reducer that the client has disconnected.
+// reportAbandoned reports to the reducer that the client has disconnected, or that the
+// request is aborted.
 func (h *requestHandler) reportAbandoned(ctx context.Context) Result {
 	h.forwarder.runner.Submit(context.WithoutCancel(ctx), reducer.RequestAbandoned{Request: h.request.ID()})
+	if h.forwarder.aborted.Err() != nil && !h.sent && h.call.TokenOffset() == 0 {
+		return abortedResult
+	}
 	return Result{Outcome: fuchsiapitch.OutcomeUnknown}
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -156,3 +156,24 @@
 		t.Error("got a second call to the application")
 	}
 }
+
+// Guards against requests without a result after an abort: one at a server that does not
+// respond, and one that arrives later.
+func TestAbort(t *testing.T) {
+	f, client := newTestForwarder(t)
+	results := make(chan Result)
+	receive := func(id fuchsiapitch.RequestID) {
+		request := fuchsiapitch.NewRequest(id, "mostrador", "family", "counter", fuchsiapitch.WithTimeLimit(time.Minute))
+		results <- f.Receive(t.Context(), request, fuchsiapitch.NewCall(id, http.MethodPost, "/deposits", nil), &clientSink{clientContext: t.Context()})
+	}
+	go receive("r1")
+	<-client.calls
+	f.Abort()
+	if got, want := (<-results).Outcome, fuchsiapitch.OutcomeUnknown; got != want {
+		t.Errorf("got outcome %s of the request in flight, want %s", got, want)
+	}
+	go receive("r2")
+	if got, want := <-results, abortedResult; got != want {
+		t.Errorf("got result %+v of the later request, want %+v", got, want)
+	}
+}
