acceptor: deadlines and phases of a connection follow what has arrived

Callers' requests ended without a response, beside idle time-outs and stops, in three more cases in which the host acted on a state older than what had arrived:

* A request that arrives together with the one before (pipelined) is read from a buffer, so that no read ended the idle state.
Its connection counted as idle while a handler served the request: the time-out and the stop failed the read that watches the client, and the request was aborted as if the client had left.
* If a connection was to be closed between the read of the first part of a request and the record of it, the deadline in the past stayed, and the next read discarded the rest.
* If the time for a header passed while the host had no processor time, the last part of the header was discarded although it had arrived in time.
Only the first part was looked for.

A connection now has a phase: waiting, receiving or serving. It knows the deadline that the HTTP server set, and puts that back when it has used one of its own. It is closed only while the server itself waits with a deadline, which it removes once it has read a header from wherever. The last look at what has arrived covers the whole header, up to 16 times, so that a slow client does not hold its connection.

Evidence: TestPipelinedRequestIsServed, TestShutdownServesRequestInParts and TestHeaderTimeoutServesArrivedRequest, in memory; without the change "unexpected EOF, want a response". TestHeaderTimeoutEndsSlowRequest passed before too.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -44,6 +44,8 @@
 	// lastReadTimeout bounds the read that looks for a request before a connection is
 	// closed.
 	lastReadTimeout = 10 * time.Millisecond
+	// maxLastReads bounds these reads for one header, of which each brings up to 4 KiB.
+	maxLastReads = 16
 	// defaultMaxIdleTimeout is how long a connection stays open without a request if no
 	// shorter time-out is set.
 	defaultMaxIdleTimeout = time.Minute
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -19,6 +19,8 @@
 	testGracePeriod = 8 * time.Second
 	// testWork is how long the handler of the tests takes for a request to /slow.
 	testWork = 2 * time.Second
+	// testLongWork is the same for a request to /long, which ends with its context.
+	testLongWork = 2 * testIdleTimeout
 )
 
 // testAcceptor is an acceptor that serves connections in memory.
@@ -44,6 +46,13 @@
 			http.NewResponseController(w).Flush()
 			time.Sleep(testWork)
 		}
+		if r.URL.Path == "/long" {
+			select {
+			case <-time.After(testLongWork):
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			}
+		}
 		io.WriteString(w, "done")
 	}
 	a.Acceptor = New(http.HandlerFunc(handler), WithIdleTimeout(func() time.Duration { return time.Duration(a.idleTimeout.Load()) }))
@@ -71,10 +80,20 @@
 	return &testClient{Conn: c, reader: bufio.NewReader(c)}
 }
 
-// send sends a request without waiting for the response.
-func (c *testClient) send(t *testing.T, path string) {
+// send sends requests in one piece without waiting for their responses.
+func (c *testClient) send(t *testing.T, paths ...string) {
+	t.Helper()
+	requests := ""
+	for _, p := range paths {
+		requests += "POST " + p + " HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+	}
+	c.sendPart(t, requests)
+}
+
+// sendPart sends a part of a request.
+func (c *testClient) sendPart(t *testing.T, part string) {
 	t.Helper()
-	if _, err := io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"); err != nil {
+	if _, err := io.WriteString(c, part); err != nil {
 		t.Errorf("got error %v, want an open connection", err)
 	}
 }
@@ -333,3 +352,82 @@
 		time.Sleep(testWork)
 	})
 }
+
+// Guards against a request that is aborted because its connection counts as idle: it arrived
+// together with the one before, so that the host reads it from a buffer.
+func TestPipelinedRequestIsServed(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		stop bool
+	}{{name: "idle time-out"}, {name: "stop", stop: true}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, stop := startAcceptor(t)
+				defer stop()
+				c := a.dialClient(t)
+				c.send(t, "/", "/long")
+				c.receive(t)
+				if test.stop {
+					a.StartDraining()
+					result := make(chan error, 1)
+					go func() { result <- a.Shutdown(t.Context()) }()
+					defer func() { <-result }()
+				}
+				c.receive(t)
+			})
+		})
+	}
+}
+
+// Guards against the rest of a request that is discarded, because the host decided to close
+// the connection while it read the first part.
+func TestShutdownServesRequestInParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		synctest.Wait()
+		a.listener.lastAccepted().setAfterRead(func() {
+			for _, open := range a.openConnections() {
+				open.expireIfWaiting(time.Now())
+			}
+		})
+		c.sendPart(t, "POST / HTTP/1.1\r\nHost: h\r\n")
+		time.Sleep(time.Second)
+		c.sendPart(t, "Content-Length: 4\r\n\r\nbody")
+		c.receive(t)
+	})
+}
+
+// Guards against a request that is discarded although it has arrived within the time for
+// its header: the host had no processor time to read its last part.
+func TestHeaderTimeoutServesArrivedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		c.sendPart(t, "POST / HTTP/1.1\r\nHost: h\r\n")
+		synctest.Wait()
+		a.listener.lastAccepted().starve(true)
+		c.sendPart(t, "Content-Length: 4\r\n\r\nbody")
+		c.receive(t)
+	})
+}
+
+// A client that sends its header too slowly does not hold its connection.
+func TestHeaderTimeoutEndsSlowRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		c := a.dialClient(t)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: "); err == nil; _, err = io.WriteString(c, "h") {
+				time.Sleep(lastReadTimeout / 2)
+			}
+		}()
+		defer func() { <-ended }()
+		c.assertClosed(t, defaultHeaderTimeout, defaultHeaderTimeout+time.Second)
+	})
+}
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -9,77 +9,44 @@
 	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// trackedListener accepts connections that are tracked by an acceptor.
-type trackedListener struct {
-	net.Listener
-	acceptor *Acceptor
-	stopping atomic.Bool
-	// done is closed once no more connections are accepted.
-	done     chan struct{}
-	doneOnce sync.Once
-}
-
-// deadlineSetter is a listener whose Accept can time out.
-type deadlineSetter interface{ SetDeadline(t time.Time) error }
-
-// stop makes Accept fail once the queue of the listener is empty.
-func (l *trackedListener) stop() {
-	l.stopping.Store(true)
-	l.armDeadline()
-}
-
-// armDeadline makes Accept time out after lastAcceptTimeout.
-func (l *trackedListener) armDeadline() {
-	if d, ok := l.Listener.(deadlineSetter); ok && d.SetDeadline(time.Now().Add(lastAcceptTimeout)) == nil {
-		return
-	}
-	l.Close()
-}
-
-// Accept implements net.Listener.
-func (l *trackedListener) Accept() (net.Conn, error) {
-	if l.stopping.Load() {
-		l.armDeadline()
-	}
-	accepted, err := l.Listener.Accept()
-	if err != nil && l.stopping.Load() {
-		l.doneOnce.Do(func() { close(l.done) })
-		return nil, net.ErrClosed
-	}
-	if err != nil {
-		return nil, err
-	}
-	c := &connection{Conn: accepted, acceptor: l.acceptor, waiting: true, waitingSince: time.Now()}
-	l.acceptor.mutex.Lock()
-	defer l.acceptor.mutex.Unlock()
-	l.acceptor.connections[c] = struct{}{}
-	return c, nil
-}
-
 // connection is the connection of a client.
 type connection struct {
 	net.Conn
 	acceptor *Acceptor
 
 	mutex sync.Mutex
-	// waiting is true while the host waits for the first byte of a request, waitingSince the
-	// time at which it became true.
-	waiting      bool
+	phase phase
+	// waitingSince is the time at which the connection began to wait for a request.
 	waitingSince time.Time
 	// served is true once a request has been served.
 	served bool
 	// idleTimeout is the longest idle time-out on which the client may rely: those that
 	// were announced since its last request, or in force while the connection was idle.
 	idleTimeout time.Duration
-	// unserved is true from the first byte of a request until a handler serves it.
-	unserved bool
+	// readDeadline is the deadline that the HTTP server has set, the zero time for none.
+	readDeadline time.Time
+	// deadlineReplaced is true while the connection has another deadline.
+	deadlineReplaced bool
+	// lastReads is the number of reads after a deadline in the current phase.
+	lastReads int
 }
 
+// phase is what the host does with a connection.
+type phase int
+
+const (
+	// waiting for the first byte of a request.
+	waiting phase = iota
+	// receiving the header of a request, of which bytes have arrived.
+	receiving
+	// serving a request by a handler.
+	serving
+)
+
 // http2Protocol is the name of HTTP/2 in the negotiation of TLS.
 const http2Protocol = "h2"
 
@@ -123,8 +90,6 @@
 		timeout := a.currentIdleTimeout()
 		if c, ok := r.Context().Value(connectionKey{}).(*connection); ok && c != nil {
 			c.startServing(timeout)
-			// Reading the body of the request sets it again.
-			defer c.setUnserved(false)
 		}
 		if a.draining.Load() {
 			w.Header().Set("Connection", "close")
@@ -140,20 +105,14 @@
 func (c *connection) startServing(announced time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.unserved, c.served, c.idleTimeout = false, true, announced
+	c.phase, c.served, c.idleTimeout = serving, true, announced
 }
 
 // startWaiting records that the host waits for the next request.
 func (c *connection) startWaiting() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.waiting, c.waitingSince = true, time.Now()
-}
-
-func (c *connection) setUnserved(unserved bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.unserved = unserved
+	c.phase, c.waitingSince, c.lastReads = waiting, time.Now(), 0
 }
 
 // expireIfIdle makes the HTTP server close the connection if it has been idle for longer
@@ -162,7 +121,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.idleTimeout = max(c.idleTimeout, currentTimeout)
-	if !c.waiting || !c.served || now.Sub(c.waitingSince) <= c.idleTimeout+closeMargin {
+	if !c.served || now.Sub(c.waitingSince) <= c.idleTimeout+closeMargin {
 		return false
 	}
 	return c.expire(now)
@@ -173,39 +132,51 @@
 func (c *connection) expireIfWaiting(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.waiting {
-		c.expire(now)
-	}
+	c.expire(now)
 }
 
 // expire makes the HTTP server close the connection unless a request has arrived. It does
 // not close the connection itself, because only the goroutine that reads knows whether it
 // has received a request. The caller holds the mutex.
+//
+// The HTTP server sets a deadline before it waits for a request, and removes it when it has
+// read the header, possibly from its buffer.
 func (c *connection) expire(now time.Time) bool {
-	if err := c.SetReadDeadline(now); err != nil {
-		c.acceptor.log.Debug().Err(err).Msg("failed to close an idle connection")
+	if c.phase != waiting || c.readDeadline.IsZero() {
 		return false
 	}
-	return true
+	return c.replaceDeadline(now) == nil
 }
 
-// Read implements net.Conn. When the deadline of a read for the first byte of a request has
+// replaceDeadline replaces the deadline of the HTTP server until that sets its next one. The
+// caller holds the mutex.
+func (c *connection) replaceDeadline(t time.Time) error {
+	c.deadlineReplaced = true
+	err := c.Conn.SetReadDeadline(t)
+	if err != nil {
+		c.acceptor.log.Debug().Err(err).Msg("failed to set the deadline of a connection")
+	}
+	return err
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.readDeadline, c.deadlineReplaced = t, false
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn. When the deadline of a read for the header of a request has
 // passed, it returns data that has arrived nevertheless: the deadline can wake the reader
 // before the data does.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isWaiting() {
-		if err := c.SetReadDeadline(time.Now().Add(lastReadTimeout)); err != nil {
-			return 0, err
-		}
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.startLastRead() {
 		n, err = c.Conn.Read(data)
 		if n > 0 {
 			c.acceptor.meter.CountRescuedRequest()
 			c.acceptor.log.Info().Str("caller", c.RemoteAddr().String()).Msg("request arrived on a connection that was to be closed")
-			// The HTTP server sets its own deadline once it has the start of a request.
-			if err := c.SetReadDeadline(time.Now().Add(defaultHeaderTimeout)); err != nil {
-				return n, err
-			}
 		}
 	}
 	if n > 0 {
@@ -214,17 +185,32 @@
 	return n, err
 }
 
-func (c *connection) isWaiting() bool {
+// startLastRead sets the deadline for one more read after the deadline has passed. It is
+// false if the read is not for the header of a request.
+func (c *connection) startLastRead() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.waiting
+	if c.phase == serving || c.lastReads >= maxLastReads {
+		return false
+	}
+	c.lastReads++
+	return c.replaceDeadline(time.Now().Add(lastReadTimeout)) == nil
 }
 
 // startReceiving records that bytes of a request have arrived.
 func (c *connection) startReceiving() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.waiting, c.unserved = false, true
+	deadline := c.readDeadline
+	if c.phase == waiting {
+		c.phase, c.lastReads = receiving, 0
+		if now := time.Now(); deadline.Before(now.Add(defaultHeaderTimeout)) {
+			deadline = now.Add(defaultHeaderTimeout)
+		}
+	}
+	if c.deadlineReplaced && c.replaceDeadline(deadline) == nil {
+		c.readDeadline, c.deadlineReplaced = deadline, false
+	}
 }
 
 // CloseWrite closes the sending half of the connection. The HTTP server uses it so that a
@@ -259,7 +245,7 @@
 		return
 	}
 	c.mutex.Lock()
-	unserved := c.unserved
+	unserved := c.phase == receiving
 	c.mutex.Unlock()
 	unread := hasUnreadData(c.Conn)
 	a.meter.CountClosedConnection(unread, unserved)
--- a/internal/acceptor/network_test.go
+++ b/internal/acceptor/network_test.go
@@ -114,7 +114,9 @@
 	timer    *time.Timer
 	// starved is true while arriving data does not wake a reader that waits, as on a host
 	// without processor time. A read that begins returns data that has arrived.
-	starved                    bool
+	starved bool
+	// afterRead is called when a read has taken data, before it returns; nil for none.
+	afterRead                  func()
 	writerClosed, readerClosed bool
 }
 
@@ -146,6 +148,11 @@
 		case len(b.data) > 0 && (began || !b.starved):
 			n := copy(data, b.data)
 			b.data = b.data[n:]
+			if b.afterRead != nil {
+				b.mutex.Unlock()
+				b.afterRead()
+				b.mutex.Lock()
+			}
 			return n, nil
 		case b.writerClosed && len(b.data) == 0:
 			return 0, io.EOF
@@ -188,6 +195,13 @@
 	c.in.change.Broadcast()
 }
 
+// setAfterRead sets a function that is called when a read has taken data.
+func (c *memoryConn) setAfterRead(f func()) {
+	c.in.mutex.Lock()
+	defer c.in.mutex.Unlock()
+	c.in.afterRead = f
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *memoryConn) SetReadDeadline(t time.Time) error {
 	b := c.in
