acceptor: a stop serves the queue of the listener, and ends while clients connect

Callers' connections were reset with their requests when the host stopped and could not accept them in time: the time-out of Accept can wake it before a connection does, and the kernel's queue was discarded with the listener. Any other error of Accept, such as a lack of descriptors, ended the stop's last accepts as well. And while clients went on connecting more often than every 100 ms, the stop accepted until its deadline, kept idle connections open, and then cut whatever was in flight.

Accept now looks once more after a time-out, and leaves temporary errors to the HTTP server. It needs a gap of 20 ms instead of 100 ms, and ends after 250 ms in any case, so that half of the margin that a stop keeps is left for the last requests.

Evidence: TestShutdownServesQueueAfterFailedAccept ("unexpected EOF, want a response" before) and TestShutdownEndsWhileClientsConnect ("context deadline exceeded, want a complete stop" before), in memory.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -39,8 +39,9 @@
 	// drainPollInterval is the time between two checks for open connections.
 	drainPollInterval = 20 * time.Millisecond
 	// lastAcceptTimeout is the time without a new connection after which a stopping host
-	// accepts no more.
-	lastAcceptTimeout = 100 * time.Millisecond
+	// accepts no more, lastAcceptPeriod the time after which it accepts no more in any case.
+	lastAcceptTimeout = 20 * time.Millisecond
+	lastAcceptPeriod  = 250 * time.Millisecond
 	// lastReadTimeout bounds the read that looks for a request before a connection is
 	// closed.
 	lastReadTimeout = 10 * time.Millisecond
@@ -205,7 +206,7 @@
 }
 
 // stopAccepting stops accepting connections once those in the queue of the listener have
-// been accepted, or the context ends.
+// been accepted, after lastAcceptPeriod, or when the context ends.
 func (a *Acceptor) stopAccepting(ctx context.Context) {
 	a.mutex.Lock()
 	listener := a.listener
@@ -214,9 +215,12 @@
 		return
 	}
 	listener.stop()
+	ctx, cancel := context.WithTimeout(ctx, lastAcceptPeriod)
+	defer cancel()
 	select {
 	case <-listener.done:
 	case <-ctx.Done():
+		listener.Close()
 	}
 }
 
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -431,3 +433,62 @@
 		c.assertClosed(t, defaultHeaderTimeout, defaultHeaderTimeout+time.Second)
 	})
 }
+
+// Guards against connections that a stop resets in the queue of the listener, because Accept
+// failed with the queue not empty: the host had no processor time to accept them before the
+// time-out, or no free descriptor.
+func TestShutdownServesQueueAfterFailedAccept(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		prepare func(*memoryListener)
+	}{
+		{name: "time-out", prepare: func(l *memoryListener) { l.starve(true) }},
+		{name: "no descriptor", prepare: func(l *memoryListener) {
+			l.starve(true)
+			synctest.Wait()
+			l.failNextAccept(&net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, stop := startAcceptor(t)
+				defer stop()
+				synctest.Wait()
+				test.prepare(a.listener)
+				c := a.dialClient(t)
+				c.send(t, "/")
+				result := a.shutDown(t)
+				c.receive(t)
+				if err := <-result; err != nil {
+					t.Errorf("got error %v, want a complete stop", err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stop that lasts until its deadline, which ends requests without a response,
+// because new connections arrive all the while.
+func TestShutdownEndsWhileClientsConnect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		idle := a.dialClient(t)
+		synctest.Wait()
+		result := a.shutDown(t)
+		for {
+			select {
+			case err := <-result:
+				if err != nil {
+					t.Errorf("got error %v, want a complete stop", err)
+				}
+				idle.assertClosed(t, 0, time.Second)
+				return
+			case <-time.After(lastAcceptTimeout / 2):
+			}
+			if c, err := a.listener.dial(t.Context(), "", ""); err == nil {
+				defer c.Close()
+			}
+		}
+	})
+}
--- a/internal/acceptor/listener.go
+++ b/internal/acceptor/listener.go
@@ -1,7 +1,9 @@
 package acceptor
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +14,8 @@
 	net.Listener
 	acceptor *Acceptor
 	stopping atomic.Bool
+	// lastLook is true once Accept has timed out.
+	lastLook atomic.Bool
 	// done is closed once no more connections are accepted.
 	done     chan struct{}
 	doneOnce sync.Once
@@ -36,18 +40,29 @@
 
 // Accept implements net.Listener.
 func (l *trackedListener) Accept() (net.Conn, error) {
-	if l.stopping.Load() {
-		l.armDeadline()
-	}
-	accepted, err := l.Listener.Accept()
-	if err != nil && l.stopping.Load() {
+	for {
+		if l.stopping.Load() {
+			l.armDeadline()
+		}
+		accepted, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return l.acceptor.track(accepted), nil
+		case !l.stopping.Load():
+			return nil, err
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			// The deadline can wake Accept before a connection does, so that the queue is
+			// not empty for certain.
+			if !l.lastLook.Swap(true) {
+				continue
+			}
+		case !errors.Is(err, net.ErrClosed):
+			// The HTTP server tries again after a pause if the error is temporary.
+			return nil, err
+		}
 		l.doneOnce.Do(func() { close(l.done) })
 		return nil, net.ErrClosed
 	}
-	if err != nil {
-		return nil, err
-	}
-	return l.acceptor.track(accepted), nil
 }
 
 // track returns a connection that is tracked until it is closed.
--- a/internal/acceptor/network_test.go
+++ b/internal/acceptor/network_test.go
@@ -21,6 +21,11 @@
 	deadlineChanged chan struct{}
 	// accepted are the connections that the server has accepted, in order.
 	accepted []*memoryConn
+	// starved is true while an arriving connection does not wake an Accept that waits, as on
+	// a host without processor time. An Accept that begins returns one that has arrived.
+	starved bool
+	// acceptErr is the error of the next Accept, nil for none.
+	acceptErr error
 }
 
 func newMemoryListener() *memoryListener {
@@ -42,10 +47,18 @@
 
 // Accept implements net.Listener.
 func (l *memoryListener) Accept() (net.Conn, error) {
-	for {
+	for began := true; ; began = false {
 		l.mutex.Lock()
-		deadline, deadlineChanged := l.deadline, l.deadlineChanged
+		deadline, deadlineChanged, err := l.deadline, l.deadlineChanged, l.acceptErr
+		pending := l.pending
+		if l.starved && !began {
+			pending = nil
+		}
+		l.acceptErr = nil
 		l.mutex.Unlock()
+		if err != nil {
+			return nil, err
+		}
 		var expired <-chan time.Time
 		if !deadline.IsZero() {
 			if !time.Now().Before(deadline) {
@@ -54,7 +67,7 @@
 			expired = time.After(time.Until(deadline))
 		}
 		select {
-		case c := <-l.pending:
+		case c := <-pending:
 			l.mutex.Lock()
 			defer l.mutex.Unlock()
 			l.accepted = append(l.accepted, c)
@@ -67,13 +80,35 @@
 	}
 }
 
-// SetDeadline sets the time from which Accept fails.
-func (l *memoryListener) SetDeadline(t time.Time) error {
+// starve sets whether arriving connections do not wake Accept.
+func (l *memoryListener) starve(starved bool) {
+	l.mutex.Lock()
+	l.starved = starved
+	l.mutex.Unlock()
+	l.wake()
+}
+
+// failNextAccept sets the error of the next Accept.
+func (l *memoryListener) failNextAccept(err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.acceptErr = err
+}
+
+// wake makes a waiting Accept look at the state again.
+func (l *memoryListener) wake() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.deadline = t
 	close(l.deadlineChanged)
 	l.deadlineChanged = make(chan struct{})
+}
+
+// SetDeadline sets the time from which Accept fails.
+func (l *memoryListener) SetDeadline(t time.Time) error {
+	l.mutex.Lock()
+	l.deadline = t
+	l.mutex.Unlock()
+	l.wake()
 	return nil
 }
 
