relayer: a client that has closed its sending side gets no empty success

A client that closes its sending side once it has sent its request, and goes on reading, got a response with status 200 and no body: the HTTP server cannot tell this from a closed connection, so that the request is aborted as if the client had left. Nothing was written then, and the server completes such a response as a success. The client concluded that its request had run.

The response now says what is known: 502 if the request may have run, 503 otherwise. The abort stays, as servers must not work for clients that have left.

Evidence: TestHalfClosedConnectionGetsNoSuccess, for each kind of route; without the change "got status 200, want 502".

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -461,8 +461,11 @@
 func (x *exchange) fail(err error) {
 	var rejected *driver.AdmissionError
 	switch {
+	case x.request.Context().Err() != nil && x.mayHaveRun:
+		// A client that has closed only its sending side receives this.
+		x.writeError(http.StatusBadGateway, 0, "caller left")
 	case x.request.Context().Err() != nil:
-		x.logFailure(0, "caller left")
+		x.writeError(http.StatusServiceUnavailable, defaultRetryAfter, "caller left")
 	case x.mayHaveRun && errors.Is(err, context.DeadlineExceeded):
 		x.writeError(http.StatusGatewayTimeout, 0, "time limit passed")
 	case x.mayHaveRun:
