acceptor: a configured idle time-out is kept beyond a minute

Callers use a connection for as long as the configured idle time-out allows. Hosts closed it after 61 s at the latest, so that with a longer time-out requests crossed the close.

The minute applies only as long as no time-out is configured. A configured one is kept up to an hour, as a bound on mistakes.

Evidence: TestIdleTimeoutIsKept; without the change, with 3 minutes: "unexpected EOF, want a response".

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -47,9 +47,10 @@
 	lastReadTimeout = 10 * time.Millisecond
 	// maxLastReads bounds these reads for one header, of which each brings up to 4 KiB.
 	maxLastReads = 16
-	// defaultMaxIdleTimeout is how long a connection stays open without a request if no
-	// shorter time-out is set.
-	defaultMaxIdleTimeout = time.Minute
+	// defaultIdleTimeout is how long a connection stays open without a request if no
+	// time-out is set, maxIdleTimeout how long in any case.
+	defaultIdleTimeout = time.Minute
+	maxIdleTimeout     = time.Hour
 	// defaultHeaderTimeout is the time in which a client must send the header of a
 	// request.
 	defaultHeaderTimeout = 10 * time.Second
@@ -60,9 +61,10 @@
 // Acceptor serves HTTP requests of clients.
 type Acceptor struct {
 	httpServer *http.Server
-	// idleTimeout returns how long a connection may be idle, 0 for maxIdleTimeout.
-	idleTimeout    func() time.Duration
-	maxIdleTimeout time.Duration
+	// idleTimeout returns how long a connection may be idle, 0 for defaultIdleTimeout. It is
+	// nil if that always applies.
+	idleTimeout        func() time.Duration
+	defaultIdleTimeout time.Duration
 	// drainIdlePeriod is how long Shutdown keeps idle connections open.
 	drainIdlePeriod time.Duration
 	log             zerolog.Logger
@@ -82,15 +84,16 @@
 // Option sets one optional property of an acceptor.
 type Option func(*Acceptor)
 
-// WithIdleTimeout sets a function that returns how long a connection may be idle, 0 for
-// no shorter time than the maximum.
+// WithIdleTimeout sets a function that returns how long a connection may be idle, 0 for the
+// time of WithDefaultIdleTimeout.
 func WithIdleTimeout(timeout func() time.Duration) Option {
 	return func(a *Acceptor) { a.idleTimeout = timeout }
 }
 
-// WithMaxIdleTimeout sets how long a connection may be idle in any case.
-func WithMaxIdleTimeout(timeout time.Duration) Option {
-	return func(a *Acceptor) { a.maxIdleTimeout = timeout }
+// WithDefaultIdleTimeout sets how long a connection may be idle if the function of
+// WithIdleTimeout does not say.
+func WithDefaultIdleTimeout(timeout time.Duration) Option {
+	return func(a *Acceptor) { a.defaultIdleTimeout = timeout }
 }
 
 // WithDrainIdlePeriod sets how long Shutdown keeps idle connections open for one more request
@@ -116,17 +119,19 @@
 // New returns an acceptor that passes requests to a handler.
 func New(handler http.Handler, options ...Option) *Acceptor {
 	a := &Acceptor{
-		httpServer:  &http.Server{ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes},
-		idleTimeout: func() time.Duration { return 0 }, maxIdleTimeout: defaultMaxIdleTimeout,
-		drainIdlePeriod: defaultDrainIdlePeriod,
-		log:             zerolog.Nop(), meter: meter.New(),
+		httpServer:         &http.Server{ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes},
+		defaultIdleTimeout: defaultIdleTimeout, drainIdlePeriod: defaultDrainIdlePeriod,
+		log: zerolog.Nop(), meter: meter.New(),
 		connections: make(map[*connection]struct{}), closed: make(chan struct{}),
 	}
 	for _, o := range options {
 		o(a)
 	}
 	a.httpServer.Handler = a.wrapHandler(handler)
-	a.httpServer.IdleTimeout = a.maxIdleTimeout + closeMargin
+	a.httpServer.IdleTimeout = a.defaultIdleTimeout + closeMargin
+	if a.idleTimeout != nil {
+		a.httpServer.IdleTimeout = maxIdleTimeout + closeMargin
+	}
 	a.httpServer.ConnContext = withConnection
 	a.httpServer.ConnState = a.trackState
 	return a
@@ -234,10 +239,13 @@
 
 // currentIdleTimeout returns how long a connection may be idle now.
 func (a *Acceptor) currentIdleTimeout() time.Duration {
+	if a.idleTimeout == nil {
+		return a.defaultIdleTimeout
+	}
 	if t := a.idleTimeout(); t > 0 {
-		return min(t, a.maxIdleTimeout)
+		return min(t, maxIdleTimeout)
 	}
-	return a.maxIdleTimeout
+	return a.defaultIdleTimeout
 }
 
 // closeIdleConnections closes overdue connections until the acceptor is closed.
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -177,6 +177,26 @@
 	})
 }
 
+// Guards against a connection that is closed although its client may still use it: the
+// configured idle time-out is longer than that of a host without a configuration.
+func TestIdleTimeoutIsKept(t *testing.T) {
+	for _, timeout := range []time.Duration{defaultIdleTimeout - time.Second, 3 * defaultIdleTimeout} {
+		t.Run(timeout.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, stop := startAcceptor(t)
+				defer stop()
+				a.idleTimeout.Store(int64(timeout))
+				c := a.dialClient(t)
+				for range 2 {
+					c.exchange(t, "/")
+					time.Sleep(timeout)
+				}
+				c.assertClosed(t, 0, 2*checkInterval+closeMargin)
+			})
+		})
+	}
+}
+
 // Guards against a request that is discarded because its connection counts as idle: it has
 // arrived, but the host had no processor time to read it before the idle time-out.
 func TestIdleTimeoutServesArrivedRequest(t *testing.T) {
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -190,7 +190,7 @@
 
 func (e *EntryHost) buildServers() {
 	handler := receiver.New(e.runner, e.forwarder, receiver.WithTracer(e.tracer), receiver.WithMeter(e.meter))
-	e.clientServer = acceptor.New(handler, acceptor.WithTLS(e.serverTLS), acceptor.WithMaxIdleTimeout(idleTimeout),
+	e.clientServer = acceptor.New(handler, acceptor.WithTLS(e.serverTLS), acceptor.WithDefaultIdleTimeout(idleTimeout),
 		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter))
 	e.operatorServer = &http.Server{Handler: e.operatorHandler(), TLSConfig: e.serverTLS, ReadHeaderTimeout: readHeaderTimeout}
 	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes)}
