commander: a closed output does not end a host

Callers saw their connections close without a response when the program that reads a host's log lines had ended: the next line raised SIGPIPE, whose default action for the standard output ends the process.

The signal is ignored from the start on. Lines that nobody reads are lost.

Evidence: TestClosedOutputDoesNotEndHost, in a process of its own; without the change "got signal: broken pipe, want exit code 0".

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -117,10 +117,12 @@
 
 // catchSignals handles the signals for an entry host. By default each of them ends the process
 // at once, with all requests in flight. SIGHUP is handled until the process ends, the
-// signals to stop until release is called.
+// signals to stop until release is called. SIGPIPE, which follows a line of the log that nobody
+// reads, is ignored.
 func catchSignals(ctx context.Context) (signals hostSignals, release func()) {
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	stopCtx, release := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	return hostSignals{stop: stopCtx.Done(), reload: reload}, release
 }
--- a/internal/commander/serve_test.go
+++ b/internal/commander/serve_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
@@ -110,9 +111,11 @@
 	t.Errorf("got no line with %q", text)
 }
 
-// Guards against a SIGHUP that ends a host with its own interface, and with it the requests in
-// flight, while it serves and while it stops.
-func TestReloadSignalWhileServing(t *testing.T) {
+// startTestHost starts a host with its own interface in a process, and returns it with its
+// standard output and the address for operators. The host serves and has no log, host list
+// or weight store.
+func startTestHost(t *testing.T) (process *exec.Cmd, stdout io.ReadCloser, operators string) {
+	t.Helper()
 	addresses := unusedAddresses(t, 6)
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	settings := "host: host-a\ndata-centre: dc-a\nregion: region-a\nlinger: 200ms\n" +
@@ -121,7 +124,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	process := newTestProcess(t, "serve", "--settings", path)
+	process = newTestProcess(t, "serve", "--settings", path)
 	stdout, err := process.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -129,9 +132,17 @@
 	if err := process.Start(); err != nil {
 		t.Fatal(err)
 	}
-	lines := bufio.NewScanner(stdout)
 	for !isAlive(t, addresses[2]) {
+		time.Sleep(time.Millisecond)
 	}
+	return process, stdout, addresses[2]
+}
+
+// Guards against a SIGHUP that ends a host with its own interface, and with it the requests in
+// flight, while it serves and while it stops.
+func TestReloadSignalWhileServing(t *testing.T) {
+	process, stdout, _ := startTestHost(t)
+	lines := bufio.NewScanner(stdout)
 	signalProcess(t, process, syscall.SIGHUP)
 	awaitLine(t, lines, "settings are not reloaded")
 	signalProcess(t, process, syscall.SIGTERM)
@@ -141,6 +152,24 @@
 	assertExit(t, process, int(ExitSuccess))
 }
 
+// Guards against a host that ends, and with it the requests in flight, when nothing reads its
+// log lines any more.
+func TestClosedOutputDoesNotEndHost(t *testing.T) {
+	process, stdout, operators := startTestHost(t)
+	stdout.Close()
+	signalProcess(t, process, syscall.SIGHUP)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+operators+"/drain", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response, err := http.DefaultClient.Do(request); err != nil {
+		t.Errorf("got error %v, want a response", err)
+	} else {
+		response.Body.Close()
+	}
+	assertExit(t, process, int(ExitSuccess))
+}
+
 // isAlive reports whether a host responds to a liveness check of an operator.
 func isAlive(t *testing.T, address string) bool {
 	t.Helper()
