--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -2,17 +2,23 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -55,6 +61,10 @@
 				panic(http.ErrAbortHandler)
 			}
 		}
+		if r.Context().Err() != nil {
+			io.WriteString(w, "aborted")
+			return
+		}
 		io.WriteString(w, "done")
 	}
 	a.Acceptor = New(http.HandlerFunc(handler), WithIdleTimeout(func() time.Duration { return time.Duration(a.idleTimeout.Load()) }))
@@ -575,3 +585,126 @@
 		}
 	})
 }
+
+// Guards against a request that is aborted as idle while it is served: it arrived together
+// with the one before it, so that no read told of it.
+func TestIdleTimeoutKeepsRequestThatArrivedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		a.idleTimeout.Store(int64(testWork / 10))
+		c := a.dialClient(t)
+		time.Sleep(checkInterval / 2)
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /slow HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		c.receive(t)
+		c.receive(t)
+	})
+}
+
+// Guards against a log line on a request that was cut off, though it has a response: its
+// body was not read before the response, or never.
+func TestClosedConnectionsWithResponsesAreNotLogged(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		bodyBytes int
+	}{
+		{name: "body read after the response", bodyBytes: 100 << 10},
+		{name: "body never read", bodyBytes: 1 << 20},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var log bytes.Buffer
+			refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusRequestEntityTooLarge) }
+			a := New(http.HandlerFunc(refuse), WithDrainIdlePeriod(time.Second), WithLogger(zerolog.New(&log)))
+			socket, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			result := make(chan error, 1)
+			go func() { result <- a.Serve(socket) }()
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", socket.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			go fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", test.bodyBytes, strings.Repeat("x", test.bodyBytes))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || response.StatusCode != http.StatusRequestEntityTooLarge {
+				t.Errorf("got %v and error %v, want status %d", response, err, http.StatusRequestEntityTooLarge)
+			}
+			for len(a.openConnections()) > 0 && test.bodyBytes > 256<<10 {
+				time.Sleep(time.Millisecond)
+			}
+			if err := a.Shutdown(t.Context()); err != nil {
+				t.Errorf("got error %v, want a complete stop", err)
+			}
+			<-result
+			if got := log.String(); got != "" {
+				t.Errorf("got log %q, want none", got)
+			}
+		})
+	}
+}
+
+// Guards against requests that a stop discards at the end of the grace period, because it
+// goes on accepting for as long as new connections arrive.
+func TestShutdownEndsWhileConnectionsArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		synctest.Wait()
+		result := a.shutDown(t)
+		var clients sync.WaitGroup
+		defer clients.Wait()
+		for start := time.Now(); ; time.Sleep(lastAcceptTimeout / 2) {
+			conn, err := a.listener.dial(t.Context(), "", "")
+			if err != nil {
+				break
+			}
+			if got := time.Since(start); got >= testGracePeriod {
+				t.Fatalf("got a new connection %s after the stop, want none after %s", got, testGracePeriod)
+			}
+			clients.Go(func() {
+				time.Sleep(lastAcceptTimeout)
+				c := &testClient{Conn: conn, reader: bufio.NewReader(conn)}
+				c.exchange(t, "/")
+			})
+		}
+		if err := <-result; err != nil {
+			t.Errorf("got error %v, want a complete stop", err)
+		}
+	})
+}
+
+// Guards against a connection that a stop resets in the queue of the listener, because the
+// host had no processor time to accept it.
+func TestStoppingListenerEmptiesQueue(t *testing.T) {
+	socket, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	client, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", socket.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	for !hasQueuedConnection(socket) {
+		time.Sleep(time.Millisecond)
+	}
+	l := &trackedListener{Listener: socket, acceptor: New(http.NotFoundHandler()), done: make(chan struct{})}
+	l.stop()
+	l.lastAcceptEnd = time.Now()
+	if err := socket.(*net.TCPListener).SetDeadline(time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatalf("got error %v, want the connection in the queue", err)
+	}
+	accepted.Close()
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("got error %v, want a closed listener", err)
+	}
+}
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -247,9 +247,10 @@
 		return
 	}
 	c.mutex.Lock()
-	unserved := c.phase == receiving
+	phase := c.phase
 	c.mutex.Unlock()
-	unread := hasUnreadData(c.Conn)
+	// The rest of a request that has a response may stay unread.
+	unread, unserved := phase != serving && hasUnreadData(c.Conn), phase == receiving
 	a.meter.CountClosedConnection(unread, unserved)
 	if unread || unserved {
 		a.log.Info().Str("caller", c.RemoteAddr().String()).Bool("unread", unread).Bool("unserved", unserved).Msg("connection closed with a request")
