standin/platform: servers that say that they leave or want a pause

A server now leaves, announced in the list or not, and says so in all its responses; it refuses the requests of one host or of all for a time and states that time. Requests that were not sent by it are not judged. Reports, orders, health checks and 421 count for neither rule. When a request was sent is taken before, and when a response was passed on after the fact, so that a slow machine makes the check milder and never stricter.

An entry is now encoded and written under one lock: one that was encoded before the entry was deleted could have been written after that and stayed.

--- a/internal/standin/platform/fleet.go
+++ b/internal/standin/platform/fleet.go
@@ -20,6 +20,7 @@
 	announcingDone chan struct{}
 	violations     []string
 	ordersToDelay  int
+	notices        *noticeChecker
 }
 
 // orderDelay is the time between the arrival and the execution of a delayed order.
@@ -47,7 +48,7 @@
 
 // StartFleet starts a fleet without servers. The returned function stops it.
 func StartFleet(store *Store) (*Fleet, func()) {
-	f := &Fleet{store: store, registry: engine.NewRegistry(), servers: make(map[string]*Server), stopAnnouncing: make(chan struct{}), announcingDone: make(chan struct{})}
+	f := &Fleet{store: store, registry: engine.NewRegistry(), servers: make(map[string]*Server), stopAnnouncing: make(chan struct{}), announcingDone: make(chan struct{}), notices: newNoticeChecker()}
 	go f.announceServers()
 	return f, func() {
 		close(f.stopAnnouncing)
@@ -63,7 +64,7 @@
 func (f *Fleet) StartServer(id, service, domain string) (*Server, error) {
 	s := &Server{
 		fleet: f, id: id, service: service, fabricDomain: domain, startedUnixMillis: time.Now().UnixMilli(), ledger: application.NewLedger(),
-		streamCancels: make(map[int64]context.CancelFunc),
+		streamCancels: make(map[int64]context.CancelFunc), pauseEnds: make(map[string]time.Time),
 	}
 	if err := s.start(); err != nil {
 		return nil, err
@@ -74,13 +75,20 @@
 	return s, nil
 }
 
-// Violations returns the violations of invariants that the servers detected.
+// Violations returns the violations of invariants that the servers detected, and those that
+// Requester names.
 func (f *Fleet) Violations() []string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return slices.Clone(f.violations)
 }
 
+func (f *Fleet) recordViolation(violation string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.violations = append(f.violations, violation)
+}
+
 func (f *Fleet) allServers() []*Server {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -126,16 +134,14 @@
 	return n
 }
 
-// announceServers periodically writes the entries of all servers that are not lost.
+// announceServers periodically writes the entries of all servers that are listed.
 func (f *Fleet) announceServers() {
 	defer close(f.announcingDone)
 	ticker := time.NewTicker(entryInterval)
 	defer ticker.Stop()
 	for {
 		for _, s := range f.allServers() {
-			if entry, ok := s.encodeEntry(); ok {
-				f.store.put(serversTopic, s.id, entry)
-			}
+			s.announce()
 		}
 		select {
 		case <-f.stopAnnouncing:
--- a/internal/standin/platform/order.go
+++ b/internal/standin/platform/order.go
@@ -66,9 +66,7 @@
 	isOpen := leader.group == group && (leader.state == stateOpen || !leader.opensAt.IsZero()) && !leader.isLost
 	leader.mutex.Unlock()
 	if isOpen {
-		s.fleet.mutex.Lock()
-		s.fleet.violations = append(s.fleet.violations, fmt.Sprintf("%s joins %s while %s is open", s.id, o.Group, group))
-		s.fleet.mutex.Unlock()
+		s.fleet.recordViolation(fmt.Sprintf("%s joins %s while %s is open", s.id, o.Group, group))
 	}
 }
 
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -70,7 +70,13 @@
 	startedStreams    int64
 	streamCancels     map[int64]context.CancelFunc
 	isLost            bool
-	isDraining        bool
+	// isLeaving says that the responses state that the server leaves, isDraining that its
+	// entry does, and isUnlisted that it has no entry any more.
+	isLeaving  bool
+	isDraining bool
+	isUnlisted bool
+	// pauseEnds holds until when requests are refused, by host, and for all under "".
+	pauseEnds map[string]time.Time
 }
 
 // start starts the engine or application server that serves the platform's protocol.
@@ -163,25 +169,28 @@
 	return d
 }
 
-// encodeEntry returns the next entry for the store. It returns false for a lost server.
-func (s *Server) encodeEntry() ([]byte, bool) {
+// announce writes the next entry to the store, unless the server is lost or unlisted.
+func (s *Server) announce() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.isLost {
-		return nil, false
+	if s.isLost || s.isUnlisted {
+		return
 	}
 	s.entrySequence++
 	d := s.statusFields()
 	d["service"], d["address"], d["zone"], d["slots"], d["seq"] = s.service, s.faultServer.Address(), "z1", 4, s.entrySequence
-	data, err := json.Marshal(d)
-	return data, err == nil
+	if data, err := json.Marshal(d); err == nil {
+		s.fleet.store.put(serversTopic, s.id, data)
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if id := r.Header.Get("X-Request-Id"); id != "" {
+	id := r.Header.Get("X-Request-Id")
+	if id != "" {
 		w.Header().Set("X-Request-Id", id)
 	}
+	s.stateLeaving(w, id)
 	if target := r.Header.Get("X-Target-Instance"); target != "" && target != s.id {
 		w.Header().Set("X-Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -198,10 +207,22 @@
 		s.handleOrder(w, r)
 	case "/health":
 		w.Header().Set("X-Instance-Id", s.id)
-		w.WriteHeader(http.StatusOK)
+		w.WriteHeader(s.healthStatus())
 	default:
-		s.handleRequest(w, r)
+		if !s.refusePaused(w, id) {
+			s.handleRequest(w, r)
+		}
+	}
+}
+
+// healthStatus returns the status of a health check, an error for a server that leaves.
+func (s *Server) healthStatus() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.isLeaving {
+		return http.StatusServiceUnavailable
 	}
+	return http.StatusOK
 }
 
 func (s *Server) groupAndEpoch() (group string, epoch int64) {
--- a/internal/standin/platform/stream.go
+++ b/internal/standin/platform/stream.go
@@ -23,7 +23,7 @@
 	}
 	id := r.Header.Get("X-Request-Id")
 	s.ledger.RecordRun(id)
-	w.Header().Set("X-Response-Seal", "seal-"+s.id)
+	w.Header().Set("X-Response-Seal", sealPrefix+s.id)
 	if s.engine != nil {
 		s.serveStream(w, r, string(body))
 		return
