platformassembler: random runs with servers that leave, want a pause or are silent

Each of six fixed seeds draws twelve events at the plain servers and the leaders of the open groups; one requester for each host sends one request after the other, so that the verdict does not depend on the speed of the machine.

--- a/internal/platformassembler/notice_test.go
+++ b/internal/platformassembler/notice_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -27,14 +30,26 @@
 	"bookings": standin.BookPathPrefix + "x", "lookups": standin.LookPathPrefix + "x", "streams": standin.StreamPathPrefix + "x",
 }
 
+// noticeKinds are the paths of noticePaths in a fixed order.
+var noticeKinds = slices.Sorted(maps.Values(noticePaths))
+
 // sendChecked sends a request through the stand-in's requester, reads the response and returns
 // its status and the server that it names, "" for none.
 func (c *testCluster) sendChecked(t *testing.T, host int, path string) (status int, server string) {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+c.clientAddresses[host]+path, strings.NewReader("prompt"))
+	status, server, err := c.trySendChecked(t, host, path)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return status, server
+}
+
+func (c *testCluster) trySendChecked(t *testing.T, host int, path string) (status int, server string, err error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+c.clientAddresses[host]+path, strings.NewReader("prompt"))
+	if err != nil {
+		return 0, "", err
+	}
 	r.Host = standin.HostName
 	for name, value := range map[string]string{
 		"X-Request-Id": fmt.Sprintf("c%d", c.requestCount.Add(1)), "X-Credential": standin.APIKey,
@@ -44,13 +59,13 @@
 	}
 	response, err := c.Fleet.Requester(hostName(host)).RoundTrip(r)
 	if err != nil {
-		t.Fatal(err)
+		return 0, "", err
 	}
 	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		t.Fatal(err)
+	if _, err = io.Copy(io.Discard, response.Body); err != nil {
+		return 0, "", err
 	}
-	return response.StatusCode, strings.TrimPrefix(response.Header.Get("X-Response-Seal"), "seal-")
+	return response.StatusCode, strings.TrimPrefix(response.Header.Get("X-Response-Seal"), "seal-"), nil
 }
 
 // awaitServer sends requests until a server responds and returns the server.
@@ -148,3 +163,81 @@
 		return status == http.StatusOK
 	})
 }
+
+// noticeSeeds is the number of random runs, noticeSteps how many events each of them has.
+const noticeSeeds, noticeSteps = 6, 12
+
+// Guards against a violation that needs several servers at once which leave, want a pause or
+// are silent, or the store to be away meanwhile.
+func TestRandomNotices(t *testing.T) {
+	for seed := range uint64(noticeSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newTestCluster(t, 2)
+			stop := make(chan struct{})
+			succeeded := make(chan int, len(c.clientAddresses))
+			for host := range c.clientAddresses {
+				c.awaitServer(t, host, standin.StreamPathPrefix+"x")
+				go func() { succeeded <- c.sendUntil(t, stop, host, rand.New(rand.NewPCG(seed, uint64(host)))) }()
+			}
+			c.playEvents(rand.New(rand.NewPCG(seed, noticeSeeds)))
+			close(stop)
+			for range c.clientAddresses {
+				if <-succeeded == 0 {
+					t.Error("got no response of a server at one of the hosts, want some")
+				}
+			}
+			c.assertNoViolation(t, "")
+		})
+	}
+}
+
+// sendUntil sends requests of all kinds to a host, one after the other, until stop is closed,
+// and returns how many succeeded. A stream that breaks off is the subject of other tests.
+func (c *testCluster) sendUntil(t *testing.T, stop <-chan struct{}, host int, random *rand.Rand) int {
+	t.Helper()
+	for succeeded := 0; ; {
+		select {
+		case <-stop:
+			return succeeded
+		case <-time.After(5 * time.Millisecond):
+		}
+		status, _, err := c.trySendChecked(t, host, noticeKinds[random.IntN(len(noticeKinds))])
+		if err == nil && status == http.StatusOK {
+			succeeded++
+		}
+	}
+}
+
+// playEvents makes servers that get requests leave, want a pause or fall silent, and the store
+// be away. One plain server and one leader leave at most.
+func (c *testCluster) playEvents(random *rand.Rand) {
+	hosts := []string{"", hostName(0), hostName(1)}
+	hasLeft := make(map[bool]bool)
+	for range noticeSteps {
+		servers := c.Fleet.OpenLeaders()
+		slices.SortFunc(servers, func(a, b *standin.Server) int { return strings.Compare(a.ID(), b.ID()) })
+		isLeader := random.IntN(2) == 0 && len(servers) > 0
+		if !isLeader {
+			servers = []*standin.Server{c.Fleet.Server("p0"), c.Fleet.Server("p1")}
+		}
+		server := servers[random.IntN(len(servers))]
+		span := time.Duration(random.IntN(2000)) * time.Millisecond
+		switch random.IntN(6) {
+		case 0:
+			if !hasLeft[isLeader] {
+				hasLeft[isLeader] = true
+				server.LeaveUnannounced(span)
+			}
+		case 1:
+			server.Faults().Pause()
+			time.AfterFunc(span/2, server.Faults().Resume)
+		case 2:
+			c.Store.SetOutage(random.IntN(2) == 0)
+		default:
+			server.PauseRequests(hosts[random.IntN(len(hosts))], span+time.Second)
+		}
+		time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
+	}
+	c.Store.SetOutage(false)
+}
