--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -39,16 +39,19 @@
 	// drainPollInterval is the time between two checks for open connections.
 	drainPollInterval = 20 * time.Millisecond
 	// lastAcceptTimeout is the time without a new connection after which a stopping host
-	// accepts no more.
-	lastAcceptTimeout = 100 * time.Millisecond
-	// maxLastAcceptPeriod is how long a stopping host waits for that.
-	maxLastAcceptPeriod = 500 * time.Millisecond
+	// accepts no more, maxLastAcceptPeriod the time after which it accepts only those in the
+	// queue of the listener.
+	lastAcceptTimeout   = 20 * time.Millisecond
+	maxLastAcceptPeriod = 250 * time.Millisecond
 	// lastReadTimeout bounds the read that looks for a request before a connection is
 	// closed.
 	lastReadTimeout = 10 * time.Millisecond
-	// defaultMaxIdleTimeout is how long a connection stays open without a request if no
-	// shorter time-out is set.
-	defaultMaxIdleTimeout = time.Minute
+	// maxLastReads bounds these reads for one header, of which each brings up to 4 KiB.
+	maxLastReads = 16
+	// defaultIdleTimeout is how long a connection stays open without a request if no
+	// time-out is set, maxIdleTimeout how long in any case.
+	defaultIdleTimeout = time.Minute
+	maxIdleTimeout     = time.Hour
 	// defaultHeaderTimeout is the time in which a client must send the header of a
 	// request.
 	defaultHeaderTimeout = 10 * time.Second
@@ -59,9 +62,10 @@
 // Acceptor serves HTTP requests of clients.
 type Acceptor struct {
 	httpServer *http.Server
-	// idleTimeout returns how long a connection may be idle, 0 for maxIdleTimeout.
-	idleTimeout    func() time.Duration
-	maxIdleTimeout time.Duration
+	// idleTimeout returns how long a connection may be idle, 0 for defaultIdleTimeout. It is
+	// nil if that always applies.
+	idleTimeout        func() time.Duration
+	defaultIdleTimeout time.Duration
 	// drainIdlePeriod is how long Shutdown keeps idle connections open.
 	drainIdlePeriod time.Duration
 	log             zerolog.Logger
@@ -81,15 +85,16 @@
 // Option sets one optional property of an acceptor.
 type Option func(*Acceptor)
 
-// WithIdleTimeout sets a function that returns how long a connection may be idle, 0 for
-// no shorter time than the maximum.
+// WithIdleTimeout sets a function that returns how long a connection may be idle, 0 for the
+// time of WithDefaultIdleTimeout.
 func WithIdleTimeout(timeout func() time.Duration) Option {
 	return func(a *Acceptor) { a.idleTimeout = timeout }
 }
 
-// WithMaxIdleTimeout sets how long a connection may be idle in any case.
-func WithMaxIdleTimeout(timeout time.Duration) Option {
-	return func(a *Acceptor) { a.maxIdleTimeout = timeout }
+// WithDefaultIdleTimeout sets how long a connection may be idle if the function of
+// WithIdleTimeout does not say.
+func WithDefaultIdleTimeout(timeout time.Duration) Option {
+	return func(a *Acceptor) { a.defaultIdleTimeout = timeout }
 }
 
 // WithDrainIdlePeriod sets how long Shutdown keeps idle connections open for one more request
@@ -115,17 +120,19 @@
 // New returns an acceptor that passes requests to a handler.
 func New(handler http.Handler, options ...Option) *Acceptor {
 	a := &Acceptor{
-		httpServer:  &http.Server{ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes},
-		idleTimeout: func() time.Duration { return 0 }, maxIdleTimeout: defaultMaxIdleTimeout,
-		drainIdlePeriod: defaultDrainIdlePeriod,
-		log:             zerolog.Nop(), meter: meter.New(),
+		httpServer:         &http.Server{ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes},
+		defaultIdleTimeout: defaultIdleTimeout, drainIdlePeriod: defaultDrainIdlePeriod,
+		log: zerolog.Nop(), meter: meter.New(),
 		connections: make(map[*connection]struct{}), closed: make(chan struct{}),
 	}
 	for _, o := range options {
 		o(a)
 	}
 	a.httpServer.Handler = a.wrapHandler(handler)
-	a.httpServer.IdleTimeout = a.maxIdleTimeout + closeMargin
+	a.httpServer.IdleTimeout = a.defaultIdleTimeout + closeMargin
+	if a.idleTimeout != nil {
+		a.httpServer.IdleTimeout = maxIdleTimeout + closeMargin
+	}
 	a.httpServer.ConnContext = withConnection
 	a.httpServer.ConnState = a.trackState
 	return a
@@ -220,6 +227,7 @@
 	select {
 	case <-listener.done:
 	case <-ctx.Done():
+		listener.closeQuietly()
 	}
 }
 
@@ -233,10 +241,13 @@
 
 // currentIdleTimeout returns how long a connection may be idle now.
 func (a *Acceptor) currentIdleTimeout() time.Duration {
+	if a.idleTimeout == nil {
+		return a.defaultIdleTimeout
+	}
 	if t := a.idleTimeout(); t > 0 {
-		return min(t, a.maxIdleTimeout)
+		return min(t, maxIdleTimeout)
 	}
-	return a.maxIdleTimeout
+	return a.defaultIdleTimeout
 }
 
 // closeIdleConnections closes overdue connections until the acceptor is closed.
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -9,142 +9,44 @@
 	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-// trackedListener accepts connections that are tracked by an acceptor.
-type trackedListener struct {
-	net.Listener
-	acceptor *Acceptor
-	stopping atomic.Bool
-	// lastAcceptEnd is the time from which a stopping listener accepts only what is in its
-	// queue. It is set before stopping.
-	lastAcceptEnd time.Time
-	// done is closed once no more connections are accepted.
-	done      chan struct{}
-	doneOnce  sync.Once
-	closeOnce sync.Once
-	closeErr  error
-}
-
-// Close implements net.Listener. It can be called again, as the listener closes itself while
-// it stops.
-func (l *trackedListener) Close() error {
-	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
-	return l.closeErr
-}
-
-// closeQuietly closes the listener. Its error is also that of later calls of Close.
-func (l *trackedListener) closeQuietly() {
-	if err := l.Close(); err != nil {
-		l.acceptor.log.Debug().Err(err).Msg("failed to close the listener")
-	}
-}
-
-// deadlineSetter is a listener whose Accept can time out.
-type deadlineSetter interface{ SetDeadline(t time.Time) error }
-
-// stop makes Accept fail once no connection has arrived for lastAcceptTimeout, or the queue
-// of the listener is empty after maxLastAcceptPeriod.
-func (l *trackedListener) stop() {
-	l.lastAcceptEnd = time.Now().Add(maxLastAcceptPeriod)
-	l.stopping.Store(true)
-	l.armDeadline()
-}
-
-// armDeadline makes Accept time out after lastAcceptTimeout.
-func (l *trackedListener) armDeadline() {
-	if d, ok := l.Listener.(deadlineSetter); ok && d.SetDeadline(time.Now().Add(lastAcceptTimeout)) == nil {
-		return
-	}
-	l.closeQuietly()
-}
-
-// Accept implements net.Listener.
-func (l *trackedListener) Accept() (net.Conn, error) {
-	accepted, err := l.acceptNext()
-	if err != nil && l.stopping.Load() {
-		// Connections that arrive from now on are refused.
-		l.closeQuietly()
-		l.doneOnce.Do(func() { close(l.done) })
-		return nil, net.ErrClosed
-	}
-	if err != nil {
-		return nil, err
-	}
-	c := &connection{Conn: accepted, acceptor: l.acceptor, waiting: true, waitingSince: time.Now()}
-	l.acceptor.mutex.Lock()
-	defer l.acceptor.mutex.Unlock()
-	l.acceptor.connections[c] = struct{}{}
-	return c, nil
-}
-
-// acceptNext returns the next connection. While the listener stops, it fails if there is
-// none in the queue and time is up.
-func (l *trackedListener) acceptNext() (net.Conn, error) {
-	for {
-		if l.stopping.Load() {
-			if !time.Now().Before(l.lastAcceptEnd) && !hasQueuedConnection(l.Listener) {
-				return nil, net.ErrClosed
-			}
-			l.armDeadline()
-		}
-		accepted, err := l.Listener.Accept()
-		if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) && hasQueuedConnection(l.Listener) {
-			continue
-		}
-		return accepted, err
-	}
-}
-
-// hasQueuedConnection reports whether a connection waits to be accepted.
-func hasQueuedConnection(listener net.Listener) bool {
-	socket, ok := listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isQueued := false
-	poll := func(descriptor uintptr) {
-		events := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
-		n, err := unix.Poll(events, 0)
-		isQueued = err == nil && n > 0 && events[0].Revents&unix.POLLIN != 0
-	}
-	if err := raw.Control(poll); err != nil {
-		return false
-	}
-	return isQueued
-}
-
 // connection is the connection of a client.
 type connection struct {
 	net.Conn
 	acceptor *Acceptor
 
 	mutex sync.Mutex
-	// waiting is true while the host waits for the first byte of a request, waitingSince the
-	// time at which it became true.
-	waiting      bool
+	phase phase
+	// waitingSince is the time at which the connection began to wait for a request.
 	waitingSince time.Time
-	// expired is true from the time at which the connection was to be closed until the read
-	// that waits has noticed.
-	expired bool
 	// served is true once a request has been served.
 	served bool
 	// idleTimeout is the longest idle time-out on which the client may rely: those that
 	// were announced since its last request, or in force while the connection was idle.
 	idleTimeout time.Duration
-	// unserved is true from the first byte of a request until a handler serves it.
-	unserved bool
+	// readDeadline is the deadline that the HTTP server has set, the zero time for none.
+	readDeadline time.Time
+	// deadlineReplaced is true while the connection has another deadline.
+	deadlineReplaced bool
+	// lastReads is the number of reads after a deadline in the current phase.
+	lastReads int
 }
 
+// phase is what the host does with a connection.
+type phase int
+
+const (
+	// waiting for the first byte of a request.
+	waiting phase = iota
+	// receiving the header of a request, of which bytes have arrived.
+	receiving
+	// serving a request by a handler.
+	serving
+)
+
 // http2Protocol is the name of HTTP/2 in the negotiation of TLS.
 const http2Protocol = "h2"
 
@@ -198,19 +100,19 @@
 	})
 }
 
-// startServing records that a handler serves a request, which may have arrived together with
-// the one before it. Its response announces an idle time-out.
+// startServing records that a handler serves a request, whose response announces an idle
+// time-out.
 func (c *connection) startServing(announced time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.waiting, c.expired, c.unserved, c.served, c.idleTimeout = false, false, false, true, announced
+	c.phase, c.served, c.idleTimeout = serving, true, announced
 }
 
 // startWaiting records that the host waits for the next request.
 func (c *connection) startWaiting() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.waiting, c.waitingSince = true, time.Now()
+	c.phase, c.waitingSince, c.lastReads = waiting, time.Now(), 0
 }
 
 // expireIfIdle makes the HTTP server close the connection if it has been idle for longer
@@ -219,7 +121,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.idleTimeout = max(c.idleTimeout, currentTimeout)
-	if !c.waiting || !c.served || now.Sub(c.waitingSince) <= c.idleTimeout+closeMargin {
+	if !c.served || now.Sub(c.waitingSince) <= c.idleTimeout+closeMargin {
 		return false
 	}
 	return c.expire(now)
@@ -230,7 +132,7 @@
 func (c *connection) expireIfWaiting(now, since time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.waiting && !c.waitingSince.After(since) {
+	if !c.waitingSince.After(since) {
 		c.expire(now)
 	}
 }
@@ -238,92 +140,78 @@
 // expire makes the HTTP server close the connection unless a request has arrived. It does
 // not close the connection itself, because only the goroutine that reads knows whether it
 // has received a request. The caller holds the mutex.
+//
+// The HTTP server sets a deadline before it waits for a request, and removes it when it has
+// read the header, possibly from its buffer.
 func (c *connection) expire(now time.Time) bool {
-	if err := c.SetReadDeadline(now); err != nil {
-		c.acceptor.log.Debug().Err(err).Msg("failed to close an idle connection")
+	if c.phase != waiting || c.readDeadline.IsZero() {
 		return false
 	}
-	c.expired = true
-	return true
+	return c.replaceDeadline(now) == nil
 }
 
-// Read implements net.Conn. When the connection has expired, or its deadline has passed
-// before the first byte of a request, Read returns data that has arrived nevertheless: the
-// deadline can wake the reader before the data does.
-func (c *connection) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		if timeout, again := c.lastReadTimeout(); again {
-			n, err = c.readAgain(data, timeout)
-		}
-	}
-	if n > 0 {
-		c.startReceiving()
+// replaceDeadline replaces the deadline of the HTTP server until that sets its next one. The
+// caller holds the mutex.
+func (c *connection) replaceDeadline(t time.Time) error {
+	c.deadlineReplaced = true
+	err := c.Conn.SetReadDeadline(t)
+	if err != nil {
+		c.acceptor.log.Debug().Err(err).Msg("failed to set the deadline of a connection")
 	}
-	return n, err
+	return err
 }
 
-// lastReadTimeout returns how long a read that timed out is to wait once more. It is false if
-// the timeout stands.
-func (c *connection) lastReadTimeout() (time.Duration, bool) {
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	expired := c.expired
-	c.expired = false
-	switch {
-	case c.waiting:
-		return lastReadTimeout, true
-	case expired:
-		// The start of a request has arrived after all. The rest has the usual time.
-		return defaultHeaderTimeout, true
-	}
-	return 0, false
+	c.readDeadline, c.deadlineReplaced = t, false
+	return c.Conn.SetReadDeadline(t)
 }
 
-// readAgain reads with a new deadline.
-func (c *connection) readAgain(data []byte, timeout time.Duration) (int, error) {
-	n := 0
-	for n == 0 {
-		if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-			return 0, err
-		}
-		var err error
-		if n, err = c.Conn.Read(data); n == 0 && (!errors.Is(err, os.ErrDeadlineExceeded) || !hasUnreadData(c.Conn)) {
-			c.closeIfIdle(err)
-			return 0, err
+// Read implements net.Conn. When the deadline of a read for the header of a request has
+// passed, it returns data that has arrived nevertheless: the deadline can wake the reader
+// before the data does.
+func (c *connection) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.startLastRead() {
+		n, err = c.Conn.Read(data)
+		if n > 0 {
+			c.acceptor.meter.CountRescuedRequest()
+			c.acceptor.log.Info().Str("caller", c.RemoteAddr().String()).Msg("request arrived on a connection that was to be closed")
 		}
 	}
-	c.acceptor.meter.CountRescuedRequest()
-	c.acceptor.log.Info().Str("caller", c.RemoteAddr().String()).Msg("request arrived on a connection that was to be closed")
-	// The HTTP server sets its own deadline once it has the start of a request.
-	if err := c.SetReadDeadline(time.Now().Add(defaultHeaderTimeout)); err != nil {
-		return n, err
+	if n > 0 {
+		c.startReceiving()
 	}
-	return n, nil
+	return n, err
 }
 
-// closeIfIdle closes the connection if the last read for a request timed out. It does not
-// leave that to the HTTP server, so that as little time as possible passes between the last
-// look for a request and the close. An encrypted connection ends with a message of the
-// server.
-func (c *connection) closeIfIdle(err error) {
+// startLastRead sets the deadline for one more read after the deadline has passed. It is
+// false if the read is not for the header of a request.
+func (c *connection) startLastRead() bool {
 	c.mutex.Lock()
-	waiting := c.waiting
-	c.mutex.Unlock()
-	if waiting && errors.Is(err, os.ErrDeadlineExceeded) && c.acceptor.httpServer.TLSConfig == nil {
-		if err := c.Close(); err != nil {
-			c.acceptor.log.Debug().Err(err).Msg("failed to close an idle connection")
-		}
+	defer c.mutex.Unlock()
+	if c.phase == serving || c.lastReads >= maxLastReads {
+		return false
 	}
+	c.lastReads++
+	return c.replaceDeadline(time.Now().Add(lastReadTimeout)) == nil
 }
 
-// startReceiving records that bytes have arrived: the start of a request if the host waits for
-// one.
+// startReceiving records that bytes of a request have arrived.
 func (c *connection) startReceiving() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.waiting {
-		c.waiting, c.unserved = false, true
+	deadline := c.readDeadline
+	if c.phase == waiting {
+		c.phase, c.lastReads = receiving, 0
+		if now := time.Now(); deadline.Before(now.Add(defaultHeaderTimeout)) {
+			deadline = now.Add(defaultHeaderTimeout)
+		}
+	}
+	if c.deadlineReplaced && c.replaceDeadline(deadline) == nil {
+		c.readDeadline, c.deadlineReplaced = deadline, false
 	}
 }
 
@@ -359,10 +247,10 @@
 		return
 	}
 	c.mutex.Lock()
-	waiting, unserved := c.waiting, c.unserved
+	phase := c.phase
 	c.mutex.Unlock()
-	// What is unread behind a request that a handler has seen belongs to its body.
-	unread := (waiting || unserved) && hasUnreadData(c.Conn)
+	// The rest of a request that has a response may stay unread.
+	unread, unserved := phase != serving && hasUnreadData(c.Conn), phase == receiving
 	a.meter.CountClosedConnection(unread, unserved)
 	if unread || unserved {
 		a.log.Info().Str("caller", c.RemoteAddr().String()).Bool("unread", unread).Bool("unserved", unserved).Msg("connection closed with a request")
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -153,7 +153,7 @@
 		driver.WithLogger(logs.For("conductor")), driver.WithMeter(h.meter), driver.WithConfigurationReload(func() { h.configurationTracker.Resync() }))
 	h.createTrackers()
 	requestSender, closeSender := sender.New(sender.WithConnectTimeout(requestConnectTimeout), sender.WithSilenceTimeout(silenceTimeout))
-	h.relayer = relayer.New(h.driver, requestSender, platform.Headers{}, relayer.WithLogger(logs.For("relayer")), relayer.WithMeter(h.meter))
+	h.relayer = relayer.New(h.driver, requestSender, platform.NewHeaders(platform.WithLogger(logs.For("relayer"))), relayer.WithLogger(logs.For("relayer")), relayer.WithMeter(h.meter))
 	h.meter.RegisterInFlightGauge(func() float64 { return float64(h.relayer.InFlightRequests()) })
 	h.meter.RegisterConfigurationVersionGauge(h.configurationVersion)
 	return h, func() {
