acceptor: an expired connection is closed by the read that finds no request

Cause: the read that looks for a request a last time reported that there is none, and the HTTP server closed the connection later. What arrived between was discarded, and more the busier the host was.

Change: the read looks once more and closes the connection itself. Some microseconds between the last look and the close remain, since no system call does both. Encrypted connections end as before, with a message of the server.

TestExpiredConnectionIsClosedByItsRead failed before: "got error <nil> from a write to the connection, want a closed one".

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -603,6 +603,22 @@
 	})
 }
 
+// Guards against a request that arrives after the last look for one, and before the HTTP
+// server closes the connection.
+func TestExpiredConnectionIsClosedByItsRead(t *testing.T) {
+	client, server := newMemoryPipe()
+	c := &connection{Conn: server, acceptor: New(http.NotFoundHandler())}
+	if err := c.SetReadDeadline(time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got error %v, want that of the deadline", err)
+	}
+	if _, err := client.Write([]byte("x")); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("got error %v from a write to the connection, want a closed one", err)
+	}
+}
+
 // Guards against a log line on a request that was cut off, though it has a response: its
 // body was not read before the response, or never.
 func TestClosedConnectionsWithResponsesAreNotLogged(t *testing.T) {
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -174,11 +174,14 @@
 // before the data does.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.startLastRead() {
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.startLastRead() {
 		n, err = c.Conn.Read(data)
 		if n > 0 {
 			c.acceptor.meter.CountRescuedRequest()
 			c.acceptor.log.Info().Str("caller", c.RemoteAddr().String()).Msg("request arrived on a connection that was to be closed")
+		} else if !hasUnreadData(c.Conn) {
+			c.closeIfExpired(err)
+			break
 		}
 	}
 	if n > 0 {
@@ -187,6 +190,22 @@
 	return n, err
 }
 
+// closeIfExpired closes the connection if the last read for a request timed out. It does not
+// leave that to the HTTP server, so that as little time as possible passes between the last
+// look for a request and the close. An encrypted connection ends with a message of the
+// server.
+func (c *connection) closeIfExpired(err error) {
+	c.mutex.Lock()
+	phase := c.phase
+	c.mutex.Unlock()
+	if phase != waiting || !errors.Is(err, os.ErrDeadlineExceeded) || c.acceptor.httpServer.TLSConfig != nil {
+		return
+	}
+	if err := c.Close(); err != nil {
+		c.acceptor.log.Debug().Err(err).Msg("failed to close an idle connection")
+	}
+}
+
 // startLastRead sets the deadline for one more read after the deadline has passed. It is
 // false if the read is not for the header of a request.
 func (c *connection) startLastRead() bool {
