coordinator, driver, relayer: a server that says that it leaves gets nothing new

Callers' requests went on to a server that had said in its answers that it leaves, until the server list said so too: seconds later, after an outage of the store much later, or never. Such a server refuses them or ends below them.

The relayer passes what a server states beside a response to the coordinator before it releases the slot, so that no waiting request gets the slot in between. Only a response that names the request counts, and none with status 421. The coordinator takes the server out of the choice at once and keeps its streams. A later incarnation is sound; an entry of the same one only if the list has shown it as leaving since and a later list no longer does (docs/decisions/platform.md). In groups a member's word does what a list entry that says draining does, the head's word also closes it for new requests.

Ruled out: to put the word into the directory of the relays. A relay that restarts has not heard it, and its directory would bring the server back at all its hosts.

--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -28,6 +28,8 @@
 type server struct {
 	report fuchsiapitch.ServerReport
 	listed bool
+	// saysLeaving is true if the server has stated itself that it leaves.
+	saysLeaving bool
 	// listedAt is when the server last appeared on the list, unlistedAt when it last
 	// disappeared from it.
 	listedAt, unlistedAt time.Duration
@@ -85,7 +87,7 @@
 
 // isUsable reports whether the server may join a new group.
 func (s *server) isUsable() bool {
-	return s.listed && !s.report.Leaving && !s.replaced && s.consecutiveFailures == 0
+	return s.listed && !s.isLeaving() && !s.replaced && s.consecutiveFailures == 0
 }
 
 // isOpening reports whether a ready leader may still open because it is carrying out an
@@ -150,11 +152,12 @@
 		c.storeRecoveredAt = now
 	}
 	c.listReadAt, c.listStale = now, false
-	c.mergeServerList(now, list)
+	c.mergeServerList(now, list, c.listOffset)
 }
 
-// mergeServerList updates the servers from a list. Those that are not on it are unlisted.
-func (c *Coordinator) mergeServerList(now time.Duration, list []fuchsiapitch.ServerReport) {
+// mergeServerList updates the servers from a list that ends at an offset. Those that are not
+// on it are unlisted.
+func (c *Coordinator) mergeServerList(now time.Duration, list []fuchsiapitch.ServerReport, offset int64) {
 	seen := make(map[fuchsiapitch.ServerID]bool, len(list))
 	for _, r := range list {
 		seen[r.ID] = true
@@ -167,6 +170,7 @@
 			s.listed, s.listedAt = true, now
 		}
 		c.mergeReport(now, s, r, false)
+		c.reviewLeaving(now, s, r, offset)
 	}
 	for id, s := range c.servers {
 		if seen[id] {
@@ -180,6 +184,7 @@
 			c.removeServer(id, s)
 		}
 	}
+	c.forgetNotices(now)
 }
 
 // removeServer forgets a server that is lost and off the list, unless it leads a group
@@ -223,7 +228,7 @@
 	if restarted {
 		s.lastResponseAt = 0
 		s.lastModel, s.stagingModel, s.expectedLoadEnd, s.highestEpoch = "", "", 0, 0
-		s.consecutiveFailures, s.replaced = 0, false
+		s.consecutiveFailures, s.replaced, s.saysLeaving = 0, false, false
 	}
 	if r.Service != previous.Service || r.FabricDomain != previous.FabricDomain {
 		c.domains = nil
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -66,6 +66,7 @@
 	relayState
 	directoryState
 	admissionShareState
+	noticeState
 }
 
 // peer is the last known state of another host. hasHeartbeat is true once a heartbeat
@@ -114,7 +115,7 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), noticeState: newNoticeState(),
 	}
 	for _, o := range options {
 		o(c)
@@ -138,6 +139,8 @@
 		c.admit(now, e)
 	case ResponseStarted:
 		c.markResponseStarted(now, e.Ticket)
+	case NoticeReceived:
+		c.applyNotice(now, e)
 	case TicketReleased:
 		c.releaseTicket(now, e)
 	case ConfigurationChanged:
--- a/internal/coordinator/directory.go
+++ b/internal/coordinator/directory.go
@@ -152,6 +152,6 @@
 		})
 	}
 	c.listStale = false
-	c.mergeServerList(now, list)
+	c.mergeServerList(now, list, d.ListOffset)
 	c.refreshReplicas(now)
 }
--- a/internal/coordinator/group.go
+++ b/internal/coordinator/group.go
@@ -160,7 +160,7 @@
 			g.markFailed(c, "member left", id)
 		case s.report.Membership.State == fuchsiapitch.MemberBroken && s.isMemberOf(g.ref):
 			g.markFailed(c, "group is broken", id)
-		case s.report.Leaving && !g.retiring, id == g.leader() && !g.retiring && c.isDelisted(now, s) && c.canReform(g):
+		case s.isLeaving() && !g.retiring, id == g.leader() && !g.retiring && c.isDelisted(now, s) && c.canReform(g):
 			if g.openedAt == 0 && !c.isOpen(g) {
 				g.markFailed(c, "member is leaving", id)
 			} else {
--- /dev/null
+++ b/internal/coordinator/notice_test.go
@@ -0,0 +1,228 @@
+package coordinator
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+// newNoticeCoordinator returns a coordinator that knows two plain servers of one slot each, a0
+// and a1, from a list that ends at offset 1.
+func newNoticeCoordinator(now time.Duration) *Coordinator {
+	c := New(Peer{ID: "a"}, 1)
+	c.Apply(0, ConfigurationChanged{Routes: fuchsiapitch.NewRouteTable(1, nil, []fuchsiapitch.ServiceProfile{{Name: plainService}}, nil, false, fuchsiapitch.ClientLimits{})})
+	c.Apply(now, ServersListed{Servers: []fuchsiapitch.ServerReport{plainEntry("a0", 1), plainEntry("a1", 1)}, Offset: 1})
+	return c
+}
+
+func plainEntry(id fuchsiapitch.ServerID, started int64) fuchsiapitch.ServerReport {
+	return fuchsiapitch.ServerReport{ID: id, Service: plainService, Address: string(id), Slots: 1, StartedUnixMillis: started}
+}
+
+func leavingEntry(id fuchsiapitch.ServerID, started int64) fuchsiapitch.ServerReport {
+	r := plainEntry(id, started)
+	r.Leaving = true
+	return r
+}
+
+func newNoticeArrival(now time.Duration, ticket Ticket) RequestArrived {
+	return RequestArrived{Ticket: ticket, Service: plainService, FirstByteBy: now + time.Second, Deadline: now + 8*time.Second}
+}
+
+func saysLeaving(id fuchsiapitch.ServerID) NoticeReceived {
+	return NoticeReceived{Server: id, Request: "r1", Notice: fuchsiapitch.ServerNotice{Leaving: true}}
+}
+
+// grantedServers returns the servers of the grants among effects.
+func grantedServers(effects []Effect) []fuchsiapitch.ServerID {
+	var servers []fuchsiapitch.ServerID
+	for _, e := range effects {
+		if g, ok := e.(Grant); ok {
+			servers = append(servers, g.Server)
+		}
+	}
+	return servers
+}
+
+// setAside returns the servers that are set aside among effects.
+func setAside(effects []Effect) []ServerSetAside {
+	var found []ServerSetAside
+	for _, e := range effects {
+		if s, ok := e.(ServerSetAside); ok {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+func assertServes(t *testing.T, c *Coordinator, id fuchsiapitch.ServerID, want bool) {
+	t.Helper()
+	r, ok := c.replicas[id]
+	if got := ok && r.open; got != want {
+		t.Errorf("got %s open for requests: %v, want %v", id, got, want)
+	}
+}
+
+// Guards against a request to a server that has said that it leaves, which no list shows:
+// neither one that arrives nor one that waits for the slot of that server.
+func TestServerThatSaysItLeavesGetsNothing(t *testing.T) {
+	now := 5 * time.Second
+	c := newNoticeCoordinator(now)
+	for n := range Ticket(2) {
+		c.Apply(now, newNoticeArrival(now, n+1))
+	}
+	c.Apply(now, newNoticeArrival(now, 3))
+	first := c.assignments[1].replica.server
+	other := c.assignments[2].replica.server
+	effects := c.Apply(now, saysLeaving(first))
+	if got, want := len(setAside(effects)), 1; got != want {
+		t.Fatalf("got %d servers set aside, want %d", got, want)
+	}
+	if got, want := setAside(effects)[0], (ServerSetAside{Server: first, Request: "r1", Reason: SetAsideLeaving, StartedUnixMillis: 1, ListOffset: 1}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if slices.ContainsFunc(effects, func(e Effect) bool { _, ok := e.(Revoke); return ok }) {
+		t.Error("got a slot revoked, want its request to go on")
+	}
+	if got := grantedServers(c.Apply(now, TicketReleased{Ticket: 1})); len(got) != 0 {
+		t.Errorf("got the freed slot of the leaving server granted at %s", got)
+	}
+	if got, want := grantedServers(c.Apply(now, TicketReleased{Ticket: 2})), []fuchsiapitch.ServerID{other}; !slices.Equal(got, want) {
+		t.Errorf("got the waiting request at %s, want %s", got, want)
+	}
+	c.Apply(now, TicketReleased{Ticket: 3})
+	for n := range Ticket(5) {
+		if got, want := grantedServers(c.Apply(now, newNoticeArrival(now, n+10))), []fuchsiapitch.ServerID{other}; !slices.Equal(got, want) {
+			t.Errorf("got the request at %s, want %s", got, want)
+		}
+		c.Apply(now, TicketReleased{Ticket: n + 10})
+	}
+	if got := setAside(c.Apply(now, saysLeaving(first))); len(got) != 0 {
+		t.Errorf("got %+v for a repeated notice, want nothing", got)
+	}
+}
+
+// Guards against requests to a leaving server while the store or all other hosts are away.
+func TestLeavingHoldsWithoutTheStore(t *testing.T) {
+	now := 5 * time.Second
+	c := newNoticeCoordinator(now)
+	c.Apply(now, StoreReadFailed{})
+	c.Apply(now, saysLeaving("a0"))
+	for end := now + 20*time.Second; now < end && !t.Failed(); now += simulatedTickInterval {
+		c.Apply(now, Ticked{})
+		assertServes(t, c, "a0", false)
+	}
+}
+
+// Guards against a server that is taken back because a list lags behind its word, or never
+// shows it, and against one that stays out though it has come back.
+func TestReturnOfServerThatSaidItLeaves(t *testing.T) {
+	listed := func(offset int64, entry fuchsiapitch.ServerReport) ServersListed {
+		return ServersListed{Servers: []fuchsiapitch.ServerReport{entry, plainEntry("a1", 1)}, Offset: offset}
+	}
+	type step struct {
+		after time.Duration
+		event Event
+	}
+	for name, tc := range map[string]struct {
+		steps []step
+		want  bool
+	}{
+		"an older list":                           {[]step{{0, listed(1, plainEntry("a0", 1))}}, false},
+		"a list that was in flight":               {[]step{{0, listed(2, plainEntry("a0", 1))}}, false},
+		"lists that never show it":                {[]step{{time.Second, listed(2, plainEntry("a0", 1))}, {time.Minute, listed(900, plainEntry("a0", 1))}}, false},
+		"an entry that is gone for a while":       {[]step{{time.Second, ServersListed{Offset: 2}}, {10 * time.Second, listed(3, plainEntry("a0", 1))}}, false},
+		"a later incarnation":                     {[]step{{time.Second, listed(2, plainEntry("a0", 2))}}, true},
+		"an earlier incarnation":                  {[]step{{time.Second, listed(2, plainEntry("a0", 0))}}, false},
+		"a later incarnation that leaves":         {[]step{{time.Second, listed(2, leavingEntry("a0", 2))}}, false},
+		"listed as leaving":                       {[]step{{time.Second, listed(2, leavingEntry("a0", 1))}}, false},
+		"listed as leaving, then as ready":        {[]step{{time.Second, listed(2, leavingEntry("a0", 1))}, {4 * time.Second, listed(3, plainEntry("a0", 1))}}, true},
+		"ready on an older list than leaving":     {[]step{{time.Second, listed(3, leavingEntry("a0", 1))}, {4 * time.Second, listed(2, plainEntry("a0", 1))}}, false},
+		"ready within the lag of the list":        {[]step{{time.Second, listed(2, leavingEntry("a0", 1))}, {time.Second, listed(3, plainEntry("a0", 1))}}, false},
+		"listed as leaving, then a later word":    {[]step{{time.Second, listed(2, leavingEntry("a0", 1))}, {0, saysLeaving("a0")}, {4 * time.Second, listed(3, plainEntry("a0", 1))}}, false},
+		"a later incarnation that says so too":    {[]step{{time.Second, listed(2, plainEntry("a0", 2))}, {0, saysLeaving("a0")}, {time.Second, listed(3, plainEntry("a0", 2))}}, false},
+		"an older list after a later incarnation": {[]step{{time.Second, listed(2, plainEntry("a0", 2))}, {time.Second, listed(1, plainEntry("a0", 1))}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 5 * time.Second
+			c := newNoticeCoordinator(now)
+			c.Apply(now, saysLeaving("a0"))
+			for _, s := range tc.steps {
+				now += s.after
+				c.Apply(now, s.event)
+			}
+			assertServes(t, c, "a0", tc.want)
+		})
+	}
+}
+
+// Guards against a state that grows with the servers that have ever left.
+func TestLeavingIsForgottenOnceOffTheList(t *testing.T) {
+	now := 5 * time.Second
+	c := newNoticeCoordinator(now)
+	c.Apply(now, saysLeaving("a0"))
+	for _, after := range []time.Duration{time.Second, leavingMemory + 2*time.Second} {
+		c.Apply(now+after, ServersListed{Servers: []fuchsiapitch.ServerReport{plainEntry("a1", 1)}, Offset: 2})
+	}
+	if got, want := len(c.leavingNotices), 0; got != want {
+		t.Errorf("got %d servers remembered, want %d", got, want)
+	}
+}
+
+// Guards against streams that are ended because the head of their group says that it leaves.
+// New ones go to another group.
+func TestHeadThatSaysItLeavesKeepsItsStreams(t *testing.T) {
+	now := 5 * time.Second
+	c := newCoordinatorWithReplicas(now, 2)
+	c.Apply(now, newArrival(now, 1))
+	head := c.assignments[1].replica.server
+	effects := c.Apply(now, saysLeaving(head))
+	for range 20 {
+		now += simulatedTickInterval
+		effects = append(effects, c.Apply(now, Ticked{LastByteTimes: map[fuchsiapitch.ServerID]time.Duration{head: now}})...)
+	}
+	for _, e := range effects {
+		if _, ok := e.(Revoke); ok {
+			t.Error("got a stream revoked, want it to go on")
+		}
+	}
+	for n := range Ticket(10) {
+		if got, _ := decisionFor(c.Apply(now, newArrival(now, n+2)), n+2); got == head || got == "" {
+			t.Errorf("got the request at %q, want the other group", got)
+		}
+	}
+}
+
+// Guards against a group that keeps a member that leaves by its own word alone: it is
+// replaced, without that member, by the controller.
+func TestGroupOfMemberThatSaysItLeavesIsReplaced(t *testing.T) {
+	for _, isHead := range []bool{false, true} {
+		sm := newSimulation(1)
+		sm.startController()
+		sm.run(12 * time.Second)
+		var leaver *simulatedEngine
+		for _, id := range sm.engineOrder {
+			if e := sm.engines[id]; e.state == fuchsiapitch.MemberOpen {
+				leaver = e
+				if !isHead {
+					leaver = sm.engines[e.members[1]]
+				}
+				break
+			}
+		}
+		ref := leaver.group
+		sm.apply(0, NoticeReceived{Server: leaver.id, Notice: fuchsiapitch.ServerNotice{Leaving: true}})
+		sm.run(6 * time.Second)
+		assertNoViolations(t, sm)
+		if got, want := sm.countOpenGroups(), 4; got != want {
+			t.Errorf("head %v: got %d open groups, want %d", isHead, got, want)
+		}
+		for _, e := range sm.engines {
+			if e.state == fuchsiapitch.MemberOpen && (e.group == ref || slices.Contains(e.members, leaver.id)) {
+				t.Errorf("head %v: got group %s open with %s, which leaves", isHead, e.group.Name, leaver.id)
+			}
+		}
+	}
+}
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		for id, s := range c.servers {
-			if s.report.Service == name && s.listed && !s.report.Leaving {
+			if s.report.Service == name && s.listed && !s.isLeaving() {
 				c.updateReplica(id, s, service.profile, "")
 			}
 		}
@@ -136,7 +136,7 @@
 	statuses, fromController := c.knownGroups(now)
 	for _, g := range statuses {
 		s, ok := c.servers[g.Leader]
-		if !ok || !g.Open || s.report.Leaving || !s.listed && !c.listStale {
+		if !ok || !g.Open || s.isLeaving() || !s.listed && !c.listStale {
 			continue
 		}
 		if p, ok := c.serviceProfile(s.report.Service); ok && p.Engine != nil {
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -118,7 +118,7 @@
 		return "lost"
 	case !s.listed:
 		return "unlisted"
-	case s.report.Leaving:
+	case s.isLeaving():
 		return "leaving"
 	}
 	return "usable"
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -189,6 +189,8 @@
 		d.runInBackground(func() { d.claimControl(e.PreviousClaim) })
 	case coordinator.RereadConfiguration:
 		d.reloadConfiguration()
+	case coordinator.ServerSetAside:
+		d.reportSetAside(e)
 	case coordinator.GroupLost:
 		d.meter.ObserveFailureDetection(e.Silence)
 	case coordinator.GroupOpened:
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -22,6 +22,12 @@
 	m.set.GetOrCreateCounter("fuchsiapitch_withdrawn_places_total").Inc()
 }
 
+// CountServerSetAside counts a server that gets no new requests because it stated that it
+// leaves or pauses.
+func (m *Meter) CountServerSetAside(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_servers_set_aside_total{reason=%q}", reason)).Inc()
+}
+
 // CountAttempt counts an attempt to run a request at a backend server.
 func (m *Meter) CountAttempt(outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_attempts_total{outcome=%q}", outcome)).Inc()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -377,6 +377,7 @@
 	}
 	x.sendCount++
 	responseMetadata := x.relayer.codec.ParseResponse(response.StatusCode, response.Header)
+	x.recordNotice(slot, response.StatusCode, responseMetadata)
 	problem := ""
 	switch {
 	case response.StatusCode < http.StatusOK:
@@ -397,6 +398,15 @@
 	return response, fuchsiapitch.OutcomeSucceeded, nil
 }
 
+// recordNotice records what the server of a slot states about itself beside its response to
+// the request. A misdirected request was answered by another server.
+func (x *exchange) recordNotice(slot *driver.Slot, status int, metadata fuchsiapitch.ResponseMetadata) {
+	if metadata.Notice.IsZero() || metadata.Request != x.metadata.ID || status < http.StatusOK || status == http.StatusMisdirectedRequest {
+		return
+	}
+	slot.RecordNotice(metadata.Request, metadata.Notice)
+}
+
 // releaseFailed releases the slot of a server that did not accept the request or did
 // not respond. If the server rejected the request, the rejection may name another
 // server as the cause.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -40,8 +40,12 @@
 	return out
 }
 
-func (fakeHeaderCodec) ParseResponse(_ int, h http.Header) fuchsiapitch.ResponseMetadata {
-	return fuchsiapitch.ResponseMetadata{Request: fuchsiapitch.RequestID(h.Get("Id")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+func (fakeHeaderCodec) ParseResponse(status int, h http.Header) fuchsiapitch.ResponseMetadata {
+	notice := fuchsiapitch.ServerNotice{Leaving: h.Get("Leaving") != ""}
+	if pause, err := time.ParseDuration(h.Get("Pause")); err == nil && status == http.StatusServiceUnavailable {
+		notice.Pause = pause
+	}
+	return fuchsiapitch.ResponseMetadata{Request: fuchsiapitch.RequestID(h.Get("Id")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Notice: notice}
 }
 
 func (fakeHeaderCodec) ResponseHeader(h http.Header) http.Header {
