coordinator, driver: a server that asks for a pause gets no request until it is over

Callers' requests went back to a server that had refused one and asked for a pause: a refused request only made other servers preferred for 0.3 s, and with one server left it was sent there again at once. Such a server is overloaded, and every host kept it so.

From the refusal on the server is out of the choice of this host until the latest end that it asked for, plus a random part. Then it gets one request and one more with each response that starts. A request whose servers all pause waits only if it is in time at the first return, and is otherwise refused at once with the time until then, for the reason "paused". A suspension of the process counts: ticks carry its length. The driver's measure of it no longer mistakes a delay between its two clock readings for one: it compares with the largest gap so far.

without the gradual return, the random part, the refusal and the suspension:

TestReturnAfterPauseIsGradual: got 24 requests sent at once, want 1 TestHostsReturnAtDifferentTimes: got 1 different ends at 20 hosts, want 8 or more TestRequestsWhileAllServersPause/it_outlasts_the_request: got a wait of 2s, want 1s to 1s TestPauseEnds/and_a_suspension_for_half_it: got the first request after 2.5s, want after 1s

Ruled out: to end a pause when the server restarts. Nothing says that the new incarnation has room.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -91,6 +91,9 @@
 	revoked         bool
 	// mayMove is true if the request may be sent to another server while it runs.
 	mayMove bool
+	// returningFrom is the pause after which the request was granted, until the first
+	// response; nil for none.
+	returningFrom *pause
 }
 
 // queuedRequest is a request that has not been granted a slot.
@@ -132,6 +135,9 @@
 			return
 		}
 	}
+	if c.refuseIfPaused(now, w) {
+		return
+	}
 	expectedWait, servable := c.expectedWait(now, w)
 	switch {
 	case !servable && !w.Resumed:
@@ -240,15 +246,16 @@
 	for _, r := range c.replicas {
 		switch {
 		case !r.serves(w.pool):
-		case now < r.unavailableUntil:
-			availableIn = min(availableIn, r.unavailableUntil-now)
+		case now < c.availableAt(r):
+			availableIn = min(availableIn, c.availableAt(r)-now)
 		default:
 			slots += r.slots
 			inFlight += r.totalInFlight()
 		}
 	}
+	_, isPaused := c.soonestReturn(now, w.pool)
 	switch {
-	case slots == 0 && availableIn <= backOffDuration:
+	case slots == 0 && (isPaused || availableIn <= backOffDuration):
 		return availableIn, true
 	case slots == 0:
 		return c.timeToRepair(w), false
@@ -284,7 +291,7 @@
 	var candidates []*replica
 	for _, id := range sortedKeys(c.replicas) {
 		r := c.replicas[id]
-		if !r.serves(w.pool) || now < r.unavailableUntil || r.isHalfOpen() || r.totalInFlight() >= c.slotLimit(r) || !r.fitsPauseLimit(w.InputTokens, w.MaxPause) {
+		if !r.serves(w.pool) || c.isHeldBack(now, r) || r.isHalfOpen() || r.totalInFlight() >= c.slotLimit(r) || !r.fitsPauseLimit(w.InputTokens, w.MaxPause) {
 			continue
 		}
 		candidates = append(candidates, r)
@@ -345,6 +352,7 @@
 		c.unannouncedTokens += w.InputTokens
 	}
 	r.lastSentAt = now
+	c.countReturning(a)
 	c.emit(Grant{Ticket: w.Ticket, Server: r.server, Address: r.address, Urgency: c.urgency(now, w), IsEngine: r.model != ""})
 }
 
@@ -373,6 +381,9 @@
 			c.refuse(w, Overloaded, expectedWait)
 			continue
 		}
+		if c.refuseIfPaused(now, w) {
+			continue
+		}
 		if !fullPools[w.pool] {
 			if r := c.chooseReplica(now, w); r != nil {
 				c.grant(now, w, r)
@@ -415,6 +426,10 @@
 		c.unannouncedTokens += a.promptTokens
 	}
 	a.replica.lastByteAt = max(a.replica.lastByteAt, now)
+	if a.returningFrom != nil {
+		c.endReturning(a, true)
+		c.dispatchQueue(now)
+	}
 }
 
 // releaseTicket frees the slot of a request, or removes a request without a slot from
@@ -430,6 +445,7 @@
 		return
 	}
 	delete(c.assignments, e.Ticket)
+	c.endReturning(a, !e.Failed)
 	r := a.replica
 	r.inFlight--
 	if !a.responseStarted {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -204,6 +204,7 @@
 	if e.WasSuspended {
 		c.handleSuspension(now)
 	}
+	c.advancePauses(now, e.SuspendedFor)
 	c.recordLastByteTimes(e.LastByteTimes)
 	if c.usesRelays() {
 		c.sumRemoteLoads()
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -125,8 +125,10 @@
 	// LastByteTimes maps each server with requests of this host in flight to the time
 	// of its last byte.
 	LastByteTimes map[fuchsiapitch.ServerID]time.Duration
-	// WasSuspended is true if the process was suspended since the last tick.
+	// WasSuspended is true if the process was suspended since the last tick. SuspendedFor is
+	// for how long, during which the time of the events has not advanced.
 	WasSuspended bool
+	SuspendedFor time.Duration
 }
 
 // LimitsChanged reports changed limits in the settings.
@@ -282,6 +284,8 @@
 	TooLate
 	// NoBudget means that the retry budget is exhausted.
 	NoBudget
+	// Paused means that all replicas want no requests from this host until it is too late.
+	Paused
 )
 
 // String returns the reason in kebab case.
@@ -295,6 +299,8 @@
 		return "too-late"
 	case NoBudget:
 		return "no-budget"
+	case Paused:
+		return "paused"
 	}
 	return "invalid"
 }
--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"math"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -8,9 +9,28 @@
 
 // A server may state in any response that it leaves. It gets no new request from then on,
 // whatever the server list says, which lags behind. What it runs goes on to its end.
+//
+// A server may also ask this host for a pause beside a refusal. It gets no request of this
+// host until the pause is over, and then one at first, and one more with each response that
+// starts. The pause is not told to other hosts.
 
-// leavingMemory is how long it is remembered that a server leaves once it is off the list.
-const leavingMemory = 5 * time.Minute
+const (
+	// leavingMemory is how long it is remembered that a server leaves once it is off the
+	// list.
+	leavingMemory = 5 * time.Minute
+	// returnJitterShare is the share of a pause by which it is prolonged at most, and
+	// maxReturnJitter the longest such time, so that hosts do not return together.
+	returnJitterShare = 0.25
+	maxReturnJitter   = 500 * time.Millisecond
+	// fullReturn is the number of requests that may await a response at once from which on
+	// a server that has paused is treated as any other.
+	fullReturn = 16
+	// returnMemory is how long after a pause a server is still approached gradually.
+	returnMemory = 10 * time.Second
+	// usableWaitShare is the share of the time left to a request for which its client waits
+	// at most before it sends the request again.
+	usableWaitShare = 1.0 / 3
+)
 
 // NoticeReceived reports what a server stated about itself beside a response to this host.
 type NoticeReceived struct {
@@ -59,10 +79,21 @@
 // noticeState holds what servers have stated about themselves.
 type noticeState struct {
 	leavingNotices map[fuchsiapitch.ServerID]*leavingNotice
+	pauses         map[fuchsiapitch.ServerID]*pause
 }
 
 func newNoticeState() noticeState {
-	return noticeState{leavingNotices: make(map[fuchsiapitch.ServerID]*leavingNotice)}
+	return noticeState{leavingNotices: make(map[fuchsiapitch.ServerID]*leavingNotice), pauses: make(map[fuchsiapitch.ServerID]*pause)}
+}
+
+// pause is the time for which a server wants no requests from this host, and the return
+// after it.
+type pause struct {
+	// returnsAt is the end of the pause at this host.
+	returnsAt time.Duration
+	// allowed is the number of requests that may await a response at once after the pause,
+	// and awaiting the number of those that do.
+	allowed, awaiting int
 }
 
 // isLeaving reports whether the server leaves by the list or by its own word.
@@ -70,6 +101,9 @@
 
 // applyNotice processes what a server stated beside a response to this host.
 func (c *Coordinator) applyNotice(now time.Duration, e NoticeReceived) {
+	if e.Notice.Pause > 0 {
+		c.startPause(now, e)
+	}
 	s, isKnown := c.servers[e.Server]
 	if !isKnown || !e.Notice.Leaving {
 		return
@@ -140,3 +174,113 @@
 		}
 	}
 }
+
+// startPause begins or prolongs the pause of a server. The pause outlasts a restart of the
+// server, which may not have been the cause.
+func (c *Coordinator) startPause(now time.Duration, e NoticeReceived) {
+	returnsAt := time.Duration(0)
+	if p, ok := c.pauses[e.Server]; ok {
+		returnsAt = p.returnsAt
+	}
+	if now >= returnsAt {
+		r := ServerSetAside{Server: e.Server, Request: e.Request, Reason: SetAsidePause, Pause: e.Notice.Pause, ListOffset: c.knownListOffset()}
+		if s, ok := c.servers[e.Server]; ok {
+			r.StartedUnixMillis = s.report.StartedUnixMillis
+		}
+		c.emit(r)
+	}
+	jitter := min(time.Duration(returnJitterShare*float64(e.Notice.Pause)), maxReturnJitter)
+	returnsAt = max(returnsAt, now+e.Notice.Pause+time.Duration(c.rng.Int64N(int64(jitter)+1)))
+	// Responses to requests from before the pause do not widen the return.
+	c.pauses[e.Server] = &pause{returnsAt: returnsAt, allowed: 1}
+	c.dispatchQueue(now)
+}
+
+// availableAt returns the time from which on a replica may get requests again after a
+// back-off or a pause.
+func (c *Coordinator) availableAt(r *replica) time.Duration {
+	if p, ok := c.pauses[r.server]; ok {
+		return max(r.unavailableUntil, p.returnsAt)
+	}
+	return r.unavailableUntil
+}
+
+// isHeldBack reports whether a replica gets no request now because of a back-off, a pause or
+// the return from one.
+func (c *Coordinator) isHeldBack(now time.Duration, r *replica) bool {
+	if now < c.availableAt(r) {
+		return true
+	}
+	p, ok := c.pauses[r.server]
+	return ok && p.awaiting >= p.allowed
+}
+
+// soonestReturn returns when the first replica of a pool is available again, and whether
+// all of them are unavailable and at least one of them pauses.
+func (c *Coordinator) soonestReturn(now time.Duration, pool poolKey) (time.Duration, bool) {
+	if len(c.pauses) == 0 {
+		return 0, false
+	}
+	soonest, isPaused := time.Duration(math.MaxInt64), false
+	for _, r := range c.replicas {
+		if !r.serves(pool) {
+			continue
+		}
+		if now >= c.availableAt(r) {
+			return 0, false
+		}
+		soonest = min(soonest, c.availableAt(r))
+		p, ok := c.pauses[r.server]
+		isPaused = isPaused || ok && now < p.returnsAt
+	}
+	return soonest, isPaused
+}
+
+// refuseIfPaused refuses a request whose replicas all pause if the first of them returns too
+// late for it. It reports whether it has.
+func (c *Coordinator) refuseIfPaused(now time.Duration, w *queuedRequest) bool {
+	returnsAt, isPaused := c.soonestReturn(now, w.pool)
+	if !isPaused || returnsAt < w.Deadline && returnsAt <= c.waitLimit(w.arrivedAt, w) {
+		return false
+	}
+	usableWait := time.Duration(usableWaitShare * float64(w.Deadline-now))
+	c.emit(Refuse{Ticket: w.Ticket, Reason: Paused, RetryAfter: max(min(returnsAt-now, usableWait), minRetryAfter)})
+	return true
+}
+
+// countReturning counts a granted request at a server that returns from a pause.
+func (c *Coordinator) countReturning(a *assignment) {
+	if p, ok := c.pauses[a.replica.server]; ok {
+		p.awaiting++
+		a.returningFrom = p
+	}
+}
+
+// endReturning processes the first response to a request that was granted on the return from
+// a pause, or its failure.
+func (c *Coordinator) endReturning(a *assignment, succeeded bool) {
+	p := a.returningFrom
+	if p == nil {
+		return
+	}
+	a.returningFrom = nil
+	p.awaiting--
+	if !succeeded {
+		p.allowed = 1
+		return
+	}
+	if p.allowed++; p.allowed >= fullReturn && c.pauses[a.replica.server] == p {
+		delete(c.pauses, a.replica.server)
+	}
+}
+
+// advancePauses shortens the pauses by the time for which the process was suspended, and
+// forgets those that are long over.
+func (c *Coordinator) advancePauses(now, suspendedFor time.Duration) {
+	for id, p := range c.pauses {
+		p.returnsAt -= suspendedFor
+		if now-p.returnsAt > returnMemory {
+			delete(c.pauses, id)
+		}
+	}
+}
--- a/internal/coordinator/notice_test.go
+++ b/internal/coordinator/notice_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -226,3 +227,246 @@
 		}
 	}
 }
+
+func asksForPause(id fuchsiapitch.ServerID, pause time.Duration) NoticeReceived {
+	return NoticeReceived{Server: id, Request: "r1", Notice: fuchsiapitch.ServerNotice{Pause: pause}}
+}
+
+// Guards against a request to a server that wants none from this host for a time: neither one
+// that arrives, one that is sent again, nor one that waits for its slot.
+func TestPausedServerGetsNothing(t *testing.T) {
+	now := 5 * time.Second
+	c := newNoticeCoordinator(now)
+	for n := range Ticket(3) {
+		c.Apply(now, newNoticeArrival(now, n+1))
+	}
+	paused, other := c.assignments[1].replica.server, c.assignments[2].replica.server
+	effects := c.Apply(now, asksForPause(paused, 2*time.Second))
+	want := []ServerSetAside{{Server: paused, Request: "r1", Reason: SetAsidePause, Pause: 2 * time.Second, StartedUnixMillis: 1, ListOffset: 1}}
+	if got := setAside(effects); !slices.Equal(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if got := grantedServers(c.Apply(now, TicketReleased{Ticket: 1, Failed: true})); len(got) != 0 {
+		t.Errorf("got the freed slot of the paused server granted at %s", got)
+	}
+	again := newNoticeArrival(now, 4)
+	again.IsRetry, again.FailedServers = true, []fuchsiapitch.ServerID{other}
+	if got := grantedServers(c.Apply(now, again)); len(got) != 0 {
+		t.Errorf("got the request that is sent again at %s, want it to wait", got)
+	}
+	for n := range Ticket(3) {
+		if got, want := grantedServers(c.Apply(now, TicketReleased{Ticket: n + 2})), []fuchsiapitch.ServerID{other}; n < 2 && !slices.Equal(got, want) {
+			t.Errorf("got the waiting request at %s, want %s", got, want)
+		}
+	}
+	for end := now + 2*time.Second - simulatedTickInterval; now < end; now += simulatedTickInterval {
+		c.Apply(now, newNoticeArrival(now, Ticket(10+now.Milliseconds())))
+	}
+	for _, a := range c.assignments {
+		if a.replica.server == paused {
+			t.Fatal("got a request at the paused server, want none until the end of the pause")
+		}
+	}
+	if got := setAside(c.Apply(now, asksForPause(paused, time.Second))); len(got) != 0 {
+		t.Errorf("got %+v for a prolonged pause, want nothing", got)
+	}
+}
+
+// Guards against a short pause that ends a longer one, and against a pause that a new entry, a
+// later incarnation or another controller ends.
+func TestPauseEnds(t *testing.T) {
+	const length = 2 * time.Second
+	start := 5 * time.Second
+	for name, tc := range map[string]struct {
+		event Event
+		// want is the earliest end of the pause.
+		want time.Duration
+	}{
+		"alone":                        {Ticked{}, length},
+		"and a shorter one":            {asksForPause("a0", time.Millisecond), length},
+		"and a longer one":             {asksForPause("a0", 4*time.Second), 4 * time.Second},
+		"and a later incarnation":      {ServersListed{Servers: []fuchsiapitch.ServerReport{plainEntry("a0", 2)}, Offset: 2}, length},
+		"and a gap on the list":        {ServersListed{Servers: []fuchsiapitch.ServerReport{plainEntry("a1", 2)}, Offset: 2}, length},
+		"and a suspension for half it": {Ticked{WasSuspended: true, SuspendedFor: length / 2}, length / 2},
+		"and a suspension for all":     {Ticked{WasSuspended: true, SuspendedFor: time.Hour}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newNoticeCoordinator(start)
+			c.Apply(start, asksForPause("a0", length))
+			c.Apply(start, tc.event)
+			c.Apply(start, ServersListed{Servers: []fuchsiapitch.ServerReport{plainEntry("a0", 2)}, Offset: 3})
+			for now := start; ; now += simulationStep {
+				servers := grantedServers(c.Apply(now, newNoticeArrival(now, Ticket(1+now))))
+				c.Apply(now, TicketReleased{Ticket: Ticket(1 + now)})
+				if len(servers) == 0 && now < start+10*time.Second {
+					continue
+				}
+				if got, want := now-start, tc.want; got < want || got > want+maxReturnJitter+simulationStep {
+					t.Errorf("got the first request after %v, want after %v and the jitter", got, want)
+				}
+				return
+			}
+		})
+	}
+}
+
+// Guards against requests that wait for the end of a pause that comes too late for them, are
+// told another time, or are refused though the pause ends in time.
+func TestRequestsWhileAllServersPause(t *testing.T) {
+	now := 5 * time.Second
+	for name, tc := range map[string]struct {
+		pause, firstByte, deadline time.Duration
+		isResumed                  bool
+		// want is the longest time to wait that the client is told, 0 if the request waits.
+		want time.Duration
+	}{
+		"it ends in time":                   {500 * time.Millisecond, 2 * time.Second, 8 * time.Second, false, 0},
+		"it ends too late":                  {1500 * time.Millisecond, time.Second, 8 * time.Second, false, 1875 * time.Millisecond},
+		"it outlasts the usable wait":       {5 * time.Second, time.Second, 9 * time.Second, false, 3 * time.Second},
+		"it outlasts the request":           {time.Minute, time.Second, 3 * time.Second, false, time.Second},
+		"a stream that has begun":           {3 * time.Second, time.Second, 8 * time.Second, true, 0},
+		"a stream that has begun, too late": {time.Minute, time.Second, 6 * time.Second, true, 2 * time.Second},
+	} {
+		for _, isQueued := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, queued before: %v", name, isQueued), func(t *testing.T) {
+				c := newNoticeCoordinator(now)
+				c.Apply(now, newNoticeArrival(now, 1))
+				c.Apply(now, newNoticeArrival(now, 2))
+				e := RequestArrived{Ticket: 3, Service: plainService, FirstByteBy: now + tc.firstByte, Deadline: now + tc.deadline, Resumed: tc.isResumed}
+				var effects []Effect
+				if isQueued {
+					effects = c.Apply(now, e)
+				}
+				effects = append(effects, c.Apply(now, asksForPause("a0", tc.pause))...)
+				effects = append(effects, c.Apply(now, asksForPause("a1", 2*tc.pause))...)
+				if !isQueued {
+					effects = append(effects, c.Apply(now, e)...)
+				}
+				refused, isRefused := refusalOf(effects, 3)
+				if got, want := isRefused, tc.want > 0; got != want {
+					t.Fatalf("got refused: %v, want %v", got, want)
+				}
+				if isRefused {
+					if got, want := refused.Reason, Paused; got != want {
+						t.Errorf("got reason %s, want %s", got, want)
+					}
+					if got, want := refused.RetryAfter, min(tc.pause, tc.want); got < want || got > tc.want {
+						t.Errorf("got a wait of %v, want %v to %v", got, want, tc.want)
+					}
+					return
+				}
+				c.Apply(now, TicketReleased{Ticket: 1})
+				c.Apply(now, TicketReleased{Ticket: 2})
+				if got := grantedServers(c.Apply(now+tc.pause-simulationStep, Ticked{})); len(got) != 0 {
+					t.Errorf("got a grant at %s before the end of the pause", got)
+				}
+				if got, want := grantedServers(c.Apply(now+tc.pause+maxReturnJitter, Ticked{})), []fuchsiapitch.ServerID{"a0"}; !slices.Equal(got, want) {
+					t.Errorf("got grants at %s, want %s", got, want)
+				}
+			})
+		}
+	}
+}
+
+// refusalOf returns the refusal of a ticket among effects.
+func refusalOf(effects []Effect, ticket Ticket) (Refuse, bool) {
+	for _, e := range effects {
+		if r, ok := e.(Refuse); ok && r.Ticket == ticket {
+			return r, true
+		}
+	}
+	return Refuse{}, false
+}
+
+// Guards against a flood at the end of a pause: one request at first, then more with each
+// response that starts, and one again after a failure.
+func TestReturnAfterPauseIsGradual(t *testing.T) {
+	now := 5 * time.Second
+	c := newCoordinatorWithReplicas(now, 1)
+	c.Apply(now, NoticeReceived{Server: "s0", Notice: fuchsiapitch.ServerNotice{Pause: time.Second}})
+	now += time.Second + maxReturnJitter
+	ticket := Ticket(0)
+	arrive := func(count int) (granted []Ticket) {
+		for range count {
+			ticket++
+			e := newArrival(now, ticket)
+			e.FirstByteBy, e.InputTokens = now+4*time.Second, 1
+			for _, effect := range c.Apply(now, e) {
+				if g, ok := effect.(Grant); ok {
+					granted = append(granted, g.Ticket)
+				}
+			}
+		}
+		return granted
+	}
+	awaiting := arrive(24)
+	for _, want := range []int{1, 2, 4} {
+		if got := len(awaiting); got != want {
+			t.Fatalf("got %d requests sent at once, want %d", got, want)
+		}
+		now += 10 * time.Millisecond
+		var next []Ticket
+		for _, a := range awaiting {
+			for _, effect := range c.Apply(now, ResponseStarted{Ticket: a}) {
+				if g, ok := effect.(Grant); ok {
+					next = append(next, g.Ticket)
+				}
+			}
+		}
+		awaiting = next
+	}
+	for _, a := range awaiting {
+		c.Apply(now, TicketReleased{Ticket: a, Failed: true})
+	}
+	c.Apply(now+backOffDuration, Ticked{})
+	if got, want := c.pauses["s0"].awaiting, 1; got != want {
+		t.Errorf("got %d requests awaiting a response after failures, want %d", got, want)
+	}
+}
+
+// Guards against hosts that all return in the same moment after a pause that they were given
+// together.
+func TestHostsReturnAtDifferentTimes(t *testing.T) {
+	now := 5 * time.Second
+	ends := make(map[time.Duration]bool)
+	for n := range 20 {
+		c := New(Peer{ID: fuchsiapitch.HostID(fmt.Sprint(n))}, 1)
+		c.Apply(now, asksForPause("a0", time.Second))
+		ends[c.pauses["a0"].returnsAt/(10*time.Millisecond)] = true
+	}
+	if got, want := len(ends), 8; got < want {
+		t.Errorf("got %d different ends at 20 hosts, want %d or more", got, want)
+	}
+}
+
+// Guards against a state that grows with the servers that have ever paused.
+func TestPauseIsForgotten(t *testing.T) {
+	now := 5 * time.Second
+	c := newNoticeCoordinator(now)
+	c.Apply(now, asksForPause("a0", time.Second))
+	c.Apply(now+time.Second+maxReturnJitter+returnMemory+time.Second, Ticked{})
+	if got, want := len(c.pauses), 0; got != want {
+		t.Errorf("got %d pauses remembered, want %d", got, want)
+	}
+}
+
+// Guards against several requests at the end of a second pause because responses to requests
+// from before it have come meanwhile.
+func TestSecondPauseNarrowsTheReturnAgain(t *testing.T) {
+	now := 5 * time.Second
+	c := newCoordinatorWithReplicas(now, 1)
+	pause := NoticeReceived{Server: "s0", Notice: fuchsiapitch.ServerNotice{Pause: time.Second}}
+	c.Apply(now, pause)
+	now += time.Second + maxReturnJitter
+	c.Apply(now, newArrival(now, 1))
+	c.Apply(now, pause)
+	c.Apply(now, ResponseStarted{Ticket: 1})
+	now += time.Second + maxReturnJitter
+	granted := 0
+	for n := range Ticket(5) {
+		granted += len(grantedServers(c.Apply(now, newArrival(now, n+2))))
+	}
+	if got, want := granted, 1; got != want {
+		t.Errorf("got %d requests sent at once, want %d", got, want)
+	}
+}
--- a/internal/coordinator/shedding.go
+++ b/internal/coordinator/shedding.go
@@ -152,7 +152,7 @@
 func (c *Coordinator) acceptableRates(now time.Duration) map[poolKey]float64 {
 	slots, inFlight := make(map[poolKey]float64), make(map[poolKey]float64)
 	for _, r := range c.replicas {
-		if r.open && now >= r.unavailableUntil {
+		if r.open && now >= c.availableAt(r) {
 			p := poolKey{r.service, r.model}
 			slots[p] += float64(r.slots)
 			inFlight[p] += float64(r.totalInFlight())
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -347,8 +347,9 @@
 			return ctx.Err()
 		case <-ticker.C:
 			currentClockGap := d.bootClock() - d.now()
-			d.tick(currentClockGap-previousClockGap > suspensionThreshold)
-			previousClockGap = currentClockGap
+			d.tick(currentClockGap - previousClockGap)
+			// A reading that was held up between the two clocks is too small.
+			previousClockGap = max(previousClockGap, currentClockGap)
 		}
 	}
 }
@@ -366,8 +367,9 @@
 }
 
 // tick passes a tick to the coordinator, with the time of the last byte from each
-// server that handles a request of this host.
-func (d *Driver) tick(wasSuspended bool) {
+// server that handles a request of this host. suspendedFor is how far the monotonic clock
+// has fallen behind the boot-time clock since the last tick.
+func (d *Driver) tick(suspendedFor time.Duration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	lastByteTimes := make(map[fuchsiapitch.ServerID]time.Duration)
@@ -376,7 +378,11 @@
 			lastByteTimes[s.grant.Server] = at
 		}
 	}
-	d.applyLocked(coordinator.Ticked{LastByteTimes: lastByteTimes, WasSuspended: wasSuspended})
+	ticked := coordinator.Ticked{LastByteTimes: lastByteTimes}
+	if suspendedFor > suspensionThreshold {
+		ticked.WasSuspended, ticked.SuspendedFor = true, suspendedFor
+	}
+	d.applyLocked(ticked)
 }
 
 // receiveHeartbeats passes received heartbeats to the coordinator until the context
--- a/internal/relayer/notice_test.go
+++ b/internal/relayer/notice_test.go
@@ -66,3 +66,37 @@
 		assertRequests(t, 5, other)
 	}
 }
+
+// Guards against requests to a server that has refused one and wants none for a time, and
+// against a client that is told to come back before that.
+func TestPausedServerGetsNoRequest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		response string
+		want     int32
+	}{
+		"refusal":                    {refusal(http.StatusServiceUnavailable, "Id: r1\r\nNot-Run: 1\r\nPause: 1m\r\n"), 1},
+		"failure that may have run":  {refusal(http.StatusServiceUnavailable, "Id: r1\r\nPause: 1m\r\n"), 1},
+		"refusal of another request": {refusal(http.StatusServiceUnavailable, "Id: r0\r\nNot-Run: 1\r\nPause: 1m\r\n"), 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &rawServer{respond: func(n int32) string {
+				if n == 1 {
+					return tc.response
+				}
+				return signedHead + okBody
+			}, closes: true}
+			url := newTestRelayer(t, s.ServeHTTP)
+			for n := range 4 {
+				response, _, _ := sendWithLimit(t, url+"/once/x", "b", 3*time.Second)
+				if tc.want > 1 || n == 0 {
+					continue
+				}
+				assertStatus(t, response, http.StatusServiceUnavailable)
+				if got, err := time.ParseDuration(response.Header.Get("Own-Retry")); err != nil || got < 900*time.Millisecond || got > time.Second {
+					t.Errorf("got a wait of %q, want a third of the time left", response.Header.Get("Own-Retry"))
+				}
+			}
+			assertRequests(t, tc.want, s)
+		})
+	}
+}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -60,8 +60,9 @@
 	return ok && err == nil
 }
 
-func (fakeHeaderCodec) SetErrorHeader(h http.Header, _ fuchsiapitch.RequestID, _ time.Duration) {
+func (fakeHeaderCodec) SetErrorHeader(h http.Header, _ fuchsiapitch.RequestID, retryAfter time.Duration) {
 	h.Set("Own", "1")
+	h.Set("Own-Retry", retryAfter.String())
 }
 
 // unreachableServers is a driver.ServerClient and driver.Claimer whose calls never
