coordinator, driver: hosts tell each other which servers say that they leave

Callers' requests went on from all other hosts to a server that had told one of them that it leaves, and its group was not replaced unless that host was the controller.

Heartbeats have a new field with the servers, and their incarnations, that have lately told the sender that they leave. Relays merge it as they do suspects. A host tells what it has heard itself, for 10 s after the last word; a message has at most 32 servers, in parts drawn by its sequence number if there are more. The controller retires the group as one with a member that the list shows as leaving.

Evidence: with the announcement taken out, at 8 and 60 hosts,

TestOtherHostsHearThatServerLeaves: got h007 without the word of app3, want all hosts to know it

and with its receipt taken out

TestWordOfServerFromAnotherHost/of_the_same_incarnation: got a0 open for requests: true, want false TestControllerReplacesGroupAfterHeartbeat: got g1048577 open with its leaving head, want it replaced

Ruled out: parts that take turns by the sequence number itself. A relay uses every second or third number for the same kind of message, so that some parts would never be sent.

--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -228,7 +228,7 @@
 	if restarted {
 		s.lastResponseAt = 0
 		s.lastModel, s.stagingModel, s.expectedLoadEnd, s.highestEpoch = "", "", 0, 0
-		s.consecutiveFailures, s.replaced, s.saysLeaving = 0, false, false
+		s.consecutiveFailures, s.replaced, s.saysLeaving = 0, false, c.hasSaidLeaving(r)
 	}
 	if r.Service != previous.Service || r.FabricDomain != previous.FabricDomain {
 		c.domains = nil
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -262,6 +262,7 @@
 	}
 	p.hasHeartbeat, p.lastHeartbeatReceivedAt, p.lastHeartbeat = true, now, b
 	c.noteSuspects(now, b.Suspects)
+	c.noteLeavingServers(now, b.LeavingServers)
 	c.adoptGroups(b)
 	c.observeClaim(now, b)
 	if !c.usesRelays() {
@@ -371,6 +372,7 @@
 			delete(c.suspectedLocally, s)
 		}
 	}
+	b.LeavingServers = c.announcedLeavings(now)
 	if b.Claim > 0 && c.isSurveyed() {
 		c.publishGroups()
 	}
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -334,6 +334,12 @@
 	Length, Arrivals int
 }
 
+// LeavingServer is one incarnation of a server that leaves. It is a plain record.
+type LeavingServer struct {
+	Server            fuchsiapitch.ServerID
+	StartedUnixMillis int64
+}
+
 // GroupStatus is the state of a group as the controller announces it. It is a plain
 // record.
 type GroupStatus struct {
@@ -372,6 +378,9 @@
 	// Suspects are the servers that failed requests of the sender have named as the
 	// cause.
 	Suspects []fuchsiapitch.ServerID
+	// LeavingServers are servers that have lately stated to the sender that they leave, at
+	// most maxLeavingServers.
+	LeavingServers []LeavingServer
 	// GroupsVersion is the version of the group table that the sender knows. Groups is
 	// that table, nil if the recipient is known to have it.
 	GroupsVersion GroupsVersion
@@ -382,8 +391,8 @@
 
 // Digest is the periodic message of a relay. It is a plain record.
 type Digest struct {
-	// Sender is the heartbeat of the relay. Its loads, queues and suspects are those of
-	// all hosts that the digest covers.
+	// Sender is the heartbeat of the relay. Its loads, queues, suspects and leaving servers
+	// are those of all hosts that the digest covers.
 	Sender Heartbeat
 	// IsDataCentreOnly is true if only the data centre of the relay is covered.
 	IsDataCentreOnly bool
--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -1,14 +1,18 @@
 package coordinator
 
 import (
+	"cmp"
 	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
 // A server may state in any response that it leaves. It gets no new request from then on,
-// whatever the server list says, which lags behind. What it runs goes on to its end.
+// whatever the server list says, which lags behind. What it runs goes on to its end. The host
+// tells the others, among them the controller, which replaces its group.
 //
 // A server may also ask this host for a pause beside a refusal. It gets no request of this
 // host until the pause is over, and then one at first, and one more with each response that
@@ -18,6 +22,11 @@
 	// leavingMemory is how long it is remembered that a server leaves once it is off the
 	// list.
 	leavingMemory = 5 * time.Minute
+	// leavingAnnouncement is how long a host tells the others after the last word of a
+	// server that it leaves, and maxLeavingServers the number of such servers in a message.
+	// If there are more, each message has a part of them.
+	leavingAnnouncement = 10 * time.Second
+	maxLeavingServers   = 32
 	// returnJitterShare is the share of a pause by which it is prolonged at most, and
 	// maxReturnJitter the longest such time, so that hosts do not return together.
 	returnJitterShare = 0.25
@@ -68,8 +77,11 @@
 type leavingNotice struct {
 	// startedUnixMillis is the incarnation that made it.
 	startedUnixMillis int64
-	// heardAt is when this host last received it.
+	// heardAt is when this host last received it, from the server or from another host.
 	heardAt time.Duration
+	// announcedUntil is the time until which this host tells the others, 0 if it has the
+	// statement from another host.
+	announcedUntil time.Duration
 	// isListed is true once a list received since has shown the server as leaving, and
 	// listedOffset the end of the last such list.
 	isListed     bool
@@ -109,7 +121,8 @@
 		return
 	}
 	if n := c.noteLeaving(now, s, e.Request, s.report.StartedUnixMillis); n != nil {
-		n.heardAt, n.isListed = now, false
+		n.heardAt, n.announcedUntil, n.isListed = now, now+leavingAnnouncement, false
+		c.nextHeartbeatAt = min(c.nextHeartbeatAt, c.lastHeartbeatAt+c.earlyHeartbeatInterval())
 	}
 }
 
@@ -133,6 +146,49 @@
 	return n
 }
 
+// hasSaidLeaving reports whether the incarnation of a report is known to have stated that it
+// leaves.
+func (c *Coordinator) hasSaidLeaving(r fuchsiapitch.ServerReport) bool {
+	n, ok := c.leavingNotices[r.ID]
+	return ok && n.startedUnixMillis >= r.StartedUnixMillis
+}
+
+// noteLeavingServers records what servers have stated to other hosts.
+func (c *Coordinator) noteLeavingServers(now time.Duration, leaving []LeavingServer) {
+	for _, l := range leaving {
+		if s, ok := c.servers[l.Server]; ok {
+			c.noteLeaving(now, s, "", l.StartedUnixMillis)
+		}
+	}
+}
+
+// announcedLeavings returns the servers that have lately stated to this host that they leave.
+func (c *Coordinator) announcedLeavings(now time.Duration) []LeavingServer {
+	var leaving []LeavingServer
+	for id, n := range c.leavingNotices {
+		if now < n.announcedUntil {
+			leaving = append(leaving, LeavingServer{Server: id, StartedUnixMillis: n.startedUnixMillis})
+		}
+	}
+	return limitLeavingServers(leaving, c.sequence)
+}
+
+// limitLeavingServers sorts a list of leaving servers and removes repeated ones. It returns the part
+// for the message of a sequence number.
+func limitLeavingServers(leaving []LeavingServer, sequence uint64) []LeavingServer {
+	slices.SortFunc(leaving, func(a, b LeavingServer) int {
+		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.StartedUnixMillis, b.StartedUnixMillis))
+	})
+	leaving = slices.Compact(leaving)
+	if len(leaving) <= maxLeavingServers {
+		return leaving
+	}
+	parts := slices.Collect(slices.Chunk(leaving, maxLeavingServers))
+	// A relay uses every second or third sequence number for the same kind of message.
+	rng := rand.New(rand.NewPCG(sequence, 0)) //nolint:gosec // No secret depends on the draw.
+	return parts[rng.IntN(len(parts))]
+}
+
 // knownListOffset returns the end of the newest list that this host knows, its own or the
 // one behind its directory.
 func (c *Coordinator) knownListOffset() int64 { return max(c.listOffset, c.directoryOffset) }
--- a/internal/coordinator/notice_test.go
+++ b/internal/coordinator/notice_test.go
@@ -203,15 +203,9 @@
 		sm := newSimulation(1)
 		sm.startController()
 		sm.run(12 * time.Second)
-		var leaver *simulatedEngine
-		for _, id := range sm.engineOrder {
-			if e := sm.engines[id]; e.state == fuchsiapitch.MemberOpen {
-				leaver = e
-				if !isHead {
-					leaver = sm.engines[e.members[1]]
-				}
-				break
-			}
+		leaver := sm.openLeader()
+		if !isHead {
+			leaver = sm.engines[leaver.members[1]]
 		}
 		ref := leaver.group
 		sm.apply(0, NoticeReceived{Server: leaver.id, Notice: fuchsiapitch.ServerNotice{Leaving: true}})
@@ -470,3 +464,118 @@
 		t.Errorf("got %d requests sent at once, want %d", got, want)
 	}
 }
+
+// Guards against hosts that go on sending requests to a server because it has told only one
+// of them that it leaves, directly and through relays, also while the store is away.
+func TestOtherHostsHearThatServerLeaves(t *testing.T) {
+	for _, hosts := range []int{8, 60} {
+		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
+			hc := newHostCluster(uint64(hosts), hosts, 5)
+			hc.loss = 0.01
+			hc.runUntil(5 * time.Second)
+			for _, h := range hc.hosts {
+				hc.apply(h, StoreReadFailed{})
+			}
+			hc.apply(hc.hosts[3], saysLeaving("app3"))
+			hc.runUntil(hc.now + 1500*time.Millisecond)
+			for _, h := range hc.hosts {
+				if s := h.coordinator.servers["app3"]; !s.isLeaving() {
+					t.Errorf("got %s without the word of app3, want all hosts to know it", h.self.ID)
+				}
+			}
+			hc.runUntil(hc.now + leavingAnnouncement)
+			for _, h := range hc.hosts {
+				if got := h.coordinator.announcedLeavings(hc.now - h.startedAt); len(got) > 0 {
+					t.Errorf("got %v announced by %s, want the announcement to end", got, h.self.ID)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a later incarnation that is taken out by the word of an earlier one that
+// another host tells, and against one whose own word comes before its entry on the list.
+func TestWordOfServerFromAnotherHost(t *testing.T) {
+	now := 5 * time.Second
+	told := func(started int64) HeartbeatReceived {
+		return HeartbeatReceived{Heartbeat: Heartbeat{From: Peer{ID: "b"}, LeavingServers: []LeavingServer{{Server: "a0", StartedUnixMillis: started}}}}
+	}
+	for name, tc := range map[string]struct {
+		told, listed int64
+		want         bool
+	}{
+		"of the same incarnation":     {told: 1, listed: 1, want: false},
+		"of an earlier incarnation":   {told: 0, listed: 1, want: true},
+		"before a later incarnation":  {told: 1, listed: 2, want: true},
+		"of an unlisted incarnation":  {told: 2, listed: 2, want: false},
+		"of one later than the entry": {told: 3, listed: 2, want: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newNoticeCoordinator(now)
+			c.Apply(now, told(tc.told))
+			c.Apply(now+time.Second, ServersListed{Servers: []fuchsiapitch.ServerReport{plainEntry("a0", tc.listed)}, Offset: 2})
+			assertServes(t, c, "a0", tc.want)
+			if got := c.announcedLeavings(now); len(got) > 0 {
+				t.Errorf("got %v announced, want only what the host has heard itself", got)
+			}
+		})
+	}
+}
+
+// Guards against heartbeats that grow with the number of servers that leave. Each server is
+// told within the announcement all the same.
+func TestFewLeavingServersInOneHeartbeat(t *testing.T) {
+	now := 5 * time.Second
+	c := newNoticeCoordinator(now)
+	const count = 200
+	var list []fuchsiapitch.ServerReport
+	for n := range count {
+		list = append(list, plainEntry(fuchsiapitch.ServerID(fmt.Sprintf("b%03d", n)), 1))
+	}
+	c.Apply(now, ServersListed{Servers: list, Offset: 2})
+	for _, r := range list {
+		c.Apply(now, saysLeaving(r.ID))
+	}
+	told := make(map[fuchsiapitch.ServerID]bool)
+	for n := range 100 {
+		b := c.newHeartbeat(now + time.Duration(n)*maxMemberInterval/4)
+		if got, want := len(b.LeavingServers), maxLeavingServers; got > want {
+			t.Fatalf("got %d leaving servers in a heartbeat, want at most %d", got, want)
+		}
+		for _, l := range b.LeavingServers {
+			told[l.Server] = true
+		}
+	}
+	if got, want := len(told), count; got != want {
+		t.Errorf("got %d servers told, want %d", got, want)
+	}
+}
+
+// Guards against a group that keeps a member that has told another host than the controller
+// that it leaves.
+func TestControllerReplacesGroupAfterHeartbeat(t *testing.T) {
+	sm := newSimulation(1)
+	sm.startController()
+	sm.run(12 * time.Second)
+	head := sm.openLeader()
+	ref := head.group
+	sm.apply(0, HeartbeatReceived{Heartbeat: Heartbeat{From: Peer{ID: "other"}, LeavingServers: []LeavingServer{{Server: head.id, StartedUnixMillis: head.incarnation}}}})
+	sm.run(6 * time.Second)
+	assertNoViolations(t, sm)
+	if got, want := sm.countOpenGroups(), 4; got != want {
+		t.Errorf("got %d open groups, want %d", got, want)
+	}
+	if head.group == ref && head.state == fuchsiapitch.MemberOpen {
+		t.Errorf("got %s open with its leaving head, want it replaced", ref.Name)
+	}
+}
+
+// openLeader returns the first leader of an open group.
+func (sm *simulation) openLeader() *simulatedEngine {
+	for _, id := range sm.engineOrder {
+		if e := sm.engines[id]; e.state == fuchsiapitch.MemberOpen {
+			return e
+		}
+	}
+	return nil
+}
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -213,6 +213,7 @@
 	c.adoptGroups(d.Sender)
 	c.adoptDirectory(now, d)
 	c.noteSuspects(now, d.Sender.Suspects)
+	c.noteLeavingServers(now, d.Sender.LeavingServers)
 	c.hasReceivedRequests = c.hasReceivedRequests || d.Sender.HasReceivedRequests
 	c.observeClaim(now, d.Sender)
 	if d.HolderClaim != 0 && d.HolderClaim == c.knownClaim && d.Holder != c.self.ID {
@@ -374,6 +375,7 @@
 	}
 	s.Queues = append(s.Queues, o.Sender.Queues...)
 	s.Suspects = append(s.Suspects, o.Sender.Suspects...)
+	s.LeavingServers = append(s.LeavingServers, o.Sender.LeavingServers...)
 }
 
 // merge sums the loads of each server and the queues of each model. The silence of a
@@ -406,6 +408,7 @@
 	s.Queues = queues
 	slices.Sort(s.Suspects)
 	s.Suspects = slices.Compact(s.Suspects)
+	s.LeavingServers = limitLeavingServers(s.LeavingServers, s.Sequence)
 }
 
 // addRelayedLoads adds the loads of the other hosts to the replicas and queues: from the
--- a/internal/driver/heartbeat.go
+++ b/internal/driver/heartbeat.go
@@ -70,6 +70,9 @@
 	for _, s := range b.Suspects {
 		w.Suspects = append(w.Suspects, string(s))
 	}
+	for _, l := range b.LeavingServers {
+		w.LeavingServers = append(w.LeavingServers, &wire.LeavingServer{Server: string(l.Server), StartedUnixMs: l.StartedUnixMillis})
+	}
 	for _, g := range b.Groups {
 		w.Groups = append(w.Groups, &wire.GroupEntry{Name: string(g.Ref.Name), Epoch: g.Ref.Epoch, Model: g.Model, Leader: string(g.Leader), Open: g.Open})
 	}
@@ -96,6 +99,9 @@
 	for _, s := range w.GetSuspects() {
 		b.Suspects = append(b.Suspects, fuchsiapitch.ServerID(s))
 	}
+	for _, l := range w.GetLeavingServers() {
+		b.LeavingServers = append(b.LeavingServers, coordinator.LeavingServer{Server: fuchsiapitch.ServerID(l.GetServer()), StartedUnixMillis: l.GetStartedUnixMs()})
+	}
 	for _, g := range w.GetGroups() {
 		b.Groups = append(b.Groups, coordinator.GroupStatus{
 			Ref:   fuchsiapitch.GroupRef{Name: fuchsiapitch.GroupID(g.GetName()), Epoch: g.GetEpoch()},
--- a/internal/driver/heartbeat_test.go
+++ b/internal/driver/heartbeat_test.go
@@ -18,6 +18,7 @@
 		ServerLoads:      []coordinator.ServerLoad{{Server: "s", InFlight: 2, UnreadTokens: 700, SilentFor: 250 * time.Millisecond}},
 		Queues:           []coordinator.Queue{{Service: "llm", Model: "m", Rank: 2, Length: 3, Arrivals: 4}},
 		Suspects:         []fuchsiapitch.ServerID{"s"},
+		LeavingServers:   []coordinator.LeavingServer{{Server: "s", StartedUnixMillis: 5}},
 		GroupsVersion:    coordinator.GroupsVersion{Claim: 7, Revision: 4},
 		DirectoryVersion: 12,
 		Groups:           []coordinator.GroupStatus{{Ref: fuchsiapitch.GroupRef{Name: "g", Epoch: 4}, Model: "m", Leader: "s", Open: true}},
