--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -261,6 +261,14 @@
 	return r.unavailableUntil
 }
 
+// pausedFor returns how long a server gets no requests because it asked for a pause.
+func (c *Coordinator) pausedFor(now time.Duration, id fuchsiapitch.ServerID) time.Duration {
+	if p, ok := c.pauses[id]; ok {
+		return max(0, p.returnsAt-now)
+	}
+	return 0
+}
+
 // isHeldBack reports whether a replica gets no request now because of a back-off, a pause or
 // the return from one.
 func (c *Coordinator) isHeldBack(now time.Duration, r *replica) bool {
--- a/internal/coordinator/notice_test.go
+++ b/internal/coordinator/notice_test.go
@@ -579,3 +579,18 @@
 	}
 	return nil
 }
+
+// Guards against operators who cannot see why a server gets no requests.
+func TestViewShowsNotices(t *testing.T) {
+	now := 5 * time.Second
+	c := newNoticeCoordinator(now)
+	c.Apply(now, saysLeaving("a0"))
+	c.Apply(now, asksForPause("a1", 2*time.Second))
+	servers := c.View(now + time.Second).Servers
+	if got, want := servers[0].Condition, "leaving"; got != want || !servers[0].SaysLeaving {
+		t.Errorf("got %+v, want it leaving by its own word", servers[0])
+	}
+	if got, want := servers[1].PausedFor, time.Second; got < want || got > want+maxReturnJitter {
+		t.Errorf("got a pause of %v, want %v and the jitter", got, want)
+	}
+}
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -46,8 +46,12 @@
 	Domain  fuchsiapitch.FabricDomainName
 	// Condition is usable, leaving, unlisted, lost, or replaced if another incarnation
 	// or another server responds at its address.
-	Condition  string
-	Membership fuchsiapitch.Membership
+	Condition string
+	// SaysLeaving is true if the server has stated itself that it leaves. PausedFor is how
+	// long it gets no requests from this host because it asked for a pause.
+	SaysLeaving bool
+	PausedFor   time.Duration
+	Membership  fuchsiapitch.Membership
 	// LastModel is the model of the server's last group, StagedModels the models that
 	// are staged on its host.
 	LastModel    string
@@ -88,7 +92,7 @@
 	for _, id := range sortedKeys(c.servers) {
 		s := c.servers[id]
 		v.Servers = append(v.Servers, ServerView{
-			ID: id, Service: s.report.Service, Domain: s.report.FabricDomain, Condition: s.condition(),
+			ID: id, Service: s.report.Service, Domain: s.report.FabricDomain, Condition: s.condition(), SaysLeaving: s.saysLeaving, PausedFor: c.pausedFor(now, id),
 			Membership: s.report.Membership, LastModel: s.lastModel, StagedModels: s.report.StagedModels,
 		})
 	}
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -24,10 +24,11 @@
 )
 
 // decisionMessages are the messages of decisions and events that affect requests:
-// leadership, groups, the configuration, and the starts and stops of hosts.
+// leadership, groups, the configuration, servers that are set aside, and the starts and stops
+// of hosts. A line on a server that is set aside has the request that brought it.
 var decisionMessages = []string{
 	"leads the groups", "takes over the lead", "server is lost", "group is taken apart", "group is formed", "group is open",
-	"group retires", "configuration is in force", "store cannot be read", "process was suspended", "host serves", "host stops",
+	"group retires", "server says that it leaves", "server pauses", "configuration is in force", "store cannot be read", "process was suspended", "host serves", "host stops",
 }
 
 // NotFoundError reports that no log line has the ID of a request.
@@ -129,7 +130,7 @@
 	windowStart, windowEnd := requestLines[0].timestamp.Add(-elapsed(requestLines[0])-decisionWindow), requestLines[len(requestLines)-1].timestamp
 	explanation := slices.Clone(requestLines)
 	for _, l := range lines {
-		if l.requestID() == "" && !l.timestamp.Before(windowStart) && !l.timestamp.After(windowEnd) && slices.Contains(decisionMessages, l.Message()) {
+		if l.requestID() != requestID && !l.timestamp.Before(windowStart) && !l.timestamp.After(windowEnd) && slices.Contains(decisionMessages, l.Message()) {
 			explanation = append(explanation, l)
 		}
 	}
--- a/internal/platformassembler/status.go
+++ b/internal/platformassembler/status.go
@@ -45,14 +45,18 @@
 }
 
 type serverStatus struct {
-	ID        string   `json:"id"`
-	Service   string   `json:"service"`
-	Domain    string   `json:"domain,omitempty"`
-	Condition string   `json:"condition"`
-	Group     string   `json:"group,omitempty"`
-	State     string   `json:"state,omitempty"`
-	Model     string   `json:"model,omitempty"`
-	Staged    []string `json:"staged,omitempty"`
+	ID        string `json:"id"`
+	Service   string `json:"service"`
+	Domain    string `json:"domain,omitempty"`
+	Condition string `json:"condition"`
+	// SaysLeaving is true if the server has stated itself that it leaves, PausedMS how long
+	// it wants no requests from the host.
+	SaysLeaving bool     `json:"says-leaving,omitempty"`
+	PausedMS    int64    `json:"paused-ms,omitempty"`
+	Group       string   `json:"group,omitempty"`
+	State       string   `json:"state,omitempty"`
+	Model       string   `json:"model,omitempty"`
+	Staged      []string `json:"staged,omitempty"`
 }
 
 // replicaStatus is the state of a server that requests are sent to: the leader of an
@@ -152,7 +156,7 @@
 
 func newServerStatus(s coordinator.ServerView) serverStatus {
 	status := serverStatus{
-		ID: string(s.ID), Service: string(s.Service), Domain: string(s.Domain), Condition: s.Condition,
+		ID: string(s.ID), Service: string(s.Service), Domain: string(s.Domain), Condition: s.Condition, SaysLeaving: s.SaysLeaving, PausedMS: s.PausedFor.Milliseconds(),
 		Group: string(s.Membership.Group.Name), Model: s.LastModel, Staged: s.StagedModels,
 	}
 	if status.Group != "" {
