coordinator: notices in all random runs, pauses worked out once for a queue

The random runs of groups and of many hosts had no servers that say that they leave or ask for pauses.

TestGroupsUnderTrouble lets engines tell the controller that they leave; no order may prepare them for a group after that. TestNoticesAreKeptByManyHosts sends requests to 5 and 30 hosts while servers tell single hosts, pause towards them and restart under their identifiers: nothing goes to a server after its word to the host itself, or 1.5 s after its word to another one, nor during a pause, and each request gets one decision by its deadline plus a tick. When all replicas of a pool return is now worked out once for all queued requests.

Ruled out: a check that hosts never send after another host has heard. News takes a heartbeat, two with relays.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -135,7 +135,7 @@
 			return
 		}
 	}
-	if c.refuseIfPaused(now, w) {
+	if c.refuseIfPaused(now, w, c.soonestReturns(now)) {
 		return
 	}
 	expectedWait, servable := c.expectedWait(now, w)
@@ -241,19 +241,19 @@
 // expectedWait returns the time after which a slot is likely to be free, and whether
 // any replica serves the request.
 func (c *Coordinator) expectedWait(now time.Duration, w *queuedRequest) (time.Duration, bool) {
-	slots, inFlight, queuedAhead := 0, 0, 0
+	slots, inFlight, queuedAhead, isPaused := 0, 0, 0, false
 	availableIn := time.Duration(math.MaxInt64)
 	for _, r := range c.replicas {
 		switch {
 		case !r.serves(w.pool):
 		case now < c.availableAt(r):
 			availableIn = min(availableIn, c.availableAt(r)-now)
+			isPaused = isPaused || c.pausedFor(now, r.server) > 0
 		default:
 			slots += r.slots
 			inFlight += r.totalInFlight()
 		}
 	}
-	_, isPaused := c.soonestReturn(now, w.pool)
 	switch {
 	case slots == 0 && (isPaused || availableIn <= backOffDuration):
 		return availableIn, true
@@ -375,13 +375,14 @@
 	c.demoteLate(now)
 	remaining := c.queue[:0]
 	fullPools := make(map[poolKey]bool)
+	soonestReturns := c.soonestReturns(now)
 	for _, w := range c.queue {
 		if now > c.waitLimit(w.arrivedAt, w) || now >= w.Deadline {
 			expectedWait, _ := c.expectedWait(now, w)
 			c.refuse(w, Overloaded, expectedWait)
 			continue
 		}
-		if c.refuseIfPaused(now, w) {
+		if c.refuseIfPaused(now, w, soonestReturns) {
 			continue
 		}
 		if !fullPools[w.pool] {
--- a/internal/coordinator/membership_simulation_test.go
+++ b/internal/coordinator/membership_simulation_test.go
@@ -50,8 +50,9 @@
 	// servers is the server list, and listVersion the number of its changes.
 	servers     []fuchsiapitch.ServerReport
 	listVersion int64
-	// onGrant is called with each grant.
-	onGrant func(*simulatedHost, Grant)
+	// onGrant is called with each grant, and onRefuse with each refusal unless it is nil.
+	onGrant  func(*simulatedHost, Grant)
+	onRefuse func(*simulatedHost, Refuse)
 }
 
 // simulatedHost is one host of a hostCluster.
@@ -189,6 +190,10 @@
 			}
 		case Grant:
 			hc.onGrant(h, f)
+		case Refuse:
+			if hc.onRefuse != nil {
+				hc.onRefuse(h, f)
+			}
 		case ClaimControl:
 			hc.at(hc.now+simulatedStoreLatency, func() { hc.claim(h, f.PreviousClaim) })
 		}
--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -279,31 +278,35 @@
 	return ok && p.awaiting >= p.allowed
 }
 
-// soonestReturn returns when the first replica of a pool is available again, and whether
-// all of them are unavailable and at least one of them pauses.
-func (c *Coordinator) soonestReturn(now time.Duration, pool poolKey) (time.Duration, bool) {
+// soonestReturns returns when the first replica of a pool is available again, for each pool of
+// which all replicas are unavailable and at least one pauses.
+func (c *Coordinator) soonestReturns(now time.Duration) map[poolKey]time.Duration {
 	if len(c.pauses) == 0 {
-		return 0, false
+		return nil
 	}
-	soonest, isPaused := time.Duration(math.MaxInt64), false
+	soonest, pausing := make(map[poolKey]time.Duration), make(map[poolKey]bool)
 	for _, r := range c.replicas {
-		if !r.serves(pool) {
+		if !r.open {
 			continue
 		}
-		if now >= c.availableAt(r) {
-			return 0, false
+		k := poolKey{r.service, r.model}
+		if at, ok := soonest[k]; !ok || c.availableAt(r) < at {
+			soonest[k] = c.availableAt(r)
+		}
+		pausing[k] = pausing[k] || c.pausedFor(now, r.server) > 0
+	}
+	for k, at := range soonest {
+		if now >= at || !pausing[k] {
+			delete(soonest, k)
 		}
-		soonest = min(soonest, c.availableAt(r))
-		p, ok := c.pauses[r.server]
-		isPaused = isPaused || ok && now < p.returnsAt
 	}
-	return soonest, isPaused
+	return soonest
 }
 
 // refuseIfPaused refuses a request whose replicas all pause if the first of them returns too
-// late for it. It reports whether it has.
-func (c *Coordinator) refuseIfPaused(now time.Duration, w *queuedRequest) bool {
-	returnsAt, isPaused := c.soonestReturn(now, w.pool)
+// late for it. It reports whether it has. soonest holds the result of soonestReturns.
+func (c *Coordinator) refuseIfPaused(now time.Duration, w *queuedRequest, soonest map[poolKey]time.Duration) bool {
+	returnsAt, isPaused := soonest[w.pool]
 	if !isPaused || returnsAt < w.Deadline && returnsAt <= c.waitLimit(w.arrivedAt, w) {
 		return false
 	}
--- a/internal/coordinator/notice_simulation_test.go
+++ b/internal/coordinator/notice_simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -175,3 +176,135 @@
 		})
 	}
 }
+
+// noticeCluster is a cluster of hosts with requests, whose servers tell single hosts that they leave, or
+// ask them for pauses, and restart.
+type noticeCluster struct {
+	*hostCluster
+	lastTicket Ticket
+	// leavingSince holds, for each host, since when it must not send a server requests,
+	// and started the incarnation that has said so.
+	leavingSince map[*simulatedHost]map[fuchsiapitch.ServerID]time.Duration
+	started      map[fuchsiapitch.ServerID]int64
+	pausedUntil  map[*simulatedHost]map[fuchsiapitch.ServerID]time.Duration
+	// pending holds the requests that have no decision yet, and the time by which each
+	// must have one.
+	pending    map[Ticket]time.Duration
+	granted    int
+	violations []string
+}
+
+// noticeSpreadTime is the time within which all hosts know that a server leaves, also if a
+// datagram is lost.
+const noticeSpreadTime = 1500 * time.Millisecond
+
+func newNoticeCluster(seed uint64, hosts int) *noticeCluster {
+	nc := &noticeCluster{
+		hostCluster: newHostCluster(seed, hosts, 3), started: make(map[fuchsiapitch.ServerID]int64),
+		leavingSince: make(map[*simulatedHost]map[fuchsiapitch.ServerID]time.Duration), pausedUntil: make(map[*simulatedHost]map[fuchsiapitch.ServerID]time.Duration),
+		pending: make(map[Ticket]time.Duration),
+	}
+	nc.loss = 0.01
+	for _, h := range nc.hosts {
+		nc.leavingSince[h], nc.pausedUntil[h] = make(map[fuchsiapitch.ServerID]time.Duration), make(map[fuchsiapitch.ServerID]time.Duration)
+	}
+	nc.onGrant, nc.onRefuse = nc.grant, func(_ *simulatedHost, r Refuse) { nc.decide(r.Ticket) }
+	return nc
+}
+
+// grant checks a grant and releases its slot after a while.
+func (nc *noticeCluster) grant(h *simulatedHost, g Grant) {
+	nc.granted++
+	nc.decide(g.Ticket)
+	if since, ok := nc.leavingSince[h][g.Server]; ok && nc.now >= since {
+		nc.violations = append(nc.violations, fmt.Sprintf("%s sends a request to %s at %s, which leaves since %s", h.self.ID, g.Server, nc.now, since))
+	}
+	if end := nc.pausedUntil[h][g.Server]; nc.now < end {
+		nc.violations = append(nc.violations, fmt.Sprintf("%s sends a request to %s at %s, which pauses until %s", h.self.ID, g.Server, nc.now, end))
+	}
+	nc.at(nc.now+time.Duration(20+nc.rng.IntN(60))*time.Millisecond, func() { nc.apply(h, TicketReleased{Ticket: g.Ticket}) })
+}
+
+// decide checks that a ticket is decided once and in time.
+func (nc *noticeCluster) decide(t Ticket) {
+	if by, ok := nc.pending[t]; !ok || nc.now > by {
+		nc.violations = append(nc.violations, fmt.Sprintf("ticket %d is decided twice or too late at %s", t, nc.now))
+	}
+	delete(nc.pending, t)
+}
+
+// sendRequest sends a request to a random host.
+func (nc *noticeCluster) sendRequest() {
+	h := nc.hosts[nc.rng.IntN(len(nc.hosts))]
+	nc.lastTicket++
+	now := nc.now - h.startedAt
+	e := RequestArrived{Ticket: nc.lastTicket, Service: plainService, FirstByteBy: now + 400*time.Millisecond, Deadline: now + 3*time.Second}
+	nc.pending[e.Ticket] = nc.now + 3*time.Second + simulatedTickInterval
+	nc.apply(h, e)
+}
+
+// notify lets a random server say to a random host that it leaves, ask it for a pause, or
+// restart.
+func (nc *noticeCluster) notify() {
+	n := nc.rng.IntN(len(nc.servers))
+	id := nc.servers[n].ID
+	h := nc.hosts[nc.rng.IntN(len(nc.hosts))]
+	_, isLeaving := nc.started[id]
+	switch {
+	case isLeaving && nc.rng.IntN(3) == 0:
+		nc.restartServer(n)
+	case isLeaving || len(nc.started) >= len(nc.servers)-2 || nc.rng.IntN(2) == 0:
+		pause := time.Duration(1 + nc.rng.Int64N(int64(2*time.Second)))
+		nc.pausedUntil[h][id] = max(nc.pausedUntil[h][id], nc.now+pause)
+		nc.apply(h, asksForPause(id, pause))
+	case h.coordinator.servers[id].report.StartedUnixMillis == nc.servers[n].StartedUnixMillis:
+		nc.started[id] = nc.servers[n].StartedUnixMillis
+		for _, o := range nc.hosts {
+			nc.leavingSince[o][id] = nc.now + noticeSpreadTime
+		}
+		nc.leavingSince[h][id] = nc.now
+		nc.apply(h, saysLeaving(id))
+	}
+}
+
+// restartServer lists a new incarnation of a server.
+func (nc *noticeCluster) restartServer(n int) {
+	nc.servers = slices.Clone(nc.servers)
+	nc.servers[n].StartedUnixMillis = 1 + nc.now.Milliseconds()
+	nc.listVersion++
+	delete(nc.started, nc.servers[n].ID)
+	for _, h := range nc.hosts {
+		delete(nc.leavingSince[h], nc.servers[n].ID)
+	}
+}
+
+// Guards against a host among many that sends a request to a server after its word that it
+// leaves, to this host or soon after to another one, or during a pause that it was asked for.
+func TestNoticesAreKeptByManyHosts(t *testing.T) {
+	for _, hosts := range []int{5, 30} {
+		for seed := range seedCount(t) / 15 {
+			t.Run(fmt.Sprintf("%d hosts, seed %d", hosts, seed), func(t *testing.T) {
+				t.Parallel()
+				nc := newNoticeCluster(seed, hosts)
+				nc.runUntil(4 * time.Second)
+				for range 1500 {
+					nc.sendRequest()
+					if nc.rng.IntN(20) == 0 {
+						nc.notify()
+					}
+					nc.runUntil(nc.now + time.Duration(nc.rng.IntN(20))*time.Millisecond)
+				}
+				nc.runUntil(nc.now + 4*time.Second)
+				if len(nc.violations) > 0 {
+					t.Errorf("got violation %q of %d, want none", nc.violations[0], len(nc.violations))
+				}
+				if got, want := len(nc.pending), 0; got != want {
+					t.Errorf("got %d requests without a decision, want %d", got, want)
+				}
+				if nc.granted == 0 {
+					t.Error("got no request served, want some")
+				}
+			})
+		}
+	}
+}
--- a/internal/coordinator/simulation_test.go
+++ b/internal/coordinator/simulation_test.go
@@ -118,6 +118,9 @@
 	listFrozenUntil time.Duration
 	// plainServers are listed besides the engines.
 	plainServers []fuchsiapitch.ServerReport
+	// leavingTold maps engines to the incarnation that has told a coordinator that it leaves.
+	// That coordinator must not use it for a new group.
+	leavingTold map[*Coordinator]map[fuchsiapitch.ServerID]int64
 	// onEffect is called with the effects that apply does not carry out itself, and
 	// lastByteTimes returns what ticks report. Both may be nil.
 	onEffect      func(n int, e Effect)
@@ -183,6 +186,7 @@
 		case ProbeServer:
 			sm.respondToProbe(n, f)
 		case SendOrder:
+			sm.checkNotLeaving(sm.coordinators[n], f.Order)
 			sm.deliverOrder(n, f.Order)
 		default:
 			if sm.onEffect != nil {
@@ -473,7 +477,9 @@
 // injectFault injects one random fault.
 func (sm *simulation) injectFault() {
 	e := sm.engines[sm.engineOrder[sm.rng.IntN(len(sm.engineOrder))]]
-	switch sm.rng.IntN(11) {
+	switch sm.rng.IntN(13) {
+	case 11, 12:
+		sm.tellLeaving(e)
 	case 0, 1:
 		e.dead = true
 	case 10:
@@ -508,6 +514,36 @@
 	}
 }
 
+// tellLeaving lets an engine tell the newest coordinator that it leaves, if that knows its
+// incarnation.
+func (sm *simulation) tellLeaving(e *simulatedEngine) {
+	n := len(sm.coordinators) - 1
+	c := sm.coordinators[n]
+	if c == nil || !sm.isReachable(e) || c.servers[e.id] == nil || c.servers[e.id].report.StartedUnixMillis != e.incarnation {
+		return
+	}
+	if sm.leavingTold == nil {
+		sm.leavingTold = make(map[*Coordinator]map[fuchsiapitch.ServerID]int64)
+	}
+	if sm.leavingTold[c] == nil {
+		sm.leavingTold[c] = make(map[fuchsiapitch.ServerID]int64)
+	}
+	sm.leavingTold[c][e.id] = e.incarnation
+	sm.apply(n, NoticeReceived{Server: e.id, Notice: fuchsiapitch.ServerNotice{Leaving: true}})
+}
+
+// checkNotLeaving records a violation if an order prepares an engine for a group though it
+// has told the coordinator that it leaves.
+func (sm *simulation) checkNotLeaving(c *Coordinator, o fuchsiapitch.GroupOrder) {
+	switch o.Kind {
+	case fuchsiapitch.OrderJoin, fuchsiapitch.OrderStage, fuchsiapitch.OrderOpen:
+		if started, ok := sm.leavingTold[c][o.Server]; ok && sm.engines[o.Server].incarnation == started {
+			sm.violations = append(sm.violations, fmt.Sprintf("order to %s to %s at %s, which has said that it leaves", o.Kind, o.Server, sm.now))
+		}
+	case fuchsiapitch.OrderClose, fuchsiapitch.OrderEvict, fuchsiapitch.OrderLeave:
+	}
+}
+
 // restart starts a new incarnation of an engine, or only kills the engine if another one
 // uses its address.
 func (sm *simulation) restart(e *simulatedEngine) {
