driver: test that a suspension shortens pauses

No test covered the way from the clocks to the coordinator. The monotonic clock stands still while a process is suspended, so that a pause would last longer by that.

Ruled out: lags up to the threshold for suspensions (300 ms). They only prolong a pause.

--- a/internal/driver/notice_test.go
+++ b/internal/driver/notice_test.go
@@ -59,3 +59,23 @@
 		})
 	}
 }
+
+// Guards against a pause that outlasts a suspension of the process, in which its clock stands
+// still, and against one that a delay between two clock readings ends early.
+func TestSuspensionShortensPause(t *testing.T) {
+	const pause = time.Minute
+	for suspendedFor, want := range map[time.Duration]time.Duration{
+		0: pause, suspensionThreshold: pause, -pause: pause, pause / 2: pause / 2, 2 * pause: 0,
+	} {
+		servers := &slowServers{}
+		var socket net.PacketConn
+		d := New(t.Context(), coordinator.New(coordinator.Peer{ID: "a"}, 1), servers, servers, socket)
+		d.Apply(coordinator.ServersListed{Servers: []fuchsiapitch.ServerReport{{ID: "s", StartedUnixMillis: 5}}})
+		d.RecordNotice("s", "r1", fuchsiapitch.ServerNotice{Pause: pause})
+		d.tick(suspendedFor)
+		const tolerance = 20 * time.Second // A slow machine takes a part of it.
+		if got := d.View().Servers[0].PausedFor; got > want+time.Second || got < want-tolerance {
+			t.Errorf("got a pause of %v after a suspension of %v, want %v", got, suspendedFor, want)
+		}
+	}
+}
