--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -148,7 +148,9 @@
 		coordinator.WithStallTimeout(settings.StallTimeout), coordinator.WithDataCentre(settings.DataCentre),
 		coordinator.WithRetryBudget(settings.RetryRatio, settings.RetrySlack, settings.RetryWindow),
 	)
-	h.driver = driver.New(ctx, c, platform.NewServerClient(singleUseTransport),
+	h.driver = driver.New(ctx, c, platform.NewServerClient(singleUseTransport, platform.WithLogger(logs.For("conductor")), platform.WithNoticeHandler(func(server fuchsiapitch.ServerID, notice fuchsiapitch.ServerNotice) {
+		h.driver.RecordNotice(server, "", notice)
+	})),
 		newClaimer(h.pacedStore, h.self.ID, h.startedUnixMillis), heartbeatSocket,
 		driver.WithLogger(logs.For("conductor")), driver.WithMeter(h.meter), driver.WithConfigurationReload(func() { h.configurationTracker.Resync() }))
 	h.createTrackers()
