--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -66,6 +66,7 @@
 	relayState
 	directoryState
 	admissionShareState
+	noticeState
 }
 
 // peer is the last known state of another host. hasHeartbeat is true once a heartbeat
@@ -114,7 +115,7 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), noticeState: newNoticeState(),
 	}
 	for _, o := range options {
 		o(c)
@@ -138,6 +139,8 @@
 		c.admit(now, e)
 	case ResponseStarted:
 		c.markResponseStarted(now, e.Ticket)
+	case NoticeReceived:
+		c.applyNotice(now, e)
 	case TicketReleased:
 		c.releaseTicket(now, e)
 	case ConfigurationChanged:
@@ -201,6 +204,7 @@
 	if e.WasSuspended {
 		c.handleSuspension(now)
 	}
+	c.advancePauses(now, e.SuspendedFor)
 	c.recordLastByteTimes(e.LastByteTimes)
 	if c.usesRelays() {
 		c.sumRemoteLoads()
@@ -258,6 +262,7 @@
 	}
 	p.hasHeartbeat, p.lastHeartbeatReceivedAt, p.lastHeartbeat = true, now, b
 	c.noteSuspects(now, b.Suspects)
+	c.noteLeavingServers(now, b.LeavingServers)
 	c.adoptGroups(b)
 	c.observeClaim(now, b)
 	if !c.usesRelays() {
@@ -367,6 +372,7 @@
 			delete(c.suspectedLocally, s)
 		}
 	}
+	b.LeavingServers = c.announcedLeavings(now)
 	if b.Claim > 0 && c.isSurveyed() {
 		c.publishGroups()
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -40,8 +40,12 @@
 	return out
 }
 
-func (fakeHeaderCodec) ParseResponse(_ int, h http.Header) fuchsiapitch.ResponseMetadata {
-	return fuchsiapitch.ResponseMetadata{Request: fuchsiapitch.RequestID(h.Get("Id")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+func (fakeHeaderCodec) ParseResponse(status int, h http.Header) fuchsiapitch.ResponseMetadata {
+	notice := fuchsiapitch.ServerNotice{Leaving: h.Get("Leaving") != ""}
+	if pause, err := time.ParseDuration(h.Get("Pause")); err == nil && status == http.StatusServiceUnavailable {
+		notice.Pause = pause
+	}
+	return fuchsiapitch.ResponseMetadata{Request: fuchsiapitch.RequestID(h.Get("Id")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Notice: notice}
 }
 
 func (fakeHeaderCodec) ResponseHeader(h http.Header) http.Header {
@@ -56,8 +60,9 @@
 	return ok && err == nil
 }
 
-func (fakeHeaderCodec) SetErrorHeader(h http.Header, _ fuchsiapitch.RequestID, _ time.Duration) {
+func (fakeHeaderCodec) SetErrorHeader(h http.Header, _ fuchsiapitch.RequestID, retryAfter time.Duration) {
 	h.Set("Own", "1")
+	h.Set("Own-Retry", retryAfter.String())
 }
 
 // unreachableServers is a driver.ServerClient and driver.Claimer whose calls never
