acceptor: a stop waits for the first request on a new connection

Callers that connected to a stopping host when it began to close idle connections saw their request cross the close: within 20 ms of its acceptance, and before the request could arrive from another data centre, the new connection was closed with the idle ones.

A connection without a request so far now has 200 ms for its first one. With the 250 ms for the last accepts that is less than the half second that a stop keeps at its end.

Evidence: TestShutdownServesNewConnection; without the change "use of closed network connection, want an open connection".

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -36,6 +36,9 @@
 	// drainMargin is the time kept for the last requests between the close of idle
 	// connections and the end of a stop.
 	drainMargin = 500 * time.Millisecond
+	// firstRequestPeriod is how long a stopping host keeps a connection open for its first
+	// request, also after it has begun to close idle connections.
+	firstRequestPeriod = 200 * time.Millisecond
 	// drainPollInterval is the time between two checks for open connections.
 	drainPollInterval = 20 * time.Millisecond
 	// lastAcceptTimeout is the time without a new connection after which a stopping host
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -297,6 +297,26 @@
 	}
 }
 
+// Guards against a request that crosses the close of its connection, because a stop closes the
+// connections that it has just accepted together with those that were idle.
+func TestShutdownServesNewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		idle := a.dialClient(t)
+		synctest.Wait()
+		result := a.shutDown(t)
+		time.Sleep(defaultDrainIdlePeriod - time.Millisecond)
+		c := a.dialClient(t)
+		time.Sleep(100 * time.Millisecond)
+		c.exchange(t, "/")
+		idle.assertClosed(t, 0, time.Second)
+		if err := <-result; err != nil {
+			t.Errorf("got error %v, want a complete stop", err)
+		}
+	})
+}
+
 // Guards against requests that a stop discards in the queue of connections that the host
 // has not accepted yet.
 func TestShutdownServesQueuedConnections(t *testing.T) {
@@ -414,6 +434,7 @@
 				open.expireIfWaiting(time.Now())
 			}
 		})
+		time.Sleep(firstRequestPeriod)
 		c.sendPart(t, "POST / HTTP/1.1\r\nHost: h\r\n")
 		time.Sleep(time.Second)
 		c.sendPart(t, "Content-Length: 4\r\n\r\nbody")
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -128,11 +128,13 @@
 }
 
 // expireIfWaiting makes the HTTP server close the connection if no part of a request has
-// arrived on it.
+// arrived on it, unless it is new.
 func (c *connection) expireIfWaiting(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.expire(now)
+	if c.served || now.Sub(c.waitingSince) >= firstRequestPeriod {
+		c.expire(now)
+	}
 }
 
 // expire makes the HTTP server close the connection unless a request has arrived. It does
