relayer: a stopping host takes late streams only with time to spare

Callers' streams broke off at the end of a stop: a host took them after the linger period, as they were likely to end in time, and had to abort a few that lasted longer.

Late streams need twice their estimated duration now. Other requests are taken as before, since they get a response when they are aborted.

Evidence: TestDrainingRefusesRequestsThatMayNotEnd ("stream that may last too long": status 200 before).

--- a/internal/relayer/drain.go
+++ b/internal/relayer/drain.go
@@ -12,6 +12,10 @@
 // refuses. Other hosts can serve it at once.
 const drainRetryAfter = 10 * time.Millisecond
 
+// streamDurationFactor is by how much more than the estimate a stream may last for which a
+// stopping host has time. One that is aborted gets no response instead, unlike other requests.
+const streamDurationFactor = 2
+
 // drain is the schedule of a stop.
 type drain struct {
 	// refuseFrom is when the host begins to refuse requests that may not end in time.
@@ -47,8 +51,13 @@
 		return false
 	}
 	end := x.deadline
-	if estimate, ok := x.relayer.durations.estimate(x.route.Name); ok && x.receivedAt.Add(estimate).Before(end) {
-		end = x.receivedAt.Add(estimate)
+	if estimate, ok := x.relayer.durations.estimate(x.route.Name); ok {
+		if x.route.Kind == fuchsiapitch.StreamRoute {
+			estimate *= streamDurationFactor
+		}
+		if estimatedEnd := x.receivedAt.Add(estimate); estimatedEnd.Before(end) {
+			end = estimatedEnd
+		}
 	}
 	if end.Before(d.end) {
 		return false
--- a/internal/relayer/drain_test.go
+++ b/internal/relayer/drain_test.go
@@ -25,6 +25,7 @@
 		{name: "booking with a limit after the end", path: "/once/x", limit: 2 * grace, want: http.StatusServiceUnavailable},
 		{name: "limit before the end", path: "/stream/x", limit: grace / 5, want: http.StatusOK},
 		{name: "known to be short", path: "/stream/x", served: grace / 10, limit: 2 * grace, want: http.StatusOK},
+		{name: "stream that may last too long", path: "/stream/x", served: grace / 5, limit: 2 * grace, want: http.StatusServiceUnavailable},
 		{name: "known to be long", path: "/stream/x", served: grace, limit: 2 * grace, want: http.StatusServiceUnavailable},
 	} {
 		t.Run(test.name, func(t *testing.T) {
