platformassembler: a stop fits into a short grace period

With a grace period of less than about 3 s, callers' requests were cut off: the linger period of 2.5 s did not follow the grace period, so that the requests in flight were aborted before the host had begun to close connections, and the process was killed meanwhile.

The linger period is at most half of the time for the stop. With the platform's 8 s nothing changes.

Evidence: TestStopFitsIntoGracePeriod; before, for 1, 2 and 3 s, "linger:" beyond the abort.

--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -230,17 +230,35 @@
 	return clientListener, readinessListener, nil
 }
 
+// stopSchedule is the schedule of a stop, in times since its begin.
+type stopSchedule struct {
+	// linger is when the host begins to close idle connections.
+	linger time.Duration
+	// abort is when the requests in flight are aborted.
+	abort time.Duration
+	// end is when the host ends.
+	end time.Duration
+}
+
+// newStopSchedule returns the schedule of a stop that ends before the grace period. The linger
+// period is at most half of it.
+func newStopSchedule(grace time.Duration) stopSchedule {
+	end := grace - shutdownMargin
+	return stopSchedule{linger: min(lingerPeriod, end/2), abort: end - abortMargin, end: end}
+}
+
 // shutDown reports the host as not ready at once. It serves what arrives until the clients
 // have closed their connections, and for the linger period at least. Requests still in
 // flight are aborted shortly before the end of the grace period.
 func (h *Host) shutDown(ctx context.Context, clientServer *acceptor.Acceptor) error {
 	h.log.Info().Int64("in-flight", h.relayer.InFlightRequests()).Msg("host stops")
-	deadline := time.Now().Add(h.settings.Load().GracePeriod - shutdownMargin)
-	h.relayer.StartDraining(lingerPeriod, time.Until(deadline)-abortMargin)
+	schedule := newStopSchedule(h.settings.Load().GracePeriod)
+	deadline := time.Now().Add(schedule.end)
+	h.relayer.StartDraining(schedule.linger, schedule.abort)
 	clientServer.StartDraining()
 	h.driver.Apply(coordinator.HostStopping{})
 	select {
-	case <-time.After(lingerPeriod):
+	case <-time.After(schedule.linger):
 	case <-ctx.Done():
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
