acceptor: a stop waits for a gap of 100 ms between new connections again

Clients whose new connection was on its way when the listener closed saw it reset. With the gap of 20 ms from the listener closed while clients still connected often; the bound of 250 ms stays for stops during which they never cease to.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -43,7 +43,7 @@
 	drainPollInterval = 20 * time.Millisecond
 	// lastAcceptTimeout is the time without a new connection after which a stopping host
 	// accepts no more, lastAcceptPeriod the time after which it accepts no more in any case.
-	lastAcceptTimeout = 20 * time.Millisecond
+	lastAcceptTimeout = 100 * time.Millisecond
 	lastAcceptPeriod  = 250 * time.Millisecond
 	// lastReadTimeout bounds the read that looks for a request before a connection is
 	// closed.
