--- a/internal/platformassembler/platformassembler_test.go
+++ b/internal/platformassembler/platformassembler_test.go
@@ -122,7 +122,7 @@
 	r.Header.Set("X-Deadline-Ms", "20000")
 	r.Header.Set("X-Model", standin.LargeModel)
 	r.Header.Set("X-Token-Usage", "100,120")
-	response, err := http.DefaultTransport.RoundTrip(r)
+	response, err := c.Fleet.Requester(hostName(host)).RoundTrip(r)
 	if err != nil {
 		t.Fatal(err)
 	}
