--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -128,11 +128,11 @@
 }
 
 // expireIfWaiting makes the HTTP server close the connection if it has been without a
-// request since a time or longer.
+// request since a time or longer, unless it is new.
 func (c *connection) expireIfWaiting(now, since time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.waitingSince.After(since) {
+	if !c.waitingSince.After(since) && (c.served || now.Sub(c.waitingSince) >= firstRequestPeriod) {
 		c.expire(now)
 	}
 }
