--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -230,7 +230,7 @@
 	select {
 	case <-listener.done:
 	case <-ctx.Done():
-		listener.Close()
+		listener.closeQuietly()
 	}
 }
 
--- a/internal/acceptor/listener.go
+++ b/internal/acceptor/listener.go
@@ -23,8 +23,24 @@
 	// lastLook is true once Accept has timed out.
 	lastLook atomic.Bool
 	// done is closed once no more connections are accepted.
-	done     chan struct{}
-	doneOnce sync.Once
+	done      chan struct{}
+	doneOnce  sync.Once
+	closeOnce sync.Once
+	closeErr  error
+}
+
+// Close implements net.Listener. It can be called again, as the listener closes itself while
+// it stops.
+func (l *trackedListener) Close() error {
+	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
+}
+
+// closeQuietly closes the listener. Its error is also that of later calls of Close.
+func (l *trackedListener) closeQuietly() {
+	if err := l.Close(); err != nil {
+		l.acceptor.log.Debug().Err(err).Msg("failed to close the listener")
+	}
 }
 
 // deadlineSetter is a listener whose Accept can time out.
@@ -43,7 +59,7 @@
 	if d, ok := l.Listener.(deadlineSetter); ok && d.SetDeadline(time.Now().Add(lastAcceptTimeout)) == nil {
 		return
 	}
-	l.Close()
+	l.closeQuietly()
 }
 
 // Accept implements net.Listener.
@@ -54,7 +70,7 @@
 	}
 	if l.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		// Connections that arrive from now on are refused.
-		l.Close()
+		l.closeQuietly()
 		l.doneOnce.Do(func() { close(l.done) })
 	}
 	// The HTTP server tries again after a pause if the error is temporary.
