coordinator: streams stay at a silent server for 1.5 s

A sound server may be silent for a second or so.

Change: such streams leave after 1.5 s.

What it does not mend: a stream whose server is lost has to resume and may get no place beside a busy host.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -43,10 +43,10 @@
 	minUnreachableBackOff = 500 * time.Millisecond
 	maxUnreachableBackOff = 4 * time.Second
 	// revocationSilence is how long a server may send no byte to this host before the
-	// slots of its requests are revoked, so that the requests are sent elsewhere.
-	// Clients abandon a silent stream after two seconds. The controller dissolves a
-	// group with a lost member sooner than this.
-	revocationSilence = time.Second
+	// slots of its requests are revoked, so that the requests are sent elsewhere. A sound
+	// server may be silent for a second or so. Clients abandon a silent stream after two
+	// seconds. The controller dissolves a group with a dead member sooner than this.
+	revocationSilence = 1500 * time.Millisecond
 	// avoidanceSilence is how long a server may send no byte to this host before other
 	// servers are preferred for new requests.
 	avoidanceSilence = 300 * time.Millisecond
--- a/internal/platformassembler/resumption_test.go
+++ b/internal/platformassembler/resumption_test.go
@@ -10,9 +10,25 @@
 	standin "github.com/fuchsiapitch/fuchsiapitch/internal/standin/platform"
 )
 
-// Guards against a stream that never resumes after its server was silent, because another
-// host takes each place that becomes free.
+// Guards against a stream that loses its place to another host while its server is silent for
+// a second or so, and never gets one again.
 func TestStreamResumesBesideBusyHost(t *testing.T) {
+	assertStreamBesideBusyHost(t, func(s *standin.Server) {
+		s.Faults().Pause()
+		time.AfterFunc(1300*time.Millisecond, s.Faults().Resume)
+	})
+}
+
+// Guards against a stream that never resumes after its server was lost, because another host
+// takes each place that becomes free.
+func TestStreamOfLostServerResumesBesideBusyHost(t *testing.T) {
+	assertStreamBesideBusyHost(t, func(s *standin.Server) { s.Faults().Kill() })
+}
+
+// assertStreamBesideBusyHost checks that a stream is complete if its server is disturbed while
+// another host has more requests than there are places.
+func assertStreamBesideBusyHost(t *testing.T, disturb func(s *standin.Server)) {
+	t.Helper()
 	c := newTestCluster(t, 2)
 	c.awaitController(t)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -36,8 +52,7 @@
 		}
 		for _, s := range c.Fleet.OpenLeaders() {
 			if s.RunCount(id) > 0 {
-				s.Faults().Pause()
-				time.AfterFunc(1300*time.Millisecond, s.Faults().Resume)
+				disturb(s)
 			}
 		}
 		for range 60 {
