relayer: log the requests whose server ends the connection

Each such attempt now has a line with server, parts and the time since the first byte. No change of what is done.

--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -63,6 +63,7 @@
 	response, outcome, err := x.send(x.ctx, slot, "")
 	if err != nil {
 		x.releaseFailed(slot, response, outcome)
+		x.logConnectionEnd(slot, time.Time{}, err)
 		return nil, outcome, err
 	}
 	body, err := x.readResponseBody(response)
@@ -71,6 +72,7 @@
 		x.failedServers = append(x.failedServers, slot.Server())
 	}
 	if err != nil {
+		x.logConnectionEnd(slot, time.Time{}, err)
 		return nil, fuchsiapitch.OutcomeUnknown, err
 	}
 	return &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}, fuchsiapitch.OutcomeSucceeded, nil
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -101,19 +101,23 @@
 	response, outcome, err := x.send(ctx, slot, p.resumptionID())
 	if err != nil {
 		x.releaseFailed(slot, response, outcome)
-		return outcome, cancellationCause(ctx, err)
+		err = cancellationCause(ctx, err)
+		x.logConnectionEnd(slot, time.Time{}, err)
+		return outcome, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK || !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		outcome, err = x.deliverNonStream(slot, response, p)
 		return outcome, cancellationCause(ctx, err)
 	}
-	err = x.forwardEvents(slot, response, p)
+	startedAt, err := x.forwardEvents(slot, response, p)
 	var clientGone *clientGoneError
 	slot.Release(err != nil && !errors.As(err, &clientGone), "")
 	if err != nil {
 		x.failedServers = append(x.failedServers, slot.Server())
-		return fuchsiapitch.OutcomeUnknown, cancellationCause(ctx, err)
+		err = cancellationCause(ctx, err)
+		x.logConnectionEnd(slot, startedAt, err)
+		return fuchsiapitch.OutcomeUnknown, err
 	}
 	x.relayer.meter.CountRequest(x.service, fuchsiapitch.RankName(x.route.Name), fuchsiapitch.OutcomeSucceeded)
 	return fuchsiapitch.OutcomeSucceeded, nil
@@ -170,44 +174,44 @@
 
 // forwardEvents forwards complete events to the client until the stream ends. If the
 // stream ends within an event, or without any event, it returns io.ErrUnexpectedEOF, also if
-// it resumes another one. If an event is invalid, it returns an InvalidEventError.
-func (x *exchange) forwardEvents(slot *driver.Slot, response *http.Response, p *streamProgress) error {
+// it resumes another one. If an event is invalid, it returns an InvalidEventError. startedAt is the
+// time of the first byte, the zero time for none.
+func (x *exchange) forwardEvents(slot *driver.Slot, response *http.Response, p *streamProgress) (startedAt time.Time, err error) {
 	buffer := make([]byte, initialBufferBytes)
 	buffered := 0
-	responseStarted := false
 	startID := p.lastEventID
 	for {
 		n, err := response.Body.Read(buffer[buffered:])
 		if n > 0 {
-			if responseStarted {
-				slot.RecordActivity()
-			} else {
-				responseStarted = true
+			if startedAt.IsZero() {
+				startedAt = time.Now()
 				slot.RecordResponseStart()
+			} else {
+				slot.RecordActivity()
 			}
 		}
 		buffered += n
 		if end := completeEventBytes(buffer[:buffered], n); end > 0 {
 			validBytes, lastID, problem := validateEvents(buffer[:end], p.lastEventID, x.relayer.codec)
 			if err := x.writeEvents(response, buffer[:validBytes], lastID, p); err != nil {
-				return err
+				return startedAt, err
 			}
 			if problem != "" {
-				return &InvalidEventError{Server: slot.Server(), LastID: lastID, Problem: problem}
+				return startedAt, &InvalidEventError{Server: slot.Server(), LastID: lastID, Problem: problem}
 			}
 			buffered = copy(buffer, buffer[end:buffered])
 		}
 		switch {
 		case errors.Is(err, io.EOF) && buffered == 0 && p.lastEventID != startID:
-			return nil
+			return startedAt, nil
 		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
+			return startedAt, io.ErrUnexpectedEOF
 		case err != nil:
-			return err
+			return startedAt, err
 		}
 		if buffered == len(buffer) {
 			if buffered >= maxEventBytes {
-				return &fuchsiapitch.ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes}
+				return startedAt, &fuchsiapitch.ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes}
 			}
 			buffer = append(buffer, make([]byte, buffered)...)
 		}
