--- a/internal/standin/platform/fleet.go
+++ b/internal/standin/platform/fleet.go
@@ -21,6 +21,8 @@
 	violations     []string
 	ordersToDelay  int
 	notices        *noticeChecker
+	lethal         *lethalChecker
+	lastCrash      time.Time
 }
 
 // orderDelay is the time between the arrival and the execution of a delayed order.
@@ -48,13 +50,13 @@
 
 // StartFleet starts a fleet without servers. The returned function stops it.
 func StartFleet(store *Store) (*Fleet, func()) {
-	f := &Fleet{store: store, registry: engine.NewRegistry(), servers: make(map[string]*Server), stopAnnouncing: make(chan struct{}), announcingDone: make(chan struct{}), notices: newNoticeChecker()}
+	f := &Fleet{store: store, registry: engine.NewRegistry(), servers: make(map[string]*Server), stopAnnouncing: make(chan struct{}), announcingDone: make(chan struct{}), notices: newNoticeChecker(), lethal: newLethalChecker()}
 	go f.announceServers()
 	return f, func() {
 		close(f.stopAnnouncing)
 		<-f.announcingDone
 		for _, s := range f.allServers() {
-			s.stop()
+			s.shutDown()
 		}
 	}
 }
@@ -89,6 +91,12 @@
 	f.violations = append(f.violations, violation)
 }
 
+func (f *Fleet) recordCrash() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.lastCrash = time.Now()
+}
+
 func (f *Fleet) allServers() []*Server {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/standin/platform/notice.go
+++ b/internal/standin/platform/notice.go
@@ -106,6 +106,8 @@
 //     response in which a server says that it leaves reaches that server from that host.
 //   - BUDGET: more than two requests reach a server from a host between half a second after
 //     it has refused one with a pause and the end of that pause.
+//   - BUDGET: more than three requests with a lethal part reach servers later than the stable
+//     window after the fifth server has ended under it.
 //
 // Reports, orders, health checks and requests that get 421 count for neither. A request that
 // arrives while its server is silent counts when the server goes on, one whose response is
@@ -114,11 +116,17 @@
 
 // ExcuseRestart forgives a host what it was told before a restart or a freeze. Call it
 // after the end of a freeze.
-func (f *Fleet) ExcuseRestart(host string) { f.notices.forget(host, true) }
+func (f *Fleet) ExcuseRestart(host string) {
+	f.notices.forget(host, true)
+	f.lethal.excuse(host, time.Now())
+}
 
 // ExcuseCut forgives a host the pauses of which it was told before its links were cut. Call
 // it after the end of the cut.
-func (f *Fleet) ExcuseCut(host string) { f.notices.forget(host, false) }
+func (f *Fleet) ExcuseCut(host string) {
+	f.notices.forget(host, false)
+	f.lethal.excuse(host, time.Now())
+}
 
 // requester implements http.RoundTripper for the requests to one entry host.
 type requester struct {
@@ -129,7 +137,7 @@
 // RoundTrip implements http.RoundTripper.
 func (q *requester) RoundTrip(r *http.Request) (*http.Response, error) {
 	id := r.Header.Get("X-Request-Id")
-	q.fleet.notices.recordSent(id, q.host, time.Now())
+	q.fleet.RecordSent(id, q.host, parsePartIDs(r.Header.Get("X-Prompt-Prefix")))
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return nil, err
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -52,6 +52,9 @@
 	engine *engine.Engine
 	ledger *application.Ledger
 	stop   func()
+	// lifecycle is held while the server crashes, starts again or is stopped for good.
+	lifecycle sync.Mutex
+	isStopped bool
 
 	mutex             sync.Mutex
 	startedUnixMillis int64
@@ -209,6 +212,9 @@
 		w.Header().Set("X-Instance-Id", s.id)
 		w.WriteHeader(s.healthStatus())
 	default:
+		for _, v := range s.fleet.lethal.recordArrival(id, s.id, time.Now()) {
+			s.fleet.recordViolation(v)
+		}
 		if !s.refusePaused(w, id) {
 			s.handleRequest(w, r)
 		}
--- a/internal/standin/platform/stream.go
+++ b/internal/standin/platform/stream.go
@@ -47,6 +47,9 @@
 	defer stallTimer.Stop()
 	err := s.engine.Generate(ctx, prompt, resumeAfter, eventsPerStream, func(n int64) error {
 		stallTimer.Reset(stallTimeout)
+		if n == resumeAfter+1 && s.endIfLethal(w, r) {
+			return &crashError{}
+		}
 		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n)
 		return http.NewResponseController(w).Flush()
 	})
@@ -55,6 +58,12 @@
 	}
 }
 
+// crashError reports that the server ends.
+type crashError struct{}
+
+// Error implements error.
+func (e *crashError) Error() string { return "server ends" }
+
 // cancellableStream returns a context for a stream that cancelStreams cancels, and a
 // function that releases it.
 func (s *Server) cancellableStream(parent context.Context) (context.Context, func()) {
