quarantiner, coordinator: refuse requests with a part that ends servers

Cause: every host sends any request to any server, whatever requests like it have done before. Nothing remembers what a server was answering when it ended, and hosts tell each other nothing of it. The class is the query of death.

Now a host that sees a server break off a response asks the server for its report. If it has ended, the parts of requests that it had just begun to answer are told to all hosts, as are the parts that were answered since.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
 const (
@@ -88,7 +89,15 @@
 	promptTokens    int
 	grantedAt       time.Duration
 	responseStarted bool
-	revoked         bool
+	// startedAt is when the response started.
+	startedAt time.Duration
+	// incarnation is the run of the server to which the request was sent, and parts are the
+	// parts of its prompt. isPermitted is true if it was sent by a permit for a quarantined
+	// part, hasAcquitted once its response has acquitted its parts.
+	incarnation               quarantiner.Incarnation
+	parts                     []quarantiner.Part
+	isPermitted, hasAcquitted bool
+	revoked                   bool
 	// mayMove is true if the request may be sent to another server while it runs.
 	mayMove bool
 	// returningFrom is the pause after which the request was granted, until the first
@@ -103,6 +112,8 @@
 	arrivedAt time.Duration
 	// isLate is true if the first byte can no longer arrive by FirstByteBy.
 	isLate bool
+	// permit is the quarantined part for which the request has a permit, 0 for none.
+	permit quarantiner.Part
 }
 
 func newAdmissionState() admissionState {
@@ -117,6 +128,9 @@
 // break off a response that its client has begun to receive.
 func (c *Coordinator) admit(now time.Duration, e RequestArrived) {
 	w := &queuedRequest{RequestArrived: e, pool: poolKey{e.Service, e.Model}, arrivedAt: now}
+	if c.refuseIfQuarantined(now, w) {
+		return
+	}
 	w.isLate = c.cannotBeInTime(now, w)
 	c.retainService(e)
 	c.countArrival(now, queueKey{w.pool, w.Rank})
@@ -341,7 +355,13 @@
 
 // grant assigns a slot of a replica to a request.
 func (c *Coordinator) grant(now time.Duration, w *queuedRequest, r *replica) {
-	a := &assignment{replica: r, pool: w.pool, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove}
+	a := &assignment{
+		replica: r, pool: w.pool, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove,
+		incarnation: c.incarnationOf(r.server), parts: w.Parts, isPermitted: w.permit != 0,
+	}
+	if a.isPermitted {
+		c.parts.Use(now, w.permit)
+	}
 	c.assignments[w.Ticket] = a
 	if r.inFlight == 0 {
 		r.busySince = now
@@ -366,6 +386,7 @@
 }
 
 func (c *Coordinator) refuse(w *queuedRequest, reason RefusalReason, retryAfter time.Duration) {
+	c.returnPermit(w)
 	c.emit(Refuse{Ticket: w.Ticket, Reason: reason, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter)})
 }
 
@@ -418,7 +439,7 @@
 	if !ok || a.responseStarted {
 		return
 	}
-	a.responseStarted = true
+	a.responseStarted, a.startedAt = true, now
 	a.replica.unreachableBackOff = 0
 	sample := now - a.grantedAt - a.replica.timeToRead(a.promptTokens)
 	c.firstByteDelays[a.pool] = time.Duration((1-firstByteDelayWeight)*float64(c.firstByteDelay(a.pool)) + firstByteDelayWeight*float64(max(0, sample)))
@@ -442,10 +463,17 @@
 	}
 	a, ok := c.assignments[e.Ticket]
 	if !ok {
-		c.queue = slices.DeleteFunc(c.queue, func(w *queuedRequest) bool { return w.Ticket == e.Ticket })
+		c.queue = slices.DeleteFunc(c.queue, func(w *queuedRequest) bool {
+			isReleased := w.Ticket == e.Ticket
+			if isReleased {
+				c.returnPermit(w)
+			}
+			return isReleased
+		})
 		return
 	}
 	delete(c.assignments, e.Ticket)
+	c.observeRelease(now, a, e)
 	c.endReturning(a, !e.Failed)
 	r := a.replica
 	r.inFlight--
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -67,6 +67,7 @@
 	directoryState
 	admissionShareState
 	noticeState
+	crashState
 }
 
 // peer is the last known state of another host. hasHeartbeat is true once a heartbeat
@@ -115,7 +116,7 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), noticeState: newNoticeState(),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), noticeState: newNoticeState(), crashState: newCrashState(self),
 	}
 	for _, o := range options {
 		o(c)
@@ -141,6 +142,8 @@
 		c.markResponseStarted(now, e.Ticket)
 	case NoticeReceived:
 		c.applyNotice(now, e)
+	case ServerVerified:
+		c.applyVerification(now, e)
 	case TicketReleased:
 		c.releaseTicket(now, e)
 	case ConfigurationChanged:
@@ -215,6 +218,7 @@
 	}
 	c.refreshReplicas(now)
 	c.forgetReservedRetries(now)
+	c.reviewParts(now)
 	c.revokeFromSilent(now)
 	c.dispatchQueue(now)
 	c.sendHeartbeats(now)
@@ -263,6 +267,7 @@
 	p.hasHeartbeat, p.lastHeartbeatReceivedAt, p.lastHeartbeat = true, now, b
 	c.noteSuspects(now, b.Suspects)
 	c.noteLeavingServers(now, b.LeavingServers)
+	c.adoptPartEvidence(now, b.Parts)
 	c.adoptGroups(b)
 	c.observeClaim(now, b)
 	if !c.usesRelays() {
@@ -373,6 +378,7 @@
 		}
 	}
 	b.LeavingServers = c.announcedLeavings(now)
+	b.Parts = c.parts.Message(now, c.usesRelays(), c.sequence)
 	if b.Claim > 0 && c.isSurveyed() {
 		c.publishGroups()
 	}
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
 // Ticket identifies a request for a slot, from its arrival to its release, within one
@@ -43,6 +44,8 @@
 	MayMove bool
 	// PreviousTicket is the ticket of the last attempt of the request, 0 for none.
 	PreviousTicket Ticket
+	// Parts are the parts of the prompt that other requests may have as well.
+	Parts []quarantiner.Part
 	// FailedServers are servers at which this request has failed.
 	FailedServers []fuchsiapitch.ServerID
 }
@@ -63,6 +66,11 @@
 	Unreachable bool
 	// Misdirected is true if another server responded at the address.
 	Misdirected bool
+	// Complete is true if the complete response has arrived.
+	Complete bool
+	// ConnectionEnded is true if the server ended the connection before the response was
+	// complete, or in a way that does not show whether it was.
+	ConnectionEnded bool
 }
 
 // ServersListed reports a new state of the platform's server list.
@@ -183,8 +191,12 @@
 	Reason RefusalReason
 }
 
-// Revoke revokes a granted slot because its group has been dissolved or is silent.
-type Revoke struct{ Ticket Ticket }
+// Revoke revokes a granted slot because its group has been dissolved or is silent, or
+// because a part of the prompt of the request is quarantined.
+type Revoke struct {
+	Ticket      Ticket
+	Quarantined bool
+}
 
 // SendHeartbeat sends a heartbeat to other hosts.
 type SendHeartbeat struct {
@@ -286,6 +298,8 @@
 	NoBudget
 	// Paused means that all replicas want no requests from this host until it is too late.
 	Paused
+	// Quarantined means that requests with the same part in their prompts end servers.
+	Quarantined
 )
 
 // String returns the reason in kebab case.
@@ -301,6 +315,8 @@
 		return "no-budget"
 	case Paused:
 		return "paused"
+	case Quarantined:
+		return "quarantined"
 	}
 	return "invalid"
 }
@@ -381,6 +397,8 @@
 	// LeavingServers are servers that have lately stated to the sender that they leave, at
 	// most maxLeavingServers.
 	LeavingServers []LeavingServer
+	// Parts is what the sender tells of parts of prompts and servers that have ended.
+	Parts quarantiner.Message
 	// GroupsVersion is the version of the group table that the sender knows. Groups is
 	// that table, nil if the recipient is known to have it.
 	GroupsVersion GroupsVersion
--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -310,6 +310,7 @@
 	if !isPaused || returnsAt < w.Deadline && returnsAt <= c.waitLimit(w.arrivedAt, w) {
 		return false
 	}
+	c.returnPermit(w)
 	usableWait := time.Duration(usableWaitShare * float64(w.Deadline-now))
 	c.emit(Refuse{Ticket: w.Ticket, Reason: Paused, RetryAfter: max(min(returnsAt-now, usableWait), minRetryAfter)})
 	return true
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -214,6 +214,7 @@
 	c.adoptDirectory(now, d)
 	c.noteSuspects(now, d.Sender.Suspects)
 	c.noteLeavingServers(now, d.Sender.LeavingServers)
+	c.adoptPartEvidence(now, d.Sender.Parts)
 	c.hasReceivedRequests = c.hasReceivedRequests || d.Sender.HasReceivedRequests
 	c.observeClaim(now, d.Sender)
 	if d.HolderClaim != 0 && d.HolderClaim == c.knownClaim && d.Holder != c.self.ID {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -175,7 +175,7 @@
 	case coordinator.Revoke:
 		if s, ok := d.slots[e.Ticket]; ok {
 			d.meter.CountSlotRevocation()
-			s.revoke()
+			s.revoke(e.Quarantined)
 		}
 	case coordinator.SendHeartbeat:
 		d.sendHeartbeat(e)
@@ -189,6 +189,12 @@
 		d.runInBackground(func() { d.claimControl(e.PreviousClaim) })
 	case coordinator.RereadConfiguration:
 		d.reloadConfiguration()
+	case coordinator.VerifyServer:
+		d.callServer(func() { d.Apply(d.verifyServer(e)) })
+	case coordinator.ServerEnded:
+		d.reportServerEnd(e)
+	case coordinator.QuarantineChanged:
+		d.reportQuarantine(e)
 	case coordinator.ServerSetAside:
 		d.reportSetAside(e)
 	case coordinator.GroupLost:
@@ -417,8 +423,10 @@
 	decision    chan error
 	grant       coordinator.Grant
 	lastByteAt  atomic.Int64
-	onRevoke    func(server fuchsiapitch.ServerID)
+	onRevoke    func(server fuchsiapitch.ServerID, quarantined bool)
 	revoked     bool
+	// revokedForQuarantine is true if the slot was revoked because of a quarantine.
+	revokedForQuarantine bool
 }
 
 // Acquire requests a slot and waits until it is granted or refused. Its error is an
@@ -457,25 +465,26 @@
 func (s *Slot) Urgency() (int, bool) { return s.grant.Urgency, s.grant.IsEngine }
 
 // OnRevoke sets a function that is called, at most once, when the slot is revoked,
-// because its group has been dissolved or is silent. It is called at once if the slot
-// is already revoked. It must not block.
-func (s *Slot) OnRevoke(onRevoke func(server fuchsiapitch.ServerID)) {
+// because its group has been dissolved or is silent, or because a part of the prompt of its
+// request is quarantined. It is called at once if the slot is already revoked. It must not
+// block.
+func (s *Slot) OnRevoke(onRevoke func(server fuchsiapitch.ServerID, quarantined bool)) {
 	s.driver.mutex.Lock()
 	defer s.driver.mutex.Unlock()
 	s.onRevoke = onRevoke
 	if s.revoked {
-		onRevoke(s.grant.Server)
+		onRevoke(s.grant.Server, s.revokedForQuarantine)
 	}
 }
 
 // revoke marks the slot as revoked. The caller holds the mutex of the driver.
-func (s *Slot) revoke() {
+func (s *Slot) revoke(quarantined bool) {
 	if s.revoked {
 		return
 	}
-	s.revoked = true
+	s.revoked, s.revokedForQuarantine = true, quarantined
 	if s.onRevoke != nil {
-		s.onRevoke(s.grant.Server)
+		s.onRevoke(s.grant.Server, quarantined)
 	}
 }
 
@@ -495,6 +504,17 @@
 	s.release(coordinator.TicketReleased{Ticket: s.ticket, Failed: failed, FaultyServer: faultyServer})
 }
 
+// ReleaseComplete releases the slot of a server whose complete response has arrived.
+func (s *Slot) ReleaseComplete() {
+	s.release(coordinator.TicketReleased{Ticket: s.ticket, Complete: true})
+}
+
+// ReleaseEnded releases the slot of a server that has ended the connection. failed is true if
+// that cut the response off, false if the response may be complete.
+func (s *Slot) ReleaseEnded(failed bool) {
+	s.release(coordinator.TicketReleased{Ticket: s.ticket, Failed: failed, ConnectionEnded: true})
+}
+
 // ReleaseUnreachable releases the slot of a server that could not be connected to.
 func (s *Slot) ReleaseUnreachable() {
 	s.release(coordinator.TicketReleased{Ticket: s.ticket, Failed: true, Unreachable: true})
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -28,7 +28,7 @@
 // of hosts. A line on a server that is set aside has the request that brought it.
 var decisionMessages = []string{
 	"leads the groups", "takes over the lead", "server is lost", "group is taken apart", "group is formed", "group is open",
-	"group retires", "server says that it leaves", "server pauses", "configuration is in force", "store cannot be read", "process was suspended", "host serves", "host stops",
+	"group retires", "server says that it leaves", "server pauses", "server has ended while it answered", "part of prompts is quarantined", "part of prompts is free again", "configuration is in force", "store cannot be read", "process was suspended", "host serves", "host stops",
 }
 
 // NotFoundError reports that no log line has the ID of a request.
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -28,6 +29,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_servers_set_aside_total{reason=%q}", reason)).Inc()
 }
 
+// CountServerEnd counts a server that has ended while it answered requests of this host.
+func (m *Meter) CountServerEnd() {
+	m.set.GetOrCreateCounter("fuchsiapitch_servers_ended_total").Inc()
+}
+
+// CountQuarantineChange counts a part of prompts that is quarantined, or free again.
+func (m *Meter) CountQuarantineChange(quarantined bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_quarantine_changes_total{quarantined=%q}", strconv.FormatBool(quarantined))).Inc()
+}
+
 // CountAttempt counts an attempt to run a request at a backend server.
 func (m *Meter) CountAttempt(outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_attempts_total{outcome=%q}", outcome)).Inc()
--- /dev/null
+++ b/internal/quarantiner/message.go
@@ -0,0 +1,126 @@
+package quarantiner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
+)
+
+// Message returns what this host tells others. isRelay is true if it also passes on what it
+// has heard. sequence varies which quarantines are told if there are too many for a message.
+func (t *Table) Message(now time.Duration, isRelay bool, sequence uint64) Message {
+	var m Message
+	for _, i := range t.announcedCrashes(now, isRelay) {
+		c := t.crashes[i]
+		told := Crash{Incarnation: i, Age: now - c.at}
+		for p := range c.parts {
+			told.Parts = append(told.Parts, p)
+		}
+		slices.Sort(told.Parts)
+		m.Crashes = append(m.Crashes, told)
+	}
+	for p, r := range t.records {
+		if r.hasAnswer && now < r.announceUntil && (isRelay || r.isOwnAnswer) {
+			m.Answers = append(m.Answers, Answer{Part: p, Age: now - r.answeredAt})
+		}
+	}
+	m.Answers = sortByAge(m.Answers, func(a Answer) time.Duration { return a.Age }, maxAnnouncedAnswers)
+	m.Quarantines = t.announcedQuarantines(now, sequence)
+	m.Wants = t.announcedWants(now, isRelay)
+	return m
+}
+
+// announcedCrashes returns the newest crashes that other hosts have to be told of.
+func (t *Table) announcedCrashes(now time.Duration, isRelay bool) []Incarnation {
+	var list []Incarnation
+	for i, c := range t.crashes {
+		if now-c.at < announcementSpan && (isRelay || c.isOwn) {
+			list = append(list, i)
+		}
+	}
+	return sortByAge(list, func(i Incarnation) time.Duration { return -t.crashes[i].at }, maxAnnouncedCrashes)
+}
+
+// announcedQuarantines returns the quarantines, or in turns a part of them.
+func (t *Table) announcedQuarantines(now time.Duration, sequence uint64) []Quarantine {
+	parts := t.QuarantinedParts()
+	if n := len(parts); n > maxAnnouncedQuarantines {
+		start := int(sequence % uint64(n))
+		parts = append(parts[start:], parts[:start]...)[:maxAnnouncedQuarantines]
+	}
+	var list []Quarantine
+	for _, p := range parts {
+		q := t.quarantines[p]
+		list = append(list, Quarantine{Part: p, Age: now - q.lastCrashAt, IdleFor: now - q.lastRequestAt, Permits: q.permits, Used: q.used, Holder: q.holder, IsUsed: q.isUsed})
+	}
+	return list
+}
+
+// announcedWants returns the parts of requests that were lately refused, each with one host.
+func (t *Table) announcedWants(now time.Duration, isRelay bool) []Want {
+	var wants []Want
+	for _, p := range t.QuarantinedParts() {
+		q := t.quarantines[p]
+		isOwn := now-q.refusedAt < wantedSpan
+		if !isOwn && !isRelay {
+			continue
+		}
+		if h, ok := q.nextHolder(now, t.self); ok {
+			wants = append(wants, Want{Part: p, Host: h})
+		}
+	}
+	return wants[:min(len(wants), maxAnnouncedWants)]
+}
+
+// Apply adopts what another host tells.
+func (t *Table) Apply(now time.Duration, m Message) {
+	for _, a := range limited(m.Answers, maxAnnouncedAnswers) {
+		t.acquit(now, now-a.Age, a.Part, false)
+	}
+	for _, c := range limited(m.Crashes, maxAnnouncedCrashes) {
+		if c.Age < crashMemory {
+			t.addCrash(now-c.Age, c.Incarnation, limited(c.Parts, maxPartsPerCrash), false)
+		}
+	}
+	for _, told := range limited(m.Quarantines, maxAnnouncedQuarantines) {
+		t.adoptQuarantine(now, told)
+	}
+	for _, w := range limited(m.Wants, maxAnnouncedWants) {
+		if q, ok := t.quarantines[w.Part]; ok && w.Host != t.self {
+			q.wantedBy[w.Host] = now
+		}
+	}
+	t.review(now)
+}
+
+// adoptQuarantine merges a quarantine that another host tells of. One that an answered request
+// has ended since is not adopted, and the other host is told of the answer again.
+func (t *Table) adoptQuarantine(now time.Duration, told Quarantine) {
+	lastCrashAt := now - told.Age
+	if r, ok := t.records[told.Part]; ok && r.hasAnswer && r.answeredAt > lastCrashAt {
+		r.announceUntil = max(r.announceUntil, now+announcementSpan)
+		return
+	}
+	q, ok := t.quarantines[told.Part]
+	if !ok {
+		if len(t.quarantines) >= maxQuarantines || told.IdleFor > idleLifetime {
+			return
+		}
+		q = &quarantine{permitAt: now, refusedAt: -wantedSpan, wantedBy: make(map[fuchsiapitch.HostID]time.Duration)}
+		t.quarantines[told.Part] = q
+	}
+	q.lastCrashAt = max(q.lastCrashAt, lastCrashAt)
+	q.lastRequestAt = max(q.lastRequestAt, now-told.IdleFor)
+	q.used = max(q.used, told.Used)
+	switch {
+	case told.Permits > q.permits:
+		q.permits, q.holder, q.isUsed, q.permitAt = told.Permits, told.Holder, told.IsUsed, now
+		q.isHeld = false
+	case told.Permits == q.permits && told.IsUsed && !q.isUsed:
+		q.isUsed, q.permitAt = true, now
+	}
+}
+
+// limited returns the first elements of a list.
+func limited[T any](list []T, length int) []T { return list[:min(len(list), length)] }
--- a/internal/relayer/connectionend.go
+++ b/internal/relayer/connectionend.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"syscall"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
 // isConnectionEnd reports whether an error says that the other side ended a connection before
@@ -21,21 +23,26 @@
 	return false
 }
 
+// stringers converts parts for the logger.
+func stringers(parts []quarantiner.Part) []fmt.Stringer {
+	list := make([]fmt.Stringer, 0, len(parts))
+	for _, p := range parts {
+		list = append(list, p)
+	}
+	return list
+}
+
 // logConnectionEnd logs an attempt whose server has ended the connection. The first byte of the
 // body came at startedAt, the zero time for none.
 func (x *exchange) logConnectionEnd(slot *driver.Slot, startedAt time.Time, err error) {
 	if !isConnectionEnd(err) {
 		return
 	}
-	parts := make([]string, 0, len(x.metadata.PromptParts))
-	for _, p := range x.metadata.PromptParts {
-		parts = append(parts, p.ID)
-	}
 	answeredFor := time.Duration(0)
 	if !startedAt.IsZero() {
 		answeredFor = time.Since(startedAt)
 	}
 	x.relayer.log.Info().Str("request", string(x.metadata.ID)).Str("route", x.route.Name).Str("server", string(slot.Server())).
-		Strs("parts", parts).Bool("answered", !startedAt.IsZero()).Int64("answered-for-ms", answeredFor.Milliseconds()).
+		Stringers("parts", stringers(x.sharedParts())).Bool("answered", !startedAt.IsZero()).Int64("answered-for-ms", answeredFor.Milliseconds()).
 		Err(err).Msg("server ended the connection")
 }
--- a/internal/relayer/failure.go
+++ b/internal/relayer/failure.go
@@ -44,6 +44,15 @@
 // Error implements error.
 func (e *GroupClosedError) Error() string { return fmt.Sprintf("the group of %s is no more", e.Server) }
 
+// QuarantinedError reports that a request was taken from a server that had not begun to answer
+// it, because requests with the same part in their prompts end servers.
+type QuarantinedError struct{ Server fuchsiapitch.ServerID }
+
+// Error implements error.
+func (e *QuarantinedError) Error() string {
+	return fmt.Sprintf("taken from %s, since a part of the prompt is quarantined", e.Server)
+}
+
 // HeaderTooLargeError reports a request header above the size limit.
 type HeaderTooLargeError struct{ LimitBytes int64 }
 
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -62,12 +62,19 @@
 	}
 	response, outcome, err := x.send(x.ctx, slot, "")
 	if err != nil {
-		x.releaseFailed(slot, response, outcome)
+		x.releaseFailed(slot, response, outcome, err)
 		x.logConnectionEnd(slot, time.Time{}, err)
 		return nil, outcome, err
 	}
 	body, err := x.readResponseBody(response)
-	slot.Release(err != nil, "")
+	switch {
+	case isConnectionEnd(err):
+		slot.ReleaseEnded(true)
+	case err == nil && response.StatusCode < http.StatusInternalServerError:
+		slot.ReleaseComplete()
+	default:
+		slot.Release(err != nil, "")
+	}
 	if err != nil || response.StatusCode >= http.StatusInternalServerError {
 		x.failedServers = append(x.failedServers, slot.Server())
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
 const (
@@ -190,6 +191,8 @@
 	// servers at which an attempt has failed.
 	mayHaveRun    bool
 	failedServers []fuchsiapitch.ServerID
+	// parts are the shared parts of the prompt, nil until they are needed.
+	parts []quarantiner.Part
 }
 
 // matchRoute determines the route, the customer, the service and the deadline of the
@@ -315,7 +318,7 @@
 		MaxPause:             x.route.InterEventTarget,
 		ReturnedAfterRefusal: float64(x.metadata.TimeLimit) < retriedTimeoutRatio*float64(x.route.Timeout),
 		Resumed:              resumed, IsRetry: x.sendCount > 0, FailedServers: x.failedServers,
-		MayMove: x.mayMove(), PreviousTicket: x.lastTicket,
+		MayMove: x.mayMove(), PreviousTicket: x.lastTicket, Parts: x.sharedParts(),
 	})
 	if err != nil {
 		return nil, err
@@ -329,6 +332,17 @@
 	return slot, nil
 }
 
+// sharedParts returns the parts of the prompt that other requests may have as well: all but the
+// last one, which belongs to the request or its session.
+func (x *exchange) sharedParts() []quarantiner.Part {
+	if x.parts == nil && len(x.metadata.PromptParts) > 1 {
+		for _, p := range x.metadata.PromptParts[:len(x.metadata.PromptParts)-1] {
+			x.parts = append(x.parts, quarantiner.NewPart(p.ID))
+		}
+	}
+	return x.parts
+}
+
 // mayMove reports whether the request may be taken from the server that it is about to be
 // sent to, since its response can be resumed and another attempt is left.
 func (x *exchange) mayMove() bool {
@@ -409,7 +423,7 @@
 // releaseFailed releases the slot of a server that did not accept the request or did
 // not respond. If the server rejected the request, the rejection may name another
 // server as the cause.
-func (x *exchange) releaseFailed(slot *driver.Slot, rejection *http.Response, outcome fuchsiapitch.Outcome) {
+func (x *exchange) releaseFailed(slot *driver.Slot, rejection *http.Response, outcome fuchsiapitch.Outcome, err error) {
 	x.failedServers = append(x.failedServers, slot.Server())
 	switch {
 	case rejection != nil && rejection.StatusCode == http.StatusMisdirectedRequest:
@@ -418,6 +432,8 @@
 		slot.Release(true, x.relayer.codec.ParseResponse(rejection.StatusCode, rejection.Header).FaultyServer)
 	case outcome == fuchsiapitch.OutcomeNotRun && x.ctx.Err() == nil:
 		slot.ReleaseUnreachable()
+	case isConnectionEnd(err):
+		slot.ReleaseEnded(true)
 	default:
 		slot.Release(true, "")
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -97,10 +98,16 @@
 	}
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(context.Canceled)
-	slot.OnRevoke(func(server fuchsiapitch.ServerID) { cancel(&GroupClosedError{Server: server}) })
+	slot.OnRevoke(func(server fuchsiapitch.ServerID, quarantined bool) {
+		if quarantined {
+			cancel(&QuarantinedError{Server: server})
+			return
+		}
+		cancel(&GroupClosedError{Server: server})
+	})
 	response, outcome, err := x.send(ctx, slot, p.resumptionID())
 	if err != nil {
-		x.releaseFailed(slot, response, outcome)
+		x.releaseFailed(slot, response, outcome, err)
 		err = cancellationCause(ctx, err)
 		x.logConnectionEnd(slot, time.Time{}, err)
 		return outcome, err
@@ -111,8 +118,7 @@
 		return outcome, cancellationCause(ctx, err)
 	}
 	startedAt, err := x.forwardEvents(slot, response, p)
-	var clientGone *clientGoneError
-	slot.Release(err != nil && !errors.As(err, &clientGone), "")
+	x.releaseStream(slot, response, err)
 	if err != nil {
 		x.failedServers = append(x.failedServers, slot.Server())
 		err = cancellationCause(ctx, err)
@@ -123,6 +129,21 @@
 	return fuchsiapitch.OutcomeSucceeded, nil
 }
 
+// releaseStream releases the slot of a stream that has ended.
+func (x *exchange) releaseStream(slot *driver.Slot, response *http.Response, err error) {
+	var clientGone *clientGoneError
+	switch {
+	case err == nil && sender.IsCloseDelimited(response):
+		slot.ReleaseEnded(false)
+	case err == nil:
+		slot.ReleaseComplete()
+	case isConnectionEnd(err):
+		slot.ReleaseEnded(true)
+	default:
+		slot.Release(!errors.As(err, &clientGone), "")
+	}
+}
+
 // logIfInvalid logs a failed attempt whose stream contained an invalid event. Another
 // attempt may succeed, after which nothing else is logged about this one.
 func (x *exchange) logIfInvalid(err error) {
@@ -151,7 +172,11 @@
 // of a stream, or if the status is 5xx and the request may be sent again.
 func (x *exchange) deliverNonStream(slot *driver.Slot, response *http.Response, p *streamProgress) (fuchsiapitch.Outcome, error) {
 	body, err := x.readResponseBody(response)
-	slot.Release(true, "")
+	if isConnectionEnd(err) {
+		slot.ReleaseEnded(true)
+	} else {
+		slot.Release(true, "")
+	}
 	x.failedServers = append(x.failedServers, slot.Server())
 	if err != nil {
 		return fuchsiapitch.OutcomeUnknown, err
--- a/internal/sender/body.go
+++ b/internal/sender/body.go
@@ -36,8 +36,8 @@
 	return err == nil && mediaType == "text/event-stream" && response.StatusCode == http.StatusOK
 }
 
-// isCloseDelimited reports whether only the end of the connection ends the response.
-func isCloseDelimited(response *http.Response) bool {
+// IsCloseDelimited reports whether only the end of the connection ends the response.
+func IsCloseDelimited(response *http.Response) bool {
 	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -203,7 +203,7 @@
 	if x.call.Streaming() && isEventStream(response) {
 		return fuchsiapitch.NewBackendResponse(response.StatusCode, header, newStreamBody(x, response.Body)), nil
 	}
-	if isCloseDelimited(response) {
+	if IsCloseDelimited(response) {
 		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, &CloseDelimitedResponseError{Status: response.StatusCode})
 	}
 	return fuchsiapitch.NewBackendResponse(response.StatusCode, header, newNonStreamBody(x, response.Body)), nil
