platform, platformassembler: records with impossible values name no replica and no host

Report of other operators: one odd record among those of the replicas, and hosts that read the list end or stop to follow it.

An identifier that is no text cannot be encoded in messages between hosts. A host record with a name for an address made the host look it up while it processed nothing else (read, not played).

Heartbeats go to IP addresses only.

Not covered: a start time that is possible but later than that of the server itself keeps this one server out until it starts again.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,11 +68,11 @@
 	reloadConfiguration func()
 	ctx                 context.Context //nolint:containedctx // Effects run in the background until it ends.
 
-	mutex             sync.Mutex
-	lastTicket        coordinator.Ticket
-	slots             map[coordinator.Ticket]*Slot
-	resolvedAddresses map[string]net.Addr
-	backgroundTasks   sync.WaitGroup
+	mutex           sync.Mutex
+	lastTicket      coordinator.Ticket
+	slots           map[coordinator.Ticket]*Slot
+	parsedAddresses map[string]net.Addr
+	backgroundTasks sync.WaitGroup
 	// callSlots holds a value for each call to a backend server in progress.
 	callSlots chan struct{}
 }
@@ -97,7 +98,7 @@
 	d := &Driver{
 		coordinator: c, servers: servers, claimer: claimer, socket: socket, log: zerolog.Nop(), meter: meter.New(),
 		startedAt: time.Now(), bootClock: bootTime, reloadConfiguration: func() {}, ctx: ctx,
-		slots: make(map[coordinator.Ticket]*Slot), resolvedAddresses: make(map[string]net.Addr),
+		slots: make(map[coordinator.Ticket]*Slot), parsedAddresses: make(map[string]net.Addr),
 		callSlots: make(chan struct{}, maxConcurrentCalls),
 	}
 	for _, o := range options {
@@ -324,14 +325,16 @@
 
 // sendDatagram sends a datagram to another host. It may be lost.
 func (d *Driver) sendDatagram(address string, data []byte) {
-	destination, ok := d.resolvedAddresses[address]
+	destination, ok := d.parsedAddresses[address]
 	if !ok {
-		resolved, err := net.ResolveUDPAddr("udp4", address)
+		// A name is not looked up: that could take seconds, in which no event is processed.
+		parsed, err := netip.ParseAddrPort(address)
 		if err != nil {
 			d.log.Warn().Str("to", address).Err(err).Msg("could not resolve heartbeat address")
 			return
 		}
-		d.resolvedAddresses[address], destination = resolved, resolved
+		destination = net.UDPAddrFromAddrPort(parsed)
+		d.parsedAddresses[address] = destination
 	}
 	if _, err := d.socket.WriteTo(data, destination); err != nil {
 		d.log.Debug().Str("to", address).Err(err).Msg("could not send heartbeat")
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -422,23 +422,29 @@
 			t.Resync()
 		}
 	}
-	h.cacheServers(u)
 	if u.IsSnapshot {
 		clear(h.serversByKey)
 	}
+	// What is no server's record is not passed on to other hosts either.
+	valid := u
+	valid.Records = make([]platform.Record, 0, len(u.Records))
 	for _, r := range u.Records {
 		if r.IsTombstone() {
 			delete(h.serversByKey, r.Key)
+			valid.Records = append(valid.Records, r)
 			continue
 		}
 		report, err := platform.DecodeServer(r.Key, r.Value)
 		if err != nil {
 			h.log.Warn().Err(err).Msg("ignoring invalid server record")
 			delete(h.serversByKey, r.Key)
+			valid.Records = append(valid.Records, platform.Record{Key: r.Key, Offset: r.Offset})
 			continue
 		}
 		h.serversByKey[r.Key] = report
+		valid.Records = append(valid.Records, r)
 	}
+	h.cacheServers(valid)
 	reports := make([]fuchsiapitch.ServerReport, 0, len(h.serversByKey))
 	for _, r := range h.serversByKey {
 		reports = append(reports, r)
--- a/internal/platformassembler/record.go
+++ b/internal/platformassembler/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
@@ -29,9 +30,17 @@
 	Started int64  `json:"started"`
 }
 
+// maxCapacity exceeds the capacity of any host, which is a bandwidth in Mbit/s.
+const maxCapacity = 1 << 24
+
+// decodeHostRecord returns false if the record is not one that a host writes: its address is
+// an IP address, since heartbeats must not wait for a name server.
 func decodeHostRecord(record platform.Record) (coordinator.Peer, bool) {
 	var r hostRecord
-	if json.Unmarshal(record.Value, &r) != nil || r.Address == "" {
+	if json.Unmarshal(record.Value, &r) != nil || !platform.IsIdentifier(record.Key) || !platform.IsName(r.DataCentre) || r.Capacity < 0 || r.Capacity > maxCapacity {
+		return coordinator.Peer{}, false
+	}
+	if a, err := netip.ParseAddrPort(r.Address); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
 		return coordinator.Peer{}, false
 	}
 	return coordinator.Peer{
@@ -41,7 +50,7 @@
 
 func decodeClaimRecord(record platform.Record) (coordinator.ClaimRead, bool) {
 	var r claimRecord
-	if record.Key != controllerKey || json.Unmarshal(record.Value, &r) != nil || r.Holder == "" {
+	if record.Key != controllerKey || json.Unmarshal(record.Value, &r) != nil || !platform.IsIdentifier(r.Holder) {
 		return coordinator.ClaimRead{}, false
 	}
 	// Claim numbers start at 1, because 0 stands for no claim and the first record
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -80,6 +80,12 @@
 	s.put(operatorTopic, "config", configuration)
 }
 
+// WriteServerRecord writes a record among those of the servers, as another writer may.
+func (s *Store) WriteServerRecord(key string, value []byte) { s.put(serversTopic, key, value) }
+
+// WriteRecord writes a record of a topic of the system itself.
+func (s *Store) WriteRecord(topicName, key string, value []byte) { s.put(topicName, key, value) }
+
 func (s *Store) put(topicName, key string, value []byte) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
