coordinator: the first crashes wait for answers at other hosts

The time within which other hosts can tell of answers was set with the first tick after a crash only, and was 0 before.

TestFirstCrashesWaitForOtherHosts failed before.

--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -79,7 +79,9 @@
 }
 
 func newCrashState(self Peer) crashState {
-	return crashState{parts: quarantiner.New(self.ID), endings: make(map[quarantiner.Incarnation]*ending)}
+	t := quarantiner.New(self.ID)
+	t.SetSettleTime(relayedAnswerSettleTime)
+	return crashState{parts: t, endings: make(map[quarantiner.Incarnation]*ending)}
 }
 
 // incarnationOf returns the incarnation of a server as far as it is known.
