relayer: a stopping host passes nothing on late that may outlast it

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end, among them requests that may not be repeated.

Shown here: the host judged by the time at which the header of a request had arrived. A request whose body came late, or that waited for a slot, was passed on at any time of the grace and cut at its end: streams without an end, bookings with 502.

Streams that have begun still resume, and repeatable requests that have been sent once are still repeated.

--- a/internal/relayer/drain.go
+++ b/internal/relayer/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -26,6 +27,12 @@
 // Error implements error.
 func (e *HostStoppingError) Error() string { return "host stops" }
 
+// isHostStopping reports whether a request ended because the host stops.
+func isHostStopping(err error) bool {
+	_, ok := errors.AsType[*HostStoppingError](err)
+	return ok
+}
+
 // StartDraining makes the relayer abort the requests in flight after a time, and refuse
 // from an earlier time on those whose time limit is later. Aborted requests get a response
 // unless theirs has begun.
@@ -42,8 +49,7 @@
 // refuseIfDraining refuses a request that may not end before the host has stopped. It
 // reports whether it has.
 func (x *exchange) refuseIfDraining() bool {
-	d := x.relayer.drain.Load()
-	if d == nil || x.receivedAt.Before(d.refuseFrom) || x.deadline.Before(d.end) {
+	if !x.mayOutlastStop() {
 		return false
 	}
 	x.relayer.meter.CountRequest(x.service, fuchsiapitch.RankName(x.route.Name), fuchsiapitch.OutcomeNotRun)
@@ -51,6 +57,13 @@
 	return true
 }
 
+// mayOutlastStop reports whether the host stops and a request that it passes on now may end
+// only after the host.
+func (x *exchange) mayOutlastStop() bool {
+	d := x.relayer.drain.Load()
+	return d != nil && !time.Now().Before(d.refuseFrom) && !x.deadline.Before(d.end)
+}
+
 // newContext returns the context of the request. It ends at the deadline of the request, when the
 // client leaves, and when the relayer aborts the requests in flight.
 func (x *exchange) newContext() (context.Context, context.CancelFunc) {
--- a/internal/relayer/drain_test.go
+++ b/internal/relayer/drain_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -124,3 +125,94 @@
 		}
 	})
 }
+
+// Guards against a request that a stopping host passes on late although it may not end before
+// the host does: one whose body comes late, and one that has waited for a slot.
+func TestDrainingPassesNothingOnLate(t *testing.T) {
+	const (
+		refuseAfter = 200 * time.Millisecond
+		grace       = 5 * time.Second
+		slots       = 4
+	)
+	paths := map[string]string{"stream": "/stream/x", "booking": "/once/x", "lookup": "/look/x"}
+	for name, path := range paths {
+		t.Run("late body of a "+name, func(t *testing.T) {
+			server := newHangingServer(t)
+			r := newRelayerWithServers(t, io.Discard, server.ServeHTTP)
+			proxy := httptest.NewServer(r)
+			t.Cleanup(proxy.Close)
+			t.Cleanup(func() { close(server.release) })
+			r.StartDraining(refuseAfter, grace)
+			body := &lateBody{delay: 2 * refuseAfter}
+			assertRefusedUnsent(t, server, func() (*http.Response, error) { return sendBody(t, proxy.URL+path, body, 2*grace) })
+		})
+		t.Run("wait of a "+name, func(t *testing.T) {
+			server := newHangingServer(t)
+			r := newRelayerWithServers(t, io.Discard, server.ServeHTTP)
+			proxy := httptest.NewServer(r)
+			t.Cleanup(proxy.Close)
+			ended := make(chan struct{})
+			for range slots {
+				go func() {
+					sendAndRead(t, proxy.URL+"/once/x", "booking")
+					ended <- struct{}{}
+				}()
+				<-server.reached
+			}
+			r.StartDraining(refuseAfter, grace)
+			time.AfterFunc(2*refuseAfter, func() { close(server.release) })
+			assertRefusedUnsent(t, server, func() (*http.Response, error) {
+				return sendBody(t, proxy.URL+path, strings.NewReader("prompt"), 2*grace)
+			})
+			for range slots {
+				<-ended
+			}
+		})
+	}
+}
+
+// lateBody is a request body that comes after a delay.
+type lateBody struct {
+	delay time.Duration
+	isEnd bool
+}
+
+// Read implements io.Reader.
+func (b *lateBody) Read(data []byte) (int, error) {
+	if b.isEnd {
+		return 0, io.EOF
+	}
+	time.Sleep(b.delay)
+	b.isEnd = true
+	return copy(data, "prompt"), nil
+}
+
+// sendBody sends a request with a body and a time limit, and waits for its header.
+func sendBody(t *testing.T, url string, body io.Reader, limit time.Duration) (*http.Response, error) {
+	t.Helper()
+	r := newRequest(t, url, "")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	t.Cleanup(cancel)
+	r = r.WithContext(ctx)
+	r.Body, r.ContentLength = io.NopCloser(body), -1
+	r.Header.Set("Limit", limit.String())
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// assertRefusedUnsent checks that a request is refused and reaches no server.
+func assertRefusedUnsent(t *testing.T, server *hangingServer, send func() (*http.Response, error)) {
+	t.Helper()
+	response, err := send()
+	if err != nil {
+		t.Fatalf("got error %v, want a refusal", err)
+	}
+	response.Body.Close()
+	if got, want := response.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+	select {
+	case <-server.reached:
+		t.Error("got a request at the server, want none")
+	default:
+	}
+}
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -36,7 +36,7 @@
 		if outcome != fuchsiapitch.OutcomeNotRun && x.route.Kind != fuchsiapitch.IdempotentRoute {
 			break
 		}
-		if x.ctx.Err() != nil {
+		if x.ctx.Err() != nil || isHostStopping(err) {
 			break
 		}
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -301,6 +301,9 @@
 // acquireSlot waits for a slot. resumed is true if the client has received part of the
 // response.
 func (x *exchange) acquireSlot(resumed bool) (*driver.Slot, error) {
+	if x.isTooLateToSend(resumed) {
+		return nil, &HostStoppingError{}
+	}
 	x.acquisitions++
 	defer func() { x.admissionWait = time.Since(x.receivedAt) }()
 	latencyTarget := x.route.LatencyTarget
@@ -328,10 +331,22 @@
 		slot.Release(false, "")
 		return nil, context.Cause(x.relayer.aborted)
 	}
+	if x.isTooLateToSend(resumed) {
+		slot.Release(false, "")
+		return nil, &HostStoppingError{}
+	}
 	x.lastTicket = slot.Ticket()
 	return slot, nil
 }
 
+// isTooLateToSend reports whether a stopping host must not pass the request on any more. A stream
+// that the client has begun to receive goes on, since it would end otherwise, and so does a
+// request that gets a response in any case.
+func (x *exchange) isTooLateToSend(resumed bool) bool {
+	isAnswered := x.sendCount > 0 && x.route.Kind == fuchsiapitch.IdempotentRoute
+	return !resumed && !isAnswered && x.mayOutlastStop()
+}
+
 // sharedParts returns the parts of the prompt that other requests may have as well: all but the
 // last one, which belongs to the request or its session.
 func (x *exchange) sharedParts() []quarantiner.Part {
@@ -495,6 +510,8 @@
 		x.writeError(http.StatusGatewayTimeout, 0, "time limit passed")
 	case x.mayHaveRun:
 		x.writeError(http.StatusBadGateway, 0, "no answer: "+err.Error())
+	case isHostStopping(err):
+		x.writeError(http.StatusServiceUnavailable, drainRetryAfter, "not run: "+err.Error())
 	case errors.As(err, &rejected):
 		x.writeError(http.StatusServiceUnavailable, rejected.RetryAfter, rejected.Error())
 	default:
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -73,7 +73,7 @@
 		lastErr = err
 		x.logIfTooLarge(err)
 		x.logIfInvalid(err)
-		if x.ctx.Err() != nil || outcome != fuchsiapitch.OutcomeNotRun && !x.route.Resumable {
+		if x.ctx.Err() != nil || isHostStopping(err) || outcome != fuchsiapitch.OutcomeNotRun && !x.route.Resumable {
 			break
 		}
 	}
