quarantiner: blame the part that explains crashes best

Causes: of several parts with enough crashes all were blamed; a quarantine heard from another host did not explain the crashes known here; a host that had just heard of a crash counted it at once; a quarantine was adopted against the own answers; two parts that were only ever blamed together never got a permit.

Now the part is blamed that was never answered, that ended most servers, or that was answered least often, in this order, and a crash that it explains counts against no other. Crashes count from when they were heard of. A request with several quarantined parts needs permits for each, and its answer acquits all.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -112,8 +112,8 @@
 	arrivedAt time.Duration
 	// isLate is true if the first byte can no longer arrive by FirstByteBy.
 	isLate bool
-	// permit is the quarantined part for which the request has a permit, 0 for none.
-	permit quarantiner.Part
+	// isPermitted is true if the request has permits for its quarantined parts.
+	isPermitted bool
 }
 
 func newAdmissionState() admissionState {
@@ -357,10 +357,10 @@
 func (c *Coordinator) grant(now time.Duration, w *queuedRequest, r *replica) {
 	a := &assignment{
 		replica: r, pool: w.pool, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove,
-		incarnation: c.incarnationOf(r.server), parts: w.Parts, isPermitted: w.permit != 0,
+		incarnation: c.incarnationOf(r.server), parts: w.Parts, isPermitted: w.isPermitted,
 	}
 	if a.isPermitted {
-		c.parts.Use(now, w.permit)
+		c.parts.Use(now, w.Parts)
 	}
 	c.assignments[w.Ticket] = a
 	if r.inFlight == 0 {
--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -219,8 +219,7 @@
 	}
 	c.quarantined = current
 	c.queue = slices.DeleteFunc(c.queue, func(w *queuedRequest) bool {
-		_, isQuarantined := c.parts.IsQuarantined(w.Parts)
-		if isQuarantined && w.permit == 0 {
+		if c.parts.IsQuarantined(w.Parts) && !w.isPermitted {
 			c.emit(Refuse{Ticket: w.Ticket, Reason: Quarantined, RetryAfter: quarantineRetryAfter})
 			return true
 		}
@@ -228,8 +227,7 @@
 	})
 	for _, t := range sortedKeys(c.assignments) {
 		a := c.assignments[t]
-		_, isQuarantined := c.parts.IsQuarantined(a.parts)
-		if isQuarantined && !a.isPermitted && !a.responseStarted && !a.revoked {
+		if c.parts.IsQuarantined(a.parts) && !a.isPermitted && !a.responseStarted && !a.revoked {
 			a.revoked = true
 			c.emit(Revoke{Ticket: t, Quarantined: true})
 		}
@@ -239,13 +237,12 @@
 
 // refuseIfQuarantined refuses a request with a quarantined part. It reports whether it has.
 func (c *Coordinator) refuseIfQuarantined(now time.Duration, w *queuedRequest) bool {
-	verdict, part := c.parts.Check(now, w.Parts)
-	switch verdict {
+	switch c.parts.Check(now, w.Parts) {
 	case quarantiner.Refused:
 		c.emit(Refuse{Ticket: w.Ticket, Reason: Quarantined, RetryAfter: quarantineRetryAfter})
 		return true
 	case quarantiner.Permitted:
-		w.permit = part
+		w.isPermitted = true
 	case quarantiner.Admitted:
 	}
 	return false
@@ -253,8 +250,8 @@
 
 // returnPermit returns the permit of a request that is not sent.
 func (c *Coordinator) returnPermit(w *queuedRequest) {
-	if w.permit != 0 {
-		c.parts.Cancel(w.permit)
-		w.permit = 0
+	if w.isPermitted {
+		c.parts.Cancel(w.Parts)
+		w.isPermitted = false
 	}
 }
--- a/internal/coordinator/crash_test.go
+++ b/internal/coordinator/crash_test.go
@@ -25,7 +25,7 @@
 func newPromptHost(t *testing.T, servers int) *promptHost {
 	t.Helper()
 	ph := &promptHost{Coordinator: New(Peer{ID: "h1"}, 1), now: time.Second}
-	ph.apply(ConfigurationChanged{Routes: fuchsiapitch.NewRouteTable(1, nil, []fuchsiapitch.ServiceProfile{{Name: plainService}}, nil, false, fuchsiapitch.ClientLimits{})})
+	ph.apply(ConfigurationChanged{Routes: plainRoutes()})
 	var list []fuchsiapitch.ServerReport
 	for n := range servers {
 		id := fuchsiapitch.ServerID(fmt.Sprintf("app%d", n))
--- a/internal/coordinator/membership_simulation_test.go
+++ b/internal/coordinator/membership_simulation_test.go
@@ -53,6 +53,10 @@
 	// onGrant is called with each grant, and onRefuse with each refusal unless it is nil.
 	onGrant  func(*simulatedHost, Grant)
 	onRefuse func(*simulatedHost, Refuse)
+	// onEffect is called with the other effects unless it is nil. isCut reports whether a host
+	// is cut off from the others; nil for no host.
+	onEffect func(*simulatedHost, Effect)
+	isCut    func(*simulatedHost) bool
 }
 
 // simulatedHost is one host of a hostCluster.
@@ -128,12 +132,17 @@
 // start starts a host: it registers, reads the store and begins to tick.
 func (hc *hostCluster) start(h *simulatedHost) {
 	hc.registered = append(hc.registered, h.self)
-	hc.apply(h, ConfigurationChanged{Routes: fuchsiapitch.NewRouteTable(1, nil, []fuchsiapitch.ServiceProfile{{Name: plainService}}, nil, false, fuchsiapitch.ClientLimits{})})
+	hc.apply(h, ConfigurationChanged{Routes: plainRoutes()})
 	hc.at(hc.now+simulatedStoreLatency, func() { hc.readList(h) })
 	hc.at(hc.now+simulatedStoreLatency, func() { hc.readHosts(h) })
 	hc.at(hc.now+simulatedTickInterval, func() { hc.tick(h) })
 }
 
+// plainRoutes returns a configuration with plainService alone.
+func plainRoutes() *fuchsiapitch.RouteTable {
+	return fuchsiapitch.NewRouteTable(1, nil, []fuchsiapitch.ServiceProfile{{Name: plainService}}, nil, false, fuchsiapitch.ClientLimits{})
+}
+
 func (hc *hostCluster) tick(h *simulatedHost) {
 	if h.stopped {
 		return
@@ -174,7 +183,7 @@
 		switch f := effect.(type) {
 		case SendHeartbeat:
 			for _, address := range f.Addresses {
-				hc.send(address, HeartbeatReceived{Heartbeat: f.Heartbeat})
+				hc.send(h, address, HeartbeatReceived{Heartbeat: f.Heartbeat})
 			}
 		case SendDigest:
 			for _, r := range f.Recipients {
@@ -186,7 +195,7 @@
 				if r.NeedsDirectory {
 					d.Directory = f.Directory
 				}
-				hc.send(r.Address, DigestReceived{Digest: d})
+				hc.send(h, r.Address, DigestReceived{Digest: d})
 			}
 		case Grant:
 			hc.onGrant(h, f)
@@ -196,17 +205,25 @@
 			}
 		case ClaimControl:
 			hc.at(hc.now+simulatedStoreLatency, func() { hc.claim(h, f.PreviousClaim) })
+		default:
+			if hc.onEffect != nil {
+				hc.onEffect(h, effect)
+			}
 		}
 	}
 }
 
-// send delivers an event to the host at an address, unless the datagram is lost.
-func (hc *hostCluster) send(address string, e Event) {
+// send delivers an event of a host to the host at an address, unless the datagram is lost or one
+// of them is cut off.
+func (hc *hostCluster) send(sender *simulatedHost, address string, e Event) {
 	hc.messages++
 	receiver, ok := hc.byAddress[address]
 	if !ok || hc.rng.Float64() < hc.loss {
 		return
 	}
+	if hc.isCut != nil && (hc.isCut(sender) || hc.isCut(receiver)) {
+		return
+	}
 	hc.at(hc.now+simulatedHostLatency, func() {
 		if !receiver.stopped && hc.now >= receiver.startedAt {
 			hc.apply(receiver, e)
--- a/internal/quarantiner/message.go
+++ b/internal/quarantiner/message.go
@@ -80,7 +80,7 @@
 	}
 	for _, c := range limited(m.Crashes, maxAnnouncedCrashes) {
 		if c.Age < crashMemory {
-			t.addCrash(now-c.Age, c.Incarnation, limited(c.Parts, maxPartsPerCrash), false)
+			t.addCrash(now, now-c.Age, c.Incarnation, limited(c.Parts, maxPartsPerCrash), false)
 		}
 	}
 	for _, told := range limited(m.Quarantines, maxAnnouncedQuarantines) {
@@ -95,10 +95,10 @@
 }
 
 // adoptQuarantine merges a quarantine that another host tells of. One that an answered request
-// has ended since is not adopted, and the other host is told of the answer again.
+// speaks against is not adopted, and the other host is told of the answer.
 func (t *Table) adoptQuarantine(now time.Duration, told Quarantine) {
 	lastCrashAt := now - told.Age
-	if r, ok := t.records[told.Part]; ok && r.hasAnswer && r.answeredAt > lastCrashAt {
+	if r := t.record(told.Part); r != nil && r.vouchesAt(lastCrashAt) {
 		r.announceUntil = max(r.announceUntil, now+announcementSpan)
 		return
 	}
@@ -109,6 +109,7 @@
 		}
 		q = &quarantine{permitAt: now, refusedAt: -wantedSpan, wantedBy: make(map[fuchsiapitch.HostID]time.Duration)}
 		t.quarantines[told.Part] = q
+		t.explainCrashes(told.Part)
 	}
 	q.lastCrashAt = max(q.lastCrashAt, lastCrashAt)
 	q.lastRequestAt = max(q.lastRequestAt, now-told.IdleFor)
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -132,21 +132,23 @@
 // Table holds the evidence and the quarantines. It is not safe for concurrent use.
 type Table struct {
 	self fuchsiapitch.HostID
-	// settleTime is the time after a crash within which other hosts can tell of answered
-	// requests.
+	// settleTime is the time after the news of a crash within which other hosts can tell of
+	// answered requests.
 	settleTime time.Duration
 	// crashes are the remembered ends of servers.
 	crashes map[Incarnation]*crash
 	records map[Part]*record
-	// answered holds when the newest response began that acquits a part, for all parts
-	// that were lately answered at this host. formerlyAnswered is the generation before.
-	answered, formerlyAnswered map[Part]time.Duration
+	// answered holds the answers of this host, for all parts that were lately answered.
+	// formerlyAnswered is the generation before.
+	answered, formerlyAnswered map[Part]answers
 	quarantines                map[Part]*quarantine
 }
 
 // crash is the end of a server.
 type crash struct {
 	at time.Duration
+	// heardAt is when this host has observed it or heard of it.
+	heardAt time.Duration
 	// isOwn is true if this host has observed it.
 	isOwn bool
 	parts map[Part]bool
@@ -154,6 +156,13 @@
 	isExplained bool
 }
 
+// answers are the answered requests with a part: their number, and when the newest response
+// began.
+type answers struct {
+	count    int
+	newestAt time.Duration
+}
+
 // record is the evidence for and against one part.
 type record struct {
 	crashes []Incarnation
@@ -165,6 +174,11 @@
 	announceUntil time.Duration
 }
 
+// vouchesAt reports whether an answered request speaks for the part at the time of a crash.
+func (r *record) vouchesAt(crashAt time.Duration) bool {
+	return r.hasAnswer && r.answeredAt >= crashAt-acquittalSpan
+}
+
 // quarantine is the state of a quarantined part.
 type quarantine struct {
 	lastCrashAt, lastRequestAt time.Duration
@@ -188,11 +202,11 @@
 func New(self fuchsiapitch.HostID) *Table {
 	return &Table{
 		self: self, crashes: make(map[Incarnation]*crash), records: make(map[Part]*record),
-		answered: make(map[Part]time.Duration), formerlyAnswered: make(map[Part]time.Duration), quarantines: make(map[Part]*quarantine),
+		answered: make(map[Part]answers), formerlyAnswered: make(map[Part]answers), quarantines: make(map[Part]*quarantine),
 	}
 }
 
-// SetSettleTime sets the time after a crash within which other hosts can tell of answered
+// SetSettleTime sets the time after the news of a crash within which other hosts can tell of answered
 // requests.
 func (t *Table) SetSettleTime(d time.Duration) { t.settleTime = d }
 
@@ -201,15 +215,15 @@
 
 // RecordCrash records the end of a server that this host has observed at a time.
 func (t *Table) RecordCrash(now, at time.Duration, i Incarnation, parts []Part) {
-	t.addCrash(at, i, parts, true)
+	t.addCrash(now, at, i, parts, true)
 	t.review(now)
 }
 
 // addCrash adds an end of a server, or the further parts of a known one.
-func (t *Table) addCrash(at time.Duration, i Incarnation, parts []Part, isOwn bool) {
+func (t *Table) addCrash(now, at time.Duration, i Incarnation, parts []Part, isOwn bool) {
 	c, ok := t.crashes[i]
 	if !ok {
-		c = &crash{at: at, parts: make(map[Part]bool)}
+		c = &crash{at: at, heardAt: now, parts: make(map[Part]bool)}
 		t.crashes[i] = c
 	}
 	c.isOwn = c.isOwn || isOwn
@@ -230,7 +244,7 @@
 			r.crashes = slices.Delete(r.crashes, 0, 1)
 		}
 		if r.hasAnswer {
-			r.announceUntil = max(r.announceUntil, c.at+announcementSpan)
+			r.announceUntil = max(r.announceUntil, now+announcementSpan)
 		}
 	}
 }
@@ -251,31 +265,34 @@
 	return r
 }
 
+// lastAnswered returns when the newest response of this host with a part began.
 func (t *Table) lastAnswered(p Part) (time.Duration, bool) {
-	if at, ok := t.answered[p]; ok {
-		return at, true
+	if a, ok := t.answered[p]; ok {
+		return a.newestAt, true
 	}
-	at, ok := t.formerlyAnswered[p]
-	return at, ok
+	a, ok := t.formerlyAnswered[p]
+	return a.newestAt, ok
 }
 
+// answerCount returns the number of answers of this host with a part.
+func (t *Table) answerCount(p Part) int { return t.answered[p].count + t.formerlyAnswered[p].count }
+
 // RecordAnswer records that this host has got a response that acquits the parts of its
 // request, and when the response began.
 func (t *Table) RecordAnswer(now, startedAt time.Duration, parts []Part) {
 	for _, p := range parts {
-		if at, ok := t.answered[p]; !ok || startedAt > at {
-			t.answered[p] = startedAt
-		}
+		a := t.answered[p]
+		t.answered[p] = answers{count: a.count + 1, newestAt: max(a.newestAt, startedAt)}
 		t.acquit(now, startedAt, p, true)
 	}
 	if len(t.answered) >= maxAnswered {
-		t.answered, t.formerlyAnswered = make(map[Part]time.Duration), t.answered
+		t.answered, t.formerlyAnswered = make(map[Part]answers), t.answered
 	}
 }
 
 // acquit applies that a request with a part was answered.
 func (t *Table) acquit(now, startedAt time.Duration, p Part, isOwn bool) {
-	if q, ok := t.quarantines[p]; ok && startedAt > q.lastCrashAt {
+	if q, ok := t.quarantines[p]; ok && startedAt >= q.lastCrashAt-acquittalSpan {
 		delete(t.quarantines, p)
 		if r := t.record(p); r != nil {
 			r.crashes = nil
@@ -309,40 +326,92 @@
 	t.review(now)
 }
 
-// review imposes the quarantines that the evidence supports. Parts that are supported by the same
-// evidence are quarantined together.
+// review imposes the quarantines that the evidence supports, the best explanation first. A crash
+// that a quarantine explains no longer counts against other parts, whose requests were at the
+// same server.
 func (t *Table) review(now time.Duration) {
-	var imposed []Part
-	for p, r := range t.records {
-		if _, isQuarantined := t.quarantines[p]; !isQuarantined && t.countCrashes(now, r) >= minCrashes {
-			imposed = append(imposed, p)
+	for {
+		var best *suspect
+		var imposed []Part
+		for p, r := range t.records {
+			if _, isQuarantined := t.quarantines[p]; isQuarantined {
+				continue
+			}
+			s := &suspect{crashes: t.countedCrashes(now, r), hasAnswer: r.hasAnswer, answers: t.answerCount(p)}
+			if len(s.crashes) < minCrashes {
+				continue
+			}
+			switch n := s.compare(best); {
+			case n > 0:
+				best, imposed = s, []Part{p}
+			case n == 0:
+				// Nothing tells the parts apart but a request with only one of them.
+				imposed = append(imposed, p)
+			}
 		}
-	}
-	for _, p := range imposed {
-		if len(t.quarantines) >= maxQuarantines {
+		if best == nil || len(t.quarantines)+len(imposed) > maxQuarantines {
 			return
 		}
-		q := &quarantine{permitAt: now, lastRequestAt: now, refusedAt: -wantedSpan, wantedBy: make(map[fuchsiapitch.HostID]time.Duration)}
-		for _, i := range t.records[p].crashes {
-			c := t.crashes[i]
+		for _, p := range imposed {
+			t.quarantines[p] = &quarantine{permitAt: now, lastRequestAt: now, refusedAt: -wantedSpan, wantedBy: make(map[fuchsiapitch.HostID]time.Duration)}
+			t.explainCrashes(p)
+		}
+	}
+}
+
+// explainCrashes marks the crashes under a quarantined part as explained.
+func (t *Table) explainCrashes(p Part) {
+	r, ok := t.records[p]
+	if !ok {
+		return
+	}
+	for _, i := range r.crashes {
+		if c, isKnown := t.crashes[i]; isKnown {
 			c.isExplained = true
-			q.lastCrashAt = max(q.lastCrashAt, c.at)
+			t.quarantines[p].lastCrashAt = max(t.quarantines[p].lastCrashAt, c.at)
+		}
+	}
+}
+
+// suspect is a part that may be quarantined.
+type suspect struct {
+	crashes   []Incarnation
+	hasAnswer bool
+	answers   int
+}
+
+// compare returns a positive number if a suspect explains crashes better than another one: it has
+// never been answered, ended more servers, or has been answered less often. It returns 0 if
+// the evidence is the same.
+func (s *suspect) compare(o *suspect) int {
+	if o == nil {
+		return 1
+	}
+	if s.hasAnswer != o.hasAnswer {
+		if o.hasAnswer {
+			return 1
 		}
-		t.quarantines[p] = q
+		return -1
 	}
+	return cmp.Or(cmp.Compare(len(s.crashes), len(o.crashes)), cmp.Compare(o.answers, s.answers), slices.CompareFunc(s.crashes, o.crashes, Incarnation.compare))
+}
+
+func (i Incarnation) compare(o Incarnation) int {
+	return cmp.Or(cmp.Compare(i.Server, o.Server), cmp.Compare(i.StartedUnixMillis, o.StartedUnixMillis))
 }
 
-// countCrashes returns the number of crashes that count against a part.
-func (t *Table) countCrashes(now time.Duration, r *record) int {
-	n := 0
+// countedCrashes returns the crashes that count against a part, in order.
+func (t *Table) countedCrashes(now time.Duration, r *record) []Incarnation {
+	var counted []Incarnation
 	for _, i := range r.crashes {
 		c, ok := t.crashes[i]
-		isVouchedFor := r.hasAnswer && ok && r.answeredAt >= c.at-acquittalSpan
-		if ok && !c.isExplained && !isVouchedFor && now-c.at >= t.settleTime {
-			n++
+		isVouchedFor := ok && r.vouchesAt(c.at)
+		if ok && !c.isExplained && !isVouchedFor && now-c.heardAt >= t.settleTime {
+			counted = append(counted, i)
 		}
 	}
-	return n
+	slices.SortFunc(counted, Incarnation.compare)
+	return counted
 }
 
 // IsWatched reports whether there is evidence against any part, so that responses in progress
@@ -372,51 +441,51 @@
 	Refused
 )
 
-// Check decides on a request with parts. A request with several quarantined parts gets no
-// permit: its end would tell nothing.
-func (t *Table) Check(now time.Duration, parts []Part) (Verdict, Part) {
-	var found Part
-	count := 0
+// Check decides on a request with parts. A request with several quarantined parts needs a
+// permit for each: its end would tell nothing of a single one, but its answer acquits all.
+func (t *Table) Check(now time.Duration, parts []Part) Verdict {
+	var found []*quarantine
 	for _, p := range parts {
 		if q, ok := t.quarantines[p]; ok {
 			q.lastRequestAt, q.refusedAt = now, now
-			found = p
-			count++
+			found = append(found, q)
 		}
 	}
-	if count == 0 {
-		return Admitted, 0
+	if len(found) == 0 {
+		return Admitted
+	}
+	for _, q := range found {
+		if q.holder != t.self || q.isUsed || q.isHeld {
+			return Refused
+		}
 	}
-	q := t.quarantines[found]
-	if count == 1 && q.holder == t.self && !q.isUsed && !q.isHeld {
+	for _, q := range found {
 		q.isHeld = true
-		return Permitted, found
 	}
-	return Refused, found
+	return Permitted
 }
 
 // IsQuarantined reports whether a request with parts must not be sent without a permit.
-func (t *Table) IsQuarantined(parts []Part) (Part, bool) {
-	for _, p := range parts {
-		if _, ok := t.quarantines[p]; ok {
-			return p, true
-		}
-	}
-	return 0, false
+func (t *Table) IsQuarantined(parts []Part) bool {
+	return slices.ContainsFunc(parts, func(p Part) bool { return t.quarantines[p] != nil })
 }
 
-// Use records that a request is sent by the permit for a part.
-func (t *Table) Use(now time.Duration, p Part) {
-	if q, ok := t.quarantines[p]; ok && q.isHeld {
-		q.isHeld, q.isUsed, q.permitAt = false, true, now
-		q.used++
+// Use records that a request with parts is sent by the permits of this host.
+func (t *Table) Use(now time.Duration, parts []Part) {
+	for _, p := range parts {
+		if q, ok := t.quarantines[p]; ok && q.isHeld {
+			q.isHeld, q.isUsed, q.permitAt = false, true, now
+			q.used++
+		}
 	}
 }
 
-// Cancel records that a request is not sent although it had a permit.
-func (t *Table) Cancel(p Part) {
-	if q, ok := t.quarantines[p]; ok {
-		q.isHeld = false
+// Cancel records that a request with parts is not sent although it had permits.
+func (t *Table) Cancel(parts []Part) {
+	for _, p := range parts {
+		if q, ok := t.quarantines[p]; ok {
+			q.isHeld = false
+		}
 	}
 }
 
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -57,7 +57,7 @@
 
 func assertVerdict(t *testing.T, table *Table, now time.Duration, want Verdict, parts ...Part) {
 	t.Helper()
-	if got, _ := table.Check(now, parts); got != want {
+	if got := table.Check(now, parts); got != want {
 		t.Errorf("got verdict %d for %v, want %d", got, parts, want)
 	}
 }
@@ -138,7 +138,7 @@
 	table.GrantPermits(now)
 	assertVerdict(t, table, now, Permitted, lethal)
 	assertVerdict(t, table, now, Refused, lethal)
-	table.Use(now, lethal)
+	table.Use(now, []Part{lethal})
 	table.RecordAnswer(now+time.Second, now, []Part{lethal})
 	assertQuarantined(t, table)
 	assertVerdict(t, table, now+time.Second, Admitted, lethal)
@@ -163,7 +163,7 @@
 	table.GrantPermits(now)
 	assertVerdict(t, table, now, Refused, lethal, shared)
 	assertVerdict(t, table, now, Permitted, lethal)
-	table.Cancel(lethal)
+	table.Cancel([]Part{lethal})
 	assertVerdict(t, table, now, Permitted, lethal)
 }
 
@@ -189,8 +189,8 @@
 	for n := range minCrashes {
 		recordCrashes(h[n], 10*time.Second, n, n, lethal)
 	}
+	h.exchange(10 * time.Second)
 	now := 11 * time.Second
-	h.exchange(now)
 	sent := 0
 	leader := 0
 	for ; now < 2*time.Hour; now += 500 * time.Millisecond {
@@ -203,9 +203,9 @@
 		h.exchange(now)
 		for _, table := range h {
 			table.Review(now)
-			if verdict, part := table.Check(now, []Part{popular, lethal}); verdict != Refused {
+			if table.Check(now, []Part{popular, lethal}) != Refused {
 				sent++
-				table.Use(now, part)
+				table.Use(now, []Part{popular, lethal})
 				table.RecordCrash(now+100*time.Millisecond, now+100*time.Millisecond, server(100+sent), []Part{popular, lethal})
 			}
 		}
