platformassembler: lethal prompts and crashed engines in the soak

Streams of the soak have parts; in every second seed one part ends the engines from the fourth second on, and in half of the seeds all open leaders crash at once for another reason. The stand-in checks the bound for lethal requests. A stream that breaks off while a server crashes is counted and not a finding.

--- a/internal/platformassembler/soak_client_test.go
+++ b/internal/platformassembler/soak_client_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -51,6 +52,7 @@
 // soakConnection is a connection of a client.
 type soakConnection struct {
 	net.Conn
+	host    string
 	reader  *bufio.Reader
 	process *soakProcess
 	// used is the time at which the last request was sent, answered that at which its
@@ -65,6 +67,8 @@
 // soakRequest is a request with the pieces in which it is sent.
 type soakRequest struct {
 	id, path string
+	// parts are those of the prompt, nil for a request without one.
+	parts []string
 	body     []byte
 	pieces   [][]byte
 	pause    time.Duration
@@ -82,7 +86,7 @@
 		}
 		c.soak.count("connections")
 		now := time.Now()
-		c.useConnection(ctx, &soakConnection{Conn: conn, reader: bufio.NewReader(conn), process: process, used: now, answered: now, reliance: time.Second})
+		c.useConnection(ctx, &soakConnection{Conn: conn, host: hostName(slices.Index(c.soak.hosts, host)), reader: bufio.NewReader(conn), process: process, used: now, answered: now, reliance: time.Second})
 		conn.Close()
 	}
 }
@@ -153,6 +157,7 @@
 	}
 	conn.requests++
 	conn.used = time.Now()
+	c.soak.Fleet.RecordSent(r.id, conn.host, r.parts)
 	var sendError error
 	for n, p := range r.pieces {
 		if n > 0 {
@@ -173,7 +178,7 @@
 	}
 	conn.answered = time.Now()
 	if err != nil {
-		c.reportMissingResponse(conn, r, &soakFailure{sendError: sendError, err: err, lastUsed: lastUsed, sent: sent, isReliable: isReliable, bodyBytes: len(body)})
+		c.reportMissingResponse(conn, r, &soakFailure{sendError: sendError, err: err, lastUsed: lastUsed, sent: sent, isReliable: isReliable, isBegun: response != nil && r.parts != nil, bodyBytes: len(body)})
 		return nil, false
 	}
 	if isBooking {
@@ -192,7 +197,9 @@
 	lastUsed, sent time.Time
 	// isReliable is true if it was sent within the time that the host had announced.
 	isReliable bool
-	bodyBytes  int
+	// isBegun is true if the header of the response to a stream request has arrived.
+	isBegun   bool
+	bodyBytes int
 }
 
 // reportMissingResponse classifies a request without a complete response. It is lost if all
@@ -208,6 +215,8 @@
 	switch {
 	case f.sendError != nil:
 		c.soak.count("connections closed in the middle of a request")
+	case f.isBegun && c.soak.Fleet.LastCrash().After(conn.used):
+		c.soak.count("streams whose servers crashed")
 	case f.bodyBytes > 0 && conn.answered.Sub(conn.used) >= soakDeadline:
 		c.soak.count("streams that reached their time limit")
 	case !f.isReliable && isReset:
@@ -288,6 +297,10 @@
 	switch kind := c.rng.IntN(20); {
 	case kind < 3:
 		r.path = standin.StreamPathPrefix + "x"
+		r.parts = soundParts(c.rng)
+		if c.soak.isLethal() && c.requestCount > 5 && c.rng.IntN(4) == 0 {
+			r.parts = lethalParts(c.rng)
+		}
 	case kind < 11:
 		r.path = standin.BookPathPrefix + "x"
 	case kind < 15:
@@ -312,6 +325,9 @@
 func (c *soakClient) split(r *soakRequest) {
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Credential: %s\r\nX-Deadline-Ms: %d\r\nX-Model: %s\r\nX-Token-Usage: 100,120\r\n",
 		r.path, standin.HostName, r.id, standin.APIKey, soakDeadline.Milliseconds(), standin.LargeModel)
+	if r.parts != nil {
+		head += "X-Prompt-Prefix: " + promptHeader(r.parts) + "\r\n"
+	}
 	body := r.body
 	if c.rng.IntN(3) == 0 {
 		head += "Transfer-Encoding: chunked\r\n"
--- a/internal/platformassembler/soak_test.go
+++ b/internal/platformassembler/soak_test.go
@@ -36,6 +36,9 @@
 	soakManyClients, soakClients = 900, 240
 	// soakReadinessInterval is the interval of the balancer's readiness checks.
 	soakReadinessInterval = time.Second
+	// soakLethalStart is when the first lethal request is sent, soakMassCrash when several
+	// servers crash for another reason, in every second seed each.
+	soakLethalStart, soakMassCrash = 3 * time.Second, 2 * time.Second
 	// spareService is a second service of plain servers, to which routes move.
 	spareService = "desk-2"
 )
@@ -58,7 +61,9 @@
 
 // Guards against a complete request on an open connection that ends without a response
 // because a host stops, reloads its settings, gets a configuration or closes idle
-// connections, alone and in combination, beside backend servers that fall silent.
+// connections, alone and in combination, beside backend servers that fall silent. In half of
+// the seeds one part of prompts ends the engines, in half of them engines crash for another
+// reason; the stand-in checks that hosts learn the part.
 func TestSoakOfOpenConnections(t *testing.T) {
 	for seed := 1; seed <= soakSeedCount(t); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -245,6 +250,7 @@
 	group.Go(func() { s.silenceServers(ctx, s.newRand(4), soakPlainServers) })
 	group.Go(func() { s.silenceServers(ctx, s.newRand(5), []string{"e00", "e01", "e02", "e10", "e11", "e12"}) })
 	group.Go(func() { s.balance(ctx) })
+	group.Go(func() { s.crashServers(ctx, s.newRand(6)) })
 	for n := range clients {
 		c := &soakClient{soak: s, number: n, rng: s.newRand(uint64(100 + n))}
 		if n%4 == 0 {
@@ -272,6 +278,23 @@
 	}
 }
 
+// isLethal reports whether the seed has lethal requests.
+func (s *soak) isLethal() bool { return s.seed%2 == 0 }
+
+// crashServers lets the lethal part take effect, or crashes several engines at once.
+func (s *soak) crashServers(ctx context.Context, rng *rand.Rand) {
+	if s.seed%4 < 2 && s.pause(ctx, rng, soakMassCrash, soakMassCrash+time.Second) {
+		for _, leader := range s.Fleet.OpenLeaders() {
+			leader.Crash(time.Second + time.Duration(rng.Int64N(int64(time.Second))))
+		}
+		s.count("mass crashes")
+	}
+	if s.isLethal() {
+		s.pause(ctx, rng, soakLethalStart, soakLethalStart+time.Second)
+		s.Fleet.SetLethalPart(lethalPart)
+	}
+}
+
 // isRefusal reports whether a status promises that the request has not run.
 func isRefusal(status int) bool {
 	return slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, status)
@@ -410,6 +433,8 @@
 	h := s.hosts[n]
 	p := h.process.Load()
 	p.stopped.Store(time.Now().UnixNano())
+	s.Fleet.ExcuseRestart(hostName(n))
+	defer s.Fleet.ExcuseRestart(hostName(n))
 	close(p.stop)
 	<-p.result
 	s.count("stops")
