--- a/internal/coordinator/crash_test.go
+++ b/internal/coordinator/crash_test.go
@@ -55,13 +55,20 @@
 // breakOff lets the server of a request end the connection, and has the server verified.
 func (ph *promptHost) breakOff(t *testing.T, ticket Ticket, ended bool) {
 	t.Helper()
-	for _, effect := range ph.apply(TicketReleased{Ticket: ticket, Failed: true, ConnectionEnded: true}) {
+	if !ph.verify(ph.apply(TicketReleased{Ticket: ticket, Failed: true, ConnectionEnded: true}), ended) {
+		t.Error("got no verification of the server, want one")
+	}
+}
+
+// verify carries out the verification of a server among effects. It reports whether there is one.
+func (ph *promptHost) verify(effects []Effect, ended bool) bool {
+	for _, effect := range effects {
 		if v, ok := effect.(VerifyServer); ok {
 			ph.apply(ServerVerified{Server: v.Server, StartedUnixMillis: v.StartedUnixMillis, Ended: ended})
-			return
+			return true
 		}
 	}
-	t.Error("got no verification of the server, want one")
+	return false
 }
 
 // crashAll sends a request to each server and lets all of them end at the same moment.
@@ -111,3 +118,160 @@
 	ph.runFor(3 * time.Second)
 	assertQuarantined(t, ph.Coordinator)
 }
+
+// newQuarantinedHost returns a host that has quarantined the lethal part.
+func newQuarantinedHost(t *testing.T) *promptHost {
+	t.Helper()
+	ph := newPromptHost(t, 6)
+	ph.crashAll(t, 3, lethalPart, sharedPart)
+	ph.apply(HeartbeatReceived{Heartbeat: Heartbeat{From: Peer{ID: "h2"}, Parts: quarantiner.Message{Answers: []quarantiner.Answer{{Part: sharedPart}}}}})
+	ph.runFor(2 * time.Second)
+	assertQuarantined(t, ph.Coordinator, lethalPart)
+	return ph
+}
+
+// Guards against a server that runs on, or leaves, and is taken for one that a request has ended.
+func TestServersThatRunOnBlameNoPart(t *testing.T) {
+	endings := map[string]func(t *testing.T, ph *promptHost, ticket Ticket, id fuchsiapitch.ServerID){
+		"one response broke off": func(t *testing.T, ph *promptHost, ticket Ticket, _ fuchsiapitch.ServerID) {
+			ph.breakOff(t, ticket, false)
+		},
+		"a silent server": func(_ *testing.T, ph *promptHost, ticket Ticket, _ fuchsiapitch.ServerID) {
+			ph.apply(TicketReleased{Ticket: ticket, Failed: true})
+		},
+		"a server that leaves": func(_ *testing.T, ph *promptHost, ticket Ticket, id fuchsiapitch.ServerID) {
+			ph.apply(NoticeReceived{Server: id, Request: "r", Notice: fuchsiapitch.ServerNotice{Leaving: true}})
+			ph.apply(TicketReleased{Ticket: ticket, Failed: true, ConnectionEnded: true})
+		},
+		"an answer that lasted": func(_ *testing.T, ph *promptHost, ticket Ticket, id fuchsiapitch.ServerID) {
+			ph.apply(ResponseStarted{Ticket: ticket})
+			ph.now += quarantiner.SurvivalTime
+			ph.apply(Ticked{LastByteTimes: map[fuchsiapitch.ServerID]time.Duration{id: ph.now}})
+			ph.apply(TicketReleased{Ticket: ticket, Failed: true, ConnectionEnded: true})
+		},
+	}
+	for name, end := range endings {
+		t.Run(name, func(t *testing.T) {
+			ph := newPromptHost(t, 8)
+			for range 6 {
+				ticket, decision := ph.request(popularPart)
+				g, ok := decision.(Grant)
+				if !ok {
+					t.Fatalf("got decision %v, want a grant", decision)
+				}
+				end(t, ph, ticket, g.Server)
+				ph.runFor(time.Second)
+			}
+			assertQuarantined(t, ph.Coordinator)
+		})
+	}
+}
+
+// Guards against a request that its client gave up, or that a server refused, and that vouches
+// for its parts.
+func TestOnlyAnswersAcquit(t *testing.T) {
+	for name, released := range map[string]TicketReleased{
+		"client has left":  {},
+		"failed":           {Failed: true},
+		"connection ended": {ConnectionEnded: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ph := newPromptHost(t, 6)
+			ticket, _ := ph.request(lethalPart)
+			ph.apply(ResponseStarted{Ticket: ticket})
+			released.Ticket = ticket
+			ph.verify(ph.apply(released), false)
+			ph.crashAll(t, 3, lethalPart)
+			ph.runFor(2 * time.Second)
+			assertQuarantined(t, ph.Coordinator, lethalPart)
+		})
+	}
+}
+
+// Guards against a request with a quarantined part that is sent all the same, from wherever it
+// stands: as a new one, a repeat or a resumed stream, from the queue, or by a host that was told.
+func TestQuarantinedRequestsAreRefused(t *testing.T) {
+	arrivals := map[string]RequestArrived{
+		"new": {}, "repeat": {IsRetry: true}, "resumed stream": {IsRetry: true, Resumed: true}, "returned": {ReturnedAfterRefusal: true},
+	}
+	for name, e := range arrivals {
+		t.Run(name, func(t *testing.T) {
+			ph := newQuarantinedHost(t)
+			e.Ticket, e.Service, e.Deadline, e.Parts = 1000, plainService, ph.now+3*time.Second, []quarantiner.Part{sharedPart, lethalPart}
+			assertRefusal(t, ph.apply(e), e.Ticket)
+		})
+	}
+	t.Run("queued", func(t *testing.T) {
+		ph := newPromptHost(t, 1)
+		for range 4 {
+			ph.request(popularPart)
+		}
+		ticket, decision := ph.request(lethalPart)
+		if decision != nil {
+			t.Fatalf("got decision %v, want none yet", decision)
+		}
+		assertRefusal(t, ph.apply(quarantineHeard(lethalPart)), ticket)
+	})
+	t.Run("sent and not begun", func(t *testing.T) {
+		ph := newPromptHost(t, 1)
+		ticket, _ := ph.request(lethalPart)
+		for _, effect := range ph.apply(quarantineHeard(lethalPart)) {
+			if r, ok := effect.(Revoke); ok && r.Ticket == ticket && r.Quarantined {
+				return
+			}
+		}
+		t.Error("got no revocation, want one")
+	})
+	t.Run("sound", func(t *testing.T) {
+		ph := newQuarantinedHost(t)
+		if _, decision := ph.request(sharedPart, popularPart); !isGrant(decision) {
+			t.Errorf("got decision %v, want a grant", decision)
+		}
+	})
+}
+
+// quarantineHeard is the heartbeat of a host that has quarantined a part.
+func quarantineHeard(p quarantiner.Part) HeartbeatReceived {
+	return HeartbeatReceived{Heartbeat: Heartbeat{From: Peer{ID: "h2"}, Parts: quarantiner.Message{Quarantines: []quarantiner.Quarantine{{Part: p}}}}}
+}
+
+func isGrant(e Effect) bool {
+	_, ok := e.(Grant)
+	return ok
+}
+
+// assertRefusal checks that a ticket is refused because of a quarantine, for long.
+func assertRefusal(t *testing.T, effects []Effect, ticket Ticket) {
+	t.Helper()
+	for _, effect := range effects {
+		if r, ok := effect.(Refuse); ok && r.Ticket == ticket {
+			if r.Reason != Quarantined || r.RetryAfter < 10*time.Second {
+				t.Errorf("got reason %s and a retry after %s, want a quarantine and 10s at least", r.Reason, r.RetryAfter)
+			}
+			return
+		}
+	}
+	t.Error("got no refusal, want one")
+}
+
+// Guards against refused lethal requests that use up the retry budget or count as arrivals, so that
+// sound requests wait or get no retry.
+func TestQuarantinedRequestsCostNothing(t *testing.T) {
+	ph := newQuarantinedHost(t)
+	ph.apply(LimitsChanged{StallTimeout: time.Second, RetryRatio: 0.2, RetrySlack: 10, RetryWindow: 10 * time.Second})
+	requests, retries := ph.usageInWindow(ph.now, plainService)
+	arrivals := fmt.Sprint(ph.queueLengths(ph.now))
+	for n := range 1000 {
+		ph.apply(RequestArrived{Ticket: Ticket(2000 + n), Service: plainService, Deadline: ph.now + time.Second, Parts: []quarantiner.Part{lethalPart}, IsRetry: n%2 == 0})
+	}
+	gotRequests, gotRetries := ph.usageInWindow(ph.now, plainService)
+	if gotRequests != requests || gotRetries != retries {
+		t.Errorf("got %v requests and %v retries, want %v and %v", gotRequests, gotRetries, requests, retries)
+	}
+	if got := fmt.Sprint(ph.queueLengths(ph.now)); got != arrivals {
+		t.Errorf("got queues %s, want %s", got, arrivals)
+	}
+	if len(ph.queue) != 0 || len(ph.assignments) != 0 {
+		t.Errorf("got %d queued requests and %d slots in use, want none", len(ph.queue), len(ph.assignments))
+	}
+}
--- a/internal/driver/crash.go
+++ b/internal/driver/crash.go
@@ -3,38 +3,58 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"syscall"
+	"time"
 
-	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 )
 
+const (
+	// verificationAttempts is the number of calls by which a server is verified that resets
+	// connections, verificationInterval the time between them.
+	verificationAttempts = 3
+	verificationInterval = 100 * time.Millisecond
+)
+
 // verifyServer asks a server that has broken off a response for its report. The server has
 // ended if nobody listens at its address any more, or a later incarnation responds there. One
-// that does not respond in time may be cut off.
+// that does not respond in time may be cut off, and one that resets the connection may have too
+// many of them, or may be about to end.
 func (d *Driver) verifyServer(e coordinator.VerifyServer) coordinator.ServerVerified {
+	result := coordinator.ServerVerified{Server: e.Server, StartedUnixMillis: e.StartedUnixMillis}
+	for n := range verificationAttempts {
+		if n > 0 {
+			select {
+			case <-time.After(verificationInterval):
+			case <-d.ctx.Done():
+				return result
+			}
+		}
+		started, err := d.requestStart(e)
+		switch {
+		case err == nil:
+			result.Ended = started != e.StartedUnixMillis
+			return result
+		case errors.Is(err, syscall.ECONNREFUSED):
+			result.Ended = true
+			return result
+		case errors.Is(err, context.DeadlineExceeded):
+			return result
+		}
+	}
+	return result
+}
+
+// requestStart returns the incarnation of a server by its report.
+func (d *Driver) requestStart(e coordinator.VerifyServer) (int64, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
 	defer cancel()
 	r, err := d.servers.Report(ctx, e.Server, e.Address)
-	result := coordinator.ServerVerified{Server: e.Server, StartedUnixMillis: e.StartedUnixMillis}
-	unreachable, isUnreachable := errors.AsType[*fuchsiapitch.UnreachableError](err)
-	switch {
-	case err == nil:
-		result.Ended = r.StartedUnixMillis != e.StartedUnixMillis
-	case isUnreachable:
-		result.Ended = ctx.Err() == nil && !isTimeout(unreachable)
-	}
+	d.meter.CountReportRequest(err == nil)
 	if err != nil {
 		d.log.Info().Str("server", string(e.Server)).Err(err).Msg("server that broke off a response does not report")
 	}
-	d.meter.CountReportRequest(err == nil)
-	return result
-}
-
-// isTimeout reports whether a call failed because nothing came in time.
-func isTimeout(err error) bool {
-	timeout, ok := errors.AsType[net.Error](err)
-	return ok && timeout.Timeout()
+	return r.StartedUnixMillis, err
 }
 
 // reportServerEnd counts and logs a server that has ended while it answered requests.
--- a/internal/driver/heartbeat_test.go
+++ b/internal/driver/heartbeat_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
 // newFullHeartbeat returns a heartbeat in which every field is set.
@@ -15,10 +16,16 @@
 	return coordinator.Heartbeat{
 		From: coordinator.Peer{ID: "h", Address: "10.0.0.1:7", DataCentre: "dc", Capacity: 200}, Incarnation: 5, Sequence: 6, Claim: 7, KnownClaim: 8,
 		Successor: "i", HandedOverClaim: 7, FormationCount: 3, ConfigurationVersion: 9, Eligible: true, HasReceivedRequests: true, Stopping: true,
-		ServerLoads:      []coordinator.ServerLoad{{Server: "s", InFlight: 2, UnreadTokens: 700, SilentFor: 250 * time.Millisecond}},
-		Queues:           []coordinator.Queue{{Service: "llm", Model: "m", Rank: 2, Length: 3, Arrivals: 4}},
-		Suspects:         []fuchsiapitch.ServerID{"s"},
-		LeavingServers:   []coordinator.LeavingServer{{Server: "s", StartedUnixMillis: 5}},
+		ServerLoads:    []coordinator.ServerLoad{{Server: "s", InFlight: 2, UnreadTokens: 700, SilentFor: 250 * time.Millisecond}},
+		Queues:         []coordinator.Queue{{Service: "llm", Model: "m", Rank: 2, Length: 3, Arrivals: 4}},
+		Suspects:       []fuchsiapitch.ServerID{"s"},
+		LeavingServers: []coordinator.LeavingServer{{Server: "s", StartedUnixMillis: 5}},
+		Parts: quarantiner.Message{
+			Crashes:     []quarantiner.Crash{{Incarnation: quarantiner.Incarnation{Server: "s", StartedUnixMillis: 5}, Age: 300 * time.Millisecond, Parts: []quarantiner.Part{1, 1 << 63}}},
+			Answers:     []quarantiner.Answer{{Part: 2, Age: 400 * time.Millisecond}},
+			Quarantines: []quarantiner.Quarantine{{Part: 3, Age: time.Second, IdleFor: 2 * time.Second, Permits: 2, Used: 1, Holder: "h", IsUsed: true}},
+			Wants:       []quarantiner.Want{{Part: 3, Host: "h"}},
+		},
 		GroupsVersion:    coordinator.GroupsVersion{Claim: 7, Revision: 4},
 		DirectoryVersion: 12,
 		Groups:           []coordinator.GroupStatus{{Ref: fuchsiapitch.GroupRef{Name: "g", Epoch: 4}, Model: "m", Leader: "s", Open: true}},
--- a/internal/platformassembler/soak_client_test.go
+++ b/internal/platformassembler/soak_client_test.go
@@ -68,10 +68,10 @@
 type soakRequest struct {
 	id, path string
 	// parts are those of the prompt, nil for a request without one.
-	parts []string
-	body     []byte
-	pieces   [][]byte
-	pause    time.Duration
+	parts  []string
+	body   []byte
+	pieces [][]byte
+	pause  time.Duration
 }
 
 func (c *soakClient) run(ctx context.Context) {
