coordinator: a server that has started again takes part at once

A server that could not be connected to got no request for up to 4 s after its last failure, also if the list had shown a later incarnation meanwhile: its requests were refused as no-replica. A later incarnation now begins without the back-off and the failures of the one before. TestRestartedServerTakesPartAgain failed before.

--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -229,6 +229,9 @@
 		s.lastResponseAt = 0
 		s.lastModel, s.stagingModel, s.expectedLoadEnd, s.highestEpoch = "", "", 0, 0
 		s.consecutiveFailures, s.replaced, s.saysLeaving = 0, false, c.hasSaidLeaving(r)
+		if e, ok := c.replicas[r.ID]; ok {
+			e.unavailableUntil, e.unreachableBackOff, e.avoidedUntil, e.consecutiveFailures = 0, 0, 0, 0
+		}
 	}
 	if r.Service != previous.Service || r.FabricDomain != previous.FabricDomain {
 		c.domains = nil
--- a/internal/coordinator/crash_test.go
+++ b/internal/coordinator/crash_test.go
@@ -275,3 +275,22 @@
 		t.Errorf("got %d queued requests and %d slots in use, want none", len(ph.queue), len(ph.assignments))
 	}
 }
+
+// Guards against a server that is back after a crash and gets no requests for seconds, because
+// its earlier incarnation could not be connected to.
+func TestRestartedServerTakesPartAgain(t *testing.T) {
+	ph := newPromptHost(t, 1)
+	for range 5 {
+		ticket, _ := ph.request()
+		ph.apply(TicketReleased{Ticket: ticket, Failed: true, Unreachable: true})
+		ph.runFor(5 * time.Second)
+	}
+	ticket, _ := ph.request()
+	ph.apply(TicketReleased{Ticket: ticket, Failed: true, Unreachable: true})
+	ph.apply(ServersListed{Servers: []fuchsiapitch.ServerReport{{ID: "app0", Service: plainService, Address: "app0", Slots: 4, StartedUnixMillis: 2}}, Offset: 2})
+	for range 3 {
+		if _, decision := ph.request(); !isGrant(decision) {
+			t.Errorf("got decision %v for a server that has started again, want a grant", decision)
+		}
+	}
+}
