quarantiner: a lethal part counts among many others

Of the parts of the requests at a server that had ended, 64 were remembered and told to other hosts, in the order of their hashes, so that a part with a high hash was never learned if prompts have dozens of parts. Now those that were never answered come first, then those under which most servers have ended; 1,024 of a crash are remembered. TestLethalPartAmongManyParts failed before.

--- a/internal/quarantiner/message.go
+++ b/internal/quarantiner/message.go
@@ -17,6 +17,7 @@
 		for p := range c.parts {
 			told.Parts = append(told.Parts, p)
 		}
+		told.Parts = t.mostSuspect(told.Parts, maxAnnouncedParts)
 		slices.Sort(told.Parts)
 		m.Crashes = append(m.Crashes, told)
 	}
@@ -80,7 +81,7 @@
 	}
 	for _, c := range limited(m.Crashes, maxAnnouncedCrashes) {
 		if c.Age < crashMemory {
-			t.addCrash(now, now-c.Age, c.Incarnation, limited(c.Parts, maxPartsPerCrash), false)
+			t.addCrash(now, now-c.Age, c.Incarnation, limited(c.Parts, maxAnnouncedParts), false)
 		}
 	}
 	for _, told := range limited(m.Quarantines, maxAnnouncedQuarantines) {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -47,15 +47,18 @@
 	// maxRecords, maxAnswered and maxQuarantines bound the parts that are remembered: those
 	// under suspicion, those of answered requests in each of two generations, and those
 	// that are quarantined.
-	maxRecords     = 4096
+	maxRecords     = 16384
 	maxAnswered    = 4096
 	maxQuarantines = 256
-	// maxCrashesPerPart bounds the crashes that are remembered for one part.
+	// maxCrashes bounds the crashes that are remembered, maxPartsPerCrash the parts of one,
+	// and maxCrashesPerPart the crashes of one part.
+	maxCrashes        = 256
+	maxPartsPerCrash  = 1024
 	maxCrashesPerPart = 8
 
 	// The following bound the lists in one message.
 	maxAnnouncedCrashes     = 16
-	maxPartsPerCrash        = 64
+	maxAnnouncedParts       = 64
 	maxAnnouncedAnswers     = 64
 	maxAnnouncedQuarantines = 32
 	maxAnnouncedWants       = 16
@@ -223,11 +226,14 @@
 func (t *Table) addCrash(now, at time.Duration, i Incarnation, parts []Part, isOwn bool) {
 	c, ok := t.crashes[i]
 	if !ok {
+		if len(t.crashes) >= maxCrashes {
+			return
+		}
 		c = &crash{at: at, heardAt: now, parts: make(map[Part]bool)}
 		t.crashes[i] = c
 	}
 	c.isOwn = c.isOwn || isOwn
-	for _, p := range parts {
+	for _, p := range t.mostSuspect(parts, maxPartsPerCrash) {
 		if q, isQuarantined := t.quarantines[p]; isQuarantined {
 			q.lastCrashAt, c.isExplained = max(q.lastCrashAt, c.at), true
 		}
@@ -249,6 +255,33 @@
 	}
 }
 
+// mostSuspect returns at most n parts, first those that were never answered, and then those
+// under which most servers have ended.
+func (t *Table) mostSuspect(parts []Part, n int) []Part {
+	if len(parts) <= n {
+		return parts
+	}
+	crashCount := func(p Part) int {
+		if r, ok := t.records[p]; ok {
+			return len(r.crashes)
+		}
+		return 0
+	}
+	sorted := slices.Clone(parts)
+	slices.SortFunc(sorted, func(a, b Part) int {
+		_, isAnswered := t.lastAnswered(a)
+		_, isOtherAnswered := t.lastAnswered(b)
+		if isAnswered != isOtherAnswered {
+			if isOtherAnswered {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(crashCount(b), crashCount(a)), cmp.Compare(a, b))
+	})
+	return sorted[:n]
+}
+
 // record returns the evidence for a part, nil if too many parts are under suspicion.
 func (t *Table) record(p Part) *record {
 	if r, ok := t.records[p]; ok {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -240,6 +240,43 @@
 	})
 }
 
+// Guards against a lethal part that is left out because the requests at a server have too many
+// parts to remember, or to tell other hosts.
+func TestLethalPartAmongManyParts(t *testing.T) {
+	const answeredParts, newParts = 2 * maxPartsPerCrash, maxPartsPerCrash / 2
+	for name, isAnswered := range map[string]bool{"answered parts": true, "new parts": false} {
+		t.Run(name, func(t *testing.T) {
+			h := hosts{newTable("h1"), newTable("h2")}
+			next := Part(1)
+			const last = Part(1<<64 - 1)
+			for n := range minCrashes {
+				at := time.Duration(10+n) * time.Second
+				var parts []Part
+				own := newParts
+				if isAnswered {
+					own = answeredParts
+				}
+				for range own {
+					next++
+					parts = append(parts, next)
+				}
+				if isAnswered {
+					for _, table := range h {
+						table.RecordAnswer(at, at, parts)
+					}
+				}
+				recordCrashes(h[0], at, n, n, append(parts, last)...)
+				h.exchange(at)
+			}
+			now := time.Duration(9+minCrashes)*time.Second + testSettleTime
+			for _, table := range h {
+				table.Review(now)
+				assertQuarantined(t, table, last)
+			}
+		})
+	}
+}
+
 // Guards against memory and messages that grow with the number of parts.
 func TestManyPartsAreBounded(t *testing.T) {
 	table := newTable("h1")
@@ -271,7 +308,7 @@
 	for _, c := range m.Crashes {
 		parts += len(c.Parts)
 	}
-	if parts > maxAnnouncedCrashes*maxPartsPerCrash || len(m.Answers) > maxAnnouncedAnswers || len(m.Quarantines) > maxAnnouncedQuarantines || len(m.Wants) > maxAnnouncedWants {
+	if parts > maxAnnouncedCrashes*maxAnnouncedParts || len(m.Answers) > maxAnnouncedAnswers || len(m.Quarantines) > maxAnnouncedQuarantines || len(m.Wants) > maxAnnouncedWants {
 		t.Errorf("got a message with %d parts, %d answers, %d quarantines and %d wants, want bounded lists", parts, len(m.Answers), len(m.Quarantines), len(m.Wants))
 	}
 	table.Review(now + crashMemory + idleLifetime + time.Second)
