--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
 // View is a snapshot of a host's state for operators. It is a plain record.
@@ -28,6 +29,8 @@
 	Replicas     []ReplicaView
 	Queues       []Queue
 	RetryBudgets []RetryBudgetView
+	// QuarantinedParts are the parts of prompts whose requests are refused.
+	QuarantinedParts []quarantiner.Part
 }
 
 // PeerView is the known state of another host. It is a plain record.
@@ -82,7 +85,7 @@
 func (c *Coordinator) View(now time.Duration) View {
 	v := View{
 		Host: c.self.ID, ConfigurationVersion: c.configurationVersion(), IsController: c.isController(now), ClaimHolder: c.claimHolder, KnownClaim: c.knownClaim,
-		ListAge: now - c.listReadAt, ListStale: c.listStale,
+		ListAge: now - c.listReadAt, ListStale: c.listStale, QuarantinedParts: c.parts.QuarantinedParts(),
 	}
 	for _, id := range sortedKeys(c.peers) {
 		p := c.peers[id]
--- a/internal/platformassembler/lethal_test.go
+++ b/internal/platformassembler/lethal_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 	standin "github.com/fuchsiapitch/fuchsiapitch/internal/standin/platform"
 )
 
@@ -116,6 +117,11 @@
 	cancel()
 	clients.Wait()
 	c.assertSoundRequestsRan(t)
+	for n := range c.clientAddresses {
+		if got, want := fmt.Sprint(c.fetchStatus(t, n).QuarantinedParts), fmt.Sprint([]quarantiner.Part{quarantiner.NewPart(lethalPart)}); got != want {
+			t.Errorf("host %d: got quarantined parts %s, want %s", n, got, want)
+		}
+	}
 	c.assertNoViolation(t, "BUDGET")
 	if last.status != http.StatusServiceUnavailable || last.retryAfter < 1 {
 		t.Errorf("got status %d and a retry after %.1f s for the last lethal request, want 503 and 1 s or more", last.status, last.retryAfter)
--- a/internal/platformassembler/status.go
+++ b/internal/platformassembler/status.go
@@ -27,6 +27,7 @@
 	Replicas             []replicaStatus     `json:"stations"`
 	Queues               []queueStatus       `json:"queues"`
 	RetryBudgets         []retryBudgetStatus `json:"budgets"`
+	QuarantinedParts     []string            `json:"quarantined-parts"`
 }
 
 type hostStatus struct {
@@ -148,6 +149,9 @@
 	for _, q := range v.Queues {
 		body.Queues = append(body.Queues, queueStatus{Service: string(q.Service), Model: q.Model, Waiting: q.Length})
 	}
+	for _, p := range v.QuarantinedParts {
+		body.QuarantinedParts = append(body.QuarantinedParts, p.String())
+	}
 	for _, b := range v.RetryBudgets {
 		body.RetryBudgets = append(body.RetryBudgets, retryBudgetStatus{Service: string(b.Service), Requests: b.Requests, Retries: b.Retries, AllowedRetries: b.AllowedRetries})
 	}
