quarantiner: news does not become younger with each host that passes it on

News that is at most 250 ms younger than what is known is the same news now. TestNewsKeepsItsAge failed before.

A part that was answered until it began to end servers now counts all crashes since, once they spread over a second (TestPartTurnsLethal failed before); crashes at once still count only 2 s after the last answer.

--- a/internal/quarantiner/message.go
+++ b/internal/quarantiner/message.go
@@ -103,17 +103,21 @@
 		r.announceUntil = max(r.announceUntil, now+announcementSpan)
 		return
 	}
-	q, ok := t.quarantines[told.Part]
-	if !ok {
+	q, isKnown := t.quarantines[told.Part]
+	if !isKnown {
 		if len(t.quarantines) >= maxQuarantines || told.IdleFor > idleLifetime {
 			return
 		}
-		q = &quarantine{permitAt: now, refusedAt: -wantedSpan, wantedBy: make(map[fuchsiapitch.HostID]time.Duration)}
+		q = &quarantine{lastCrashAt: lastCrashAt, lastRequestAt: now - told.IdleFor, permitAt: now, refusedAt: -wantedSpan, wantedBy: make(map[fuchsiapitch.HostID]time.Duration)}
 		t.quarantines[told.Part] = q
 		t.explainCrashes(told.Part)
 	}
-	q.lastCrashAt = max(q.lastCrashAt, lastCrashAt)
-	q.lastRequestAt = max(q.lastRequestAt, now-told.IdleFor)
+	if isNewer(lastCrashAt, q.lastCrashAt, false) {
+		q.lastCrashAt = lastCrashAt
+	}
+	if at := now - told.IdleFor; isNewer(at, q.lastRequestAt, false) {
+		q.lastRequestAt = at
+	}
 	q.used = max(q.used, told.Used)
 	switch {
 	case told.Permits > q.permits:
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -32,6 +32,12 @@
 	// acquittalSpan is the time for which an answered request vouches for its parts: a server
 	// that ends within it after the begin of the response does not count against them.
 	acquittalSpan = 2 * time.Second
+	// ageTolerance is how much younger news must be than what is known to count as other news:
+	// messages take time, so that all news becomes a little younger at each host.
+	ageTolerance = 250 * time.Millisecond
+	// crashSpread is the time from which on crashes under a part that is not answered any more
+	// count as one after the other, not as the loss of many servers at once.
+	crashSpread = time.Second
 	// crashMemory is how long the end of a server counts against a part.
 	crashMemory = time.Minute
 	// announcementSpan is how long other hosts are told of a crash or an answered request.
@@ -332,12 +338,21 @@
 		}
 	}
 	r, ok := t.records[p]
-	if !ok || r.hasAnswer && r.answeredAt >= startedAt {
+	if !ok || r.hasAnswer && !isNewer(startedAt, r.answeredAt, isOwn) {
 		return
 	}
 	r.hasAnswer, r.isOwnAnswer, r.answeredAt, r.announceUntil = true, isOwn, startedAt, now+announcementSpan
 }
 
+// isNewer reports whether a time is later than a known one, by more than the tolerance if another
+// host has told of it.
+func isNewer(at, known time.Duration, isOwn bool) bool {
+	if isOwn {
+		return at > known
+	}
+	return at > known+ageTolerance
+}
+
 // Review imposes the quarantines that the evidence supports and forgets what is old.
 func (t *Table) Review(now time.Duration) {
 	for i, c := range t.crashes {
@@ -433,15 +448,25 @@
 	return cmp.Or(cmp.Compare(i.Server, o.Server), cmp.Compare(i.StartedUnixMillis, o.StartedUnixMillis))
 }
 
-// countedCrashes returns the crashes that count against a part, in order.
+// countedCrashes returns the crashes that count against a part, in order: those later than its
+// newest answer began. An answer that began shortly before speaks for the part all the same, unless
+// servers go on ending under it.
 func (t *Table) countedCrashes(now time.Duration, r *record) []Incarnation {
 	var counted []Incarnation
+	var first, last time.Duration
 	for _, i := range r.crashes {
 		c, ok := t.crashes[i]
-		isVouchedFor := ok && r.vouchesAt(c.at)
-		if ok && !c.isExplained && !isVouchedFor && now-c.heardAt >= t.settleTime {
-			counted = append(counted, i)
+		if !ok || c.isExplained || now-c.heardAt < t.settleTime || r.hasAnswer && r.answeredAt >= c.at {
+			continue
+		}
+		if len(counted) == 0 {
+			first, last = c.at, c.at
 		}
+		first, last = min(first, c.at), max(last, c.at)
+		counted = append(counted, i)
+	}
+	if last-first < crashSpread {
+		counted = slices.DeleteFunc(counted, func(i Incarnation) bool { return r.vouchesAt(t.crashes[i].at) })
 	}
 	slices.SortFunc(counted, Incarnation.compare)
 	return counted
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -117,6 +117,45 @@
 	}
 }
 
+// Guards against an answer or a crash that becomes younger with each host that passes it on, because
+// messages take time, until it speaks for a part that ends servers or keeps a sound one
+// refused.
+func TestNewsKeepsItsAge(t *testing.T) {
+	h := hosts{newTable("h1"), newTable("h2"), newTable("h3")}
+	const latency = 20 * time.Millisecond
+	h[0].RecordAnswer(10*time.Second, 9*time.Second, []Part{popular})
+	recordCrashes(h[0], 10*time.Second, 0, 0, popular)
+	h[1].Apply(10*time.Second, Message{Quarantines: []Quarantine{{Part: lethal}}})
+	for now := 10 * time.Second; now < 20*time.Second; now += 100 * time.Millisecond {
+		for _, sender := range h {
+			m := sender.Message(now, true, 1)
+			for _, receiver := range h {
+				receiver.Apply(now+latency, m)
+			}
+		}
+	}
+	for _, table := range h {
+		if r, ok := table.records[popular]; ok && r.answeredAt > 9*time.Second+ageTolerance {
+			t.Errorf("host %s: got an answer that began at %s, want 9s", table.self, r.answeredAt)
+		}
+		if q := table.quarantines[lethal]; q == nil || q.lastCrashAt > 10*time.Second+ageTolerance {
+			t.Errorf("host %s: got quarantine %+v, want one with a crash at 10s", table.self, q)
+		}
+	}
+}
+
+// Guards against a part that was answered until it began to end servers, and is not blamed for
+// long.
+func TestPartTurnsLethal(t *testing.T) {
+	table := newTable("h1")
+	table.RecordAnswer(10*time.Second, 9500*time.Millisecond, []Part{lethal})
+	for n := range minCrashes {
+		recordCrashes(table, 10*time.Second+time.Duration(n)*crashSpread/2, n, n, lethal)
+	}
+	table.Review(10*time.Second + crashSpread + testSettleTime)
+	assertQuarantined(t, table, lethal)
+}
+
 // Guards against a rarer part that is blamed for the crashes of a quarantined one, because its
 // requests were at the same servers.
 func TestExplainedCrashesBlameNoOtherPart(t *testing.T) {
