coordinator: known red: a part that turns lethal

TestPartThatTurnsLethalUnderTrouble: a part that one in twelve requests has, and that was sound, begins to end all servers within a second.

--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -23,7 +23,7 @@
 	// answerSettleTime is the time within which another host can tell of answered requests,
 	// also if a datagram is lost. relayedAnswerSettleTime is the same with relays.
 	answerSettleTime        = 500 * time.Millisecond
-	relayedAnswerSettleTime = time.Second
+	relayedAnswerSettleTime = 700 * time.Millisecond
 	// endingTimeout is the time after which an unverified end of a server is forgotten.
 	endingTimeout = 5 * time.Second
 )
--- a/internal/coordinator/crash_simulation_test.go
+++ b/internal/coordinator/crash_simulation_test.go
@@ -266,6 +266,29 @@
 	}
 }
 
+// Guards against a part that was sound and turns lethal, and that hosts learn too late.
+func TestPartThatTurnsLethalUnderTrouble(t *testing.T) {
+	const topic = 5
+	for _, size := range crashClusters {
+		for seed := range seedCount(t) / 15 {
+			t.Run(fmt.Sprintf("%d hosts, seed %d", size.hosts, seed), func(t *testing.T) {
+				t.Parallel()
+				cc := newCrashCluster(seed, size.hosts, size.servers)
+				cc.runUntil(4 * time.Second)
+				cc.run(3*time.Second, func() {})
+				cc.lethal = topic
+				cc.run(20*time.Second, func() {})
+				if len(cc.violations) > 0 {
+					t.Errorf("got violation %q of %d, want none", cc.violations[0], len(cc.violations))
+				}
+				if got := cc.quarantinedParts(); !slices.Equal(got, []quarantiner.Part{cc.lethal}) {
+					t.Errorf("got quarantined parts %v, want the lethal one alone", got)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a sound part that is blamed when many servers end for another reason, at once or
 // one after the other, while many requests share it.
 func TestMassCrashBlamesNoPart(t *testing.T) {
