--- a/internal/coordinator/crash_test.go
+++ b/internal/coordinator/crash_test.go
@@ -133,8 +133,8 @@
 // Guards against a server that runs on, or leaves, and is taken for one that a request has ended.
 func TestServersThatRunOnBlameNoPart(t *testing.T) {
 	endings := map[string]func(t *testing.T, ph *promptHost, ticket Ticket, id fuchsiapitch.ServerID){
-		"one response broke off": func(t *testing.T, ph *promptHost, ticket Ticket, _ fuchsiapitch.ServerID) {
-			ph.breakOff(t, ticket, false)
+		"one response broke off": func(_ *testing.T, ph *promptHost, ticket Ticket, _ fuchsiapitch.ServerID) {
+			ph.verify(ph.apply(TicketReleased{Ticket: ticket, Failed: true, ConnectionEnded: true}), false)
 		},
 		"a silent server": func(_ *testing.T, ph *promptHost, ticket Ticket, _ fuchsiapitch.ServerID) {
 			ph.apply(TicketReleased{Ticket: ticket, Failed: true})
