coordinator: a directory does not wipe the groups of leaders

Trace: after a data centre that was cut off is reached again, a host of it takes control (claim 2, 39.7 s) and at 40.57 s orders i-7f056346fa, a member of the open group g1048816, to join g2097156. It never probes the leader of g1048816, i-52ad71f61c, which has not reached the store yet and is off the list.

Cause: hosts that are no relays learn servers from directories, which have no groups. Adopting one replaced what an earlier list had said of a leader, its group included, so that the host later took it for one that had left its group, and did not probe it, since it was in none. A directory now changes only what it has; the rest of the same incarnation stays. Such a leader is probed, and its members stay until it has answered or is lost.

TestDirectoryKeepsMembershipOfLeaders failed before. Small clusters have no directories.

--- a/internal/coordinator/directory.go
+++ b/internal/coordinator/directory.go
@@ -54,6 +54,17 @@
 	return c.servesList(now) || c.directoryVersion == 0 || now-c.directoryConfirmedAt >= directoryTimeout
 }
 
+// mergeDirectoryEntry returns the report of a server with what a directory says of it. What only
+// the list and the server itself say of the same incarnation, such as its group, stays.
+func (c *Coordinator) mergeDirectoryEntry(e DirectoryEntry) fuchsiapitch.ServerReport {
+	r := fuchsiapitch.ServerReport{ID: e.Server, StartedUnixMillis: e.StartedUnixMillis}
+	if s, ok := c.servers[e.Server]; ok && s.report.StartedUnixMillis == e.StartedUnixMillis {
+		r = s.report
+	}
+	r.Service, r.Address, r.DataCentre, r.Slots, r.Leaving = e.Service, e.Address, e.DataCentre, e.Slots, e.Leaving
+	return r
+}
+
 // servesList reports whether this host reads the server list for others: in a small
 // cluster, as the controller, or as a relay.
 func (c *Coordinator) servesList(now time.Duration) bool {
@@ -147,9 +158,7 @@
 	}
 	list := make([]fuchsiapitch.ServerReport, 0, len(d.Directory))
 	for _, e := range d.Directory {
-		list = append(list, fuchsiapitch.ServerReport{
-			ID: e.Server, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: e.Slots, Leaving: e.Leaving, StartedUnixMillis: e.StartedUnixMillis,
-		})
+		list = append(list, c.mergeDirectoryEntry(e))
 	}
 	c.listStale = false
 	c.mergeServerList(now, list, d.ListOffset)
--- a/internal/coordinator/directory_test.go
+++ b/internal/coordinator/directory_test.go
@@ -92,3 +92,43 @@
 		t.Error("got a new directory held back, want it sent")
 	}
 }
+
+// Guards against a server that joins a second group: its host has become the controller, and takes
+// the leader of its open group for one that has left, because a directory, which has no groups,
+// has replaced what the list had said of it.
+func TestDirectoryKeepsMembershipOfLeaders(t *testing.T) {
+	now := 5 * time.Second
+	c := newMember(now)
+	ref := fuchsiapitch.GroupRef{Name: "g", Epoch: 1}
+	leader := fuchsiapitch.ServerReport{
+		ID: "leader", Service: "llm", Address: "l", Slots: 6, StartedUnixMillis: 7, FabricDomain: "d", LoadedModels: []string{"m"},
+		Membership: fuchsiapitch.Membership{Group: ref, State: fuchsiapitch.MemberOpen},
+	}
+	member := leader
+	member.ID, member.Address, member.Membership.Rank = "member", "m", 1
+	c.Apply(now, ServersListed{Servers: []fuchsiapitch.ServerReport{leader, member}, Offset: 9})
+	digest := newDirectoryDigest(10, false)
+	digest.Directory = []DirectoryEntry{{Server: "leader", Service: "llm", Address: "l", Slots: 6, StartedUnixMillis: 7}}
+	digest.Sender.DirectoryVersion = hashDirectory(digest.Directory)
+	now += 2 * currentListAge
+	c.Apply(now, DigestReceived{Digest: digest})
+	// A later list has the member alone: the leader cannot reach the store.
+	c.Apply(now, ServersListed{Servers: []fuchsiapitch.ServerReport{member}, Offset: 11})
+	if c.mayJoin(c.servers["member"]) {
+		t.Error("got a member that may join another group, want it to stay in the group whose leader has not left")
+	}
+	if got, want := c.servers["leader"].report.Membership.Group, ref; got != want {
+		t.Errorf("got group %v of the leader, want %v", got, want)
+	}
+	if !c.servers["leader"].needsProbe {
+		t.Error("got a leader that is off the list and is not probed, want a probe")
+	}
+	t.Run("later incarnation", func(t *testing.T) {
+		digest.Directory = []DirectoryEntry{{Server: "leader", Service: "llm", Address: "l", Slots: 6, StartedUnixMillis: 8}}
+		digest.Sender.DirectoryVersion, digest.ListOffset = hashDirectory(digest.Directory), 12
+		c.Apply(now+2*currentListAge, DigestReceived{Digest: digest})
+		if got := c.servers["leader"].report.Membership.Group.Name; got != "" {
+			t.Errorf("got group %q of a server that has started again, want none", got)
+		}
+	})
+}
