--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -63,7 +63,7 @@
 func (QuarantineChanged) isEffect() {}
 func (ServerVerified) isEvent()     {}
 
-// crashState holds what is known of servers that end, and of the parts of prompts.
+// crashState holds the evidence about parts of prompts, and the servers that are being verified.
 type crashState struct {
 	parts *quarantiner.Table
 	// endings are the servers that have broken off responses and are being verified.
