relayer, meter: count and log the streams that break off, by cause

The hypotheses differ in why a stream that its client has begun to receive ends: a refusal that says "not run", no slot, a closed group, the end of a stop, the time limit. Hosts logged the last error alone, and nothing of the attempts before, nor of those after which the stream went on. fuchsiapitch_broken_off_responses_total has the cause, and each failed attempt of such a stream has a line. No logic changes. TestBreakOffIsCounted; the tests of the package pass.

--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -95,3 +95,9 @@
 func (m *Meter) CountRescuedRequest() {
 	m.set.GetOrCreateCounter("fuchsiapitch_rescued_requests_total").Inc()
 }
+
+// CountBrokenOffResponse counts a response that a client had begun to receive and that ended
+// before it was complete, by its cause.
+func (m *Meter) CountBrokenOffResponse(cause string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_broken_off_responses_total{cause=%q}", cause)).Inc()
+}
--- /dev/null
+++ b/internal/relayer/breakoff_test.go
@@ -0,0 +1,70 @@
+package relayer
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
+)
+
+// breakingStream is a stream that ends after the events up to one.
+func breakingStream(lastEvent int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		io.WriteString(w, events(1, lastEvent))
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// assertBreakOff checks that a relayer has counted one response that was broken off for a cause.
+func assertBreakOff(t *testing.T, m *meter.Meter, cause breakOffCause) {
+	t.Helper()
+	var text strings.Builder
+	m.Write(&text)
+	if got, want := text.String(), `fuchsiapitch_broken_off_responses_total{cause="`+string(cause)+`"} 1`; !strings.Contains(got, want) {
+		t.Errorf("got metrics\n%s\nwant %s", got, want)
+	}
+}
+
+// inTurn returns a handler that passes each request to the next of the given handlers.
+func inTurn(handlers ...http.HandlerFunc) http.HandlerFunc {
+	var requests atomic.Int64
+	return func(w http.ResponseWriter, r *http.Request) {
+		handlers[int(requests.Add(1)-1)%len(handlers)](w, r)
+	}
+}
+
+// A response that is broken off is counted by its cause, and its failed attempts are logged.
+func TestBreakOffIsCounted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		second http.HandlerFunc
+		cause  breakOffCause
+	}{
+		"by servers that end": {second: abort, cause: causeServerEnded},
+		"by an error":         {second: respondWith(http.StatusInternalServerError), cause: causeInvalidResponse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var logs lockedBuffer
+			m := meter.New()
+			handler := inTurn(breakingStream(1), tc.second)
+			relayer := newRelayerWithServers(t, &logs, handler, handler)
+			relayer.meter = m
+			proxy := httptest.NewServer(relayer)
+			t.Cleanup(proxy.Close)
+			if _, _, err := sendAndRead(t, proxy.URL+"/stream/x", "p"); err == nil {
+				t.Error("got a complete response, want an aborted one")
+			}
+			assertBreakOff(t, m, tc.cause)
+			if got, want := strings.Count(logs.text(), "attempt of a stream failed"), 2; got != want {
+				t.Errorf("got %d lines of failed attempts, want %d", got, want)
+			}
+		})
+	}
+}
--- a/internal/relayer/failure.go
+++ b/internal/relayer/failure.go
@@ -6,6 +6,10 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
+// reasonNotRun is the reason of a ResponseError for a response that says that the request was
+// not run and will not be.
+const reasonNotRun = "not run"
+
 // ResponseError reports a response of a server that must not be forwarded to the
 // client.
 type ResponseError struct {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -365,6 +365,9 @@
 		x.sendCount+1 < x.route.AttemptLimit && x.acquisitions < x.route.AttemptLimit+maxUnsentAttempts
 }
 
+// remaining returns the time until the deadline of the request.
+func (x *exchange) remaining() time.Duration { return time.Until(x.deadline) }
+
 // priorElapsed returns the time that the client has spent on earlier attempts: the part
 // of the route's timeout that is missing from the client's time limit.
 func (x *exchange) priorElapsed() time.Duration {
@@ -414,7 +417,7 @@
 		problem = "for another request"
 	case responseMetadata.NotRun && response.StatusCode >= http.StatusBadRequest:
 		response.Body.Close()
-		return response, fuchsiapitch.OutcomeNotRun, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "not run"}
+		return response, fuchsiapitch.OutcomeNotRun, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: reasonNotRun}
 	case !responseMetadata.Signed && response.StatusCode < http.StatusMultipleChoices:
 		problem = "without a signature"
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -73,6 +73,7 @@
 		lastErr = err
 		x.logIfTooLarge(err)
 		x.logIfInvalid(err)
+		x.logFailedAttempt(&p, outcome, err)
 		if x.ctx.Err() != nil || isHostStopping(err) || outcome != fuchsiapitch.OutcomeNotRun && !x.route.Resumable {
 			break
 		}
@@ -81,12 +82,7 @@
 		x.fail(lastErr)
 		return
 	}
-	if x.request.Context().Err() != nil {
-		x.logFailure(http.StatusOK, "caller left")
-	} else {
-		x.logFailure(http.StatusOK, "stream broken off: "+lastErr.Error())
-	}
-	panic(http.ErrAbortHandler)
+	x.breakOff(lastErr)
 }
 
 // attemptStream sends the request to one server and forwards its events to the
