--- a/internal/relayer/breakoff.go
+++ b/internal/relayer/breakoff.go
@@ -80,7 +80,7 @@
 // logFailedAttempt logs a failed attempt of a stream that the client has begun to receive.
 // Another attempt may succeed, after which nothing else is logged about this one.
 func (x *exchange) logFailedAttempt(p *streamProgress, outcome fuchsiapitch.Outcome, err error) {
-	if !p.headerSent {
+	if !p.headerSent || x.request.Context().Err() != nil {
 		return
 	}
 	server := fuchsiapitch.ServerID("")
