standin: sound servers that fall silent and go on

The stand-in could only pause the process of a server: the port accepted connections, the streams of other members of its group went on, and a pause as long as the stall time-out broke the group. A sound server that falls silent now goes on with its streams and with what has arrived, keeps its entry, stalls its group, and either accepts connections or leaves them hanging: the queue of the listening socket is full, so that the kernel drops them, as for a machine that no packet reaches.

--- a/internal/standin/faulter/connection.go
+++ b/internal/standin/faulter/connection.go
@@ -48,10 +48,16 @@
 type listener struct {
 	net.Listener
 	faultServer *Server
+	tcp         *net.TCPListener
+	// gate is shut while no connections are accepted.
+	gate      *gate
+	closeOnce sync.Once
+	closed    chan struct{}
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
+	l.awaitGate()
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- a/internal/standin/faulter/server.go
+++ b/internal/standin/faulter/server.go
@@ -44,6 +44,7 @@
 
 	mu           sync.Mutex
 	httpServer   *http.Server
+	listener     *listener
 	serveDone    chan struct{}
 	connections  map[*connection]struct{}
 	isDead       bool
@@ -93,10 +94,14 @@
 	s.address = tcpListener.Addr().String()
 	server := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: readHeaderTimeout}
 	serveDone := make(chan struct{})
-	s.httpServer, s.serveDone, s.isDead = server, serveDone, false
+	l := &listener{
+		Listener: s.wireCounter.CountConnections(tcpListener), faultServer: s, tcp: tcpListener.(*net.TCPListener),
+		gate: newGate(), closed: make(chan struct{}),
+	}
+	s.httpServer, s.listener, s.serveDone, s.isDead = server, l, serveDone, false
 	go func() {
 		defer close(serveDone)
-		_ = server.Serve(&listener{Listener: s.wireCounter.CountConnections(tcpListener), faultServer: s})
+		_ = server.Serve(l)
 	}()
 	return nil
 }
--- a/internal/standin/platform/fleet.go
+++ b/internal/standin/platform/fleet.go
@@ -23,6 +23,7 @@
 	notices        *noticeChecker
 	lethal         *lethalChecker
 	lastCrash      time.Time
+	silences       []Silence
 }
 
 // orderDelay is the time between the arrival and the execution of a delayed order.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -78,6 +78,8 @@
 	isLeaving  bool
 	isDraining bool
 	isUnlisted bool
+	// silentUntil is the end of the last silence.
+	silentUntil time.Time
 	// pauseEnds holds until when requests are refused, by host, and for all under "".
 	pauseEnds map[string]time.Time
 }
@@ -172,11 +174,11 @@
 	return d
 }
 
-// announce writes the next entry to the store, unless the server is lost or unlisted.
+// announce writes the next entry to the store, unless the server is lost, unlisted or silent.
 func (s *Server) announce() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.isLost || s.isUnlisted {
+	if s.isLost || s.isUnlisted || time.Now().Before(s.silentUntil) {
 		return
 	}
 	s.entrySequence++
--- a/internal/standin/platform/stream.go
+++ b/internal/standin/platform/stream.go
@@ -33,19 +33,33 @@
 
 // serveStream writes events with ascending identifiers. The stream stalls while a member
 // of the group is lost. After stallTimeout the leader marks the group as broken and aborts
-// the stream.
+// the stream. While a member is silent the stream stalls as well, and goes on afterwards.
 func (s *Server) serveStream(w http.ResponseWriter, r *http.Request, prompt string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	resumeAfter, _ := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64)
 	ctx, cancel := s.cancellableStream(r.Context())
 	defer cancel()
-	stallTimer := time.AfterFunc(stallTimeout, func() {
-		s.markBroken()
-		cancel()
-	})
+	members := s.Members()
+	stallTimer := time.NewTimer(stallTimeout)
 	defer stallTimer.Stop()
+	go func() {
+		for {
+			select {
+			case <-stallTimer.C:
+			case <-ctx.Done():
+				return
+			}
+			if s.fleet.lastSilence(members).Add(stallTimeout).Before(time.Now()) {
+				s.markBroken()
+				cancel()
+				return
+			}
+			stallTimer.Reset(stallTimeout)
+		}
+	}()
 	err := s.engine.Generate(ctx, prompt, resumeAfter, eventsPerStream, func(n int64) error {
+		s.fleet.awaitSilence(ctx, members)
 		stallTimer.Reset(stallTimeout)
 		if n == resumeAfter+1 && s.endIfLethal(w, r) {
 			return &crashError{}
