platformassembler: requests in flight and waiting outlive what a newer configuration removes

Routes, services, the key, models, resumption are removed, attempts and time-outs lowered, while bookings, look-ups and streams run, wait for a slot, or have to resume because their server ends. Each gets its response, or a refusal well before its time limit. The product has no quotas in its configuration.

--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -117,6 +117,10 @@
 // responses of the server.
 func (s *Server) Faults() *faulter.Server { return s.faultServer }
 
+// SetSlowdown multiplies the time between two events of the streams of an engine's group. A
+// stream takes 0.1 s without it.
+func (s *Server) SetSlowdown(factor int64) { s.engine.SetSlowdownFactor(factor) }
+
 // ID returns the identifier of the server.
 func (s *Server) ID() string { return s.id }
 
@@ -130,6 +134,9 @@
 // RunCount returns how often the server has run a request.
 func (s *Server) RunCount(request string) int { return s.ledger.RunCount(request) }
 
+// Runs returns the number of requests that the server has run.
+func (s *Server) Runs() int { return s.ledger.BookingCount() }
+
 // stateAndLoss returns the state in the group and whether the server is lost.
 func (s *Server) stateAndLoss() (string, bool) {
 	s.mutex.Lock()
