relayer: an attempt refused as not run does not end a response

Callers saw streams break off in the middle, and 502 for idempotent requests, beside planned work: a stream was reset when its group was taken apart, the attempt to resume it was refused with 421 or 503 as not run, and the refusal was the last attempt that the route allows. "attempt of a stream failed" and "stream broken off: answer of i-7d1a3e28ae with status 503: not run", sent=2, though it had run at one server.

Cause: the limit of the route counted every sending. Once a server may have run the request, only attempts that may have run count, since a refused one would cost the client its response. Before that all count as they did: the client can be told truthfully that nothing ran. Attempts without a run are bounded as those that could not be sent (three beyond the limit). Each one that arrives at a server is charged to the shared retry budget as before (IsRetry counts sendings).

The tests fail before: TestRefusedResumptionDoesNotEndStream 'got "id: 1..." and unexpected EOF, want "id: 1... id: 3..."' for all five statuses; TestRefusedRetryDoesNotEndRequest 'got 502 Bad Gateway, want status 200'; TestAttemptsAreBounded 'got 2 requests at the servers, want 3' and 5. TestErrorAtResumption had a third server complete a stream whose second one refused it, which is allowed now: all servers after the first give the error there, and the requests are counted, so that no other error gets a third attempt.

Tests of relayer, coordinator, driver and platformassembler pass (one run), lint is clean.

--- /dev/null
+++ b/internal/relayer/attempt_test.go
@@ -0,0 +1,111 @@
+package relayer
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
+)
+
+// resumedStream responds with the events after the one that the client has received, up to one.
+func resumedStream(t *testing.T, after, lastEvent int) http.HandlerFunc {
+	t.Helper()
+	return func(w http.ResponseWriter, r *http.Request) {
+		if got, want := r.Header.Get("Last"), strconv.Itoa(after); got != want {
+			t.Errorf("got stream resumed after event %q, want %q", got, want)
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		io.WriteString(w, events(after+1, lastEvent))
+	}
+}
+
+// counted returns a handler that counts its requests.
+func counted(requests *atomic.Int64, handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		handler(w, r)
+	}
+}
+
+// Guards against a stream that is broken off because the attempt to resume it was refused as not
+// run: the refusal used up the attempts of the route, although the stream ran at one server only.
+func TestRefusedResumptionDoesNotEndStream(t *testing.T) {
+	for _, status := range refusalStatuses {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			handler := inTurn(breakingStream(1), respondWith(status, "Not-Run"), resumedStream(t, 1, 3))
+			_, body, err := sendAndRead(t, newTestRelayer(t, handler, handler)+"/stream/x", "p")
+			if got, want := body, events(1, 3); got != want || err != nil {
+				t.Errorf("got %q and %v, want %q", got, err, want)
+			}
+		})
+	}
+}
+
+// Guards against a 502 to an idempotent request whose second attempt was refused as not run: it
+// has run at one server only, and the route allows two.
+func TestRefusedRetryDoesNotEndRequest(t *testing.T) {
+	for name, failure := range map[string]http.HandlerFunc{
+		"connection aborted": abort, "failure": respondWith(http.StatusInternalServerError, "Signed"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			handler := inTurn(failure, respondWith(http.StatusTooManyRequests, "Not-Run"), succeed)
+			response, body, _ := sendAndRead(t, newTestRelayer(t, handler, handler)+"/look/x", "b")
+			assertStatus(t, response, http.StatusOK)
+			if got, want := body, "whole b"; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+// Guards against a request that runs at more servers than the route allows, since refusals between
+// its runs are not counted, and against one that is sent without end to servers that refuse it.
+func TestAttemptsAreBounded(t *testing.T) {
+	refuse := respondWith(http.StatusServiceUnavailable, "Not-Run")
+	for _, tt := range []struct {
+		name, path string
+		// responses are the responses of the servers in turn, the last one also to all others.
+		responses []http.HandlerFunc
+		want      int64
+	}{
+		{"runs of a request", "/look/x", []http.HandlerFunc{abort, refuse, abort}, 3},
+		{"runs of a stream", "/stream/x", []http.HandlerFunc{breakingStream(1), refuse, breakingStream(1)}, 3},
+		{"refusals after a run", "/look/x", []http.HandlerFunc{abort, refuse}, 2 + maxNotRunAttempts},
+		{"refusals of a stream that has begun", "/stream/x", []http.HandlerFunc{breakingStream(1), refuse}, 2 + maxNotRunAttempts},
+		{"refusals of a request that has not run", "/look/x", []http.HandlerFunc{refuse}, 2},
+		{"a refusal before the run of a request that may run once", "/once-of-two/x", []http.HandlerFunc{refuse, abort}, 2},
+		{"a request that may be sent once", "/once/x", []http.HandlerFunc{refuse}, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var requests atomic.Int64
+			handler := counted(&requests, func(w http.ResponseWriter, r *http.Request) {
+				tt.responses[min(int(requests.Load()), len(tt.responses))-1](w, r)
+			})
+			sendAndRead(t, newTestRelayer(t, handler, handler, handler, handler, handler)+tt.path, "b")
+			if got := requests.Load(); got != tt.want {
+				t.Errorf("got %d requests at the servers, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// A stream whose every further attempt is refused as not run is counted by that cause.
+func TestRefusedStreamIsCounted(t *testing.T) {
+	m := meter.New()
+	handler := inTurn(breakingStream(1), respondWith(http.StatusServiceUnavailable, "Not-Run"), respondWith(http.StatusServiceUnavailable, "Not-Run"),
+		respondWith(http.StatusServiceUnavailable, "Not-Run"), respondWith(http.StatusServiceUnavailable, "Not-Run"))
+	relayer := newRelayerWithServers(t, io.Discard, handler, handler, handler, handler, handler)
+	relayer.meter = m
+	proxy := httptest.NewServer(relayer)
+	t.Cleanup(proxy.Close)
+	if _, _, err := sendAndRead(t, proxy.URL+"/stream/x", "p"); err == nil {
+		t.Error("got a complete response, want an aborted one")
+	}
+	assertBreakOff(t, m, causeNotRun)
+}
--- a/internal/relayer/events_test.go
+++ b/internal/relayer/events_test.go
@@ -125,7 +125,8 @@
 
 // Guards against an error of the next server in a stream that has begun: the client receives
 // the events of the first server and no byte of the error, and its response does not look
-// complete. With a third server it receives the rest of the stream.
+// complete. With a third server it receives the rest of the stream. A refusal as not run is no
+// run, so that further attempts follow it.
 func TestErrorAtResumption(t *testing.T) {
 	for framing, frame := range framings {
 		broken := frame(streamHead, events(1, 2)+"id: 3\nda", false)
@@ -144,9 +145,14 @@
 				return frame(streamHead, events(3, 5), true)
 			}
 			t.Run(framing+"/"+name, func(t *testing.T) {
-				s := closingServer(respond)
+				s := closingServer(func(n int32) string { return respond(min(n, 2)) })
 				response, body, err := sendAndRead(t, newTestRelayer(t, s.ServeHTTP, s.ServeHTTP)+"/stream/x", "p")
 				assertBroken(t, response, strings.ReplaceAll(body, comment, ""), err, events(1, 2))
+				requests := int32(2)
+				if name == "refusal" {
+					requests += maxNotRunAttempts
+				}
+				assertRequests(t, requests, s)
 			})
 			t.Run(framing+"/"+name+", third server", func(t *testing.T) {
 				s := closingServer(respond)
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -10,9 +10,9 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
-// maxUnsentAttempts is the number of attempts beyond the limit of the route that may
-// fail before any byte of the request is sent.
-const maxUnsentAttempts = 3
+// maxNotRunAttempts is the number of attempts beyond the limit of the route that may
+// end without a run: before any byte of the request is sent, or with a refusal.
+const maxNotRunAttempts = 3
 
 // serveBuffered serves a request whose response is read completely before it is
 // forwarded. An idempotent request is retried at another server after any failure,
@@ -21,7 +21,7 @@
 func (x *exchange) serveBuffered() {
 	var lastErr error
 	var serverErrorResponse *bufferedResponse
-	for x.sendCount < x.route.AttemptLimit && x.acquisitions < x.route.AttemptLimit+maxUnsentAttempts {
+	for x.hasAttemptLeft() {
 		buffered, outcome, err := x.attemptBuffered()
 		if err == nil {
 			if buffered.status < http.StatusInternalServerError || x.route.Kind != fuchsiapitch.IdempotentRoute {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -187,9 +187,9 @@
 	// admissionWait is the time from the receipt of the request until the end of the
 	// last wait for a slot.
 	admissionWait time.Duration
-	// mayHaveRun is true once a server may have run the request. failedServers are the
-	// servers at which an attempt has failed.
-	mayHaveRun    bool
+	// runCount is the number of attempts in which a server may have run the request.
+	// failedServers are the servers at which an attempt has failed.
+	runCount      int
 	failedServers []fuchsiapitch.ServerID
 	// parts are the shared parts of the prompt, nil until they are needed.
 	parts []quarantiner.Part
@@ -362,7 +362,21 @@
 // sent to, since its response can be resumed and another attempt is left.
 func (x *exchange) mayMove() bool {
 	return x.route.Kind == fuchsiapitch.StreamRoute && x.route.Resumable &&
-		x.sendCount+1 < x.route.AttemptLimit && x.acquisitions < x.route.AttemptLimit+maxUnsentAttempts
+		x.runCount+1 < x.route.AttemptLimit && x.acquisitions < x.route.AttemptLimit+maxNotRunAttempts
+}
+
+// mayHaveRun reports whether a server may have run the request.
+func (x *exchange) mayHaveRun() bool { return x.runCount > 0 }
+
+// hasAttemptLeft reports whether the request may be sent once more. As long as no server may have
+// run it, its client can be told so, and every attempt counts. Afterwards only those count that may
+// have run, since the client would lose the response to an attempt that ran nowhere.
+func (x *exchange) hasAttemptLeft() bool {
+	counted := x.sendCount
+	if x.mayHaveRun() {
+		counted = x.runCount
+	}
+	return counted < x.route.AttemptLimit && x.acquisitions < x.route.AttemptLimit+maxNotRunAttempts
 }
 
 // remaining returns the time until the deadline of the request.
@@ -402,7 +416,7 @@
 	if err != nil {
 		if outcome == fuchsiapitch.OutcomeUnknown {
 			x.sendCount++
-			x.mayHaveRun = true
+			x.runCount++
 		}
 		return nil, outcome, err
 	}
@@ -421,7 +435,7 @@
 	case !responseMetadata.Signed && response.StatusCode < http.StatusMultipleChoices:
 		problem = "without a signature"
 	}
-	x.mayHaveRun = true
+	x.runCount++
 	if problem != "" {
 		response.Body.Close()
 		return nil, fuchsiapitch.OutcomeUnknown, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: problem}
@@ -485,7 +499,7 @@
 // logFailure logs a request that did not succeed.
 func (x *exchange) logFailure(status int, message string) {
 	x.relayer.log.Info().Str("request", string(x.metadata.ID)).Str("route", x.route.Name).Int("status", status).
-		Str("model", x.metadata.Model).Int("sent", x.sendCount).Bool("may-have-run", x.mayHaveRun).
+		Str("model", x.metadata.Model).Int("sent", x.sendCount).Bool("may-have-run", x.mayHaveRun()).
 		Int64("after-ms", time.Since(x.receivedAt).Milliseconds()).Msg(message)
 }
 
@@ -504,14 +518,14 @@
 func (x *exchange) fail(err error) {
 	var rejected *driver.AdmissionError
 	switch {
-	case x.request.Context().Err() != nil && x.mayHaveRun:
+	case x.request.Context().Err() != nil && x.mayHaveRun():
 		// A client that has closed only its sending side receives this.
 		x.writeError(http.StatusBadGateway, 0, "caller left")
 	case x.request.Context().Err() != nil:
 		x.writeError(http.StatusServiceUnavailable, defaultRetryAfter, "caller left")
-	case x.mayHaveRun && errors.Is(err, context.DeadlineExceeded):
+	case x.mayHaveRun() && errors.Is(err, context.DeadlineExceeded):
 		x.writeError(http.StatusGatewayTimeout, 0, "time limit passed")
-	case x.mayHaveRun:
+	case x.mayHaveRun():
 		x.writeError(http.StatusBadGateway, 0, "no answer: "+err.Error())
 	case isHostStopping(err):
 		x.writeError(http.StatusServiceUnavailable, drainRetryAfter, "not run: "+err.Error())
--- a/internal/relayer/revocation_test.go
+++ b/internal/relayer/revocation_test.go
@@ -13,15 +13,15 @@
 // although it could not be resumed at another one.
 func TestOnlyResumableStreamsMayMove(t *testing.T) {
 	for _, tt := range []struct {
-		name                                  string
-		kind                                  fuchsiapitch.RouteKind
-		resumable                             bool
-		attemptLimit, sendCount, acquisitions int
-		want                                  bool
+		name                                 string
+		kind                                 fuchsiapitch.RouteKind
+		resumable                            bool
+		attemptLimit, runCount, acquisitions int
+		want                                 bool
 	}{
 		{name: "a resumable stream", kind: fuchsiapitch.StreamRoute, resumable: true, attemptLimit: 2, want: true},
-		{name: "its last attempt", kind: fuchsiapitch.StreamRoute, resumable: true, attemptLimit: 2, sendCount: 1, acquisitions: 1},
-		{name: "its last slot", kind: fuchsiapitch.StreamRoute, resumable: true, attemptLimit: 2, acquisitions: 2 + maxUnsentAttempts - 1},
+		{name: "its last attempt", kind: fuchsiapitch.StreamRoute, resumable: true, attemptLimit: 2, runCount: 1, acquisitions: 1},
+		{name: "its last slot", kind: fuchsiapitch.StreamRoute, resumable: true, attemptLimit: 2, acquisitions: 2 + maxNotRunAttempts - 1},
 		{name: "another stream", kind: fuchsiapitch.StreamRoute, attemptLimit: 2},
 		{name: "an idempotent request", kind: fuchsiapitch.IdempotentRoute, attemptLimit: 2},
 		{name: "a request that may run once", kind: fuchsiapitch.AtMostOnceRoute, attemptLimit: 2},
@@ -31,7 +31,7 @@
 			r := New(admitter, nil, fakeHeaderCodec{})
 			x := &exchange{
 				relayer: r, writer: httptest.NewRecorder(), request: httptest.NewRequest(http.MethodPost, "/a", http.NoBody), receivedAt: time.Now(), ctx: t.Context(),
-				routes: newTableOf(1, 0), route: fuchsiapitch.HostRoute{Kind: tt.kind, Resumable: tt.resumable, AttemptLimit: tt.attemptLimit}, sendCount: tt.sendCount, acquisitions: tt.acquisitions,
+				routes: newTableOf(1, 0), route: fuchsiapitch.HostRoute{Kind: tt.kind, Resumable: tt.resumable, AttemptLimit: tt.attemptLimit}, runCount: tt.runCount, acquisitions: tt.acquisitions,
 			}
 			if _, err := x.acquireSlot(false); err == nil {
 				t.Fatal("got a slot, want the refusal of the admitter")
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -64,7 +64,7 @@
 func (x *exchange) serveStream() {
 	p := newStreamProgress(x.metadata.LastEventID, x.route.Resumable)
 	var lastErr error
-	for x.sendCount < x.route.AttemptLimit && x.acquisitions < x.route.AttemptLimit+maxUnsentAttempts {
+	for x.hasAttemptLeft() {
 		outcome, err := x.attemptStream(&p)
 		if err == nil {
 			x.logIfLate(&p)
@@ -177,7 +177,7 @@
 	if err != nil {
 		return fuchsiapitch.OutcomeUnknown, err
 	}
-	if p.headerSent || response.StatusCode >= http.StatusInternalServerError && x.sendCount < x.route.AttemptLimit {
+	if p.headerSent || response.StatusCode >= http.StatusInternalServerError && x.hasAttemptLeft() {
 		return fuchsiapitch.OutcomeUnknown, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "no stream"}
 	}
 	x.deliver(&bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
