platformassembler: failing test of a stream that ends because its resumption is refused

Callers see a stream end in the middle though nothing has run: the server that takes over refuses it as not run, and the attempt counts as the last that the route allows.

--- a/internal/platformassembler/breakoff_test.go
+++ b/internal/platformassembler/breakoff_test.go
@@ -146,3 +146,27 @@
 		})
 	}
 }
+
+// Guards against a stream that is ended because servers refused to resume it as not run, though
+// another server can.
+func TestRefusedResumptionDoesNotEndStream(t *testing.T) {
+	t.Parallel()
+	const pauses = 300 * time.Millisecond
+	for _, attempts := range []int{2, 3} {
+		t.Run(fmt.Sprintf("%d attempts", attempts), func(t *testing.T) {
+			t.Parallel()
+			c := newTestCluster(t, 2)
+			c.awaitController(t)
+			c.publishAttempts(t, 2, attempts)
+			got := c.readStream(t, 0, 20*time.Second, func(server *standin.Server) {
+				for _, s := range c.Fleet.OpenLeaders() {
+					s.PauseRequests("", pauses)
+				}
+				server.Faults().Kill()
+			})
+			if !got.isComplete() {
+				t.Errorf("got %s, want it complete", got)
+			}
+		})
+	}
+}
