platformassembler: failing test of a stream that is resumed at the restarted server

Callers see a stream end in the middle: it is sent again to the server that had broken it off, since that one has the only free slot; the server has started again, is in no group and refuses the stream as not run, and no attempt is left.

--- a/internal/platformassembler/breakoff_test.go
+++ b/internal/platformassembler/breakoff_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,3 +172,36 @@
 		})
 	}
 }
+
+// Guards against a stream that is ended because it was resumed at the server that had broken it
+// off, which has started again, is in no group and refuses it.
+func TestRestartedServerDoesNotEndStream(t *testing.T) {
+	t.Parallel()
+	const otherStreams = 60
+	for _, downtime := range []time.Duration{time.Millisecond, 20 * time.Millisecond, 60 * time.Millisecond} {
+		t.Run(downtime.String(), func(t *testing.T) {
+			t.Parallel()
+			c := newTestCluster(t, 2)
+			c.awaitController(t)
+			c.publishAttempts(t, 2, 2)
+			c.setSlowdown(10)
+			var clients sync.WaitGroup
+			var ended atomic.Int64
+			defer clients.Wait()
+			got := c.readStream(t, 0, 20*time.Second, func(server *standin.Server) {
+				// All slots are taken, so that only those of the ended server become free.
+				for n := range otherStreams {
+					clients.Go(func() {
+						defer ended.Add(1)
+						_, _, _ = c.trySendChecked(t, n%2, standin.StreamPathPrefix+"x")
+					})
+				}
+				c.await(t, "other streams", func() bool { return ended.Load()+c.requestsInFlight(t) > otherStreams })
+				server.Crash(downtime)
+			})
+			if !got.isComplete() {
+				t.Errorf("got %s, want it complete", got)
+			}
+		})
+	}
+}
