platformassembler: failing test of a stream whose group has a departing member

Callers see a stream on its last attempt end in the middle of planned work: a server of its group announces that it leaves and serves on; the controller replaces the group and orders its leader to leave, 0.3 to 0.9 s after the announcement, while the stream runs.

--- a/internal/platformassembler/breakoff_test.go
+++ b/internal/platformassembler/breakoff_test.go
@@ -205,3 +205,27 @@
 		})
 	}
 }
+
+// Guards against a stream on its last attempt that is ended because a server of its group
+// announces that it leaves, while the group still serves.
+func TestPlannedDepartureDoesNotEndStream(t *testing.T) {
+	t.Parallel()
+	for name, departing := range map[string]func(c *testCluster, leader *standin.Server) *standin.Server{
+		"leader": func(_ *testCluster, leader *standin.Server) *standin.Server { return leader },
+		"member": func(c *testCluster, leader *standin.Server) *standin.Server {
+			return c.Fleet.Server(leader.Members()[1])
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newTestCluster(t, 2)
+			c.awaitController(t)
+			c.publishAttempts(t, 2, 1)
+			c.setSlowdown(30) // A stream takes 3 s.
+			got := c.readStream(t, 0, 20*time.Second, func(server *standin.Server) { departing(c, server).StartDraining() })
+			if !got.isComplete() {
+				t.Errorf("got %s, want it complete", got)
+			}
+		})
+	}
+}
