platformassembler: failing test of a stream ended by attempts that were never sent

Callers see a stream end in the middle long before its time limit: the other servers cannot be connected to for two seconds, and each such attempt counts among those that the route allows plus three (maxUnsentAttempts), although it was never sent. The stream had used one of its two attempts.

--- a/internal/platformassembler/breakoff_test.go
+++ b/internal/platformassembler/breakoff_test.go
@@ -229,3 +229,27 @@
 		})
 	}
 }
+
+// Guards against a stream that is ended long before its time limit because no other server could
+// be connected to for a second or two: attempts that were never sent have used up those of its
+// route.
+func TestUnconnectableServersDoNotEndStream(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 2)
+	c.awaitController(t)
+	c.publishAttempts(t, 2, 2)
+	c.setSlowdown(20)
+	got := c.readStream(t, 0, 20*time.Second, func(server *standin.Server) {
+		var silences sync.WaitGroup
+		for _, s := range c.Fleet.OpenLeaders() {
+			if s != server {
+				silences.Go(func() { s.FallSilent(longestSilence, false) })
+			}
+		}
+		silences.Wait()
+		server.Crash(time.Second)
+	})
+	if !got.isComplete() {
+		t.Errorf("got %s, want it complete", got)
+	}
+}
