--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -127,8 +127,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { socket.Close() })
-	d := driver.New(t.Context(), coordinator.New(coordinator.Peer{ID: "a"}, 1), unreachableServers{}, unreachableServers{}, socket)
+	ctx, cancel := context.WithCancel(context.Background())
+	d := driver.New(ctx, coordinator.New(coordinator.Peer{ID: "a"}, 1), unreachableServers{}, unreachableServers{}, socket)
+	served := make(chan error, 1)
+	go func() { served <- d.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-served
+	})
 	client, cleanUp := sender.New()
 	t.Cleanup(cleanUp)
 	r := New(d, client, fakeHeaderCodec{}, WithLogger(zerolog.New(logs)))
