coordinator: a stream that has begun outlasts the pause of its servers

A stream whose next server was to be one of several that all pause beyond its deadline was refused at once ("no place: paused") and ended in the middle. Another server may come before the deadline, or the pause of one be forgotten, so that it waits as it does without any server. New requests are refused as before, since their clients can go to another host.

TestResumedStreamOutlivesPause fails before, queued before the pause or not: 'got "" and paused, want the stream queued'.

--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -304,10 +304,11 @@
 }
 
 // refuseIfPaused refuses a request whose replicas all pause if the first of them returns too
-// late for it. It reports whether it has. soonest holds the result of soonestReturns.
+// late for it. It reports whether it has. A resumed stream waits until its deadline, since another
+// replica may come before. soonest holds the result of soonestReturns.
 func (c *Coordinator) refuseIfPaused(now time.Duration, w *queuedRequest, soonest map[poolKey]time.Duration) bool {
 	returnsAt, isPaused := soonest[w.pool]
-	if !isPaused || returnsAt < w.Deadline && returnsAt <= c.waitLimit(w.arrivedAt, w) {
+	if !isPaused || w.Resumed || returnsAt < w.Deadline && returnsAt <= c.waitLimit(w.arrivedAt, w) {
 		return false
 	}
 	c.returnPermit(w)
--- a/internal/coordinator/resumption_test.go
+++ b/internal/coordinator/resumption_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -81,3 +82,56 @@
 		t.Errorf("got %q and %s for a new request, want s0", got, reason)
 	}
 }
+
+// Guards against a stream that its client has begun to receive and that is broken off, since all
+// servers that serve it pause beyond its deadline: another server may come before.
+func TestResumedStreamOutlivesPause(t *testing.T) {
+	for _, isQueued := range []bool{false, true} {
+		t.Run(fmt.Sprintf("queued before: %v", isQueued), func(t *testing.T) {
+			now := 5 * time.Second
+			c := newNoticeCoordinator(now)
+			c.Apply(now, newNoticeArrival(now, 1))
+			c.Apply(now, newNoticeArrival(now, 2))
+			stream := newNoticeArrival(now, 3)
+			stream.Resumed, stream.IsRetry, stream.Deadline = true, true, now+6*time.Second
+			var effects []Effect
+			if isQueued {
+				effects = c.Apply(now, stream)
+			}
+			effects = append(effects, c.Apply(now, asksForPause("a0", time.Minute))...)
+			effects = append(effects, c.Apply(now, asksForPause("a1", time.Minute))...)
+			if !isQueued {
+				effects = append(effects, c.Apply(now, stream)...)
+			}
+			if got, reason := decisionFor(effects, 3); got != "" || reason != 0 {
+				t.Fatalf("got %q and %s, want the stream queued", got, reason)
+			}
+			if _, got := decisionFor(c.Apply(now, newNoticeArrival(now, 4)), 4); got != Paused {
+				t.Errorf("got %s for a new request, want %s", got, Paused)
+			}
+			later := now + time.Second
+			effects = c.Apply(later, ServersListed{Servers: []fuchsiapitch.ServerReport{plainEntry("a0", 1), plainEntry("a1", 1), plainEntry("a2", 1)}, Offset: 2})
+			effects = append(effects, c.Apply(later, Ticked{})...)
+			if got, reason := decisionFor(effects, 3); got != "a2" {
+				t.Errorf("got %q and %s once another server is listed, want a2", got, reason)
+			}
+		})
+	}
+}
+
+// A stream that has begun does not wait for the end of a pause beyond its deadline.
+func TestResumedStreamIsRefusedAtDeadlineWithinPause(t *testing.T) {
+	now := 5 * time.Second
+	c := newNoticeCoordinator(now)
+	c.Apply(now, asksForPause("a0", time.Minute))
+	c.Apply(now, asksForPause("a1", time.Minute))
+	stream := newNoticeArrival(now, 1)
+	stream.Resumed, stream.IsRetry = true, true
+	c.Apply(now, stream)
+	if _, got := decisionFor(c.Apply(stream.Deadline-time.Millisecond, Ticked{}), 1); got != 0 {
+		t.Errorf("got refusal %s before the deadline, want the stream queued", got)
+	}
+	if _, got := decisionFor(c.Apply(stream.Deadline, Ticked{}), 1); got != Overloaded {
+		t.Errorf("got %s at the deadline, want %s", got, Overloaded)
+	}
+}
