coordinator: a stream that has begun waits for a retry that the budget does not allow yet

A stream that its client had begun to receive and whose server broke it off was refused another slot with "no place: no-budget" if the host's share of the retry budget was used up at that moment, and ended in the middle.

The stream is queued now until the budget allows its retry, until its deadline at most. The retry is charged before it gets a slot, as always, so that the budget holds. Retries of requests whose clients have received nothing yield to it, and are refused as before. A stream that waits for the budget alone holds up nobody: it counts neither in the expected wait of others nor in the queues that hosts announce. Weighed: a part of the budget kept for such streams; it would take retries from plain services, and yielding needs none.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -114,6 +114,8 @@
 	isLate bool
 	// isPermitted is true if the request has permits for its quarantined parts.
 	isPermitted bool
+	// awaitsRetry is true if the request waits until the retry budget allows its retry.
+	awaitsRetry bool
 }
 
 func newAdmissionState() admissionState {
@@ -123,9 +125,9 @@
 	}
 }
 
-// admit grants a request a slot, queues it or refuses it. If no replica serves it, a
-// new request is refused at once. A resumed stream is queued, because a refusal would
-// break off a response that its client has begun to receive.
+// admit grants a request a slot, queues it or refuses it. If no replica serves it, or it would
+// exceed the retry budget, a new request is refused at once. A resumed stream is queued, because
+// a refusal would break off a response that its client has begun to receive.
 func (c *Coordinator) admit(now time.Duration, e RequestArrived) {
 	w := &queuedRequest{RequestArrived: e, pool: poolKey{e.Service, e.Model}, arrivedAt: now}
 	if c.refuseIfQuarantined(now, w) {
@@ -136,14 +138,17 @@
 	c.countArrival(now, queueKey{w.pool, w.Rank})
 	c.demoteLate(now)
 	if !c.chargeRetryBudget(now, e) {
-		c.refuse(w, NoBudget, minRetryAfter)
-		return
+		if !w.Resumed {
+			c.refuse(w, NoBudget, minRetryAfter)
+			return
+		}
+		w.awaitsRetry = true
 	}
 	if c.isShed(w) {
 		c.refuse(w, Overloaded, c.slotTime(w.pool))
 		return
 	}
-	if !c.hasPredecessor(w) {
+	if !w.awaitsRetry && !c.hasPredecessor(w) {
 		if r := c.chooseReplica(now, w); r != nil {
 			c.grant(now, w, r)
 			return
@@ -233,12 +238,12 @@
 // hasPredecessor reports whether another request for the same replicas comes first in
 // the queue.
 func (c *Coordinator) hasPredecessor(w *queuedRequest) bool {
-	for _, o := range c.queue {
-		if o.pool == w.pool && compareQueued(o, w) <= 0 {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.queue, func(o *queuedRequest) bool { return o.precedes(w) })
+}
+
+// precedes reports whether a queued request gets a slot of the same replicas before another one.
+func (w *queuedRequest) precedes(other *queuedRequest) bool {
+	return w.pool == other.pool && !w.awaitsRetry && compareQueued(w, other) <= 0
 }
 
 // slotTime returns the mean time for which a request occupies a slot.
@@ -275,7 +280,7 @@
 		return c.timeToRepair(w), false
 	}
 	for _, o := range c.queue {
-		if o.pool == w.pool && compareQueued(o, w) <= 0 {
+		if o.precedes(w) {
 			queuedAhead++
 		}
 	}
@@ -414,13 +419,16 @@
 	for _, w := range c.queue {
 		if now > c.waitLimit(w.arrivedAt, w) || now >= w.Deadline {
 			expectedWait, _ := c.expectedWait(now, w)
-			c.refuse(w, Overloaded, expectedWait)
+			c.refuse(w, w.reasonAtLimit(), expectedWait)
 			continue
 		}
 		if c.refuseIfPaused(now, w, soonestReturns) {
 			continue
 		}
-		if !fullPools[w.pool] {
+		if w.awaitsRetry && c.takeRetry(now, w.Service) {
+			w.awaitsRetry = false
+		}
+		if !w.awaitsRetry && !fullPools[w.pool] {
 			if r := c.chooseReplica(now, w); r != nil {
 				c.grant(now, w, r)
 				continue
@@ -433,6 +441,14 @@
 	c.queue = remaining
 }
 
+// reasonAtLimit returns the reason to refuse a request that was queued for as long as it may be.
+func (w *queuedRequest) reasonAtLimit() RefusalReason {
+	if w.awaitsRetry {
+		return NoBudget
+	}
+	return Overloaded
+}
+
 // demoteLate moves requests that can no longer be in time behind those that can.
 func (c *Coordinator) demoteLate(now time.Duration) {
 	changed := false
@@ -522,7 +538,9 @@
 func (c *Coordinator) queueLengths(now time.Duration) []Queue {
 	counts := make(map[queueKey]int)
 	for _, w := range c.queue {
-		counts[queueKey{w.pool, w.Rank}]++
+		if !w.awaitsRetry {
+			counts[queueKey{w.pool, w.Rank}]++
+		}
 	}
 	for k, a := range c.arrivals {
 		if a.advance(now); a.current+a.previous > 0 {
--- a/internal/coordinator/budget.go
+++ b/internal/coordinator/budget.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -47,13 +48,19 @@
 		return true
 	}
 	if e.IsRetry || c.retryWindow <= 0 {
-		return c.takeRetry(now, e.Service)
+		return !c.awaitsRetry(e.Service) && c.takeRetry(now, e.Service)
 	}
 	u, i := c.currentUsage(now, e.Service)
 	u.requests[i]++
 	return true
 }
 
+// awaitsRetry reports whether a stream that its client has begun to receive waits for a retry of
+// a service. All other retries of the service yield to it.
+func (c *Coordinator) awaitsRetry(service fuchsiapitch.ServiceName) bool {
+	return slices.ContainsFunc(c.queue, func(w *queuedRequest) bool { return w.awaitsRetry && w.Service == service })
+}
+
 // takeRetry counts a retry if the budget allows it, and reports whether it does.
 func (c *Coordinator) takeRetry(now time.Duration, service fuchsiapitch.ServiceName) bool {
 	if c.retryWindow <= 0 {
