coordinator, relayer: a request counts once in the retry budget

The shared budget is a ratio of the requests of clients. A request that was refused a slot, or could not be sent, asked again up to four times and counted each time, so that in an overload the budget grew with the refusals, and retries could exceed what the rule allows. The arrival says now whether the request has asked before.

Fail before: TestRequestIsCountedOnceInRetryBudget 'got 100 requests in the retry budget, want 20', TestRepeatedArrivalIsMarked 'got arrival 1 marked as repeated: false, want true'.

--- a/internal/coordinator/budget.go
+++ b/internal/coordinator/budget.go
@@ -50,8 +50,10 @@
 	if e.IsRetry || c.retryWindow <= 0 {
 		return !c.awaitsRetry(e.Service) && c.takeRetry(now, e.Service)
 	}
-	u, i := c.currentUsage(now, e.Service)
-	u.requests[i]++
+	if !e.HasAskedBefore {
+		u, i := c.currentUsage(now, e.Service)
+		u.requests[i]++
+	}
 	return true
 }
 
--- a/internal/coordinator/budget_test.go
+++ b/internal/coordinator/budget_test.go
@@ -38,3 +38,22 @@
 		t.Errorf("got %d retries after the change, want %d", got, want)
 	}
 }
+
+// Guards against retries beyond the budget in an overload: a request that asked for a slot several
+// times, since it was refused one or could not be sent, counted as several requests.
+func TestRequestIsCountedOnceInRetryBudget(t *testing.T) {
+	now := 5 * time.Second
+	c := newCoordinatorWithReplicas(now, 4)
+	c.Apply(now, LimitsChanged{StallTimeout: defaultStallTimeout, RetryRatio: 0.2, RetryWindow: 10 * time.Second})
+	for n := range Ticket(20) {
+		for k := range Ticket(5) {
+			e := newArrival(now, 10*n+k+1)
+			e.HasAskedBefore = k > 0
+			c.Apply(now, e)
+			c.Apply(now, TicketReleased{Ticket: e.Ticket})
+		}
+	}
+	if got, _ := c.usageInWindow(now, "llm"); got != 20 {
+		t.Errorf("got %v requests in the retry budget, want 20", got)
+	}
+}
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -35,8 +35,9 @@
 	// ReturnedAfterRefusal is true if the client sends the request again after a
 	// refusal.
 	ReturnedAfterRefusal bool
-	// IsRetry is true if the request has been sent to a server before.
-	IsRetry bool
+	// IsRetry is true if the request has been sent to a server before, HasAskedBefore if a slot
+	// was requested for it before.
+	IsRetry, HasAskedBefore bool
 	// Resumed is true if the client already has part of the response.
 	Resumed bool
 	// MayMove is true if the request may be sent to another server while it runs, without
--- a/internal/relayer/attempt_test.go
+++ b/internal/relayer/attempt_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
 )
 
@@ -109,3 +110,22 @@
 	}
 	assertBreakOff(t, m, causeNotRun)
 }
+
+// Guards against a request that counts several times in the retry budget, since it asks for a slot
+// again after a refusal.
+func TestRepeatedArrivalIsMarked(t *testing.T) {
+	admitter := &recordingAdmitter{}
+	r := New(admitter, nil, fakeHeaderCodec{})
+	r.Configure(newTableOf(1, 100, fuchsiapitch.ServiceProfile{Name: "desk"}))
+	request := httptest.NewRequest(http.MethodGet, "/a", http.NoBody)
+	request.Host = "host.example"
+	r.ServeHTTP(httptest.NewRecorder(), request)
+	for n, a := range admitter.arrivals {
+		if got, want := a.HasAskedBefore, n > 0; got != want {
+			t.Errorf("got arrival %d marked as repeated: %v, want %v", n, got, want)
+		}
+	}
+	if len(admitter.arrivals) < 2 {
+		t.Errorf("got %d arrivals, want the request to ask again", len(admitter.arrivals))
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -320,7 +320,7 @@
 		FirstByteBy: x.relayer.admitter.SinceStart(x.receivedAt.Add(latencyTarget - x.priorElapsed())), Deadline: x.relayer.admitter.SinceStart(x.deadline),
 		MaxPause:             x.route.InterEventTarget,
 		ReturnedAfterRefusal: float64(x.metadata.TimeLimit) < retriedTimeoutRatio*float64(x.route.Timeout),
-		Resumed:              resumed, IsRetry: x.sendCount > 0, FailedServers: x.failedServers,
+		Resumed:              resumed, IsRetry: x.sendCount > 0, HasAskedBefore: x.acquisitions > 1, FailedServers: x.failedServers,
 		MayMove: x.mayMove(), PreviousTicket: x.lastTicket, Parts: x.sharedParts(),
 	})
 	if err != nil {
