coordinator: keep groups with requests that cannot move while a server is silent

Callers saw streams broken off that had no attempt left, beside a server that was silent for half a second or more and then went on. Cause: a server that accepts no connections counts as lost after two probes (0.7 s). Its group was dissolved, which ends every stream there, and hosts revoked the slots of streams that could not be sent again: after 0.25 s at dissolved groups, after 1.5 s at servers that could not be connected to. A silence of 2 s did the same where connections are accepted.

Heartbeats now tell how many requests at each server are pinned: no attempt or no retry is left. A group with such requests is kept, closed to new ones and announced as unresponsive, so that the others move at once. It is given up when its pinned requests are gone, after 2 s, after which clients leave, or at once if the address refuses connections, another incarnation responds or the entry is gone. Hosts no longer revoke a slot for silence unless an attempt and a retry are left.

Evidence: TestStreamsWithoutAttemptOutliveOutage (one or several servers of a group, 0.5 to 2 s, with and without connections, no attempt left or a budget for four): before, all 48 cases without connections and the 8 of 2 s with connections fail: "got 6 of 12 streams broken off, want 0" (all at the group) and "got 2 of 12". TestGroupServesAfterOutage: "got group { 0}, open false"; TestMovableStreamsLeaveKeptGroup, without the announcement: "got 0 of 6 streams moved, want 3".

TestStreamAtUnreachableServerIsGivenUp wanted a stream without an attempt ended after 1.5 s, so that its client can send it again. TestStreamAtUnreachableServer wants the slot kept for as long as the client stays, and revoked if the stream may move. The scenario of silences starts its controller after time 0: one of time 0 did not count as surveyed, so that streams at dissolved groups were never revoked in it.

--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -43,6 +43,8 @@
 	consecutiveFailures int
 	// silentSince is when the first of these calls failed.
 	silentSince time.Duration
+	// refusesConnections is true if the last of them found nobody listening.
+	refusesConnections bool
 	// replaced is true if the known incarnation has ended, because another one responds
 	// at its address. That may be the next incarnation of this server or another
 	// server; only the list shows which.
@@ -283,6 +285,7 @@
 	}
 	s.probeInFlight = false
 	if e.Err != nil {
+		s.refusesConnections = e.Refused
 		c.recordFailure(now, s, e.Silent)
 		return
 	}
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -99,6 +99,8 @@
 	Err error
 	// Silent is true if a connection was established and no response came in time.
 	Silent bool
+	// Refused is true if the address refused the connection, since nobody listens there.
+	Refused bool
 }
 
 // OrderResultReceived reports the result of an order.
@@ -336,6 +338,9 @@
 	// InFlight is the number of requests that the host has in flight at the server,
 	// UnreadTokens the total prompt length of those whose response has not started.
 	InFlight, UnreadTokens int
+	// Pinned is the number of those requests that cannot go on at another server: they have
+	// no attempt left, or the host no retry.
+	Pinned int
 	// SilentFor is the time without a byte from the server at the host.
 	SilentFor time.Duration
 }
@@ -364,6 +369,9 @@
 	Leader fuchsiapitch.ServerID
 	// Open is true if the group accepts requests.
 	Open bool
+	// Unresponsive is true if a member does not respond, and the group is kept only for the
+	// requests that cannot go on elsewhere.
+	Unresponsive bool
 }
 
 // Heartbeat is the periodic message of a host to its peers. It is a plain record.
--- a/internal/coordinator/group.go
+++ b/internal/coordinator/group.go
@@ -14,6 +14,10 @@
 	groupSilenceTimeout = 250 * time.Millisecond
 	// memberProbeInterval is the time between probes of the members of a silent group.
 	memberProbeInterval = 300 * time.Millisecond
+	// keptGroupTimeout is the time without a response from a lost member, from the first
+	// call without one on, for which a group is kept for requests that cannot go on
+	// elsewhere. Clients abandon a silent stream after two seconds.
+	keptGroupTimeout = 2 * time.Second
 	// orderPollInterval is the time between probes of a member that is carrying out an
 	// order.
 	orderPollInterval = 80 * time.Millisecond
@@ -45,6 +49,9 @@
 	// retiring is true if the formation is to be dissolved after it has completed its
 	// requests.
 	retiring bool
+	// awaitsMember is true while a member is lost and the formation is kept because the
+	// member may go on.
+	awaitsMember bool
 	// mayStartLoads is true if the members may start loads. loadsLastPendingAt is when
 	// the formation last had loads that had not started.
 	mayStartLoads      bool
@@ -127,6 +134,9 @@
 		c.probeMembers(now, g)
 		return
 	}
+	if g.awaitsMember {
+		c.probeAwaited(now, g)
+	}
 	if c.isOpen(g) {
 		if g.openedAt == 0 {
 			g.openedAt = now
@@ -145,12 +155,19 @@
 // checkGroup marks a formation as failed or retiring if the state of its members
 // requires it.
 func (c *Coordinator) checkGroup(now time.Duration, g *group) {
+	wasAwaiting := g.awaitsMember
+	g.awaitsMember = false
 	if c.isUnreachable(now, g) {
 		return
 	}
 	for _, id := range g.members {
 		s, ok := c.servers[id]
 		switch {
+		case ok && c.mayGoOn(now, g, s):
+			if !g.awaitsMember && !wasAwaiting {
+				c.log("group is kept for requests that cannot go on elsewhere", map[string]any{"group": g.ref.Name, logFieldServer: id})
+			}
+			g.awaitsMember = true
 		case !ok, s.isLost():
 			if r, serves := c.replicas[g.leader()]; serves && !g.failed && g.openedAt > 0 {
 				c.emit(GroupLost{Group: g.ref.Name, Model: g.model, Silence: r.silentFor(now)})
@@ -177,6 +194,17 @@
 	}
 }
 
+// mayGoOn reports whether a lost member of a serving formation may respond again while requests
+// depend on it that cannot go on elsewhere. A sound server may be silent for a second or so, and
+// may then accept no connections either.
+func (c *Coordinator) mayGoOn(now time.Duration, g *group, s *server) bool {
+	if !s.isLost() || s.replaced || s.refusesConnections || !s.listed || g.failed || g.openedAt == 0 || now-s.silentSince >= keptGroupTimeout {
+		return false
+	}
+	r, ok := c.replicas[g.leader()]
+	return ok && r.remotePinned+c.pinnedRequests(now)[r] > 0
+}
+
 // isUnreachable reports whether the leader of a formation does not respond and cannot
 // be told from one behind a network partition. The formation may then be complete and
 // serving, so its state is left as it is. A leader counts as lost only if another
@@ -301,6 +329,15 @@
 	}
 }
 
+// probeAwaited probes the lost members of a formation without waiting for lostProbeInterval.
+func (c *Coordinator) probeAwaited(now time.Duration, g *group) {
+	for _, id := range g.members {
+		if s, ok := c.servers[id]; ok && s.isLost() {
+			s.nextProbeAt = min(s.nextProbeAt, now+failedProbeInterval)
+		}
+	}
+}
+
 // hasSuspectMember reports whether a failed request has recently named a member as the
 // cause.
 func (c *Coordinator) hasSuspectMember(now time.Duration, g *group) bool {
--- a/internal/coordinator/reconcile.go
+++ b/internal/coordinator/reconcile.go
@@ -205,7 +205,8 @@
 	for _, g := range c.sortedGroups() {
 		statuses = append(statuses, GroupStatus{
 			Ref: g.ref, Model: g.model, Leader: g.leader(),
-			Open: c.isOpen(g) && !g.failed && !g.retiring && !c.servers[g.leader()].isLost(),
+			Open:         c.isOpen(g) && !g.failed && !g.retiring && !g.awaitsMember && !c.servers[g.leader()].isLost(),
+			Unresponsive: g.awaitsMember,
 		})
 	}
 	return statuses
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -389,6 +389,7 @@
 		if n := len(loads); n > 0 && loads[n-1].Server == l.Server {
 			m := &loads[n-1]
 			m.InFlight, m.UnreadTokens, m.SilentFor = m.InFlight+l.InFlight, m.UnreadTokens+l.UnreadTokens, min(m.SilentFor, l.SilentFor)
+			m.Pinned += l.Pinned
 			continue
 		}
 		loads = append(loads, l)
@@ -445,6 +446,7 @@
 		}
 		r.remoteInFlight = max(0, r.remoteInFlight+sign*l.InFlight)
 		r.remoteUnreadTokens = max(0, r.remoteUnreadTokens+sign*l.UnreadTokens)
+		r.remotePinned = max(0, r.remotePinned+sign*l.Pinned)
 		if sign > 0 && l.InFlight > 0 {
 			r.remoteLastByteAt = max(r.remoteLastByteAt, receivedAt-l.SilentFor)
 		}
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -31,6 +31,9 @@
 	// hosts.
 	inFlight, unreadTokens             int
 	remoteInFlight, remoteUnreadTokens int
+	// remotePinned is the number of requests of the other live hosts at the replica that
+	// cannot go on elsewhere.
+	remotePinned int
 	// remoteLastByteAt is when the last byte arrived at another host, as far as known.
 	remoteLastByteAt time.Duration
 	// lastByteAt is when the last byte arrived from the replica, lastSentAt when this
@@ -210,7 +213,7 @@
 // other live hosts.
 func (c *Coordinator) sumRemoteLoads() {
 	for _, r := range c.replicas {
-		r.remoteInFlight, r.remoteUnreadTokens, r.remoteLastByteAt = 0, 0, 0
+		r.remoteInFlight, r.remoteUnreadTokens, r.remotePinned, r.remoteLastByteAt = 0, 0, 0, 0
 	}
 	clear(c.remoteQueues)
 	clear(c.remoteArrivals)
@@ -228,9 +231,10 @@
 // serverLoads returns the load that this host puts on each server.
 func (c *Coordinator) serverLoads(now time.Duration) []ServerLoad {
 	var loads []ServerLoad
+	pinned := c.pinnedRequests(now)
 	for _, id := range sortedKeys(c.replicas) {
 		if r := c.replicas[id]; r.inFlight > 0 {
-			loads = append(loads, ServerLoad{Server: id, InFlight: r.inFlight, UnreadTokens: r.unreadTokens, SilentFor: r.silentFor(now)})
+			loads = append(loads, ServerLoad{Server: id, InFlight: r.inFlight, UnreadTokens: r.unreadTokens, Pinned: pinned[r], SilentFor: r.silentFor(now)})
 		}
 	}
 	return loads
--- a/internal/coordinator/revocation.go
+++ b/internal/coordinator/revocation.go
@@ -1,15 +1,16 @@
 package coordinator
 
 import (
+	"math"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
-// A stream whose server is silent may go on at another server, within the retry budget. As
-// long as the server may go on as well, the stream is taken from it only if that cannot end
-// the stream. A stream whose server cannot be connected to, or whose group has been
-// dissolved, is given up at once even if it cannot be resumed.
+// A stream whose server is silent may go on at another server, within the retry budget. It is
+// taken from its server only if that cannot end it: the server may go on, whether or not it
+// accepts connections, and the client decides for how long it waits. A stream whose server has
+// certainly ended it is given up at once even if it cannot be resumed.
 
 // reservationTimeout is how long a retry stays reserved for a request whose slot was revoked.
 // It arrives again within milliseconds unless its client has left.
@@ -26,16 +27,16 @@
 }
 
 // revokeFromDissolved revokes the slots of this host's requests at groups that the
-// controller has dissolved, once they are silent.
+// controller has dissolved or keeps for other requests only, once they are silent, as far as the retry budget allows.
 func (c *Coordinator) revokeFromDissolved(now time.Duration, statuses []GroupStatus) {
 	announced := make(map[fuchsiapitch.ServerID]bool, len(statuses))
 	for _, g := range statuses {
-		announced[g.Leader] = true
+		announced[g.Leader] = !g.Unresponsive
 	}
 	for _, k := range sortedKeys(c.assignments) {
 		a := c.assignments[k]
 		r := a.replica
-		if a.revoked || r.open || announced[r.server] || r.model == "" || r.silentFor(now) < groupSilenceTimeout {
+		if a.revoked || r.open || announced[r.server] || r.model == "" || r.silentFor(now) < groupSilenceTimeout || !c.canMove(now, a) {
 			continue
 		}
 		c.revoke(now, k, a)
@@ -49,10 +50,7 @@
 	for _, k := range sortedKeys(c.assignments) {
 		a := c.assignments[k]
 		r := a.replica
-		if a.revoked || r.model == "" || r.silentFor(now) < revocationSilence || now-a.grantedAt < revocationSilence || !c.mayRetry(now, a.pool.service) {
-			continue
-		}
-		if isUnreachable := r.unreachableBackOff > 0; !a.mayMove && !isUnreachable {
+		if a.revoked || r.model == "" || r.silentFor(now) < revocationSilence || now-a.grantedAt < revocationSilence || !c.canMove(now, a) {
 			continue
 		}
 		r.unavailableUntil = max(r.unavailableUntil, now+revocationSilence)
@@ -60,6 +58,41 @@
 	}
 }
 
+// canMove reports whether a request may be sent to another server now: an attempt and a retry
+// are left.
+func (c *Coordinator) canMove(now time.Duration, a *assignment) bool {
+	return a.mayMove && c.mayRetry(now, a.pool.service)
+}
+
+// pinnedRequests returns the number of this host's requests at each replica that cannot go on
+// at another one: those with no attempt left, and those for which no retry is free if all the
+// others at the replica are sent again.
+func (c *Coordinator) pinnedRequests(now time.Duration) map[*replica]int {
+	pinned, movable := make(map[*replica]int), make(map[*replica]int)
+	for _, a := range c.assignments {
+		switch {
+		case a.revoked:
+		case a.mayMove:
+			movable[a.replica]++
+		default:
+			pinned[a.replica]++
+		}
+	}
+	for r, n := range movable {
+		pinned[r] += max(0, n-c.freeRetries(now, r.service))
+	}
+	return pinned
+}
+
+// freeRetries returns how many more retries of a service the budget allows this host.
+func (c *Coordinator) freeRetries(now time.Duration, service fuchsiapitch.ServiceName) int {
+	if c.retryWindow <= 0 {
+		return math.MaxInt
+	}
+	requests, retries := c.usageInWindow(now, service)
+	return max(0, int(c.allowedRetries(requests)-retries))
+}
+
 // revoke revokes the slot of a request. It reserves the retry of one that may move if the
 // retry budget allows it.
 func (c *Coordinator) revoke(now time.Duration, t Ticket, a *assignment) {
--- a/internal/coordinator/silence_test.go
+++ b/internal/coordinator/silence_test.go
@@ -34,6 +34,8 @@
 func newSilenceScenario(t *testing.T, streams int, mayMove bool, limits LimitsChanged) *silenceScenario {
 	t.Helper()
 	ss := &silenceScenario{simulation: newSimulation(1), streams: make(map[Ticket]*silentStream)}
+	// A controller of time 0 does not count as having surveyed the servers.
+	ss.run(simulationStep)
 	ss.startController()
 	ss.run(simulatedWarmUpTime)
 	ss.onEffect = ss.record
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -244,7 +245,7 @@
 		d.log.Info().Str("server", string(e.Server)).Err(err).Msg("could not get report of server")
 	}
 	d.meter.CountReportRequest(err == nil)
-	result := coordinator.ProbeCompleted{Server: e.Server, Report: r, Err: err, Silent: err != nil && isSilent()}
+	result := coordinator.ProbeCompleted{Server: e.Server, Report: r, Err: err, Silent: err != nil && isSilent(), Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	if err == nil && r.StartedUnixMillis > e.KnownIncarnation {
 		if result.IdentifiedAs, err = d.servers.Identify(ctx, e.Address); err != nil {
 			d.log.Info().Str("server", string(e.Server)).Err(err).Msg("could not get identifier of server")
--- a/internal/driver/heartbeat.go
+++ b/internal/driver/heartbeat.go
@@ -62,6 +62,7 @@
 	for _, l := range b.ServerLoads {
 		w.Loads = append(w.Loads, &wire.ReplicaLoad{
 			Server: string(l.Server), InFlight: toUint32(l.InFlight), UnreadTokens: toUint32(l.UnreadTokens), SilentMs: toUint32(int(l.SilentFor.Milliseconds())),
+			Pinned: toUint32(l.Pinned),
 		})
 	}
 	for _, q := range b.Queues {
@@ -75,7 +76,7 @@
 	}
 	encodeParts(b.Parts, w)
 	for _, g := range b.Groups {
-		w.Groups = append(w.Groups, &wire.GroupEntry{Name: string(g.Ref.Name), Epoch: g.Ref.Epoch, Model: g.Model, Leader: string(g.Leader), Open: g.Open})
+		w.Groups = append(w.Groups, &wire.GroupEntry{Name: string(g.Ref.Name), Epoch: g.Ref.Epoch, Model: g.Model, Leader: string(g.Leader), Open: g.Open, Unresponsive: g.Unresponsive})
 	}
 	return w
 }
@@ -91,7 +92,7 @@
 	for _, l := range w.GetLoads() {
 		b.ServerLoads = append(b.ServerLoads, coordinator.ServerLoad{
 			Server: fuchsiapitch.ServerID(l.GetServer()), InFlight: int(l.GetInFlight()), UnreadTokens: int(l.GetUnreadTokens()),
-			SilentFor: time.Duration(l.GetSilentMs()) * time.Millisecond,
+			SilentFor: time.Duration(l.GetSilentMs()) * time.Millisecond, Pinned: int(l.GetPinned()),
 		})
 	}
 	for _, q := range w.GetQueues() {
@@ -107,7 +108,7 @@
 	for _, g := range w.GetGroups() {
 		b.Groups = append(b.Groups, coordinator.GroupStatus{
 			Ref:   fuchsiapitch.GroupRef{Name: fuchsiapitch.GroupID(g.GetName()), Epoch: g.GetEpoch()},
-			Model: g.GetModel(), Leader: fuchsiapitch.ServerID(g.GetLeader()), Open: g.GetOpen(),
+			Model: g.GetModel(), Leader: fuchsiapitch.ServerID(g.GetLeader()), Open: g.GetOpen(), Unresponsive: g.GetUnresponsive(),
 		})
 	}
 	return b
