acceptor: announce the end of idle connections with a 408

closeIfExpired was there to close a connection at once after the last look. It never ran: http.Server.Serve sets a TLS configuration for HTTP/2, which the check took for an encrypted connection.

The host now sends a 408 with "Connection: close", closes its sending side, and reads and discards for up to 300 ms, so that the response is not reset. A client without a request sees the end of the connection, as before. Encrypted connections end as before.

The soak takes bytes on an idle connection for a fault, unless they are this announcement and the end follows; a 408 within the announced time of a host that does not stop is one.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -51,6 +51,12 @@
 	lastReadTimeout = 10 * time.Millisecond
 	// maxLastReads bounds these reads for one header, of which each brings up to 4 KiB.
 	maxLastReads = 16
+	// closeLinger is how long an idle connection is read after its end was announced, and
+	// what arrives discarded. To close it earlier could reset it before the client has
+	// received the announcement.
+	closeLinger = 300 * time.Millisecond
+	// maxDiscardedBytes bounds what is read in this time.
+	maxDiscardedBytes = 1 << 20
 	// defaultIdleTimeout is how long a connection stays open without a request if no
 	// time-out is set, maxIdleTimeout how long in any case.
 	defaultIdleTimeout = time.Minute
@@ -65,6 +71,9 @@
 // Acceptor serves HTTP requests of clients.
 type Acceptor struct {
 	httpServer *http.Server
+	// encrypted is true if connections are encrypted. The HTTP server sets a TLS
+	// configuration in any case.
+	encrypted bool
 	// idleTimeout returns how long a connection may be idle, 0 for defaultIdleTimeout. It is
 	// nil if that always applies.
 	idleTimeout        func() time.Duration
@@ -107,7 +116,9 @@
 }
 
 // WithTLS sets the TLS configuration. Without one, connections are not encrypted.
-func WithTLS(c *tls.Config) Option { return func(a *Acceptor) { a.httpServer.TLSConfig = c } }
+func WithTLS(c *tls.Config) Option {
+	return func(a *Acceptor) { a.httpServer.TLSConfig, a.encrypted = c, c != nil }
+}
 
 // WithBaseContext sets the context from which those of the requests are derived.
 func WithBaseContext(ctx context.Context) Option {
@@ -154,7 +165,7 @@
 	a.listener = tracked
 	a.mutex.Unlock()
 	var err error
-	if a.httpServer.TLSConfig != nil {
+	if a.encrypted {
 		err = a.httpServer.ServeTLS(tracked, "", "")
 	} else {
 		err = a.httpServer.Serve(tracked)
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -45,8 +47,14 @@
 	receiving
 	// serving a request by a handler.
 	serving
+	// ending, after the end was announced to a client that has sent no request.
+	ending
 )
 
+// timeoutResponse is the response to a request that crosses the end of its connection. It is sent
+// whether there is one or not. Its status says that the request was not run.
+const timeoutResponse = "HTTP/1.1 408 Request Timeout\r\nDate: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // http2Protocol is the name of HTTP/2 in the negotiation of TLS.
 const http2Protocol = "h2"
 
@@ -191,27 +199,62 @@
 }
 
 // closeIfExpired closes the connection if the last read for a request timed out. It does not
-// leave that to the HTTP server, so that as little time as possible passes between the last
-// look for a request and the close. An encrypted connection ends with a message of the
-// server.
+// leave that to the HTTP server, which would close it without a word: a request that crosses
+// the close would get neither a response nor a refusal. An encrypted connection ends with a
+// message of the server.
 func (c *connection) closeIfExpired(err error) {
-	c.mutex.Lock()
-	phase := c.phase
-	c.mutex.Unlock()
-	if phase != waiting || !errors.Is(err, os.ErrDeadlineExceeded) || c.acceptor.httpServer.TLSConfig != nil {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || c.acceptor.encrypted || !c.startEnding() {
 		return
 	}
+	if err := c.announceEnd(); err != nil {
+		c.acceptor.log.Debug().Err(err).Msg("failed to announce the end of an idle connection")
+	}
 	if err := c.Close(); err != nil {
 		c.acceptor.log.Debug().Err(err).Msg("failed to close an idle connection")
 	}
 }
 
+// startEnding records that the connection ends. It is false if it does not wait for a request.
+func (c *connection) startEnding() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.phase != waiting {
+		return false
+	}
+	c.phase = ending
+	return true
+}
+
+// announceEnd sends timeoutResponse, closes the sending side, and reads until the client closes its
+// side or closeLinger has passed. It discards what arrives.
+func (c *connection) announceEnd() error {
+	end := time.Now().Add(closeLinger)
+	if err := c.SetDeadline(end); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(c.Conn, timeoutResponse, time.Now().UTC().Format(http.TimeFormat)); err != nil {
+		return err
+	}
+	if err := c.CloseWrite(); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(c.Conn, maxDiscardedBytes))
+	if n > 0 {
+		c.acceptor.meter.CountCrossedRequest()
+		c.acceptor.log.Info().Str("caller", c.RemoteAddr().String()).Int64("bytes", n).Msg("refused a request that crossed the end of its connection")
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
 // startLastRead sets the deadline for one more read after the deadline has passed. It is
 // false if the read is not for the header of a request.
 func (c *connection) startLastRead() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.phase == serving || c.lastReads >= maxLastReads {
+	if c.phase == serving || c.phase == ending || c.lastReads >= maxLastReads {
 		return false
 	}
 	c.lastReads++
@@ -269,7 +312,7 @@
 	phase := c.phase
 	c.mutex.Unlock()
 	// The rest of a request that has a response may stay unread.
-	unread, unserved := phase != serving && hasUnreadData(c.Conn), phase == receiving
+	unread, unserved := phase != serving && phase != ending && hasUnreadData(c.Conn), phase == receiving
 	a.meter.CountClosedConnection(unread, unserved)
 	if unread || unserved {
 		a.log.Info().Str("caller", c.RemoteAddr().String()).Bool("unread", unread).Bool("unserved", unserved).Msg("connection closed with a request")
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -96,6 +96,12 @@
 	m.set.GetOrCreateCounter("fuchsiapitch_rescued_requests_total").Inc()
 }
 
+// CountCrossedRequest counts a request that arrived after the end of its idle connection had been
+// announced, and was refused by the announcement.
+func (m *Meter) CountCrossedRequest() {
+	m.set.GetOrCreateCounter("fuchsiapitch_crossed_requests_total").Inc()
+}
+
 // CountBrokenOffResponse counts a response that a client had begun to receive and that ended
 // before it was complete, by its cause.
 func (m *Meter) CountBrokenOffResponse(cause string) {
--- a/internal/platformassembler/soak_client_test.go
+++ b/internal/platformassembler/soak_client_test.go
@@ -131,6 +131,9 @@
 	}
 	conn.SetReadDeadline(next)
 	_, err := conn.reader.Peek(1)
+	if err == nil && c.isAnnouncedEnd(conn) {
+		err = io.EOF
+	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return true
@@ -146,6 +149,19 @@
 	return false
 }
 
+// isAnnouncedEnd reports whether the next bytes announce that an idle connection ends, and
+// nothing else arrives before the end.
+func (c *soakClient) isAnnouncedEnd(conn *soakConnection) bool {
+	conn.SetReadDeadline(time.Now().Add(soakPatience))
+	response, err := http.ReadResponse(conn.reader, nil)
+	if err != nil || response.StatusCode != http.StatusRequestTimeout || !response.Close || response.ContentLength != 0 {
+		return false
+	}
+	_, err = conn.reader.Peek(1)
+	c.soak.count("announced ends of idle connections")
+	return errors.Is(err, io.EOF)
+}
+
 // exchange sends a request, reads its response and checks it. It returns false if there is
 // no complete response.
 func (c *soakClient) exchange(conn *soakConnection, r *soakRequest) (*http.Response, bool) {
@@ -185,6 +201,9 @@
 		c.soak.recordBooking(r.id, response.StatusCode)
 	}
 	c.soak.count(fmt.Sprintf("status %d", response.StatusCode))
+	if response.StatusCode == http.StatusRequestTimeout && isReliable && conn.process.stopped.Load() == 0 {
+		c.soak.report("request %s: got the end of the connection %s after the last request, want it not before %s", r.id, sent.Sub(lastUsed), conn.reliance)
+	}
 	c.checkResponse(r, response, body)
 	return response, sendError == nil
 }
