grouper: tests of silent and leaving members of groups that run requests

The same class of fault as on the users' platform, on the product's own interface: may a sound engine that is silent for a while lose its group, whose streams end with it, and does a planned departure end them?

--- a/internal/grouper/controller_test.go
+++ b/internal/grouper/controller_test.go
@@ -7,7 +7,11 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
-const tickPeriod = 100 * time.Millisecond
+const (
+	tickPeriod = 100 * time.Millisecond
+	// runnerProbeTimeout is the time-out of probes in package runner.
+	runnerProbeTimeout = 800 * time.Millisecond
+)
 
 // fixture runs one Grouper with a fake log and fake engines, which answer
 // immediately.
@@ -19,6 +23,15 @@
 	issuedOrders []IssuedOrder
 	// withholdReads keeps appended records from being read.
 	withholdReads bool
+	// lateProbes are the results of probes that have not come yet.
+	lateProbes []lateProbe
+}
+
+// lateProbe is a probe of a silent engine, which ends at a time.
+type lateProbe struct {
+	at       time.Duration
+	engine   fuchsiapitch.ServerID
+	timedOut bool
 }
 
 // fakeEngine is an engine that accepts every order.
@@ -27,6 +40,10 @@
 	// unresponsive makes it leave probes unanswered.
 	unresponsive    bool
 	runningRequests int
+	// silentUntil is when it answers what it was sent before, like a process that stands
+	// still.
+	silentUntil time.Duration
+	leaving     bool
 	// failingVersion is a version for which it never becomes ready.
 	failingVersion string
 }
@@ -55,6 +72,7 @@
 func (f *fixture) run(duration time.Duration) {
 	for end := f.now + duration; f.now < end; f.now += tickPeriod {
 		now := newInstant(f.now, f.now)
+		f.endLateProbes(now)
 		f.Tick(now)
 		a := f.TakeActions()
 		for _, r := range a.Appends {
@@ -74,14 +92,38 @@
 	}
 }
 
+// endLateProbes passes on the results of late probes that are due.
+func (f *fixture) endLateProbes(now fuchsiapitch.Instant) {
+	due := f.lateProbes
+	f.lateProbes = nil
+	for _, p := range due {
+		switch {
+		case p.at > f.now:
+			f.lateProbes = append(f.lateProbes, p)
+		case p.timedOut:
+			f.ServerUnresponsive(now, p.engine)
+		default:
+			f.answerProbe(now, p.engine)
+		}
+	}
+}
+
 func (f *fixture) answerProbe(now fuchsiapitch.Instant, id fuchsiapitch.ServerID) {
 	e := f.engines[id]
 	if e.unresponsive {
 		f.ServerUnresponsive(now, id)
 		return
 	}
+	if f.now < e.silentUntil {
+		end := min(e.silentUntil, f.now+runnerProbeTimeout)
+		f.lateProbes = append(f.lateProbes, lateProbe{at: end, engine: id, timedOut: end < e.silentUntil})
+		return
+	}
 	a := e.status
 	options := []fuchsiapitch.EngineStatusOption{fuchsiapitch.WithReportedLoad(e.runningRequests, 0)}
+	if e.leaving {
+		options = append(options, fuchsiapitch.WithEngineLeaving())
+	}
 	if v := a.Assignment().Version(); v != "" && v != e.failingVersion {
 		options = append(options, fuchsiapitch.WithReady())
 	}
