platformassembler: random notices with servers that cannot be connected to

TestRandomNotices paused its servers for up to 1 s, and connections to them were accepted. They now fall silent for up to 2 s, and half of them do not accept connections. The summary of the soak also counts the responses "no answer".

--- a/internal/platformassembler/notice_test.go
+++ b/internal/platformassembler/notice_test.go
@@ -230,8 +230,7 @@
 				server.LeaveUnannounced(span)
 			}
 		case 1:
-			server.Faults().Pause()
-			time.AfterFunc(span/2, server.Faults().Resume)
+			server.FallSilent(span, random.IntN(2) == 0)
 		case 2:
 			c.Store.SetOutage(random.IntN(2) == 0)
 		default:
--- a/internal/platformassembler/soak_test.go
+++ b/internal/platformassembler/soak_test.go
@@ -351,7 +351,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.counts)) {
 		summary = append(summary, fmt.Sprintf("%s %d", name, s.counts[name]))
 	}
-	for _, name := range []string{"connection closed with a request", "request arrived on a connection that was to be closed", "grace period ends with requests in flight"} {
+	for _, name := range []string{"connection closed with a request", "request arrived on a connection that was to be closed", "grace period ends with requests in flight", "no answer: "} {
 		summary = append(summary, fmt.Sprintf("log %q %d", name, len(s.log.find(name))))
 	}
 	t.Logf("seed %d: %s", s.seed, strings.Join(summary, ", "))
