--- a/internal/platformassembler/breakoff_test.go
+++ b/internal/platformassembler/breakoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -177,13 +178,21 @@
 // off, which has started again, is in no group and refuses it.
 func TestRestartedServerDoesNotEndStream(t *testing.T) {
 	t.Parallel()
-	const otherStreams = 60
+	const otherStreams, otherPath = 60, "/other/"
 	for _, downtime := range []time.Duration{time.Millisecond, 20 * time.Millisecond, 60 * time.Millisecond} {
 		t.Run(downtime.String(), func(t *testing.T) {
 			t.Parallel()
 			c := newTestCluster(t, 2)
 			c.awaitController(t)
-			c.publishAttempts(t, 2, 2)
+			// The other streams take nothing from the retry budget.
+			c.publishEdited(t, 2, func(document map[string]any) {
+				routes := document["routes"].([]any)
+				stream := routes[0].(map[string]any)
+				stream["max_attempts"] = 2
+				other := maps.Clone(stream)
+				other["name"], other["path_prefix"], other["max_attempts"] = "other", otherPath, 1
+				document["routes"] = append(routes, other)
+			})
 			c.setSlowdown(10)
 			var clients sync.WaitGroup
 			var ended atomic.Int64
@@ -193,7 +202,7 @@
 				for n := range otherStreams {
 					clients.Go(func() {
 						defer ended.Add(1)
-						_, _, _ = c.trySendChecked(t, n%2, standin.StreamPathPrefix+"x")
+						_, _, _ = c.trySendChecked(t, n%2, otherPath)
 					})
 				}
 				c.await(t, "other streams", func() bool { return ended.Load()+c.requestsInFlight(t) > otherStreams })
