coordinator: retire the group of a member that leaves without draining

Cause: some servers never report draining; their entry is removed, and they end two seconds later. For a member that is no leader nothing followed from that, so that its group took new requests until it ended. Class: what is announced is used only in one of its forms.

A probe of a server that is off the list now asks for its health as well: a server that leaves says 503 with its identifier, one that is merely cut off from the store says 200. The server counts as leaving until it is listed again or restarts; its group retires (close with wait), and takes nothing new.

A member that is off the list and healthy keeps its group.

The controller logs members that are off the list.

--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -30,6 +30,9 @@
 	listed bool
 	// saysLeaving is true if the server has stated itself that it leaves.
 	saysLeaving bool
+	// leavesUnlisted is true if the server is off the list and has said that it is not
+	// healthy: it leaves, and has not been listed as leaving.
+	leavesUnlisted bool
 	// listedAt is when the server last appeared on the list, unlistedAt when it last
 	// disappeared from it.
 	listedAt, unlistedAt time.Duration
@@ -169,7 +172,7 @@
 			c.servers[r.ID], c.domains = s, nil
 		}
 		if !s.listed {
-			s.listed, s.listedAt = true, now
+			s.listed, s.listedAt, s.leavesUnlisted = true, now, false
 		}
 		c.mergeReport(now, s, r, false)
 		c.reviewLeaving(now, s, r, offset)
@@ -181,6 +184,9 @@
 		if s.listed {
 			s.listed, s.unlistedAt = false, now
 			s.needsProbe = true
+			if c.isController(now) && s.report.Membership.Group.Name != "" {
+				c.log("server of a group is off the list", map[string]any{logFieldServer: id, "group": s.report.Membership.Group.Name, "leaving": s.isLeaving()})
+			}
 		}
 		if now-s.unlistedAt > c.stallTimeout+removalDelay && s.isLost() {
 			c.removeServer(id, s)
@@ -304,6 +310,7 @@
 	}
 	s.consecutiveFailures, s.lastResponseAt = 0, now
 	s.needsProbe = false
+	s.leavesUnlisted = s.leavesUnlisted || e.Unhealthy && !s.listed
 	e.Report.ID = e.Server
 	if s.lastOrderRefused {
 		s.lastOrderRefused = false
@@ -466,7 +473,7 @@
 		return
 	}
 	s.probeInFlight, s.nextProbeAt = true, 0
-	c.emit(ProbeServer{Server: s.report.ID, Address: s.report.Address, KnownIncarnation: s.report.StartedUnixMillis})
+	c.emit(ProbeServer{Server: s.report.ID, Address: s.report.Address, KnownIncarnation: s.report.StartedUnixMillis, ChecksHealth: !s.listed && !s.isLeaving()})
 }
 
 // engineProfile returns the engine profile of a server's service, nil for none.
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -99,6 +99,9 @@
 	Err error
 	// Silent is true if a connection was established and no response came in time.
 	Silent bool
+	// Unhealthy is true if the server, asked for its health, said that it is failing or
+	// leaves.
+	Unhealthy bool
 	// Refused is true if the address refused the connection, since nobody listens there.
 	Refused bool
 }
@@ -232,6 +235,8 @@
 	Address string
 	// KnownIncarnation is the last known incarnation of the server.
 	KnownIncarnation int64
+	// ChecksHealth is true if the health of the server is requested as well.
+	ChecksHealth bool
 }
 
 // SendOrder sends an order to a server.
--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -108,7 +108,7 @@
 }
 
 // isLeaving reports whether the server leaves by the list or by its own word.
-func (s *server) isLeaving() bool { return s.report.Leaving || s.saysLeaving }
+func (s *server) isLeaving() bool { return s.report.Leaving || s.saysLeaving || s.leavesUnlisted }
 
 // applyNotice processes what a server stated beside a response to this host.
 func (c *Coordinator) applyNotice(now time.Duration, e NoticeReceived) {
--- a/internal/coordinator/simulation_test.go
+++ b/internal/coordinator/simulation_test.go
@@ -63,6 +63,9 @@
 	// silentUntil is the time until which the engine accepts connections and sends no byte,
 	// neither to hosts nor to the members of its group.
 	silentUntil time.Duration
+	// unlisted is true if the engine is off the list though it works, unhealthy if it says so
+	// when it is asked for its health.
+	unlisted, unhealthy bool
 	// readyFormations are the formations in which the engine has been ready.
 	readyFormations map[fuchsiapitch.GroupRef]bool
 	// reports holds the state after each step. Probes and the server list read earlier
@@ -244,11 +247,14 @@
 	if report.StartedUnixMillis != e.incarnation {
 		report = e.reports[len(e.reports)-1]
 	}
+	unhealthy := probe.ChecksHealth && e.unhealthy
 	var identifiedAs fuchsiapitch.ServerID
 	if report.StartedUnixMillis > probe.KnownIncarnation {
 		identifiedAs = e.id
 	}
-	sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: sm.now + simulationStep, coordinatorIndex: n, event: func() Event { return ProbeCompleted{Server: id, IdentifiedAs: identifiedAs, Report: report} }})
+	sm.pendingCalls = append(sm.pendingCalls, pendingCall{dueAt: sm.now + simulationStep, coordinatorIndex: n, event: func() Event {
+		return ProbeCompleted{Server: id, IdentifiedAs: identifiedAs, Report: report, Unhealthy: unhealthy}
+	}})
 }
 
 // deliverOrder executes an order at the engine that responds at its address, and
@@ -472,7 +478,7 @@
 	const lagSteps = 60
 	for _, id := range sm.engineOrder {
 		e := sm.engines[id]
-		if sm.now-e.lastReachableAt > simulatedListExpiry || e.domain == sm.unlistedDomain || len(e.reports) == 0 {
+		if sm.now-e.lastReachableAt > simulatedListExpiry || e.domain == sm.unlistedDomain || e.unlisted || len(e.reports) == 0 {
 			continue
 		}
 		r := e.reports[max(0, len(e.reports)-1-lagSteps)]
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -45,6 +45,9 @@
 	Report(ctx context.Context, id fuchsiapitch.ServerID, address string) (fuchsiapitch.ServerReport, error)
 	// Identify requests the identifier of the server at an address.
 	Identify(ctx context.Context, address string) (fuchsiapitch.ServerID, error)
+	// CheckHealth requests the health of the server at an address. It returns the
+	// identifier of the server, and whether it is failing or leaves.
+	CheckHealth(ctx context.Context, address string) (fuchsiapitch.ServerID, bool, error)
 	// Order sends an order to the server that it names.
 	Order(ctx context.Context, o fuchsiapitch.GroupOrder) (fuchsiapitch.OrderResult, error)
 }
@@ -235,7 +238,8 @@
 
 // probeServer requests the report of a server and returns the result. If the report
 // shows a later incarnation than the known one, it also requests the identifier of the
-// server, since another server may use the address now.
+// server, since another server may use the address now. It also requests the health if the
+// probe asks for it.
 func (d *Driver) probeServer(e coordinator.ProbeServer) coordinator.ProbeCompleted {
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
 	defer cancel()
@@ -251,6 +255,13 @@
 			d.log.Info().Str("server", string(e.Server)).Err(err).Msg("could not get identifier of server")
 		}
 	}
+	if result.Err == nil && e.ChecksHealth {
+		id, unhealthy, err := d.servers.CheckHealth(ctx, e.Address)
+		if err != nil {
+			d.log.Info().Str("server", string(e.Server)).Err(err).Msg("could not get health of server")
+		}
+		result.Unhealthy = unhealthy && id == e.Server
+	}
 	return result
 }
 
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -45,6 +45,10 @@
 	return fuchsiapitch.ServerReport{ID: id}, err
 }
 
+func (*slowServers) CheckHealth(context.Context, string) (fuchsiapitch.ServerID, bool, error) {
+	return "", false, nil
+}
+
 func (*slowServers) Identify(context.Context, string) (fuchsiapitch.ServerID, error) { return "", nil }
 
 func (*slowServers) Order(context.Context, fuchsiapitch.GroupOrder) (fuchsiapitch.OrderResult, error) {
--- a/internal/driver/silence_test.go
+++ b/internal/driver/silence_test.go
@@ -29,6 +29,10 @@
 	return fuchsiapitch.ServerReport{}, s.get(ctx, address)
 }
 
+func (httpServers) CheckHealth(context.Context, string) (fuchsiapitch.ServerID, bool, error) {
+	return "", false, nil
+}
+
 func (httpServers) Identify(context.Context, string) (fuchsiapitch.ServerID, error) { return "", nil }
 
 func (s httpServers) Order(ctx context.Context, o fuchsiapitch.GroupOrder) (fuchsiapitch.OrderResult, error) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -73,6 +73,10 @@
 	return fuchsiapitch.ServerReport{}, &fuchsiapitch.UnreachableError{}
 }
 
+func (unreachableServers) CheckHealth(context.Context, string) (fuchsiapitch.ServerID, bool, error) {
+	return "", false, nil
+}
+
 func (unreachableServers) Identify(context.Context, string) (fuchsiapitch.ServerID, error) {
 	return "", nil
 }
