platformassembler: abort requests 0.25 s before the end of a stop

Cause: no host held these streams up, with one exception (7.06 s old, resumed). Traced with the age of each stream: on the route whose streams are cut, 29 of 1,012 take longer than 4.95 s, the longest 5.46 s, and all of these are at one server, without a wait or a pause. The host takes streams for 2.5 s and aborted them after 7.45 of 8 s.

What costs nothing is the time after the abort: in 96 stops that used it, hosts ended 13 ms after the abort mostly, and 107 ms at most. The abort now comes 0.25 s and the end 0.15 s before the end of the grace period (0.55 and 0.3 s before).

TestStopLeavesGracePeriodToRequests fails before: grace period 8s: got an abort after 7.45s and an end after 7.7s, want them not before 7.75s and 7.85s

--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -70,10 +70,10 @@
 	drainIdlePeriod = 1500 * time.Millisecond
 	// abortMargin is the time kept between the abort of the requests in flight and the end
 	// of the graceful shutdown, in which their responses are sent.
-	abortMargin = 250 * time.Millisecond
+	abortMargin = 100 * time.Millisecond
 	// shutdownMargin is the time kept between the end of the graceful shutdown and
 	// the forced termination of the process.
-	shutdownMargin = 300 * time.Millisecond
+	shutdownMargin = 150 * time.Millisecond
 	// headerTimeout bounds the time to read the header of an operator's or another host's
 	// request.
 	headerTimeout = 10 * time.Second
--- a/internal/platformassembler/stop_test.go
+++ b/internal/platformassembler/stop_test.go
@@ -18,3 +18,20 @@
 		}
 	}
 }
+
+// Guards against streams that are cut at the end of a stop although they would have ended within
+// the grace period: requests in flight were aborted long before the host had to end.
+func TestStopLeavesGracePeriodToRequests(t *testing.T) {
+	const (
+		// responses is the time for the responses to the aborted requests, exit that between
+		// the end of the last one and the end of the process.
+		responses = 100 * time.Millisecond
+		exit      = 150 * time.Millisecond
+	)
+	for _, grace := range []time.Duration{2 * time.Second, 8 * time.Second, time.Minute} {
+		s := newStopSchedule(grace)
+		if s.end < grace-exit || s.abort < grace-exit-responses {
+			t.Errorf("grace period %s: got an abort after %s and an end after %s, want them not before %s and %s", grace, s.abort, s.end, grace-exit-responses, grace-exit)
+		}
+	}
+}
