relayer: a response that ends at its time limit is broken off for that cause

If the context of the request has passed its deadline, the cause is the time limit.

TestBreakOffAtTimeLimitHasThatCause fails before: 'got cause "server-ended" for unexpected EOF, want "time-limit"', and "no-slot" and "not-run".

--- a/internal/relayer/breakoff.go
+++ b/internal/relayer/breakoff.go
@@ -43,7 +43,7 @@
 		return causeClientLeft
 	case isHostStopping(err), x.relayer.aborted.Err() != nil:
 		return causeHostStopping
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(x.ctx.Err(), context.DeadlineExceeded):
 		return causeTimeLimit
 	case errors.As(err, &response) && response.Reason == reasonNotRun:
 		return causeNotRun
--- a/internal/relayer/breakoff_test.go
+++ b/internal/relayer/breakoff_test.go
@@ -1,13 +1,17 @@
 package relayer
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
 )
 
@@ -68,3 +72,16 @@
 		})
 	}
 }
+
+// Guards against responses that count as broken off by their servers, or for want of a slot, though
+// their time limit has passed: a server ends what it runs at the same moment.
+func TestBreakOffAtTimeLimitHasThatCause(t *testing.T) {
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now())
+	defer cancel()
+	x := &exchange{relayer: New(nil, nil, fakeHeaderCodec{}), request: httptest.NewRequest(http.MethodPost, "/a", http.NoBody), ctx: ctx}
+	for _, err := range []error{io.ErrUnexpectedEOF, &driver.AdmissionError{Reason: coordinator.Overloaded}, &ResponseError{Reason: reasonNotRun}} {
+		if got, want := x.breakOffCause(err), causeTimeLimit; got != want {
+			t.Errorf("got cause %q for %v, want %q", got, err, want)
+		}
+	}
+}
