coordinator, relayer: a request refused after a run waits for another server

Since a refusal after a run does not end a request any more, an idempotent request to a full service could go to the same servers up to three more times within milliseconds, each time at the expense of the shared retry budget. The relayer says now which requests avoid the servers that have failed them: streams that have begun, as before, and requests that were refused after a run. They wait 0.5 s for another server, and no longer than other requests wait for a slot. A request that has not run is refused as before. The scenario of silence_test.go marks its streams as the relayer does.

Fail before: TestRefusedRetryAvoidsServersThatFailedIt 'got "s0" and invalid for a request that was refused: true, want it queued', TestAttemptAvoidsServersThatFailed 'got a request that avoids servers: false, want true'.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -308,7 +308,7 @@
 // slot.
 func (c *Coordinator) chooseReplica(now time.Duration, w *queuedRequest) *replica {
 	var candidates []*replica
-	avoidsFailed := w.avoidsFailedServers(now)
+	avoidsFailed := w.avoidsFailedNow(now)
 	for _, id := range sortedKeys(c.replicas) {
 		r := c.replicas[id]
 		if !r.serves(w.pool) || c.isHeldBack(now, r) || r.isHalfOpen() || r.totalInFlight() >= c.slotLimit(r) || !r.fitsPauseLimit(w.InputTokens, w.MaxPause) {
@@ -333,18 +333,18 @@
 	return best
 }
 
-// failedServerBackOff is how long a stream that has begun is not resumed at a server that has failed
-// it. All hosts learn within this time that a group is taken apart or a server has restarted.
+// failedServerBackOff is how long a request that avoids the servers that have failed it waits for
+// another one. All hosts learn within this time that a group is taken apart or a server has restarted.
 const failedServerBackOff = 500 * time.Millisecond
 
 // failedServerCostMS is added to the cost of a server at which the request has failed,
 // so that any other server is preferred.
 const failedServerCostMS = 10000
 
-// avoidsFailedServers reports whether a request waits for another server than those that have
+// avoidsFailedNow reports whether a request waits for another server than those that have
 // failed it.
-func (w *queuedRequest) avoidsFailedServers(now time.Duration) bool {
-	return w.Resumed && len(w.FailedServers) > 0 && now < w.arrivedAt+failedServerBackOff
+func (w *queuedRequest) avoidsFailedNow(now time.Duration) bool {
+	return w.AvoidsFailedServers && len(w.FailedServers) > 0 && now < w.arrivedAt+failedServerBackOff
 }
 
 // queueDepth returns how many requests may be sent to a replica beyond its slots.
@@ -433,7 +433,7 @@
 				c.grant(now, w, r)
 				continue
 			}
-			fullPools[w.pool] = !w.avoidsFailedServers(now)
+			fullPools[w.pool] = !w.avoidsFailedNow(now)
 		}
 		remaining = append(remaining, w)
 	}
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -47,8 +47,10 @@
 	PreviousTicket Ticket
 	// Parts are the parts of the prompt that other requests may have as well.
 	Parts []quarantiner.Part
-	// FailedServers are servers at which this request has failed.
-	FailedServers []fuchsiapitch.ServerID
+	// FailedServers are servers at which this request has failed. If AvoidsFailedServers is true,
+	// it waits for another one first.
+	FailedServers       []fuchsiapitch.ServerID
+	AvoidsFailedServers bool
 }
 
 // ResponseStarted reports the first byte of a response.
--- a/internal/coordinator/resumption_test.go
+++ b/internal/coordinator/resumption_test.go
@@ -11,7 +11,7 @@
 // newResumption returns the arrival of a stream that has begun and was broken off by servers.
 func newResumption(now time.Duration, ticket Ticket, failed ...fuchsiapitch.ServerID) RequestArrived {
 	e := newArrival(now, ticket)
-	e.Resumed, e.IsRetry, e.FailedServers = true, true, failed
+	e.Resumed, e.IsRetry, e.AvoidsFailedServers, e.FailedServers = true, true, true, failed
 	return e
 }
 
@@ -135,3 +135,23 @@
 		t.Errorf("got %s at the deadline, want %s", got, Overloaded)
 	}
 }
+
+// Guards against a request that is sent to the same full servers again and again within milliseconds,
+// each time at the expense of the retry budget, since a refusal after a run does not end it.
+func TestRefusedRetryAvoidsServersThatFailedIt(t *testing.T) {
+	now := 5 * time.Second
+	for _, wasRefused := range []bool{false, true} {
+		c := newCoordinatorWithReplicas(now, 2)
+		e := newArrival(now, 1)
+		e.IsRetry, e.AvoidsFailedServers, e.FailedServers = true, wasRefused, []fuchsiapitch.ServerID{"s0", "s1"}
+		e.FirstByteBy = now + 2*time.Second
+		got, reason := decisionFor(c.Apply(now, e), 1)
+		if (got == "") != wasRefused || reason != 0 {
+			t.Errorf("got %q and %s for a request that was refused: %v, want it queued in that case", got, reason, wasRefused)
+		}
+		now := now + failedServerBackOff
+		if got, reason := decisionFor(c.Apply(now, Ticked{}), 1); wasRefused && got == "" {
+			t.Errorf("got no slot (%s) after the back-off, want one", reason)
+		}
+	}
+}
--- a/internal/coordinator/silence_test.go
+++ b/internal/coordinator/silence_test.go
@@ -109,7 +109,7 @@
 	delete(ss.streams, t)
 	ss.streams[ss.lastTicket] = s
 	again := ss.arrival(ss.lastTicket)
-	again.IsRetry, again.Resumed, again.FailedServers, again.PreviousTicket = true, true, []fuchsiapitch.ServerID{failedServer}, t
+	again.IsRetry, again.Resumed, again.AvoidsFailedServers, again.FailedServers, again.PreviousTicket = true, true, true, []fuchsiapitch.ServerID{failedServer}, t
 	ss.apply(0, again)
 }
 
--- a/internal/relayer/attempt_test.go
+++ b/internal/relayer/attempt_test.go
@@ -129,3 +129,34 @@
 		t.Errorf("got %d arrivals, want the request to ask again", len(admitter.arrivals))
 	}
 }
+
+// Guards against a request that is sent again at once to servers that have just failed it: a stream
+// that has begun, and a request that was refused after a run.
+func TestAttemptAvoidsServersThatFailed(t *testing.T) {
+	for _, tt := range []struct {
+		name                string
+		sendCount, runCount int
+		resumed             bool
+		want                bool
+	}{
+		{name: "a new request"},
+		{name: "a failed run", sendCount: 1, runCount: 1},
+		{name: "a refusal", sendCount: 1},
+		{name: "a refusal after a failed run", sendCount: 2, runCount: 1, want: true},
+		{name: "a stream that has begun", sendCount: 1, runCount: 1, resumed: true, want: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			admitter := &recordingAdmitter{}
+			x := &exchange{
+				relayer: New(admitter, nil, fakeHeaderCodec{}), request: httptest.NewRequest(http.MethodPost, "/a", http.NoBody), ctx: t.Context(),
+				routes: newTableOf(1, 0), sendCount: tt.sendCount, runCount: tt.runCount,
+			}
+			if _, err := x.acquireSlot(tt.resumed); err == nil {
+				t.Fatal("got a slot, want the refusal of the admitter")
+			}
+			if got := admitter.arrivals[0].AvoidsFailedServers; got != tt.want {
+				t.Errorf("got a request that avoids servers: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -321,7 +321,8 @@
 		MaxPause:             x.route.InterEventTarget,
 		ReturnedAfterRefusal: float64(x.metadata.TimeLimit) < retriedTimeoutRatio*float64(x.route.Timeout),
 		Resumed:              resumed, IsRetry: x.sendCount > 0, HasAskedBefore: x.acquisitions > 1, FailedServers: x.failedServers,
-		MayMove: x.mayMove(), PreviousTicket: x.lastTicket, Parts: x.sharedParts(),
+		AvoidsFailedServers: resumed || x.mayHaveRun() && x.sendCount > x.runCount,
+		MayMove:             x.mayMove(), PreviousTicket: x.lastTicket, Parts: x.sharedParts(),
 	})
 	if err != nil {
 		return nil, err
