coordinator: follow the close of a retiring group

Callers saw streams wait for a group beside planned work, since its servers lay idle. Cause: after an order to close the controller asked the leader for its report once. Class: an operation that is started and not followed.

The leader of a retiring group is probed every 300 ms, and every 80 ms once no host knows of a request there, until it has closed.

Evidence: TestRetiredGroupIsReplacedSoon, before: "got the group taken apart 4s after the close, want between 300ms and 900ms" (the same for closes of 1.5 and 3 s).

--- a/internal/coordinator/departure_test.go
+++ b/internal/coordinator/departure_test.go
@@ -43,3 +43,26 @@
 		t.Error("got the server taken for leaving though it is listed, want it taken for sound")
 	}
 }
+
+// Guards against servers that lie idle after the last request of their retired group has ended,
+// until the list shows it seconds later: the controller follows the close of the leader.
+func TestRetiredGroupIsReplacedSoon(t *testing.T) {
+	for _, closeTime := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		ss := newSilenceScenario(t, 12, false, LimitsChanged{StallTimeout: simulatedStallTimeout})
+		leader, group := ss.leader, ss.leader.group
+		leader.closeTime = closeTime
+		member := ss.engines[leader.members[1]]
+		member.unlisted, member.unhealthy = true, true
+		for leader.state == fuchsiapitch.MemberOpen {
+			ss.run(simulationStep)
+		}
+		begin := ss.now
+		for isPlanned := true; isPlanned && ss.now < begin+10*time.Second; _, isPlanned = ss.coordinators[0].groups[group] {
+			ss.run(simulationStep)
+		}
+		if got, want := ss.now-begin, closeTime+simulatedReportLag+memberProbeInterval+100*time.Millisecond; got > want || got < closeTime {
+			t.Errorf("got the group taken apart %s after the close, want between %s and %s", got, closeTime, want)
+		}
+		assertNoViolations(t, ss.simulation)
+	}
+}
--- a/internal/coordinator/group.go
+++ b/internal/coordinator/group.go
@@ -149,9 +149,26 @@
 		c.probeSilentGroup(now, g)
 		return
 	}
+	if g.retiring {
+		c.followClose(now, g)
+	}
 	c.assembleGroup(now, g)
 }
 
+// followClose probes the leader of a retiring formation until it has closed: often once no host
+// knows of a request there.
+func (c *Coordinator) followClose(now time.Duration, g *group) {
+	leader := c.servers[g.leader()]
+	if leader == nil || leader.needsProbe || !leader.isMemberOf(g.ref) || leader.report.Membership.State != fuchsiapitch.MemberClosing {
+		return
+	}
+	interval := memberProbeInterval
+	if r, ok := c.replicas[g.leader()]; !ok || r.totalInFlight() == 0 {
+		interval = orderPollInterval
+	}
+	leader.needsProbe, leader.nextProbeAt = true, now+interval
+}
+
 // checkGroup marks a formation as failed or retiring if the state of its members
 // requires it.
 func (c *Coordinator) checkGroup(now time.Duration, g *group) {
--- a/internal/coordinator/simulation_test.go
+++ b/internal/coordinator/simulation_test.go
@@ -66,6 +66,8 @@
 	// unlisted is true if the engine is off the list though it works, unhealthy if it says so
 	// when it is asked for its health.
 	unlisted, unhealthy bool
+	// closeTime is how long a close takes, while requests end.
+	closeTime time.Duration
 	// readyFormations are the formations in which the engine has been ready.
 	readyFormations map[fuchsiapitch.GroupRef]bool
 	// reports holds the state after each step. Probes and the server list read earlier
@@ -336,6 +338,10 @@
 		if !isMember || e.state != fuchsiapitch.MemberOpen {
 			return fuchsiapitch.OrderRefused
 		}
+		if o.Kind == fuchsiapitch.OrderClose && e.closeTime > 0 {
+			e.state, e.transitionAt = fuchsiapitch.MemberClosing, sm.now+e.closeTime
+			break
+		}
 		e.state = fuchsiapitch.MemberReady
 		e.acceptedOrders++
 		return fuchsiapitch.OrderDone
@@ -422,6 +428,8 @@
 	case e.state == fuchsiapitch.MemberJoining && sm.now >= e.transitionAt:
 		e.state = fuchsiapitch.MemberReady
 		e.readyFormations[e.group] = true
+	case e.state == fuchsiapitch.MemberClosing && sm.now >= e.transitionAt:
+		e.state = fuchsiapitch.MemberReady
 	case e.openInProgress && sm.now >= e.transitionAt:
 		e.openInProgress, e.state = false, fuchsiapitch.MemberOpen
 		for _, m := range e.members {
