coordinator: end streams of a dissolved group only when they stall

Callers saw streams reset that ran, and others wait 1.5 s. Cause: a group with a lost member is dissolved by an order to leave, which resets what runs there, without a look at whether it runs. A member that drains remains for as long as the leader has work, although it no longer listens, and a controller may be the only one that cannot reach a member. On the other hand a retired group was never told to leave, nor were its members probed, if a member ended and its streams stalled. Class: an operation on a group that does not look at what its leader does.

A leader that sends bytes on its streams has its members: it is told to close and to wait. One whose streams are silent is told to leave, also while it closes, and the members of a silent group are probed also while it retires.

Evidence, before: TestStreamsOutliveMemberThatStopsListening, "got 6 of 12 streams broken off, want 0", "got the leader ready in {g1048585 1048585}, want it closing or ready in {g1048579 1048579}"; TestStalledStreamsLeaveRetiredGroup, "got the leader closing a second after the end of a member, want it to have left" and six streams still there.

--- a/internal/coordinator/group.go
+++ b/internal/coordinator/group.go
@@ -151,6 +151,7 @@
 	}
 	if g.retiring {
 		c.followClose(now, g)
+		c.probeSilentGroup(now, g)
 	}
 	c.assembleGroup(now, g)
 }
@@ -284,17 +285,26 @@
 }
 
 // dissolve removes a failed formation from the plan once its leader has stopped
-// accepting requests or is lost. mayJoin keeps its members from joining another
+// accepting requests or is lost. As long as the leader sends bytes, its requests may end: an
+// order to leave would reset them. mayJoin keeps its members from joining another
 // formation too early.
 func (c *Coordinator) dissolve(now time.Duration, g *group) {
 	leader, ok := c.servers[g.leader()]
 	if ok && leader.isMemberOf(g.ref) && !leader.isLost() {
 		switch leader.report.Membership.State {
 		case fuchsiapitch.MemberOpen:
-			c.sendOrder(now, g.leader(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: g.ref})
+			kind := fuchsiapitch.OrderLeave
+			if c.isWorking(now, g) {
+				kind = fuchsiapitch.OrderClose
+			}
+			c.sendOrder(now, g.leader(), fuchsiapitch.GroupOrder{Kind: kind, Group: g.ref})
 			return
 		case fuchsiapitch.MemberClosing:
-			c.scheduleProbe(now, leader)
+			if c.isSilentToAllHosts(now, g.leader()) {
+				c.sendOrder(now, g.leader(), fuchsiapitch.GroupOrder{Kind: fuchsiapitch.OrderLeave, Group: g.ref})
+				return
+			}
+			c.followClose(now, g)
 			return
 		case fuchsiapitch.MemberReady:
 			if leader.isOpening() {
@@ -310,6 +320,13 @@
 	c.dissolved[g.ref] = true
 }
 
+// isWorking reports whether hosts have requests at the leader of a formation and receive bytes
+// from it, so that its members must be there.
+func (c *Coordinator) isWorking(now time.Duration, g *group) bool {
+	r, ok := c.replicas[g.leader()]
+	return ok && r.totalInFlight() > 0 && !c.isSilentToAllHosts(now, g.leader())
+}
+
 // hasLeaderLeft reports whether the leader of a formation can no longer serve it: the
 // leader has joined another formation, has restarted, or is broken.
 func (c *Coordinator) hasLeaderLeft(ref fuchsiapitch.GroupRef) bool {
