acceptor: answer requests whose handler panics

A client whose request makes a handler panic saw its connection end without a response, and the host's log had no line: the HTTP server writes the panic to standard error and closes the connection. No such panic is known; it is one of the places where a request can end without an answer.

The request now gets status 500 and the end of its connection, without any header field that was set before, as a signature of a server must not go with another status. If the response has begun, it is cut off as before. The log has the panic and its stack.

TestPanicOfHandlerIsAnswered fails before: got error unexpected EOF, want a response

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -61,6 +61,13 @@
 				panic(http.ErrAbortHandler)
 			}
 		}
+		if strings.HasPrefix(r.URL.Path, "/panic") {
+			if r.URL.Path == "/panic/late" {
+				io.WriteString(w, "done")
+				http.NewResponseController(w).Flush()
+			}
+			panic("test")
+		}
 		if r.Context().Err() != nil {
 			io.WriteString(w, "aborted")
 			return
@@ -691,6 +698,34 @@
 	}
 }
 
+// Guards against a request that gets no response because its handler panics, and against a
+// response that looks complete because the panic came after its start.
+func TestPanicOfHandlerIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		early := a.dialClient(t)
+		early.send(t, "/panic/early")
+		response, err := http.ReadResponse(early.reader, nil)
+		if err != nil {
+			t.Fatalf("got error %v, want a response", err)
+		}
+		if response.StatusCode != http.StatusInternalServerError || !response.Close || response.ContentLength != 0 {
+			t.Errorf("got %v, want an empty response with status %d and the end of the connection", response, http.StatusInternalServerError)
+		}
+		early.assertClosed(t, 0, time.Second)
+		late := a.dialClient(t)
+		late.send(t, "/panic/late")
+		response, err = http.ReadResponse(late.reader, nil)
+		if err != nil {
+			t.Fatalf("got error %v, want the start of a response", err)
+		}
+		if body, err := io.ReadAll(response.Body); err == nil || string(body) != "done" {
+			t.Errorf("got body %q and error %v, want one that is cut off", body, err)
+		}
+	})
+}
+
 // Guards against a stop that lasts longer, or a response that is reset, because of a client that
 // goes on sending on a connection whose end was announced.
 func TestClosedConnectionIsNotReadForLong(t *testing.T) {
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"syscall"
@@ -104,10 +105,35 @@
 		} else if timeout >= time.Second {
 			w.Header().Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(timeout/time.Second), 10))
 		}
+		defer a.answerPanic(w, r)
 		next.ServeHTTP(w, r)
 	})
 }
 
+// answerPanic responds with status 500 if the handler of a request panics, unless a response has
+// begun. It then panics on, so that the HTTP server closes the connection: a response that has
+// begun must not look complete.
+func (a *Acceptor) answerPanic(w http.ResponseWriter, r *http.Request) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	err, ok := v.(error)
+	if ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(v)
+	}
+	a.log.Error().Str("caller", r.RemoteAddr).Interface("panic", v).Bytes("stack", debug.Stack()).Msg("handler panicked")
+	// This has no effect once a response has begun.
+	clear(w.Header())
+	w.Header().Set("Content-Length", "0")
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusInternalServerError)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		a.log.Debug().Err(err).Msg("failed to respond after a panic")
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // startServing records that a handler serves a request, whose response announces an idle
 // time-out.
 func (c *connection) startServing(announced time.Duration) {
