--- a/internal/platformassembler/soak_planned_test.go
+++ b/internal/platformassembler/soak_planned_test.go
@@ -19,6 +19,9 @@
 	// sent, so that the end of the stop may cut it off.
 	lateWorkStart = soakGrace * 5 / 6
 	lateSend      = 3 * time.Second
+	// soundPeriod is the shortest time between two silences of one server. Two in a row would
+	// be one that is longer than those of sound servers.
+	soundPeriod = 3 * time.Second
 	// maxSilentServers is the number of servers that fall silent at once.
 	maxSilentServers = 4
 )
@@ -35,6 +38,9 @@
 			n += rng.IntN(maxSilentServers)
 		}
 		for _, k := range rng.Perm(len(servers))[:min(n, len(servers)-1)] {
+			if s.silentUntil(servers[k]).Add(soundPeriod).After(time.Now()) {
+				continue
+			}
 			server := s.Fleet.Server(servers[k])
 			go server.FallSilent(d, connectable)
 			s.count("silences")
@@ -42,6 +48,17 @@
 	}
 }
 
+// silentUntil returns the end of the last silence of a server, the zero time for none.
+func (s *soak) silentUntil(server string) time.Time {
+	var end time.Time
+	for _, silence := range s.Fleet.Silences() {
+		if silence.Server == server {
+			end = silence.End
+		}
+	}
+	return end
+}
+
 // departServers makes one server of each domain and a plain server announce that they leave.
 // They serve on, so that nothing that runs at them has to end.
 func (s *soak) departServers(ctx context.Context, rng *rand.Rand) {
