platformassembler: stop serving once balancers have noticed the stop

Callers of a stopping host were refused after 2.5 s, on connections that it kept for 1.7 s more and on new ones, which balancers send to hosts that are not ready while few others are. A client has one retry; beside other stops it met a second refusal, and the request was lost to it. Other callers lost streams that the host had taken after 2.1 s and could not end.

Cause: idle connections were kept so that fewer requests cross their close, and the listener stayed open as long. Since a request that crosses is refused by the announcement of the end, that has no use any more: nearly every request that arrives in this time can only be refused, and the host that would serve it starts 1.9 s later.

Now a host lingers for 2.1 s (two checks of a balancer, one a second), then stops accepting and announces the end of idle connections. A new connection keeps its 0.2 s for a first request.

TestStopLingersUntilBalancersHaveNoticed fails before: grace period 8s: got a linger period of 2.5s, want it to end once balancers have noticed the stop, after 2s to 2.1s TestShutdownWithoutIdlePeriod covers the acceptor without an idle period; it passes before.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -354,6 +354,29 @@
 	})
 }
 
+// Guards against a request that a stop discards because idle connections end at once: it arrives on
+// a connection that was accepted just before.
+func TestShutdownWithoutIdlePeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t)
+		defer stop()
+		a.drainIdlePeriod = 0
+		idle := a.dialClient(t)
+		idle.exchange(t, "/")
+		time.Sleep(time.Second)
+		c := a.dialClient(t)
+		synctest.Wait()
+		result := a.shutDown(t)
+		time.Sleep(firstRequestPeriod / 2)
+		c.exchange(t, "/")
+		idle.assertTimedOut(t, 0, maxLastAcceptPeriod+firstRequestPeriod)
+		idle.Close()
+		if err := <-result; err != nil {
+			t.Errorf("got error %v, want a complete stop", err)
+		}
+	})
+}
+
 // Guards against requests that a stop discards in the queue of connections that the host
 // has not accepted yet.
 func TestShutdownServesQueuedConnections(t *testing.T) {
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -61,13 +61,13 @@
 	// registrationRetryInterval bounds one attempt to register the host in the store,
 	// and is the pause before the next one.
 	registrationRetryInterval = time.Second
-	// lingerPeriod is how long a stopping host still accepts new connections, until
-	// the load balancer has noticed that it is not ready.
-	lingerPeriod = 2500 * time.Millisecond
+	// lingerPeriod is how long a stopping host serves as before, until load balancers have
+	// noticed that it is not ready: two checks, one a second.
+	lingerPeriod = 2100 * time.Millisecond
 	// drainIdlePeriod is how long a stopping host keeps idle connections open after the
-	// linger period. It is short, because balancers go on sending new connections to a host
-	// that is not ready while few others are, and the host serves fully after its restart.
-	drainIdlePeriod = 1500 * time.Millisecond
+	// linger period. It could only refuse most of the requests on them, while clients find
+	// other hosts by new connections, and the host serves fully after its restart.
+	drainIdlePeriod = 0
 	// abortMargin is the time kept between the abort of the requests in flight and the end
 	// of the graceful shutdown, in which their responses are sent.
 	abortMargin = 100 * time.Millisecond
--- a/internal/platformassembler/stop_test.go
+++ b/internal/platformassembler/stop_test.go
@@ -35,3 +35,22 @@
 		}
 	}
 }
+
+// Guards against requests that are refused for good, and streams that are cut, since a stopping host
+// goes on taking them after every load balancer has noticed the stop: other stopping hosts refuse
+// their only other attempt, or the stop ends before they do. A balancer checks a host once a second,
+// and sends nothing new to one that has failed two checks.
+func TestStopLingersUntilBalancersHaveNoticed(t *testing.T) {
+	const (
+		checkInterval = time.Second
+		missedChecks  = 2
+		// roundTrip is the longest time of one check.
+		roundTrip = 100 * time.Millisecond
+	)
+	for _, grace := range []time.Duration{8 * time.Second, time.Minute} {
+		got := newStopSchedule(grace).linger
+		if noticed := missedChecks * checkInterval; got < noticed || got > noticed+roundTrip {
+			t.Errorf("grace period %s: got a linger period of %s, want it to end once balancers have noticed the stop, after %s to %s", grace, got, noticed, noticed+roundTrip)
+		}
+	}
+}
