coordinator: know the requests of others at groups that are closed to new ones

Callers saw streams stall for 1.5 s at a group that retires after one of its members has ended, and a group that was kept for requests that cannot move was taken apart 50 ms later. Cause: the loads that other hosts tell are kept with the replica, which is forgotten once it is closed to new requests and the own requests there have ended; so the controller saw neither the silence nor the pinned requests of others. Class: one state, its being open, is used for another, its being known.

The leaders of all announced groups are kept as replicas, open or not, and forgotten with their group.

Evidence: TestControllerKnowsRequestsOfOthersAtClosedGroup, before: "0 pinned: got the group kept for 1.4 s: true, want false" (stalled streams not noticed) and "1 pinned: ... false, want true".

--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -40,8 +40,9 @@
 	// host last sent it a request, and busySince when this host last sent it one while
 	// no other was in flight there.
 	lastByteAt, lastSentAt, busySince time.Duration
-	// open is true if the replica accepts new requests.
-	open bool
+	// open is true if the replica accepts new requests. announced is true if it leads a group,
+	// open or not.
+	open, announced bool
 	// unavailableUntil is the time until which this host sends the replica no requests.
 	// unreachableBackOff is the back-off after the last failure to connect, 0 once the
 	// replica has responded.
@@ -120,7 +121,7 @@
 func (c *Coordinator) refreshReplicas(now time.Duration) {
 	c.replicasStale = false
 	for _, r := range c.replicas {
-		r.open = false
+		r.open, r.announced = false, false
 	}
 	if c.routes == nil {
 		return
@@ -139,15 +140,27 @@
 	statuses, fromController := c.knownGroups(now)
 	for _, g := range statuses {
 		s, ok := c.servers[g.Leader]
-		if !ok || !g.Open || s.isLeaving() || !s.listed && !c.listStale {
+		if !ok {
 			continue
 		}
 		if p, ok := c.serviceProfile(s.report.Service); ok && p.Engine != nil {
-			c.updateReplica(g.Leader, s, p, g.Model)
+			r := c.updateReplica(g.Leader, s, p, g.Model)
+			r.announced = true
+			r.open = g.Open && !s.isLeaving() && (s.listed || c.listStale)
 		}
 	}
 	if fromController {
 		c.revokeFromDissolved(now, statuses)
+		c.forgetReplicas()
+	}
+}
+
+// forgetReplicas forgets the leaders of former groups, once their requests have ended.
+func (c *Coordinator) forgetReplicas() {
+	for id, r := range c.replicas {
+		if r.model != "" && !r.open && !r.announced && r.inFlight == 0 {
+			delete(c.replicas, id)
+		}
 	}
 }
 
@@ -181,7 +194,7 @@
 	return c.announcedVersion.Claim == c.knownClaim && c.claimHolder != c.self.ID && now-c.lastHolderContactAt < peerTimeout
 }
 
-func (c *Coordinator) updateReplica(id fuchsiapitch.ServerID, s *server, p fuchsiapitch.ServiceProfile, model string) {
+func (c *Coordinator) updateReplica(id fuchsiapitch.ServerID, s *server, p fuchsiapitch.ServiceProfile, model string) *replica {
 	r, ok := c.replicas[id]
 	if !ok {
 		r = &replica{server: id}
@@ -198,6 +211,7 @@
 			r.timeFactor = m.TimeFactor
 		}
 	}
+	return r
 }
 
 // recordLastByteTimes records when servers last sent a byte.
--- a/internal/coordinator/silentstream_test.go
+++ b/internal/coordinator/silentstream_test.go
@@ -216,3 +216,36 @@
 		}
 	}
 }
+
+// Guards against a controller that forgets the requests of other hosts at a group once it has none
+// of its own there and the group takes no new ones: it would take the group apart, or not notice
+// that they stall.
+func TestControllerKnowsRequestsOfOthersAtClosedGroup(t *testing.T) {
+	for _, pinned := range []int{0, 1} {
+		ss := newSilenceScenario(t, 12, false, LimitsChanged{StallTimeout: simulatedStallTimeout})
+		leader, group := ss.leader, ss.leader.group
+		leader.closeTime = 10 * time.Second
+		if pinned == 0 {
+			ss.engines[leader.members[2]].unlisted, ss.engines[leader.members[2]].unhealthy = true, true
+			ss.runStreams(time.Second)
+		}
+		for _, ticket := range sortedKeys(ss.streams) {
+			if pinned > 0 {
+				// The streams of the controller move once the member counts as lost.
+				ss.streams[ticket].mayMove, ss.coordinators[0].assignments[ticket].mayMove = true, true
+				continue
+			}
+			ss.apply(0, TicketReleased{Ticket: ticket})
+			delete(ss.streams, ticket)
+		}
+		outage{duration: 10 * time.Second, ranks: []int{1}}.begin(ss)
+		begin := ss.now
+		for ss.now < begin+1400*time.Millisecond {
+			ss.apply(0, HeartbeatReceived{Heartbeat{From: Peer{ID: "other"}, Incarnation: 1, Sequence: uint64(ss.now), ServerLoads: []ServerLoad{{Server: leader.id, InFlight: 2, Pinned: pinned, SilentFor: ss.now - begin}}}})
+			ss.run(100 * time.Millisecond)
+		}
+		if _, got := ss.coordinators[0].groups[group]; got != (pinned > 0) {
+			t.Errorf("%d pinned: got the group kept for 1.4 s: %v, want %v", pinned, got, pinned > 0)
+		}
+	}
+}
