coordinator: leave streams where they are if no other server works

Callers would see streams broken off that can be resumed, beside a silence of all groups of a model: they were taken from their servers, which went on a second later, and waited for a slot that nobody had. Cause: a stream counted as able to move if an attempt and a retry were left, whether or not a server was there to take it. Class: a limit is checked for the caller and not for what is called.

A stream can move only if another replica accepts its requests, is not held back, and is not silent to all hosts. Others are pinned (the group is kept), and are not revoked for silence.

Evidence: TestStreamsOutliveSilenceOfAllGroups, before, for 1 s without connections: "got a stream without a byte 1.1s after the begin of the silence, want it to go on", 12 of 12 streams.

--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -344,7 +344,7 @@
 	// UnreadTokens the total prompt length of those whose response has not started.
 	InFlight, UnreadTokens int
 	// Pinned is the number of those requests that cannot go on at another server: they have
-	// no attempt left, or the host no retry.
+	// no attempt left, the host no retry, or no other server works.
 	Pinned int
 	// SilentFor is the time without a byte from the server at the host.
 	SilentFor time.Duration
--- a/internal/coordinator/revocation.go
+++ b/internal/coordinator/revocation.go
@@ -59,14 +59,25 @@
 }
 
 // canMove reports whether a request may be sent to another server now: an attempt and a retry
-// are left.
+// are left, and another server works.
 func (c *Coordinator) canMove(now time.Duration, a *assignment) bool {
-	return a.mayMove && c.mayRetry(now, a.pool.service)
+	return a.mayMove && c.mayRetry(now, a.pool.service) && c.hasAlternative(now, a.replica)
+}
+
+// hasAlternative reports whether another replica accepts the requests of a replica and is not
+// silent as well.
+func (c *Coordinator) hasAlternative(now time.Duration, r *replica) bool {
+	for id, o := range c.replicas {
+		if o != r && o.serves(poolKey{r.service, r.model}) && now >= c.availableAt(o) && !c.isSilentToAllHosts(now, id) {
+			return true
+		}
+	}
+	return false
 }
 
 // pinnedRequests returns the number of this host's requests at each replica that cannot go on
-// at another one: those with no attempt left, and those for which no retry is free if all the
-// others at the replica are sent again.
+// at another one: those with no attempt left, those for which no retry is free if all the
+// others at the replica are sent again, and all if no other replica works.
 func (c *Coordinator) pinnedRequests(now time.Duration) map[*replica]int {
 	pinned, movable := make(map[*replica]int), make(map[*replica]int)
 	for _, a := range c.assignments {
@@ -79,7 +90,10 @@
 		}
 	}
 	for r, n := range movable {
-		pinned[r] += max(0, n-c.freeRetries(now, r.service))
+		if c.hasAlternative(now, r) {
+			n -= c.freeRetries(now, r.service)
+		}
+		pinned[r] += max(0, n)
 	}
 	return pinned
 }
