coordinator: end streams whose server has started again

A stream without an attempt waits for its silent server, since that may go on. One that has started again certainly does not: its streams wait for nothing where the connection is not reset. Cause: the incarnation to which a request was sent was recorded and not compared with the one that is known now.

Other hosts than the controller know it by the list, late.

Evidence: TestStreamsOfRestartedServerEnd, before: "restarts true: got 0 streams revoked, want 6"; those of a server that is silent for 1.2 s stay.

--- a/internal/coordinator/departure_test.go
+++ b/internal/coordinator/departure_test.go
@@ -191,3 +191,39 @@
 		e.unlisted, e.unhealthy = false, false
 	}})
 }
+
+// Guards against streams that wait for a server that has started again: it has certainly ended
+// them, whether or not they can go on elsewhere. Those at a server that is merely silent stay.
+func TestStreamsOfRestartedServerEnd(t *testing.T) {
+	limits := LimitsChanged{StallTimeout: simulatedStallTimeout, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second}
+	for _, restarts := range []bool{false, true} {
+		ss := newSilenceScenario(t, 12, false, limits)
+		want, revoked := 0, 0
+		for _, s := range ss.streams {
+			if restarts && s.server == ss.leader.id {
+				want++
+			}
+		}
+		ss.onEffect = func(_ int, e Effect) {
+			if _, ok := e.(Revoke); ok {
+				revoked++
+			}
+		}
+		// The connections stay open without a byte.
+		ss.lastByteTimes = func() map[fuchsiapitch.ServerID]time.Duration {
+			times := ss.bytes()
+			delete(times, ss.leader.id)
+			return times
+		}
+		if restarts {
+			ss.restart(ss.leader)
+		} else {
+			ss.leader.silentUntil = ss.now + 1200*time.Millisecond
+		}
+		ss.run(1200 * time.Millisecond)
+		if got := revoked; got != want {
+			t.Errorf("restarts %v: got %d streams revoked, want %d", restarts, got, want)
+		}
+		assertNoViolations(t, ss.simulation)
+	}
+}
--- a/internal/coordinator/revocation.go
+++ b/internal/coordinator/revocation.go
@@ -27,7 +27,8 @@
 }
 
 // revokeFromDissolved revokes the slots of this host's requests at groups that the
-// controller has dissolved or keeps for other requests only, once they are silent, as far as the retry budget allows.
+// controller has dissolved or keeps for other requests only, once they are silent, as far as they
+// can move or their server has ended them.
 func (c *Coordinator) revokeFromDissolved(now time.Duration, statuses []GroupStatus) {
 	announced := make(map[fuchsiapitch.ServerID]bool, len(statuses))
 	for _, g := range statuses {
@@ -36,7 +37,7 @@
 	for _, k := range sortedKeys(c.assignments) {
 		a := c.assignments[k]
 		r := a.replica
-		if a.revoked || r.open || announced[r.server] || r.model == "" || r.silentFor(now) < groupSilenceTimeout || !c.canMove(now, a) {
+		if a.revoked || r.open || announced[r.server] || r.model == "" || r.silentFor(now) < groupSilenceTimeout || !c.canMove(now, a) && !c.hasRestarted(a) {
 			continue
 		}
 		c.revoke(now, k, a)
@@ -75,6 +76,12 @@
 	return false
 }
 
+// hasRestarted reports whether the server of a request has started again since the slot was
+// granted.
+func (c *Coordinator) hasRestarted(a *assignment) bool {
+	return a.incarnation.StartedUnixMillis > 0 && c.incarnationOf(a.replica.server).StartedUnixMillis > a.incarnation.StartedUnixMillis
+}
+
 // pinnedRequests returns the number of this host's requests at each replica that cannot go on
 // at another one: those with no attempt left, those for which no retry is free if all the
 // others at the replica are sent again, and all if no other replica works.
