--- a/internal/coordinator/silentstream_test.go
+++ b/internal/coordinator/silentstream_test.go
@@ -193,11 +193,11 @@
 func TestHeartbeatsTellPinnedRequests(t *testing.T) {
 	now := 5 * time.Second
 	for retries, want := range map[float64]int{0: 3, 1: 2, 4: 1} {
-		c := newCoordinatorWithReplicas(now, 1)
+		c := newCoordinatorWithReplicas(now, 2)
 		c.Apply(now, LimitsChanged{StallTimeout: defaultStallTimeout, RetrySlack: retries / budgetFraction, RetryWindow: 10 * time.Second})
 		for n := range Ticket(3) {
 			e := newArrival(now, n+1)
-			e.MayMove = n > 0
+			e.MayMove, e.FailedServers = n > 0, []fuchsiapitch.ServerID{"s1"}
 			c.Apply(now, e)
 		}
 		loads := c.serverLoads(now)
@@ -216,3 +216,63 @@
 		}
 	}
 }
+
+// Guards against a controller that forgets the requests of other hosts at a group once it has none
+// of its own there and the group takes no new ones: it would take the group apart, or not notice
+// that they stall.
+func TestControllerKnowsRequestsOfOthersAtClosedGroup(t *testing.T) {
+	for _, pinned := range []int{0, 1} {
+		ss := newSilenceScenario(t, 12, false, LimitsChanged{StallTimeout: simulatedStallTimeout})
+		leader, group := ss.leader, ss.leader.group
+		leader.closeTime = 10 * time.Second
+		if pinned == 0 {
+			ss.engines[leader.members[2]].unlisted, ss.engines[leader.members[2]].unhealthy = true, true
+			ss.runStreams(time.Second)
+		}
+		for _, ticket := range sortedKeys(ss.streams) {
+			if pinned > 0 {
+				// The streams of the controller move once the member counts as lost.
+				ss.streams[ticket].mayMove, ss.coordinators[0].assignments[ticket].mayMove = true, true
+				continue
+			}
+			ss.apply(0, TicketReleased{Ticket: ticket})
+			delete(ss.streams, ticket)
+		}
+		outage{duration: 10 * time.Second, ranks: []int{1}}.begin(ss)
+		begin := ss.now
+		for ss.now < begin+1400*time.Millisecond {
+			ss.apply(0, HeartbeatReceived{Heartbeat{From: Peer{ID: "other"}, Incarnation: 1, Sequence: uint64(ss.now), ServerLoads: []ServerLoad{{Server: leader.id, InFlight: 2, Pinned: pinned, SilentFor: ss.now - begin}}}})
+			ss.run(100 * time.Millisecond)
+		}
+		if _, got := ss.coordinators[0].groups[group]; got != (pinned > 0) {
+			t.Errorf("%d pinned: got the group kept for 1.4 s: %v, want %v", pinned, got, pinned > 0)
+		}
+	}
+}
+
+// Guards against streams that are taken from their servers, and wait in vain for another, because
+// all groups of their model are silent at once for a second or so: they can go on nowhere else.
+func TestStreamsOutliveSilenceOfAllGroups(t *testing.T) {
+	limits := LimitsChanged{StallTimeout: simulatedStallTimeout, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second}
+	for _, accepts := range []bool{false, true} {
+		for _, d := range []time.Duration{500 * time.Millisecond, time.Second, 1400 * time.Millisecond, 1900 * time.Millisecond} {
+			t.Run(outage{duration: d, acceptsConnections: accepts}.name(), func(t *testing.T) {
+				ss := newSilenceScenario(t, 12, true, limits)
+				for _, s := range ss.streams {
+					ss.leader = ss.engines[s.server]
+					outage{duration: d, ranks: []int{0}, acceptsConnections: accepts}.begin(ss)
+				}
+				begin := ss.now
+				ss.runStreams(d + 100*time.Millisecond)
+				for _, s := range ss.streams {
+					if ss.bytes()[s.server] != ss.now {
+						t.Errorf("got a stream without a byte %s after the begin of the silence, want it to go on", ss.now-begin)
+					}
+				}
+				ss.runStreams(4 * time.Second)
+				assertNoneBrokenOff(t, ss)
+				assertNoViolations(t, ss.simulation)
+			})
+		}
+	}
+}
