coordinator: a new controller knows all groups once it has surveyed the servers

Cause: the survey of a new controller completes with the response of one server, upon which the groups of that server's domain alone were adopted. Until the next tick the controller took the groups of all other domains for closed, announced that to all hosts, and streams there that were silent for a moment were taken from them. Class: a part is taken for the whole.

The response that completes the survey now lets the groups of all domains be adopted at once. TestNewControllerKnowsAllGroupsOnceItHasSurveyed fails before: "got 2 open groups 810ms after the start of the controller, want 4".

--- a/internal/coordinator/controller_test.go
+++ b/internal/coordinator/controller_test.go
@@ -169,6 +169,35 @@
 	}
 }
 
+// Guards against requests that are refused, and streams that are taken from their groups, because
+// a new controller announces a part of the groups only: those of one domain, until its next tick.
+func TestNewControllerKnowsAllGroupsOnceItHasSurveyed(t *testing.T) {
+	sm := newSimulation(1)
+	sm.startController()
+	sm.run(12 * time.Second)
+	sm.coordinators[0] = nil
+	sm.startController()
+	c := sm.coordinators[1]
+	for range 100 {
+		sm.step()
+		if !c.isSurveyed() {
+			continue
+		}
+		got := 0
+		for _, g := range c.groupStatuses() {
+			if g.Open {
+				got++
+			}
+		}
+		if want := sm.countOpenGroups(); got != want {
+			t.Fatalf("got %d open groups %s after the start of the controller, want %d", got, sm.now-c.controllerSince, want)
+		}
+	}
+	if !c.isSurveyed() {
+		t.Error("got no complete survey, want one")
+	}
+}
+
 // A new controller has no groups of its own before its survey is complete. Until then
 // it must serve requests from those on the list.
 func TestNewControllerServesDuringSurvey(t *testing.T) {
--- a/internal/coordinator/reconcile.go
+++ b/internal/coordinator/reconcile.go
@@ -21,10 +21,16 @@
 // controller. The rest follows at the next tick.
 func (c *Coordinator) reconcileServer(now time.Duration, s *server) {
 	c.replicasStale = true
-	if c.routes != nil && c.isController(now) && c.surveyServers(now) {
-		c.advanceGroups(now, s.domainKey())
-		c.probeServers(now, s.domainKey())
+	if c.routes == nil || !c.isController(now) {
+		return
+	}
+	if !c.isSurveyed() {
+		// The groups of all domains are announced once the survey is complete.
+		c.reconcile(now)
+		return
 	}
+	c.advanceGroups(now, s.domainKey())
+	c.probeServers(now, s.domainKey())
 }
 
 // reconcile performs the next steps towards the desired state of all groups.
