coordinator: streams that avoid a server do not hold up new requests

After a server with many streams has broken them off, callers of new requests would be refused as overloaded though slots are free: the streams wait up to 0.5 s for another server than the one that failed them, and each counts as one that comes first. dispatchQueue lets others pass them, admission did not.

A stream that avoids servers has been offered every other one, so that a new request that finds a free slot takes nothing from it. After the back-off the stream comes first again.

TestNewRequestsOvertakeStreamsThatAvoidServer fails before: 'got "" and overloaded for a new request, want s0', with 100 streams and two servers of 26 slots.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -148,7 +148,7 @@
 		c.refuse(w, Overloaded, c.slotTime(w.pool))
 		return
 	}
-	if !w.awaitsRetry && !c.hasPredecessor(w) {
+	if !w.awaitsRetry && !c.hasPredecessor(now, w) {
 		if r := c.chooseReplica(now, w); r != nil {
 			c.grant(now, w, r)
 			return
@@ -236,9 +236,9 @@
 }
 
 // hasPredecessor reports whether another request for the same replicas comes first in
-// the queue.
-func (c *Coordinator) hasPredecessor(w *queuedRequest) bool {
-	return slices.ContainsFunc(c.queue, func(o *queuedRequest) bool { return o.precedes(w) })
+// the queue. One that avoids servers has been offered all the other ones.
+func (c *Coordinator) hasPredecessor(now time.Duration, w *queuedRequest) bool {
+	return slices.ContainsFunc(c.queue, func(o *queuedRequest) bool { return o.precedes(w) && !o.avoidsFailedNow(now) })
 }
 
 // precedes reports whether a queued request gets a slot of the same replicas before another one.
--- a/internal/coordinator/resumption_test.go
+++ b/internal/coordinator/resumption_test.go
@@ -83,6 +83,26 @@
 	}
 }
 
+// Guards against new requests that are refused although slots are free, since streams that wait for
+// another server than the one that has failed them come first in the queue.
+func TestNewRequestsOvertakeStreamsThatAvoidServer(t *testing.T) {
+	now := 5 * time.Second
+	c := newCoordinatorWithReplicas(now, 2)
+	fillReplica(c, "s1")
+	for n := range Ticket(100) {
+		c.Apply(now, newResumption(now, n+1, "s0"))
+	}
+	if got, reason := decisionFor(c.Apply(now, newArrival(now, 200)), 200); got != "s0" {
+		t.Errorf("got %q and %s for a new request, want s0", got, reason)
+	}
+	now += failedServerBackOff
+	lessUrgent := newArrival(now, 201)
+	lessUrgent.Rank = 1
+	if got, reason := decisionFor(c.Apply(now, lessUrgent), 201); got != "" {
+		t.Errorf("got %q and %s for a new request after the back-off, want the streams to come first", got, reason)
+	}
+}
+
 // Guards against a stream that its client has begun to receive and that is broken off, since all
 // servers that serve it pause beyond its deadline: another server may come before.
 func TestResumedStreamOutlivesPause(t *testing.T) {
