reducer: a stream that has begun waits for a retry

Callers of a token stream would see it break off in the middle, long before its time limit, if its replica ended or its dispatcher refused it while the retry budget of the service was used up: the burst is 32 retries or the number of slots, and each new request adds a fifth. Class: a refusal that costs nothing to a request that has not begun ends one that has.

The host that the client is connected to asks the budget again every 0.2 s until the deadline. The stream then goes on at a replica that has not failed it, as after any retry. Requests that another dispatcher forwarded end as before, so that this host decides. Requests that have not begun end without a retry as before ("no retry without a budget").

TestStreamThatHasBegunAwaitsRetry fails before: 'got reducer.FinishRequest{Request:"r1", Outcome:2}, want a start at offset 7', and 'got [], want the request to finish with unknown' at its deadline. Tests of reducer (with its simulations), runner, forwarder, dispatcher and receiver pass; lint is clean.

--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -185,13 +185,25 @@
 }
 
 // retry runs a request again if it may run again and the retry budget of its
-// service allows it, and ends it otherwise.
+// service allows it. Otherwise it ends the request, unless that would break off a
+// response: a token stream that has begun waits for a retry.
 func (s *State) retry(f *inFlightRequest, outcome fuchsiapitch.Outcome) {
-	if !s.mayRetry(f, outcome) || !s.retryBudget.TakeRetry(s.now, f.request.Service()) {
+	switch {
+	case !s.mayRetry(f, outcome):
+		s.endWithoutRetry(f, outcome)
+	case s.retryBudget.TakeRetry(s.now, f.request.Service()):
+		s.retryPlacement(f)
+	case f.headerSent && !f.fromPeer && !f.fromRemoteDataCentre:
+		s.awaitRetry(f)
+	default:
 		s.endWithoutRetry(f, outcome)
-		return
 	}
-	s.retryPlacement(f)
+}
+
+// awaitRetry delays a token stream until the retry budget is asked again.
+func (s *State) awaitRetry(f *inFlightRequest) {
+	f.phase, f.awaitsRetry = backingOff, true
+	f.retryAt = s.now.Monotonic() + initialBackoff
 }
 
 // retryPlacement queues a request again if this host dispatches for a replica
@@ -256,8 +268,8 @@
 	f.retryAt = s.now.Monotonic() + f.backoff
 }
 
-// retryBackedOff places requests again when their back-off has ended, and
-// refuses those whose deadline has passed.
+// retryBackedOff places requests again when their back-off has ended, if the retry
+// budget allows those that wait for a retry, and refuses those whose deadline has passed.
 func (s *State) retryBackedOff() {
 	due := make(map[fuchsiapitch.RequestID]*inFlightRequest)
 	for id, f := range s.requests {
@@ -271,6 +283,11 @@
 			s.refuse(f, fuchsiapitch.RefusedDeadline, 0)
 			continue
 		}
+		if f.awaitsRetry {
+			f.awaitsRetry = false
+			s.retry(f, fuchsiapitch.OutcomeNotRun)
+			continue
+		}
 		clear(f.failedReplicas)
 		clear(f.excludedHosts)
 		s.place(f)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -19,7 +19,7 @@
 	// forwarded means that a dispatcher on another host handles the request.
 	forwarded
 	// backingOff means that the request waits out a back-off, after which every
-	// replica is tried again.
+	// replica is tried again, or waits for a retry.
 	backingOff
 	// reservingKey means that the claim of the request's idempotency key has not
 	// been read back yet.
@@ -58,6 +58,9 @@
 	// backoff is the length of the last back-off, and retryAt the monotonic time
 	// at which it ends.
 	backoff, retryAt time.Duration
+	// awaitsRetry is true if the request backs off until the retry budget allows a
+	// retry.
+	awaitsRetry bool
 	// failedReplicas and excludedHosts do not receive the request again before the
 	// end of its next back-off.
 	failedReplicas map[fuchsiapitch.ReplicaID]bool
