standin: a leader that closes ends the requests that it has

The leader of the stand-in counted as ready as soon as it was told to close, while its streams ran, and answered 200, which says that nothing is left to close. The controller then gave its servers to other groups, and the streams ended.

TestCloseWaitsForRequests.

--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -38,6 +38,8 @@
 	stateJoining = "joining"
 	stateReady   = "ready"
 	stateOpen    = "open"
+	// stateClosing is that of a leader that accepts no requests and ends those that it has.
+	stateClosing = "closing"
 	stateBroken  = "broken"
 )
 
@@ -71,8 +73,10 @@
 	stagedModels      []string
 	opensAt           time.Time
 	startedStreams    int64
-	streamCancels     map[int64]context.CancelFunc
-	isLost            bool
+	// acceptedRequests is the number of requests that an engine has accepted and not ended.
+	acceptedRequests int
+	streamCancels    map[int64]context.CancelFunc
+	isLost           bool
 	// isLeaving says that the responses state that the server leaves, isDraining that its
 	// entry does, and isUnlisted that it has no entry any more.
 	isLeaving  bool
@@ -155,8 +159,10 @@
 	switch {
 	case s.state == stateJoining && ready:
 		s.state = stateReady
-	case s.state == stateOpen && !ready:
+	case (s.state == stateOpen || s.state == stateClosing) && !ready:
 		s.state = stateBroken
+	case s.state == stateClosing && s.acceptedRequests == 0:
+		s.state = stateReady
 	}
 	if !s.opensAt.IsZero() && time.Now().After(s.opensAt) {
 		s.state, s.opensAt = stateOpen, time.Time{}
--- a/internal/standin/platform/silence_test.go
+++ b/internal/standin/platform/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -64,3 +65,47 @@
 	_, err := c.Read(make([]byte, 1))
 	return err
 }
+
+// Guards against a stand-in whose leaders count as ready for another group while streams run,
+// so that a planned close that waits for them would end them.
+func TestCloseWaitsForRequests(t *testing.T) {
+	fleet, stop := StartFleet(NewStore())
+	defer stop()
+	s, err := fleet.StartServer("e0", ModelService, "domain")
+	if err != nil {
+		t.Fatal(err)
+	}
+	order := func(operation string) int {
+		return s.executeOrder(orderRequest{Operation: operation, Group: "g", Epoch: 1, Model: "m", Members: []string{"e0"}})
+	}
+	await := func(want string) {
+		t.Helper()
+		for deadline := time.Now().Add(time.Minute); ; time.Sleep(time.Millisecond) {
+			state, _ := s.stateAndLoss()
+			if state == want {
+				return
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("got state %s, want %s", state, want)
+			}
+		}
+	}
+	order("join")
+	await(stateReady)
+	order("open")
+	await(stateOpen)
+	if !s.beginRequest() {
+		t.Fatal("got a request refused by an open group, want it accepted")
+	}
+	if got, want := order("close"), http.StatusAccepted; got != want {
+		t.Errorf("got status %d of a close that waits, want %d", got, want)
+	}
+	if state, _ := s.stateAndLoss(); state != stateClosing {
+		t.Errorf("got state %s with a request, want %s", state, stateClosing)
+	}
+	if s.beginRequest() {
+		t.Error("got a request accepted by a closing group, want it refused")
+	}
+	s.endRequest()
+	await(stateReady)
+}
--- a/internal/standin/platform/stream.go
+++ b/internal/standin/platform/stream.go
@@ -12,10 +12,13 @@
 // handleRequest processes a client's request. A model engine refuses it unless it leads
 // an open group.
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
-	if state, _ := s.stateAndLoss(); s.engine != nil && state != stateOpen {
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	if s.engine != nil {
+		if !s.beginRequest() {
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer s.endRequest()
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -31,6 +34,25 @@
 	w.Write([]byte(s.id + " got " + string(body)))
 }
 
+// beginRequest accepts a request if the server leads an open group, and reports whether it does.
+func (s *Server) beginRequest() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.updateState()
+	if s.state != stateOpen {
+		return false
+	}
+	s.acceptedRequests++
+	return true
+}
+
+// endRequest ends a request that was accepted.
+func (s *Server) endRequest() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.acceptedRequests--
+}
+
 // serveStream writes events with ascending identifiers. The stream stalls while a member
 // of the group is lost. After stallTimeout the leader marks the group as broken and aborts
 // the stream. While a member is silent the stream stalls as well, and goes on afterwards.
@@ -102,11 +124,11 @@
 	}
 }
 
-// markBroken marks an open group as broken.
+// markBroken marks an open or closing group as broken.
 func (s *Server) markBroken() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.state == stateOpen {
+	if s.state == stateOpen || s.state == stateClosing {
 		s.state = stateBroken
 	}
 }
