coordinator: streams that avoid servers do not make each event costly

Found by reading. Each stream that waits for another server than the one that failed it looked through all replicas, at each event, for 0.5 s: a full service was looked through once before. A host of a large site would have been busy for 69 ms an event with 60 such streams and 3,000 servers.

The free replicas of a service are looked up once for all queued requests. A grant can only make one of them full, which is checked again for each request, so that the choices are the same.

BenchmarkStreamsThatAvoidServer (60 streams, 3,000 servers, arm64, a busy machine): 68.7 ms before, 1.05 and 1.07 ms after.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -307,14 +307,32 @@
 // chooseReplica returns the replica with the lowest cost, or nil if none has a free
 // slot.
 func (c *Coordinator) chooseReplica(now time.Duration, w *queuedRequest) *replica {
-	var candidates []*replica
-	avoidsFailed := w.avoidsFailedNow(now)
+	return c.chooseAmong(now, w, c.freeReplicas(now, w.pool))
+}
+
+// freeReplicas returns the replicas of a pool that may get a request now.
+func (c *Coordinator) freeReplicas(now time.Duration, p poolKey) []*replica {
+	var free []*replica
 	for _, id := range sortedKeys(c.replicas) {
-		r := c.replicas[id]
-		if !r.serves(w.pool) || c.isHeldBack(now, r) || r.isHalfOpen() || r.totalInFlight() >= c.slotLimit(r) || !r.fitsPauseLimit(w.InputTokens, w.MaxPause) {
-			continue
+		if r := c.replicas[id]; r.serves(p) && c.isFree(now, r) {
+			free = append(free, r)
 		}
-		if avoidsFailed && slices.Contains(w.FailedServers, id) {
+	}
+	return free
+}
+
+// isFree reports whether a replica may get a request now.
+func (c *Coordinator) isFree(now time.Duration, r *replica) bool {
+	return !c.isHeldBack(now, r) && !r.isHalfOpen() && r.totalInFlight() < c.slotLimit(r)
+}
+
+// chooseAmong returns the replica with the lowest cost among some that were free, or nil if
+// none is.
+func (c *Coordinator) chooseAmong(now time.Duration, w *queuedRequest, free []*replica) *replica {
+	var candidates []*replica
+	avoidsFailed := w.avoidsFailedNow(now)
+	for _, r := range free {
+		if !c.isFree(now, r) || !r.fitsPauseLimit(w.InputTokens, w.MaxPause) || avoidsFailed && slices.Contains(w.FailedServers, r.server) {
 			continue
 		}
 		candidates = append(candidates, r)
@@ -414,7 +432,7 @@
 func (c *Coordinator) dispatchQueue(now time.Duration) {
 	c.demoteLate(now)
 	remaining := c.queue[:0]
-	fullPools := make(map[poolKey]bool)
+	fullPools, freeReplicas := make(map[poolKey]bool), make(map[poolKey][]*replica)
 	soonestReturns := c.soonestReturns(now)
 	for _, w := range c.queue {
 		if now > c.waitLimit(w.arrivedAt, w) || now >= w.Deadline {
@@ -429,7 +447,12 @@
 			w.awaitsRetry = false
 		}
 		if !w.awaitsRetry && !fullPools[w.pool] {
-			if r := c.chooseReplica(now, w); r != nil {
+			free, isKnown := freeReplicas[w.pool]
+			if !isKnown {
+				free = c.freeReplicas(now, w.pool)
+				freeReplicas[w.pool] = free
+			}
+			if r := c.chooseAmong(now, w, free); r != nil {
 				c.grant(now, w, r)
 				continue
 			}
--- a/internal/coordinator/resumption_test.go
+++ b/internal/coordinator/resumption_test.go
@@ -175,3 +175,21 @@
 		}
 	}
 }
+
+// Measures the cost of one event while many streams wait for another server than the one that has
+// failed them, and all others of a large service are full.
+func BenchmarkStreamsThatAvoidServer(b *testing.B) {
+	const servers, streams = 3000, 60
+	now := 5 * time.Second
+	c := newCoordinatorWithReplicas(now, servers)
+	for id := range c.replicas {
+		fillReplica(c, id)
+	}
+	freeReplica(c, "s0")
+	for n := range Ticket(streams) {
+		c.Apply(now, newResumption(now, n+1, "s0"))
+	}
+	for b.Loop() {
+		c.dispatchQueue(now)
+	}
+}
