coordinator: the requests of other hosts at a closed group are not forgotten

Cause: a group that is kept is closed to new requests. The controller's own streams there move, and with the last of them it removed the replica, and what other hosts had told of it: nothing was pinned any more, nor was the leader working, so that it was told to leave. Class: work is ended by a look at this host's requests alone.

A replica that is closed to new requests is kept for as long as any host has requests there.

TestGroupIsKeptForRequestsOfOtherHosts fails before: 'rank 0: got the group kept: false, its leader open', 'rank 1: got the group kept: false, its leader ready'. Tests of coordinator pass (one run), lint is clean.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -550,7 +550,7 @@
 		occupied := now - a.grantedAt
 		c.slotTimes[a.pool] = time.Duration((1-slotTimeWeight)*float64(c.slotTime(a.pool)) + slotTimeWeight*float64(occupied))
 	}
-	if r.inFlight == 0 && !r.open {
+	if r.totalInFlight() == 0 && !r.open {
 		delete(c.replicas, r.server)
 	}
 	c.dispatchQueue(now)
--- a/internal/coordinator/silentstream_test.go
+++ b/internal/coordinator/silentstream_test.go
@@ -216,3 +216,31 @@
 		}
 	}
 }
+
+// Guards against a controller that takes a group apart because it has no request of its own there,
+// though requests of other hosts run at it that cannot go on elsewhere: its own requests have moved
+// since the group was closed to new ones.
+func TestGroupIsKeptForRequestsOfOtherHosts(t *testing.T) {
+	limits := LimitsChanged{StallTimeout: simulatedStallTimeout, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second}
+	for rank := range 2 {
+		ss := newSilenceScenario(t, 12, true, limits)
+		leader, group := ss.leader.id, ss.leader.group
+		begin := ss.now
+		outage{duration: 1400 * time.Millisecond, ranks: []int{rank}}.begin(ss)
+		for sequence := uint64(1); ss.now < begin+1300*time.Millisecond; sequence++ {
+			ss.apply(0, HeartbeatReceived{Heartbeat: Heartbeat{
+				From: Peer{ID: "other"}, Incarnation: 1, Sequence: sequence, ServerLoads: []ServerLoad{{Server: leader, InFlight: 3, Pinned: 3, SilentFor: ss.now - begin}},
+			}})
+			ss.runStreams(minHeartbeatInterval)
+		}
+		for _, s := range ss.streams {
+			if s.server == leader {
+				t.Errorf("rank %d: got a stream at the leader, want all moved that can", rank)
+			}
+		}
+		if _, isKept := ss.coordinators[0].groups[group]; !isKept || ss.leader.state != fuchsiapitch.MemberOpen {
+			t.Errorf("rank %d: got the group kept: %v, its leader %s, want it open", rank, isKept, ss.leader.state)
+		}
+		assertNoViolations(t, ss.simulation)
+	}
+}
