coordinator: comments on revocation say what the code does

No stream is given up "at once even if it cannot be resumed": both callers of revoke look at canMove. They end with their connection, or by their client or time limit.

--- a/internal/coordinator/revocation.go
+++ b/internal/coordinator/revocation.go
@@ -9,8 +9,8 @@
 
 // A stream whose server is silent may go on at another server, within the retry budget. It is
 // taken from its server only if that cannot end it: the server may go on, whether or not it
-// accepts connections, and the client decides for how long it waits. A stream whose server has
-// certainly ended it is given up at once even if it cannot be resumed.
+// accepts connections, and the client decides for how long it waits. Any other stream ends with
+// its connection, also if its group has been dissolved.
 
 // reservationTimeout is how long a retry stays reserved for a request whose slot was revoked.
 // It arrives again within milliseconds unless its client has left.
@@ -27,7 +27,8 @@
 }
 
 // revokeFromDissolved revokes the slots of this host's requests at groups that the
-// controller has dissolved or keeps for other requests only, once they are silent, as far as the retry budget allows.
+// controller has dissolved or keeps for other requests only, once they are silent, as far as
+// the retry budget allows.
 func (c *Coordinator) revokeFromDissolved(now time.Duration, statuses []GroupStatus) {
 	announced := make(map[fuchsiapitch.ServerID]bool, len(statuses))
 	for _, g := range statuses {
