--- a/internal/coordinator/revocation.go
+++ b/internal/coordinator/revocation.go
@@ -9,8 +9,8 @@
 
 // A stream whose server is silent may go on at another server, within the retry budget. It is
 // taken from its server only if that cannot end it: the server may go on, whether or not it
-// accepts connections, and the client decides for how long it waits. A stream whose server has
-// certainly ended it is given up at once even if it cannot be resumed.
+// accepts connections, and the client decides for how long it waits. Any other stream ends with
+// its connection, or once its server is known to have started again.
 
 // reservationTimeout is how long a retry stays reserved for a request whose slot was revoked.
 // It arrives again within milliseconds unless its client has left.
