standin: a group that closes has its requests until they end

A close that waits was answered 200 and the leader reported ready at once, while its streams ran. On the platform a leader is closing for as long as it has work. So TestPlannedDepartureDoesNotEndStream and part of the soak were red for a fault that callers never saw, and the check of joins could not see one at a closing group.

The leader is closing until its last stream has ended, counts as open in the check of joins, and answers 202, so that the order counts as the coordinator counts it (a join was refused with 409 before).

--- a/internal/standin/platform/order.go
+++ b/internal/standin/platform/order.go
@@ -50,7 +50,7 @@
 }
 
 // checkJoin records a violation if an order makes a server join another group while its
-// current group accepts requests or is about to.
+// current group accepts requests, is about to, or has requests left.
 func (s *Server) checkJoin(o orderRequest) {
 	s.mutex.Lock()
 	group, members, matchesExpected := s.group, slices.Clone(s.members), o.ExpectedAcceptedOrders == nil || *o.ExpectedAcceptedOrders == s.acceptedOrders
@@ -63,7 +63,8 @@
 		return
 	}
 	leader.mutex.Lock()
-	isOpen := leader.group == group && (leader.state == stateOpen || !leader.opensAt.IsZero()) && !leader.isLost
+	leader.updateState()
+	isOpen := leader.group == group && (leader.state == stateOpen || leader.state == stateClosing || !leader.opensAt.IsZero()) && !leader.isLost
 	leader.mutex.Unlock()
 	if isOpen {
 		s.fleet.recordViolation(fmt.Sprintf("%s joins %s while %s is open", s.id, o.Group, group))
@@ -82,11 +83,11 @@
 		s.stagedModels = []string{o.Model}
 	case o.Operation == "open" && isCurrentGroup && s.rank == 0 && s.state == stateReady:
 		s.opensAt = time.Now().Add(openTime)
-	case o.Operation == "close" && isCurrentGroup && s.state == stateOpen:
+	case o.Operation == "close" && o.CloseMode == "evict" && isCurrentGroup && (s.state == stateOpen || s.state == stateClosing):
 		s.state = stateReady
-		if o.CloseMode == "evict" {
-			s.cancelStreams()
-		}
+		s.cancelStreams()
+	case o.Operation == "close" && isCurrentGroup && s.state == stateOpen:
+		s.state = stateClosing
 	case o.Operation == "leave" && isCurrentGroup:
 		s.group, s.state, s.members, s.opensAt = "", "", nil, time.Time{}
 		s.assignEngine(o.Epoch)
@@ -94,7 +95,7 @@
 		return http.StatusConflict
 	}
 	s.acceptedOrders++
-	if o.Operation == "leave" || o.Operation == "close" {
+	if o.Operation == "leave" || o.Operation == "close" && o.CloseMode == "evict" {
 		return http.StatusOK
 	}
 	return http.StatusAccepted
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -38,6 +38,7 @@
 	stateJoining = "joining"
 	stateReady   = "ready"
 	stateOpen    = "open"
+	stateClosing = "closing"
 	stateBroken  = "broken"
 )
 
@@ -146,7 +147,7 @@
 }
 
 // updateState updates the state from the readiness of the engine and completes an open
-// order whose time has passed. Callers hold the lock.
+// order whose time has passed and a close whose streams have ended. Callers hold the lock.
 func (s *Server) updateState() {
 	if s.engine == nil || s.group == "" {
 		return
@@ -155,8 +156,10 @@
 	switch {
 	case s.state == stateJoining && ready:
 		s.state = stateReady
-	case s.state == stateOpen && !ready:
+	case (s.state == stateOpen || s.state == stateClosing) && !ready:
 		s.state = stateBroken
+	case s.state == stateClosing && len(s.streamCancels) == 0:
+		s.state = stateReady
 	}
 	if !s.opensAt.IsZero() && time.Now().After(s.opensAt) {
 		s.state, s.opensAt = stateOpen, time.Time{}
--- a/internal/standin/platform/stream.go
+++ b/internal/standin/platform/stream.go
@@ -102,11 +102,11 @@
 	}
 }
 
-// markBroken marks an open group as broken.
+// markBroken marks a group with streams as broken.
 func (s *Server) markBroken() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.state == stateOpen {
+	if s.state == stateOpen || s.state == stateClosing {
 		s.state = stateBroken
 	}
 }
