--- a/internal/relayer/breakoff.go
+++ b/internal/relayer/breakoff.go
@@ -80,13 +80,14 @@
 }
 
 // logFailedAttempt logs a failed attempt of a stream that the client has begun to receive.
-// Another attempt may succeed, after which nothing else is logged about this one.
+// Another attempt may succeed, after which nothing else is logged about this one. An attempt
+// that got no slot has no server.
 func (x *exchange) logFailedAttempt(p *streamProgress, outcome fuchsiapitch.Outcome, err error) {
 	if !p.headerSent || x.request.Context().Err() != nil {
 		return
 	}
 	server := fuchsiapitch.ServerID("")
-	if n := len(x.failedServers); n > 0 {
+	if n := len(x.failedServers); n > 0 && !isError[*driver.AdmissionError](err) {
 		server = x.failedServers[n-1]
 	}
 	x.relayer.log.Info().Str("request", string(x.metadata.ID)).Str("route", x.route.Name).Str("server", string(server)).
--- a/internal/relayer/breakoff_test.go
+++ b/internal/relayer/breakoff_test.go
@@ -10,6 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
@@ -85,3 +88,22 @@
 		}
 	}
 }
+
+// An attempt that got no slot is logged without a server, not with that of the attempt before.
+func TestAttemptWithoutSlotNamesNoServer(t *testing.T) {
+	for name, tc := range map[string]struct {
+		err  error
+		want string
+	}{
+		"no slot":         {err: &driver.AdmissionError{Reason: coordinator.Overloaded}},
+		"a failed server": {err: io.ErrUnexpectedEOF, want: "s1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var logs lockedBuffer
+			r := New(nil, nil, fakeHeaderCodec{}, WithLogger(zerolog.New(&logs)))
+			x := &exchange{relayer: r, request: httptest.NewRequest(http.MethodPost, "/a", http.NoBody), failedServers: []fuchsiapitch.ServerID{"s1"}}
+			x.logFailedAttempt(&streamProgress{headerSent: true}, fuchsiapitch.OutcomeNotRun, tc.err)
+			assertLogged(t, &logs, `"server":"`+tc.want+`"`)
+		})
+	}
+}
