coordinator: a new controller keeps the group of a server that has just fallen silent

Callers saw streams end 0.1 s after a silence of their leader, beside a stop: the controller's host stopped, its successor had not found the group open itself, since the leader did not respond, and took the group apart 0.45 s after taking over although streams there could go on nowhere else. The last known state, from the list, counts now.

TestNewControllerKeepsGroupOfSilentServer fails before: "rank 0: got the group kept: false, its leader open, want it open".

--- a/internal/coordinator/group.go
+++ b/internal/coordinator/group.go
@@ -216,7 +216,7 @@
 // depend on it that cannot go on elsewhere. A sound server may be silent for a second or so, and
 // may then accept no connections either.
 func (c *Coordinator) mayGoOn(now time.Duration, g *group, s *server) bool {
-	if !s.isLost() || s.replaced || s.refusesConnections || !s.listed || g.failed || g.openedAt == 0 || now-s.silentSince >= keptGroupTimeout {
+	if !s.isLost() || s.replaced || s.refusesConnections || !s.listed || g.failed || g.openedAt == 0 && !c.isOpen(g) || now-s.silentSince >= keptGroupTimeout {
 		return false
 	}
 	r, ok := c.replicas[g.leader()]
--- a/internal/coordinator/silentstream_test.go
+++ b/internal/coordinator/silentstream_test.go
@@ -304,3 +304,29 @@
 		assertNoViolations(t, ss.simulation)
 	}
 }
+
+// Guards against a controller that takes over, as at a stop of the one before, and takes a group
+// apart whose leader or member has just fallen silent: it has not found the group open itself,
+// though the list and the requests of other hosts say so.
+func TestNewControllerKeepsGroupOfSilentServer(t *testing.T) {
+	for rank := range 2 {
+		ss := newSilenceScenario(t, 12, false, LimitsChanged{StallTimeout: simulatedStallTimeout})
+		leader, group := ss.leader.id, ss.leader.group
+		begin := ss.now
+		outage{duration: 1400 * time.Millisecond, ranks: []int{rank}}.begin(ss)
+		ss.run(50 * time.Millisecond)
+		ss.coordinators[0] = nil
+		ss.startController()
+		ss.apply(1, ServersListed{Servers: ss.serverList()})
+		for sequence := uint64(1); ss.now < begin+1300*time.Millisecond; sequence++ {
+			ss.apply(1, HeartbeatReceived{Heartbeat: Heartbeat{
+				From: Peer{ID: "other"}, Incarnation: 1, Sequence: sequence, ServerLoads: []ServerLoad{{Server: leader, InFlight: 3, Pinned: 3, SilentFor: ss.now - begin}},
+			}})
+			ss.run(minHeartbeatInterval)
+		}
+		if _, isKept := ss.coordinators[1].groups[group]; !isKept || ss.leader.state != fuchsiapitch.MemberOpen {
+			t.Errorf("rank %d: got the group kept: %v, its leader %s, want it open", rank, isKept, ss.leader.state)
+		}
+		assertNoViolations(t, ss.simulation)
+	}
+}
