--- a/internal/coordinator/group.go
+++ b/internal/coordinator/group.go
@@ -14,9 +14,9 @@
 	groupSilenceTimeout = 250 * time.Millisecond
 	// memberProbeInterval is the time between probes of the members of a silent group.
 	memberProbeInterval = 300 * time.Millisecond
-	// keptGroupTimeout is the time without a response from a lost member, from the first
-	// call without one on, for which a group is kept for requests that cannot go on
-	// elsewhere. Clients abandon a silent stream after two seconds.
+	// keptGroupTimeout is how long a group with a lost member is kept for requests that cannot
+	// continue elsewhere, from the first call without a response. Clients abandon a silent
+	// stream after two seconds.
 	keptGroupTimeout = 2 * time.Second
 	// orderPollInterval is the time between probes of a member that is carrying out an
 	// order.
@@ -156,8 +156,8 @@
 	c.assembleGroup(now, g)
 }
 
-// followClose probes the leader of a retiring formation until it has closed: often once no host
-// knows of a request there.
+// followClose probes the leader of a closing formation until it has closed, at a shorter interval
+// once no host has a request there.
 func (c *Coordinator) followClose(now time.Duration, g *group) {
 	leader := c.servers[g.leader()]
 	if leader == nil || leader.needsProbe || !leader.isMemberOf(g.ref) || leader.report.Membership.State != fuchsiapitch.MemberClosing {
@@ -181,7 +181,7 @@
 	for _, id := range g.members {
 		s, ok := c.servers[id]
 		switch {
-		case ok && c.mayGoOn(now, g, s):
+		case ok && c.mayRecover(now, g, s):
 			if !g.awaitsMember && !wasAwaiting {
 				c.log("group is kept for requests that cannot go on elsewhere", map[string]any{"group": g.ref.Name, logFieldServer: id})
 			}
@@ -212,10 +212,10 @@
 	}
 }
 
-// mayGoOn reports whether a lost member of a serving formation may respond again while requests
-// depend on it that cannot go on elsewhere. A sound server may be silent for a second or so, and
-// may then accept no connections either.
-func (c *Coordinator) mayGoOn(now time.Duration, g *group, s *server) bool {
+// mayRecover reports whether a lost member of a serving formation may respond again, and requests
+// depend on it that cannot continue elsewhere. A sound server may be silent for a second or so,
+// and may accept no connections meanwhile.
+func (c *Coordinator) mayRecover(now time.Duration, g *group, s *server) bool {
 	if !s.isLost() || s.replaced || s.refusesConnections || !s.listed || g.failed || g.openedAt == 0 && !c.isOpen(g) || now-s.silentSince >= keptGroupTimeout {
 		return false
 	}
@@ -285,9 +285,9 @@
 }
 
 // dissolve removes a failed formation from the plan once its leader has stopped
-// accepting requests or is lost. As long as the leader sends bytes, its requests may end: an
-// order to leave would reset them. mayJoin keeps its members from joining another
-// formation too early.
+// accepting requests or is lost. A leader that still sends bytes is closed, so that its requests
+// can complete; an order to leave would reset them. mayJoin keeps its members from joining
+// another formation too early.
 func (c *Coordinator) dissolve(now time.Duration, g *group) {
 	leader, ok := c.servers[g.leader()]
 	if ok && leader.isMemberOf(g.ref) && !leader.isLost() {
