quarantiner: the first crashes of a part are kept

Callers saw requests with a sound part refused: of the servers that ended under the lethal part, only the last eight were remembered, so that in a burst the first ones, the only ones that were settled, were gone. A sound part of some of those requests then had more settled crashes than the lethal one and was quarantined alone.

The bound is not needed: the crashes of one part are among the 256 that are remembered.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -56,11 +56,9 @@
 	maxRecords     = 16384
 	maxAnswered    = 4096
 	maxQuarantines = 256
-	// maxCrashes bounds the crashes that are remembered, maxPartsPerCrash the parts of one,
-	// and maxCrashesPerPart the crashes of one part.
-	maxCrashes        = 256
-	maxPartsPerCrash  = 1024
-	maxCrashesPerPart = 8
+	// maxCrashes bounds the crashes that are remembered, and maxPartsPerCrash the parts of one.
+	maxCrashes       = 256
+	maxPartsPerCrash = 1024
 
 	// The following bound the lists in one message.
 	maxAnnouncedCrashes     = 16
@@ -252,9 +250,6 @@
 			continue
 		}
 		r.crashes = append(r.crashes, i)
-		if len(r.crashes) > maxCrashesPerPart {
-			r.crashes = slices.Delete(r.crashes, 0, 1)
-		}
 		if r.hasAnswer {
 			r.announceUntil = max(r.announceUntil, now+announcementSpan)
 		}
