quarantiner: sound requests get their part free beside lethal ones

So a request that tells nothing may use the permits of parts that others could tell apart, and the permits wait for the next request of one host, which with many hosts comes late or never.

Now parts with the same evidence are rivals. A request that lacks a rival of each of its parts is discriminating and gets permits at once; the last of the three permits of a part with rivals is left to such a request. A request that may get a permit waits for it, up to 1.5 s, one at a host, and is refused with a Retry-After of 2 s if it gets none. It claims all permits that it needs and gets all or none. Rivals are not tried at the same time. A permit comes back if its request reached no server, or if no request waits for it. The three permits of a part, of which a lethal part can use no more than before, stay.

The simulation of hosts gave claims the incarnation 1, so that no restarted host could take control. In TestAnswerEndsQuarantine and TestPermit a request that waits has the new verdict Awaiting, which forbids sending as Refused does; what is sent and when is asserted as before, and that a used permit refuses again is new.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -130,9 +130,14 @@
 // a refusal would break off a response that its client has begun to receive.
 func (c *Coordinator) admit(now time.Duration, e RequestArrived) {
 	w := &queuedRequest{RequestArrived: e, pool: poolKey{e.Service, e.Model}, arrivedAt: now}
-	if c.refuseIfQuarantined(now, w) {
-		return
+	if c.passesQuarantine(now, w) {
+		c.admitChecked(now, w)
 	}
+}
+
+// admitChecked admits a request that has no quarantined part, or the permits for them.
+func (c *Coordinator) admitChecked(now time.Duration, w *queuedRequest) {
+	e := w.RequestArrived
 	w.isLate = c.cannotBeInTime(now, w)
 	c.retainService(e)
 	c.countArrival(now, queueKey{w.pool, w.Rank})
@@ -397,7 +402,7 @@
 		incarnation: c.incarnationOf(r.server), parts: w.Parts, isPermitted: w.isPermitted,
 	}
 	if a.isPermitted {
-		c.parts.Use(now, w.Parts)
+		c.usePermits(now, w.Parts, r.server)
 	}
 	c.assignments[w.Ticket] = a
 	if r.inFlight == 0 {
@@ -516,6 +521,7 @@
 	}
 	a, ok := c.assignments[e.Ticket]
 	if !ok {
+		c.stopAwaitingPermit(e.Ticket)
 		c.queue = slices.DeleteFunc(c.queue, func(w *queuedRequest) bool {
 			isReleased := w.Ticket == e.Ticket
 			if isReleased {
--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -24,6 +24,11 @@
 	// also if a datagram is lost. relayedAnswerSettleTime is the same with relays.
 	answerSettleTime        = 500 * time.Millisecond
 	relayedAnswerSettleTime = 700 * time.Millisecond
+	// discriminatingRetryAfter is the retry delay of a request that was refused although its
+	// outcome would tell quarantined parts apart: another one is likely to do so soon.
+	discriminatingRetryAfter = 2 * time.Second
+	// permitWait is how long a request that may get a permit waits for it.
+	permitWait = 1500 * time.Millisecond
 	// endingTimeout is the time after which an unverified end of a server is forgotten.
 	endingTimeout = 5 * time.Second
 )
@@ -58,7 +63,17 @@
 	Quarantined bool
 }
 
+// PermitUsed reports that a request with quarantined parts is sent.
+type PermitUsed struct {
+	Server fuchsiapitch.ServerID
+	// Parts are the quarantined parts of the request.
+	Parts []quarantiner.Part
+	// IsDiscriminating is true if its outcome tells them from others.
+	IsDiscriminating bool
+}
+
 func (VerifyServer) isEffect()      {}
+func (PermitUsed) isEffect()        {}
 func (ServerEnded) isEffect()       {}
 func (QuarantineChanged) isEffect() {}
 func (ServerVerified) isEvent()     {}
@@ -70,12 +85,17 @@
 	endings map[quarantiner.Incarnation]*ending
 	// quarantined are the parts of which an effect has told that they are quarantined.
 	quarantined []quarantiner.Part
+	// awaitingPermits are the requests that may get permits for their quarantined parts soon.
+	// They take part in no queue and no budget.
+	awaitingPermits []*queuedRequest
 }
 
 // ending is a server that has broken off responses.
 type ending struct {
 	at    time.Duration
 	parts map[quarantiner.Part]bool
+	// requests are those whose responses it has broken off.
+	requests []*assignment
 }
 
 func newCrashState(self Peer) crashState {
@@ -98,15 +118,29 @@
 	if len(a.parts) == 0 {
 		return
 	}
+	if e.Unreachable && a.isPermitted {
+		c.parts.Return(a.parts)
+		return
+	}
 	hasLasted := a.hasLasted()
 	if hasLasted || e.Complete {
-		c.parts.RecordAnswer(now, a.answeredSince(), a.parts)
+		c.recordAnswer(now, a.answeredSince(), a.parts)
 	}
 	if e.ConnectionEnded && !hasLasted && !a.revoked {
 		c.observeEnding(now, a)
 	}
 }
 
+// recordAnswer records a response that acquits the parts of its request, and tells the other hosts
+// soon if one of them was quarantined.
+func (c *Coordinator) recordAnswer(now, startedAt time.Duration, parts []quarantiner.Part) {
+	wasQuarantined := c.parts.IsQuarantined(parts)
+	c.parts.RecordAnswer(now, startedAt, parts)
+	if wasQuarantined {
+		c.announceParts()
+	}
+}
+
 // hasLasted reports whether the server has sent bytes long after it began to answer a request.
 func (a *assignment) hasLasted() bool {
 	return a.responseStarted && a.replica.lastByteAt-a.startedAt >= quarantiner.SurvivalTime
@@ -126,6 +160,7 @@
 func (c *Coordinator) observeEnding(now time.Duration, a *assignment) {
 	if c.parts.HasCrash(a.incarnation) {
 		c.recordCrash(now, now, a.incarnation, a.parts)
+		c.recordTrialCrash(a)
 		return
 	}
 	s, ok := c.servers[a.incarnation.Server]
@@ -141,6 +176,7 @@
 	for _, p := range a.parts {
 		e.parts[p] = true
 	}
+	e.requests = append(e.requests, a)
 }
 
 // applyVerification processes whether a server that broke off responses has ended.
@@ -156,12 +192,22 @@
 	}
 	c.emit(ServerEnded{Server: e.Server, StartedUnixMillis: e.StartedUnixMillis, Parts: len(ending.parts)})
 	c.recordCrash(now, ending.at, i, sortedKeys(ending.parts))
+	for _, a := range ending.requests {
+		c.recordTrialCrash(a)
+	}
+}
+
+// recordTrialCrash records the end of a server under a request that was sent by a permit.
+func (c *Coordinator) recordTrialCrash(a *assignment) {
+	if a.isPermitted {
+		c.parts.RecordTrialCrash(a.parts)
+	}
 }
 
 // recordCrash records the end of a server and tells the other hosts soon.
 func (c *Coordinator) recordCrash(now, at time.Duration, i quarantiner.Incarnation, parts []quarantiner.Part) {
 	c.parts.RecordCrash(now, at, i, parts)
-	c.nextHeartbeatAt = min(c.nextHeartbeatAt, c.lastHeartbeatAt+c.earlyHeartbeatInterval())
+	c.announceParts()
 	c.enforceQuarantines(now)
 }
 
@@ -169,6 +215,7 @@
 func (c *Coordinator) adoptPartEvidence(now time.Duration, m quarantiner.Message) {
 	c.parts.Apply(now, m)
 	c.enforceQuarantines(now)
+	c.admitPermitted(now)
 }
 
 // reviewParts reports the responses in progress that acquit their parts, and gives out permits if
@@ -190,19 +237,34 @@
 	for _, t := range sortedKeys(c.assignments) {
 		if a := c.assignments[t]; !a.hasAcquitted && len(a.parts) > 0 && a.hasLasted() {
 			a.hasAcquitted = true
-			c.parts.RecordAnswer(now, a.startedAt, a.parts)
+			c.recordAnswer(now, a.startedAt, a.parts)
 		}
 	}
 	c.parts.Review(now)
-	if c.isController(now) {
-		c.parts.GrantPermits(now)
+	if c.isController(now) && c.parts.GrantPermits(now) {
+		c.announceParts()
 	}
 	c.enforceQuarantines(now)
+	c.admitPermitted(now)
+}
+
+// announceParts tells the other hosts soon what this host knows of parts.
+func (c *Coordinator) announceParts() {
+	c.nextHeartbeatAt = min(c.nextHeartbeatAt, c.lastHeartbeatAt+c.earlyHeartbeatInterval())
+	c.nextDigestAt = min(c.nextDigestAt, c.now)
 }
 
 // enforceQuarantines applies changed quarantines to the requests that are queued or have been
 // sent to a server that has not begun to answer them.
 func (c *Coordinator) enforceQuarantines(now time.Duration) {
+	c.queue = slices.DeleteFunc(c.queue, func(w *queuedRequest) bool {
+		if !c.parts.IsQuarantined(w.Parts) || w.isPermitted && c.parts.HoldsPermits(w.Parts) {
+			return false
+		}
+		c.returnPermit(w)
+		c.refuseQuarantined(w)
+		return true
+	})
 	current := c.parts.QuarantinedParts()
 	if slices.Equal(current, c.quarantined) {
 		return
@@ -218,13 +280,6 @@
 		}
 	}
 	c.quarantined = current
-	c.queue = slices.DeleteFunc(c.queue, func(w *queuedRequest) bool {
-		if c.parts.IsQuarantined(w.Parts) && !w.isPermitted {
-			c.emit(Refuse{Ticket: w.Ticket, Reason: Quarantined, RetryAfter: quarantineRetryAfter})
-			return true
-		}
-		return false
-	})
 	for _, t := range sortedKeys(c.assignments) {
 		a := c.assignments[t]
 		if c.parts.IsQuarantined(a.parts) && !a.isPermitted && !a.responseStarted && !a.revoked {
@@ -235,17 +290,81 @@
 	c.dispatchQueue(now)
 }
 
-// refuseIfQuarantined refuses a request with a quarantined part. It reports whether it has.
-func (c *Coordinator) refuseIfQuarantined(now time.Duration, w *queuedRequest) bool {
+// passesQuarantine reports whether a request may be admitted. Else it is refused, or waits for a
+// permit. One request of this host waits for the permit of a part.
+func (c *Coordinator) passesQuarantine(now time.Duration, w *queuedRequest) bool {
 	switch c.parts.Check(now, w.Parts) {
 	case quarantiner.Refused:
-		c.emit(Refuse{Ticket: w.Ticket, Reason: Quarantined, RetryAfter: quarantineRetryAfter})
-		return true
+		c.refuseQuarantined(w)
+		return false
+	case quarantiner.Awaiting:
+		if slices.ContainsFunc(c.awaitingPermits, func(o *queuedRequest) bool { return c.parts.ShareQuarantined(o.Parts, w.Parts) }) {
+			c.refuseQuarantined(w)
+			return false
+		}
+		c.awaitPermit(now, w)
+		c.announceParts()
+		return false
 	case quarantiner.Permitted:
 		w.isPermitted = true
 	case quarantiner.Admitted:
 	}
-	return false
+	return true
+}
+
+// awaitPermit lets a request wait for permits.
+func (c *Coordinator) awaitPermit(now time.Duration, w *queuedRequest) {
+	c.parts.Claim(now, w.Parts)
+	c.awaitingPermits = append(c.awaitingPermits, w)
+}
+
+// stopAwaitingPermit removes a request that its client has abandoned.
+func (c *Coordinator) stopAwaitingPermit(t Ticket) {
+	c.awaitingPermits = slices.DeleteFunc(c.awaitingPermits, func(w *queuedRequest) bool {
+		isAbandoned := w.Ticket == t
+		if isAbandoned {
+			c.parts.Withdraw(w.Parts)
+		}
+		return isAbandoned
+	})
+}
+
+func (c *Coordinator) refuseQuarantined(w *queuedRequest) {
+	retryAfter := quarantineRetryAfter
+	if c.parts.IsDiscriminating(w.Parts) {
+		retryAfter = discriminatingRetryAfter
+	}
+	c.emit(Refuse{Ticket: w.Ticket, Reason: Quarantined, RetryAfter: retryAfter})
+}
+
+// admitPermitted admits the requests that have got permits or whose parts are free again, and
+// refuses those that have waited for too long.
+func (c *Coordinator) admitPermitted(now time.Duration) {
+	waiting := c.awaitingPermits
+	c.awaitingPermits = nil
+	for _, w := range waiting {
+		switch c.parts.Check(now, w.Parts) {
+		case quarantiner.Refused, quarantiner.Awaiting:
+			if now >= min(w.arrivedAt+permitWait, w.Deadline) {
+				c.parts.Withdraw(w.Parts)
+				c.refuseQuarantined(w)
+				continue
+			}
+			c.awaitPermit(now, w)
+		case quarantiner.Permitted:
+			w.isPermitted = true
+			c.parts.Withdraw(w.Parts)
+			c.admitChecked(now, w)
+		case quarantiner.Admitted:
+			c.admitChecked(now, w)
+		}
+	}
+}
+
+// usePermits records that a request is sent to a server by the permits for its quarantined parts.
+func (c *Coordinator) usePermits(now time.Duration, parts []quarantiner.Part, server fuchsiapitch.ServerID) {
+	c.emit(PermitUsed{Server: server, Parts: c.parts.Quarantined(parts), IsDiscriminating: c.parts.IsDiscriminating(parts)})
+	c.parts.Use(now, parts)
 }
 
 // returnPermit returns the permit of a request that is not sent.
--- a/internal/coordinator/crash_simulation_test.go
+++ b/internal/coordinator/crash_simulation_test.go
@@ -47,6 +47,8 @@
 	// lethal part has to be known.
 	sound, served int
 	violations    []string
+	// onCrashed holds what is done when the server of a request ends or cannot be reached.
+	onCrashed map[Ticket]func()
 }
 
 // simulatedPrompt is a request at a server.
@@ -58,7 +60,7 @@
 func newCrashCluster(seed uint64, hosts, servers int) *crashCluster {
 	cc := &crashCluster{
 		hostCluster: newHostCluster(seed, hosts, 3), running: make(map[fuchsiapitch.ServerID]map[Ticket]*simulatedPrompt), down: make(map[fuchsiapitch.ServerID]bool),
-		parts: make(map[Ticket][]quarantiner.Part), disturbedUntil: make(map[*simulatedHost]time.Duration), cutUntil: make(map[*simulatedHost]time.Duration),
+		parts: make(map[Ticket][]quarantiner.Part), disturbedUntil: make(map[*simulatedHost]time.Duration), cutUntil: make(map[*simulatedHost]time.Duration), onCrashed: make(map[Ticket]func()),
 	}
 	cc.listServers(servers)
 	for n := range cc.servers {
@@ -117,7 +119,12 @@
 		cc.served++
 	}
 	if cc.down[g.Server] {
-		cc.at(cc.now+time.Millisecond, func() { cc.apply(h, TicketReleased{Ticket: g.Ticket, Failed: true, Unreachable: true}) })
+		cc.at(cc.now+time.Millisecond, func() {
+			cc.apply(h, TicketReleased{Ticket: g.Ticket, Failed: true, Unreachable: true})
+			if repeat, ok := cc.onCrashed[g.Ticket]; ok {
+				repeat()
+			}
+		})
 		return
 	}
 	cc.running[g.Server][g.Ticket] = &simulatedPrompt{host: h, parts: parts}
@@ -158,6 +165,9 @@
 		p := cc.running[id][t]
 		delete(cc.running[id], t)
 		cc.apply(p.host, TicketReleased{Ticket: t, Failed: true, ConnectionEnded: true})
+		if repeat, ok := cc.onCrashed[t]; ok {
+			cc.at(cc.now+time.Millisecond, repeat)
+		}
 	}
 	cc.at(cc.now+time.Duration(500+cc.rng.IntN(1500))*time.Millisecond, func() {
 		cc.servers = slices.Clone(cc.servers)
@@ -185,6 +195,11 @@
 		cc.disturbedUntil[h] = max(cc.disturbedUntil[h], cc.cutUntil[h]+lethalWindow)
 		return
 	}
+	cc.restart(h)
+}
+
+// restart ends the process of a host and starts it again: it has lost all that it knew.
+func (cc *crashCluster) restart(h *simulatedHost) {
 	for id := range cc.running {
 		for t, p := range cc.running[id] {
 			if p.host == h {
@@ -192,7 +207,8 @@
 			}
 		}
 	}
-	h.coordinator = New(h.self, 1+cc.now.Milliseconds(), WithDataCentre(h.self.DataCentre))
+	h.incarnation = 1 + cc.now.Milliseconds()
+	h.coordinator = New(h.self, h.incarnation, WithDataCentre(h.self.DataCentre))
 	h.startedAt = cc.now
 	cc.apply(h, ConfigurationChanged{Routes: plainRoutes()})
 	cc.disturbedUntil[h] = max(cc.disturbedUntil[h], cc.now+lethalWindow)
--- a/internal/coordinator/crash_test.go
+++ b/internal/coordinator/crash_test.go
@@ -294,3 +294,86 @@
 		}
 	}
 }
+
+// newRivalsHost returns a host at which a lethal and a sound part are quarantined with the same
+// evidence.
+func newRivalsHost(t *testing.T) *promptHost {
+	t.Helper()
+	ph := newPromptHost(t, 6)
+	ph.crashAll(t, 3, sharedPart, lethalPart)
+	ph.runFor(relayedAnswerSettleTime + 100*time.Millisecond)
+	assertQuarantined(t, ph.Coordinator, lethalPart, sharedPart)
+	return ph
+}
+
+// grantPermit lets another host give out the permit for a part.
+func (ph *promptHost) grantPermit(part quarantiner.Part) []Effect {
+	return ph.apply(HeartbeatReceived{Heartbeat: Heartbeat{From: Peer{ID: "h0"}, Parts: quarantiner.Message{
+		Quarantines: []quarantiner.Quarantine{{Part: part, Permits: 1, Holder: "h1", IsDiscriminating: true, Rivals: []quarantiner.Part{lethalPart}}},
+	}}})
+}
+
+// countEffects returns how many effects are of one type.
+func countEffects[T Effect](effects []Effect) int {
+	n := 0
+	for _, e := range effects {
+		if _, ok := e.(T); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against sound requests that never meet the permit of their part: it was given to a host
+// for its next request, which comes late or never where many hosts share the requests.
+func TestSoundRequestAwaitsPermit(t *testing.T) {
+	t.Run("it is sent when the permit arrives", func(t *testing.T) {
+		ph := newRivalsHost(t)
+		if _, decision := ph.request(sharedPart); decision != nil {
+			t.Fatalf("got decision %v, want the request to wait", decision)
+		}
+		if got := countEffects[Grant](ph.grantPermit(sharedPart)); got != 1 {
+			t.Errorf("got %d requests sent, want 1", got)
+		}
+	})
+	t.Run("a second one is refused at once", func(t *testing.T) {
+		ph := newRivalsHost(t)
+		ph.request(sharedPart)
+		_, decision := ph.request(sharedPart)
+		r, ok := decision.(Refuse)
+		if !ok || r.Reason != Quarantined || r.RetryAfter != discriminatingRetryAfter {
+			t.Errorf("got decision %+v, want a refusal with a retry after %s", decision, discriminatingRetryAfter)
+		}
+	})
+	t.Run("it is refused without a permit", func(t *testing.T) {
+		ph := newRivalsHost(t)
+		ph.request(sharedPart)
+		refused := 0
+		for end := ph.now + permitWait; ph.now < end; {
+			ph.now += 50 * time.Millisecond
+			refused += countEffects[Refuse](ph.apply(Ticked{}))
+		}
+		if refused != 1 {
+			t.Errorf("got %d refusals within %s, want 1", refused, permitWait)
+		}
+	})
+	t.Run("a lethal one does not take the permit", func(t *testing.T) {
+		ph := newRivalsHost(t)
+		ph.request(sharedPart)
+		ph.grantPermit(sharedPart)
+		if _, decision := ph.request(lethalPart, sharedPart); countEffects[Refuse]([]Effect{decision}) != 1 {
+			t.Errorf("got decision %+v, want a refusal", decision)
+		}
+	})
+	t.Run("an abandoned one claims no permit", func(t *testing.T) {
+		ph := newRivalsHost(t)
+		ticket, _ := ph.request(sharedPart)
+		ph.apply(TicketReleased{Ticket: ticket})
+		if got := countEffects[Grant](ph.grantPermit(sharedPart)); got != 0 {
+			t.Errorf("got %d requests sent, want none", got)
+		}
+		if got := len(ph.parts.Message(ph.now, false, 1).Claims); got != 0 {
+			t.Errorf("got %d claims, want none", got)
+		}
+	})
+}
--- a/internal/coordinator/membership_simulation_test.go
+++ b/internal/coordinator/membership_simulation_test.go
@@ -63,6 +63,7 @@
 type simulatedHost struct {
 	coordinator *Coordinator
 	self        Peer
+	incarnation int64
 	startedAt   time.Duration
 	stopped     bool
 }
@@ -108,7 +109,8 @@
 		dataCentre := fuchsiapitch.DataCentreName(fmt.Sprintf("dc%d", n%dataCentres))
 		h := &simulatedHost{self: Peer{ID: fuchsiapitch.HostID(id), Address: id, DataCentre: dataCentre, Capacity: 20 + 180*(n/dataCentres%6/5)}}
 		h.startedAt = time.Duration(hc.rng.Int64N(int64(simulatedStartSpread)))
-		h.coordinator = New(h.self, 1, WithDataCentre(dataCentre))
+		h.incarnation = 1
+		h.coordinator = New(h.self, h.incarnation, WithDataCentre(dataCentre))
 		hc.hosts = append(hc.hosts, h)
 		hc.byAddress[h.self.Address] = h
 		hc.at(h.startedAt, func() { hc.start(h) })
@@ -235,7 +237,7 @@
 // one, and delivers the newest claim to the host.
 func (hc *hostCluster) claim(h *simulatedHost, previous int64) {
 	if int64(len(hc.claims)) <= previous {
-		hc.claims = append(hc.claims, ClaimRead{Number: int64(len(hc.claims)) + 1, Holder: h.self.ID, Incarnation: 1})
+		hc.claims = append(hc.claims, ClaimRead{Number: int64(len(hc.claims)) + 1, Holder: h.self.ID, Incarnation: h.incarnation})
 	}
 	newest := hc.claims[len(hc.claims)-1]
 	hc.at(hc.now+simulatedStoreLatency, func() {
--- a/internal/driver/crash.go
+++ b/internal/driver/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -72,3 +73,13 @@
 	}
 	d.log.Warn().Stringer("part", e.Part).Msg(message)
 }
+
+// reportPermitUse counts and logs a request with quarantined parts that is sent.
+func (d *Driver) reportPermitUse(e coordinator.PermitUsed) {
+	d.meter.CountPermitUse(e.IsDiscriminating)
+	parts := make([]fmt.Stringer, 0, len(e.Parts))
+	for _, p := range e.Parts {
+		parts = append(parts, p)
+	}
+	d.log.Info().Str("server", string(e.Server)).Stringers("parts", parts).Bool("discriminating", e.IsDiscriminating).Msg("request with quarantined parts is sent")
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -198,6 +198,8 @@
 		d.callServer(func() { d.Apply(d.verifyServer(e)) })
 	case coordinator.ServerEnded:
 		d.reportServerEnd(e)
+	case coordinator.PermitUsed:
+		d.reportPermitUse(e)
 	case coordinator.QuarantineChanged:
 		d.reportQuarantine(e)
 	case coordinator.ServerSetAside:
--- a/internal/driver/heartbeat_test.go
+++ b/internal/driver/heartbeat_test.go
@@ -23,8 +23,8 @@
 		Parts: quarantiner.Message{
 			Crashes:     []quarantiner.Crash{{Incarnation: quarantiner.Incarnation{Server: "s", StartedUnixMillis: 5}, Age: 300 * time.Millisecond, Parts: []quarantiner.Part{1, 1 << 63}}},
 			Answers:     []quarantiner.Answer{{Part: 2, Age: 400 * time.Millisecond}},
-			Quarantines: []quarantiner.Quarantine{{Part: 3, Age: time.Second, IdleFor: 2 * time.Second, Permits: 2, Used: 1, Holder: "h", IsUsed: true}},
-			Wants:       []quarantiner.Want{{Part: 3, Host: "h"}},
+			Quarantines: []quarantiner.Quarantine{{Part: 3, Age: time.Second, IdleFor: 2 * time.Second, Permits: 2, Used: 1, Holder: "h", IsUsed: true, IsDiscriminating: true, Rivals: []quarantiner.Part{4, 5}}},
+			Claims:      []quarantiner.Claim{{Host: "h", Parts: []quarantiner.Part{3, 4}, IsDiscriminating: true, Age: 100 * time.Millisecond}},
 		},
 		GroupsVersion:    coordinator.GroupsVersion{Claim: 7, Revision: 4},
 		DirectoryVersion: 12,
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -39,6 +39,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_quarantine_changes_total{quarantined=%q}", strconv.FormatBool(quarantined))).Inc()
 }
 
+// CountPermitUse counts a request with quarantined parts that is sent all the same.
+func (m *Meter) CountPermitUse(discriminating bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_used_permits_total{discriminating=%q}", strconv.FormatBool(discriminating))).Inc()
+}
+
 // CountAttempt counts an attempt to run a request at a backend server.
 func (m *Meter) CountAttempt(outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_attempts_total{outcome=%q}", outcome)).Inc()
--- a/internal/quarantiner/message.go
+++ b/internal/quarantiner/message.go
@@ -1,10 +1,9 @@
 package quarantiner
 
 import (
+	"maps"
 	"slices"
 	"time"
-
-	"github.com/fuchsiapitch/fuchsiapitch"
 )
 
 // Message returns what this host tells others. isRelay is true if it also passes on what it
@@ -28,7 +27,7 @@
 	}
 	m.Answers = sortByAge(m.Answers, func(a Answer) time.Duration { return a.Age }, maxAnnouncedAnswers)
 	m.Quarantines = t.announcedQuarantines(now, sequence)
-	m.Wants = t.announcedWants(now, isRelay)
+	m.Claims = t.announcedClaims(now, isRelay)
 	return m
 }
 
@@ -53,25 +52,22 @@
 	var list []Quarantine
 	for _, p := range parts {
 		q := t.quarantines[p]
-		list = append(list, Quarantine{Part: p, Age: now - q.lastCrashAt, IdleFor: now - q.lastRequestAt, Permits: q.permits, Used: q.used, Holder: q.holder, IsUsed: q.isUsed})
+		list = append(list, Quarantine{Part: p, Age: now - q.lastCrashAt, IdleFor: now - q.lastRequestAt, Permits: q.permits, Used: q.used, Holder: q.holder, IsUsed: q.isUsed, IsDiscriminating: q.isDiscriminating, Rivals: limited(slices.Sorted(maps.Keys(q.rivals)), maxAnnouncedRivals)})
 	}
 	return list
 }
 
-// announcedWants returns the parts of requests that were lately refused, each with one host.
-func (t *Table) announcedWants(now time.Duration, isRelay bool) []Want {
-	var wants []Want
-	for _, p := range t.QuarantinedParts() {
-		q := t.quarantines[p]
-		isOwn := now-q.refusedAt < wantedSpan
-		if !isOwn && !isRelay {
-			continue
-		}
-		if h, ok := q.nextHolder(now, t.self); ok {
-			wants = append(wants, Want{Part: p, Host: h})
+// announcedClaims returns the claims that other hosts have to be told of.
+func (t *Table) announcedClaims(now time.Duration, isRelay bool) []Claim {
+	var claims []Claim
+	for _, c := range t.currentClaims(now) {
+		if isRelay || c.Host == t.self {
+			told := c.Claim
+			told.Age = now - c.at
+			claims = append(claims, told)
 		}
 	}
-	return wants[:min(len(wants), maxAnnouncedWants)]
+	return limited(claims, maxAnnouncedClaims)
 }
 
 // Apply adopts what another host tells.
@@ -87,9 +83,10 @@
 	for _, told := range limited(m.Quarantines, maxAnnouncedQuarantines) {
 		t.adoptQuarantine(now, told)
 	}
-	for _, w := range limited(m.Wants, maxAnnouncedWants) {
-		if q, ok := t.quarantines[w.Part]; ok && w.Host != t.self {
-			q.wantedBy[w.Host] = now
+	for _, c := range limited(m.Claims, maxAnnouncedClaims) {
+		if c.Host != t.self {
+			c.Parts = limited(c.Parts, maxClaimedParts)
+			t.addClaim(now, c)
 		}
 	}
 	t.review(now)
@@ -103,28 +100,38 @@
 		r.announceUntil = max(r.announceUntil, now+announcementSpan)
 		return
 	}
+	rivals := limited(told.Rivals, maxAnnouncedRivals)
 	q, isKnown := t.quarantines[told.Part]
 	if !isKnown {
 		if len(t.quarantines) >= maxQuarantines || told.IdleFor > idleLifetime {
 			return
 		}
-		q = &quarantine{lastCrashAt: lastCrashAt, lastRequestAt: now - told.IdleFor, permitAt: now, refusedAt: -wantedSpan, wantedBy: make(map[fuchsiapitch.HostID]time.Duration)}
+		q = startQuarantine(now, now-told.IdleFor)
+		q.lastCrashAt = lastCrashAt
+		for _, rival := range rivals {
+			q.rivals[rival] = true
+		}
 		t.quarantines[told.Part] = q
 		t.explainCrashes(told.Part)
 	}
+	maps.DeleteFunc(q.rivals, func(rival Part, _ bool) bool { return !slices.Contains(rivals, rival) })
 	if isNewer(lastCrashAt, q.lastCrashAt, false) {
 		q.lastCrashAt = lastCrashAt
 	}
 	if at := now - told.IdleFor; isNewer(at, q.lastRequestAt, false) {
 		q.lastRequestAt = at
 	}
+	if told.Used > q.used {
+		q.usedAt = now
+	}
 	q.used = max(q.used, told.Used)
 	switch {
 	case told.Permits > q.permits:
-		q.permits, q.holder, q.isUsed, q.permitAt = told.Permits, told.Holder, told.IsUsed, now
+		q.permits, q.holder, q.isUsed, q.isDiscriminating, q.permitAt = told.Permits, told.Holder, told.IsUsed, told.IsDiscriminating, now
 		q.isHeld = false
 	case told.Permits == q.permits && told.IsUsed && !q.isUsed:
-		q.isUsed, q.permitAt = true, now
+		q.isUsed = true
+		t.endClaims(q.holder, []Part{told.Part})
 	}
 }
 
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -10,12 +10,19 @@
 //
 // A quarantined part comes free when a request with it is answered. Few such requests are let
 // through, one at a time over all hosts: the host that leads the others gives out the permits.
+//
+// Parts with the same evidence are quarantined together; they are rivals, of which one may
+// explain all crashes. A request that lacks a rival of each of its quarantined parts is
+// discriminating: its outcome tells them apart. Such a request gets a permit soon. One with
+// all rivals tells nothing of a single part, so it must not use up the permits of the
+// others.
 package quarantiner
 
 import (
 	"cmp"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -42,11 +49,15 @@
 	crashMemory = time.Minute
 	// announcementSpan is how long other hosts are told of a crash or an answered request.
 	announcementSpan = 3 * time.Second
-	// wantedSpan is how long a refused request counts as demand for a permit.
-	wantedSpan = 2 * time.Second
+	// claimLifetime is the time after which a claim for permits that was not heard again has
+	// ended.
+	claimLifetime = time.Second
 	// permitLifetime is the time after which a permit that no request has used may go to
 	// another host.
-	permitLifetime = time.Minute
+	permitLifetime = 3 * time.Second
+	// trialInterval is the time from the use of a permit until a discriminating request may
+	// get the next one. All hosts know the outcome of a request by then.
+	trialInterval = 2 * time.Second
 	// idleLifetime is the time without requests after which a quarantine ends.
 	idleLifetime = time.Hour
 
@@ -65,12 +76,16 @@
 	maxAnnouncedParts       = 64
 	maxAnnouncedAnswers     = 64
 	maxAnnouncedQuarantines = 32
-	maxAnnouncedWants       = 16
+	maxAnnouncedClaims      = 16
+	maxAnnouncedRivals      = 16
+	// maxClaimedParts bounds the quarantined parts of a request that may get permits.
+	maxClaimedParts = 64
 )
 
-// permitDelays are the times before the permits of a quarantine: the first since its begin,
-// the others since the use of the one before. No more permits are used, so that a part that
-// ends servers ends no more than these.
+// permitDelays are the times before the permits of a quarantine for any request: the first
+// since its begin, the others since the use of the one before. No more permits are used, so
+// that a part that ends servers ends no more than these. The last one of a part with rivals
+// is left to a discriminating request.
 var permitDelays = []time.Duration{3 * time.Second, 30 * time.Second, 10 * time.Minute}
 
 // Part identifies a part of a prompt on all hosts.
@@ -120,12 +135,21 @@
 	Permits, Used int
 	Holder        fuchsiapitch.HostID
 	IsUsed        bool
+	// IsDiscriminating is true if the last permit is for a discriminating request.
+	IsDiscriminating bool
+	// Rivals are the quarantined parts with the same evidence, in ascending order.
+	Rivals []Part
 }
 
-// Want tells that a host has lately refused requests with a quarantined part. It is a plain record.
-type Want struct {
-	Part Part
+// Claim tells that a request waits for permits at a host. It is a plain record.
+type Claim struct {
 	Host fuchsiapitch.HostID
+	// Parts are the quarantined parts of the request, in ascending order. It needs a permit for
+	// each.
+	Parts            []Part
+	IsDiscriminating bool
+	// Age is the time since the request was last known to wait.
+	Age time.Duration
 }
 
 // Message is what hosts tell each other. Its lists are bounded. It is a plain record.
@@ -133,7 +157,7 @@
 	Crashes     []Crash
 	Answers     []Answer
 	Quarantines []Quarantine
-	Wants       []Want
+	Claims      []Claim
 }
 
 // Table holds the evidence and the quarantines. It is not safe for concurrent use.
@@ -149,6 +173,20 @@
 	// formerlyAnswered is the generation before.
 	answered, formerlyAnswered map[Part]answers
 	quarantines                map[Part]*quarantine
+	// claims holds the waiting requests of all hosts.
+	claims map[claimKey]*heardClaim
+}
+
+// claimKey identifies a claim. Waiting requests of one host have no part in common.
+type claimKey struct {
+	host  fuchsiapitch.HostID
+	first Part
+}
+
+// heardClaim is a claim with the time at which its request was last known to wait.
+type heardClaim struct {
+	Claim
+	at time.Duration
 }
 
 // crash is the end of a server.
@@ -195,21 +233,27 @@
 	permits, used int
 	holder        fuchsiapitch.HostID
 	isUsed        bool
-	// permitAt is when the last permit was given out or used, or the quarantine began.
-	permitAt time.Duration
+	// isDiscriminating is true if the last permit is for a discriminating request.
+	isDiscriminating bool
+	// permitAt is when the last permit was given out, and usedAt when one was last used, or the
+	// quarantine began. formerlyUsedAt is the time before that.
+	permitAt, usedAt, formerlyUsedAt time.Duration
 	// isHeld is true while a request waits with the permit of this host.
 	isHeld bool
-	// refusedAt is when this host last refused a request, and wantedBy the other hosts that
-	// have lately done so, with the time.
-	refusedAt time.Duration
-	wantedBy  map[fuchsiapitch.HostID]time.Duration
+	// rivals are the quarantined parts with the same evidence. One of them, or this part, may
+	// explain all crashes.
+	rivals map[Part]bool
+}
+
+func startQuarantine(now, lastRequestAt time.Duration) *quarantine {
+	return &quarantine{usedAt: now, lastRequestAt: lastRequestAt, rivals: make(map[Part]bool)}
 }
 
 // New returns an empty table of a host.
 func New(self fuchsiapitch.HostID) *Table {
 	return &Table{
 		self: self, crashes: make(map[Incarnation]*crash), records: make(map[Part]*record),
-		answered: make(map[Part]answers), formerlyAnswered: make(map[Part]answers), quarantines: make(map[Part]*quarantine),
+		answered: make(map[Part]answers), formerlyAnswered: make(map[Part]answers), quarantines: make(map[Part]*quarantine), claims: make(map[claimKey]*heardClaim),
 	}
 }
 
@@ -327,7 +371,7 @@
 // acquit applies that a request with a part was answered.
 func (t *Table) acquit(now, startedAt time.Duration, p Part, isOwn bool) {
 	if q, ok := t.quarantines[p]; ok && startedAt >= q.lastCrashAt-acquittalSpan {
-		delete(t.quarantines, p)
+		t.endQuarantine(p)
 		if r := t.record(p); r != nil {
 			r.crashes = nil
 		}
@@ -339,6 +383,14 @@
 	r.hasAnswer, r.isOwnAnswer, r.answeredAt, r.announceUntil = true, isOwn, startedAt, now+announcementSpan
 }
 
+// endQuarantine ends the quarantine of a part.
+func (t *Table) endQuarantine(p Part) {
+	delete(t.quarantines, p)
+	for _, q := range t.quarantines {
+		delete(q.rivals, p)
+	}
+}
+
 // isNewer reports whether a time is later than a known one, by more than the tolerance if another
 // host has told of it.
 func isNewer(at, known time.Duration, isOwn bool) bool {
@@ -363,45 +415,80 @@
 	}
 	for p, q := range t.quarantines {
 		if now-q.lastRequestAt > idleLifetime {
-			delete(t.quarantines, p)
+			t.endQuarantine(p)
 		}
 	}
 	t.review(now)
+	t.declinePermits(now)
 }
 
 // review imposes the quarantines that the evidence supports, the best explanation first. A crash
 // that a quarantine explains no longer counts against other parts, whose requests were at the
 // same server.
 func (t *Table) review(now time.Duration) {
-	for {
-		var best *suspect
-		var imposed []Part
-		for p, r := range t.records {
-			if _, isQuarantined := t.quarantines[p]; isQuarantined {
-				continue
-			}
-			s := &suspect{crashes: t.countedCrashes(now, r), hasAnswer: r.hasAnswer, answers: t.answerCount(p)}
-			if len(s.crashes) < minCrashes {
-				continue
-			}
-			switch n := s.compare(best); {
-			case n > 0:
-				best, imposed = s, []Part{p}
-			case n == 0:
-				// Nothing tells the parts apart but a request with only one of them.
-				imposed = append(imposed, p)
-			}
+	for len(t.quarantines) < maxQuarantines {
+		best := t.bestSuspect(now)
+		if best == nil {
+			return
 		}
-		if best == nil || len(t.quarantines)+len(imposed) > maxQuarantines {
+		imposed := t.rivals(now, best)
+		if len(t.quarantines)+len(imposed) > maxQuarantines {
 			return
 		}
 		for _, p := range imposed {
-			t.quarantines[p] = &quarantine{permitAt: now, lastRequestAt: now, refusedAt: -wantedSpan, wantedBy: make(map[fuchsiapitch.HostID]time.Duration)}
+			q := startQuarantine(now, now)
+			for _, rival := range imposed {
+				q.rivals[rival] = true
+			}
+			delete(q.rivals, p)
+			t.quarantines[p] = q
 			t.explainCrashes(p)
 		}
 	}
 }
 
+// bestSuspect returns the part that explains the crashes best, nil if there are too few of them.
+func (t *Table) bestSuspect(now time.Duration) *suspect {
+	var best *suspect
+	for p, r := range t.records {
+		if len(r.crashes) < minCrashes || t.quarantines[p] != nil {
+			continue
+		}
+		if s := t.newSuspect(now, p, r, t.settleTime); len(s.crashes) >= minCrashes && s.compare(best) > 0 {
+			best = s
+		}
+	}
+	return best
+}
+
+// rivals returns the parts that explain the crashes as well as the best one, with that one.
+func (t *Table) rivals(now time.Duration, best *suspect) []Part {
+	var found []Part
+	for p, r := range t.records {
+		if len(r.crashes) < minCrashes || t.quarantines[p] != nil {
+			continue
+		}
+		if s := t.newSuspect(now, p, r, t.settleTime); len(s.crashes) >= minCrashes && s.compare(best) == 0 {
+			found = append(found, p)
+		}
+	}
+	return found
+}
+
+func (t *Table) newSuspect(now time.Duration, p Part, r *record, settleTime time.Duration) *suspect {
+	return &suspect{crashes: t.countedCrashes(now, r, settleTime), hasAnswer: r.hasAnswer, answers: t.answerCount(p)}
+}
+
+// RecordTrialCrash records that a server has ended under a request that was sent by a permit: no
+// rival that the request lacks explains all crashes.
+func (t *Table) RecordTrialCrash(parts []Part) {
+	for _, p := range parts {
+		if q, ok := t.quarantines[p]; ok {
+			maps.DeleteFunc(q.rivals, func(rival Part, _ bool) bool { return !slices.Contains(parts, rival) })
+		}
+	}
+}
+
 // explainCrashes marks the crashes under a quarantined part as explained.
 func (t *Table) explainCrashes(p Part) {
 	r, ok := t.records[p]
@@ -444,14 +531,14 @@
 }
 
 // countedCrashes returns the crashes that count against a part, in order: those later than its
-// newest answer began. An answer that began shortly before speaks for the part all the same, unless
-// servers go on ending under it.
-func (t *Table) countedCrashes(now time.Duration, r *record) []Incarnation {
+// newest answer began, and that were heard of before the settle time. An answer that began shortly
+// before speaks for the part all the same, unless servers go on ending under it.
+func (t *Table) countedCrashes(now time.Duration, r *record, settleTime time.Duration) []Incarnation {
 	var counted []Incarnation
 	var first, last time.Duration
 	for _, i := range r.crashes {
 		c, ok := t.crashes[i]
-		if !ok || c.isExplained || now-c.heardAt < t.settleTime || r.hasAnswer && r.answeredAt >= c.at {
+		if !ok || c.isExplained || now-c.heardAt < settleTime || r.hasAnswer && r.answeredAt >= c.at {
 			continue
 		}
 		if len(counted) == 0 {
@@ -490,32 +577,82 @@
 	// Permitted means that the request may be sent by the permit of this host. The table
 	// holds the permit back until Use or Cancel is called.
 	Permitted
+	// Awaiting means that the request must not be sent now, but may get a permit soon if it is
+	// claimed for it.
+	Awaiting
 	// Refused means that the request must not be sent.
 	Refused
 )
 
 // Check decides on a request with parts. A request with several quarantined parts needs a
-// permit for each: its end would tell nothing of a single one, but its answer acquits all.
+// permit for each: its answer acquits all.
 func (t *Table) Check(now time.Duration, parts []Part) Verdict {
 	var found []*quarantine
 	for _, p := range parts {
 		if q, ok := t.quarantines[p]; ok {
-			q.lastRequestAt, q.refusedAt = now, now
 			found = append(found, q)
 		}
 	}
 	if len(found) == 0 {
 		return Admitted
 	}
+	isDiscriminating := t.IsDiscriminating(parts)
+	isPermitted, mayBePermitted := true, true
 	for _, q := range found {
-		if q.holder != t.self || q.isUsed || q.isHeld {
-			return Refused
+		q.lastRequestAt = now
+		isPermitted = isPermitted && q.holder == t.self && !q.isUsed && !q.isHeld && (isDiscriminating || !q.isDiscriminating)
+		mayBePermitted = mayBePermitted && q.mayBePermitted(now, isDiscriminating)
+	}
+	switch {
+	case isPermitted:
+		for _, q := range found {
+			q.isHeld = true
 		}
+		return Permitted
+	case mayBePermitted && len(found) <= maxClaimedParts:
+		return Awaiting
 	}
-	for _, q := range found {
-		q.isHeld = true
+	return Refused
+}
+
+// IsDiscriminating reports whether the outcome of a request tells each of its quarantined parts
+// from a rival.
+func (t *Table) IsDiscriminating(parts []Part) bool {
+	isDiscriminating := false
+	for _, p := range parts {
+		q, ok := t.quarantines[p]
+		if !ok {
+			continue
+		}
+		isDiscriminating = false
+		for rival := range q.rivals {
+			isDiscriminating = isDiscriminating || !slices.Contains(parts, rival)
+		}
+		if !isDiscriminating {
+			return false
+		}
+	}
+	return isDiscriminating
+}
+
+// mayBePermitted reports whether a request can expect a permit soon.
+func (q *quarantine) mayBePermitted(now time.Duration, isDiscriminating bool) bool {
+	if isDiscriminating {
+		return q.used < len(permitDelays)
+	}
+	return q.isDueFor(now, false)
+}
+
+// isDueFor reports whether a permit is due, for a discriminating request or for any.
+func (q *quarantine) isDueFor(now time.Duration, isDiscriminating bool) bool {
+	limit := len(permitDelays)
+	switch {
+	case isDiscriminating:
+		return q.used < limit && (q.used == 0 || now-q.usedAt >= trialInterval)
+	case len(q.rivals) > 0:
+		limit--
 	}
-	return Permitted
+	return q.used < limit && now-q.usedAt >= permitDelays[q.used]
 }
 
 // IsQuarantined reports whether a request with parts must not be sent without a permit.
@@ -523,16 +660,92 @@
 	return slices.ContainsFunc(parts, func(p Part) bool { return t.quarantines[p] != nil })
 }
 
+// Quarantined returns the quarantined ones among parts, in ascending order.
+func (t *Table) Quarantined(parts []Part) []Part {
+	var found []Part
+	for _, p := range parts {
+		if t.quarantines[p] != nil {
+			found = append(found, p)
+		}
+	}
+	slices.Sort(found)
+	return slices.Compact(found)
+}
+
+// ShareQuarantined reports whether two requests have a quarantined part in common.
+func (t *Table) ShareQuarantined(parts, others []Part) bool {
+	return slices.ContainsFunc(parts, func(p Part) bool { return t.quarantines[p] != nil && slices.Contains(others, p) })
+}
+
+// HoldsPermits reports whether this host holds back the permits for all quarantined parts of a
+// request.
+func (t *Table) HoldsPermits(parts []Part) bool {
+	return !slices.ContainsFunc(parts, func(p Part) bool { return t.quarantines[p] != nil && !t.quarantines[p].isHeld })
+}
+
+// Claim records that a request with parts waits for permits at this host. It holds for a short
+// time.
+func (t *Table) Claim(now time.Duration, parts []Part) {
+	t.addClaim(now, Claim{Host: t.self, Parts: t.Quarantined(parts), IsDiscriminating: t.IsDiscriminating(parts)})
+}
+
+func (t *Table) addClaim(now time.Duration, c Claim) {
+	if len(c.Parts) == 0 {
+		return
+	}
+	k, at := claimKey{c.Host, c.Parts[0]}, now-c.Age
+	if known, ok := t.claims[k]; !ok || at > known.at {
+		t.claims[k] = &heardClaim{Claim: c, at: at}
+	}
+}
+
+// Withdraw records that a request with parts no longer waits for permits at this host.
+func (t *Table) Withdraw(parts []Part) { t.endClaims(t.self, parts) }
+
+// endClaims forgets the claims of a host for any of the parts.
+func (t *Table) endClaims(host fuchsiapitch.HostID, parts []Part) {
+	for k, c := range t.claims {
+		if k.host == host && slices.ContainsFunc(c.Parts, func(p Part) bool { return slices.Contains(parts, p) }) {
+			delete(t.claims, k)
+		}
+	}
+}
+
+// declinePermits gives back the permits of this host for which no request waits any more.
+func (t *Table) declinePermits(now time.Duration) {
+	for p, q := range t.quarantines {
+		if q.holder != t.self || q.isUsed || q.isHeld {
+			continue
+		}
+		isClaimed := false
+		for k, c := range t.claims {
+			isClaimed = isClaimed || k.host == t.self && now-c.at < claimLifetime && slices.Contains(c.Parts, p)
+		}
+		q.isUsed = !isClaimed
+	}
+}
+
 // Use records that a request with parts is sent by the permits of this host.
 func (t *Table) Use(now time.Duration, parts []Part) {
 	for _, p := range parts {
 		if q, ok := t.quarantines[p]; ok && q.isHeld {
-			q.isHeld, q.isUsed, q.permitAt = false, true, now
+			q.isHeld, q.isUsed, q.formerlyUsedAt, q.usedAt = false, true, q.usedAt, now
 			q.used++
 		}
 	}
 }
 
+// Return records that the request with parts that was sent by the permits of this host reached no
+// server, so that the permits are unused.
+func (t *Table) Return(parts []Part) {
+	for _, p := range parts {
+		if q, ok := t.quarantines[p]; ok && q.holder == t.self && q.isUsed {
+			q.isUsed, q.usedAt = false, q.formerlyUsedAt
+			q.used--
+		}
+	}
+}
+
 // Cancel records that a request with parts is not sent although it had permits.
 func (t *Table) Cancel(parts []Part) {
 	for _, p := range parts {
@@ -542,44 +755,66 @@
 	}
 }
 
-// GrantPermits gives out the permits that are due. Only the host that leads the others may
-// call it.
-func (t *Table) GrantPermits(now time.Duration) {
-	for _, q := range t.quarantines {
-		isOutstanding := q.permits > 0 && !q.isUsed
+// GrantPermits gives out the permits that are due and reports whether it has. Only the host
+// that leads the others may call it.
+func (t *Table) GrantPermits(now time.Duration) bool {
+	granted := false
+	for _, c := range t.currentClaims(now) {
+		granted = t.grantClaim(now, c) || granted
+	}
+	return granted
+}
+
+// currentClaims returns the claims that have not ended, those of discriminating requests first.
+func (t *Table) currentClaims(now time.Duration) []*heardClaim {
+	maps.DeleteFunc(t.claims, func(_ claimKey, c *heardClaim) bool { return now-c.at >= claimLifetime })
+	list := slices.Collect(maps.Values(t.claims))
+	slices.SortFunc(list, func(a, b *heardClaim) int {
 		switch {
-		case q.used >= len(permitDelays):
-			continue
-		case isOutstanding && now-q.permitAt < permitLifetime:
-			continue
-		case !isOutstanding && now-q.permitAt < permitDelays[q.used]:
-			continue
+		case a.IsDiscriminating == b.IsDiscriminating:
+			return cmp.Or(cmp.Compare(a.Host, b.Host), slices.Compare(a.Parts, b.Parts))
+		case a.IsDiscriminating:
+			return -1
 		}
-		host, ok := q.nextHolder(now, t.self)
+		return 1
+	})
+	return list
+}
+
+// grantClaim gives a claim the permits for all its parts, or none. It reports whether it has.
+func (t *Table) grantClaim(now time.Duration, c *heardClaim) bool {
+	var wanted []*quarantine
+	for _, p := range c.Parts {
+		q, ok := t.quarantines[p]
 		if !ok {
 			continue
 		}
+		if q.isOutstanding(now) || !q.isDueFor(now, c.IsDiscriminating) || t.hasRivalOnTrial(now, q) {
+			return false
+		}
+		wanted = append(wanted, q)
+	}
+	for _, q := range wanted {
 		q.permits++
-		q.holder, q.isUsed, q.permitAt = host, false, now
+		q.holder, q.isUsed, q.isHeld, q.isDiscriminating, q.permitAt = c.Host, false, false, c.IsDiscriminating, now
 	}
+	return len(wanted) > 0
 }
 
-// nextHolder returns a host that has lately refused requests.
-func (q *quarantine) nextHolder(now time.Duration, self fuchsiapitch.HostID) (fuchsiapitch.HostID, bool) {
-	if now-q.refusedAt < wantedSpan {
-		return self, true
-	}
-	var best fuchsiapitch.HostID
-	for h, at := range q.wantedBy {
-		if now-at >= wantedSpan {
-			delete(q.wantedBy, h)
-			continue
-		}
-		if best == "" || h < best {
-			best = h
+// isOutstanding reports whether a host has a permit that it may still use.
+func (q *quarantine) isOutstanding(now time.Duration) bool {
+	return q.permits > 0 && !q.isUsed && now-q.permitAt < permitLifetime
+}
+
+// hasRivalOnTrial reports whether a request with a rival of a part may be running. Both at one server
+// would not tell them apart.
+func (t *Table) hasRivalOnTrial(now time.Duration, q *quarantine) bool {
+	for rival := range q.rivals {
+		if r, ok := t.quarantines[rival]; ok && (r.isOutstanding(now) || r.used > 0 && now-r.usedAt < trialInterval) {
+			return true
 		}
 	}
-	return best, best != ""
+	return false
 }
 
 // sortByAge sorts a list by age, the newest first, and cuts it to a length.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -173,11 +173,13 @@
 	table, now := newQuarantine(t, "h1")
 	assertVerdict(t, table, now, Refused, lethal)
 	now += permitDelays[0]
-	assertVerdict(t, table, now, Refused, lethal)
+	assertVerdict(t, table, now, Awaiting, lethal)
+	table.Claim(now, []Part{lethal})
 	table.GrantPermits(now)
 	assertVerdict(t, table, now, Permitted, lethal)
-	assertVerdict(t, table, now, Refused, lethal)
+	assertVerdict(t, table, now, Awaiting, lethal)
 	table.Use(now, []Part{lethal})
+	assertVerdict(t, table, now, Refused, lethal)
 	table.RecordAnswer(now+time.Second, now, []Part{lethal})
 	assertQuarantined(t, table)
 	assertVerdict(t, table, now+time.Second, Admitted, lethal)
@@ -199,6 +201,7 @@
 	table.Review(now)
 	assertQuarantined(t, table, lethal, shared)
 	assertVerdict(t, table, now, Refused, lethal, shared)
+	table.Claim(now, []Part{lethal})
 	table.GrantPermits(now)
 	assertVerdict(t, table, now, Refused, lethal, shared)
 	assertVerdict(t, table, now, Permitted, lethal)
@@ -242,10 +245,14 @@
 		h.exchange(now)
 		for _, table := range h {
 			table.Review(now)
-			if table.Check(now, []Part{popular, lethal}) != Refused {
+			switch table.Check(now, []Part{popular, lethal}) {
+			case Admitted, Permitted:
 				sent++
 				table.Use(now, []Part{popular, lethal})
 				table.RecordCrash(now+100*time.Millisecond, now+100*time.Millisecond, server(100+sent), []Part{popular, lethal})
+			case Awaiting:
+				table.Claim(now, []Part{popular, lethal})
+			case Refused:
 			}
 		}
 		h[leader].GrantPermits(now)
@@ -347,8 +354,8 @@
 	for _, c := range m.Crashes {
 		parts += len(c.Parts)
 	}
-	if parts > maxAnnouncedCrashes*maxAnnouncedParts || len(m.Answers) > maxAnnouncedAnswers || len(m.Quarantines) > maxAnnouncedQuarantines || len(m.Wants) > maxAnnouncedWants {
-		t.Errorf("got a message with %d parts, %d answers, %d quarantines and %d wants, want bounded lists", parts, len(m.Answers), len(m.Quarantines), len(m.Wants))
+	if parts > maxAnnouncedCrashes*maxAnnouncedParts || len(m.Answers) > maxAnnouncedAnswers || len(m.Quarantines) > maxAnnouncedQuarantines || len(m.Claims) > maxAnnouncedClaims {
+		t.Errorf("got a message with %d parts, %d answers, %d quarantines and %d claims, want bounded lists", parts, len(m.Answers), len(m.Quarantines), len(m.Claims))
 	}
 	table.Review(now + crashMemory + idleLifetime + time.Second)
 	if got := len(table.records) + len(table.quarantines) + len(table.crashes); got != 0 {
