quarantiner: one crash more does not blame a sound part alone

Callers would see requests with a sound part refused, and the lethal one not known: of parts that were never answered, the one with most crashes was quarantined alone, and explained the crashes of the others.

Parts that were never answered are now rivals if the best one has fewer than three crashes more, with those crashes that are not settled.

--- a/internal/coordinator/crash_restart_test.go
+++ b/internal/coordinator/crash_restart_test.go
@@ -34,6 +34,8 @@
 	restartAfter, restartGap time.Duration
 	// takesTurns is true if requests go to the hosts in turn, not to random ones.
 	takesTurns bool
+	// otherCrashes is the number of servers that end for another reason while hosts learn the part.
+	otherCrashes int
 }
 
 // newRestartScenario draws a scenario.
@@ -46,6 +48,7 @@
 		soundInterval: between(100*time.Millisecond, 1200*time.Millisecond), lethalInterval: between(50*time.Millisecond, 800*time.Millisecond),
 		soundDelay: between(0, 8*time.Second), restartAfter: between(-3*time.Second, 3*time.Second),
 	}
+	s.otherCrashes = cc.rng.IntN(2) * cc.rng.IntN(5)
 	if cc.rng.IntN(2) == 0 {
 		s.restartGap = between(500*time.Millisecond, 2*time.Second)
 	}
@@ -109,6 +112,9 @@
 	for n, h := range cc.hosts {
 		cc.at(first+s.restartAfter+time.Duration(n)*s.restartGap, func() { cc.restart(h) })
 	}
+	for range s.otherCrashes {
+		cc.at(first+time.Duration(cc.rng.IntN(4000))*time.Millisecond, func() { cc.crash(cc.servers[cc.rng.IntN(len(cc.servers))].ID) })
+	}
 	cc.runUntil(end)
 }
 
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -461,7 +461,9 @@
 	return best
 }
 
-// rivals returns the parts that explain the crashes as well as the best one, with that one.
+// rivals returns the parts that may explain the crashes as well as the best one, with that one. If none of
+// them was ever answered, few crashes more are no evidence: they may have another reason, and
+// a crash that hosts know by two incarnations counts twice.
 func (t *Table) rivals(now time.Duration, best *suspect) []Part {
 	var found []Part
 	for p, r := range t.records {
@@ -470,6 +472,12 @@
 		}
 		if s := t.newSuspect(now, p, r, t.settleTime); len(s.crashes) >= minCrashes && s.compare(best) == 0 {
 			found = append(found, p)
+			continue
+		}
+		// Other hosts may not have had the time to tell of answered requests.
+		s := t.newSuspect(now, p, r, 0)
+		if !s.hasAnswer && !best.hasAnswer && len(s.crashes) >= minCrashes && best.countBeyond(s) < minCrashes {
+			found = append(found, p)
 		}
 	}
 	return found
@@ -526,6 +534,17 @@
 	return cmp.Or(cmp.Compare(len(s.crashes), len(o.crashes)), cmp.Compare(o.answers, s.answers), slices.CompareFunc(s.crashes, o.crashes, Incarnation.compare))
 }
 
+// countBeyond returns the number of crashes that are not those of another suspect.
+func (s *suspect) countBeyond(o *suspect) int {
+	n := 0
+	for _, i := range s.crashes {
+		if !slices.Contains(o.crashes, i) {
+			n++
+		}
+	}
+	return n
+}
+
 func (i Incarnation) compare(o Incarnation) int {
 	return cmp.Or(cmp.Compare(i.Server, o.Server), cmp.Compare(i.StartedUnixMillis, o.StartedUnixMillis))
 }
--- a/internal/quarantiner/rival_test.go
+++ b/internal/quarantiner/rival_test.go
@@ -180,3 +180,26 @@
 		}
 	}
 }
+
+// Guards against a sound part that is blamed alone, because of a crash more that has another
+// reason or that two hosts know by different incarnations.
+func TestOneCrashMoreIsNoEvidence(t *testing.T) {
+	for name, observe := range map[string]func(table *Table){
+		"another crash": func(table *Table) {
+			recordCrashes(table, 10*time.Second, 0, minCrashes-1, lethal, shared)
+			recordCrashes(table, 10*time.Second, 20, 20, shared)
+		},
+		"a crash that is not settled": func(table *Table) {
+			recordCrashes(table, 10*time.Second, 20, 20, shared)
+			recordCrashes(table, 10*time.Second, 0, minCrashes-2, lethal, shared)
+			recordCrashes(table, 10*time.Second+testSettleTime/2, minCrashes, minCrashes, lethal, shared)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable("h1")
+			observe(table)
+			table.Review(10*time.Second + testSettleTime)
+			assertQuarantined(t, table, lethal, shared)
+		})
+	}
+}
