relayer: the responses that are being read share a bounded memory

Each body held its first mebibyte, up to 1.3 with the growth of the slice, while it waited for one of two places; nothing bounded all of them. The buffers of the HTTP library took 4 MB, stacks 4 MB. Streams hold up to a mebibyte each in the same way, if an event does not end.

Now bodies are read in blocks, and blocks and growing events take their memory from an allocator (an eighth of the memory limit). Each response may hold 16 KiB in any case, so that small ones never wait. A service gets no more of the rest than it leaves free, so that none can use up what bounds another. One response of a service at a time may grow to its limit of 16 MiB beyond that, two in all, which go to the service that has waited longest; so large sound ones become complete. The others wait, and their servers with them, until their deadline. The limits of one body and one event are the same.

--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -82,6 +82,12 @@
 	m.set.NewGauge("fuchsiapitch_requests_in_flight", count)
 }
 
+// RegisterBufferGauge registers the gauge of the bytes that buffered responses take from the memory
+// for them.
+func (m *Meter) RegisterBufferGauge(bytes func() float64) {
+	m.set.NewGauge("fuchsiapitch_buffered_response_bytes", bytes)
+}
+
 // RegisterConfigurationVersionGauge registers the gauge of the version of the
 // configuration in force.
 func (m *Meter) RegisterConfigurationVersionGauge(version func() float64) {
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -20,6 +20,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/acceptor"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
@@ -155,7 +156,10 @@
 		driver.WithLogger(logs.For("conductor")), driver.WithMeter(h.meter), driver.WithConfigurationReload(func() { h.configurationTracker.Resync() }))
 	h.createTrackers()
 	requestSender, closeSender := sender.New(sender.WithConnectTimeout(requestConnectTimeout), sender.WithSilenceTimeout(silenceTimeout))
-	h.relayer = relayer.New(h.driver, requestSender, platform.NewHeaders(platform.WithLogger(logs.For("relayer"))), relayer.WithLogger(logs.For("relayer")), relayer.WithMeter(h.meter))
+	buffers := newBuffers(settings.MemoryLimitBytes)
+	h.relayer = relayer.New(h.driver, requestSender, platform.NewHeaders(platform.WithLogger(logs.For("relayer"))), relayer.WithLogger(logs.For("relayer")), relayer.WithMeter(h.meter),
+		relayer.WithBuffers(buffers))
+	h.meter.RegisterBufferGauge(func() float64 { return float64(buffers.UsedBytes()) })
 	h.meter.RegisterInFlightGauge(func() float64 { return float64(h.relayer.InFlightRequests()) })
 	h.meter.RegisterConfigurationVersionGauge(h.configurationVersion)
 	return h, func() {
@@ -167,6 +171,18 @@
 	}, nil
 }
 
+// bufferMemoryDivisor divides the platform's memory limit. The quotient is the memory for the
+// responses that are being read.
+const bufferMemoryDivisor = 8
+
+// newBuffers returns the memory for the responses that are being read.
+func newBuffers(memoryLimitBytes int64) *allocator.Allocator {
+	if memoryLimitBytes <= 0 {
+		return allocator.New()
+	}
+	return allocator.New(allocator.WithPool(int(memoryLimitBytes / bufferMemoryDivisor)))
+}
+
 // megabitsPerCore is the bandwidth with which one core counts in the capacity of a host.
 const megabitsPerCore = 250
 
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -1,13 +1,14 @@
 package relayer
 
 import (
-	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
 )
 
 // maxNotRunAttempts is the number of attempts beyond the limit of the route that may
@@ -24,6 +25,7 @@
 	for x.hasAttemptLeft() {
 		buffered, outcome, err := x.attemptBuffered()
 		if err == nil {
+			defer buffered.release()
 			if buffered.status < http.StatusInternalServerError || x.route.Kind != fuchsiapitch.IdempotentRoute {
 				x.deliver(buffered)
 				return
@@ -47,11 +49,22 @@
 	x.fail(lastErr)
 }
 
-// bufferedResponse is the complete response of a server.
+// bufferedResponse is the complete response of a server. Its body may be used until release is
+// called.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	body    [][]byte
+	release func()
+}
+
+// length returns the size of the body in bytes.
+func (b *bufferedResponse) length() int {
+	n := 0
+	for _, block := range b.body {
+		n += len(block)
+	}
+	return n
 }
 
 // attemptBuffered sends the request to one server and reads the complete response.
@@ -66,7 +79,7 @@
 		x.logConnectionEnd(slot, time.Time{}, err)
 		return nil, outcome, err
 	}
-	body, err := x.readResponseBody(response)
+	body, release, err := x.readResponseBody(response)
 	switch {
 	case isConnectionEnd(err):
 		slot.ReleaseEnded(true)
@@ -82,36 +95,72 @@
 		x.logConnectionEnd(slot, time.Time{}, err)
 		return nil, fuchsiapitch.OutcomeUnknown, err
 	}
-	return &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}, fuchsiapitch.OutcomeSucceeded, nil
+	return &bufferedResponse{status: response.StatusCode, header: response.Header, body: body, release: release}, fuchsiapitch.OutcomeSucceeded, nil
 }
 
-// readResponseBody reads the complete body of a response and closes it. Its error is a
-// fuchsiapitch.ResponseTooLargeError if the body exceeds maxBufferedBytes. If the body is large,
-// it waits until fewer than maxLargeBodies others are being read.
-func (x *exchange) readResponseBody(response *http.Response) ([]byte, error) {
+// bodyBlockBytes is the size of the first block of a response body, maxBodyBlockBytes that of the
+// largest. Blocks grow with the body.
+const (
+	bodyBlockBytes    = 4 << 10
+	maxBodyBlockBytes = 256 << 10
+)
+
+// readResponseBody reads the complete body of a response in blocks and closes it. Its error is a
+// fuchsiapitch.ResponseTooLargeError if the body exceeds maxBufferedBytes. It waits while the
+// responses that this host buffers have used up the memory for them. The blocks may be used until
+// release is called.
+func (x *exchange) readResponseBody(response *http.Response) (blocks [][]byte, release func(), err error) {
 	defer response.Body.Close()
+	memory, release := x.relayer.buffers.Open(string(x.service))
+	blocks, err = x.readBlocks(response, memory)
+	if err != nil {
+		release()
+		return nil, func() {}, err
+	}
+	return blocks, release, nil
+}
+
+func (x *exchange) readBlocks(response *http.Response, memory *allocator.Response) ([][]byte, error) {
 	tooLarge := &fuchsiapitch.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
 	if response.ContentLength > maxBufferedBytes && response.Body != http.NoBody {
 		return nil, tooLarge
 	}
-	start, err := io.ReadAll(io.LimitReader(response.Body, largeBodyBytes))
-	if err != nil || len(start) < largeBodyBytes {
-		return start, err
-	}
-	select {
-	case x.relayer.largeBodies <- struct{}{}:
-		defer func() { <-x.relayer.largeBodies }()
-	case <-x.ctx.Done():
-		return nil, x.ctx.Err()
+	var blocks [][]byte
+	total, size := 0, bodyBlockBytes
+	if n := response.ContentLength; n >= 0 && n < bodyBlockBytes {
+		// One byte more shows the end of the body.
+		size = int(n) + 1
 	}
-	body, err := io.ReadAll(io.LimitReader(io.MultiReader(bytes.NewReader(start), response.Body), maxBufferedBytes+1))
-	if err != nil {
-		return nil, err
+	for {
+		if err := memory.Grow(x.ctx, size); err != nil {
+			return nil, err
+		}
+		block, err := readBlock(response.Body, size)
+		total += len(block)
+		blocks = append(blocks, block)
+		switch {
+		case total > maxBufferedBytes:
+			return nil, tooLarge
+		case errors.Is(err, io.EOF):
+			return blocks, nil
+		case err != nil:
+			return nil, err
+		}
+		size = min(max(bodyBlockBytes, total), maxBodyBlockBytes)
 	}
-	if len(body) > maxBufferedBytes {
-		return nil, tooLarge
+}
+
+// readBlock reads a number of bytes, fewer if the error is not nil.
+func readBlock(body io.Reader, size int) ([]byte, error) {
+	block, read := make([]byte, size), 0
+	for read < size {
+		n, err := body.Read(block[read:])
+		read += n
+		if err != nil {
+			return block[:read], err
+		}
 	}
-	return body, nil
+	return block, nil
 }
 
 // deliver forwards a complete response to the client. A status from which the client
@@ -127,12 +176,14 @@
 		h[n] = v
 	}
 	if x.request.Method != http.MethodHead && b.status != http.StatusNoContent && b.status != http.StatusNotModified {
-		h.Set("Content-Length", strconv.Itoa(len(b.body)))
+		h.Set("Content-Length", strconv.Itoa(b.length()))
 	}
 	x.writer.WriteHeader(b.status)
-	if _, err := x.writer.Write(b.body); err != nil {
-		x.logFailure(b.status, "caller left during the answer")
-		return
+	for _, block := range b.body {
+		if _, err := x.writer.Write(block); err != nil {
+			x.logFailure(b.status, "caller left during the answer")
+			return
+		}
 	}
 	x.relayer.meter.CountRequest(x.service, fuchsiapitch.RankName(x.route.Name), fuchsiapitch.OutcomeSucceeded)
 	x.relayer.log.Debug().Str("request", string(x.metadata.ID)).Int("status", b.status).
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
@@ -29,10 +30,6 @@
 	// maxBufferedBytes is the size of the largest response that is buffered, and of
 	// the largest request body if the configuration sets no limit.
 	maxBufferedBytes = 16 << 20
-	// largeBodyBytes is the size from which a response body is large, maxLargeBodies the
-	// number of large ones that are read at the same time. The others wait.
-	largeBodyBytes = 1 << 20
-	maxLargeBodies = 2
 	// defaultRetryAfter is the retry delay in the response if the host has no
 	// configuration yet, or if no server ran the request.
 	defaultRetryAfter = 500 * time.Millisecond
@@ -90,8 +87,8 @@
 	log      zerolog.Logger
 	meter    *meter.Meter
 	routes   atomic.Pointer[fuchsiapitch.RouteTable]
-	// largeBodies holds a value for each large response body that is being read.
-	largeBodies chan struct{}
+	// buffers bounds the memory of the response bodies and events that are being read.
+	buffers *allocator.Allocator
 	// drain is the schedule of the stop, nil before.
 	drain atomic.Pointer[drain]
 	// aborted ends when abort is called.
@@ -109,12 +106,15 @@
 // WithMeter sets the metrics.
 func WithMeter(m *meter.Meter) Option { return func(r *Relayer) { r.meter = m } }
 
+// WithBuffers sets the memory for the responses that are being read.
+func WithBuffers(a *allocator.Allocator) Option { return func(r *Relayer) { r.buffers = a } }
+
 // New returns a relayer without a configuration. It refuses requests until Configure
 // is called.
 func New(admitter Admitter, sender Sender, codec HeaderCodec, options ...Option) *Relayer {
 	r := &Relayer{
 		admitter: admitter, sender: sender, codec: codec, log: zerolog.Nop(), meter: meter.New(),
-		largeBodies: make(chan struct{}, maxLargeBodies),
+		buffers: allocator.New(),
 	}
 	r.aborted, r.abort = context.WithCancelCause(context.Background())
 	for _, o := range options {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -113,7 +113,7 @@
 		outcome, err = x.deliverNonStream(slot, response, p)
 		return outcome, cancellationCause(ctx, err)
 	}
-	startedAt, err := x.forwardEvents(slot, response, p)
+	startedAt, err := x.forwardEvents(ctx, slot, response, p)
 	x.releaseStream(slot, response, err)
 	if err != nil {
 		x.failedServers = append(x.failedServers, slot.Server())
@@ -167,7 +167,8 @@
 // instead if the body cannot be read or is too large, if the client has received part
 // of a stream, or if the status is 5xx and the request may be sent again.
 func (x *exchange) deliverNonStream(slot *driver.Slot, response *http.Response, p *streamProgress) (fuchsiapitch.Outcome, error) {
-	body, err := x.readResponseBody(response)
+	body, release, err := x.readResponseBody(response)
+	defer release()
 	if isConnectionEnd(err) {
 		slot.ReleaseEnded(true)
 	} else {
@@ -180,7 +181,7 @@
 	if p.headerSent || response.StatusCode >= http.StatusInternalServerError && x.hasAttemptLeft() {
 		return fuchsiapitch.OutcomeUnknown, &ResponseError{Server: slot.Server(), Status: response.StatusCode, Reason: "no stream"}
 	}
-	x.deliver(&bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
+	x.deliver(&bufferedResponse{status: response.StatusCode, header: response.Header, body: body, release: release})
 	return fuchsiapitch.OutcomeSucceeded, nil
 }
 
@@ -196,8 +197,14 @@
 // forwardEvents forwards complete events to the client until the stream ends. If the
 // stream ends within an event, or without any event, it returns io.ErrUnexpectedEOF, also if
 // it resumes another one. If an event is invalid, it returns an InvalidEventError. startedAt is the
-// time of the first byte, the zero time for none.
-func (x *exchange) forwardEvents(slot *driver.Slot, response *http.Response, p *streamProgress) (startedAt time.Time, err error) {
+// time of the first byte, the zero time for none. It waits while the responses that this host
+// buffers have used up the memory for them.
+func (x *exchange) forwardEvents(ctx context.Context, slot *driver.Slot, response *http.Response, p *streamProgress) (startedAt time.Time, err error) {
+	memory, release := x.relayer.buffers.Open(string(x.service))
+	defer release()
+	if err := memory.Grow(ctx, initialBufferBytes); err != nil {
+		return startedAt, err
+	}
 	buffer := make([]byte, initialBufferBytes)
 	buffered := 0
 	startID := p.lastEventID
@@ -234,6 +241,9 @@
 			if buffered >= maxEventBytes {
 				return startedAt, &fuchsiapitch.ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes}
 			}
+			if err := memory.Grow(ctx, buffered); err != nil {
+				return startedAt, err
+			}
 			buffer = append(buffer, make([]byte, buffered)...)
 		}
 	}
