platformassembler: a host replaces silent connections to the store at once

Two faults: one failed read does not suspect the other connections of the pool, and a poll that is older than the failure gets the time of one whose response may be arriving.

Now a failed read closes the idle connections to the store, and once the list is read again, silent long polls from before the failure are repeated at once, at the same offset, so that no record is transferred again.

Hosts of a large cluster that do not read the list themselves still wait for 0.8 s after another host has told them of the version.

--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -109,8 +109,10 @@
 	stateMutex    sync.Mutex
 	// state is what other hosts can fetch from this one. It is guarded by stateMutex.
 	state hostState
-	// serverListReadFailed is true if the last read of the server list failed.
-	serverListReadFailed atomic.Bool
+	// serverListReadFailedAt is when the last read of the server list failed, nil if it did not.
+	serverListReadFailedAt atomic.Pointer[time.Time]
+	// storeTransport is the transport of the calls to the store.
+	storeTransport *http.Transport
 	// longPollTrackers follow the topics that are read with long polls;
 	// configurationTracker is one of them.
 	configurationTracker *tracker.Tracker
@@ -142,6 +144,7 @@
 	}
 	pooledTransport := &http.Transport{DialContext: sender.NewDialer(connectTimeout, silenceTimeout), DisableCompression: true, MaxIdleConnsPerHost: 8}
 	singleUseTransport := &http.Transport{DialContext: sender.NewDialer(connectTimeout, silenceTimeout), DisableCompression: true, DisableKeepAlives: true}
+	h.storeTransport = pooledTransport
 	h.storeClient = platform.NewStoreClient(settings.StoreAddress, pooledTransport)
 	h.peerTransport = singleUseTransport
 	h.pacedStore = pacer.New(h.storeClient)
@@ -374,6 +377,8 @@
 func (h *Host) readFailureHandler(topicName string) func(error) {
 	return func(err error) {
 		h.log.Info().Str("topic", topicName).Err(err).Msg("store cannot be read")
+		// Other connections of the pool may be dead as well.
+		h.storeTransport.CloseIdleConnections()
 	}
 }
 
@@ -381,7 +386,8 @@
 // notifies the coordinator that the store cannot be read.
 func (h *Host) handleServerListFailure(err error) {
 	h.readFailureHandler(platform.ServersTopic)(err)
-	h.serverListReadFailed.Store(true)
+	now := time.Now()
+	h.serverListReadFailedAt.Store(&now)
 	h.driver.Apply(coordinator.StoreReadFailed{})
 }
 
@@ -431,11 +437,11 @@
 // also recalculates this host's share of the store's rate limits, which depends on the
 // number of live hosts.
 func (h *Host) applyServerList(u tracker.Update) {
-	if h.serverListReadFailed.Swap(false) {
+	if failedAt := h.serverListReadFailedAt.Swap(nil); failedAt != nil {
 		// The store can be read again. A long poll from before may hang on a
 		// connection that the store has dropped.
 		for _, t := range h.longPollTrackers {
-			t.Resync()
+			t.Reconnect(*failedAt)
 		}
 	}
 	if u.IsSnapshot {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -57,7 +57,7 @@
 	Bytes int64
 	// Elapsed is the time from the start of the read to its end.
 	Elapsed time.Duration
-	// Restarted is true if the read was cancelled by a resync.
+	// Restarted is true if the read was cancelled by a resync or a reconnection.
 	Restarted bool
 	// Err is the error of the read, nil if it succeeded.
 	Err error
@@ -78,8 +78,13 @@
 	mutex sync.Mutex
 	// readWatcher watches the read in progress; it is nil between two reads.
 	readWatcher *watcher.Watcher
-	// resyncRequested is true if a resync has shortened the read in progress.
-	resyncRequested bool
+	// readStartedAt is when the read in progress started. It is a long poll if readIsLongPoll is
+	// true, else it reads a snapshot.
+	readStartedAt  time.Time
+	readIsLongPoll bool
+	// resyncRequested is true if a resync has shortened the read in progress, and reconnected if
+	// a reconnection has cancelled it.
+	resyncRequested, reconnected bool
 	// previousReadRestarted is true if a resync made the last read fail.
 	previousReadRestarted bool
 }
@@ -140,6 +145,24 @@
 	t.readWatcher.ExpectWithin(resyncTimeout)
 }
 
+// Reconnect repeats a silent long poll that started before a time, because connections that were
+// open then deliver nothing any more while new ones do. The repeated poll goes on at the same
+// offset, so that it transfers no record again. A snapshot that is being read is treated as by Resync.
+func (t *Tracker) Reconnect(before time.Time) {
+	t.mutex.Lock()
+	if t.readWatcher == nil || !t.readIsLongPoll {
+		t.mutex.Unlock()
+		t.Resync()
+		return
+	}
+	defer t.mutex.Unlock()
+	if t.readWatcher.ReceivedBytes() > 0 || !t.readStartedAt.Before(before) {
+		return
+	}
+	t.reconnected = true
+	t.readWatcher.ExpectWithin(0)
+}
+
 // Serve follows the topic until the context ends. It implements suture.Service.
 func (t *Tracker) Serve(ctx context.Context) error {
 	nextOffset, synced := int64(0), false
@@ -152,6 +175,8 @@
 		page, restarted, err := t.read(ctx, nextOffset, synced)
 		var expired *platform.OffsetExpiredError
 		switch {
+		case err != nil && t.hasReconnected():
+			continue
 		case restarted, errors.As(err, &expired):
 			synced = false
 			continue
@@ -181,17 +206,25 @@
 	startedAt := time.Now()
 	ctx, w, stop := watcher.New(ctx, "topic "+t.topic, firstByteTimeout, responseTimeout)
 	defer stop()
-	t.startRead(w)
+	t.startRead(w, startedAt, synced)
 	page, err := t.call(platform.WithResponseObserver(ctx, w.RecordBytes), nextOffset, synced, pollWait)
 	restarted := t.endRead(err != nil && w.ReceivedBytes() == 0)
-	t.onRead(ReadResult{Bytes: w.ReceivedBytes(), Elapsed: time.Since(startedAt), Restarted: restarted, Err: err})
+	t.onRead(ReadResult{Bytes: w.ReceivedBytes(), Elapsed: time.Since(startedAt), Restarted: restarted || err != nil && t.hasReconnected(), Err: err})
 	return page, restarted, err
 }
 
-func (t *Tracker) startRead(w *watcher.Watcher) {
+func (t *Tracker) startRead(w *watcher.Watcher, startedAt time.Time, isLongPoll bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.readWatcher, t.readStartedAt, t.readIsLongPoll = w, startedAt, isLongPoll
+	t.resyncRequested, t.reconnected = false, false
+}
+
+// hasReconnected reports whether the last read was cancelled by a reconnection.
+func (t *Tracker) hasReconnected() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.readWatcher, t.resyncRequested = w, false
+	return t.reconnected
 }
 
 // endRead reports whether a resync made the read fail. stayedSilent is true if the read failed
@@ -200,7 +233,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.readWatcher = nil
-	t.previousReadRestarted = stayedSilent && t.resyncRequested
+	t.previousReadRestarted = stayedSilent && t.resyncRequested && !t.reconnected
 	return t.previousReadRestarted
 }
 
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -278,3 +278,33 @@
 		}
 	})
 }
+
+// Guards against a host that goes on with an old configuration, because its long poll hangs on a
+// connection that delivers nothing any more although new connections do.
+func TestReconnectRepeatsSilentLongPoll(t *testing.T) {
+	tests := map[string]struct {
+		before    time.Duration
+		wantPolls int
+	}{
+		"a poll from before the failure": {before: time.Second, wantPolls: 2},
+		"a poll that started after it":   {before: 0, wantPolls: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			polls := 0
+			poll := func(ctx context.Context) (platform.Page, error) {
+				polls++
+				return blockUntilDone(ctx)
+			}
+			s := &scriptedStore{responses: []func(context.Context) (platform.Page, error){poll, poll, poll}}
+			snapshots, failures := runTracker(t, s, 1200*time.Millisecond, func(tr *Tracker) {
+				startedAt := time.Now()
+				time.Sleep(time.Second)
+				tr.Reconnect(startedAt.Add(tt.before))
+			})
+			if polls != tt.wantPolls || snapshots != 1 || failures > 1 {
+				t.Errorf("got %d polls, %d snapshots and %d failures, want %d polls, 1 snapshot and at most 1 failure, at the end of the run", polls, snapshots, failures, tt.wantPolls)
+			}
+		})
+	}
+}
