relayer: an unframed response counts as whole only if its server runs on

Cause: the end of the connection ends such a response, and the kernel of a crashed process ends it in the same way.

Now the host asks the server for its report before it passes the end on. If nobody listens or a later incarnation responds, the response counts as cut off: an idempotent request is sent to another server, a stream is resumed, others get 502 or an end that is not complete. A server that leaves, is silent or resets connections proves nothing, and its response is passed on as before. A report without a start time proves nothing either.

--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -179,6 +179,20 @@
 	e.requests = append(e.requests, a)
 }
 
+// Verification returns how to verify whether the server of a request runs on, false if that is
+// unknown or the server may end, since it leaves.
+func (c *Coordinator) Verification(t Ticket) (VerifyServer, bool) {
+	a, ok := c.assignments[t]
+	if !ok {
+		return VerifyServer{}, false
+	}
+	s, ok := c.servers[a.incarnation.Server]
+	if !ok || s.isLeaving() {
+		return VerifyServer{}, false
+	}
+	return VerifyServer{Server: a.incarnation.Server, Address: a.replica.address, StartedUnixMillis: a.incarnation.StartedUnixMillis}, true
+}
+
 // applyVerification processes whether a server that broke off responses has ended.
 func (c *Coordinator) applyVerification(now time.Duration, e ServerVerified) {
 	i := quarantiner.Incarnation{Server: e.Server, StartedUnixMillis: e.StartedUnixMillis}
--- a/internal/driver/crash.go
+++ b/internal/driver/crash.go
@@ -34,7 +34,7 @@
 		started, err := d.requestStart(e)
 		switch {
 		case err == nil:
-			result.Ended = started != e.StartedUnixMillis
+			result.Ended = started != 0 && e.StartedUnixMillis != 0 && started != e.StartedUnixMillis
 			return result
 		case errors.Is(err, syscall.ECONNREFUSED):
 			result.Ended = true
@@ -46,6 +46,21 @@
 	return result
 }
 
+// HasServerEnded asks the server of the slot whether it runs on after it has ended the connection of
+// a response that states neither a length nor chunks: the end of such a response looks the
+// same if the server has crashed. It returns false if that is unknown or the server leaves.
+func (s *Slot) HasServerEnded() bool {
+	d := s.driver
+	d.mutex.Lock()
+	v, ok := d.coordinator.Verification(s.ticket)
+	d.mutex.Unlock()
+	if !ok || !d.verifyServer(v).Ended {
+		return false
+	}
+	d.log.Info().Str("server", string(v.Server)).Msg("server has ended with a response that states no length")
+	return true
+}
+
 // requestStart returns the incarnation of a server by its report.
 func (d *Driver) requestStart(e coordinator.VerifyServer) (int64, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
--- a/internal/relayer/failure.go
+++ b/internal/relayer/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 )
@@ -48,6 +49,18 @@
 // Error implements error.
 func (e *GroupClosedError) Error() string { return fmt.Sprintf("the group of %s is no more", e.Server) }
 
+// ServerEndedError reports that a server has ended with the connection of a response that states neither
+// a length nor chunks, so that the response may be cut off.
+type ServerEndedError struct{ Server fuchsiapitch.ServerID }
+
+// Error implements error.
+func (e *ServerEndedError) Error() string {
+	return fmt.Sprintf("%s has ended with its response, which states no length", e.Server)
+}
+
+// Unwrap returns io.ErrUnexpectedEOF.
+func (e *ServerEndedError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 // QuarantinedError reports that a request was taken from a server that had not begun to answer
 // it, because requests with the same part in their prompts end servers.
 type QuarantinedError struct{ Server fuchsiapitch.ServerID }
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -9,6 +9,8 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 // maxNotRunAttempts is the number of attempts beyond the limit of the route that may
@@ -79,7 +81,7 @@
 		x.logConnectionEnd(slot, time.Time{}, err)
 		return nil, outcome, err
 	}
-	body, release, err := x.readResponseBody(response)
+	body, release, err := x.readVerifiedBody(slot, response)
 	switch {
 	case isConnectionEnd(err):
 		slot.ReleaseEnded(true)
@@ -120,6 +122,17 @@
 	return blocks, release, nil
 }
 
+// readVerifiedBody is readResponseBody. Its error is a ServerEndedError if the response may be cut off
+// because its server has ended.
+func (x *exchange) readVerifiedBody(slot *driver.Slot, response *http.Response) (blocks [][]byte, release func(), err error) {
+	blocks, release, err = x.readResponseBody(response)
+	if err == nil && sender.IsCloseDelimited(response) && slot.HasServerEnded() {
+		release()
+		return nil, func() {}, &ServerEndedError{Server: slot.Server()}
+	}
+	return blocks, release, err
+}
+
 func (x *exchange) readBlocks(response *http.Response, memory *allocator.Response) ([][]byte, error) {
 	tooLarge := &fuchsiapitch.ResponseTooLargeError{Part: "body", LimitBytes: maxBufferedBytes}
 	if response.ContentLength > maxBufferedBytes && response.Body != http.NoBody {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -124,15 +124,22 @@
 	return newRelayerOf(t, logs, addresses...)
 }
 
-// newRelayerOf returns a relayer of the servers at the addresses.
+// newRelayerOf returns a relayer of the servers at the addresses. They do not report.
 func newRelayerOf(t *testing.T, logs io.Writer, addresses ...string) *Relayer {
+	t.Helper()
+	return newRelayerWithReports(t, logs, unreachableServers{}, addresses...)
+}
+
+// newRelayerWithReports returns a relayer of the servers at the addresses, whose reports come from a
+// client.
+func newRelayerWithReports(t *testing.T, logs io.Writer, reports driver.ServerClient, addresses ...string) *Relayer {
 	t.Helper()
 	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d := driver.New(ctx, coordinator.New(coordinator.Peer{ID: "a"}, 1), unreachableServers{}, unreachableServers{}, socket)
+	d := driver.New(ctx, coordinator.New(coordinator.Peer{ID: "a"}, 1), reports, unreachableServers{}, socket)
 	served := make(chan error, 1)
 	go func() { served <- d.Serve(ctx) }()
 	t.Cleanup(func() {
@@ -158,13 +165,13 @@
 	}, []fuchsiapitch.ServiceProfile{{Name: "desk"}}, map[string]fuchsiapitch.Principal{"k": {Customer: "c"}}, true, fuchsiapitch.ClientLimits{BodyBytes: 100, HeaderBytes: 2000})
 	r.Configure(routes)
 	d.Apply(coordinator.ConfigurationChanged{Routes: routes})
-	var reports []fuchsiapitch.ServerReport
+	var list []fuchsiapitch.ServerReport
 	for n, address := range addresses {
-		reports = append(reports, fuchsiapitch.ServerReport{
+		list = append(list, fuchsiapitch.ServerReport{
 			ID: fuchsiapitch.ServerID(rune('a' + n)), Service: "desk", Address: address, Slots: 4, StartedUnixMillis: 1,
 		})
 	}
-	d.Apply(coordinator.ServersListed{Servers: reports})
+	d.Apply(coordinator.ServersListed{Servers: list})
 	return r
 }
 
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -114,6 +114,9 @@
 		return outcome, cancellationCause(ctx, err)
 	}
 	startedAt, err := x.forwardEvents(ctx, slot, response, p)
+	if err == nil && sender.IsCloseDelimited(response) && slot.HasServerEnded() {
+		err = &ServerEndedError{Server: slot.Server()}
+	}
 	x.releaseStream(slot, response, err)
 	if err != nil {
 		x.failedServers = append(x.failedServers, slot.Server())
@@ -167,7 +170,7 @@
 // instead if the body cannot be read or is too large, if the client has received part
 // of a stream, or if the status is 5xx and the request may be sent again.
 func (x *exchange) deliverNonStream(slot *driver.Slot, response *http.Response, p *streamProgress) (fuchsiapitch.Outcome, error) {
-	body, release, err := x.readResponseBody(response)
+	body, release, err := x.readVerifiedBody(slot, response)
 	defer release()
 	if isConnectionEnd(err) {
 		slot.ReleaseEnded(true)
