forwarder, sender: bytes without end share a bounded memory on the product's own interface

Only read: no host of the product's own interface was seen to run out of memory.

Bodies of requests (receiver) are bounded one by one as before, and not in all.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
 )
 
@@ -146,11 +147,14 @@
 // copyBuffered buffers a response until it is complete, so that another attempt can
 // replace a truncated one. A response of maxBufferedBytes or more is passed to the
 // sink in parts, unless the request is for a token stream: the sink then could not
-// show the client that the response is not complete.
+// show the client that the response is not complete. It waits while the responses that this host
+// buffers have used up the memory for them.
 func (h *requestHandler) copyBuffered(ctx context.Context, response fuchsiapitch.BackendResponse) error {
 	if h.headerSent {
 		return &fuchsiapitch.TruncatedResponseError{Request: h.request.ID(), Tokens: h.tokensDelivered}
 	}
+	memory, release := h.forwarder.buffers.Open(string(h.request.Service()))
+	defer release()
 	var buffered []byte
 	for {
 		chunk, err := response.Body().Next()
@@ -161,6 +165,9 @@
 			h.storeResponse(ctx, response, buffered)
 			return h.deliveryError(h.flush(response, buffered))
 		}
+		if buffered, err = growFor(ctx, memory, buffered, len(chunk.Data())); err != nil {
+			return err
+		}
 		buffered = append(buffered, chunk.Data()...)
 		if len(buffered) < maxBufferedBytes {
 			continue
@@ -175,6 +182,19 @@
 	}
 }
 
+// growFor returns a buffer with the same contents that has the capacity for further bytes. It takes
+// the memory for them.
+func growFor(ctx context.Context, memory *allocator.Response, buffer []byte, further int) ([]byte, error) {
+	if len(buffer)+further <= cap(buffer) {
+		return buffer, nil
+	}
+	size := max(2*cap(buffer), len(buffer)+further)
+	if err := memory.Grow(ctx, size-cap(buffer)); err != nil {
+		return nil, err
+	}
+	return append(make([]byte, 0, size), buffer...), nil
+}
+
 // deliveryError returns the error to report if a complete response could not be
 // passed to the sink. It returns nil for a request that is not idempotent: that
 // request has run and succeeded, even if its client has disconnected.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/reducer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/runner"
@@ -57,6 +58,8 @@
 	tracer           trace.Tracer
 	meter            *meter.Meter
 	logger           zerolog.Logger
+	// buffers bounds the memory of the responses that are being buffered.
+	buffers *allocator.Allocator
 	// aborted ends when Abort is called.
 	aborted context.Context //nolint:containedctx // It lives as long as the forwarder.
 	abort   context.CancelFunc
@@ -74,12 +77,15 @@
 // WithLogger sets the logger.
 func WithLogger(logger zerolog.Logger) Option { return func(f *Forwarder) { f.logger = logger } }
 
+// WithBuffers sets the memory for the responses that are being buffered.
+func WithBuffers(a *allocator.Allocator) Option { return func(f *Forwarder) { f.buffers = a } }
+
 // New returns a forwarder that sends requests to replicas with backendClient and to
 // dispatchers on other hosts with remoteDispatcher.
 func New(r *runner.Runner, backendClient fuchsiapitch.BackendClient, remoteDispatcher fuchsiapitch.RemoteDispatcher, options ...Option) *Forwarder {
 	f := &Forwarder{
 		runner: r, backendClient: backendClient, remoteDispatcher: remoteDispatcher,
-		tracer: noop.NewTracerProvider().Tracer(""), meter: meter.New(), logger: zerolog.Nop(),
+		tracer: noop.NewTracerProvider().Tracer(""), meter: meter.New(), logger: zerolog.Nop(), buffers: allocator.New(),
 	}
 	f.aborted, f.abort = context.WithCancel(context.Background())
 	for _, o := range options {
--- a/internal/sender/endless_test.go
+++ b/internal/sender/endless_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -237,3 +239,48 @@
 		t.Errorf("got %d unread bytes, want %d at most", got, bound)
 	}
 }
+
+// Guards against streams whose events never end and that hold memory without a bound.
+func TestManyEndlessEventsAreBounded(t *testing.T) {
+	const streams, pool = 24, 256 << 10
+	buffers := allocator.New(allocator.WithPool(pool))
+	client := newTestSender(t, sender.WithBuffers(buffers))
+	server, _ := startServer(t, func(c net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(c, streamHeader)
+		for block := []byte(strings.Repeat("x", 4<<10)); err == nil; {
+			_, err = c.Write(block)
+		}
+		return false
+	})
+	errs := make(chan error, streams)
+	for range streams {
+		go func() {
+			response, err := client.Call(t.Context(), server, newBookingCall("r1", fuchsiapitch.WithStream(0), fuchsiapitch.WithDeadline(time.Now().Add(time.Second))))
+			if err != nil {
+				errs <- err
+				return
+			}
+			_, err = response.Body().Next()
+			response.Body().Close()
+			errs <- err
+		}()
+	}
+	most := 0
+	for ended := 0; ended < streams; {
+		select {
+		case err := <-errs:
+			ended++
+			if err == nil {
+				t.Error("got an event, want an error")
+			}
+		case <-time.After(time.Millisecond):
+			most = max(most, buffers.UsedBytes())
+		}
+	}
+	if most == 0 || most > pool/2 {
+		t.Errorf("got at most %d bytes in use, want some and no more than %d", most, pool/2)
+	}
+	if got := buffers.UsedBytes(); got != 0 {
+		t.Errorf("got %d bytes in use after all streams, want none", got)
+	}
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
 )
 
 const (
@@ -36,6 +37,8 @@
 	firstTokenTimeout time.Duration
 	connectTimeout    time.Duration
 	transport         *http.Transport
+	// buffers bounds the memory of the events that are being read.
+	buffers *allocator.Allocator
 }
 
 // Option sets one optional property of a sender.
@@ -53,6 +56,9 @@
 	return func(s *Sender) { s.firstTokenTimeout = timeout }
 }
 
+// WithBuffers sets the memory for the events that are being read.
+func WithBuffers(a *allocator.Allocator) Option { return func(s *Sender) { s.buffers = a } }
+
 // WithConnectTimeout sets the longest time to open a connection.
 func WithConnectTimeout(timeout time.Duration) Option {
 	return func(s *Sender) { s.connectTimeout = timeout }
@@ -66,7 +72,7 @@
 // waits for one that a call of another rank uses.
 func New(options ...Option) (*Sender, func()) {
 	s := &Sender{
-		silenceTimeout: defaultSilenceTimeout, firstTokenTimeout: defaultFirstTokenTimeout, connectTimeout: defaultConnectTimeout,
+		silenceTimeout: defaultSilenceTimeout, firstTokenTimeout: defaultFirstTokenTimeout, connectTimeout: defaultConnectTimeout, buffers: allocator.New(),
 	}
 	for _, o := range options {
 		o(s)
@@ -123,6 +129,9 @@
 	// readTimeoutNanos is the longest time without a byte in the current read.
 	readTimeoutNanos atomic.Int64
 	guard            writeGuard
+	// memory is that of the event that is being read.
+	memory  *allocator.Response
+	release func()
 }
 
 func newExchange(ctx context.Context, sender *Sender, server fuchsiapitch.BackendServer, call fuchsiapitch.Call) *exchange {
@@ -132,6 +141,7 @@
 	}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	x.guard.deadline = call.Deadline()
+	x.memory, x.release = sender.buffers.Open(string(server.Service()))
 	x.readTimer = time.AfterFunc(time.Hour, func() { x.cancel(&ReadTimeoutError{Timeout: time.Duration(x.readTimeoutNanos.Load())}) })
 	x.readTimer.Stop()
 	return x
@@ -140,6 +150,7 @@
 // cleanUp stops the timers and cancels the context, which closes the connection
 // unless the response was read to its end.
 func (x *exchange) cleanUp() {
+	x.release()
 	x.readTimer.Stop()
 	x.cancel(context.Canceled)
 	x.cancelDeadline()
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -203,6 +203,10 @@
 			b.fail(&fuchsiapitch.ResponseTooLargeError{Part: "event", LimitBytes: maxEventBytes, Err: truncated})
 			return
 		}
+		if b.exchange.memory.Grow(b.exchange.ctx, len(b.buffer)) != nil {
+			b.fail(&fuchsiapitch.TruncatedResponseError{Request: b.exchange.call.Request(), Tokens: b.lastTokenNumber})
+			return
+		}
 		b.buffer = append(b.buffer, make([]byte, len(b.buffer))...)
 	}
 	n, err := b.exchange.readWithTimeout(b.body, b.buffer[b.unreadEnd:], b.readTimeout())
