relayer, sender: lint

The body of a buffered response is closed where it is opened, and the error of a close is joined to the one before it. No change of behaviour.

--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -81,6 +81,7 @@
 		x.logConnectionEnd(slot, time.Time{}, err)
 		return nil, outcome, err
 	}
+	defer response.Body.Close()
 	body, release, err := x.readVerifiedBody(slot, response)
 	switch {
 	case isConnectionEnd(err):
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -99,8 +100,7 @@
 		// The kernel would let the buffer of a fast server grow to mebibytes, which count as
 		// memory of this process.
 		if err := t.SetReadBuffer(receiveBufferBytes); err != nil {
-			c.Close()
-			return nil, err
+			return nil, errors.Join(err, c.Close())
 		}
 	}
 	return &guardedConn{Conn: c}, nil
