--- a/internal/quarantiner/message.go
+++ b/internal/quarantiner/message.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -137,3 +138,9 @@
 
 // limited returns the first elements of a list.
 func limited[T any](list []T, length int) []T { return list[:min(len(list), length)] }
+
+// sortByAge sorts a list by age, the newest first, and cuts it to a length.
+func sortByAge[T any](list []T, age func(T) time.Duration, length int) []T {
+	slices.SortFunc(list, func(a, b T) int { return cmp.Compare(age(a), age(b)) })
+	return list[:min(len(list), length)]
+}
