coordinator: requests that wait for permits are looked at with every tick

Found by reading the change: a request that waits for a permit was looked at only while a crash or a quarantine is known. If the last quarantine ends by an answer after the crashes are forgotten, the request would have waited until its deadline. No play showed it.

TestSoundRequestAwaitsPermit/it_is_sent_when_its_part_is_free_and_no_crash_is_remembered fails before: "got 0 requests sent, want 1".

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -222,6 +222,7 @@
 	c.refreshReplicas(now)
 	c.forgetReservedRetries(now)
 	c.reviewParts(now)
+	c.admitPermitted(now)
 	c.revokeFromSilent(now)
 	c.dispatchQueue(now)
 	c.sendHeartbeats(now)
--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -259,7 +259,6 @@
 		c.announceParts()
 	}
 	c.enforceQuarantines(now)
-	c.admitPermitted(now)
 }
 
 // announceParts tells the other hosts soon what this host knows of parts.
--- a/internal/coordinator/crash_test.go
+++ b/internal/coordinator/crash_test.go
@@ -376,4 +376,19 @@
 			t.Errorf("got %d claims, want none", got)
 		}
 	})
+	t.Run("it is sent when its part is free and no crash is remembered", func(t *testing.T) {
+		ph := newRivalsHost(t)
+		ph.runFor(time.Minute)
+		ph.request(sharedPart)
+		now := ph.now
+		for _, p := range []quarantiner.Part{sharedPart, lethalPart} {
+			ph.parts.RecordAnswer(now, now, []quarantiner.Part{p})
+		}
+		if got := ph.parts.IsWatched(); got {
+			t.Fatal("got evidence against a part, want none")
+		}
+		if got := countEffects[Grant](ph.apply(Ticked{})); got != 1 {
+			t.Errorf("got %d requests sent, want 1", got)
+		}
+	})
 }
