coordinator: relays are found again soon after a long cut

Found by reading: the back-off of hosts that do not answer as relays doubled up to a minute, also for relays behind a cut, so that two data centres would not hear each other for long after it ended. Callers of a large deployment would have met old configurations and leaving servers for as long.

Now the back-off is 3 s again, as before, and of the hosts that may answer the strongest and the one whose last trial is longest ago are tried in turns. The strongest are found again soon, and live ones behind many that are gone are tried as well.

TestHostsHearEachOtherSoonAfterLongCut (40 hosts, two data centres, cut for 65 s) fails on the code before: "got 20 live hosts 5s after the cut, want 40".

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -85,8 +85,8 @@
 	// awaitingDigestSince is when this host first sent the peer a message as a relay that
 	// it has not answered, 0 for none. It is not used as a relay until silentUntil.
 	awaitingDigestSince, silentUntil time.Duration
-	// relayBackOff is the length of the last time without use as a relay, 0 if it has answered.
-	relayBackOff time.Duration
+	// relayTriedAt is when this host last began to try the peer as a relay, 0 for never.
+	relayTriedAt time.Duration
 	// sentContents is the group table and directory that this host last sent the peer, and
 	// contentsSentAt when.
 	sentContents   digestContents
--- a/internal/coordinator/membership_simulation_test.go
+++ b/internal/coordinator/membership_simulation_test.go
@@ -57,6 +57,8 @@
 	// is cut off from the others; nil for no host.
 	onEffect func(*simulatedHost, Effect)
 	isCut    func(*simulatedHost) bool
+	// isCutBetween reports whether two hosts are cut off from each other; nil for none.
+	isCutBetween func(a, b *simulatedHost) bool
 }
 
 // simulatedHost is one host of a hostCluster.
@@ -226,6 +228,9 @@
 	if hc.isCut != nil && (hc.isCut(sender) || hc.isCut(receiver)) {
 		return
 	}
+	if hc.isCutBetween != nil && hc.isCutBetween(sender, receiver) {
+		return
+	}
 	hc.at(hc.now+simulatedHostLatency, func() {
 		if !receiver.stopped && hc.now >= receiver.startedAt {
 			hc.apply(receiver, e)
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -40,10 +40,8 @@
 	// relay, and without a message after which a relay no longer counts a member or
 	// another data centre.
 	relayTimeout = time.Second
-	// relayBackOff is how long a host that did not answer is not used as a relay. It doubles each
-	// time up to maxRelayBackOff, so that hosts that are gone do not hide those that live.
-	relayBackOff    = 3 * time.Second
-	maxRelayBackOff = time.Minute
+	// relayBackOff is how long a host that did not answer is not used as a relay.
+	relayBackOff = 3 * time.Second
 	// fewHostsDelay is how long a host must have counted no more than maxDirectPeers others
 	// before it sends heartbeats to them directly, although more are known: most of those are
 	// gone, or it finds no relay.
@@ -141,7 +139,7 @@
 
 // relayTargets returns the hosts that this host uses as relays of a data centre, and
 // whether it counts as one of them itself: the strongest that answer, and a few that may answer
-// and would be preferred. Of those it tries first the ones that have failed to answer least often.
+// and would be preferred.
 func (c *Coordinator) relayTargets(now time.Duration, name fuchsiapitch.DataCentreName) (targets []*peer, includesSelf bool) {
 	var probes []*peer
 	answering := 0
@@ -154,8 +152,7 @@
 			break
 		}
 		if p.awaitingDigestSince > 0 && now-p.awaitingDigestSince > relayTimeout {
-			p.relayBackOff = min(max(2*p.relayBackOff, relayBackOff), maxRelayBackOff)
-			p.silentUntil, p.awaitingDigestSince = now+p.relayBackOff, 0
+			p.silentUntil, p.awaitingDigestSince = now+relayBackOff, 0
 		}
 		switch {
 		case now < p.silentUntil || p.hasAnnouncedStop(now):
@@ -166,19 +163,48 @@
 			probes = append(probes, p)
 		}
 	}
-	slices.SortStableFunc(probes, func(a, b *peer) int { return cmp.Compare(a.relayBackOff, b.relayBackOff) })
-	targets = append(targets, probes[:min(len(probes), maxRelayTargets)]...)
+	targets = append(targets, chooseProbes(probes)...)
 	if len(targets) >= maxRelayTargets {
 		return targets, includesSelf
 	}
 	return targets, includesSelf || name == c.dataCentre && answering < relaysPerDataCentre
 }
 
+// chooseProbes chooses the hosts to try as relays among those that do not answer, the strongest first: those
+// that are being tried, and in turns the strongest and the one whose last trial is longest ago.
+// So relays are found again soon after a cut, and also behind many stronger hosts that are gone.
+func chooseProbes(ranked []*peer) []*peer {
+	if len(ranked) <= maxRelayTargets {
+		return ranked
+	}
+	var chosen, others []*peer
+	for _, p := range ranked {
+		if p.awaitingDigestSince > 0 {
+			chosen = append(chosen, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	for len(chosen) < maxRelayTargets {
+		next := 0
+		if len(chosen)%2 == 1 {
+			for n, p := range others {
+				if p.relayTriedAt < others[next].relayTriedAt {
+					next = n
+				}
+			}
+		}
+		chosen = append(chosen, others[next])
+		others = slices.Delete(others, next, next+1)
+	}
+	return chosen
+}
+
 // expectDigest notes that a message was sent to a peer as a relay, which has to answer with
 // a digest.
 func (p *peer) expectDigest(now time.Duration) {
 	if p.awaitingDigestSince == 0 && (!p.hasDigest || now-p.lastDigestReceivedAt >= relayTimeout/2) {
-		p.awaitingDigestSince = now
+		p.awaitingDigestSince, p.relayTriedAt = now, now
 	}
 }
 
@@ -239,7 +265,7 @@
 		return
 	}
 	p.hasDigest, p.lastDigestReceivedAt, p.lastDigest = true, now, d
-	p.awaitingDigestSince, p.silentUntil, p.relayBackOff = 0, 0, 0
+	p.awaitingDigestSince, p.silentUntil = 0, 0
 	c.adoptGroups(d.Sender)
 	c.adoptDirectory(now, d)
 	c.noteSuspects(now, d.Sender.Suspects)
--- a/internal/coordinator/replacement_test.go
+++ b/internal/coordinator/replacement_test.go
@@ -62,3 +62,19 @@
 func TestHostsHearEachOtherAfterHundredsOfReplacements(t *testing.T) {
 	assertHostsHearEachOther(t, replacedCluster{hosts: 40, gone: 300, dataCentres: 2})
 }
+
+// Guards against hosts that take long to hear each other again after a data centre was cut off: their relays
+// must not be given up.
+func TestHostsHearEachOtherSoonAfterLongCut(t *testing.T) {
+	const hosts, cutEnd = 40, 70 * time.Second
+	hc := newHostCluster(1, hosts, 2)
+	hc.isCutBetween = func(a, b *simulatedHost) bool {
+		return hc.now > 5*time.Second && hc.now < cutEnd && a.self.DataCentre != b.self.DataCentre
+	}
+	hc.runUntil(cutEnd + relayTimeout + relayBackOff + time.Second)
+	for _, h := range hc.hosts {
+		if got := h.coordinator.LiveHostCount(hc.now - h.startedAt); got != hosts {
+			t.Errorf("host %s: got %d live hosts %s after the cut, want %d", h.self.ID, got, hc.now-cutEnd, hosts)
+		}
+	}
+}
