coordinator: evacuated data centres and cold servers

Every host reads the evacuations with the configuration, tells the others in each heartbeat and digest, and hands them on with its state; replicas of an evacuated data centre are closed to new requests, their groups are kept. Hosts that read the server list tell the others which servers are cold; servers of a data centre that was taken back count as cold; only a few hosts send to a cold server.

--- a/engine_group.go
+++ b/engine_group.go
@@ -92,6 +92,8 @@
 	SlowdownFactor float64
 	// RunningRequests and QueuedRequests are the numbers of requests at the server.
 	RunningRequests, QueuedRequests int
+	// ColdFor is how long the server remains cold, as of the report.
+	ColdFor time.Duration
 }
 
 // OrderKind is the action that an order requests.
--- a/engine_notice.go
+++ b/engine_notice.go
@@ -10,6 +10,8 @@
 	// Pause is how long the server wants no further requests from this host. It is set only
 	// beside a refusal.
 	Pause time.Duration
+	// ColdFor is how long the server remains cold.
+	ColdFor time.Duration
 }
 
 // IsZero reports whether the notice states nothing.
--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -543,6 +543,7 @@
 	case e.Unreachable:
 		r.unreachableBackOff = min(max(2*r.unreachableBackOff, minUnreachableBackOff), maxUnreachableBackOff)
 		r.unavailableUntil = now + r.unreachableBackOff
+		c.suspectColdStart(now, r)
 	case e.Failed:
 		r.avoidedUntil = now + backOffDuration
 		r.consecutiveFailures++
--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -174,6 +174,7 @@
 		if !s.listed {
 			s.listed, s.listedAt, s.leavesUnlisted = true, now, false
 		}
+		c.noteColdEntry(now, r)
 		c.mergeReport(now, s, r, false)
 		c.reviewLeaving(now, s, r, offset)
 	}
@@ -245,6 +246,9 @@
 		c.domains = nil
 	}
 	s.report = r
+	if restarted && isOwnReport {
+		c.noteColdStart(now, s)
+	}
 	s.highestEpoch = max(s.highestEpoch, r.Membership.Group.Epoch)
 	if g := r.Membership.Group; g.Name != "" {
 		if f, ok := c.groups[g]; ok {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -68,6 +68,8 @@
 	admissionShareState
 	noticeState
 	crashState
+	evacuationState
+	coldState
 }
 
 // peer is the last known state of another host. hasHeartbeat is true once a heartbeat
@@ -119,6 +121,7 @@
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
 		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), noticeState: newNoticeState(), crashState: newCrashState(self),
+		evacuationState: newEvacuationState(), coldState: newColdState(self),
 	}
 	for _, o := range options {
 		o(c)
@@ -152,6 +155,7 @@
 		c.configure(now, e.Routes)
 	case ServersListed:
 		c.listOffset = e.Offset
+		c.ramps.Confirm(now, c.LiveHostCount(now))
 		if e.Offset < c.directoryOffset && !c.servesList(now) {
 			// This list is older than the directory, which has to be sent again.
 			c.directoryVersion = 0
@@ -170,11 +174,17 @@
 		c.applyDigest(now, e.Digest)
 	case PeersListed:
 		c.addPeers(e.Peers)
+		c.setRampHosts(now)
+	case EvacuationsRead:
+		c.readEvacuations(now, e)
+	case EvacuationsHeard:
+		c.hearEvacuations(now, e.News)
 	case ClaimRead:
 		c.applyClaim(now, e)
 	case LimitsChanged:
 		c.stallTimeout = e.StallTimeout
 		c.retryRatio, c.retrySlack, c.retryWindow = e.RetryRatio, e.RetrySlack, e.RetryWindow
+		c.coldOver, c.coldSlack = e.ColdOver, e.ColdSlack
 	case HostStopping:
 		c.stopping = true
 	case Ticked:
@@ -208,6 +218,7 @@
 func (c *Coordinator) tick(now time.Duration, e Ticked) {
 	if e.WasSuspended {
 		c.handleSuspension(now)
+		c.ramps.Expire()
 	}
 	c.countLiveHosts(now)
 	c.advancePauses(now, e.SuspendedFor)
@@ -221,6 +232,7 @@
 	}
 	c.refreshReplicas(now)
 	c.forgetReservedRetries(now)
+	c.ramps.Forget(now)
 	c.reviewParts(now)
 	c.admitPermitted(now)
 	c.revokeFromSilent(now)
@@ -274,6 +286,8 @@
 	c.adoptPartEvidence(now, b.Parts)
 	c.adoptGroups(b)
 	c.observeClaim(now, b)
+	c.hearColdServers(now, b.ColdServers)
+	c.hearEvacuations(now, b.Evacuations)
 	if !c.usesRelays() {
 		c.sumRemoteLoads()
 		c.dispatchQueue(now)
@@ -382,6 +396,7 @@
 		}
 	}
 	b.LeavingServers = c.announcedLeavings(now)
+	b.Evacuations, b.ColdServers = c.evacuations.News(), c.announcedColdServers(now)
 	b.Parts = c.parts.Message(now, c.usesRelays(), c.sequence)
 	if b.Claim > 0 && c.isSurveyed() {
 		c.publishGroups()
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/evacuator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/ramper"
 )
 
 // Ticket identifies a request for a slot, from its arrival to its release, within one
@@ -155,6 +157,8 @@
 	// RetryRatio, RetrySlack and RetryWindow bound the retries of all hosts together.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// ColdOver and ColdSlack bound the requests of all hosts to a cold server.
+	ColdOver, ColdSlack float64
 }
 
 // HostStopping reports that the host is about to stop.
@@ -413,6 +417,10 @@
 	// LeavingServers are servers that have lately stated to the sender that they leave, at
 	// most maxLeavingServers.
 	LeavingServers []LeavingServer
+	// Evacuations are the data centres that the operator has evacuated or taken back, and
+	// ColdServers the servers that are cold, as far as the sender knows.
+	Evacuations []evacuator.News
+	ColdServers []ramper.News
 	// Parts is what the sender tells of parts of prompts and servers that have ended.
 	Parts quarantiner.Message
 	// GroupsVersion is the version of the group table that the sender knows. Groups is
--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -115,6 +115,9 @@
 	if e.Notice.Pause > 0 {
 		c.startPause(now, e)
 	}
+	if e.Notice.ColdFor > 0 {
+		c.ramps.Observe(now, e.Server, e.Notice.ColdFor)
+	}
 	s, isKnown := c.servers[e.Server]
 	if !isKnown || !e.Notice.Leaving {
 		return
@@ -252,12 +255,13 @@
 }
 
 // availableAt returns the time from which on a replica may get requests again after a
-// back-off or a pause.
+// back-off or a pause, or because it is cold.
 func (c *Coordinator) availableAt(r *replica) time.Duration {
+	at := max(r.unavailableUntil, c.rampUntil(r))
 	if p, ok := c.pauses[r.server]; ok {
-		return max(r.unavailableUntil, p.returnsAt)
+		return max(at, p.returnsAt)
 	}
-	return r.unavailableUntil
+	return at
 }
 
 // pausedFor returns how long a server gets no requests because it asked for a pause.
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/ramper"
 )
 
 // In a small cluster every host sends its heartbeat to every other host. In a large one
@@ -277,6 +278,8 @@
 		c.claimHolder = d.Holder
 		c.lastHolderContactAt = max(c.lastHolderContactAt, now-d.HolderSilentFor-hopLatency)
 	}
+	c.hearColdServers(now, d.Sender.ColdServers)
+	c.hearEvacuations(now, d.Sender.Evacuations)
 	c.countLiveHosts(now)
 	c.sumRemoteLoads()
 	if !d.IsDataCentreOnly {
@@ -434,6 +437,7 @@
 	s.Queues = append(s.Queues, o.Sender.Queues...)
 	s.Suspects = append(s.Suspects, o.Sender.Suspects...)
 	s.LeavingServers = append(s.LeavingServers, o.Sender.LeavingServers...)
+	s.ColdServers = ramper.Age(append(s.ColdServers, o.Sender.ColdServers...), len(s.ColdServers), age)
 }
 
 // merge sums the loads of each server and the queues of each model. The silence of a
@@ -468,6 +472,7 @@
 	slices.Sort(s.Suspects)
 	s.Suspects = slices.Compact(s.Suspects)
 	s.LeavingServers = limitLeavingServers(s.LeavingServers, s.Sequence)
+	s.ColdServers = ramper.Merge(s.ColdServers)
 }
 
 // addRelayedLoads adds the loads of the other hosts to the replicas and queues: from the
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -149,6 +149,7 @@
 			r.open = g.Open && !s.isLeaving() && (s.listed || c.listStale)
 		}
 	}
+	c.closeEvacuated()
 	if fromController {
 		c.revokeFromDissolved(now, statuses)
 		c.forgetReplicas()
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/evacuator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
@@ -31,6 +32,8 @@
 	RetryBudgets []RetryBudgetView
 	// QuarantinedParts are the parts of prompts whose requests are refused.
 	QuarantinedParts []quarantiner.Part
+	// Evacuations are the data centres that the operator has evacuated or taken back.
+	Evacuations []evacuator.News
 }
 
 // PeerView is the known state of another host. It is a plain record.
@@ -70,6 +73,9 @@
 	// LocalInFlight and RemoteInFlight are the numbers of requests that this host and
 	// the other hosts have in flight there.
 	Slots, LocalInFlight, RemoteInFlight int
+	// ColdFor is how long the server counts as cold, NextSendIn after what time this host may
+	// send it the next request if it is.
+	ColdFor, NextSendIn time.Duration
 }
 
 // RetryBudgetView is the state of the retry budget of one service. It is a plain
@@ -85,7 +91,7 @@
 func (c *Coordinator) View(now time.Duration) View {
 	v := View{
 		Host: c.self.ID, ConfigurationVersion: c.configurationVersion(), IsController: c.isController(now), ClaimHolder: c.claimHolder, KnownClaim: c.knownClaim,
-		ListAge: now - c.listReadAt, ListStale: c.listStale, QuarantinedParts: c.parts.QuarantinedParts(),
+		ListAge: now - c.listReadAt, ListStale: c.listStale, QuarantinedParts: c.parts.QuarantinedParts(), Evacuations: c.evacuations.News(),
 	}
 	for _, id := range sortedKeys(c.peers) {
 		p := c.peers[id]
@@ -103,6 +109,7 @@
 		r := c.replicas[id]
 		v.Replicas = append(v.Replicas, ReplicaView{
 			Server: id, Service: r.service, Model: r.model, Open: r.open, Slots: r.slots, LocalInFlight: r.inFlight, RemoteInFlight: r.remoteInFlight,
+			ColdFor: c.ramps.ColdFor(now, id), NextSendIn: max(0, c.rampUntil(r)-now),
 		})
 	}
 	v.Queues = c.queueLengths(now)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -204,6 +204,8 @@
 		d.reportQuarantine(e)
 	case coordinator.ServerSetAside:
 		d.reportSetAside(e)
+	case coordinator.EvacuationChanged:
+		d.reportEvacuation(e)
 	case coordinator.GroupLost:
 		d.meter.ObserveFailureDetection(e.Silence)
 	case coordinator.GroupOpened:
--- a/internal/driver/heartbeat.go
+++ b/internal/driver/heartbeat.go
@@ -74,6 +74,7 @@
 	for _, l := range b.LeavingServers {
 		w.LeavingServers = append(w.LeavingServers, &wire.LeavingServer{Server: string(l.Server), StartedUnixMs: l.StartedUnixMillis})
 	}
+	encodeOperation(b, w)
 	encodeParts(b.Parts, w)
 	for _, g := range b.Groups {
 		w.Groups = append(w.Groups, &wire.GroupEntry{Name: string(g.Ref.Name), Epoch: g.Ref.Epoch, Model: g.Model, Leader: string(g.Leader), Open: g.Open, Unresponsive: g.Unresponsive})
@@ -104,6 +105,7 @@
 	for _, l := range w.GetLeavingServers() {
 		b.LeavingServers = append(b.LeavingServers, coordinator.LeavingServer{Server: fuchsiapitch.ServerID(l.GetServer()), StartedUnixMillis: l.GetStartedUnixMs()})
 	}
+	decodeOperation(w, &b)
 	b.Parts = decodeParts(w)
 	for _, g := range w.GetGroups() {
 		b.Groups = append(b.Groups, coordinator.GroupStatus{
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -29,6 +29,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_servers_set_aside_total{reason=%q}", reason)).Inc()
 }
 
+// CountEvacuationChange counts a data centre that is evacuated or taken back.
+func (m *Meter) CountEvacuationChange(evacuated bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_evacuation_changes_total{evacuated=%q}", strconv.FormatBool(evacuated))).Inc()
+}
+
 // CountServerEnd counts a server that has ended while it answered requests of this host.
 func (m *Meter) CountServerEnd() {
 	m.set.GetOrCreateCounter("fuchsiapitch_servers_ended_total").Inc()
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -150,7 +150,7 @@
 	h.pacedStore = pacer.New(h.storeClient)
 	c := coordinator.New(h.self, h.startedUnixMillis,
 		coordinator.WithStallTimeout(settings.StallTimeout), coordinator.WithDataCentre(settings.DataCentre),
-		coordinator.WithRetryBudget(settings.RetryRatio, settings.RetrySlack, settings.RetryWindow),
+		coordinator.WithRetryBudget(settings.RetryRatio, settings.RetrySlack, settings.RetryWindow), coordinator.WithColdLimits(settings.ColdOver, settings.ColdSlack),
 	)
 	h.driver = driver.New(ctx, c, platform.NewServerClient(singleUseTransport, platform.WithLogger(logs.For("conductor")), platform.WithNoticeHandler(func(server fuchsiapitch.ServerID, notice fuchsiapitch.ServerNotice) {
 		h.driver.RecordNotice(server, "", notice)
@@ -341,7 +341,7 @@
 		options = append(options, tracker.WithErrorHandler(h.readFailureHandler(topic)), tracker.WithReadHandler(h.readCounter(topic)))
 		return tracker.New(h.pacedStore, topic, handle, options...)
 	}
-	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyConfiguration, tracker.WithVariableLongPoll(h.configurationPollWait))
+	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyOperatorTopic, tracker.WithVariableLongPoll(h.configurationPollWait))
 	needed := tracker.WithNeed(h.driver.NeedsServerList)
 	h.longPollTrackers = []*tracker.Tracker{
 		h.configurationTracker, newLongPollTracker(platform.HostsTopic, h.applyHostList, tracker.WithLongPoll(longPollWait), tracker.WithInterval(hostListInterval), needed),
@@ -415,6 +415,12 @@
 	return ctx.Err()
 }
 
+// applyOperatorTopic processes what was read of the operator's topic.
+func (h *Host) applyOperatorTopic(u tracker.Update) {
+	h.applyEvacuations(u)
+	h.applyConfiguration(u)
+}
+
 // applyConfiguration puts a configuration into force unless it is invalid or not newer
 // than the current one.
 func (h *Host) applyConfiguration(u tracker.Update) {
@@ -484,6 +490,7 @@
 			peers = append(peers, p)
 		}
 	}
+	h.cacheHosts(u)
 	h.driver.Apply(coordinator.PeersListed{Peers: peers})
 }
 
--- a/internal/platformassembler/settings.go
+++ b/internal/platformassembler/settings.go
@@ -70,6 +70,7 @@
 	h.storeClient.SetAddress(newSettings.StoreAddress)
 	h.driver.Apply(coordinator.LimitsChanged{
 		StallTimeout: newSettings.StallTimeout, RetryRatio: newSettings.RetryRatio, RetrySlack: newSettings.RetrySlack, RetryWindow: newSettings.RetryWindow,
+		ColdOver: newSettings.ColdOver, ColdSlack: newSettings.ColdSlack,
 	})
 	h.log.Info().Str("store", newSettings.StoreAddress).Msg("settings reloaded")
 }
--- a/internal/platformassembler/state.go
+++ b/internal/platformassembler/state.go
@@ -40,6 +40,10 @@
 type hostState struct {
 	Configuration []byte            `json:"configuration"`
 	Servers       map[string][]byte `json:"servers"`
+	// Hosts are the records of the hosts topic, Evacuations what the host knows of the
+	// operator's evacuations.
+	Hosts       map[string][]byte `json:"hosts,omitempty"`
+	Evacuations []evacuationState `json:"evacuations,omitempty"`
 }
 
 // StateError reports that the state of another host could not be fetched or decoded.
@@ -99,8 +103,11 @@
 // serveState sends the state to another host. It responds with 503 as long as this
 // host has no configuration.
 func (h *Host) serveState(w http.ResponseWriter, _ *http.Request) {
+	evacuations := encodeEvacuations(h.driver.View().Evacuations)
 	h.stateMutex.Lock()
-	data, err := json.Marshal(h.state)
+	state := h.state
+	state.Evacuations = evacuations
+	data, err := json.Marshal(state)
 	h.stateMutex.Unlock()
 	if err != nil {
 		h.log.Error().Err(err).Msg("failed to encode the state for another host")
@@ -235,6 +242,10 @@
 // applyState applies the state of another host. Its server list is used only if this
 // host has none yet, and is treated as stale, as after a failed read of the store.
 func (h *Host) applyState(s hostState) {
+	h.driver.Apply(coordinator.EvacuationsHeard{News: decodeEvacuations(s.Evacuations)})
+	if len(s.Hosts) > 0 {
+		h.applyHostList(tracker.Update{Records: encodeHosts(s.Hosts)})
+	}
 	if !h.serverListKnown.Load() {
 		var reports []fuchsiapitch.ServerReport
 		for id, value := range s.Servers {
--- a/internal/platformassembler/status.go
+++ b/internal/platformassembler/status.go
@@ -28,6 +28,7 @@
 	Queues               []queueStatus       `json:"queues"`
 	RetryBudgets         []retryBudgetStatus `json:"budgets"`
 	QuarantinedParts     []string            `json:"quarantined-parts"`
+	Evacuations          []evacuationState   `json:"evacuations"`
 }
 
 type hostStatus struct {
@@ -70,6 +71,10 @@
 	Slots          int    `json:"slots"`
 	LocalInFlight  int    `json:"running"`
 	RemoteInFlight int    `json:"running-elsewhere"`
+	// ColdMS is how long the server counts as cold, NextSendMS after what time the host may
+	// send it the next request meanwhile.
+	ColdMS     int64 `json:"cold-ms,omitempty"`
+	NextSendMS int64 `json:"next-request-ms,omitempty"`
 }
 
 type queueStatus struct {
@@ -120,7 +125,7 @@
 func newStatusResponse(v coordinator.View) statusResponse {
 	body := statusResponse{
 		Host: string(v.Host), ConfigurationVersion: v.ConfigurationVersion, IsController: v.IsController, ClaimHolder: string(v.ClaimHolder), ClaimNumber: v.KnownClaim,
-		ServerListAgeMS: v.ListAge.Milliseconds(), ServerListStale: v.ListStale,
+		ServerListAgeMS: v.ListAge.Milliseconds(), ServerListStale: v.ListStale, Evacuations: encodeEvacuations(v.Evacuations),
 	}
 	for _, p := range v.Peers {
 		body.Hosts = append(body.Hosts, hostStatus{ID: string(p.ID), IsLive: p.IsLive, SinceHeardMS: p.SinceLastHeartbeat.Milliseconds(), ConfigurationVersion: p.ConfigurationVersion})
@@ -144,6 +149,7 @@
 		body.Replicas = append(body.Replicas, replicaStatus{
 			Server: string(s.Server), Service: string(s.Service), Model: s.Model, Open: s.Open,
 			Slots: s.Slots, LocalInFlight: s.LocalInFlight, RemoteInFlight: s.RemoteInFlight,
+			ColdMS: s.ColdFor.Milliseconds(), NextSendMS: s.NextSendIn.Milliseconds(),
 		})
 	}
 	for _, q := range v.Queues {
--- a/route.go
+++ b/route.go
@@ -131,6 +131,10 @@
 	Connections int
 	// Engine describes the engines, nil for an application service.
 	Engine *EngineProfile
+	// ColdTime is how long a server is cold after its start, ColdRequestsPerSecond the rate of
+	// requests that it bears meanwhile, 0 for no bound.
+	ColdTime              time.Duration
+	ColdRequestsPerSecond float64
 }
 
 // ClientLimits bound the size and duration of client requests.
