commander: tests of crowds of clients that nobody controls

Clients that send many bodies at once, whole, in pieces, in chunks or over the limit, and that stop short of their end, must not end a host. The tests start the system's own process on loopback and bound its resident memory with the bytes that it has not read, its sockets and its descriptors; then an ordinary request must be answered.

--- a/internal/commander/serve_test.go
+++ b/internal/commander/serve_test.go
@@ -23,6 +23,9 @@
 
 func TestMain(m *testing.M) {
 	if arguments := os.Getenv(testCommandVariable); arguments != "" {
+		if err := setTestDescriptorLimit(); err != nil {
+			panic(err)
+		}
 		os.Exit(Run(context.Background(), Streams{Stdout: os.Stdout, Stderr: os.Stderr}, strings.Split(arguments, "\n")))
 	}
 	os.Exit(m.Run())
