--- a/internal/coordinator/coldness.go
+++ b/internal/coordinator/coldness.go
@@ -72,6 +72,15 @@
 	c.ramps.Confirm(now, c.LiveHostCount(now))
 }
 
+// advanceRamps ends what is over, and logs the servers that have become cold and get requests.
+func (c *Coordinator) advanceRamps(now time.Duration) {
+	for _, n := range c.ramps.Advance(now) {
+		if r, ok := c.replicas[n.Server]; ok && c.rampUntil(r) > 0 {
+			c.log("server is cold", map[string]any{logFieldServer: n.Server, "left-ms": n.Left.Milliseconds()})
+		}
+	}
+}
+
 // setRampHosts tells the ramps which hosts are registered, as the store has just said.
 func (c *Coordinator) setRampHosts(now time.Duration) {
 	hosts := []fuchsiapitch.HostID{c.self.ID}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -232,7 +232,7 @@
 	}
 	c.refreshReplicas(now)
 	c.forgetReservedRetries(now)
-	c.ramps.Forget(now)
+	c.advanceRamps(now)
 	c.reviewParts(now)
 	c.admitPermitted(now)
 	c.revokeFromSilent(now)
--- a/internal/driver/heartbeat_test.go
+++ b/internal/driver/heartbeat_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/evacuator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/ramper"
 )
 
 // newFullHeartbeat returns a heartbeat in which every field is set.
@@ -20,6 +22,8 @@
 		Queues:         []coordinator.Queue{{Service: "llm", Model: "m", Rank: 2, Length: 3, Arrivals: 4}},
 		Suspects:       []fuchsiapitch.ServerID{"s"},
 		LeavingServers: []coordinator.LeavingServer{{Server: "s", StartedUnixMillis: 5}},
+		Evacuations:    []evacuator.News{{DataCentre: "dc", Evacuated: true, Version: evacuator.Version{Era: 1, Offset: 5}}},
+		ColdServers:    []ramper.News{{Server: "s", Left: 1500 * time.Millisecond}},
 		Parts: quarantiner.Message{
 			Crashes:     []quarantiner.Crash{{Incarnation: quarantiner.Incarnation{Server: "s", StartedUnixMillis: 5}, Age: 300 * time.Millisecond, Parts: []quarantiner.Part{1, 1 << 63}}},
 			Answers:     []quarantiner.Answer{{Part: 2, Age: 400 * time.Millisecond}},
--- a/internal/platformassembler/status.go
+++ b/internal/platformassembler/status.go
@@ -117,6 +117,20 @@
 		metrics.WriteGaugeUint64(w, "fuchsiapitch_places"+labels, uint64(s.Slots))
 		metrics.WriteGaugeUint64(w, "fuchsiapitch_places_taken"+labels, uint64(s.LocalInFlight+s.RemoteInFlight))
 	}
+	cold := uint64(0)
+	for _, s := range v.Replicas {
+		if s.ColdFor > 0 {
+			cold++
+		}
+	}
+	metrics.WriteGaugeUint64(w, "fuchsiapitch_cold_servers", cold)
+	for _, n := range v.Evacuations {
+		evacuated := uint64(0)
+		if n.Evacuated {
+			evacuated = 1
+		}
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("fuchsiapitch_evacuated{data_centre=%q}", n.DataCentre), evacuated)
+	}
 	for _, b := range v.RetryBudgets {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("fuchsiapitch_repeats_left{service=%q}", b.Service), b.AllowedRetries-b.Retries)
 	}
--- a/internal/ramper/ramper.go
+++ b/internal/ramper/ramper.go
@@ -84,6 +84,8 @@
 	// isShare is true if this host may send the server requests while it is cold, by the known
 	// hosts; shareIsKnown is false until it is computed.
 	isShare, shareIsKnown bool
+	// isReported is true if Advance has returned the server.
+	isReported bool
 }
 
 // New returns the Ramper of a host that knows of no cold server and of no other host.
@@ -253,11 +255,19 @@
 	return news
 }
 
-// Forget forgets the servers that are no longer cold.
-func (r *Ramper) Forget(now time.Duration) {
+// Advance forgets the servers that are no longer cold, and returns those that have become cold
+// since it was last called.
+func (r *Ramper) Advance(now time.Duration) []News {
+	var begun []News
 	for id, s := range r.cold {
 		if s.until <= now {
 			delete(r.cold, id)
+			continue
+		}
+		if !s.isReported {
+			s.isReported = true
+			begun = append(begun, News{Server: id, Left: s.until - now})
 		}
 	}
+	return begun
 }
--- a/internal/standin/platform/fleet.go
+++ b/internal/standin/platform/fleet.go
@@ -24,6 +24,7 @@
 	lethal         *lethalChecker
 	lastCrash      time.Time
 	silences       []Silence
+	operation      *operationChecker
 }
 
 // orderDelay is the time between the arrival and the execution of a delayed order.
@@ -51,7 +52,7 @@
 
 // StartFleet starts a fleet without servers. The returned function stops it.
 func StartFleet(store *Store) (*Fleet, func()) {
-	f := &Fleet{store: store, registry: engine.NewRegistry(), servers: make(map[string]*Server), stopAnnouncing: make(chan struct{}), announcingDone: make(chan struct{}), notices: newNoticeChecker(), lethal: newLethalChecker()}
+	f := &Fleet{store: store, registry: engine.NewRegistry(), servers: make(map[string]*Server), stopAnnouncing: make(chan struct{}), announcingDone: make(chan struct{}), notices: newNoticeChecker(), lethal: newLethalChecker(), operation: newOperationChecker()}
 	go f.announceServers()
 	return f, func() {
 		close(f.stopAnnouncing)
@@ -66,7 +67,7 @@
 // has a fabric domain, else a plain server.
 func (f *Fleet) StartServer(id, service, domain string) (*Server, error) {
 	s := &Server{
-		fleet: f, id: id, service: service, fabricDomain: domain, startedUnixMillis: time.Now().UnixMilli(), ledger: application.NewLedger(),
+		fleet: f, id: id, service: service, fabricDomain: domain, zone: defaultZone, startedUnixMillis: time.Now().UnixMilli(), ledger: application.NewLedger(),
 		streamCancels: make(map[int64]context.CancelFunc), pauseEnds: make(map[string]time.Time),
 	}
 	if err := s.start(); err != nil {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -86,6 +86,9 @@
 	silentUntil time.Time
 	// pauseEnds holds until when requests are refused, by host, and for all under "".
 	pauseEnds map[string]time.Time
+	// zone is where the server stands. It is cold until coldUntil.
+	zone      string
+	coldUntil time.Time
 }
 
 // start starts the engine or application server that serves the platform's protocol.
@@ -176,6 +179,7 @@
 	d := map[string]any{
 		"state": stateReady, "born": s.startedUnixMillis, "stage": "colocated", "busy": s.state == stateJoining || !s.opensAt.IsZero(),
 		"domain": s.fabricDomain, "staged": s.stagedModels, "models": []any{}, "queued": 0, "running": 0, "pace": 1.0,
+		"cold_left_ms": s.coldMillis(),
 	}
 	if s.isDraining {
 		d["state"] = "draining"
@@ -196,7 +200,7 @@
 	}
 	s.entrySequence++
 	d := s.statusFields()
-	d["service"], d["address"], d["zone"], d["slots"], d["seq"] = s.service, s.faultServer.Address(), "z1", 4, s.entrySequence
+	d["service"], d["address"], d["zone"], d["slots"], d["seq"] = s.service, s.faultServer.Address(), s.zone, 4, s.entrySequence
 	if data, err := json.Marshal(d); err == nil {
 		s.fleet.store.put(serversTopic, s.id, data)
 	}
@@ -225,11 +229,13 @@
 		s.handleOrder(w, r)
 	case "/health":
 		w.Header().Set("X-Instance-Id", s.id)
+		w.Header().Set("X-Cold-Ms", s.coldHeader())
 		w.WriteHeader(s.healthStatus())
 	default:
 		for _, v := range s.fleet.lethal.recordArrival(id, s.id, time.Now()) {
 			s.fleet.recordViolation(v)
 		}
+		s.checkArrival(id, time.Now())
 		if !s.refusePaused(w, id) {
 			s.handleRequest(w, r)
 		}
