--- a/internal/standin/platform/operation.go
+++ b/internal/standin/platform/operation.go
@@ -124,11 +124,11 @@
 		delete(c.coldArrivals, server)
 		return violations
 	}
-	arrivals := append(c.coldArrivals[server], now)
-	for now.Sub(arrivals[0]) > time.Second {
-		arrivals = arrivals[1:]
+	c.coldArrivals[server] = append(c.coldArrivals[server], now)
+	for now.Sub(c.coldArrivals[server][0]) > time.Second {
+		c.coldArrivals[server] = c.coldArrivals[server][1:]
 	}
-	c.coldArrivals[server] = arrivals
+	arrivals := c.coldArrivals[server]
 	if limit := coldPerSecond*coldOver + coldSlack; float64(len(arrivals)) > limit {
 		violations = append(violations, fmt.Sprintf("FAILBACK: request %s is number %d to reach cold server %s in a second, which bears %g", request, len(arrivals), server, limit))
 	}
