coordinator: a relay sends the directory that it announces

A host that was a relay at the start (before any relay answers each host is one) keeps the directory that it made then. Later it adopts a newer one from its relays, and with it the version and the offset; when these relays end and it is one again, it sends the new version with the old contents until it has read the list.

A host now keeps the contents with the version. So a new relay also hands on a directory before it has read the list.

TestRelaySendsDirectoryThatItAnnounces is red without it.

--- a/internal/coordinator/directory.go
+++ b/internal/coordinator/directory.go
@@ -38,10 +38,10 @@
 type directoryState struct {
 	// listOffset is the end of the own server list.
 	listOffset int64
-	// directory is the directory that this host sends as a relay.
+	// directory is the newest known directory, which this host sends as a relay.
 	directory []DirectoryEntry
-	// directoryVersion is a hash of the newest known directory, directoryOffset the end
-	// of the list that it is made from, and directoryConfirmedAt when that was current.
+	// directoryVersion is a hash of that directory, directoryOffset the end of the list
+	// that it is made from, and directoryConfirmedAt when that was current.
 	directoryVersion     uint64
 	directoryOffset      int64
 	directoryConfirmedAt time.Duration
@@ -152,6 +152,8 @@
 	case d.Directory == nil, d.ListOffset < c.directoryOffset:
 		return
 	}
+	// A host that becomes a relay hands on this directory until it has read the list.
+	c.directory = d.Directory
 	c.directoryVersion, c.directoryOffset, c.directoryConfirmedAt = d.Sender.DirectoryVersion, d.ListOffset, confirmedAt
 	if c.hasCurrentList(now) && c.listOffset >= d.ListOffset {
 		return
--- a/internal/coordinator/directory_test.go
+++ b/internal/coordinator/directory_test.go
@@ -132,3 +132,36 @@
 		}
 	})
 }
+
+// Guards against requests to a server that has left: a host that was a relay and is one again, as
+// the relays between have ended, announces the directory that it has from them. What it sends must
+// be that directory, not the one that it made itself when it was a relay before.
+func TestRelaySendsDirectoryThatItAnnounces(t *testing.T) {
+	now := 5 * time.Second
+	c := newMember(now)
+	member := HeartbeatReceived{Heartbeat: Heartbeat{From: Peer{ID: "zz", Address: "zz", DataCentre: "dc"}, Incarnation: 1, Sequence: 1}}
+	c.Apply(now, member)
+	c.Apply(now, ServersListed{Servers: []fuchsiapitch.ServerReport{{ID: "app", Service: plainService, Address: "a", Slots: 6}}, Offset: 9})
+	c.Apply(now, Ticked{})
+	if got, want := len(c.directory), 1; got != want {
+		t.Fatalf("got %d servers in the directory of a relay, want %d", got, want)
+	}
+	now += 2 * currentListAge
+	c.Apply(now, DigestReceived{Digest: newDirectoryDigest(10, true)})
+	now += relayTimeout
+	c.Apply(now, member)
+	sent := false
+	for _, e := range c.Apply(now, Ticked{}) {
+		d, ok := e.(SendDigest)
+		if !ok || d.Digest.IsDataCentreOnly {
+			continue
+		}
+		sent = true
+		if got, want := hashDirectory(d.Directory), d.Digest.Sender.DirectoryVersion; got != want {
+			t.Errorf("got a directory of version %x from offset %d, want the announced version %x", got, d.Digest.ListOffset, want)
+		}
+	}
+	if !sent {
+		t.Error("got no digest for the member, want one")
+	}
+}
