rewinder: hosts survive a store that goes back

A store that returns from a copy gives offsets out again. Claim numbers, and with them the epochs of groups, were offsets: after the drill a second host could hold the claim of the first and give the same epochs. Trackers went on at offsets that now hold other records, host records were gone for good, and offsets of different eras were compared.

Stores that state no era are treated as before.

--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -15,7 +15,8 @@
 
 // fencedEpochStepMillis is added to an epoch that the store has fenced. Epochs are
 // start times of the process in milliseconds: an epoch is fenced if an earlier
-// process of the host started under a clock that was ahead.
+// process of the host started under a clock that was ahead, or if the store has gone
+// back and expects an earlier sequence number.
 const fencedEpochStepMillis = 60_000
 
 // Store provides write access to the topics of the platform's store.
@@ -50,18 +51,24 @@
 // most once and returns its offset. Any other call fences the unresolved append, so
 // that the store cannot execute it later.
 func (a *Appender) Append(ctx context.Context, key string, value []byte, expectedEnd int64) (int64, error) {
+	return a.AppendInEra(ctx, key, value, expectedEnd, 0)
+}
+
+// AppendInEra is like Append. If the era is not 0 and the store responds in another one, the
+// error is a platform.EraChangedError, and the record may be in the store.
+func (a *Appender) AppendInEra(ctx context.Context, key string, value []byte, expectedEnd, era int64) (int64, error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if unresolved := a.unresolved; unresolved != nil && (unresolved.Key != key || !bytes.Equal(unresolved.Value, value) || unresolved.ExpectedEnd != expectedEnd) {
 		a.advanceEpoch(1)
 	}
-	offset, err := a.tryAppend(ctx, key, value, expectedEnd)
+	offset, err := a.tryAppend(ctx, key, value, expectedEnd, era)
 	var fenced *platform.FencedError
 	if !errors.As(err, &fenced) {
 		return offset, err
 	}
 	a.advanceEpoch(fencedEpochStepMillis)
-	return a.tryAppend(ctx, key, value, expectedEnd)
+	return a.tryAppend(ctx, key, value, expectedEnd, era)
 }
 
 // advanceEpoch starts a later epoch, which fences the unresolved append.
@@ -71,13 +78,14 @@
 
 // tryAppend sends one append with the current epoch and sequence number, and records
 // what its outcome means for the next one.
-func (a *Appender) tryAppend(ctx context.Context, key string, value []byte, expectedEnd int64) (int64, error) {
-	request := platform.AppendRequest{Topic: a.topic, Key: key, Value: value, ExpectedEnd: expectedEnd, Producer: a.producer, Epoch: a.epoch, Sequence: a.sequence}
+func (a *Appender) tryAppend(ctx context.Context, key string, value []byte, expectedEnd, era int64) (int64, error) {
+	request := platform.AppendRequest{Topic: a.topic, Key: key, Value: value, ExpectedEnd: expectedEnd, Producer: a.producer, Epoch: a.epoch, Sequence: a.sequence, ExpectedEra: era}
 	offset, err := a.store.Append(ctx, request)
 	var unavailable *fuchsiapitch.UnavailableError
 	var precondition *platform.PreconditionError
+	var eraChanged *platform.EraChangedError
 	switch {
-	case err == nil:
+	case err == nil, errors.As(err, &eraChanged):
 		a.sequence++
 		a.unresolved = nil
 	case errors.As(err, &unavailable):
--- a/internal/coordinator/membership_simulation_test.go
+++ b/internal/coordinator/membership_simulation_test.go
@@ -57,6 +57,8 @@
 	// is cut off from the others; nil for no host.
 	onEffect func(*simulatedHost, Effect)
 	isCut    func(*simulatedHost) bool
+	// goingBack replaces claims by those of a store that goes back, unless it is nil.
+	goingBack *goingBackClaims
 	// isCutBetween reports whether two hosts are cut off from each other; nil for none.
 	isCutBetween func(a, b *simulatedHost) bool
 }
@@ -163,7 +165,9 @@
 	if h.coordinator.NeedsServerList(hc.now - h.startedAt) {
 		hc.listReads++
 		hc.apply(h, ServersListed{Servers: hc.servers, Offset: hc.listVersion})
-		if len(hc.claims) > 0 {
+		if hc.goingBack != nil {
+			hc.goingBack.deliverNewest(h)
+		} else if len(hc.claims) > 0 {
 			hc.apply(h, hc.claims[len(hc.claims)-1])
 		}
 	}
@@ -241,6 +245,10 @@
 // claim appends a claim of a host unless the store holds a newer one than the previous
 // one, and delivers the newest claim to the host.
 func (hc *hostCluster) claim(h *simulatedHost, previous int64) {
+	if hc.goingBack != nil {
+		hc.goingBack.claim(h, previous)
+		return
+	}
 	if int64(len(hc.claims)) <= previous {
 		hc.claims = append(hc.claims, ClaimRead{Number: int64(len(hc.claims)) + 1, Holder: h.self.ID, Incarnation: h.incarnation})
 	}
--- a/internal/coordinator/simulation_test.go
+++ b/internal/coordinator/simulation_test.go
@@ -175,12 +175,17 @@
 // startController starts a coordinator that is the controller by a new claim.
 func (sm *simulation) startController() {
 	sm.claimCount++
-	id := fuchsiapitch.HostID(fmt.Sprintf("h%d", sm.claimCount))
-	c := New(Peer{ID: id}, sm.claimCount, WithStallTimeout(simulatedStallTimeout))
+	sm.startControllerWith(sm.claimCount)
+}
+
+// startControllerWith starts a coordinator that is the controller by a claim with a number.
+func (sm *simulation) startControllerWith(claim int64) {
+	id := fuchsiapitch.HostID(fmt.Sprintf("h%d", len(sm.coordinators)+1))
+	c := New(Peer{ID: id}, claim, WithStallTimeout(simulatedStallTimeout))
 	sm.coordinators = append(sm.coordinators, c)
 	n := len(sm.coordinators) - 1
 	sm.apply(n, ConfigurationChanged{Routes: sm.routes})
-	sm.apply(n, ClaimRead{Number: sm.claimCount, Holder: id, Incarnation: sm.claimCount})
+	sm.apply(n, ClaimRead{Number: claim, Holder: id, Incarnation: claim})
 }
 
 // apply applies an event to a coordinator and carries out the resulting probes and
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -77,6 +77,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_store_read_bytes_total{topic=%q,result=%q}", topic, result)).Add(int(receivedBytes))
 }
 
+// CountStoreRewind counts that the platform's store has gone back.
+func (m *Meter) CountStoreRewind() {
+	m.set.GetOrCreateCounter("fuchsiapitch_store_rewinds_total").Inc()
+}
+
 // RegisterInFlightGauge registers the gauge of the requests in flight at the host.
 func (m *Meter) RegisterInFlightGauge(count func() float64) {
 	m.set.NewGauge("fuchsiapitch_requests_in_flight", count)
--- a/internal/platformassembler/oddrecord_test.go
+++ b/internal/platformassembler/oddrecord_test.go
@@ -38,7 +38,7 @@
 // Guards against a claim whose holder cannot be told to other hosts.
 func TestOddClaimIsIgnored(t *testing.T) {
 	for _, holder := range []string{"", "h 1", "h\\u0000", strings.Repeat("h", 4000)} {
-		if c, ok := decodeClaimRecord(host.Record{Key: controllerKey, Value: []byte(`{"holder":"` + holder + `"}`)}); ok {
+		if c, ok := decodeClaimRecord(host.Record{Key: controllerKey, Value: []byte(`{"holder":"` + holder + `"}`)}, 0); ok {
 			t.Errorf("got a claim of %q, want none", c.Holder)
 		}
 	}
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -21,7 +20,6 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/acceptor"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/logger"
@@ -117,6 +115,7 @@
 	// configurationTracker is one of them.
 	configurationTracker *tracker.Tracker
 	longPollTrackers     []*tracker.Tracker
+	era                  *eraState
 }
 
 // New returns a host that does not serve yet, and a function that releases its
@@ -145,7 +144,8 @@
 	pooledTransport := &http.Transport{DialContext: sender.NewDialer(connectTimeout, silenceTimeout), DisableCompression: true, MaxIdleConnsPerHost: 8}
 	singleUseTransport := &http.Transport{DialContext: sender.NewDialer(connectTimeout, silenceTimeout), DisableCompression: true, DisableKeepAlives: true}
 	h.storeTransport = pooledTransport
-	h.storeClient = platform.NewStoreClient(settings.StoreAddress, pooledTransport)
+	h.era = newEraState()
+	h.storeClient = platform.NewStoreClient(settings.StoreAddress, pooledTransport, platform.WithEraObserver(h.observeEra))
 	h.peerTransport = singleUseTransport
 	h.pacedStore = pacer.New(h.storeClient)
 	c := coordinator.New(h.self, h.startedUnixMillis,
@@ -311,7 +311,8 @@
 	s.Add(serviceFunc(h.watchSettings))
 	s.Add(serviceFunc(h.servePeers))
 	s.Add(serviceFunc(h.fetchInitialState))
-	s.Add(tracker.New(h.pacedStore, platform.ServersTopic, h.applyServerList, tracker.WithInterval(serverListInterval), tracker.WithNeed(h.driver.NeedsServerList), tracker.WithErrorHandler(h.handleServerListFailure), tracker.WithReadHandler(h.readCounter(platform.ServersTopic))))
+	s.Add(serviceFunc(h.catchUp))
+	s.Add(tracker.New(h.pacedStore, platform.ServersTopic, h.applyServerList, tracker.WithInterval(serverListInterval), tracker.WithNeed(h.driver.NeedsServerList), tracker.WithRetention(), tracker.WithErrorHandler(h.handleServerListFailure), tracker.WithReadHandler(h.readCounter(platform.ServersTopic))))
 	for _, t := range h.longPollTrackers {
 		s.Add(t)
 	}
@@ -341,7 +342,7 @@
 		options = append(options, tracker.WithErrorHandler(h.readFailureHandler(topic)), tracker.WithReadHandler(h.readCounter(topic)))
 		return tracker.New(h.pacedStore, topic, handle, options...)
 	}
-	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyConfiguration, tracker.WithVariableLongPoll(h.configurationPollWait))
+	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyConfiguration, tracker.WithVariableLongPoll(h.configurationPollWait), tracker.WithRetention())
 	needed := tracker.WithNeed(h.driver.NeedsServerList)
 	h.longPollTrackers = []*tracker.Tracker{
 		h.configurationTracker, newLongPollTracker(platform.HostsTopic, h.applyHostList, tracker.WithLongPoll(longPollWait), tracker.WithInterval(hostListInterval), needed),
@@ -391,30 +392,6 @@
 	h.driver.Apply(coordinator.StoreReadFailed{})
 }
 
-// register registers the host's address in the store, and retries until it succeeds.
-func (h *Host) register(ctx context.Context) error {
-	value, err := json.Marshal(hostRecord{Address: h.self.Address, DataCentre: string(h.self.DataCentre), Capacity: h.self.Capacity})
-	if err != nil {
-		return err
-	}
-	hostAppender := appender.New(h.pacedStore, platform.HostsTopic, string(h.self.ID), h.startedUnixMillis)
-	for ctx.Err() == nil {
-		attemptCtx, cancel := context.WithTimeout(ctx, registrationRetryInterval)
-		_, err := hostAppender.Append(attemptCtx, string(h.self.ID), value, -1)
-		cancel()
-		if err == nil {
-			<-ctx.Done()
-			return ctx.Err()
-		}
-		h.log.Info().Err(err).Msg("failed to register the host in the store")
-		select {
-		case <-time.After(registrationRetryInterval):
-		case <-ctx.Done():
-		}
-	}
-	return ctx.Err()
-}
-
 // applyConfiguration puts a configuration into force unless it is invalid or not newer
 // than the current one.
 func (h *Host) applyConfiguration(u tracker.Update) {
@@ -471,7 +448,7 @@
 	for _, r := range h.serversByKey {
 		reports = append(reports, r)
 	}
-	h.driver.Apply(coordinator.ServersListed{Servers: reports, Offset: u.NextOffset})
+	h.driver.Apply(coordinator.ServersListed{Servers: reports, Offset: u.Position()})
 	settings := h.Settings()
 	h.pacedStore.UpdateLimits(h.driver.LiveHostCount(), settings.StoreReadsPerSecond, settings.StoreWritesPerSecond)
 	h.serverListKnown.Store(true)
@@ -489,7 +466,7 @@
 
 func (h *Host) applyClaims(u tracker.Update) {
 	for _, r := range u.Records {
-		if claim, ok := decodeClaimRecord(r); ok {
+		if claim, ok := decodeClaimRecord(r, u.Era); ok {
 			h.driver.Apply(claim)
 		}
 	}
--- a/internal/platformassembler/record.go
+++ b/internal/platformassembler/record.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/netip"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/pacer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/rewinder"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
 
@@ -28,6 +30,8 @@
 type claimRecord struct {
 	Holder  string `json:"holder"`
 	Started int64  `json:"started"`
+	// Era is the era of the store in which the claim was sent, 0 if the store states none.
+	Era int64 `json:"era,omitempty"`
 }
 
 // maxCapacity exceeds the capacity of any host, which is a bandwidth in Mbit/s.
@@ -48,14 +52,18 @@
 	}, true
 }
 
-func decodeClaimRecord(record platform.Record) (coordinator.ClaimRead, bool) {
+// decodeClaimRecord decodes a claim that was read in an era. A claim that is not confirmed in that
+// era has no incarnation, so that it counts as held by an earlier process.
+func decodeClaimRecord(record platform.Record, readEra int64) (coordinator.ClaimRead, bool) {
 	var r claimRecord
 	if record.Key != controllerKey || json.Unmarshal(record.Value, &r) != nil || !platform.IsIdentifier(r.Holder) {
 		return coordinator.ClaimRead{}, false
 	}
-	// Claim numbers start at 1, because 0 stands for no claim and the first record
-	// has offset 0.
-	return coordinator.ClaimRead{Number: record.Offset + 1, Holder: fuchsiapitch.HostID(r.Holder), Incarnation: r.Started}, true
+	claim := coordinator.ClaimRead{Number: rewinder.ClaimNumber(r.Era, record.Offset), Holder: fuchsiapitch.HostID(r.Holder)}
+	if rewinder.IsConfirmed(r.Era, readEra) {
+		claim.Incarnation = r.Started
+	}
+	return claim, claim.Number > 0
 }
 
 // claimer appends this host's claims to be the controller to the store. It implements
@@ -73,16 +81,28 @@
 	}
 }
 
+// ClaimRangeError reports a claim whose era or offset is out of the range of claim numbers.
+type ClaimRangeError struct {
+	// Era and Offset are the position of the claim.
+	Era, Offset int64
+}
+
+// Error implements error.
+func (e *ClaimRangeError) Error() string {
+	return fmt.Sprintf("claim at offset %d of era %d has no number", e.Offset, e.Era)
+}
+
 // Claim implements driver.Claimer. It returns the newest claim if its number is above
 // the known one or if this process made it. Otherwise it appends a claim, on the
-// condition that no other claim has been appended since the read.
+// condition that no other claim has been appended since the read and the store has not gone
+// back. Its error is a ClaimRangeError if the claim has no number.
 func (c *claimer) Claim(ctx context.Context, knownClaim int64) (coordinator.ClaimRead, error) {
 	page, err := c.store.Newest(ctx, platform.ClaimsTopic)
 	if err != nil {
 		return coordinator.ClaimRead{}, err
 	}
 	for _, r := range page.Records {
-		claim, ok := decodeClaimRecord(r)
+		claim, ok := decodeClaimRecord(r, page.Era)
 		if !ok {
 			continue
 		}
@@ -90,13 +110,17 @@
 			return claim, nil
 		}
 	}
-	value, err := json.Marshal(claimRecord{Holder: string(c.self), Started: c.startedUnixMillis})
+	value, err := json.Marshal(claimRecord{Holder: string(c.self), Started: c.startedUnixMillis, Era: page.Era})
 	if err != nil {
 		return coordinator.ClaimRead{}, err
 	}
-	offset, err := c.claimAppender.Append(ctx, controllerKey, value, page.NextOffset)
+	offset, err := c.claimAppender.AppendInEra(ctx, controllerKey, value, page.NextOffset, page.Era)
 	if err != nil {
 		return coordinator.ClaimRead{}, err
 	}
-	return coordinator.ClaimRead{Number: offset + 1, Holder: c.self, Incarnation: c.startedUnixMillis}, nil
+	number := rewinder.ClaimNumber(page.Era, offset)
+	if number == 0 {
+		return coordinator.ClaimRead{}, &ClaimRangeError{Era: page.Era, Offset: offset}
+	}
+	return coordinator.ClaimRead{Number: number, Holder: c.self, Incarnation: c.startedUnixMillis}, nil
 }
--- a/internal/platformassembler/record_test.go
+++ b/internal/platformassembler/record_test.go
@@ -44,7 +44,7 @@
 		if p, ok := decodeHostRecord(record); ok && p.Address == "" {
 			t.Error("got a host without an address")
 		}
-		if c, ok := decodeClaimRecord(record); ok && (c.Holder == "" || c.Number <= 0) {
+		if c, ok := decodeClaimRecord(record, 0); ok && (c.Holder == "" || c.Number <= 0) {
 			t.Errorf("got a claim of %q with number %d", c.Holder, c.Number)
 		}
 	})
--- a/internal/platformassembler/status.go
+++ b/internal/platformassembler/status.go
@@ -19,6 +19,8 @@
 	ClaimNumber          int64               `json:"claim"`
 	ServerListAgeMS      int64               `json:"list-age-ms"`
 	ServerListStale      bool                `json:"list-stale"`
+	StoreEra             int64               `json:"store-era,omitempty"`
+	StoreRewinds         int                 `json:"store-rewinds,omitempty"`
 	InFlight             int64               `json:"in-flight"`
 	Hosts                []hostStatus        `json:"hosts"`
 	Groups               []groupStatus       `json:"groups"`
@@ -90,6 +92,7 @@
 func (h *Host) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	response := newStatusResponse(h.driver.View())
 	response.InFlight = h.relayer.InFlightRequests()
+	response.StoreEra, response.StoreRewinds = h.era.current()
 	w.Header().Set("Content-Type", "application/json")
 	e := json.NewEncoder(w)
 	e.SetIndent("", "  ")
--- a/internal/standin/log/log.go
+++ b/internal/standin/log/log.go
@@ -129,6 +129,30 @@
 	l.stream(name).keepNewest(keep)
 }
 
+// Ends returns the offset of the next record of each stream.
+func (l *Log) Ends() map[string]uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ends := make(map[string]uint64, len(l.streams))
+	for name, s := range l.streams {
+		ends[name] = s.nextOffset()
+	}
+	return ends
+}
+
+// GoBack drops the records that were appended since the streams had the given ends, so that their
+// offsets are given out again. Waiting readers read again.
+func (l *Log) GoBack(ends map[string]uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, s := range l.streams {
+		end := max(ends[name], s.oldestOffset)
+		s.entries = append([]entry(nil), s.entries[:min(end-s.oldestOffset, uint64(len(s.entries)))]...)
+		close(s.appended)
+		s.appended = make(chan struct{})
+	}
+}
+
 // AppendedRecords returns the number of records appended since the start.
 func (l *Log) AppendedRecords() int {
 	l.mu.Lock()
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"slices"
@@ -54,11 +55,65 @@
 	*log.Log
 	mutex        sync.Mutex
 	topicsByName map[string]*topic
+	// era counts how often the store has gone back, from firstEra on. It is stated in all answers
+	// unless it is 0.
+	era int64
 }
 
+// firstEra is the era of a store that has never gone back.
+const firstEra = 1
+
 // NewStore returns an empty store.
 func NewStore() *Store { return &Store{Log: log.New(), topicsByName: make(map[string]*topic)} }
 
+// StateEra makes the store state its era in all answers from now on.
+func (s *Store) StateEra() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era = max(s.era, firstEra)
+}
+
+// Copy is the content of a store at one moment.
+type Copy struct {
+	topics map[string]*topic
+	ends   map[string]uint64
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Copy{topics: cloneTopics(s.topicsByName), ends: s.Ends()}
+}
+
+// GoBack restores a copy, as in a drill. What was written since is gone.
+func (s *Store) GoBack(c Copy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era = max(s.era, firstEra) + 1
+	s.topicsByName = cloneTopics(c.topics)
+	s.Log.GoBack(c.ends)
+}
+
+func cloneTopics(topics map[string]*topic) map[string]*topic {
+	clones := make(map[string]*topic, len(topics))
+	for name, t := range topics {
+		clone := &topic{newestByKey: maps.Clone(t.newestByKey), producersByName: make(map[string]*producer)}
+		for writer, p := range t.producersByName {
+			clone.producersByName[writer] = &producer{epoch: p.epoch, nextSequence: p.nextSequence, offsetsBySequence: maps.Clone(p.offsetsBySequence)}
+		}
+		clones[name] = clone
+	}
+	return clones
+}
+
+// stateEra adds the era to the header of an answer. Callers hold the lock.
+func (s *Store) stateEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	}
+}
+
 // Listen serves the store on a free loopback port. Each endpoint has its own faults
 // besides those of the log.
 func (s *Store) Listen() (*faulter.Server, func(), error) { return s.ListenWithHandler(s.routes()) }
@@ -131,6 +186,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.stateEra(w)
 	t := s.topic(topicName)
 	p, sequenceNumber, conflictReason, isRepeat := t.resolveProducer(r)
 	switch {
@@ -195,9 +251,12 @@
 	waitMillis, _ := strconv.Atoi(query.Get("wait_ms"))
 	deadline := time.After(time.Duration(waitMillis) * time.Millisecond)
 	for {
+		s.mutex.Lock()
+		s.stateEra(w)
 		page := s.Read(query.Get("topic"), from+logOffsetBase, math.MaxUint64)
+		s.mutex.Unlock()
 		switch {
-		case from+logOffsetBase < page.OldestOffset:
+		case from+logOffsetBase < page.OldestOffset, from+logOffsetBase > page.NextOffset:
 			writeJSON(w, http.StatusGone, map[string]any{"first": page.OldestOffset - logOffsetBase})
 			return
 		case len(page.Records) > 0 || waitMillis <= 0:
@@ -229,6 +288,7 @@
 	topicName := r.URL.Query().Get("topic")
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.stateEra(w)
 	items := []map[string]any{}
 	for key, n := range s.topic(topicName).newestByKey {
 		items = append(items, map[string]any{
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -1,6 +1,6 @@
 // Package tracker follows a topic of the platform's store. It reads a snapshot with
 // the newest record of each key and then the records appended after it. If the store
-// no longer retains the next offset, it reads a new snapshot.
+// no longer retains the next offset, or has gone back, it reads a new snapshot.
 package tracker
 
 import (
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/fuchsiapitch/fuchsiapitch/internal/rewinder"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
@@ -49,8 +50,13 @@
 	IsSnapshot bool
 	// NextOffset is the offset after the last record of the topic.
 	NextOffset int64
+	// Era is the era of the store, 0 if it states none.
+	Era int64
 }
 
+// Position returns a number for NextOffset that is comparable over all eras.
+func (u Update) Position() int64 { return rewinder.Position(u.Era, u.NextOffset) }
+
 // ReadResult describes a read that has ended. It is a plain record.
 type ReadResult struct {
 	// Bytes is the number of bytes of the response that were received.
@@ -73,6 +79,9 @@
 	handle   func(Update)
 	onError  func(error)
 	onRead   func(ReadResult)
+	// retainer is nil if nothing is retained when the store goes back.
+	retainer  *rewinder.Retainer
+	startedAt time.Time
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -118,11 +127,15 @@
 // update is handled.
 func WithReadHandler(onRead func(ReadResult)) Option { return func(t *Tracker) { t.onRead = onRead } }
 
+// WithRetention makes the tracker retain records of a topic that others write when the store has
+// gone back, until they have had time to write them again.
+func WithRetention() Option { return func(t *Tracker) { t.retainer = new(rewinder.Retainer) } }
+
 // New returns a tracker that calls handle with each update.
 func New(store Store, topic string, handle func(Update), options ...Option) *Tracker {
 	t := &Tracker{
 		store: store, topic: topic, handle: handle, onError: func(error) {}, onRead: func(ReadResult) {},
-		isNeeded: func() bool { return true }, pollWait: func() time.Duration { return 0 },
+		isNeeded: func() bool { return true }, pollWait: func() time.Duration { return 0 }, startedAt: time.Now(),
 	}
 	for _, o := range options {
 		o(t)
@@ -163,43 +176,83 @@
 	t.readWatcher.ExpectWithin(0)
 }
 
+// cursor is what a tracker knows of the position at which it reads on.
+type cursor struct {
+	nextOffset int64
+	// era is the era of nextOffset, 0 if the store states none.
+	era int64
+	// synced is true if the next read goes on at nextOffset, false if it takes a snapshot.
+	synced bool
+}
+
 // Serve follows the topic until the context ends. It implements suture.Service.
 func (t *Tracker) Serve(ctx context.Context) error {
-	nextOffset, synced := int64(0), false
+	var c cursor
 	backOff := minBackOff
 	for ctx.Err() == nil {
 		if !t.isNeeded() {
 			sleep(ctx, needInterval)
 			continue
 		}
-		page, restarted, err := t.read(ctx, nextOffset, synced)
+		page, restarted, err := t.read(ctx, c.nextOffset, c.synced)
 		var expired *platform.OffsetExpiredError
 		switch {
 		case err != nil && t.hasReconnected():
 			continue
 		case restarted, errors.As(err, &expired):
-			synced = false
+			c.synced = false
 			continue
 		case err != nil:
 			t.onError(err)
 			sleep(ctx, backOff/2+rand.N(backOff))
 			backOff = min(2*backOff, maxBackOff)
 			continue
+		case c.synced && page.Era != c.era:
+			// The offset has been given out again, so that records before it may be new.
+			c.synced = false
+			continue
 		}
 		backOff = minBackOff
-		t.handle(Update{Records: page.Records, IsSnapshot: !synced, NextOffset: page.NextOffset})
-		nextOffset, synced = page.NextOffset, true
+		t.deliver(page, c)
+		c = cursor{nextOffset: page.NextOffset, era: page.Era, synced: true}
 		sleep(ctx, t.interval)
 	}
 	return ctx.Err()
 }
 
+// deliver hands a page that was read from a cursor to the handler.
+func (t *Tracker) deliver(page platform.Page, from cursor) {
+	u := Update{Records: page.Records, IsSnapshot: !from.synced, NextOffset: page.NextOffset, Era: page.Era}
+	if t.retainer == nil || page.Era == 0 {
+		t.handle(u)
+		return
+	}
+	now := time.Since(t.startedAt)
+	if u.IsSnapshot {
+		u.Records = t.retainer.Snapshot(now, u.Records, from.era != 0 && from.era != page.Era)
+	} else {
+		t.retainer.Append(now, u.Records)
+	}
+	t.handle(u)
+	if released := t.retainer.Release(now); released != nil {
+		t.handle(Update{Records: released, NextOffset: page.NextOffset, Era: page.Era})
+	}
+}
+
+// nextPollWait returns how long the next read waits for new records.
+func (t *Tracker) nextPollWait() time.Duration {
+	if t.retainer != nil && t.retainer.IsRetaining() {
+		return min(t.pollWait(), rewinder.Grace)
+	}
+	return t.pollWait()
+}
+
 // read reads the records from an offset on if the tracker is synced, or a snapshot
 // if it is not, and reports the result to the read handler. It is cancelled when the store
 // is silent for too long. It returns true if a resync made it fail.
 func (t *Tracker) read(ctx context.Context, nextOffset int64, synced bool) (platform.Page, bool, error) {
 	firstByteTimeout := responseTimeout
-	pollWait := t.pollWait()
+	pollWait := t.nextPollWait()
 	if synced {
 		firstByteTimeout += pollWait
 	}
