--- a/internal/platformassembler/era.go
+++ b/internal/platformassembler/era.go
@@ -67,6 +67,9 @@
 // cached offsets are void and the host's own record may be gone.
 func (h *Host) observeEra(era int64) {
 	previous, hasRisen := h.era.observe(era)
+	if previous == 0 {
+		h.log.Info().Int64("era", era).Msg("store states its era")
+	}
 	if !hasRisen {
 		return
 	}
