--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -37,6 +37,24 @@
 		"stale news after a snapshot":        {func(e *Evacuator) { e.ReadSnapshot(nil, Version{Offset: 9}); e.Hear([]News{request("a", 3)}) }, nil},
 		"later news than the snapshot":       {func(e *Evacuator) { e.ReadSnapshot(nil, Version{Offset: 9}); e.Hear([]News{request("a", 10)}) }, []string{"a"}},
 		"lost by a store that has gone back": {func(e *Evacuator) { e.Hear([]News{request("a", 9)}); e.ReadSnapshot(nil, Version{Era: 1, Offset: 20}) }, []string{"a"}},
+		"retained while the store goes back, and released": {func(e *Evacuator) {
+			e.ReadSnapshot([]News{request("a", 9)}, Version{Offset: 9})
+			e.ReadSnapshot([]News{{DataCentre: "a", Evacuated: true, Version: Version{Era: 1, Offset: 9}}}, Version{Era: 1, Offset: 5})
+			e.ReadHistory([]News{{DataCentre: "a", Version: Version{Era: 1}}}, Version{Era: 1, Offset: 5})
+		}, nil},
+		"retained, released and requested again": {func(e *Evacuator) {
+			e.ReadSnapshot([]News{{DataCentre: "a", Evacuated: true, Version: Version{Era: 1, Offset: 9}}}, Version{Era: 1, Offset: 5})
+			e.ReadHistory([]News{{DataCentre: "a", Version: Version{Era: 1}}}, Version{Era: 1, Offset: 5})
+			e.ReadHistory([]News{{DataCentre: "a", Evacuated: true, Version: Version{Era: 1, Offset: 6}}}, Version{Era: 1, Offset: 6})
+		}, []string{"a"}},
+		"retained, and taken back at an earlier offset": {func(e *Evacuator) {
+			e.ReadSnapshot([]News{{DataCentre: "a", Evacuated: true, Version: Version{Era: 1, Offset: 9}}}, Version{Era: 1, Offset: 5})
+			e.ReadHistory([]News{{DataCentre: "a", Version: Version{Era: 1, Offset: 6}}}, Version{Era: 1, Offset: 6})
+		}, nil},
+		"heard from a host of the earlier era": {func(e *Evacuator) {
+			e.ReadSnapshot(nil, Version{Era: 1, Offset: 20})
+			e.Hear([]News{request("a", 9)})
+		}, []string{"a"}},
 		"taken back in the next era": {func(e *Evacuator) {
 			e.Hear([]News{request("a", 9)})
 			e.ReadHistory([]News{{DataCentre: "a", Version: Version{Era: 1, Offset: 5}}}, Version{Era: 1, Offset: 5})
