--- a/internal/coordinator/coldness.go
+++ b/internal/coordinator/coldness.go
@@ -48,9 +48,13 @@
 	}
 }
 
-// suspectColdStart records that a server could not be connected to, and may have started
-// again when it can.
+// suspectColdStart records that a server could not be connected to, and may have started again
+// when it can. A leader that started again has left its group, so that only a failure after a
+// failure counts there: a lost packet is more likely.
 func (c *Coordinator) suspectColdStart(now time.Duration, r *replica) {
+	if r.model != "" && r.unreachableBackOff <= minUnreachableBackOff {
+		return
+	}
 	if p, ok := c.serviceProfile(r.service); ok && p.ColdTime > 0 {
 		c.ramps.Suspect(now, r.server, r.unreachableBackOff+p.ColdTime)
 	}
--- a/internal/ramper/ramper.go
+++ b/internal/ramper/ramper.go
@@ -22,13 +22,13 @@
 const (
 	// usableShare is the share of the bound that the hosts use. The rest is for hosts that know
 	// an old list, and for requests that arrive closer together than they were sent.
-	usableShare = 0.65
-	// maxSendsPerSecond is the number of requests that one host may send a cold server in any
-	// second. More hosts share a server if it is small, fewer requests are late if it is large.
+	usableShare = 0.8
+	// maxSendsPerSecond is the largest number of requests that one host may send a cold server in
+	// any second. It bounds what a host with too short a list sends.
 	maxSendsPerSecond = 4
 	// sendJitter is the part of an interval between two requests by which they may arrive
 	// closer together.
-	sendJitter = 0.3
+	sendJitter = 0.1
 	// listLifetime is how long the list of hosts is used without news of other hosts or of the
 	// store.
 	listLifetime = 3 * time.Second
@@ -48,10 +48,10 @@
 	interval time.Duration
 }
 
-// divide divides a bound.
-func (l Limits) divide() share {
+// divide divides a bound over hosts: among as many as possible, so that few hosts have no share.
+func (l Limits) divide(hosts int) share {
 	usable := usableShare * (l.PerSecond*max(l.Over, 1) + l.Slack)
-	sends := min(max(int(usable/maxSendsPerSecond), 1), maxSendsPerSecond)
+	sends := min(max(int(usable)/max(hosts, 1), 1), maxSendsPerSecond)
 	return share{hosts: max(int(usable)/sends, 1), interval: time.Duration(float64(time.Second) / (float64(sends) - sendJitter))}
 }
 
@@ -177,7 +177,7 @@
 	if !ok || limits.PerSecond <= 0 {
 		return 0
 	}
-	d := limits.divide()
+	d := limits.divide(max(len(r.hosts), r.hostCount))
 	if !s.shareIsKnown {
 		s.isShare, s.shareIsKnown = r.isAmongFirst(server, d.hosts), true
 	}
