--- a/internal/platformassembler/state_test.go
+++ b/internal/platformassembler/state_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/evacuator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/relayer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/pipe"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
@@ -154,3 +156,31 @@
 		}
 	})
 }
+
+// Guards against a host that starts without the store, and sends requests to an evacuated data
+// centre, or more to cold servers than the hosts that it does not know leave it.
+func TestStateHasEvacuationsAndHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
+		source.applyOperatorTopic(tracker.Update{IsSnapshot: true, NextOffset: 9, Records: []platform.Record{
+			{Key: platform.ConfigurationKey, Value: []byte(`{"version":1}`)}, {Key: "evacuate/dc-east", Value: []byte("{}"), Offset: 5},
+		}})
+		source.applyHostList(tracker.Update{Records: []platform.Record{{Key: "other", Value: []byte(`{"address":"10.0.0.7:7000","data-centre":"dc"}`)}}})
+		transport, stop := pipe.Start(source.newPeerServer())
+		h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t), peerTransport: transport}
+		if err := h.fetchState(t.Context(), "peer"); err != nil {
+			t.Fatal(err)
+		}
+		view := h.driver.View()
+		want := []evacuator.News{{DataCentre: "dc-east", Evacuated: true, Version: evacuator.Version{Offset: 6}}}
+		if got := view.Evacuations; !slices.Equal(got, want) {
+			t.Errorf("got evacuations %v, want %v", got, want)
+		}
+		if got := view.Peers; len(got) != 1 || got[0].ID != "other" {
+			t.Errorf("got hosts %v, want the one that the source knows", got)
+		}
+		if err := stop(); err != nil {
+			t.Errorf("got error %v at shutdown, want none", err)
+		}
+	})
+}
--- a/internal/ramper/ramper_test.go
+++ b/internal/ramper/ramper_test.go
@@ -100,12 +100,27 @@
 	return most
 }
 
-// Failure: a host knows no list of hosts, since it started without the store.
-func TestHostWithoutListSendsNothing(t *testing.T) {
-	r := New("a")
-	r.Observe(0, "s", 3*time.Second)
-	if got, want := r.AvailableAt(0, "s", 0, Limits{PerSecond: 14}), 3*time.Second; got != want {
-		t.Errorf("got requests allowed from %v on, want %v", got, want)
+// Failure: a host started without the store, is cut off from all others, or wakes from a freeze. It
+// cannot know how many hosts share the server.
+func TestHostOutOfTouchSendsNothing(t *testing.T) {
+	const now, coldTime = time.Minute, 10 * time.Second
+	for name, c := range map[string]struct {
+		prepare func(r *Ramper)
+		want    time.Duration
+	}{
+		"in touch": {func(r *Ramper) { r.SetHosts([]fuchsiapitch.HostID{"a", "b"}); r.Confirm(now, 2) }, 0},
+		"no list":  {func(r *Ramper) { r.Confirm(now, 2) }, now + coldTime},
+		"cut off":  {func(r *Ramper) { r.SetHosts([]fuchsiapitch.HostID{"a", "b"}); r.Confirm(now-listLifetime-1, 2) }, now + coldTime},
+		"freeze":   {func(r *Ramper) { r.SetHosts([]fuchsiapitch.HostID{"a", "b"}); r.Confirm(now, 2); r.Expire() }, now + coldTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New("a")
+			c.prepare(r)
+			r.Observe(now, "s", coldTime)
+			if got := r.AvailableAt(now, "s", 0, Limits{PerSecond: 14, Over: 1.5, Slack: 5}); got != c.want {
+				t.Errorf("got requests allowed from %v on, want %v", got, c.want)
+			}
+		})
 	}
 }
 
