--- a/internal/coordinator/coldness.go
+++ b/internal/coordinator/coldness.go
@@ -35,6 +35,12 @@
 	return c.ramps.AvailableAt(c.now, r.server, r.lastSentAt, ramper.Limits{PerSecond: p.ColdRequestsPerSecond, Over: c.coldOver, Slack: c.coldSlack})
 }
 
+// hasColdBound reports whether the requests to a replica are bounded while it is cold.
+func (c *Coordinator) hasColdBound(r *replica) bool {
+	p, ok := c.serviceProfile(r.service)
+	return ok && p.ColdRequestsPerSecond > 0
+}
+
 // noteColdEntry processes what an entry of the server list says of a server.
 func (c *Coordinator) noteColdEntry(now time.Duration, entry fuchsiapitch.ServerReport) {
 	c.ramps.ReadEntry(now, entry.ID, entry.ColdFor)
@@ -79,7 +85,7 @@
 // advanceRamps ends what is over, and logs the servers that have become cold and get requests.
 func (c *Coordinator) advanceRamps(now time.Duration) {
 	for _, n := range c.ramps.Advance(now) {
-		if r, ok := c.replicas[n.Server]; ok && c.rampUntil(r) > 0 {
+		if r, ok := c.replicas[n.Server]; ok && c.hasColdBound(r) {
 			c.log("server is cold", map[string]any{logFieldServer: n.Server, "left-ms": n.Left.Milliseconds()})
 		}
 	}
@@ -96,11 +102,11 @@
 }
 
 // announcedColdServers returns the servers of which this host tells others that they are cold:
-// those that get requests.
+// those that get requests, of services with a bound.
 func (c *Coordinator) announcedColdServers(now time.Duration) []ramper.News {
 	var news []ramper.News
 	for _, n := range c.ramps.News(now) {
-		if _, ok := c.replicas[n.Server]; ok {
+		if r, ok := c.replicas[n.Server]; ok && c.hasColdBound(r) {
 			news = append(news, n)
 		}
 	}
