relayer: a refusal by the host is final, and time limits differ

A request that its host refused a slot asked again at once, up to five times, so that a share of admitted requests did not hold: at 1.6 times the load nearly everyone got in, and was late. It now ends with the refusal.

A time limit below 0.8 of the timeout now shows a return.

--- a/internal/relayer/drain.go
+++ b/internal/relayer/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 )
 
 // drainRetryAfter is the retry delay in the response to a request that a stopping host
@@ -33,6 +34,12 @@
 	return ok
 }
 
+// isFinalRefusal reports whether a request was refused a slot or ended because the host stops.
+// The host has decided, so that it is not asked again.
+func isFinalRefusal(err error) bool {
+	return isHostStopping(err) || isError[*driver.AdmissionError](err)
+}
+
 // StartDraining makes the relayer abort the requests in flight after a time, and refuse
 // from an earlier time on those whose time limit is later. Aborted requests get a response
 // unless theirs has begun.
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -40,7 +40,7 @@
 		if outcome != fuchsiapitch.OutcomeNotRun && x.route.Kind != fuchsiapitch.IdempotentRoute {
 			break
 		}
-		if x.ctx.Err() != nil || isHostStopping(err) {
+		if x.ctx.Err() != nil || isFinalRefusal(err) {
 			break
 		}
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -35,8 +35,9 @@
 	defaultRetryAfter = 500 * time.Millisecond
 	// retriedTimeoutRatio identifies retries by clients: a time limit below this
 	// fraction of the route's timeout means that the client has spent part of the
-	// timeout on an earlier attempt.
-	retriedTimeoutRatio = 0.97
+	// timeout on an earlier attempt. Clients choose time limits that differ by some
+	// fifteen percent.
+	retriedTimeoutRatio = 0.8
 	// deadlineMargin is how long before the client's deadline the deadline that a server
 	// is given lies.
 	deadlineMargin = 10 * time.Millisecond
@@ -315,11 +316,11 @@
 		model = ""
 	}
 	slot, err := x.relayer.admitter.Acquire(x.ctx, coordinator.RequestArrived{
-		Service: x.service, Model: model, Rank: x.rank(),
+		Service: x.service, Model: model, Rank: x.rank(), Customer: x.principal.Customer,
 		InputTokens: x.metadata.PromptTokens, OutputTokens: x.metadata.MaxOutputTokens,
 		FirstByteBy: x.relayer.admitter.SinceStart(x.receivedAt.Add(latencyTarget - x.priorElapsed())), Deadline: x.relayer.admitter.SinceStart(x.deadline),
 		MaxPause:             x.route.InterEventTarget,
-		ReturnedAfterRefusal: float64(x.metadata.TimeLimit) < retriedTimeoutRatio*float64(x.route.Timeout),
+		ReturnedAfterRefusal: x.hasReturned(),
 		Resumed:              resumed, IsRetry: x.sendCount > 0, HasAskedBefore: x.acquisitions > 1, FailedServers: x.failedServers,
 		AvoidsFailedServers: resumed || x.mayHaveRun() && x.sendCount > x.runCount,
 		MayMove:             x.mayMove(), PreviousTicket: x.lastTicket, Parts: x.sharedParts(),
@@ -383,13 +384,18 @@
 // remaining returns the time until the deadline of the request.
 func (x *exchange) remaining() time.Duration { return time.Until(x.deadline) }
 
+// hasReturned reports whether the client has spent part of its time on an earlier attempt.
+func (x *exchange) hasReturned() bool {
+	return x.metadata.TimeLimit > 0 && float64(x.metadata.TimeLimit) < retriedTimeoutRatio*float64(x.route.Timeout)
+}
+
 // priorElapsed returns the time that the client has spent on earlier attempts: the part
 // of the route's timeout that is missing from the client's time limit.
 func (x *exchange) priorElapsed() time.Duration {
-	if x.metadata.TimeLimit <= 0 {
+	if !x.hasReturned() {
 		return 0
 	}
-	return max(0, x.route.Timeout-x.metadata.TimeLimit)
+	return x.route.Timeout - x.metadata.TimeLimit
 }
 
 // send sends the request to the server of a slot and validates the response header.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -74,7 +74,7 @@
 		x.logIfTooLarge(err)
 		x.logIfInvalid(err)
 		x.logFailedAttempt(&p, outcome, err)
-		if x.ctx.Err() != nil || isHostStopping(err) || outcome != fuchsiapitch.OutcomeNotRun && !x.route.Resumable {
+		if x.ctx.Err() != nil || isFinalRefusal(err) || outcome != fuchsiapitch.OutcomeNotRun && !x.route.Resumable {
 			break
 		}
 	}
