admitter, apportioner: requests are admitted by the time to the first event

In an overload slots stayed full, so that nearly everyone was late, and the overload outlasted its cause: what returned after a refusal was admitted beyond the share, a replica might hold half of its slots more, the slot time contained the wait for a slot, and reading was not counted: groups whose prompts are long are full at half of their slots.

internal/admitter works out what a pool can begin in time, from slots, the pass of the engine, the part of the time for which prompts are read, and how far first events come later than expected; it divides it among the ranks with a floor, keeps room for returning requests and spaces their Retry-After. internal/apportioner divides it among the customers by their usual requests. Both are pure and replace this code in the coordinator. Heartbeats carry two counts more: returned requests by rank, and the customers with the most requests (at most 32).

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/admitter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
@@ -14,20 +15,6 @@
 	// engineQueueDepth is the number of requests sent to an engine beyond its slots, so
 	// that it can fill a freed slot at once.
 	engineQueueDepth = 2
-	// slotTimeWeight is the weight of a new sample in the moving average of the slot
-	// time, the time for which a request occupies a slot.
-	slotTimeWeight = 0.05
-	// initialEngineSlotTime is the slot time assumed before the first sample. A stream
-	// of 30 events takes between one and two seconds.
-	initialEngineSlotTime = 1500 * time.Millisecond
-	// initialPlainSlotTime is the slot time assumed for a plain service.
-	initialPlainSlotTime = 40 * time.Millisecond
-	// initialFirstByteDelay is the first-byte delay assumed before the first sample:
-	// one pass of six steps with a full batch. It excludes the time to read the prompt.
-	initialFirstByteDelay = 60 * time.Millisecond
-	// firstByteDelayWeight is the weight of a new sample in the moving average of the
-	// first-byte delay.
-	firstByteDelayWeight = 0.05
 	// minRetryAfter and maxRetryAfter bound the retry delay that is sent to a refused
 	// client.
 	minRetryAfter = 100 * time.Millisecond
@@ -71,8 +58,6 @@
 	replicas         map[fuchsiapitch.ServerID]*replica
 	assignments      map[Ticket]*assignment
 	queue            []*queuedRequest
-	slotTimes        map[poolKey]time.Duration
-	firstByteDelays  map[poolKey]time.Duration
 	suspectedLocally map[fuchsiapitch.ServerID]bool
 }
 
@@ -89,8 +74,9 @@
 	promptTokens    int
 	grantedAt       time.Duration
 	responseStarted bool
-	// startedAt is when the response started.
-	startedAt time.Duration
+	// startedAt is when the response started, expectedFirstEvent how long after the grant it
+	// was expected, 0 for unknown.
+	startedAt, expectedFirstEvent time.Duration
 	// incarnation is the run of the server to which the request was sent, and parts are the
 	// parts of its prompt. isPermitted is true if it was sent by a permit for a quarantined
 	// part, hasAcquitted once its response has acquitted its parts.
@@ -121,7 +107,7 @@
 func newAdmissionState() admissionState {
 	return admissionState{
 		services: make(map[fuchsiapitch.ServiceName]*knownService), replicas: make(map[fuchsiapitch.ServerID]*replica), assignments: make(map[Ticket]*assignment),
-		slotTimes: make(map[poolKey]time.Duration), firstByteDelays: make(map[poolKey]time.Duration), suspectedLocally: make(map[fuchsiapitch.ServerID]bool),
+		suspectedLocally: make(map[fuchsiapitch.ServerID]bool),
 	}
 }
 
@@ -140,7 +126,7 @@
 	e := w.RequestArrived
 	w.isLate = c.cannotBeInTime(now, w)
 	c.retainService(e)
-	c.countArrival(now, queueKey{w.pool, w.Rank})
+	c.countArrival(now, w)
 	c.demoteLate(now)
 	if !c.chargeRetryBudget(now, e) {
 		if !w.Resumed {
@@ -150,7 +136,7 @@
 		w.awaitsRetry = true
 	}
 	if c.isShed(w) {
-		c.refuse(w, Overloaded, c.slotTime(w.pool))
+		c.refuse(w, Overloaded, c.shedRetryAfter(now, w.pool))
 		return
 	}
 	if !w.awaitsRetry && !c.hasPredecessor(now, w) {
@@ -224,20 +210,11 @@
 // timeToFirstByte returns the expected time from a grant to the first byte.
 func (c *Coordinator) timeToFirstByte(w *queuedRequest) time.Duration {
 	for _, r := range c.replicas {
-		if r.serves(w.pool) && r.readTokensPerSecond > 0 {
-			return r.timeToRead(w.InputTokens) + c.firstByteDelay(w.pool)
+		if r.serves(w.pool) && r.isEngine() {
+			return r.speed.TimeToRead(w.InputTokens) + c.poolOf(w.pool).FirstEventDelay()
 		}
 	}
-	return c.slotTime(w.pool) / 2
-}
-
-// firstByteDelay returns the mean time from a grant to the first byte, without the time
-// to read the prompt.
-func (c *Coordinator) firstByteDelay(p poolKey) time.Duration {
-	if f, ok := c.firstByteDelays[p]; ok {
-		return f
-	}
-	return initialFirstByteDelay
+	return c.poolOf(w.pool).ServiceTime() / 2
 }
 
 // hasPredecessor reports whether another request for the same replicas comes first in
@@ -251,17 +228,6 @@
 	return w.pool == other.pool && !w.awaitsRetry && compareQueued(w, other) <= 0
 }
 
-// slotTime returns the mean time for which a request occupies a slot.
-func (c *Coordinator) slotTime(p poolKey) time.Duration {
-	if h, ok := c.slotTimes[p]; ok {
-		return h
-	}
-	if p.model == "" {
-		return initialPlainSlotTime
-	}
-	return initialEngineSlotTime
-}
-
 // expectedWait returns the time after which a slot is likely to be free, and whether
 // any replica serves the request.
 func (c *Coordinator) expectedWait(now time.Duration, w *queuedRequest) (time.Duration, bool) {
@@ -295,7 +261,7 @@
 		}
 	}
 	backlog := max(0, inFlight-slots) + queuedAhead + 1
-	return time.Duration(float64(c.slotTime(w.pool)) * float64(backlog) / float64(slots)), true
+	return time.Duration(float64(c.poolOf(w.pool).ServiceTime()) * float64(backlog) / float64(slots)), true
 }
 
 // timeToRepair returns the time after which a group is likely to serve the model if
@@ -344,8 +310,9 @@
 	}
 	var best *replica
 	var bestCost float64
+	pool := c.poolOf(w.pool)
 	for _, r := range c.drawReplicas(candidates) {
-		cost := c.costMS(now, r, w.InputTokens)
+		cost := c.costMS(now, pool, r, w.InputTokens)
 		if slices.Contains(w.FailedServers, r.server) {
 			cost += failedServerCostMS
 		}
@@ -379,13 +346,16 @@
 }
 
 // costMS returns the expected time to the first byte plus penalties, in milliseconds.
-func (c *Coordinator) costMS(now time.Duration, r *replica, promptTokens int) float64 {
+func (c *Coordinator) costMS(now time.Duration, p *admitter.Pool, r *replica, promptTokens int) float64 {
 	const (
 		fullBatchMS = 60.0 // time of a pass with a full batch
 		remoteMS    = 2.0  // latency to another data centre
 		avoidanceMS = 2000 // exceeds any real wait
 	)
-	cost := float64(r.timeToReadWith(promptTokens).Milliseconds()) + fullBatchMS*float64(r.totalInFlight())/float64(max(r.slots, 1))
+	cost := float64(r.speed.TimeToRead(r.allUnreadTokens()+promptTokens).Milliseconds()) + fullBatchMS*float64(r.totalInFlight())/float64(max(r.slots, 1))
+	if c.usesRelays() && r.isEngine() {
+		cost = float64(p.Expect(r.engine(), r.totalInFlight(), r.allUnreadTokens()+promptTokens).Milliseconds())
+	}
 	if !r.inSameDataCentre {
 		cost += remoteMS
 	}
@@ -405,12 +375,15 @@
 		c.usePermits(now, w.Parts, r.server)
 	}
 	c.assignments[w.Ticket] = a
+	if r.isEngine() && c.usesRelays() {
+		a.expectedFirstEvent = c.poolOf(w.pool).ExpectFor(r.engine(), r.totalInFlight(), w.InputTokens)
+	}
 	if r.inFlight == 0 {
 		r.busySince = now
 	}
 	r.inFlight++
 	r.unreadTokens += w.InputTokens
-	if r.readTokensPerSecond > 0 {
+	if r.isEngine() {
 		c.unannouncedTokens += w.InputTokens
 	}
 	r.lastSentAt = now
@@ -499,10 +472,9 @@
 	}
 	a.responseStarted, a.startedAt = true, now
 	a.replica.unreachableBackOff = 0
-	sample := now - a.grantedAt - a.replica.timeToRead(a.promptTokens)
-	c.firstByteDelays[a.pool] = time.Duration((1-firstByteDelayWeight)*float64(c.firstByteDelay(a.pool)) + firstByteDelayWeight*float64(max(0, sample)))
+	c.poolOf(a.pool).ObserveFirstEvent(now-a.grantedAt, a.replica.speed.TimeToRead(a.promptTokens), a.expectedFirstEvent)
 	a.replica.unreadTokens -= a.promptTokens
-	if a.replica.readTokensPerSecond > 0 {
+	if a.replica.isEngine() {
 		c.unannouncedTokens += a.promptTokens
 	}
 	a.replica.lastByteAt = max(a.replica.lastByteAt, now)
@@ -512,6 +484,16 @@
 	}
 }
 
+// occupied returns for how long a request has occupied a slot of its replica. The time that it
+// waited there for a slot, as far as it shows, does not count in a cluster with relays.
+func (c *Coordinator) occupied(now time.Duration, a *assignment) time.Duration {
+	whole := now - a.grantedAt
+	if !c.usesRelays() || !a.responseStarted || !a.replica.isEngine() {
+		return whole
+	}
+	return min(whole, now-a.startedAt+a.replica.speed.TimeToRead(a.promptTokens)+a.replica.speed.Pass(a.replica.slots))
+}
+
 // releaseTicket frees the slot of a request, or removes a request without a slot from
 // the queue.
 func (c *Coordinator) releaseTicket(now time.Duration, e TicketReleased) {
@@ -553,8 +535,7 @@
 		}
 	default:
 		r.unreachableBackOff, r.consecutiveFailures = 0, 0
-		occupied := now - a.grantedAt
-		c.slotTimes[a.pool] = time.Duration((1-slotTimeWeight)*float64(c.slotTime(a.pool)) + slotTimeWeight*float64(occupied))
+		c.poolOf(a.pool).ObserveService(c.occupied(now, a))
 	}
 	if r.inFlight == 0 && !r.open && !r.announced {
 		delete(c.replicas, r.server)
@@ -571,18 +552,17 @@
 			counts[queueKey{w.pool, w.Rank}]++
 		}
 	}
-	for k, a := range c.arrivals {
-		if a.advance(now); a.current+a.previous > 0 {
-			counts[k] += 0
+	arrivals := make(map[queueKey]admitter.Arrivals)
+	for p, pool := range c.pools {
+		for _, a := range pool.Arrivals(now) {
+			counts[queueKey{p, a.Rank}] += 0
+			arrivals[queueKey{p, a.Rank}] = a
 		}
 	}
 	var queues []Queue
 	for _, k := range sortedQueueKeys(counts) {
-		q := Queue{Service: k.pool.service, Model: k.pool.model, Rank: k.rank, Length: counts[k]}
-		if a, ok := c.arrivals[k]; ok {
-			q.Arrivals = a.current + a.previous
-		}
-		queues = append(queues, q)
+		a := arrivals[k]
+		queues = append(queues, Queue{Service: k.pool.service, Model: k.pool.model, Rank: k.rank, Length: counts[k], Arrivals: a.All, Returned: a.Returned})
 	}
 	return queues
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -65,7 +65,7 @@
 	revocationState
 	relayState
 	directoryState
-	admissionShareState
+	sheddingState
 	noticeState
 	crashState
 }
@@ -118,7 +118,7 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), noticeState: newNoticeState(), crashState: newCrashState(self),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), sheddingState: newSheddingState(self, incarnation), noticeState: newNoticeState(), crashState: newCrashState(self),
 	}
 	for _, o := range options {
 		o(c)
@@ -364,7 +364,7 @@
 	c.sequence++
 	b := Heartbeat{
 		From: c.self, Incarnation: c.incarnation, Sequence: c.sequence, Claim: c.activeClaim(now), KnownClaim: c.knownClaim,
-		ConfigurationVersion: c.configurationVersion(), Eligible: c.isEligible(now), HasReceivedRequests: c.anyHostHasReceivedRequests(now), Stopping: c.stopping, ServerLoads: c.serverLoads(now), Queues: c.queueLengths(now),
+		ConfigurationVersion: c.configurationVersion(), Eligible: c.isEligible(now), HasReceivedRequests: c.anyHostHasReceivedRequests(now), Stopping: c.stopping, ServerLoads: c.serverLoads(now), Queues: c.queueLengths(now), Customers: c.reportedCustomers(now),
 	}
 	if c.stopping && c.ownClaim != 0 && c.ownClaim == c.knownClaim && c.claimHolder == c.self.ID {
 		if c.chosenSuccessor == "" {
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/apportioner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
@@ -23,6 +24,8 @@
 	Model   string
 	// Rank is the priority class of the request; 0 is the most urgent.
 	Rank int
+	// Customer is the customer that sends the request, "" for none.
+	Customer fuchsiapitch.CustomerName
 	// InputTokens is the length of the prompt, OutputTokens the expected length of the
 	// response.
 	InputTokens, OutputTokens int
@@ -359,8 +362,9 @@
 	Model   string
 	Rank    int
 	// Length is the number of queued requests, Arrivals the number of those that have
-	// arrived recently, in a cluster with relays.
-	Length, Arrivals int
+	// arrived recently, in a cluster with relays, and Returned the number of the latter that
+	// came back after a refusal.
+	Length, Arrivals, Returned int
 }
 
 // LeavingServer is one incarnation of a server that leaves. It is a plain record.
@@ -407,6 +411,8 @@
 	Stopping    bool
 	ServerLoads []ServerLoad
 	Queues      []Queue
+	// Customers are the customers with the most recent requests, in a cluster with relays.
+	Customers []apportioner.Arrivals
 	// Suspects are the servers that failed requests of the sender have named as the
 	// cause.
 	Suspects []fuchsiapitch.ServerID
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/admitter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/apportioner"
 )
 
 // In a small cluster every host sends its heartbeat to every other host. In a large one
@@ -82,8 +84,9 @@
 	announcedGroups  []GroupStatus
 	announcedVersion GroupsVersion
 	// remoteQueues is the number of requests that are queued at other hosts, and
-	// remoteArrivals the number of those that have arrived there recently.
-	remoteQueues, remoteArrivals map[queueKey]int
+	// remoteArrivals those that have arrived there recently.
+	remoteQueues   map[queueKey]int
+	remoteArrivals map[queueKey]admitter.Arrivals
 	// fewHosts is true if no more than maxDirectPeers of the known hosts live, which the host
 	// counts since fewHostsSince, 0 for not.
 	fewHosts      bool
@@ -91,7 +94,7 @@
 }
 
 func newRelayState() relayState {
-	return relayState{remoteQueues: make(map[queueKey]int), remoteArrivals: make(map[queueKey]int)}
+	return relayState{remoteQueues: make(map[queueKey]int), remoteArrivals: make(map[queueKey]admitter.Arrivals)}
 }
 
 // usesRelays reports whether the cluster is so large that heartbeats go through relays.
@@ -432,6 +435,7 @@
 		s.ServerLoads = append(s.ServerLoads, l)
 	}
 	s.Queues = append(s.Queues, o.Sender.Queues...)
+	s.Customers = append(s.Customers, o.Sender.Customers...)
 	s.Suspects = append(s.Suspects, o.Sender.Suspects...)
 	s.LeavingServers = append(s.LeavingServers, o.Sender.LeavingServers...)
 }
@@ -460,11 +464,13 @@
 		if n := len(queues); n > 0 && queues[n-1].Service == q.Service && queues[n-1].Model == q.Model && queues[n-1].Rank == q.Rank {
 			queues[n-1].Length += q.Length
 			queues[n-1].Arrivals += q.Arrivals
+			queues[n-1].Returned += q.Returned
 			continue
 		}
 		queues = append(queues, q)
 	}
 	s.Queues = queues
+	s.Customers = apportioner.Merge(s.Customers)
 	slices.Sort(s.Suspects)
 	s.Suspects = slices.Compact(s.Suspects)
 	s.LeavingServers = limitLeavingServers(s.LeavingServers, s.Sequence)
@@ -511,7 +517,11 @@
 	for _, q := range b.Queues {
 		k := queueKey{poolKey{q.Service, q.Model}, q.Rank}
 		c.remoteQueues[k] = max(0, c.remoteQueues[k]+sign*q.Length)
-		c.remoteArrivals[k] = max(0, c.remoteArrivals[k]+sign*q.Arrivals)
+		a := c.remoteArrivals[k]
+		c.remoteArrivals[k] = admitter.Arrivals{Rank: q.Rank, All: max(0, a.All+sign*q.Arrivals), Returned: max(0, a.Returned+sign*q.Returned)}
+	}
+	for _, a := range b.Customers {
+		c.remoteCustomers[a.Customer] = max(0, c.remoteCustomers[a.Customer]+sign*a.Count)
 	}
 }
 
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/admitter"
 )
 
 // replica is a server that accepts requests: the leader of an open group, or an
@@ -16,15 +17,8 @@
 	model            string
 	inSameDataCentre bool
 	slots            int
-	// timeFactor is the factor by which all times of the engine are multiplied for its
-	// model. readTokensPerSecond is the rate at which it reads prompts, before that
-	// factor.
-	timeFactor, readTokensPerSecond float64
-	// stepTime is the duration of a step without requests, stepTimePerRequest what each
-	// request adds to it. stepsPerEvent is the number of steps in a pass; a pass yields
-	// one event per stream.
-	stepTime, stepTimePerRequest time.Duration
-	stepsPerEvent                int
+	// speed is the speed of a model engine, apart from its slots.
+	speed admitter.Engine
 	// inFlight is the number of requests that this host has in flight at the replica,
 	// and unreadTokens the total prompt length of those whose response has not started.
 	// remoteInFlight and remoteUnreadTokens are the same sums over the other live
@@ -67,20 +61,22 @@
 // replica.
 func (r *replica) totalInFlight() int { return r.inFlight + r.remoteInFlight }
 
-// timeToReadWith returns the time to read all unread prompts and one more of the given
-// number of tokens.
-func (r *replica) timeToReadWith(promptTokens int) time.Duration {
-	return r.timeToRead(r.unreadTokens + r.remoteUnreadTokens + promptTokens)
-}
+// pool returns the pool of a replica.
+func (r *replica) pool() poolKey { return poolKey{r.service, r.model} }
 
-// timeToRead returns the time to read a number of prompt tokens.
-func (r *replica) timeToRead(tokens int) time.Duration {
-	if r.readTokensPerSecond <= 0 {
-		return 0
-	}
-	return time.Duration(float64(tokens) / r.readTokensPerSecond * max(r.timeFactor, 0.1) * float64(time.Second))
+// engine returns the speed of a replica with its slots.
+func (r *replica) engine() admitter.Engine {
+	e := r.speed
+	e.Slots = r.slots
+	return e
 }
 
+// isEngine reports whether a replica reads prompts at a known speed.
+func (r *replica) isEngine() bool { return r.speed.ReadTokensPerSecond > 0 }
+
+// allUnreadTokens returns the total length of the unread prompts at a replica.
+func (r *replica) allUnreadTokens() int { return r.unreadTokens + r.remoteUnreadTokens }
+
 // passTimeShare is the share of the longest acceptable pause that a pass may take. The
 // rest covers prompts that other hosts have sent and not announced yet, and the latency
 // of an event.
@@ -90,20 +86,18 @@
 // streams are to pause no longer than maxPause. An engine reads prompts in every step of
 // a pass, which delays the events of all its streams.
 func (r *replica) unreadTokenLimit(maxPause time.Duration) int {
-	if maxPause <= 0 || r.readTokensPerSecond <= 0 || r.stepsPerEvent <= 0 {
+	if maxPause <= 0 || !r.isEngine() || r.speed.StepsPerEvent <= 0 {
 		return math.MaxInt
 	}
-	timeFactor := max(r.timeFactor, 0.1)
-	pass := float64(r.stepsPerEvent) * float64(r.stepTime+time.Duration(r.totalInFlight())*r.stepTimePerRequest) * timeFactor
-	remaining := time.Duration(passTimeShare*float64(maxPause) - pass)
-	return int(max(0, remaining).Seconds() / timeFactor * r.readTokensPerSecond)
+	remaining := time.Duration(passTimeShare*float64(maxPause)) - r.speed.Pass(r.totalInFlight())
+	return r.speed.TokensIn(remaining)
 }
 
 // fitsPauseLimit reports whether a replica may get one more prompt if its streams are
 // to pause no longer than maxPause. A replica without unread prompts may get a prompt of
 // any length.
 func (r *replica) fitsPauseLimit(promptTokens int, maxPause time.Duration) bool {
-	unread := r.unreadTokens + r.remoteUnreadTokens
+	unread := r.allUnreadTokens()
 	return unread == 0 || unread+promptTokens <= r.unreadTokenLimit(maxPause)
 }
 
@@ -203,14 +197,20 @@
 	}
 	r.address, r.service, r.model, r.open = s.report.Address, s.report.Service, model, true
 	r.inSameDataCentre = s.report.DataCentre == c.dataCentre
-	r.slots, r.timeFactor = s.report.Slots, 1
+	r.slots, r.speed = s.report.Slots, admitter.Engine{TimeFactor: 1}
 	if p.Engine != nil {
-		r.slots, r.readTokensPerSecond = p.Engine.Slots, p.Engine.PrefillTokensPerSecond
-		r.stepTime, r.stepTimePerRequest, r.stepsPerEvent = p.Engine.StepTime, p.Engine.StepTimePerRequest, p.Engine.StepsPerEvent
+		r.slots = p.Engine.Slots
+		r.speed = admitter.Engine{
+			ReadTokensPerSecond: p.Engine.PrefillTokensPerSecond, TimeFactor: 1,
+			StepTime: p.Engine.StepTime, StepTimePerRequest: p.Engine.StepTimePerRequest, StepsPerEvent: p.Engine.StepsPerEvent,
+		}
 		if m, ok := p.Engine.Model(model); ok && m.TimeFactor > 0 {
-			r.timeFactor = m.TimeFactor
+			r.speed.TimeFactor = m.TimeFactor
 		}
 	}
+	if known, ok := c.pools[r.pool()]; ok {
+		known.SetEngine(r.engine())
+	}
 	return r
 }
 
@@ -231,6 +231,7 @@
 	}
 	clear(c.remoteQueues)
 	clear(c.remoteArrivals)
+	clear(c.remoteCustomers)
 	if c.usesRelays() {
 		c.addRelayedLoads(c.now)
 		return
--- a/internal/coordinator/shedding.go
+++ b/internal/coordinator/shedding.go
@@ -6,6 +6,9 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/admitter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/apportioner"
 )
 
 // In a large cluster a host learns of a free slot together with all other hosts, some
@@ -14,165 +17,190 @@
 // of every host. A queue at each host does not help: until a host hears of a free slot, its
 // requests are late. Therefore a host compares only two replicas that it draws at random,
 // and in an overload it admits requests by chance: all hosts work out from the same sums
-// which share of each rank the replicas can take, send that share at once and refuse the
-// rest at once.
+// which share of each rank the replicas can begin in time, and of it the part of each
+// customer, send those at once and refuse the rest at once.
 
 // comparedReplicas is the number of replicas that are drawn at random and compared for a
 // request. More bring the hosts closer to the same choice.
 const comparedReplicas = 2
 
-const (
-	// newsDelay is the time until all hosts know of a change. arrivalBucket is half of it:
-	// arrivals are counted in the current and the previous bucket.
-	newsDelay     = 2 * arrivalBucket
-	arrivalBucket = 200 * time.Millisecond
-	// arrivalWindow is the mean time for which the counts stand.
-	arrivalWindow = arrivalBucket + arrivalBucket/2
-	// admittedOccupancy is the ratio of requests in flight to slots at which an overload is
-	// held. An engine fills a freed slot at once with a request that it has queued.
-	admittedOccupancy = 1.08
-)
-
 // queueKey identifies the queued requests of one rank for the same replicas.
 type queueKey struct {
 	pool poolKey
 	rank int
 }
 
-// admissionShareState is the share of the requests that this host admits.
-type admissionShareState struct {
-	rng *rand.Rand
-	// admissionShares holds, for each pool and rank in an overload, the share of the
-	// requests that are admitted.
-	admissionShares map[queueKey]float64
-	// overloadedPools marks the pools in an overload.
-	overloadedPools map[poolKey]bool
-	// arrivals counts the requests of this host by rank.
-	arrivals map[queueKey]*recentArrivals
+// sheddingState holds the shares of the requests that this host admits.
+type sheddingState struct {
+	rng   *rand.Rand
+	pools map[poolKey]*admitter.Pool
+	// customers divides the share of a pool in an overload among the customers, and
+	// customerParts holds the parts by pool and rank.
+	customers     *apportioner.Apportioner
+	customerParts map[queueKey]apportioner.Parts
+	// remoteCustomers are the recent requests at the other hosts.
+	remoteCustomers map[apportioner.Key]int
+	overloadLogs    map[poolKey]overloadLog
 }
 
-// recentArrivals counts requests in two adjacent buckets of time.
-type recentArrivals struct {
-	bucket            int64
-	current, previous int
+// newSheddingState returns the state of a host. Its draws depend on the host alone.
+func newSheddingState(self Peer, incarnation int64) sheddingState {
+	h := fnv.New64a()
+	h.Write([]byte(self.ID))
+	return sheddingState{
+		rng:   rand.New(rand.NewPCG(h.Sum64(), uint64(incarnation))), //nolint:gosec // No secret depends on the draws.
+		pools: make(map[poolKey]*admitter.Pool), customers: apportioner.New(),
+		customerParts: make(map[queueKey]apportioner.Parts), remoteCustomers: make(map[apportioner.Key]int), overloadLogs: make(map[poolKey]overloadLog),
+	}
 }
 
-// advance moves to the bucket of a time.
-func (a *recentArrivals) advance(now time.Duration) {
-	bucket := int64(now / arrivalBucket)
-	switch bucket {
-	case a.bucket:
-		return
-	case a.bucket + 1:
-		a.previous = a.current
-	default:
-		a.previous = 0
+// poolOf returns what is known of a pool. One that no replica serves is not kept, since
+// clients choose the names of models.
+func (c *Coordinator) poolOf(k poolKey) *admitter.Pool {
+	if p, ok := c.pools[k]; ok {
+		return p
 	}
-	a.bucket, a.current = bucket, 0
+	p := admitter.NewPool(k.model != "")
+	for _, r := range c.replicas {
+		if r.serves(k) {
+			p.SetEngine(r.engine())
+			c.pools[k] = p
+			break
+		}
+	}
+	return p
 }
 
-// countArrival counts a request of a client.
-func (c *Coordinator) countArrival(now time.Duration, k queueKey) {
-	if !c.usesRelays() {
-		return
-	}
-	a, ok := c.arrivals[k]
-	if !ok {
-		a = &recentArrivals{}
-		c.arrivals[k] = a
+// arrivalOf describes a request to its pool.
+func (w *queuedRequest) arrivalOf() admitter.Arrival {
+	return admitter.Arrival{
+		Rank: w.Rank, Returned: w.ReturnedAfterRefusal || w.Resumed || w.IsRetry, Objective: w.FirstByteBy - w.arrivedAt, PromptTokens: w.InputTokens,
 	}
-	a.advance(now)
-	a.current++
 }
 
-// newAdmissionShareState returns the state of a host. Its draws depend on the host alone.
-func newAdmissionShareState(self Peer, incarnation int64) admissionShareState {
-	h := fnv.New64a()
-	h.Write([]byte(self.ID))
-	return admissionShareState{
-		rng:             rand.New(rand.NewPCG(h.Sum64(), uint64(incarnation))), //nolint:gosec // No secret depends on the draws.
-		admissionShares: make(map[queueKey]float64), overloadedPools: make(map[poolKey]bool), arrivals: make(map[queueKey]*recentArrivals),
+// countArrival counts a request of a client.
+func (c *Coordinator) countArrival(now time.Duration, w *queuedRequest) {
+	if c.usesRelays() {
+		c.poolOf(w.pool).Count(now, w.arrivalOf())
+		c.customers.Count(now, apportioner.KeyOf(w.Service, w.Customer))
 	}
 }
 
 // slotLimit returns the number of requests in flight up to which a replica may get one more.
-// In an overload few replicas seem to have a free slot, and would get the requests of all
-// hosts. As the hosts admit no more than the replicas can take, they then choose among all.
 func (c *Coordinator) slotLimit(r *replica) int {
-	limit := r.slots + c.queueDepth(r)
-	if c.overloadedPools[poolKey{r.service, r.model}] {
-		limit += r.slots / 2
+	if p, ok := c.pools[r.pool()]; ok && p.IsOverloaded() {
+		return p.InFlightLimit(r.slots)
 	}
-	return limit
+	return r.slots + c.queueDepth(r)
 }
 
-// isShed reports whether a new request is refused by chance, because more requests of its
-// rank arrive than the replicas can take. One that has been sent before, or comes back after
-// a refusal, is not.
+// isShed reports whether a request is refused by chance, because more requests of its rank
+// or its customer arrive than the replicas can begin in time. One that has been sent before
+// is not.
 func (c *Coordinator) isShed(w *queuedRequest) bool {
-	share, isOverloaded := c.admissionShares[queueKey{w.pool, w.Rank}]
-	return isOverloaded && !w.Resumed && !w.IsRetry && !w.ReturnedAfterRefusal && c.rng.Float64() >= share
+	p, ok := c.pools[w.pool]
+	if !ok || !p.IsOverloaded() || w.Resumed || w.IsRetry {
+		return false
+	}
+	part := c.customerParts[queueKey{w.pool, w.Rank}].Of(apportioner.KeyOf(w.Service, w.Customer))
+	return !p.Admits(w.arrivalOf(), part, c.rng.Float64())
+}
+
+// shedRetryAfter returns when there is room for a request that is shed.
+func (c *Coordinator) shedRetryAfter(now time.Duration, p poolKey) time.Duration {
+	return c.poolOf(p).RetryAfter(now, c.relayedHostCount(now), minRetryAfter, maxRetryAfter)
 }
 
-// updateAdmissionShares works out which share of the requests of each rank the replicas of
-// each pool can take, after news of loads and arrivals. The most urgent rank goes first.
+// updateAdmissionShares works out which share of the requests of each rank and customer the
+// replicas of each pool can begin in time, after news of loads and arrivals.
 func (c *Coordinator) updateAdmissionShares(now time.Duration) {
-	clear(c.admissionShares)
-	clear(c.overloadedPools)
-	if !c.usesRelays() {
-		return
-	}
-	demand := make(map[queueKey]float64)
-	for _, q := range c.queueLengths(now) {
-		demand[queueKey{poolKey{q.Service, q.Model}, q.Rank}] += float64(q.Arrivals) / arrivalWindow.Seconds()
+	clear(c.customerParts)
+	arrivals := make(map[poolKey][]admitter.Arrivals)
+	if c.usesRelays() {
+		for k, p := range c.pools {
+			arrivals[k] = p.Arrivals(now)
+		}
+		for _, k := range sortedQueueKeys(c.remoteArrivals) {
+			arrivals[k.pool] = append(arrivals[k.pool], c.remoteArrivals[k])
+		}
+		c.customers.Update(now, c.allCustomers(now))
 	}
-	for k, n := range c.remoteArrivals {
-		demand[k] += float64(n) / arrivalWindow.Seconds()
+	loads := c.poolLoads(now)
+	for k, p := range c.pools {
+		p.Update(loads[k], arrivals[k])
+		c.logOverload(now, k, p)
+		if !p.IsOverloaded() {
+			continue
+		}
+		for rank, s := range p.State().Shares {
+			c.customerParts[queueKey{k, rank}] = c.customers.Divide(s.New)
+		}
 	}
-	rates := c.acceptableRates(now)
-	total := make(map[poolKey]float64)
-	for k, rate := range demand {
-		total[k.pool] += rate
+}
+
+// allCustomers returns the recent requests of the customers at all hosts.
+func (c *Coordinator) allCustomers(now time.Duration) []apportioner.Arrivals {
+	counts := c.customers.Report(now)
+	for k, n := range c.remoteCustomers {
+		counts = append(counts, apportioner.Arrivals{Customer: k, Count: n})
 	}
-	for p, rate := range rates {
-		c.overloadedPools[p] = total[p] > rate
+	return apportioner.Merge(counts)
+}
+
+// reportedCustomers returns the recent requests of customers at this host, for the others.
+func (c *Coordinator) reportedCustomers(now time.Duration) []apportioner.Arrivals {
+	if !c.usesRelays() {
+		return nil
 	}
-	for _, k := range sortedQueueKeys(demand) {
-		if !c.overloadedPools[k.pool] {
+	return c.customers.Report(now)
+}
+
+// poolLoads sums the loads of the replicas that may get requests. One that is silent does
+// not begin any.
+func (c *Coordinator) poolLoads(now time.Duration) map[poolKey]admitter.Load {
+	loads := make(map[poolKey]admitter.Load)
+	for _, r := range c.replicas {
+		if !r.open || now < c.availableAt(r) || r.silentFor(now) > avoidanceSilence {
 			continue
 		}
-		c.admissionShares[k] = min(1, rates[k.pool]/max(demand[k], 1))
-		rates[k.pool] = max(0, rates[k.pool]-demand[k])
+		l := loads[r.pool()]
+		l.Replicas, l.Slots, l.InFlight = l.Replicas+1, l.Slots+r.slots, l.InFlight+r.totalInFlight()
+		loads[r.pool()] = l
 	}
+	return loads
 }
 
-// acceptableRates returns the requests per second that the replicas of each pool can take:
-// as many as they complete, and those for which slots are free, or less if they have more
-// requests than slots.
-func (c *Coordinator) acceptableRates(now time.Duration) map[poolKey]float64 {
-	slots, inFlight := make(map[poolKey]float64), make(map[poolKey]float64)
-	for _, r := range c.replicas {
-		if r.open && now >= c.availableAt(r) {
-			p := poolKey{r.service, r.model}
-			slots[p] += float64(r.slots)
-			inFlight[p] += float64(r.totalInFlight())
-		}
+// logOverload logs that a pool has become overloaded, or is no longer, at most once in
+// overloadLogInterval.
+func (c *Coordinator) logOverload(now time.Duration, k poolKey, p *admitter.Pool) {
+	last := c.overloadLogs[k]
+	if p.IsOverloaded() == last.isOverloaded || last.at > 0 && now-last.at < overloadLogInterval {
+		return
 	}
-	rates := make(map[poolKey]float64)
-	for p, n := range slots {
-		slotTime := max(c.slotTime(p), time.Millisecond).Seconds()
-		room := n*admittedOccupancy - inFlight[p]
-		rate := min(inFlight[p], n) / slotTime
-		if room > 0 {
-			rate += room / min(newsDelay.Seconds(), slotTime)
-		} else {
-			rate += room / slotTime
-		}
-		rates[p] = max(0, rate)
+	c.overloadLogs[k] = overloadLog{isOverloaded: p.IsOverloaded(), at: now}
+	s := p.State()
+	message := "pool can begin all requests in time again"
+	if p.IsOverloaded() {
+		message = "pool is overloaded, requests are refused"
 	}
-	return rates
+	c.emit(WriteLog{Message: message, Fields: map[string]any{
+		"service": string(k.service), "model": k.model, "rate": s.Rate, "demand": s.Demand, "in-flight": s.Load.InFlight, "slots": s.Load.Slots, "planned": s.Planned,
+		"first-event-ms": s.FirstEvent.Milliseconds(), "objective-ms": s.Objective.Milliseconds(), "excess-customers": len(c.customers.Excess(maxLoggedCustomers)),
+	}})
 }
 
+// overloadLogInterval is the shortest time between two log lines on the overload of a pool.
+const overloadLogInterval = time.Second
+
+// overloadLog is the last line on the overload of a pool.
+type overloadLog struct {
+	isOverloaded bool
+	at           time.Duration
+}
+
+// maxLoggedCustomers bounds the customers over their usual that are counted for the log.
+const maxLoggedCustomers = 8
+
 // sortedQueueKeys returns the keys in the order of pools and ranks.
 func sortedQueueKeys[V any](queues map[queueKey]V) []queueKey {
 	keys := make([]queueKey, 0, len(queues))
--- a/internal/coordinator/shedding_test.go
+++ b/internal/coordinator/shedding_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/admitter"
 )
 
 const (
@@ -37,7 +38,11 @@
 	l := &load{hc: hc, inFlight: make(map[fuchsiapitch.ServerID]int), countFrom: hc.now + simulatedWarmUp, until: until}
 	hc.onGrant = l.grant
 	for _, h := range hc.hosts {
-		h.coordinator.slotTimes[poolKey{service: plainService}] = simulatedServiceTime
+		pool := admitter.NewPool(false)
+		for range 200 {
+			pool.ObserveService(simulatedServiceTime)
+		}
+		h.coordinator.pools[poolKey{service: plainService}] = pool
 	}
 	var arrive func()
 	arrive = func() {
