coordinator: cold replicas count in what a pool can begin

They begin requests of the hosts that may send to them. A host without a share in a cold server saw less room in its pool than there is, and shed more.

--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -257,11 +257,16 @@
 // availableAt returns the time from which on a replica may get requests again after a
 // back-off or a pause, or because it is cold.
 func (c *Coordinator) availableAt(r *replica) time.Duration {
-	at := max(r.unavailableUntil, c.rampUntil(r))
+	return max(c.beginsAt(r), c.rampUntil(r))
+}
+
+// beginsAt returns the time from which on a replica begins requests again after a back-off or a
+// pause. A cold one begins those of the hosts that may send to it.
+func (c *Coordinator) beginsAt(r *replica) time.Duration {
 	if p, ok := c.pauses[r.server]; ok {
-		return max(at, p.returnsAt)
+		return max(r.unavailableUntil, p.returnsAt)
 	}
-	return at
+	return r.unavailableUntil
 }
 
 // pausedFor returns how long a server gets no requests because it asked for a pause.
--- a/internal/coordinator/shedding.go
+++ b/internal/coordinator/shedding.go
@@ -160,7 +160,7 @@
 func (c *Coordinator) poolLoads(now time.Duration) map[poolKey]admitter.Load {
 	loads := make(map[poolKey]admitter.Load)
 	for _, r := range c.replicas {
-		if !r.open || now < c.availableAt(r) || r.silentFor(now) > avoidanceSilence {
+		if !r.open || now < c.beginsAt(r) || r.silentFor(now) > avoidanceSilence {
 			continue
 		}
 		l := loads[r.pool()]
