--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -151,7 +151,7 @@
 	expectedWait, servable := c.expectedWait(now, w)
 	switch {
 	case !servable && !w.Resumed:
-		c.refuse(w, NoReplica, expectedWait)
+		c.refuse(w, c.noReplicaReason(w), expectedWait)
 		return
 	case servable && now+expectedWait > c.waitLimit(now, w) && !w.isLate:
 		// The request is queued behind those that can be in time.
--- a/internal/coordinator/evacuation.go
+++ b/internal/coordinator/evacuation.go
@@ -84,12 +84,22 @@
 	return ok && c.evacuations.IsEvacuated(s.report.DataCentre)
 }
 
+// noReplicaReason returns why no replica serves a request.
+func (c *Coordinator) noReplicaReason(w *queuedRequest) RefusalReason {
+	for id, r := range c.replicas {
+		if r.service == w.pool.service && r.model == w.pool.model && c.isEvacuated(id) {
+			return Evacuated
+		}
+	}
+	return NoReplica
+}
+
 // refuseWithoutReplica refuses the queued requests that no replica serves any more.
 func (c *Coordinator) refuseWithoutReplica(now time.Duration) {
 	var remaining []*queuedRequest
 	for _, w := range c.queue {
 		if expectedWait, servable := c.expectedWait(now, w); !servable && !w.Resumed {
-			c.refuse(w, NoReplica, expectedWait)
+			c.refuse(w, c.noReplicaReason(w), expectedWait)
 			continue
 		}
 		remaining = append(remaining, w)
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -317,6 +317,8 @@
 	Paused
 	// Quarantined means that requests with the same part in their prompts end servers.
 	Quarantined
+	// Evacuated means that no replica serves the service and model but in evacuated data centres.
+	Evacuated
 )
 
 // String returns the reason in kebab case.
@@ -334,6 +336,8 @@
 		return "paused"
 	case Quarantined:
 		return "quarantined"
+	case Evacuated:
+		return "evacuated"
 	}
 	return "invalid"
 }
