coordinator: a new controller keeps groups with members off the list

The controller is killed, and the next one, which has just started, reads a list without them. It took every group with a member that the list does not name for broken and closed it: of some 20 groups 5 were left, and their members were even formed into new ones. So a quarter of the servers off the list cost most of the capacity.

What members say of a formation is now put together by the package adopter. A formation with unknown members is kept if its leader is listed and open, and the table that the predecessor announced shows it as open (or there is none). Members are filled in when they are listed again. If all streams are silent for 1.5 s, as long as for a known member, it is taken apart. A formation that this controller has dissolved is not kept: its members are elsewhere (TestGroupOutlivesSilence). Groups whose leader is off the list still get no requests: an entry that is missing is to be treated as gone.

--- a/internal/coordinator/group.go
+++ b/internal/coordinator/group.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/adopter"
 )
 
 const (
@@ -32,7 +33,8 @@
 	service fuchsiapitch.ServiceName
 	domain  fuchsiapitch.FabricDomainName
 	model   string
-	// members are the servers in rank order, the leader (rank 0) first.
+	// members are the servers in rank order, the leader (rank 0) first, "" for those of an adopted
+	// formation that no report names.
 	members []fuchsiapitch.ServerID
 	size    int
 	// seenMembers are the members that have been reported to be in the formation.
@@ -56,6 +58,9 @@
 	// the formation last had loads that had not started.
 	mayStartLoads      bool
 	loadsLastPendingAt time.Duration
+	// silentSince is when an adopted formation with members that no report names began to send no
+	// byte, 0 if it sends some.
+	silentSince time.Duration
 	// nextProbeAt is the earliest time at which the members are probed again.
 	nextProbeAt time.Duration
 }
@@ -71,7 +76,9 @@
 // adoptReportedGroups adds the formations that servers report and that this host did
 // not plan.
 func (c *Coordinator) adoptReportedGroups(now time.Duration, servers []*server) {
-	var adopted map[fuchsiapitch.GroupRef]*group
+	var abandoned []fuchsiapitch.GroupRef
+	var reports []adopter.Report
+	var profile *fuchsiapitch.EngineProfile
 	for _, s := range servers {
 		id, m := s.report.ID, s.report.Membership
 		if m.Group.Name == "" {
@@ -81,48 +88,54 @@
 			if m.Rank != 0 || m.State != fuchsiapitch.MemberOpen || s.isLost() {
 				continue
 			}
-			// The leader has been unreachable and still accepts requests.
+			// The leader has been unreachable and still accepts requests. Its members are
+			// elsewhere.
 			delete(c.dissolved, m.Group)
+			abandoned = append(abandoned, m.Group)
 		}
 		if g, ok := c.groups[m.Group]; ok {
-			g.seenMembers[id] = g.seenMembers[id] || slices.Contains(g.members, id)
+			c.recordMember(g, id, m.Rank)
 			continue
 		}
-		p := c.engineProfile(s)
-		if p == nil {
-			continue
-		}
-		g, ok := adopted[m.Group]
-		if !ok {
-			g = &group{ref: m.Group, service: s.report.Service, domain: s.report.FabricDomain, createdAt: now, seenMembers: make(map[fuchsiapitch.ServerID]bool)}
-			if adopted == nil {
-				adopted = make(map[fuchsiapitch.GroupRef]*group)
+		if p := c.engineProfile(s); p != nil {
+			profile = p
+			r := adopter.Report{Server: id, Membership: m}
+			if len(s.report.LoadedModels) > 0 {
+				r.Model = s.report.LoadedModels[0]
 			}
-			adopted[m.Group] = g
-		}
-		if len(s.report.LoadedModels) > 0 {
-			g.model = s.report.LoadedModels[0]
-		}
-		for len(g.members) <= m.Rank {
-			g.members = append(g.members, "")
-		}
-		if m.Rank >= 0 {
-			g.members[m.Rank] = id
-			g.seenMembers[id] = true
-		}
-		if model, ok := p.Model(g.model); ok {
-			g.size = model.GroupSize
+			reports = append(reports, r)
 		}
 	}
-	for _, g := range adopted {
-		if len(g.members) == 0 || g.size == 0 && g.model == "" {
-			continue
+	sizeOf := func(name string) int {
+		m, _ := profile.Model(name)
+		return m.GroupSize
+	}
+	for _, f := range adopter.Adopt(reports, sizeOf) {
+		g := &group{ref: f.Ref, service: servers[0].report.Service, domain: servers[0].report.FabricDomain, model: f.Model, size: f.Size, members: f.Members, createdAt: now, seenMembers: make(map[fuchsiapitch.ServerID]bool)}
+		g.failed = !f.MayServe(!slices.Contains(abandoned, f.Ref) && c.wasAnnouncedOpen(f.Ref))
+		for _, id := range f.Members {
+			g.seenMembers[id] = id != ""
 		}
-		g.failed = g.size != len(g.members) || slices.Contains(g.members, "")
 		c.addGroup(g)
 	}
 }
 
+// wasAnnouncedOpen reports whether a formation is open by the newest known group table, or no table
+// is known. A new controller knows that of its predecessor.
+func (c *Coordinator) wasAnnouncedOpen(ref fuchsiapitch.GroupRef) bool {
+	return len(c.announcedGroups) == 0 || slices.ContainsFunc(c.announcedGroups, func(g GroupStatus) bool { return g.Ref == ref && g.Open })
+}
+
+// recordMember records that a server reports to be in a formation, also one that did not name all
+// members when it was adopted.
+func (c *Coordinator) recordMember(g *group, id fuchsiapitch.ServerID, rank int) {
+	if rank >= 0 && rank < len(g.members) && g.members[rank] == "" {
+		g.members[rank] = id
+		c.membershipCounts[id]++
+	}
+	g.seenMembers[id] = g.seenMembers[id] || slices.Contains(g.members, id)
+}
+
 // reconcileGroup performs the next step towards the desired state of a formation.
 func (c *Coordinator) reconcileGroup(now time.Duration, g *group) {
 	c.checkGroup(now, g)
@@ -181,6 +194,8 @@
 	for _, id := range g.members {
 		s, ok := c.servers[id]
 		switch {
+		case id == "":
+			c.checkUnknownMember(now, g)
 		case ok && c.mayRecover(now, g, s):
 			if !g.awaitsMember && !wasAwaiting {
 				c.log("group is kept for requests that cannot go on elsewhere", map[string]any{"group": g.ref.Name, logFieldServer: id})
@@ -212,6 +227,21 @@
 	}
 }
 
+// checkUnknownMember marks a formation as failed that may lack a member which no report names: all of
+// its streams have been silent for so long that a known member would count as lost.
+func (c *Coordinator) checkUnknownMember(now time.Duration, g *group) {
+	switch {
+	case !c.isOpen(g):
+		g.markFailed(c, "member is unknown", "")
+	case !c.isSilentToAllHosts(now, g.leader()):
+		g.silentSince = 0
+	case g.silentSince == 0:
+		g.silentSince = now
+	case now-g.silentSince >= silentServerTimeout:
+		g.markFailed(c, "unknown member is silent", "")
+	}
+}
+
 // mayRecover reports whether a lost member of a serving formation may respond again, and requests
 // depend on it that cannot continue elsewhere. A sound server may be silent for a second or so,
 // and may accept no connections meanwhile.
--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -153,6 +154,63 @@
 	}
 }
 
+// Pattern: servers are cut off from the store while they work, so that their entries lapse, and
+// then the controller is lost. The next one has never heard of these servers. The groups whose
+// leaders are listed must serve on.
+func TestNewControllerKeepsGroupsWithUnlistedMembers(t *testing.T) {
+	newCutSimulation := func(t *testing.T) (*simulation, map[fuchsiapitch.GroupRef]*simulatedEngine) {
+		t.Helper()
+		sm := newSimulation(5)
+		sm.startController()
+		sm.run(8 * time.Second)
+		leaders := make(map[fuchsiapitch.GroupRef]*simulatedEngine)
+		for _, id := range sm.engineOrder {
+			if e := sm.engines[id]; e.state == fuchsiapitch.MemberOpen {
+				leaders[e.group] = e
+				sm.engines[e.members[len(e.members)-1]].unlisted = true
+			}
+		}
+		if got, want := len(leaders), 4; got != want {
+			t.Fatalf("got %d open groups, want %d", got, want)
+		}
+		sm.run(2 * time.Second)
+		sm.coordinators[0] = nil
+		sm.startController()
+		return sm, leaders
+	}
+	t.Run("working members", func(t *testing.T) {
+		sm, leaders := newCutSimulation(t)
+		sm.run(3 * time.Second)
+		assertNoViolations(t, sm)
+		announced := make(map[fuchsiapitch.GroupRef]bool)
+		for _, g := range sm.coordinators[1].groupStatuses() {
+			announced[g.Ref] = g.Open
+		}
+		for ref, leader := range leaders {
+			if leader.group != ref || leader.state != fuchsiapitch.MemberOpen || !announced[ref] {
+				t.Errorf("got group %s in state %s, announced as open %v, want it open", ref.Name, leader.state, announced[ref])
+			}
+			sm.engines[leader.members[len(leader.members)-1]].unlisted = false
+		}
+		sm.run(4 * time.Second)
+		for ref := range leaders {
+			if g, ok := sm.coordinators[1].groups[ref]; !ok || slices.Contains(g.members, "") {
+				t.Errorf("got group %s without all members after they are listed again, want it whole", ref.Name)
+			}
+		}
+	})
+	t.Run("lost members", func(t *testing.T) {
+		sm, leaders := newCutSimulation(t)
+		sm.run(2 * time.Second)
+		for _, leader := range leaders {
+			sm.engines[leader.members[len(leader.members)-1]].dead = true
+		}
+		sm.run(14 * time.Second)
+		assertOpenGroups(t, sm, "d0", 1, 1)
+		assertOpenGroups(t, sm, "d1", 1, 1)
+	})
+}
+
 // killServers kills up to count servers of a domain that are members of a group of the
 // model, or of no group if it is "".
 func (sm *simulation) killServers(domain, model string, count int) {
--- a/internal/coordinator/step.go
+++ b/internal/coordinator/step.go
@@ -12,7 +12,10 @@
 func (c *Coordinator) assembleGroup(now time.Duration, g *group) {
 	ready := 0
 	for _, id := range g.members {
-		s := c.servers[id]
+		s, ok := c.servers[id]
+		if !ok {
+			return
+		}
 		if !s.isMemberOf(g.ref) {
 			c.joinGroup(now, g, s)
 			continue
