coordinator: a controller that starts again claims its old claim's successor at once

A host whose earlier process held the claim may claim again once it has read the store, but not if another host's heartbeat had told it the claim's number first: then it waited for the holder, itself, to time out. With hundreds of milliseconds until the first read that was the rule.

A subtest of TestElection is red without it.

--- a/internal/coordinator/controller.go
+++ b/internal/coordinator/controller.go
@@ -152,11 +152,11 @@
 		c.ownClaim, c.claimUnverified = e.Number, false
 	}
 	switch {
-	case e.Number == c.knownClaim:
-	case e.Holder == c.self.ID && e.Incarnation != c.incarnation:
+	case e.Holder == c.self.ID && e.Incarnation != c.incarnation && (e.Number > c.knownClaim || c.claimHolder == ""):
 		// The claim belongs to an earlier process of this host, so its holder counts as
-		// dead.
+		// dead, unless it has handed the claim over to a host that has been heard.
 		c.lastHolderContactAt = now - c.holderTimeout()
+	case e.Number == c.knownClaim:
 	default:
 		c.lastHolderContactAt = now
 	}
--- a/internal/coordinator/controller_test.go
+++ b/internal/coordinator/controller_test.go
@@ -122,6 +122,17 @@
 			t.Error("got a claim, want none")
 		}
 	})
+	t.Run("at once for the claim of the previous incarnation, also after another host has told its number", func(t *testing.T) {
+		_, member := newPair(now)
+		restarted := New(Peer{ID: "a"}, 2)
+		restarted.Apply(0, ConfigurationChanged{Routes: newDefaultRoutes()})
+		restarted.Apply(electionDelay, ServersListed{})
+		deliverHeartbeat(now, member, restarted)
+		restarted.Apply(electionDelay, ClaimRead{Number: 7, Holder: "a", Incarnation: 1})
+		if !claimsControl(restarted.Apply(electionDelay, Ticked{})) {
+			t.Error("got no claim, want one")
+		}
+	})
 	t.Run("not at once after a store outage", func(t *testing.T) {
 		other.Apply(now+3*time.Second, StoreReadFailed{})
 		other.Apply(now+4*time.Second, ServersListed{})
