coordinator: a group whose leader lost the store is formed again with the servers it has

A server whose entry lapsed gets no requests (its entry that stays missing is to be treated as gone), so a group led by it serves nobody. The choice of members is the package selector.

--- a/internal/coordinator/form.go
+++ b/internal/coordinator/form.go
@@ -1,12 +1,12 @@
 package coordinator
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/selector"
 )
 
 // formGroups plans new formations from the free servers of a domain.
@@ -25,7 +25,9 @@
 		if !ok {
 			return
 		}
-		c.formGroup(now, service, domain, model, free)
+		if !c.formGroup(now, service, domain, model, free) {
+			return
+		}
 	}
 }
 
@@ -57,7 +59,7 @@
 func (c *Coordinator) freeServers(now time.Duration, servers []*server) []*server {
 	var free []*server
 	for _, s := range servers {
-		if !s.isUsable() || c.isGroupMember(s.report.ID) {
+		if !s.isUsable() && !c.mayJoinUnlisted(s) || c.isGroupMember(s.report.ID) {
 			continue
 		}
 		if s.lastResponseAt < c.controllerSince {
@@ -74,6 +76,12 @@
 	return free
 }
 
+// mayJoinUnlisted reports whether a server that is off the list may still be a member of a new group:
+// it holds a model, and has answered and been healthy since. It may be cut off from the store alone.
+func (c *Coordinator) mayJoinUnlisted(s *server) bool {
+	return !s.listed && !c.listStale && s.lastModel != "" && !s.isLeaving() && !s.replaced && s.consecutiveFailures == 0 && s.lastResponseAt > s.unlistedAt
+}
+
 // canReleaseLeader reports whether the leader of a server's last formation is idle, so
 // that it can leave that formation before the server joins another.
 func (c *Coordinator) canReleaseLeader(s *server) bool {
@@ -92,38 +100,33 @@
 // isGroupMember reports whether a server is a member of a current formation.
 func (c *Coordinator) isGroupMember(id fuchsiapitch.ServerID) bool { return c.membershipCounts[id] > 0 }
 
-// formGroup plans one formation. It prefers the servers that can join soonest. A member
-// of an earlier formation with an idle leader can join only once that leader has joined
+// formGroup plans one formation of the servers that can join soonest, and reports whether it did. A
+// member of an earlier formation with an idle leader can join only once that leader has joined
 // the new formation or has been ordered to leave the old one.
-func (c *Coordinator) formGroup(now time.Duration, service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, model fuchsiapitch.Model, free []*server) {
-	slices.SortStableFunc(free, func(a, b *server) int {
-		return cmp.Compare(c.joinTime(a, model.Name)+c.displacementPenalty(a, model.Name), c.joinTime(b, model.Name)+c.displacementPenalty(b, model.Name))
-	})
-	chosen := free[:model.GroupSize]
+func (c *Coordinator) formGroup(now time.Duration, service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, model fuchsiapitch.Model, free []*server) bool {
+	candidates := make([]selector.Candidate, len(free))
+	for n, s := range free {
+		candidates[n] = selector.Candidate{
+			Server: s.report.ID, JoinTime: c.joinTime(s, model.Name) + c.displacementPenalty(s, model.Name),
+			Listed: s.listed, Leads: c.leaders[s.report.Membership.Group] == s.report.ID,
+		}
+	}
+	members := selector.Select(candidates, model.GroupSize)
+	if members == nil {
+		return false
+	}
 	g := &group{
 		service: service, domain: domain, model: model.Name, size: model.GroupSize, createdAt: now,
 		seenMembers: make(map[fuchsiapitch.ServerID]bool),
-		ref:         fuchsiapitch.GroupRef{Epoch: c.nextEpoch()},
+		ref:         fuchsiapitch.GroupRef{Epoch: c.nextEpoch()}, members: members,
 	}
 	g.ref.Name = fuchsiapitch.GroupID(fmt.Sprintf("g%d", g.ref.Epoch))
-	leader := chosen[0]
-	for _, s := range chosen {
-		if c.leaders[s.report.Membership.Group] == s.report.ID {
-			leader = s
-			break
-		}
-	}
-	g.members = append(g.members, leader.report.ID)
-	for _, s := range chosen {
-		if s != leader {
-			g.members = append(g.members, s.report.ID)
-		}
-	}
 	c.addGroup(g)
 	c.groupsAwaitLoads = c.groupsAwaitLoads || c.pendingLoads(g) > 0
-	c.leaders[g.ref] = leader.report.ID
+	c.leaders[g.ref] = g.leader()
 	c.log("group is formed", map[string]any{"group": g.ref.Name, "model": g.model, "domain": domain, "members": g.members})
 	c.assembleGroup(now, g)
+	return true
 }
 
 // displacementPenalty returns what is added to the join time of a server that has
--- a/internal/coordinator/group.go
+++ b/internal/coordinator/group.go
@@ -282,16 +282,22 @@
 }
 
 // canReform reports whether the domain of a group has enough usable servers to form it
-// again. If it has not, its servers may merely be unable to reach the list.
+// again: a listed one to lead it, and others that may be members of the group which are off the list
+// as well. If it has not, its servers may merely be unable to reach the list.
 func (c *Coordinator) canReform(g *group) bool {
-	usable := 0
+	usable, listed := 0, 0
 	c.indexDomains()
 	for _, s := range c.domains[domainKey{g.service, g.domain}] {
-		if id := s.report.ID; s.isUsable() && (slices.Contains(g.members, id) || !c.isGroupMember(id)) {
+		isMember := slices.Contains(g.members, s.report.ID)
+		switch {
+		case s.isUsable() && (isMember || !c.isGroupMember(s.report.ID)):
+			usable++
+			listed++
+		case isMember && c.mayJoinUnlisted(s):
 			usable++
 		}
 	}
-	return usable >= g.size
+	return usable >= g.size && listed > 0
 }
 
 // maxResponseAge is the maximum age of a response that proves a server reachable.
--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -211,6 +211,34 @@
 	})
 }
 
+// Pattern: the leaders of groups are cut off from the store while they work, with so many other servers
+// that the rest of the domain is too few. A server that is off the list gets no requests. The group must
+// serve again with another leader, and the one that is cut off as a member.
+func TestGroupGetsLeaderThatIsListed(t *testing.T) {
+	sm := newSimulation(5)
+	sm.startController()
+	sm.run(8 * time.Second)
+	cut := 0
+	for _, id := range sm.engineOrder {
+		e := sm.engines[id]
+		if e.state == fuchsiapitch.MemberOpen || e.group.Name == "" || e.group.Name[0] == 'w' {
+			e.unlisted = true
+			cut++
+		}
+	}
+	if got, want := cut, 8; got < want {
+		t.Fatalf("got %d servers off the list, want %d leaders and spares", got, want)
+	}
+	sm.run(8 * time.Second)
+	assertOpenGroups(t, sm, "d0", 1, 1)
+	assertOpenGroups(t, sm, "d1", 1, 1)
+	for _, id := range sm.engineOrder {
+		if e := sm.engines[id]; e.state == fuchsiapitch.MemberOpen && e.unlisted {
+			t.Errorf("got %s as the leader of %s, want a listed one", id, e.group.Name)
+		}
+	}
+}
+
 // killServers kills up to count servers of a domain that are members of a group of the
 // model, or of no group if it is "".
 func (sm *simulation) killServers(domain, model string, count int) {
