confiner: requests stay in the regions that their route and customer allow

The configuration's allowed_regions of routes and customers were not read: a request went to any server of its service. The home of a request is now the regions that both allow; replicas elsewhere get none of its attempts, and where no region can serve it, it is refused at once with 503. Queues, expected waits and the queue lengths in heartbeats follow the homes; a queue in one region delays no request of another. Without such lists nothing changes.

--- a/identifiers.go
+++ b/identifiers.go
@@ -28,6 +28,9 @@
 // DataCentreName is the name of a data centre.
 type DataCentreName string
 
+// RegionName is the name of a region, a set of data centres.
+type RegionName string
+
 // FabricDomainName is the name of a set of hosts that are connected by the same fast
 // network fabric.
 type FabricDomainName string
--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
@@ -86,6 +87,7 @@
 type assignment struct {
 	replica         *replica
 	pool            poolKey
+	home            confiner.Home
 	promptTokens    int
 	grantedAt       time.Duration
 	responseStarted bool
@@ -109,6 +111,7 @@
 type queuedRequest struct {
 	RequestArrived
 	pool      poolKey
+	home      confiner.Home
 	arrivedAt time.Duration
 	// isLate is true if the first byte can no longer arrive by FirstByteBy.
 	isLate bool
@@ -129,7 +132,10 @@
 // exceed the retry budget, a new request is refused at once. A resumed stream is queued, because
 // a refusal would break off a response that its client has begun to receive.
 func (c *Coordinator) admit(now time.Duration, e RequestArrived) {
-	w := &queuedRequest{RequestArrived: e, pool: poolKey{e.Service, e.Model}, arrivedAt: now}
+	w := &queuedRequest{RequestArrived: e, pool: poolKey{e.Service, e.Model}, home: c.regions.Narrow(e.Home), arrivedAt: now}
+	if c.refuseHomeless(w) {
+		return
+	}
 	if c.passesQuarantine(now, w) {
 		c.admitChecked(now, w)
 	}
@@ -149,7 +155,7 @@
 		}
 		w.awaitsRetry = true
 	}
-	if c.isShed(w) {
+	if w.home == confiner.Anywhere && c.isShed(w) {
 		c.refuse(w, Overloaded, c.slotTime(w.pool))
 		return
 	}
@@ -165,7 +171,7 @@
 	expectedWait, servable := c.expectedWait(now, w)
 	switch {
 	case !servable && !w.Resumed:
-		c.refuse(w, NoReplica, expectedWait)
+		c.refuse(w, c.unservableReason(w), expectedWait)
 		return
 	case servable && now+expectedWait > c.waitLimit(now, w) && !w.isLate:
 		// The request is queued behind those that can be in time.
@@ -248,7 +254,7 @@
 
 // precedes reports whether a queued request gets a slot of the same replicas before another one.
 func (w *queuedRequest) precedes(other *queuedRequest) bool {
-	return w.pool == other.pool && !w.awaitsRetry && compareQueued(w, other) <= 0
+	return w.pool == other.pool && w.home.Overlaps(other.home) && !w.awaitsRetry && compareQueued(w, other) <= 0
 }
 
 // slotTime returns the mean time for which a request occupies a slot.
@@ -269,7 +275,7 @@
 	availableIn := time.Duration(math.MaxInt64)
 	for _, r := range c.replicas {
 		switch {
-		case !r.serves(w.pool):
+		case !r.serves(w.pool) || !c.mayUse(w.home, r):
 		case now < c.availableAt(r):
 			availableIn = min(availableIn, c.availableAt(r)-now)
 			isPaused = isPaused || c.pausedFor(now, r.server) > 0
@@ -294,6 +300,7 @@
 			queuedAhead += n
 		}
 	}
+	queuedAhead -= c.queuedElsewhere(w)
 	backlog := max(0, inFlight-slots) + queuedAhead + 1
 	return time.Duration(float64(c.slotTime(w.pool)) * float64(backlog) / float64(slots)), true
 }
@@ -312,14 +319,14 @@
 // chooseReplica returns the replica with the lowest cost, or nil if none has a free
 // slot.
 func (c *Coordinator) chooseReplica(now time.Duration, w *queuedRequest) *replica {
-	return c.chooseAmong(now, w, c.freeReplicas(now, w.pool))
+	return c.chooseAmong(now, w, c.freeReplicas(now, w.confined()))
 }
 
-// freeReplicas returns the replicas of a pool that may get a request now.
-func (c *Coordinator) freeReplicas(now time.Duration, p poolKey) []*replica {
+// freeReplicas returns the replicas of a pool, in the home, that may get a request now.
+func (c *Coordinator) freeReplicas(now time.Duration, p confinedPool) []*replica {
 	var free []*replica
 	for _, id := range sortedKeys(c.replicas) {
-		if r := c.replicas[id]; r.serves(p) && c.isFree(now, r) {
+		if r := c.replicas[id]; r.serves(p.pool) && c.mayUse(p.home, r) && c.isFree(now, r) {
 			free = append(free, r)
 		}
 	}
@@ -398,7 +405,7 @@
 // grant assigns a slot of a replica to a request.
 func (c *Coordinator) grant(now time.Duration, w *queuedRequest, r *replica) {
 	a := &assignment{
-		replica: r, pool: w.pool, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove,
+		replica: r, pool: w.pool, home: w.home, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove,
 		incarnation: c.incarnationOf(r.server), parts: w.Parts, isPermitted: w.isPermitted,
 	}
 	if a.isPermitted {
@@ -437,7 +444,7 @@
 func (c *Coordinator) dispatchQueue(now time.Duration) {
 	c.demoteLate(now)
 	remaining := c.queue[:0]
-	fullPools, freeReplicas := make(map[poolKey]bool), make(map[poolKey][]*replica)
+	fullPools, freeReplicas := make(map[confinedPool]bool), make(map[confinedPool][]*replica)
 	soonestReturns := c.soonestReturns(now)
 	for _, w := range c.queue {
 		if now > c.waitLimit(w.arrivedAt, w) || now >= w.Deadline {
@@ -451,17 +458,17 @@
 		if w.awaitsRetry && c.takeRetry(now, w.Service) {
 			w.awaitsRetry = false
 		}
-		if !w.awaitsRetry && !fullPools[w.pool] {
-			free, isKnown := freeReplicas[w.pool]
+		if !w.awaitsRetry && !fullPools[w.confined()] {
+			free, isKnown := freeReplicas[w.confined()]
 			if !isKnown {
-				free = c.freeReplicas(now, w.pool)
-				freeReplicas[w.pool] = free
+				free = c.freeReplicas(now, w.confined())
+				freeReplicas[w.confined()] = free
 			}
 			if r := c.chooseAmong(now, w, free); r != nil {
 				c.grant(now, w, r)
 				continue
 			}
-			fullPools[w.pool] = !w.avoidsFailedNow(now)
+			fullPools[w.confined()] = !w.avoidsFailedNow(now)
 		}
 		remaining = append(remaining, w)
 	}
@@ -567,7 +574,7 @@
 func (c *Coordinator) queueLengths(now time.Duration) []Queue {
 	counts := make(map[queueKey]int)
 	for _, w := range c.queue {
-		if !w.awaitsRetry {
+		if !w.awaitsRetry && w.home == confiner.Anywhere {
 			counts[queueKey{w.pool, w.Rank}]++
 		}
 	}
@@ -584,5 +591,5 @@
 		}
 		queues = append(queues, q)
 	}
-	return queues
+	return append(queues, c.confinedQueueLengths()...)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -68,6 +68,7 @@
 	admissionShareState
 	noticeState
 	crashState
+	homeState
 }
 
 // peer is the last known state of another host. hasHeartbeat is true once a heartbeat
@@ -118,7 +119,7 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), noticeState: newNoticeState(), crashState: newCrashState(self),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), noticeState: newNoticeState(), crashState: newCrashState(self), homeState: newHomeState(),
 	}
 	for _, o := range options {
 		o(c)
@@ -173,7 +174,7 @@
 	case ClaimRead:
 		c.applyClaim(now, e)
 	case LimitsChanged:
-		c.stallTimeout = e.StallTimeout
+		c.stallTimeout, c.regions = e.StallTimeout, e.Regions
 		c.retryRatio, c.retrySlack, c.retryWindow = e.RetryRatio, e.RetrySlack, e.RetryWindow
 	case HostStopping:
 		c.stopping = true
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
@@ -23,6 +24,8 @@
 	Model   string
 	// Rank is the priority class of the request; 0 is the most urgent.
 	Rank int
+	// Home is the set of regions whose replicas may get the request.
+	Home confiner.Home
 	// InputTokens is the length of the prompt, OutputTokens the expected length of the
 	// response.
 	InputTokens, OutputTokens int
@@ -155,6 +158,8 @@
 	// RetryRatio, RetrySlack and RetryWindow bound the retries of all hosts together.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// Regions are the regions of the data centres.
+	Regions confiner.Regions
 }
 
 // HostStopping reports that the host is about to stop.
@@ -310,6 +315,8 @@
 	Paused
 	// Quarantined means that requests with the same part in their prompts end servers.
 	Quarantined
+	// NoHome means that replicas serve the request only in regions that it may not use.
+	NoHome
 )
 
 // String returns the reason in kebab case.
@@ -327,6 +334,8 @@
 		return "paused"
 	case Quarantined:
 		return "quarantined"
+	case NoHome:
+		return "no-home"
 	}
 	return "invalid"
 }
@@ -358,6 +367,8 @@
 	Service fuchsiapitch.ServiceName
 	Model   string
 	Rank    int
+	// Home is the set of regions to which the queued requests are confined.
+	Home confiner.Home
 	// Length is the number of queued requests, Arrivals the number of those that have
 	// arrived recently, in a cluster with relays.
 	Length, Arrivals int
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -452,12 +452,10 @@
 		loads = append(loads, l)
 	}
 	s.ServerLoads = loads
-	slices.SortFunc(s.Queues, func(a, b Queue) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Rank, b.Rank))
-	})
+	slices.SortFunc(s.Queues, compareQueues)
 	queues := s.Queues[:0]
 	for _, q := range s.Queues {
-		if n := len(queues); n > 0 && queues[n-1].Service == q.Service && queues[n-1].Model == q.Model && queues[n-1].Rank == q.Rank {
+		if n := len(queues); n > 0 && compareQueues(queues[n-1], q) == 0 {
 			queues[n-1].Length += q.Length
 			queues[n-1].Arrivals += q.Arrivals
 			continue
@@ -510,6 +508,7 @@
 	}
 	for _, q := range b.Queues {
 		k := queueKey{poolKey{q.Service, q.Model}, q.Rank}
+		c.addConfinedQueue(q, sign)
 		c.remoteQueues[k] = max(0, c.remoteQueues[k]+sign*q.Length)
 		c.remoteArrivals[k] = max(0, c.remoteArrivals[k]+sign*q.Arrivals)
 	}
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -231,6 +231,7 @@
 	}
 	clear(c.remoteQueues)
 	clear(c.remoteArrivals)
+	clear(c.confinedQueues)
 	if c.usesRelays() {
 		c.addRelayedLoads(c.now)
 		return
--- a/internal/coordinator/revocation.go
+++ b/internal/coordinator/revocation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 )
 
 // A stream whose server is silent may go on at another server, within the retry budget. It is
@@ -62,14 +63,14 @@
 // canMove reports whether a request may be sent to another server now: an attempt and a retry
 // are left, and another server works.
 func (c *Coordinator) canMove(now time.Duration, a *assignment) bool {
-	return a.mayMove && c.mayRetry(now, a.pool.service) && c.hasAlternative(now, a.replica)
+	return a.mayMove && c.mayRetry(now, a.pool.service) && c.hasAlternative(now, a.replica, a.home)
 }
 
-// hasAlternative reports whether another replica accepts the requests of a replica and is not
-// silent as well.
-func (c *Coordinator) hasAlternative(now time.Duration, r *replica) bool {
+// hasAlternative reports whether another replica accepts the requests of a replica with a home and
+// is not silent as well.
+func (c *Coordinator) hasAlternative(now time.Duration, r *replica, home confiner.Home) bool {
 	for id, o := range c.replicas {
-		if o != r && o.serves(poolKey{r.service, r.model}) && now >= c.availableAt(o) && !c.isSilentToAllHosts(now, id) {
+		if o != r && o.serves(poolKey{r.service, r.model}) && c.mayUse(home, o) && now >= c.availableAt(o) && !c.isSilentToAllHosts(now, id) {
 			return true
 		}
 	}
@@ -97,7 +98,7 @@
 		}
 	}
 	for r, n := range movable {
-		if c.hasAlternative(now, r) {
+		if c.hasAlternative(now, r, confiner.Anywhere) {
 			n -= c.freeRetries(now, r.service)
 		}
 		pinned[r] += max(0, n)
--- a/internal/driver/heartbeat.go
+++ b/internal/driver/heartbeat.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/encoder/wire"
 )
@@ -66,7 +67,7 @@
 		})
 	}
 	for _, q := range b.Queues {
-		w.Queues = append(w.Queues, &wire.ReplicaQueue{Service: string(q.Service), Model: q.Model, Rank: toUint32(q.Rank), Length: toUint32(q.Length), Arrivals: toUint32(q.Arrivals)})
+		w.Queues = append(w.Queues, &wire.ReplicaQueue{Service: string(q.Service), Model: q.Model, Rank: toUint32(q.Rank), Length: toUint32(q.Length), Arrivals: toUint32(q.Arrivals), Home: string(q.Home)})
 	}
 	for _, s := range b.Suspects {
 		w.Suspects = append(w.Suspects, string(s))
@@ -96,7 +97,11 @@
 		})
 	}
 	for _, q := range w.GetQueues() {
-		b.Queues = append(b.Queues, coordinator.Queue{Service: fuchsiapitch.ServiceName(q.GetService()), Model: q.GetModel(), Rank: int(q.GetRank()), Length: int(q.GetLength()), Arrivals: int(q.GetArrivals())})
+		home, ok := confiner.Parse(q.GetHome())
+		if !ok {
+			continue
+		}
+		b.Queues = append(b.Queues, coordinator.Queue{Service: fuchsiapitch.ServiceName(q.GetService()), Model: q.GetModel(), Rank: int(q.GetRank()), Length: int(q.GetLength()), Arrivals: int(q.GetArrivals()), Home: home})
 	}
 	for _, s := range w.GetSuspects() {
 		b.Suspects = append(b.Suspects, fuchsiapitch.ServerID(s))
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -150,7 +150,7 @@
 	h.pacedStore = pacer.New(h.storeClient)
 	c := coordinator.New(h.self, h.startedUnixMillis,
 		coordinator.WithStallTimeout(settings.StallTimeout), coordinator.WithDataCentre(settings.DataCentre),
-		coordinator.WithRetryBudget(settings.RetryRatio, settings.RetrySlack, settings.RetryWindow),
+		coordinator.WithRegions(settings.Regions), coordinator.WithRetryBudget(settings.RetryRatio, settings.RetrySlack, settings.RetryWindow),
 	)
 	h.driver = driver.New(ctx, c, platform.NewServerClient(singleUseTransport, platform.WithLogger(logs.For("conductor")), platform.WithNoticeHandler(func(server fuchsiapitch.ServerID, notice fuchsiapitch.ServerNotice) {
 		h.driver.RecordNotice(server, "", notice)
--- a/internal/platformassembler/settings.go
+++ b/internal/platformassembler/settings.go
@@ -69,7 +69,7 @@
 	h.settings.Store(&newSettings)
 	h.storeClient.SetAddress(newSettings.StoreAddress)
 	h.driver.Apply(coordinator.LimitsChanged{
-		StallTimeout: newSettings.StallTimeout, RetryRatio: newSettings.RetryRatio, RetrySlack: newSettings.RetrySlack, RetryWindow: newSettings.RetryWindow,
+		StallTimeout: newSettings.StallTimeout, RetryRatio: newSettings.RetryRatio, RetrySlack: newSettings.RetrySlack, RetryWindow: newSettings.RetryWindow, Regions: newSettings.Regions,
 	})
 	h.log.Info().Str("store", newSettings.StoreAddress).Msg("settings reloaded")
 }
--- a/internal/platformassembler/status.go
+++ b/internal/platformassembler/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 )
 
@@ -77,6 +78,7 @@
 type queueStatus struct {
 	Service string `json:"service"`
 	Model   string `json:"model,omitempty"`
+	Home    string `json:"home,omitempty"`
 	Waiting int    `json:"waiting"`
 }
 
@@ -150,7 +152,11 @@
 		})
 	}
 	for _, q := range v.Queues {
-		body.Queues = append(body.Queues, queueStatus{Service: string(q.Service), Model: q.Model, Waiting: q.Length})
+		status := queueStatus{Service: string(q.Service), Model: q.Model, Waiting: q.Length}
+		if q.Home != confiner.Anywhere {
+			status.Home = q.Home.String()
+		}
+		body.Queues = append(body.Queues, status)
 	}
 	for _, p := range v.QuarantinedParts {
 		body.QuarantinedParts = append(body.QuarantinedParts, p.String())
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -18,6 +18,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
@@ -315,7 +316,7 @@
 		model = ""
 	}
 	slot, err := x.relayer.admitter.Acquire(x.ctx, coordinator.RequestArrived{
-		Service: x.service, Model: model, Rank: x.rank(),
+		Service: x.service, Model: model, Rank: x.rank(), Home: confiner.Confine(x.route.AllowedRegions, x.routes.CustomerRegions(x.principal.Customer)),
 		InputTokens: x.metadata.PromptTokens, OutputTokens: x.metadata.MaxOutputTokens,
 		FirstByteBy: x.relayer.admitter.SinceStart(x.receivedAt.Add(latencyTarget - x.priorElapsed())), Deadline: x.relayer.admitter.SinceStart(x.deadline),
 		MaxPause:             x.route.InterEventTarget,
--- a/internal/standin/platform/installation.go
+++ b/internal/standin/platform/installation.go
@@ -155,7 +155,7 @@
 		return "", "", "", err
 	}
 	data, err := json.Marshal(map[string]any{
-		"node_id": host, "ip": "127.0.0.1", "zone": "z1", "listen": map[string]any{"front": clientAddress, "ready": readinessAddress},
+		"node_id": host, "ip": "127.0.0.1", "zone": "z1", "region": "r1", "zones": map[string]string{"z1": "r1", "z2": "r2"}, "listen": map[string]any{"front": clientAddress, "ready": readinessAddress},
 		"port_range": []int{peerPort, peerPort}, "provider": map[string]any{"address": endpoint.Address()},
 		"limits": map[string]any{"memory_mb": 284},
 		"bounds": map[string]any{"stall_ms": stallTimeout.Milliseconds(), "drain_ms": drainLimit.Milliseconds(), "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 100, "budget_window_s": 10},
--- a/route.go
+++ b/route.go
@@ -57,6 +57,8 @@
 	// Resumable reports whether a stream may continue at another replica after the last
 	// event that was received.
 	Resumable bool
+	// AllowedRegions are the regions whose servers may get the requests, empty for all.
+	AllowedRegions []RegionName
 }
 
 // Principal is the customer that an API key authenticates.
@@ -151,11 +153,21 @@
 	principalsByKey map[string]Principal
 	keyRequired     bool
 	limits          ClientLimits
+	customerRegions map[CustomerName][]RegionName
+}
+
+// RouteTableOption sets one optional property of a route table.
+type RouteTableOption func(*RouteTable)
+
+// WithCustomerRegions sets the regions whose servers may get the requests of customers. Those
+// without an entry may use all.
+func WithCustomerRegions(regions map[CustomerName][]RegionName) RouteTableOption {
+	return func(t *RouteTable) { t.customerRegions = regions }
 }
 
 // NewRouteTable returns a route table. If keyRequired is false, clients need no key
 // on any route.
-func NewRouteTable(version int64, routes []HostRoute, services []ServiceProfile, principalsByKey map[string]Principal, keyRequired bool, limits ClientLimits) *RouteTable {
+func NewRouteTable(version int64, routes []HostRoute, services []ServiceProfile, principalsByKey map[string]Principal, keyRequired bool, limits ClientLimits, options ...RouteTableOption) *RouteTable {
 	t := &RouteTable{
 		version: version, routesByHost: make(map[string][]HostRoute),
 		services:        make(map[ServiceName]ServiceProfile, len(services)),
@@ -170,6 +182,9 @@
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
+	for _, o := range options {
+		o(t)
+	}
 	return t
 }
 
@@ -202,6 +217,10 @@
 	return HostRoute{}, false
 }
 
+// CustomerRegions returns the regions whose servers may get the requests of a customer, empty for
+// all. Callers must not change the slice.
+func (t *RouteTable) CustomerRegions(name CustomerName) []RegionName { return t.customerRegions[name] }
+
 // KeyRequired reports whether requests on routes that are not public need a key.
 func (t *RouteTable) KeyRequired() bool { return t.keyRequired }
 
