--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -5,7 +5,9 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/evacuator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/ramper"
 )
 
 // Ticket identifies a request for a slot, from its arrival to its release, within one
@@ -160,6 +162,8 @@
 	RetryWindow            time.Duration
 	// Regions are the regions of the data centres.
 	Regions confiner.Regions
+	// ColdOver and ColdSlack bound the requests of all hosts to a cold server.
+	ColdOver, ColdSlack float64
 }
 
 // HostStopping reports that the host is about to stop.
@@ -424,6 +428,10 @@
 	// LeavingServers are servers that have lately stated to the sender that they leave, at
 	// most maxLeavingServers.
 	LeavingServers []LeavingServer
+	// Evacuations are the data centres that the operator has evacuated or taken back, and
+	// ColdServers the servers that are cold, as far as the sender knows.
+	Evacuations []evacuator.News
+	ColdServers []ramper.News
 	// Parts is what the sender tells of parts of prompts and servers that have ended.
 	Parts quarantiner.Message
 	// GroupsVersion is the version of the group table that the sender knows. Groups is
--- a/internal/platformassembler/status.go
+++ b/internal/platformassembler/status.go
@@ -31,6 +31,7 @@
 	Queues               []queueStatus       `json:"queues"`
 	RetryBudgets         []retryBudgetStatus `json:"budgets"`
 	QuarantinedParts     []string            `json:"quarantined-parts"`
+	Evacuations          []evacuationState   `json:"evacuations"`
 }
 
 type hostStatus struct {
@@ -73,6 +74,10 @@
 	Slots          int    `json:"slots"`
 	LocalInFlight  int    `json:"running"`
 	RemoteInFlight int    `json:"running-elsewhere"`
+	// ColdMS is how long the server counts as cold, NextSendMS after what time the host may
+	// send it the next request meanwhile.
+	ColdMS     int64 `json:"cold-ms,omitempty"`
+	NextSendMS int64 `json:"next-request-ms,omitempty"`
 }
 
 type queueStatus struct {
@@ -117,6 +122,20 @@
 		metrics.WriteGaugeUint64(w, "fuchsiapitch_places"+labels, uint64(s.Slots))
 		metrics.WriteGaugeUint64(w, "fuchsiapitch_places_taken"+labels, uint64(s.LocalInFlight+s.RemoteInFlight))
 	}
+	cold := uint64(0)
+	for _, s := range v.Replicas {
+		if s.ColdFor > 0 {
+			cold++
+		}
+	}
+	metrics.WriteGaugeUint64(w, "fuchsiapitch_cold_servers", cold)
+	for _, n := range v.Evacuations {
+		evacuated := uint64(0)
+		if n.Evacuated {
+			evacuated = 1
+		}
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("fuchsiapitch_evacuated{data_centre=%q}", n.DataCentre), evacuated)
+	}
 	for _, b := range v.RetryBudgets {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("fuchsiapitch_repeats_left{service=%q}", b.Service), b.AllowedRetries-b.Retries)
 	}
@@ -125,7 +144,7 @@
 func newStatusResponse(v coordinator.View) statusResponse {
 	body := statusResponse{
 		Host: string(v.Host), ConfigurationVersion: v.ConfigurationVersion, IsController: v.IsController, ClaimHolder: string(v.ClaimHolder), ClaimNumber: v.KnownClaim,
-		ServerListAgeMS: v.ListAge.Milliseconds(), ServerListStale: v.ListStale,
+		ServerListAgeMS: v.ListAge.Milliseconds(), ServerListStale: v.ListStale, Evacuations: encodeEvacuations(v.Evacuations),
 	}
 	for _, p := range v.Peers {
 		body.Hosts = append(body.Hosts, hostStatus{ID: string(p.ID), IsLive: p.IsLive, SinceHeardMS: p.SinceLastHeartbeat.Milliseconds(), ConfigurationVersion: p.ConfigurationVersion})
@@ -149,6 +168,7 @@
 		body.Replicas = append(body.Replicas, replicaStatus{
 			Server: string(s.Server), Service: string(s.Service), Model: s.Model, Open: s.Open,
 			Slots: s.Slots, LocalInFlight: s.LocalInFlight, RemoteInFlight: s.RemoteInFlight,
+			ColdMS: s.ColdFor.Milliseconds(), NextSendMS: s.NextSendIn.Milliseconds(),
 		})
 	}
 	for _, q := range v.Queues {
