--- a/internal/platformassembler/era_test.go
+++ b/internal/platformassembler/era_test.go
@@ -221,7 +221,10 @@
 	copied := c.Store.Copy()
 	c.Store.PublishConfiguration(standin.Configuration(2))
 	c.awaitVersion(t, 2)
+	c.Store.SetOutage(true)
+	time.Sleep(300 * time.Millisecond)
 	c.Store.GoBack(copied)
+	c.Store.SetOutage(false)
 	c.await(t, "registration of both hosts", func() bool {
 		page, err := client.Newest(t.Context(), platform.HostsTopic)
 		return err == nil && len(page.Records) == 2
@@ -238,6 +241,25 @@
 	}
 }
 
+// A host starts after the store has lost a configuration and before the operator has written it
+// again. It takes the configuration from the other host.
+func TestStartingHostTakesConfigurationThatTheStoreLost(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 2)
+	c.Store.StateEra()
+	copied := c.Store.Copy()
+	c.Store.PublishConfiguration(standin.Configuration(2))
+	c.awaitVersion(t, 2)
+	close(c.stopChannels[1])
+	<-c.serveResults[1]
+	c.Store.GoBack(copied)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.startHost(ctx, t, 1)
+	t.Cleanup(cancel)
+	c.awaitReady(t, 1)
+	c.await(t, "lost configuration", func() bool { return c.fetchStatus(t, 1).ConfigurationVersion == 2 })
+}
+
 // awaitVersion waits until a configuration is in force at all hosts, and checks that none has an
 // earlier one than before.
 func (c *testCluster) awaitVersion(t *testing.T, want int64) {
--- a/internal/platformassembler/platformassembler_test.go
+++ b/internal/platformassembler/platformassembler_test.go
@@ -414,8 +414,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.startHost(ctx, t, 1)
 	t.Cleanup(cancel)
+	c.awaitReady(t, 1)
+	c.assertStream(t, 1)
+}
+
+// awaitReady waits until a host says that it is ready.
+func (c *testCluster) awaitReady(t *testing.T, host int) {
+	t.Helper()
 	c.await(t, "readiness", func() bool {
-		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+c.readinessAddresses[1]+"/", http.NoBody)
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+c.readinessAddresses[host]+"/", http.NoBody)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -426,7 +433,6 @@
 		response.Body.Close()
 		return response.StatusCode == http.StatusOK
 	})
-	c.assertStream(t, 1)
 }
 
 func FuzzDecodeState(f *testing.F) {
