platformassembler: an evacuation ends after the store has gone back

The operator's topic was read with retention and handed to the evacuator, which orders news by era and offset itself. A retained request kept its offset of the earlier era under the new one, so that its withdrawal at a lower offset was taken for older and the data centre stayed evacuated for good.

--- a/internal/platformassembler/era_test.go
+++ b/internal/platformassembler/era_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/pacer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/rewinder"
 	standin "github.com/fuchsiapitch/fuchsiapitch/internal/standin/platform"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
@@ -260,6 +261,35 @@
 	c.await(t, "lost configuration", func() bool { return c.fetchStatus(t, 1).ConfigurationVersion == 2 })
 }
 
+// An evacuation that the store has lost stays in force. Written again and withdrawn at lower offsets
+// than before, it ends.
+func TestEvacuationOutlivesStoreThatWentBack(t *testing.T) {
+	t.Parallel()
+	const key = "evacuate/z9"
+	c := newTestCluster(t, 1)
+	c.Store.StateEra()
+	copied := c.Store.Copy()
+	for range 20 {
+		c.Store.WriteRecord(platform.OperatorTopic, "other", []byte("{}"))
+	}
+	isEvacuated := func() bool {
+		status := c.fetchStatus(t, 0)
+		return len(status.Evacuations) == 1 && status.Evacuations[0].Evacuated
+	}
+	c.Store.WriteRecord(platform.OperatorTopic, key, []byte("{}"))
+	c.await(t, "evacuation", isEvacuated)
+	c.Store.GoBack(copied)
+	c.await(t, "new era", func() bool { return c.fetchStatus(t, 0).StoreRewinds == 1 })
+	for until := time.Now().Add(rewinder.Grace + time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if !isEvacuated() {
+			t.Fatal("got the evacuation ended, want it in force")
+		}
+	}
+	c.Store.WriteRecord(platform.OperatorTopic, key, []byte("{}"))
+	c.Store.WriteRecord(platform.OperatorTopic, key, nil)
+	c.await(t, "end of the evacuation", func() bool { return !isEvacuated() })
+}
+
 // awaitVersion waits until a configuration is in force at all hosts, and checks that none has an
 // earlier one than before.
 func (c *testCluster) awaitVersion(t *testing.T, want int64) {
