--- a/internal/coordinator/evacuation.go
+++ b/internal/coordinator/evacuation.go
@@ -87,7 +87,7 @@
 // noReplicaReason returns why no replica serves a request.
 func (c *Coordinator) noReplicaReason(w *queuedRequest) RefusalReason {
 	for id, r := range c.replicas {
-		if r.service == w.pool.service && r.model == w.pool.model && c.isEvacuated(id) {
+		if r.service == w.pool.service && r.model == w.pool.model && c.mayUse(w.home, r) && c.isEvacuated(id) {
 			return Evacuated
 		}
 	}
@@ -99,7 +99,7 @@
 	var remaining []*queuedRequest
 	for _, w := range c.queue {
 		if expectedWait, servable := c.expectedWait(now, w); !servable && !w.Resumed {
-			c.refuse(w, c.noReplicaReason(w), expectedWait)
+			c.refuse(w, c.unservableReason(w), expectedWait)
 			continue
 		}
 		remaining = append(remaining, w)
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/apportioner"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/evacuator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/ramper"
@@ -28,6 +29,8 @@
 	Rank int
 	// Customer is the customer that sends the request, "" for none.
 	Customer fuchsiapitch.CustomerName
+	// Home is the set of regions whose replicas may get the request.
+	Home confiner.Home
 	// InputTokens is the length of the prompt, OutputTokens the expected length of the
 	// response.
 	InputTokens, OutputTokens int
@@ -160,6 +163,8 @@
 	// RetryRatio, RetrySlack and RetryWindow bound the retries of all hosts together.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// Regions are the regions of the data centres.
+	Regions confiner.Regions
 	// ColdOver and ColdSlack bound the requests of all hosts to a cold server.
 	ColdOver, ColdSlack float64
 }
@@ -319,6 +324,8 @@
 	Quarantined
 	// Evacuated means that no replica serves the service and model but in evacuated data centres.
 	Evacuated
+	// NoHome means that replicas serve the request only in regions that it may not use.
+	NoHome
 )
 
 // String returns the reason in kebab case.
@@ -338,6 +345,8 @@
 		return "quarantined"
 	case Evacuated:
 		return "evacuated"
+	case NoHome:
+		return "no-home"
 	}
 	return "invalid"
 }
@@ -369,6 +378,8 @@
 	Service fuchsiapitch.ServiceName
 	Model   string
 	Rank    int
+	// Home is the set of regions to which the queued requests are confined.
+	Home confiner.Home
 	// Length is the number of queued requests, Arrivals the number of those that have
 	// arrived recently, in a cluster with relays, and Returned the number of the latter that
 	// came back after a refusal.
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -233,6 +233,7 @@
 	clear(c.remoteQueues)
 	clear(c.remoteArrivals)
 	clear(c.remoteCustomers)
+	clear(c.confinedQueues)
 	if c.usesRelays() {
 		c.addRelayedLoads(c.now)
 		return
