acceptor: the connections of clients and their buffers are bounded

A host accepted connections until its descriptors were used up, and the kernel held up to mebibytes for each. WithMaxConnections leaves further ones in the queue of the listener while those idle for longest, those without a header and (by a handler) those without progress end.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -83,6 +83,13 @@
 	log             zerolog.Logger
 	meter           *meter.Meter
 
+	// maxConnections bounds the connections that are open, 0 for no bound. endStalled ends
+	// requests whose bodies make no progress.
+	maxConnections int
+	endStalled     func() int
+	// openCount is the number of connections that are open.
+	openCount atomic.Int64
+
 	draining atomic.Bool
 
 	mutex       sync.Mutex
@@ -125,6 +132,18 @@
 	return func(a *Acceptor) { a.httpServer.BaseContext = func(net.Listener) context.Context { return ctx } }
 }
 
+// WithMaxConnections bounds the connections that are open. Beyond it further ones wait in the
+// queue of the listener, while those that are idle and those without progress are closed.
+func WithMaxConnections(connections int) Option {
+	return func(a *Acceptor) { a.maxConnections = connections }
+}
+
+// WithRoomHandler sets a function that ends requests whose bodies make no progress, and returns
+// their number. It is called while there are as many connections as there may be.
+func WithRoomHandler(endStalled func() int) Option {
+	return func(a *Acceptor) { a.endStalled = endStalled }
+}
+
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(a *Acceptor) { a.log = log } }
 
@@ -136,7 +155,7 @@
 	a := &Acceptor{
 		httpServer:         &http.Server{ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes},
 		defaultIdleTimeout: defaultIdleTimeout, drainIdlePeriod: defaultDrainIdlePeriod,
-		log: zerolog.Nop(), meter: meter.New(),
+		log: zerolog.Nop(), meter: meter.New(), endStalled: func() int { return 0 },
 		connections: make(map[*connection]struct{}), closed: make(chan struct{}),
 	}
 	for _, o := range options {
@@ -160,6 +179,7 @@
 		defer close(checkerDone)
 		a.closeIdleConnections()
 	}()
+	boundSocketBuffers(listener, a.log)
 	tracked := &trackedListener{Listener: listener, acceptor: a, done: make(chan struct{})}
 	a.mutex.Lock()
 	a.listener = tracked
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -21,10 +22,15 @@
 	net.Conn
 	acceptor *Acceptor
 
+	// ended is true once the connection is no longer open.
+	ended atomic.Bool
+
 	mutex sync.Mutex
 	phase phase
 	// waitingSince is the time at which the connection began to wait for a request.
 	waitingSince time.Time
+	// receivingSince is the time at which the first byte of the current header arrived.
+	receivingSince time.Time
 	// served is true once a request has been served.
 	served bool
 	// idleTimeout is the longest idle time-out on which the client may rely: those that
@@ -293,8 +299,9 @@
 	defer c.mutex.Unlock()
 	deadline := c.readDeadline
 	if c.phase == waiting {
-		c.phase, c.lastReads = receiving, 0
-		if now := time.Now(); deadline.Before(now.Add(defaultHeaderTimeout)) {
+		now := time.Now()
+		c.phase, c.lastReads, c.receivingSince = receiving, 0, now
+		if deadline.Before(now.Add(defaultHeaderTimeout)) {
 			deadline = now.Add(defaultHeaderTimeout)
 		}
 	}
@@ -315,6 +322,9 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.recordClose()
+	if !c.ended.Swap(true) {
+		c.acceptor.openCount.Add(-1)
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/acceptor/listener.go
+++ b/internal/acceptor/listener.go
@@ -87,6 +87,7 @@
 			}
 			l.armDeadline()
 		}
+		l.awaitRoom()
 		accepted, err := l.Listener.Accept()
 		if err == nil || !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return accepted, err
@@ -126,5 +127,6 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.connections[c] = struct{}{}
+	a.openCount.Add(1)
 	return c
 }
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -88,6 +88,22 @@
 	m.set.NewGauge("fuchsiapitch_buffered_response_bytes", bytes)
 }
 
+// RegisterBodyGauge registers the gauge of the bytes that bodies of requests take from the memory for
+// them.
+func (m *Meter) RegisterBodyGauge(bytes func() float64) {
+	m.set.NewGauge("fuchsiapitch_held_body_bytes", bytes)
+}
+
+// CountRefusedBody counts a request that was refused because of its body.
+func (m *Meter) CountRefusedBody(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_refused_bodies_total{reason=%q}", reason)).Inc()
+}
+
+// CountFullHost counts a time at which the host had as many connections of clients as it may.
+func (m *Meter) CountFullHost() {
+	m.set.GetOrCreateCounter("fuchsiapitch_connection_limit_reached_total").Inc()
+}
+
 // RegisterConfigurationVersionGauge registers the gauge of the version of the
 // configuration in force.
 func (m *Meter) RegisterConfigurationVersionGauge(version func() float64) {
