collector: one bound for all bodies of requests that a host holds

Bodies were bounded one by one on the platform's interface, and by what they announce on the own one, so that a crowd of stalled clients used up the memory. The collector takes memory as bytes arrive, from an allocator shared by callers; bodies that get none stay with their clients, those without progress are given up while others wait (408), and those over the limit are not read on (413).

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -119,6 +119,12 @@
 	return nil
 }
 
+// TryGrow is Grow without a wait. It reports whether the response may hold the bytes.
+func (r *Response) TryGrow(bytes int) bool {
+	w := r.allocator.request(r, bytes)
+	return w == nil || !r.allocator.cancel(w)
+}
+
 // request grants bytes to a response, or returns a waiter for them.
 func (a *Allocator) request(r *Response, bytes int) *waiter {
 	a.mutex.Lock()
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -21,6 +21,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/acceptor"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/collector"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/dispatcher"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/forwarder"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/logger"
@@ -189,9 +190,13 @@
 }
 
 func (e *EntryHost) buildServers() {
-	handler := receiver.New(e.runner, e.forwarder, receiver.WithTracer(e.tracer), receiver.WithMeter(e.meter))
+	bodyBytes := bodyMemory()
+	bodies := collector.New(collector.WithPool(int(bodyBytes)), collector.WithMeter(e.meter), collector.WithLogger(e.rootLogger.For("collector")))
+	e.meter.RegisterBodyGauge(func() float64 { return float64(bodies.UsedBytes()) })
+	handler := receiver.New(e.runner, e.forwarder, receiver.WithTracer(e.tracer), receiver.WithMeter(e.meter), receiver.WithBodies(bodies, bodyBytes))
 	e.clientServer = acceptor.New(handler, acceptor.WithTLS(e.serverTLS), acceptor.WithDefaultIdleTimeout(idleTimeout),
-		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter))
+		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter),
+		acceptor.WithMaxConnections(maxConnections(e.assemblerLogger)), acceptor.WithRoomHandler(bodies.MakeRoom))
 	e.operatorServer = &http.Server{Handler: e.operatorHandler(), TLSConfig: e.serverTLS, ReadHeaderTimeout: readHeaderTimeout}
 	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes)}
 	if e.peerTLS != nil {
--- /dev/null
+++ b/internal/assembler/limit.go
@@ -0,0 +1,48 @@
+package assembler
+
+import (
+	"math"
+	"runtime/debug"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/acceptor"
+)
+
+const (
+	// maxBodyMemory bounds the memory for the bodies of requests, in bytes.
+	maxBodyMemory = 256 << 20
+	// bodyMemoryDivisor divides the memory limit of the Go runtime, if one is set. The quotient
+	// bounds the memory for the bodies as well.
+	bodyMemoryDivisor = 4
+)
+
+// runtimeMemoryLimit returns the memory limit of the Go runtime in bytes, which the variable
+// GOMEMLIMIT sets, 0 for none.
+func runtimeMemoryLimit() int64 {
+	if limit := debug.SetMemoryLimit(-1); limit != math.MaxInt64 {
+		return limit
+	}
+	return 0
+}
+
+// bodyMemory returns the memory for the bodies of requests in bytes.
+func bodyMemory() int64 {
+	if limit := runtimeMemoryLimit(); limit > 0 {
+		return min(maxBodyMemory, limit/bodyMemoryDivisor)
+	}
+	return maxBodyMemory
+}
+
+// maxConnections returns how many connections of clients the host may have, which follows from the
+// limit of the process for descriptors and the memory limit of the Go runtime. 0 stands for no
+// bound.
+func maxConnections(log zerolog.Logger) int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		log.Warn().Err(err).Msg("failed to read the limit for descriptors")
+		return acceptor.MaxConnections(0, runtimeMemoryLimit())
+	}
+	return acceptor.MaxConnections(int(min(limit.Cur, math.MaxInt32)), runtimeMemoryLimit())
+}
--- /dev/null
+++ b/internal/collector/collector_test.go
@@ -0,0 +1,221 @@
+package collector
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
+)
+
+// collectResult is what Collect returned for one request.
+type collectResult struct {
+	path   string
+	length int
+	err    error
+}
+
+// testHost serves requests with a collector. It holds the bodies of the path /hold until the test
+// ends.
+type testHost struct {
+	*Collector
+	address string
+	results chan collectResult
+}
+
+func startTestHost(t *testing.T, limitBytes int64, options ...Option) *testHost {
+	t.Helper()
+	h := &testHost{Collector: New(options...), results: make(chan collectResult, 100)}
+	held := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := h.Collect(w, r, Terms{Caller: r.Header.Get("Caller"), LimitBytes: limitBytes, Deadline: time.Now().Add(20 * time.Second)})
+		if err != nil {
+			w.WriteHeader(http.StatusTeapot)
+			h.results <- collectResult{path: r.URL.Path, err: err}
+			return
+		}
+		defer body.Release()
+		h.results <- collectResult{path: r.URL.Path, length: body.Length()}
+		if r.URL.Path == "/hold" {
+			<-held
+		}
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(held) })
+	h.address = server.Listener.Addr().String()
+	return h
+}
+
+// open sends a part of a request and leaves the connection open.
+func (h *testHost) open(t *testing.T, path, caller string, announced, sent int) net.Conn {
+	t.Helper()
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(t.Context(), "tcp", h.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { connection.Close() })
+	fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: a\r\nCaller: %s\r\nContent-Length: %d\r\n\r\n%s", path, caller, announced, strings.Repeat("x", sent))
+	return connection
+}
+
+func (h *testHost) awaitUse(t *testing.T, bytes int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); h.UsedBytes() < bytes; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("got %d bytes taken, want %d", h.UsedBytes(), bytes)
+		}
+	}
+}
+
+const largeBytes = 300 << 10
+
+// Guards against memory that is taken for what a client only announces.
+func TestAnnouncedBytesTakeNoMemory(t *testing.T) {
+	h := startTestHost(t, 1<<30, WithPool(1<<20))
+	for range 10 {
+		h.open(t, "/", "a", 1<<29, 1<<10)
+	}
+	h.open(t, "/", "a", 10, 10)
+	if got := <-h.results; got.err != nil || got.length != 10 {
+		t.Errorf("got %d bytes and error %v, want a body of 10 bytes", got.length, got.err)
+	}
+	if got := h.UsedBytes(); got != 0 {
+		t.Errorf("got %d bytes taken from the pool, want none", got)
+	}
+}
+
+// Guards against bodies that make no progress and keep the memory from others.
+func TestStalledBodiesAreGivenUpWhileOthersWait(t *testing.T) {
+	h := startTestHost(t, 1<<20, WithPool(200<<10), WithStallTimeout(20*time.Millisecond), WithWaitTimeout(10*time.Second))
+	stalled := h.open(t, "/stalled", "a", largeBytes, largeBytes-1)
+	h.open(t, "/stalled", "a", largeBytes, largeBytes-1)
+	h.open(t, "/stalled", "a", largeBytes, largeBytes-1)
+	h.awaitUse(t, 64<<10)
+	h.open(t, "/whole", "a", largeBytes, largeBytes)
+	for {
+		got := <-h.results
+		if got.path == "/whole" {
+			if got.err != nil || got.length != largeBytes {
+				t.Errorf("got %d bytes and error %v, want a whole body", got.length, got.err)
+			}
+			return
+		}
+		var slow *TooSlowError
+		if !errors.As(got.err, &slow) || !slow.WhileOthersWaited {
+			t.Errorf("got error %v, want a TooSlowError", got.err)
+		}
+		if data, err := io.ReadAll(stalled); err != nil && got.path == "/stalled" {
+			t.Errorf("got %q and error %v, want a response", data, err)
+		}
+	}
+}
+
+// Guards against a caller whose bodies take the memory of all others.
+func TestCallersShareTheMemory(t *testing.T) {
+	const pool = 1 << 20
+	h := startTestHost(t, 8<<20, WithPool(pool), WithWaitTimeout(50*time.Millisecond))
+	refused := 0
+	for range 8 {
+		h.open(t, "/hold", "a", largeBytes, largeBytes)
+		if got := <-h.results; got.err != nil {
+			refused++
+			var noRoom *NoRoomError
+			if !errors.As(got.err, &noRoom) || noRoom.RetryAfter <= 0 {
+				t.Errorf("got error %v, want a NoRoomError with a time", got.err)
+			}
+		}
+	}
+	if refused == 0 {
+		t.Errorf("got all bodies of one caller in %d bytes, want some refused", h.UsedBytes())
+	}
+	h.open(t, "/", "b", largeBytes, largeBytes)
+	if got := <-h.results; got.err != nil {
+		t.Errorf("got error %v for another caller, want its body", got.err)
+	}
+	if got, want := h.UsedBytes(), pool+2*largeBytes; got > want {
+		t.Errorf("got %d bytes taken, want at most %d", got, want)
+	}
+}
+
+// Guards against ordinary requests that wait for the memory of large ones.
+func TestSmallBodiesNeedNoPool(t *testing.T) {
+	h := startTestHost(t, 8<<20, WithPool(1), WithWaitTimeout(50*time.Millisecond))
+	for range 20 {
+		h.open(t, "/hold", "a", allocator.FreeBytes/2, allocator.FreeBytes/2)
+		if got := <-h.results; got.err != nil {
+			t.Errorf("got error %v, want a body", got.err)
+		}
+	}
+}
+
+// Guards against bodies that are read far beyond their limit.
+func TestBodiesBeyondTheirLimit(t *testing.T) {
+	h := startTestHost(t, 1000)
+	t.Run("announced", func(t *testing.T) {
+		h.open(t, "/", "a", 1001, 0)
+		var tooLarge *TooLargeError
+		if got := <-h.results; !errors.As(got.err, &tooLarge) {
+			t.Errorf("got error %v, want a TooLargeError", got.err)
+		}
+	})
+	t.Run("just sent", func(t *testing.T) {
+		var dialer net.Dialer
+		connection, err := dialer.DialContext(t.Context(), "tcp", h.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		fmt.Fprintf(connection, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%s", strings.Repeat("1\r\nx\r\n", 10<<10))
+		var tooLarge *TooLargeError
+		if got := <-h.results; !errors.As(got.err, &tooLarge) {
+			t.Errorf("got error %v, want a TooLargeError", got.err)
+		}
+		if data, err := io.ReadAll(connection); err != nil || !strings.Contains(string(data), "418") || !strings.Contains(string(data), "Connection: close") {
+			t.Errorf("got %q and error %v, want a complete response that ends the connection", data, err)
+		}
+	})
+	t.Run("at the limit", func(t *testing.T) {
+		h.open(t, "/", "a", 1000, 1000)
+		if got := <-h.results; got.err != nil || got.length != 1000 {
+			t.Errorf("got %d bytes and error %v, want a body of 1000 bytes", got.length, got.err)
+		}
+	})
+}
+
+// Guards against connections that cannot be used since bodies on them wait or stall.
+func TestMakeRoom(t *testing.T) {
+	h := startTestHost(t, 1<<20, WithStallTimeout(time.Millisecond))
+	h.open(t, "/", "a", 100, 10)
+	for h.MakeRoom() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	var slow *TooSlowError
+	if got := <-h.results; !errors.As(got.err, &slow) {
+		t.Errorf("got error %v, want a TooSlowError", got.err)
+	}
+}
+
+// Guards against a body that another attempt does not get from its beginning.
+func TestBodyIsReadAgain(t *testing.T) {
+	body := &Body{blocks: [][]byte{[]byte("ab"), []byte("c"), []byte("def")}, release: func() {}}
+	for range 2 {
+		reader, got, piece := body.NewReader(), "", make([]byte, 2)
+		for {
+			n, err := reader.Read(piece)
+			got += string(piece[:n])
+			if err != nil {
+				break
+			}
+		}
+		if want := "abcdef"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -22,6 +22,7 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/acceptor"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/collector"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/logger"
@@ -96,7 +97,9 @@
 	pacedStore *pacer.Pacer
 	driver     *driver.Driver
 	relayer    *relayer.Relayer
-	self       coordinator.Peer
+	// bodies reads the bodies of requests.
+	bodies *collector.Collector
+	self   coordinator.Peer
 	// startedUnixMillis is the start time of the process, which is its incarnation.
 	startedUnixMillis int64
 	// serverListKnown is true once a server list has been read from the store or
@@ -160,8 +163,10 @@
 	h.createTrackers()
 	requestSender, closeSender := sender.New(sender.WithConnectTimeout(requestConnectTimeout), sender.WithSilenceTimeout(silenceTimeout))
 	buffers := newBuffers(settings.MemoryLimitBytes)
+	h.bodies = h.newCollector(settings.MemoryLimitBytes)
 	h.relayer = relayer.New(h.driver, requestSender, platform.NewHeaders(platform.WithLogger(logs.For("relayer"))), relayer.WithLogger(logs.For("relayer")), relayer.WithMeter(h.meter),
-		relayer.WithBuffers(buffers))
+		relayer.WithBuffers(buffers), relayer.WithBodies(h.bodies))
+	h.meter.RegisterBodyGauge(func() float64 { return float64(h.bodies.UsedBytes()) })
 	h.meter.RegisterBufferGauge(func() float64 { return float64(buffers.UsedBytes()) })
 	h.meter.RegisterInFlightGauge(func() float64 { return float64(h.relayer.InFlightRequests()) })
 	h.meter.RegisterConfigurationVersionGauge(h.configurationVersion)
@@ -174,6 +179,15 @@
 	}, nil
 }
 
+// newCollector returns what reads the bodies of requests, in as much memory as the responses have.
+func (h *Host) newCollector(memoryLimitBytes int64) *collector.Collector {
+	options := []collector.Option{collector.WithLogger(h.rootLogger.For("collector")), collector.WithMeter(h.meter)}
+	if memoryLimitBytes > 0 {
+		options = append(options, collector.WithPool(int(memoryLimitBytes/bufferMemoryDivisor)))
+	}
+	return collector.New(options...)
+}
+
 // bufferMemoryDivisor divides the platform's memory limit. The quotient is the memory for the
 // responses that are being read.
 const bufferMemoryDivisor = 8
@@ -206,7 +220,8 @@
 	supervisor := h.newSupervisor()
 	supervisorResult := supervisor.ServeBackground(backgroundCtx)
 	clientServer := acceptor.New(h.relayer, acceptor.WithIdleTimeout(h.idleTimeout), acceptor.WithDrainIdlePeriod(drainIdlePeriod), acceptor.WithBaseContext(ctx),
-		acceptor.WithLogger(h.rootLogger.For("acceptor")), acceptor.WithMeter(h.meter))
+		acceptor.WithLogger(h.rootLogger.For("acceptor")), acceptor.WithMeter(h.meter),
+		acceptor.WithMaxConnections(acceptor.MaxConnections(h.Settings().Sockets, h.Settings().MemoryLimitBytes)), acceptor.WithRoomHandler(h.bodies.MakeRoom))
 	operatorMux := http.NewServeMux()
 	operatorMux.HandleFunc("/", h.serveReadiness)
 	operatorMux.HandleFunc("/status", h.serveStatus)
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -22,19 +22,19 @@
 
 // requestReader reads and checks a request to one kind of service. It returns the
 // request for the scheduler and the call for the backend server.
-type requestReader func(http.ResponseWriter, *http.Request, fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error)
+type requestReader func(http.ResponseWriter, *http.Request, *heldBody, fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error)
 
 // serve handles one HTTP request, within the limit on the memory for request
 // bodies. isModel selects the format of error responses.
 func (r *Receiver) serve(w http.ResponseWriter, q *http.Request, isModel bool, read requestReader) {
 	id := newRequestID()
-	release, err := r.bodyLimiter.reserve(q)
+	body, err := r.bodyLimiter.hold(q)
 	if err != nil {
 		writeErrorResponse(w, id, isModel, errorResponseOf(err))
 		return
 	}
-	defer release()
-	request, call, err := read(w, q, id)
+	defer func() { body.release() }()
+	request, call, err := read(w, q, body, id)
 	if err != nil {
 		writeErrorResponse(w, id, isModel, errorResponseOf(err))
 		return
--- a/internal/receiver/application.go
+++ b/internal/receiver/application.go
@@ -15,7 +15,7 @@
 
 // readApplicationRequest is a requestReader for application services. An
 // idempotency key is used only for calls that are not idempotent by their route.
-func (r *Receiver) readApplicationRequest(w http.ResponseWriter, q *http.Request, id fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error) {
+func (r *Receiver) readApplicationRequest(w http.ResponseWriter, q *http.Request, held *heldBody, id fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error) {
 	var noRequest fuchsiapitch.Request
 	var noCall fuchsiapitch.Call
 	configuration := r.configurationProvider.Configuration()
@@ -31,7 +31,7 @@
 	if err != nil {
 		return noRequest, noCall, err
 	}
-	body, err := r.bodyLimiter.read(w, q)
+	body, err := held.read(w, q, customer.Name())
 	if err != nil {
 		return noRequest, noCall, err
 	}
--- a/internal/receiver/body.go
+++ b/internal/receiver/body.go
@@ -2,13 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
-	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/collector"
 )
 
 const (
@@ -27,44 +25,53 @@
 	maxBodyBytes     int64
 	readTimeout      time.Duration
 	maxReservedBytes int64
-	reservedBytes    atomic.Int64
+	collector        *collector.Collector
 }
 
-// reserve counts the body of a request against maxReservedBytes until release is
-// called. It counts the content length, or maxBodyBytes if the length is unknown
-// or larger.
-func (b *bodyLimiter) reserve(q *http.Request) (release func(), err error) {
-	size := q.ContentLength
-	if size < 0 || size > b.maxBodyBytes {
-		size = b.maxBodyBytes
+// heldBody is the body of one request. It is empty until read is called.
+type heldBody struct {
+	limiter *bodyLimiter
+	release func()
+}
+
+// hold returns the body of a request. Its release must be called when the request has ended. The
+// error is a RequestError if the body announces more than all bodies together may take.
+func (b *bodyLimiter) hold(q *http.Request) (*heldBody, error) {
+	if min(q.ContentLength, b.maxBodyBytes) > b.maxReservedBytes {
+		return nil, noRoomError(defaultBodyTimeout)
 	}
-	if b.reservedBytes.Add(size) > b.maxReservedBytes {
-		b.reservedBytes.Add(-size)
-		return nil, &RequestError{
-			Status: http.StatusServiceUnavailable, Code: fuchsiapitch.RefusedOverload.String(),
-			Detail: "the host holds too many requests",
-		}
+	return &heldBody{limiter: b, release: func() {}}, nil
+}
+
+func noRoomError(retryAfter time.Duration) error {
+	return &RequestError{
+		Status: http.StatusServiceUnavailable, Code: fuchsiapitch.RefusedOverload.String(),
+		Detail: "the host holds too many requests", RetryAfter: retryAfter,
 	}
-	return func() { b.reservedBytes.Add(-size) }, nil
 }
 
-// read returns the complete body of a request.
-func (b *bodyLimiter) read(w http.ResponseWriter, q *http.Request) ([]byte, error) {
-	// SetReadDeadline fails if the writer does not support deadlines. Only the timeouts
-	// of the HTTP server, if any, apply then.
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(b.readTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, b.maxBodyBytes))
+// read returns the complete body of a request of a customer.
+func (h *heldBody) read(w http.ResponseWriter, q *http.Request, customer fuchsiapitch.CustomerName) ([]byte, error) {
+	body, err := h.limiter.collector.Collect(w, q, collector.Terms{
+		Caller: string(customer), LimitBytes: h.limiter.maxBodyBytes, Deadline: time.Now().Add(h.limiter.readTimeout),
+	})
 	if err == nil {
-		_ = controller.SetReadDeadline(time.Time{})
-		return body, nil
+		h.release = body.Release
+		var joined []byte
+		if joined, err = body.Join(q.Context()); err == nil {
+			return joined, nil
+		}
 	}
-	var tooLarge *http.MaxBytesError
+	var tooLarge *collector.TooLargeError
+	var tooSlow *collector.TooSlowError
+	var noRoom *collector.NoRoomError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, &RequestError{Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Detail: "the body is over the limit"}
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.As(err, &tooSlow):
 		return nil, &RequestError{Status: http.StatusRequestTimeout, Code: "body-too-slow", Detail: "the body took too long"}
+	case errors.As(err, &noRoom):
+		return nil, noRoomError(noRoom.RetryAfter)
 	}
 	return nil, &RequestError{Status: http.StatusBadRequest, Code: "unreadable-body", Detail: "the body ended early"}
 }
--- a/internal/receiver/configuration_test.go
+++ b/internal/receiver/configuration_test.go
@@ -45,7 +45,8 @@
 	}}
 	q := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/completions", body)
 	q.Header.Set("Authorization", "Bearer "+testKey)
-	request, _, err := New(provider, nil).readModelRequest(httptest.NewRecorder(), q, "req-1")
+	r := New(provider, nil)
+	request, _, err := r.readModelRequest(httptest.NewRecorder(), q, &heldBody{limiter: &r.bodyLimiter}, "req-1")
 	if err != nil {
 		t.Fatalf("got %v, want a request for the service", err)
 	}
--- a/internal/receiver/failure.go
+++ b/internal/receiver/failure.go
@@ -22,6 +22,8 @@
 	Code string
 	// Detail explains the error to the client.
 	Detail string
+	// RetryAfter is the time after which the client may try again, 0 if unknown.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
@@ -68,6 +70,7 @@
 	var requestError *RequestError
 	if errors.As(err, &requestError) {
 		response.status, response.code, response.detail = requestError.Status, requestError.Code, requestError.Detail
+		response.retryAfter = requestError.RetryAfter
 	}
 	return response
 }
--- a/internal/receiver/fuzz_test.go
+++ b/internal/receiver/fuzz_test.go
@@ -65,7 +65,7 @@
 		q := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/completions", strings.NewReader(string(body)))
 		q.URL.Path = path
 		q.Header = http.Header{"Authorization": {"Bearer " + testKey}, headerRank: {rank}, headerTimeout: {timeout}}
-		request, call, err := r.readModelRequest(httptest.NewRecorder(), q, "req-1")
+		request, call, err := r.readModelRequest(httptest.NewRecorder(), q, &heldBody{limiter: &r.bodyLimiter}, "req-1")
 		if err != nil {
 			assertRequestError(t, err)
 			return
@@ -100,7 +100,7 @@
 		q := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", strings.NewReader(string(body)))
 		q.Method, q.URL, q.Host = method, u, host
 		q.Header = http.Header{"Authorization": {"Bearer " + testKey}, headerIdempotencyKey: {key}}
-		request, call, err := r.readApplicationRequest(httptest.NewRecorder(), q, "req-1")
+		request, call, err := r.readApplicationRequest(httptest.NewRecorder(), q, &heldBody{limiter: &r.bodyLimiter}, "req-1")
 		if err != nil {
 			assertRequestError(t, err)
 			return
--- a/internal/receiver/model.go
+++ b/internal/receiver/model.go
@@ -65,7 +65,7 @@
 
 // readModelRequest is a requestReader for model services. Model requests may run
 // more than once.
-func (r *Receiver) readModelRequest(w http.ResponseWriter, q *http.Request, id fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error) {
+func (r *Receiver) readModelRequest(w http.ResponseWriter, q *http.Request, held *heldBody, id fuchsiapitch.RequestID) (fuchsiapitch.Request, fuchsiapitch.Call, error) {
 	var noRequest fuchsiapitch.Request
 	var noCall fuchsiapitch.Call
 	configuration := r.configurationProvider.Configuration()
@@ -73,7 +73,7 @@
 	if !ok {
 		return noRequest, noCall, unknownKeyError()
 	}
-	body, err := r.bodyLimiter.read(w, q)
+	body, err := held.read(w, q, customer.Name())
 	if err != nil {
 		return noRequest, noCall, err
 	}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/collector"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/forwarder"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracer"
@@ -73,7 +74,15 @@
 // WithMaxReservedBytes limits the total size of the request bodies that the host
 // holds at the same time, in bytes.
 func WithMaxReservedBytes(limit int64) Option {
-	return func(r *Receiver) { r.bodyLimiter.maxReservedBytes = limit }
+	return func(r *Receiver) {
+		r.bodyLimiter.maxReservedBytes = limit
+		r.bodyLimiter.collector = collector.New(collector.WithPool(int(limit)))
+	}
+}
+
+// WithBodies sets what reads the bodies of requests, and the number of bytes that it may hold.
+func WithBodies(c *collector.Collector, limit int64) Option {
+	return func(r *Receiver) { r.bodyLimiter.collector, r.bodyLimiter.maxReservedBytes = c, limit }
 }
 
 // New returns a handler that passes checked requests to a forwarder.
@@ -83,7 +92,7 @@
 		forwarder:             f,
 		tracer:                noop.NewTracerProvider().Tracer(""),
 		meter:                 meter.New(),
-		bodyLimiter:           bodyLimiter{maxBodyBytes: defaultMaxBodyBytes, readTimeout: defaultBodyTimeout, maxReservedBytes: defaultMaxReservedBytes},
+		bodyLimiter:           bodyLimiter{maxBodyBytes: defaultMaxBodyBytes, readTimeout: defaultBodyTimeout, maxReservedBytes: defaultMaxReservedBytes, collector: collector.New(collector.WithPool(defaultMaxReservedBytes))},
 		mux:                   http.NewServeMux(),
 	}
 	for _, o := range options {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +19,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/collector"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
@@ -89,6 +91,8 @@
 	routes   atomic.Pointer[fuchsiapitch.RouteTable]
 	// buffers bounds the memory of the response bodies and events that are being read.
 	buffers *allocator.Allocator
+	// bodies reads the bodies of requests.
+	bodies *collector.Collector
 	// drain is the schedule of the stop, nil before.
 	drain atomic.Pointer[drain]
 	// aborted ends when abort is called.
@@ -109,12 +113,15 @@
 // WithBuffers sets the memory for the responses that are being read.
 func WithBuffers(a *allocator.Allocator) Option { return func(r *Relayer) { r.buffers = a } }
 
+// WithBodies sets what reads the bodies of requests.
+func WithBodies(c *collector.Collector) Option { return func(r *Relayer) { r.bodies = c } }
+
 // New returns a relayer without a configuration. It refuses requests until Configure
 // is called.
 func New(admitter Admitter, sender Sender, codec HeaderCodec, options ...Option) *Relayer {
 	r := &Relayer{
 		admitter: admitter, sender: sender, codec: codec, log: zerolog.Nop(), meter: meter.New(),
-		buffers: allocator.New(),
+		buffers: allocator.New(), bodies: collector.New(),
 	}
 	r.aborted, r.abort = context.WithCancelCause(context.Background())
 	for _, o := range options {
@@ -151,7 +158,11 @@
 	if !x.matchRoute() {
 		return
 	}
-	if !x.readBody() || x.refuseIfDraining() {
+	if !x.readBody() {
+		return
+	}
+	defer x.body.Release()
+	if x.refuseIfDraining() {
 		return
 	}
 	ctx, cancel := x.newContext()
@@ -178,7 +189,7 @@
 	route     fuchsiapitch.HostRoute
 	principal fuchsiapitch.Principal
 	service   fuchsiapitch.ServiceName
-	body      []byte
+	body      *collector.Body
 	// sendCount is the number of attempts in which the request may have reached a
 	// server, acquisitions the number of times that a slot was requested for it.
 	sendCount, acquisitions int
@@ -273,21 +284,33 @@
 	if limit <= 0 {
 		limit = maxBufferedBytes
 	}
-	if x.request.ContentLength > limit {
-		x.writeError(http.StatusRequestEntityTooLarge, 0, (&BodyTooLargeError{LimitBytes: limit}).Error())
-		return false
+	body, err := x.relayer.bodies.Collect(x.writer, x.request, collector.Terms{Caller: x.caller(), LimitBytes: limit, Deadline: x.deadline})
+	if err == nil {
+		x.body = body
+		return true
 	}
-	body, err := io.ReadAll(io.LimitReader(x.request.Body, limit+1))
+	var noRoom *collector.NoRoomError
 	switch {
-	case err != nil:
-		x.writeError(http.StatusBadRequest, 0, err.Error())
-		return false
-	case int64(len(body)) > limit:
+	case isError[*collector.TooLargeError](err):
 		x.writeError(http.StatusRequestEntityTooLarge, 0, (&BodyTooLargeError{LimitBytes: limit}).Error())
-		return false
+	case errors.As(err, &noRoom):
+		x.writeError(http.StatusServiceUnavailable, noRoom.RetryAfter, err.Error())
+	case isError[*collector.TooSlowError](err):
+		x.writeError(http.StatusRequestTimeout, 0, err.Error())
+	default:
+		x.writeError(http.StatusBadRequest, 0, err.Error())
 	}
-	x.body = body
-	return true
+	return false
+}
+
+// caller returns the name under which the request shares memory with others: the customer, or
+// the address of the client if none is known.
+func (x *exchange) caller() string {
+	if x.principal.Customer != "" {
+		return string(x.principal.Customer)
+	}
+	address, _, _ := net.SplitHostPort(x.request.RemoteAddr)
+	return address
 }
 
 // rank returns the rank of the request; 0 is the most urgent.
@@ -407,10 +430,10 @@
 	targetURL.RawQuery, targetURL.ForceQuery = "", false
 	outRequest := &http.Request{
 		Method: x.request.Method, URL: &targetURL, Host: x.request.Host, Header: header,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(x.body)),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(x.body.Length()),
 	}
-	if len(x.body) > 0 {
-		outRequest.Body = io.NopCloser(&singleUseReader{data: x.body})
+	if x.body.Length() > 0 {
+		outRequest.Body = io.NopCloser(x.body.NewReader())
 	}
 	response, outcome, err := x.relayer.sender.Exchange(outRequest.WithContext(ctx), x.deadline)
 	defer func() { x.relayer.meter.CountAttempt(outcome.String()) }()
@@ -472,20 +495,6 @@
 	}
 }
 
-// singleUseReader reads a request body once. The HTTP transport cannot rewind it to
-// send the request again.
-type singleUseReader struct{ data []byte }
-
-// Read implements io.Reader.
-func (o *singleUseReader) Read(b []byte) (int, error) {
-	if len(o.data) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(b, o.data)
-	o.data = o.data[n:]
-	return n, nil
-}
-
 // writeError responds with an error of the system itself and logs it.
 func (x *exchange) writeError(status int, retryAfter time.Duration, message string) {
 	h := x.writer.Header()
