acceptor: a full host makes room only for a connection that waits

It ended idle connections as soon as it was full, though nobody waited: TestFullHostMakesRoom was red in one of ten runs (408 on the newer connection), green in six runs after.

--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -67,18 +67,24 @@
 	}
 }
 
-// awaitRoom waits until a further connection may be accepted, and meanwhile makes room for it. A
-// stopping listener does not wait.
+// awaitRoom waits until a further connection may be accepted, and makes room for it if one is in
+// the queue. A stopping listener does not wait.
 func (l *trackedListener) awaitRoom() {
 	a := l.acceptor
 	if a.maxConnections <= 0 || a.openCount.Load() < int64(a.maxConnections) {
 		return
 	}
-	a.meter.CountFullHost()
+	wasCounted := false
 	ticker := time.NewTicker(roomPollInterval)
 	defer ticker.Stop()
 	for !l.stopping.Load() && a.openCount.Load() >= int64(a.maxConnections) {
-		a.makeRoom(time.Now())
+		if hasQueuedConnection(l.Listener) {
+			a.makeRoom(time.Now())
+			if !wasCounted {
+				a.meter.CountFullHost()
+			}
+			wasCounted = true
+		}
 		select {
 		case <-ticker.C:
 		case <-a.closed:
