sender: a status that is none makes a response bytes that are no answer

Operators of a similar system saw a status 000 that the client got as an answer. net/http lets every three characters that Atoi takes pass, 000, 099, +20 and 999 among them. Here 000 to 199 did not reach clients, but 600 and 999 did, and with the header of a refusal they counted as not run, on both interfaces.

CheckStatus accepts 200 to 599.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -24,6 +24,7 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -449,7 +450,7 @@
 	x.recordNotice(slot, response.StatusCode, responseMetadata)
 	problem := ""
 	switch {
-	case response.StatusCode < http.StatusOK:
+	case sender.CheckStatus(response.StatusCode) != nil:
 		problem = "not a final status"
 	case responseMetadata.Request != x.metadata.ID:
 		problem = "for another request"
@@ -470,7 +471,7 @@
 // recordNotice records what the server of a slot states about itself beside its response to
 // the request. A misdirected request was answered by another server.
 func (x *exchange) recordNotice(slot *driver.Slot, status int, metadata fuchsiapitch.ResponseMetadata) {
-	if metadata.Notice.IsZero() || metadata.Request != x.metadata.ID || status < http.StatusOK || status == http.StatusMisdirectedRequest {
+	if metadata.Notice.IsZero() || metadata.Request != x.metadata.ID || sender.CheckStatus(status) != nil || status == http.StatusMisdirectedRequest {
 		return
 	}
 	slot.RecordNotice(metadata.Request, metadata.Notice)
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
 )
 
@@ -144,6 +145,9 @@
 		return Response{}, err
 	}
 	defer httpResponse.Body.Close()
+	if err := sender.CheckStatus(httpResponse.StatusCode); err != nil {
+		return Response{}, err
+	}
 	w.BeginPart()
 	headerDelay := time.Since(start)
 	body, err := io.ReadAll(io.LimitReader(w.Watch(httpResponse.Body), r.maxResponseBytes+1))
--- a/internal/requester/requester_test.go
+++ b/internal/requester/requester_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -37,3 +39,25 @@
 		t.Fatalf("handled requests: got %d, want 2", got)
 	}
 }
+
+// Guards against bytes that are no answer, since their status is none, and that count as one.
+func TestOddStatus(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 600, 999} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			fmt.Fprintf(c, "HTTP/1.1 %03d Odd\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status)
+		}))
+		t.Cleanup(server.Close)
+		q, closeConnections := New(1 << 10)
+		t.Cleanup(closeConnections)
+		_, err := q.Send(t.Context(), Request{Method: http.MethodPost, URL: server.URL, Body: []byte("x"), Timeout: time.Minute})
+		var requestError *RequestError
+		if !errors.As(err, &requestError) || !requestError.MayHaveBeenSent {
+			t.Errorf("status %03d: got %v, want a RequestError with MayHaveBeenSent", status, err)
+		}
+	}
+}
--- a/internal/sender/failure.go
+++ b/internal/sender/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -61,6 +62,19 @@
 	return fmt.Sprintf("response with status %d is delimited only by the end of the connection", e.Status)
 }
 
+// CheckStatus returns an InvalidStatusError unless a status is one of a final response: from 200 to
+// 599. The HTTP library lets other ones pass, 000 and +20 among them. Their bytes are no answer:
+// nothing that such a response states counts.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return &InvalidStatusError{Status: status}
+	}
+	return nil
+}
+
+// maxStatus is the highest status of a response.
+const maxStatus = 599
+
 // InvalidStatusError reports a response whose status is not one of a final response.
 type InvalidStatusError struct {
 	// Status is the HTTP status of that response.
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -210,6 +210,9 @@
 	if isMerged(response) {
 		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, &MergedHeadersError{Status: response.StatusCode})
 	}
+	if err := CheckStatus(response.StatusCode); err != nil {
+		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, err)
+	}
 	if got := response.Header.Get(RequestIDHeader); got != string(x.call.Request()) {
 		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, &fuchsiapitch.MismatchedResponseError{Request: x.call.Request(), Got: got})
 	}
@@ -218,9 +221,6 @@
 		refusal := &ServerRefusalError{Status: response.StatusCode, RetryAfter: parseRetryAfter(response.Header)}
 		return fuchsiapitch.BackendResponse{}, x.attemptError(fuchsiapitch.OutcomeNotRun, refusal)
 	}
-	if response.StatusCode < http.StatusOK {
-		return fuchsiapitch.BackendResponse{}, x.rejectResponse(response, &InvalidStatusError{Status: response.StatusCode})
-	}
 	header := StripHopByHop(response.Header)
 	if x.call.Streaming() && isEventStream(response) {
 		return fuchsiapitch.NewBackendResponse(response.StatusCode, header, newStreamBody(x, response.Body)), nil
