coordinator: admission in status and metrics, engines are filled up to what can be in time

A replica counts as silent after 0.3 s beyond the usual first event: with prompts of 1,890 tokens first events take 0.35 s, and groups that ran well were avoided and left out of the sums.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -359,7 +359,7 @@
 	if !r.inSameDataCentre {
 		cost += remoteMS
 	}
-	if now < r.avoidedUntil || r.silentFor(now) > avoidanceSilence {
+	if now < r.avoidedUntil || c.isSilent(now, r) {
 		cost += avoidanceMS
 	}
 	return cost
--- a/internal/coordinator/shedding.go
+++ b/internal/coordinator/shedding.go
@@ -86,9 +86,11 @@
 	}
 }
 
-// slotLimit returns the number of requests in flight up to which a replica may get one more.
+// slotLimit returns the number of requests in flight up to which a replica may get one more. A
+// request that waits at a host of a large cluster until news of a free slot arrives is late, so
+// that it is sent to any engine that can begin it in time.
 func (c *Coordinator) slotLimit(r *replica) int {
-	if p, ok := c.pools[r.pool()]; ok && p.IsOverloaded() {
+	if p, ok := c.pools[r.pool()]; ok && (p.IsOverloaded() || c.usesRelays() && r.isEngine()) {
 		return p.InFlightLimit(r.slots)
 	}
 	return r.slots + c.queueDepth(r)
@@ -155,12 +157,22 @@
 	return c.customers.Report(now)
 }
 
-// poolLoads sums the loads of the replicas that may get requests. One that is silent does
-// not begin any.
+// isSilent reports whether a replica has sent this host no byte for so long that others are
+// preferred. An engine that reads long prompts is silent until its usual first event.
+func (c *Coordinator) isSilent(now time.Duration, r *replica) bool {
+	limit := avoidanceSilence
+	if p, ok := c.pools[r.pool()]; ok && c.usesRelays() && r.isEngine() {
+		limit += p.FirstEventDelay()
+	}
+	return r.silentFor(now) > limit
+}
+
+// poolLoads sums the loads of the replicas that may get requests, cold ones included. One that
+// is silent does not begin any.
 func (c *Coordinator) poolLoads(now time.Duration) map[poolKey]admitter.Load {
 	loads := make(map[poolKey]admitter.Load)
 	for _, r := range c.replicas {
-		if !r.open || now < c.availableAt(r) || r.silentFor(now) > avoidanceSilence {
+		if !r.open || now < r.unavailableUntil || c.pausedFor(now, r.server) > 0 || c.isSilent(now, r) && now-r.remoteLastByteAt > avoidanceSilence {
 			continue
 		}
 		l := loads[r.pool()]
@@ -189,6 +201,18 @@
 	}})
 }
 
+// poolViews returns the state of the pools for operators.
+func (c *Coordinator) poolViews() []PoolView {
+	views := make([]PoolView, 0, len(c.pools))
+	for k, p := range c.pools {
+		views = append(views, PoolView{Service: k.service, Model: k.model, State: p.State()})
+	}
+	slices.SortFunc(views, func(a, b PoolView) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model))
+	})
+	return views
+}
+
 // overloadLogInterval is the shortest time between two log lines on the overload of a pool.
 const overloadLogInterval = time.Second
 
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/admitter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/apportioner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/evacuator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
@@ -25,11 +27,15 @@
 	Peers     []PeerView
 	// Groups are the groups that the controller announces, or those on the server list
 	// if no controller is live.
-	Groups       []GroupStatus
-	Servers      []ServerView
-	Replicas     []ReplicaView
-	Queues       []Queue
-	RetryBudgets []RetryBudgetView
+	Groups   []GroupStatus
+	Servers  []ServerView
+	Replicas []ReplicaView
+	Queues   []Queue
+	// Pools are the pools of replicas whose requests are admitted by shares, and
+	// ExcessCustomers the customers that send more than their usual.
+	Pools           []PoolView
+	ExcessCustomers []apportioner.Excess
+	RetryBudgets    []RetryBudgetView
 	// QuarantinedParts are the parts of prompts whose requests are refused.
 	QuarantinedParts []quarantiner.Part
 	// Evacuations are the data centres that the operator has evacuated or taken back.
@@ -78,6 +84,13 @@
 	ColdFor, NextSendIn time.Duration
 }
 
+// PoolView is the state of the replicas that serve the same requests. It is a plain record.
+type PoolView struct {
+	Service fuchsiapitch.ServiceName
+	Model   string
+	State   admitter.State
+}
+
 // RetryBudgetView is the state of the retry budget of one service. It is a plain
 // record.
 type RetryBudgetView struct {
@@ -113,6 +126,7 @@
 		})
 	}
 	v.Queues = c.queueLengths(now)
+	v.Pools, v.ExcessCustomers = c.poolViews(), c.customers.Excess(maxLoggedCustomers)
 	if c.retryWindow <= 0 {
 		return v
 	}
--- a/internal/platformassembler/status.go
+++ b/internal/platformassembler/status.go
@@ -26,6 +26,8 @@
 	Servers              []serverStatus      `json:"servers"`
 	Replicas             []replicaStatus     `json:"stations"`
 	Queues               []queueStatus       `json:"queues"`
+	Pools                []poolStatus        `json:"pools"`
+	ExcessCustomers      []customerStatus    `json:"customers-over-usual"`
 	RetryBudgets         []retryBudgetStatus `json:"budgets"`
 	QuarantinedParts     []string            `json:"quarantined-parts"`
 	Evacuations          []evacuationState   `json:"evacuations"`
@@ -131,6 +133,7 @@
 		}
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("fuchsiapitch_evacuated{data_centre=%q}", n.DataCentre), evacuated)
 	}
+	writePoolMetrics(w, v)
 	for _, b := range v.RetryBudgets {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("fuchsiapitch_repeats_left{service=%q}", b.Service), b.AllowedRetries-b.Retries)
 	}
@@ -140,6 +143,7 @@
 	body := statusResponse{
 		Host: string(v.Host), ConfigurationVersion: v.ConfigurationVersion, IsController: v.IsController, ClaimHolder: string(v.ClaimHolder), ClaimNumber: v.KnownClaim,
 		ServerListAgeMS: v.ListAge.Milliseconds(), ServerListStale: v.ListStale, Evacuations: encodeEvacuations(v.Evacuations),
+		Pools: encodePools(v.Pools), ExcessCustomers: encodeExcess(v.ExcessCustomers),
 	}
 	for _, p := range v.Peers {
 		body.Hosts = append(body.Hosts, hostStatus{ID: string(p.ID), IsLive: p.IsLive, SinceHeardMS: p.SinceLastHeartbeat.Milliseconds(), ConfigurationVersion: p.ConfigurationVersion})
