admitter: engines are drawn in proportion to their room

Two replicas drawn at random were compared by counts that are 0.3 s old and that all hosts share, so that groups filled and emptied in turns. Now a replica gets requests in proportion to what brings it to the mean.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -117,10 +117,11 @@
 		return
 	}
 	known := l.counts[max(0, len(l.counts)-1-int(loadNewsAge/loadTick))]
-	n, other := l.rng.IntN(loadReplicas), l.rng.IntN(loadReplicas)
-	if known[other] < known[n] {
-		n = other
+	candidates := make([]Candidate, loadReplicas)
+	for k, count := range known {
+		candidates[k].InFlight = count
 	}
+	n := p.Choose(candidates, l.rng.Float64())
 	slot := 0
 	for k, free := range l.freeAt[n] {
 		if free < l.freeAt[n][slot] {
@@ -235,6 +236,34 @@
 	}
 }
 
+// Load: 0.85 of what the replicas can take. Hosts that choose by old counts keep them even.
+func TestChoiceKeepsReplicasEven(t *testing.T) {
+	l := newLoadedPool()
+	l.run(0.85, 9*time.Second)
+	const from, to = 3, 9
+	served := sum(l.inTime, from, to)
+	if got, want := served/(served+sum(l.late, from, to)), 0.85; got < want {
+		t.Errorf("got %.2f of the requests in time, want at least %g", got, want)
+	}
+}
+
+// A replica that is avoided gets hardly any request, and some if it is the only one.
+func TestAvoidedReplicaGetsFewRequests(t *testing.T) {
+	p := NewPool(true)
+	p.SetEngine(loadEngine)
+	const draws = 1000
+	counts := make([]int, 3)
+	for n := range draws {
+		counts[p.Choose([]Candidate{{InFlight: 20}, {InFlight: 5, IsAvoided: true}, {InFlight: 20}}, float64(n)/draws)]++
+	}
+	if got, want := counts[1], draws/20; got > want {
+		t.Errorf("got %d of %d requests at the avoided replica, want at most %d", got, draws, want)
+	}
+	if got, want := p.Choose([]Candidate{{IsAvoided: true}}, 0.5), 0; got != want {
+		t.Errorf("got candidate %d, want %d", got, want)
+	}
+}
+
 // Load: a crowd is refused at once. It is told to come back at different times, at the rate of the
 // room that is kept for it.
 func TestRefusedCrowdReturnsSpread(t *testing.T) {
--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -308,11 +308,13 @@
 		}
 		candidates = append(candidates, r)
 	}
+	if c.usesRelays() && len(candidates) > 0 && candidates[0].isEngine() {
+		return c.drawEngine(now, w, candidates)
+	}
 	var best *replica
 	var bestCost float64
-	pool := c.poolOf(w.pool)
 	for _, r := range c.drawReplicas(candidates) {
-		cost := c.costMS(now, pool, r, w.InputTokens)
+		cost := c.costMS(now, r, w.InputTokens)
 		if slices.Contains(w.FailedServers, r.server) {
 			cost += failedServerCostMS
 		}
@@ -346,16 +348,13 @@
 }
 
 // costMS returns the expected time to the first byte plus penalties, in milliseconds.
-func (c *Coordinator) costMS(now time.Duration, p *admitter.Pool, r *replica, promptTokens int) float64 {
+func (c *Coordinator) costMS(now time.Duration, r *replica, promptTokens int) float64 {
 	const (
 		fullBatchMS = 60.0 // time of a pass with a full batch
 		remoteMS    = 2.0  // latency to another data centre
 		avoidanceMS = 2000 // exceeds any real wait
 	)
 	cost := float64(r.speed.TimeToRead(r.allUnreadTokens()+promptTokens).Milliseconds()) + fullBatchMS*float64(r.totalInFlight())/float64(max(r.slots, 1))
-	if c.usesRelays() && r.isEngine() {
-		cost = float64(p.Expect(r.engine(), r.totalInFlight(), r.allUnreadTokens()+promptTokens).Milliseconds())
-	}
 	if !r.inSameDataCentre {
 		cost += remoteMS
 	}
--- a/internal/coordinator/shedding.go
+++ b/internal/coordinator/shedding.go
@@ -15,8 +15,8 @@
 // hundred milliseconds late. If each sent its requests to the replica that looks best, all
 // would choose the same one, and in an overload a slot that becomes free would get a request
 // of every host. A queue at each host does not help: until a host hears of a free slot, its
-// requests are late. Therefore a host compares only two replicas that it draws at random,
-// and in an overload it admits requests by chance: all hosts work out from the same sums
+// requests are late. Therefore a host draws the replica at random, engines by their known
+// requests and others as the better one of two, and in an overload it admits requests by chance: all hosts work out from the same sums
 // which share of each rank the replicas can begin in time, and of it the part of each
 // customer, send those at once and refuse the rest at once.
 
@@ -237,6 +237,15 @@
 	return keys
 }
 
+// drawEngine chooses among engines that many hosts send to.
+func (c *Coordinator) drawEngine(now time.Duration, w *queuedRequest, engines []*replica) *replica {
+	candidates := make([]admitter.Candidate, len(engines))
+	for n, r := range engines {
+		candidates[n] = admitter.Candidate{InFlight: r.totalInFlight(), IsAvoided: now < r.avoidedUntil || c.isSilent(now, r) || slices.Contains(w.FailedServers, r.server)}
+	}
+	return engines[c.poolOf(w.pool).Choose(candidates, c.rng.Float64())]
+}
+
 // drawReplicas returns up to comparedReplicas of the candidates, drawn at random.
 func (c *Coordinator) drawReplicas(candidates []*replica) []*replica {
 	if !c.usesRelays() || len(candidates) <= comparedReplicas {
