admitter: ended requests are counted, parts of customers fit the latest requests

In a flood the requests in flight of a pool stayed at 711 where 498 were planned (612 slots): while a pool fills up, short requests end first, so that hosts took the service time for 0.74 s to 1.07 s where it was 1.2 s, and the completions for more than there were. Hosts now tell how many requests have ended; the service time counts only while there is room. The parts of customers are scaled to the latest requests, which their means follow a second late.

--- a/internal/admitter/engine.go
+++ b/internal/admitter/engine.go
@@ -27,7 +27,7 @@
 	newsAge = 300 * time.Millisecond
 	// spreadDeviations is the number of standard deviations by which the requests at a
 	// replica may exceed their mean without making one late.
-	spreadDeviations = 2.5
+	spreadDeviations = 2
 	// minOccupancy and maxOccupancy bound the planned ratio of requests in flight to slots.
 	minOccupancy, maxOccupancy = 0.6, 1.08
 	// minReadShare and maxReadShare bound the part of its time for which a replica reads
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -15,7 +15,7 @@
 	// correctionTime is the time within which the requests in flight are brought to the
 	// planned number. Shorter than the age of the news it would overshoot.
 	correctionTime = 600 * time.Millisecond
-	// minRate is the part of the completions that is admitted however full the replicas are,
+	// minRate is the part of the possible completions that is admitted however full the replicas are,
 	// so that the counts stay fresh.
 	minRate = 0.1
 	// serviceTimeWeight is the weight of a new sample in the moving averages of the service
@@ -45,7 +45,8 @@
 type Arrivals struct {
 	Rank int
 	// All counts all requests, Returned those of them that came back after a refusal.
-	All, Returned int
+	// Completed counts those that have ended at a replica.
+	All, Returned, Completed int
 }
 
 // Arrival is one request that reaches the host.
@@ -74,11 +75,13 @@
 	readShare float64
 	arrivals  map[int]*recentArrivals
 	// shares are the admitted parts by rank, nil if the pool is not overloaded.
-	shares  map[int]Share
-	load    Load
-	rate    float64
-	demand  float64
-	returns returnSchedule
+	shares map[int]Share
+	load   Load
+	rate   float64
+	demand float64
+	// completions is the rate at which requests have lately ended at the replicas.
+	completions float64
+	returns     returnSchedule
 }
 
 // recentArrivals counts requests in two adjacent buckets of time.
@@ -158,12 +161,7 @@
 
 // Count counts a request of a client.
 func (p *Pool) Count(now time.Duration, a Arrival) {
-	r, ok := p.arrivals[a.Rank]
-	if !ok {
-		r = &recentArrivals{}
-		p.arrivals[a.Rank] = r
-	}
-	r.advance(now)
+	r := p.recent(now, a.Rank)
 	r.current.All++
 	if a.Returned {
 		r.current.Returned++
@@ -178,13 +176,29 @@
 	p.promptTokens += objectiveWeight * (float64(a.PromptTokens) - p.promptTokens)
 }
 
+// CountCompletion counts a request that has ended at a replica.
+func (p *Pool) CountCompletion(now time.Duration, rank int) { p.recent(now, rank).current.Completed++ }
+
+func (p *Pool) recent(now time.Duration, rank int) *recentArrivals {
+	r, ok := p.arrivals[rank]
+	if !ok {
+		r = &recentArrivals{}
+		p.arrivals[rank] = r
+	}
+	r.advance(now)
+	return r
+}
+
 // Arrivals returns the recent requests of this host by rank.
 func (p *Pool) Arrivals(now time.Duration) []Arrivals {
 	var counts []Arrivals
 	for rank, r := range p.arrivals {
 		r.advance(now)
-		if n := r.current.All + r.previous.All; n > 0 {
-			counts = append(counts, Arrivals{Rank: rank, All: n, Returned: r.current.Returned + r.previous.Returned})
+		a := Arrivals{
+			Rank: rank, All: r.current.All + r.previous.All, Returned: r.current.Returned + r.previous.Returned, Completed: r.current.Completed + r.previous.Completed,
+		}
+		if a.All+a.Completed > 0 {
+			counts = append(counts, a)
 		}
 	}
 	slices.SortFunc(counts, func(a, b Arrivals) int { return cmp.Compare(a.Rank, b.Rank) })
@@ -195,6 +209,11 @@
 // those of this host included.
 func (p *Pool) Update(load Load, arrivals []Arrivals) {
 	p.load = load
+	completed := 0
+	for _, a := range arrivals {
+		completed += a.Completed
+	}
+	p.completions = float64(completed) / arrivalWindow.Seconds()
 	p.rate = p.acceptableRate()
 	demands := make([]Demand, 0, len(arrivals))
 	p.demand = 0
@@ -226,11 +245,17 @@
 }
 
 // rateBySlots returns the requests per second for which there are slots: as many as are
-// completed, and what brings the requests in flight to the planned number.
+// completed, and what brings the requests in flight to the planned number. With more than that
+// in flight the completions are those that were counted, since while a pool fills up short
+// requests end first and the service time seems shorter than it is.
 func (p *Pool) rateBySlots() float64 {
-	completions := min(float64(p.load.InFlight), float64(p.load.Slots)) / max(p.serviceTime, time.Millisecond).Seconds()
+	possible := float64(p.load.Slots) / max(p.serviceTime, time.Millisecond).Seconds()
 	room := p.plannedOccupancy()*float64(p.load.Slots) - float64(p.load.InFlight)
-	return max(minRate*completions, completions+room/min(correctionTime, max(p.serviceTime, time.Millisecond)).Seconds())
+	completions := p.completions
+	if room > 0 {
+		completions = max(completions, min(1, float64(p.load.InFlight)/float64(max(p.load.Slots, 1)))*possible)
+	}
+	return max(minRate*possible, completions+room/min(correctionTime, max(p.serviceTime, time.Millisecond)).Seconds())
 }
 
 // plannedOccupancy returns the ratio of requests in flight to slots at which an overload is
--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -93,8 +93,9 @@
 	hasStarted        bool
 }
 
-// customer is the requests of one customer at all hosts, in requests per second.
-type customer struct{ rate, usual float64 }
+// customer is the requests of one customer at all hosts, in requests per second: those of the
+// last news, the current rate and the usual one.
+type customer struct{ latest, rate, usual float64 }
 
 // New returns an Apportioner that knows no customers.
 func New() *Apportioner {
@@ -161,6 +162,7 @@
 	usualWeight := 1 - math.Exp(-float64(elapsed)/float64(min(usualTime, max(now-a.startedAt, bucket))))
 	rateWeight := 1 - math.Exp(-float64(elapsed)/float64(min(currentTime, max(now-a.startedAt, bucket))))
 	for k, c := range a.customers {
+		c.latest = rates[k]
 		c.rate += rateWeight * (rates[k] - c.rate)
 		sample := c.rate
 		if !isLearning {
@@ -228,9 +230,26 @@
 			parts[k] = c.admittedAt(high, share) / c.rate / share
 		}
 	}
+	a.fit(parts, share)
 	return parts
 }
 
+// fit scales the parts so that they add up to the share of the latest requests, which the
+// current rates follow late.
+func (a *Apportioner) fit(parts Parts, share float64) {
+	admitted, total := 0.0, 0.0
+	for k, part := range parts {
+		admitted += min(1, part*share) * a.customers[k].latest
+		total += a.customers[k].latest
+	}
+	if admitted <= 0 || total <= 0 {
+		return
+	}
+	for k := range parts {
+		parts[k] *= min(1, share*total/admitted)
+	}
+}
+
 // admittedAt returns the requests per second that a customer gets if each gets level times
 // its usual rate, and at least its floor of a share.
 func (c *customer) admittedAt(level, share float64) float64 {
--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -71,6 +71,7 @@
 type assignment struct {
 	replica         *replica
 	pool            poolKey
+	rank            int
 	promptTokens    int
 	grantedAt       time.Duration
 	responseStarted bool
@@ -367,7 +368,7 @@
 // grant assigns a slot of a replica to a request.
 func (c *Coordinator) grant(now time.Duration, w *queuedRequest, r *replica) {
 	a := &assignment{
-		replica: r, pool: w.pool, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove,
+		replica: r, pool: w.pool, rank: w.Rank, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove,
 		incarnation: c.incarnationOf(r.server), parts: w.Parts, isPermitted: w.isPermitted,
 	}
 	if a.isPermitted {
@@ -517,6 +518,9 @@
 	c.endReturning(a, !e.Failed)
 	r := a.replica
 	r.inFlight--
+	if c.usesRelays() {
+		c.poolOf(a.pool).CountCompletion(now, a.rank)
+	}
 	if !a.responseStarted {
 		r.unreadTokens -= a.promptTokens
 	}
@@ -562,7 +566,7 @@
 	var queues []Queue
 	for _, k := range sortedQueueKeys(counts) {
 		a := arrivals[k]
-		queues = append(queues, Queue{Service: k.pool.service, Model: k.pool.model, Rank: k.rank, Length: counts[k], Arrivals: a.All, Returned: a.Returned})
+		queues = append(queues, Queue{Service: k.pool.service, Model: k.pool.model, Rank: k.rank, Length: counts[k], Arrivals: a.All, Returned: a.Returned, Completed: a.Completed})
 	}
 	return queues
 }
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -367,8 +367,9 @@
 	Rank    int
 	// Length is the number of queued requests, Arrivals the number of those that have
 	// arrived recently, in a cluster with relays, and Returned the number of the latter that
-	// came back after a refusal.
-	Length, Arrivals, Returned int
+	// came back after a refusal. Completed is the number of requests that have recently ended
+	// at a server.
+	Length, Arrivals, Returned, Completed int
 }
 
 // LeavingServer is one incarnation of a server that leaves. It is a plain record.
--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -469,6 +469,7 @@
 			queues[n-1].Length += q.Length
 			queues[n-1].Arrivals += q.Arrivals
 			queues[n-1].Returned += q.Returned
+			queues[n-1].Completed += q.Completed
 			continue
 		}
 		queues = append(queues, q)
@@ -523,7 +524,7 @@
 		k := queueKey{poolKey{q.Service, q.Model}, q.Rank}
 		c.remoteQueues[k] = max(0, c.remoteQueues[k]+sign*q.Length)
 		a := c.remoteArrivals[k]
-		c.remoteArrivals[k] = admitter.Arrivals{Rank: q.Rank, All: max(0, a.All+sign*q.Arrivals), Returned: max(0, a.Returned+sign*q.Returned)}
+		c.remoteArrivals[k] = admitter.Arrivals{Rank: q.Rank, All: max(0, a.All+sign*q.Arrivals), Returned: max(0, a.Returned+sign*q.Returned), Completed: max(0, a.Completed+sign*q.Completed)}
 	}
 	for _, a := range b.Customers {
 		c.remoteCustomers[a.Customer] = max(0, c.remoteCustomers[a.Customer]+sign*a.Count)
--- a/internal/driver/heartbeat.go
+++ b/internal/driver/heartbeat.go
@@ -67,7 +67,7 @@
 		})
 	}
 	for _, q := range b.Queues {
-		w.Queues = append(w.Queues, &wire.ReplicaQueue{Service: string(q.Service), Model: q.Model, Rank: toUint32(q.Rank), Length: toUint32(q.Length), Arrivals: toUint32(q.Arrivals), Returned: toUint32(q.Returned)})
+		w.Queues = append(w.Queues, &wire.ReplicaQueue{Service: string(q.Service), Model: q.Model, Rank: toUint32(q.Rank), Length: toUint32(q.Length), Arrivals: toUint32(q.Arrivals), Returned: toUint32(q.Returned), Completed: toUint32(q.Completed)})
 	}
 	for _, a := range b.Customers {
 		w.Customers = append(w.Customers, &wire.CustomerArrivals{Customer: uint32(a.Customer), Count: toUint32(a.Count)})
@@ -101,7 +101,7 @@
 		})
 	}
 	for _, q := range w.GetQueues() {
-		b.Queues = append(b.Queues, coordinator.Queue{Service: fuchsiapitch.ServiceName(q.GetService()), Model: q.GetModel(), Rank: int(q.GetRank()), Length: int(q.GetLength()), Arrivals: int(q.GetArrivals()), Returned: int(q.GetReturned())})
+		b.Queues = append(b.Queues, coordinator.Queue{Service: fuchsiapitch.ServiceName(q.GetService()), Model: q.GetModel(), Rank: int(q.GetRank()), Length: int(q.GetLength()), Arrivals: int(q.GetArrivals()), Returned: int(q.GetReturned()), Completed: int(q.GetCompleted())})
 	}
 	for _, a := range w.GetCustomers() {
 		b.Customers = append(b.Customers, apportioner.Arrivals{Customer: apportioner.Key(a.GetCustomer()), Count: int(a.GetCount())})
