--- a/internal/coordinator/shedding.go
+++ b/internal/coordinator/shedding.go
@@ -172,7 +172,7 @@
 func (c *Coordinator) poolLoads(now time.Duration) map[poolKey]admitter.Load {
 	loads := make(map[poolKey]admitter.Load)
 	for _, r := range c.replicas {
-		if !r.open || now < r.unavailableUntil || c.pausedFor(now, r.server) > 0 || c.isSilent(now, r) && now-r.remoteLastByteAt > avoidanceSilence {
+		if !r.open || now < c.beginsAt(r) || c.isSilent(now, r) && now-r.remoteLastByteAt > avoidanceSilence {
 			continue
 		}
 		l := loads[r.pool()]
--- a/internal/platformassembler/evacuation.go
+++ b/internal/platformassembler/evacuation.go
@@ -18,10 +18,10 @@
 
 // applyEvacuations tells the coordinator which data centres the operator's topic evacuates.
 func (h *Host) applyEvacuations(u tracker.Update) {
-	read := coordinator.EvacuationsRead{IsSnapshot: u.IsSnapshot, End: evacuator.Version{Offset: u.NextOffset}}
+	read := coordinator.EvacuationsRead{IsSnapshot: u.IsSnapshot, End: evacuator.Version{Era: u.Era, Offset: u.NextOffset}}
 	for _, r := range u.Records {
 		if name, ok := platform.ParseEvacuationKey(r.Key); ok {
-			read.News = append(read.News, evacuator.News{DataCentre: name, Evacuated: !r.IsTombstone(), Version: evacuator.Version{Offset: r.Offset + 1}})
+			read.News = append(read.News, evacuator.News{DataCentre: name, Evacuated: !r.IsTombstone(), Version: evacuator.Version{Era: u.Era, Offset: r.Offset + 1}})
 		}
 	}
 	h.driver.Apply(read)
