admitter: counted completions are no more than the slots allow

Completions are counted in windows of 0.3 s and vary; above what the slots can end at once they let an overload put 19 requests on a server of TestManyHostsSpreadRequests (18 allowed).

--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -251,7 +251,7 @@
 func (p *Pool) rateBySlots() float64 {
 	possible := float64(p.load.Slots) / max(p.serviceTime, time.Millisecond).Seconds()
 	room := p.plannedOccupancy()*float64(p.load.Slots) - float64(p.load.InFlight)
-	completions := p.completions
+	completions := min(p.completions, possible)
 	if room > 0 {
 		completions = max(completions, min(1, float64(p.load.InFlight)/float64(max(p.load.Slots, 1)))*possible)
 	}
