--- a/internal/coordinator/shedding.go
+++ b/internal/coordinator/shedding.go
@@ -15,8 +15,8 @@
 // hundred milliseconds late. If each sent its requests to the replica that looks best, all
 // would choose the same one, and in an overload a slot that becomes free would get a request
 // of every host. A queue at each host does not help: until a host hears of a free slot, its
-// requests are late. Therefore a host compares only two replicas that it draws at random,
-// and in an overload it admits requests by chance: all hosts work out from the same sums
+// requests are late. Therefore a host draws the replica at random, engines by their known
+// requests and others as the better one of two, and in an overload it admits requests by chance: all hosts work out from the same sums
 // which share of each rank the replicas can begin in time, and of it the part of each
 // customer, send those at once and refuse the rest at once.
 
@@ -86,9 +86,11 @@
 	}
 }
 
-// slotLimit returns the number of requests in flight up to which a replica may get one more.
+// slotLimit returns the number of requests in flight up to which a replica may get one more. A
+// request that waits at a host of a large cluster until news of a free slot arrives is late, so
+// that it is sent to any engine that can begin it in time.
 func (c *Coordinator) slotLimit(r *replica) int {
-	if p, ok := c.pools[r.pool()]; ok && p.IsOverloaded() {
+	if p, ok := c.pools[r.pool()]; ok && (p.IsOverloaded() || c.usesRelays() && r.isEngine()) {
 		return p.InFlightLimit(r.slots)
 	}
 	return r.slots + c.queueDepth(r)
@@ -155,12 +157,22 @@
 	return c.customers.Report(now)
 }
 
-// poolLoads sums the loads of the replicas that may get requests. One that is silent does
-// not begin any.
+// isSilent reports whether a replica has sent this host no byte for so long that others are
+// preferred. An engine that reads long prompts is silent until its usual first event.
+func (c *Coordinator) isSilent(now time.Duration, r *replica) bool {
+	limit := avoidanceSilence
+	if p, ok := c.pools[r.pool()]; ok && c.usesRelays() && r.isEngine() {
+		limit += p.FirstEventDelay()
+	}
+	return r.silentFor(now) > limit
+}
+
+// poolLoads sums the loads of the replicas that may get requests, cold ones included. One that
+// is silent does not begin any.
 func (c *Coordinator) poolLoads(now time.Duration) map[poolKey]admitter.Load {
 	loads := make(map[poolKey]admitter.Load)
 	for _, r := range c.replicas {
-		if !r.open || now < c.beginsAt(r) || r.silentFor(now) > avoidanceSilence {
+		if !r.open || now < c.beginsAt(r) || c.isSilent(now, r) && now-r.remoteLastByteAt > avoidanceSilence {
 			continue
 		}
 		l := loads[r.pool()]
@@ -189,6 +201,18 @@
 	}})
 }
 
+// poolViews returns the state of the pools for operators.
+func (c *Coordinator) poolViews() []PoolView {
+	views := make([]PoolView, 0, len(c.pools))
+	for k, p := range c.pools {
+		views = append(views, PoolView{Service: k.service, Model: k.model, State: p.State()})
+	}
+	slices.SortFunc(views, func(a, b PoolView) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model))
+	})
+	return views
+}
+
 // overloadLogInterval is the shortest time between two log lines on the overload of a pool.
 const overloadLogInterval = time.Second
 
@@ -213,6 +237,15 @@
 	return keys
 }
 
+// drawEngine chooses among engines that many hosts send to.
+func (c *Coordinator) drawEngine(now time.Duration, w *queuedRequest, engines []*replica) *replica {
+	candidates := make([]admitter.Candidate, len(engines))
+	for n, r := range engines {
+		candidates[n] = admitter.Candidate{InFlight: r.totalInFlight(), IsAvoided: now < r.avoidedUntil || c.isSilent(now, r) || slices.Contains(w.FailedServers, r.server)}
+	}
+	return engines[c.poolOf(w.pool).Choose(candidates, c.rng.Float64())]
+}
+
 // drawReplicas returns up to comparedReplicas of the candidates, drawn at random.
 func (c *Coordinator) drawReplicas(candidates []*replica) []*replica {
 	if !c.usesRelays() || len(candidates) <= comparedReplicas {
