--- a/internal/coordinator/home.go
+++ b/internal/coordinator/home.go
@@ -98,14 +98,26 @@
 	return n
 }
 
-// unservableReason returns the reason to refuse a request that no replica serves: NoHome if one
-// does outside its home.
-func (c *Coordinator) unservableReason(w *queuedRequest) RefusalReason {
+// isNarrowed reports whether a replica that serves a request is outside its home. What the replicas
+// of its pool can take together then says little about those in the home.
+func (c *Coordinator) isNarrowed(w *queuedRequest) bool {
+	if w.home == confiner.Anywhere {
+		return false
+	}
 	for _, r := range c.replicas {
 		if r.serves(w.pool) && !c.mayUse(w.home, r) {
-			return NoHome
+			return true
 		}
 	}
+	return false
+}
+
+// unservableReason returns the reason to refuse a request that no replica serves: NoHome if one
+// does outside its home.
+func (c *Coordinator) unservableReason(w *queuedRequest) RefusalReason {
+	if c.isNarrowed(w) {
+		return NoHome
+	}
 	return NoReplica
 }
 
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -52,10 +52,19 @@
 	return &Evacuator{known: make(map[fuchsiapitch.DataCentreName]News)}
 }
 
-// ReadHistory processes records that follow what was read before, up to a position. The
-// absence of a data centre says nothing. It returns the news that changed what is in force.
+// ReadHistory processes records that follow what was read before, up to a position, whatever
+// their own positions are: what is retained while a store goes back is withdrawn by a record
+// without one. The absence of a data centre says nothing. It returns the news that changed what
+// is in force.
 func (e *Evacuator) ReadHistory(news []News, end Version) []News {
-	changes := e.Hear(news)
+	next := Version{Era: e.readUntil.Era, Offset: e.readUntil.Offset + 1}
+	var changes []News
+	for _, n := range news {
+		if next.Era == end.Era && n.Version.Compare(next) < 0 {
+			n.Version = next
+		}
+		changes = append(changes, e.Hear([]News{n})...)
+	}
 	e.advance(end)
 	return changes
 }
@@ -69,24 +78,35 @@
 	for _, n := range news {
 		present[n.DataCentre] = true
 	}
-	all := slices.Clone(news)
+	all := make([]News, 0, len(news))
+	for _, n := range news {
+		if n.Version.Compare(end) > 0 {
+			// It is retained from an earlier era, in which the offset meant something else.
+			n.Version.Offset = 0
+		}
+		all = append(all, n)
+	}
 	for _, n := range e.News() {
 		if n.Evacuated && !present[n.DataCentre] && n.Version.Era == end.Era {
 			all = append(all, News{DataCentre: n.DataCentre, Version: end})
 		}
 	}
-	return e.ReadHistory(all, end)
+	changes := e.Hear(all)
+	e.advance(end)
+	return changes
 }
 
-// Hear processes what another host knows. It returns the news that changed what is in force.
+// Hear processes what another host knows. Of two at the same position, an evacuation counts. It returns the news that changed what is in force.
 func (e *Evacuator) Hear(news []News) []News {
 	var changes []News
 	for _, n := range news {
 		known, isKnown := e.known[n.DataCentre]
 		switch {
-		case isKnown && n.Version.Compare(known.Version) <= 0:
+		case isKnown && n.Version.Compare(known.Version) < 0:
+			continue
+		case isKnown && n.Version == known.Version && !n.Evacuated:
 			continue
-		case !isKnown && n.Evacuated && n.Version.Compare(e.readUntil) <= 0:
+		case !isKnown && n.Evacuated && n.Version.Era == e.readUntil.Era && n.Version.Compare(e.readUntil) <= 0:
 			// The request has been withdrawn since, and the sender does not know it.
 			n = News{DataCentre: n.DataCentre, Version: e.readUntil}
 		}
