--- a/internal/coordinator/home_test.go
+++ b/internal/coordinator/home_test.go
@@ -124,3 +124,15 @@
 		t.Errorf("got queue lengths %s told to other hosts, want %s", got, want)
 	}
 }
+
+// The shares of an overloaded pool hold for confined requests if all its replicas are in their home.
+func TestOnlyNarrowedRequestsEscapeShedding(t *testing.T) {
+	const now = 5 * time.Second
+	c := newTwoRegionCoordinator(now)
+	c.Apply(now, LimitsChanged{Regions: confiner.Regions{"z1": "here", "z2": "there", "z3": "there"}})
+	for home, want := range map[confiner.Home]bool{confiner.Anywhere: false, homeIn("here", "there"): false, homeIn("here"): true} {
+		if got := c.isNarrowed(&queuedRequest{pool: poolKey{service: plainService}, home: home}); got != want {
+			t.Errorf("got %t for home %s, want %t", got, home, want)
+		}
+	}
+}
--- a/internal/driver/heartbeat_test.go
+++ b/internal/driver/heartbeat_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/evacuator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
@@ -19,7 +20,7 @@
 		From: coordinator.Peer{ID: "h", Address: "10.0.0.1:7", DataCentre: "dc", Capacity: 200}, Incarnation: 5, Sequence: 6, Claim: 7, KnownClaim: 8,
 		Successor: "i", HandedOverClaim: 7, FormationCount: 3, ConfigurationVersion: 9, Eligible: true, HasReceivedRequests: true, Stopping: true,
 		ServerLoads:    []coordinator.ServerLoad{{Server: "s", InFlight: 2, UnreadTokens: 700, Pinned: 1, SilentFor: 250 * time.Millisecond}},
-		Queues:         []coordinator.Queue{{Service: "llm", Model: "m", Rank: 2, Length: 3, Arrivals: 4}},
+		Queues:         []coordinator.Queue{{Service: "llm", Model: "m", Rank: 2, Length: 3, Arrivals: 4, Home: confiner.Confine([]fuchsiapitch.RegionName{"r2", "r1"}, nil)}},
 		Suspects:       []fuchsiapitch.ServerID{"s"},
 		LeavingServers: []coordinator.LeavingServer{{Server: "s", StartedUnixMillis: 5}},
 		Evacuations:    []evacuator.News{{DataCentre: "dc", Evacuated: true, Version: evacuator.Version{Era: 1, Offset: 5}}},
