--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -142,7 +142,7 @@
 		}
 		w.awaitsRetry = true
 	}
-	if w.home == confiner.Anywhere && c.isShed(w) {
+	if !c.isNarrowed(w) && c.isShed(w) {
 		c.refuse(w, Overloaded, c.shedRetryAfter(now, w.pool))
 		return
 	}
