relayer: slow readers hold neither places of servers nor memory without bound

A stream held the slot of its server for as long as its client did not read, also beyond the time limit, since nothing ended the write; meanwhile the server counted as silent. A whole response counted for its service until its client had read it. Now a goroutine reads on a stream whose write makes no progress for 0.5 s, up to 1 MiB in the caller's memory, and frees the slot at its end; a whole response counts for its caller once read; a caller with more than its share is refused before a server is taken (503); writes end 1 s after the time limit.

The own interface is not changed by this.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -89,16 +89,60 @@
 
 // Open returns the memory of a new response of an owner. The function frees it.
 func (a *Allocator) Open(ownerName string) (*Response, func()) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.openOwner(ownerName)
+	r := &Response{allocator: a, owner: ownerName}
+	return r, sync.OnceFunc(r.free)
+}
+
+// Transfer makes a response that of another owner, such as the one who has yet to read it. What it
+// holds counts for that one from then on, whether that exceeds its share or not.
+func (r *Response) Transfer(ownerName string) {
+	a := r.allocator
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if r.pooled == 0 && !r.hasPlace || r.owner == ownerName {
+		return
+	}
+	former, next := a.owners[r.owner], a.openOwner(ownerName)
+	former.used -= r.pooled
+	next.used += r.pooled
+	if r.hasPlace {
+		// The place stays taken, but the former owner may have another one.
+		former.hasPlace = false
+	}
+	a.closeOwner(r.owner)
+	r.owner = ownerName
+	a.grantWaiters()
+}
+
+// HasShare reports whether an owner holds no more than its share.
+func (a *Allocator) HasShare(ownerName string) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	o, ok := a.owners[ownerName]
+	return !ok || o.used <= a.poolBytes-a.used
+}
+
+// openOwner returns the owner of a further response. The caller holds the mutex.
+func (a *Allocator) openOwner(name string) *owner {
+	o, ok := a.owners[name]
 	if !ok {
 		o = &owner{}
-		a.owners[ownerName] = o
+		a.owners[name] = o
 	}
 	o.responses++
-	r := &Response{allocator: a, owner: ownerName}
-	return r, sync.OnceFunc(r.free)
+	return o
+}
+
+// closeOwner records that an owner has a response less. The caller holds the mutex.
+func (a *Allocator) closeOwner(name string) {
+	if o := a.owners[name]; o.responses > 1 {
+		o.responses--
+		return
+	}
+	delete(a.owners, name)
 }
 
 // Grow waits until the response may hold a number of further bytes. Its error is that of the
@@ -161,15 +205,12 @@
 	o := a.owners[r.owner]
 	a.used -= r.pooled
 	o.used -= r.pooled
-	o.responses--
 	if r.hasPlace {
 		o.hasPlace = false
 		a.reserved--
 	}
 	r.bytes, r.pooled, r.hasPlace = 0, 0, false
-	if o.responses == 0 {
-		delete(a.owners, r.owner)
-	}
+	a.closeOwner(r.owner)
 	a.grantWaiters()
 }
 
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -156,3 +156,29 @@
 		}
 	})
 }
+
+// Guards against responses that count for the service they came from, after they have been read, and
+// keep its share from others.
+func TestTransfer(t *testing.T) {
+	a := New(WithPool(testPool))
+	response, free := a.Open("service")
+	if err := response.Grow(t.Context(), testPool/2); err != nil {
+		t.Fatal(err)
+	}
+	response.Transfer("caller")
+	other, freeOther := a.Open("service")
+	if !other.TryGrow(testPool/4) || other.hasPlace {
+		t.Error("got no memory for the service, want some since its response was passed on")
+	}
+	if a.HasShare("caller") {
+		t.Error("got a share for the caller, want none")
+	}
+	freeOther()
+	free()
+	if got := a.UsedBytes(); got != 0 || len(a.owners) != 0 {
+		t.Errorf("got %d bytes and %d owners after all responses, want none", got, len(a.owners))
+	}
+	if !a.HasShare("caller") {
+		t.Error("got no share for a caller without responses")
+	}
+}
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -109,6 +109,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_refused_bodies_total{reason=%q}", reason)).Inc()
 }
 
+// CountSlowReader counts a stream that the host reads on since its client does not read it.
+func (m *Meter) CountSlowReader() {
+	m.set.GetOrCreateCounter("fuchsiapitch_slow_readers_total").Inc()
+}
+
+// CountUnreadRefusal counts a request that was refused since its caller does not read its responses.
+func (m *Meter) CountUnreadRefusal() {
+	m.set.GetOrCreateCounter("fuchsiapitch_unread_refusals_total").Inc()
+}
+
 // CountFullHost counts a time at which the host had as many connections of clients as it may.
 func (m *Meter) CountFullHost() {
 	m.set.GetOrCreateCounter("fuchsiapitch_connection_limit_reached_total").Inc()
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -120,6 +120,8 @@
 		release()
 		return nil, func() {}, err
 	}
+	// From now on it is the client for whom the body is held.
+	memory.Transfer(x.unreadOwner())
 	return blocks, release, nil
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -92,6 +92,8 @@
 	routes   atomic.Pointer[fuchsiapitch.RouteTable]
 	// buffers bounds the memory of the response bodies and events that are being read.
 	buffers *allocator.Allocator
+	// slowReaders looks after the streams whose clients do not read.
+	slowReaders slowReaders
 	// bodies reads the bodies of requests.
 	bodies *collector.Collector
 	// drain is the schedule of the stop, nil before.
@@ -128,6 +130,7 @@
 	for _, o := range options {
 		o(r)
 	}
+	r.slowReaders.meter = r.meter
 	return r
 }
 
@@ -163,12 +166,13 @@
 		return
 	}
 	defer x.body.Release()
-	if x.refuseIfDraining() {
+	if x.refuseIfDraining() || x.refuseIfUnread() {
 		return
 	}
 	ctx, cancel := x.newContext()
 	defer cancel()
 	x.ctx = ctx
+	defer x.boundWrites()()
 	if x.route.Kind == fuchsiapitch.StreamRoute {
 		x.serveStream()
 	} else {
@@ -189,8 +193,10 @@
 	routes    *fuchsiapitch.RouteTable
 	route     fuchsiapitch.HostRoute
 	principal fuchsiapitch.Principal
-	service   fuchsiapitch.ServiceName
-	body      *collector.Body
+	// caller is the name under which the request shares memory with others.
+	caller  string
+	service fuchsiapitch.ServiceName
+	body    *collector.Body
 	// sendCount is the number of attempts in which the request may have reached a
 	// server, acquisitions the number of times that a slot was requested for it.
 	sendCount, acquisitions int
@@ -233,7 +239,7 @@
 			return false
 		}
 	}
-	x.route = route
+	x.route, x.caller = route, x.callerName()
 	x.service = pickService(route.Services)
 	timeout := x.metadata.TimeLimit
 	if timeout <= 0 {
@@ -285,7 +291,7 @@
 	if limit <= 0 {
 		limit = maxBufferedBytes
 	}
-	body, err := x.relayer.bodies.Collect(x.writer, x.request, collector.Terms{Caller: x.caller(), LimitBytes: limit, Deadline: x.deadline})
+	body, err := x.relayer.bodies.Collect(x.writer, x.request, collector.Terms{Caller: x.caller, LimitBytes: limit, Deadline: x.deadline})
 	if err == nil {
 		x.body = body
 		return true
@@ -304,9 +310,9 @@
 	return false
 }
 
-// caller returns the name under which the request shares memory with others: the customer, or
+// callerName returns the name under which the request shares memory with others: the customer, or
 // the address of the client if none is known.
-func (x *exchange) caller() string {
+func (x *exchange) callerName() string {
 	if x.principal.Customer != "" {
 		return string(x.principal.Customer)
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -27,6 +27,9 @@
 // streamProgress is what a client has received of a stream.
 type streamProgress struct {
 	headerSent bool
+	// slotIsFree is true once the slot of the current attempt has been released, since its response
+	// was read to its end before the client had received it.
+	slotIsFree bool
 	// timeToFirstEvent is the time from the receipt of the request to the first
 	// event, longestGap the longest time between two events, and lastEventAt the time
 	// of the last event.
@@ -88,6 +91,7 @@
 // attemptStream sends the request to one server and forwards its events to the
 // client.
 func (x *exchange) attemptStream(p *streamProgress) (fuchsiapitch.Outcome, error) {
+	p.slotIsFree = false
 	slot, err := x.acquireSlot(p.headerSent)
 	if err != nil {
 		return fuchsiapitch.OutcomeNotRun, err
@@ -117,7 +121,9 @@
 	if err == nil && sender.IsCloseDelimited(response) && slot.HasServerEnded() {
 		err = &ServerEndedError{Server: slot.Server()}
 	}
-	x.releaseStream(slot, response, err)
+	if !p.slotIsFree {
+		x.releaseStream(slot, response, err)
+	}
 	if err != nil {
 		x.failedServers = append(x.failedServers, slot.Server())
 		err = cancellationCause(ctx, err)
@@ -211,20 +217,14 @@
 	buffer := make([]byte, initialBufferBytes)
 	buffered := 0
 	startID := p.lastEventID
+	source, closeSource := x.openBacklog(ctx, slot, response, p, &startedAt)
+	defer closeSource()
 	for {
-		n, err := response.Body.Read(buffer[buffered:])
-		if n > 0 {
-			if startedAt.IsZero() {
-				startedAt = time.Now()
-				slot.RecordResponseStart()
-			} else {
-				slot.RecordActivity()
-			}
-		}
+		n, err := source.Read(buffer[buffered:])
 		buffered += n
 		if end := completeEventBytes(buffer[:buffered], n); end > 0 {
 			validBytes, lastID, problem := validateEvents(buffer[:end], p.lastEventID, x.relayer.codec)
-			if err := x.writeEvents(response, buffer[:validBytes], lastID, p); err != nil {
+			if err := source.write(func() error { return x.writeEvents(response, buffer[:validBytes], lastID, p) }); err != nil {
 				return startedAt, err
 			}
 			if problem != "" {
@@ -252,6 +252,35 @@
 	}
 }
 
+// openBacklog returns the source of the events of a response. The time of the first byte is written
+// to startedAt. The slot becomes free when the body has been read to its end though the client has
+// not read it. The function closes the body and frees the memory.
+func (x *exchange) openBacklog(ctx context.Context, slot *driver.Slot, response *http.Response, p *streamProgress, startedAt *time.Time) (*backlog, func()) {
+	memory, release := x.relayer.buffers.Open(x.unreadOwner())
+	onData := func() {
+		if startedAt.IsZero() {
+			*startedAt = time.Now()
+			slot.RecordResponseStart()
+			return
+		}
+		slot.RecordActivity()
+	}
+	onEnd := func() {
+		if !sender.IsCloseDelimited(response) {
+			p.slotIsFree = true
+			slot.ReleaseComplete()
+		}
+	}
+	source := newBacklog(ctx, response.Body, memory, onData, slot.RecordActivity, onEnd)
+	x.relayer.slowReaders.add(source)
+	return source, func() {
+		x.relayer.slowReaders.remove(source)
+		response.Body.Close()
+		source.close()
+		release()
+	}
+}
+
 // completeEventBytes returns the number of bytes of the complete events at the start of
 // data. Only the last newBytes are new: the bytes before contain no delimiter, but may end
 // with its first byte.
