--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/admitter"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
@@ -14,20 +16,6 @@
 	// engineQueueDepth is the number of requests sent to an engine beyond its slots, so
 	// that it can fill a freed slot at once.
 	engineQueueDepth = 2
-	// slotTimeWeight is the weight of a new sample in the moving average of the slot
-	// time, the time for which a request occupies a slot.
-	slotTimeWeight = 0.05
-	// initialEngineSlotTime is the slot time assumed before the first sample. A stream
-	// of 30 events takes between one and two seconds.
-	initialEngineSlotTime = 1500 * time.Millisecond
-	// initialPlainSlotTime is the slot time assumed for a plain service.
-	initialPlainSlotTime = 40 * time.Millisecond
-	// initialFirstByteDelay is the first-byte delay assumed before the first sample:
-	// one pass of six steps with a full batch. It excludes the time to read the prompt.
-	initialFirstByteDelay = 60 * time.Millisecond
-	// firstByteDelayWeight is the weight of a new sample in the moving average of the
-	// first-byte delay.
-	firstByteDelayWeight = 0.05
 	// minRetryAfter and maxRetryAfter bound the retry delay that is sent to a refused
 	// client.
 	minRetryAfter = 100 * time.Millisecond
@@ -71,8 +59,6 @@
 	replicas         map[fuchsiapitch.ServerID]*replica
 	assignments      map[Ticket]*assignment
 	queue            []*queuedRequest
-	slotTimes        map[poolKey]time.Duration
-	firstByteDelays  map[poolKey]time.Duration
 	suspectedLocally map[fuchsiapitch.ServerID]bool
 }
 
@@ -86,11 +72,13 @@
 type assignment struct {
 	replica         *replica
 	pool            poolKey
+	home            confiner.Home
 	promptTokens    int
 	grantedAt       time.Duration
 	responseStarted bool
-	// startedAt is when the response started.
-	startedAt time.Duration
+	// startedAt is when the response started, expectedFirstEvent how long after the grant it
+	// was expected, 0 for unknown.
+	startedAt, expectedFirstEvent time.Duration
 	// incarnation is the run of the server to which the request was sent, and parts are the
 	// parts of its prompt. isPermitted is true if it was sent by a permit for a quarantined
 	// part, hasAcquitted once its response has acquitted its parts.
@@ -109,6 +97,7 @@
 type queuedRequest struct {
 	RequestArrived
 	pool      poolKey
+	home      confiner.Home
 	arrivedAt time.Duration
 	// isLate is true if the first byte can no longer arrive by FirstByteBy.
 	isLate bool
@@ -121,7 +110,7 @@
 func newAdmissionState() admissionState {
 	return admissionState{
 		services: make(map[fuchsiapitch.ServiceName]*knownService), replicas: make(map[fuchsiapitch.ServerID]*replica), assignments: make(map[Ticket]*assignment),
-		slotTimes: make(map[poolKey]time.Duration), firstByteDelays: make(map[poolKey]time.Duration), suspectedLocally: make(map[fuchsiapitch.ServerID]bool),
+		suspectedLocally: make(map[fuchsiapitch.ServerID]bool),
 	}
 }
 
@@ -129,7 +118,10 @@
 // exceed the retry budget, a new request is refused at once. A resumed stream is queued, because
 // a refusal would break off a response that its client has begun to receive.
 func (c *Coordinator) admit(now time.Duration, e RequestArrived) {
-	w := &queuedRequest{RequestArrived: e, pool: poolKey{e.Service, e.Model}, arrivedAt: now}
+	w := &queuedRequest{RequestArrived: e, pool: poolKey{e.Service, e.Model}, home: c.regions.Narrow(e.Home), arrivedAt: now}
+	if c.refuseHomeless(w) {
+		return
+	}
 	if c.passesQuarantine(now, w) {
 		c.admitChecked(now, w)
 	}
@@ -140,7 +132,7 @@
 	e := w.RequestArrived
 	w.isLate = c.cannotBeInTime(now, w)
 	c.retainService(e)
-	c.countArrival(now, queueKey{w.pool, w.Rank})
+	c.countArrival(now, w)
 	c.demoteLate(now)
 	if !c.chargeRetryBudget(now, e) {
 		if !w.Resumed {
@@ -149,8 +141,8 @@
 		}
 		w.awaitsRetry = true
 	}
-	if c.isShed(w) {
-		c.refuse(w, Overloaded, c.slotTime(w.pool))
+	if w.home == confiner.Anywhere && c.isShed(w) {
+		c.refuse(w, Overloaded, c.shedRetryAfter(now, w.pool))
 		return
 	}
 	if !w.awaitsRetry && !c.hasPredecessor(now, w) {
@@ -165,7 +157,7 @@
 	expectedWait, servable := c.expectedWait(now, w)
 	switch {
 	case !servable && !w.Resumed:
-		c.refuse(w, NoReplica, expectedWait)
+		c.refuse(w, c.unservableReason(w), expectedWait)
 		return
 	case servable && now+expectedWait > c.waitLimit(now, w) && !w.isLate:
 		// The request is queued behind those that can be in time.
@@ -224,20 +216,11 @@
 // timeToFirstByte returns the expected time from a grant to the first byte.
 func (c *Coordinator) timeToFirstByte(w *queuedRequest) time.Duration {
 	for _, r := range c.replicas {
-		if r.serves(w.pool) && r.readTokensPerSecond > 0 {
-			return r.timeToRead(w.InputTokens) + c.firstByteDelay(w.pool)
+		if r.serves(w.pool) && r.isEngine() {
+			return r.speed.TimeToRead(w.InputTokens) + c.poolOf(w.pool).FirstEventDelay()
 		}
 	}
-	return c.slotTime(w.pool) / 2
-}
-
-// firstByteDelay returns the mean time from a grant to the first byte, without the time
-// to read the prompt.
-func (c *Coordinator) firstByteDelay(p poolKey) time.Duration {
-	if f, ok := c.firstByteDelays[p]; ok {
-		return f
-	}
-	return initialFirstByteDelay
+	return c.poolOf(w.pool).ServiceTime() / 2
 }
 
 // hasPredecessor reports whether another request for the same replicas comes first in
@@ -248,18 +231,7 @@
 
 // precedes reports whether a queued request gets a slot of the same replicas before another one.
 func (w *queuedRequest) precedes(other *queuedRequest) bool {
-	return w.pool == other.pool && !w.awaitsRetry && compareQueued(w, other) <= 0
-}
-
-// slotTime returns the mean time for which a request occupies a slot.
-func (c *Coordinator) slotTime(p poolKey) time.Duration {
-	if h, ok := c.slotTimes[p]; ok {
-		return h
-	}
-	if p.model == "" {
-		return initialPlainSlotTime
-	}
-	return initialEngineSlotTime
+	return w.pool == other.pool && w.home.Overlaps(other.home) && !w.awaitsRetry && compareQueued(w, other) <= 0
 }
 
 // expectedWait returns the time after which a slot is likely to be free, and whether
@@ -269,7 +241,7 @@
 	availableIn := time.Duration(math.MaxInt64)
 	for _, r := range c.replicas {
 		switch {
-		case !r.serves(w.pool):
+		case !r.serves(w.pool) || !c.mayUse(w.home, r):
 		case now < c.availableAt(r):
 			availableIn = min(availableIn, c.availableAt(r)-now)
 			isPaused = isPaused || c.pausedFor(now, r.server) > 0
@@ -294,8 +266,9 @@
 			queuedAhead += n
 		}
 	}
+	queuedAhead -= c.queuedElsewhere(w)
 	backlog := max(0, inFlight-slots) + queuedAhead + 1
-	return time.Duration(float64(c.slotTime(w.pool)) * float64(backlog) / float64(slots)), true
+	return time.Duration(float64(c.poolOf(w.pool).ServiceTime()) * float64(backlog) / float64(slots)), true
 }
 
 // timeToRepair returns the time after which a group is likely to serve the model if
@@ -312,14 +285,14 @@
 // chooseReplica returns the replica with the lowest cost, or nil if none has a free
 // slot.
 func (c *Coordinator) chooseReplica(now time.Duration, w *queuedRequest) *replica {
-	return c.chooseAmong(now, w, c.freeReplicas(now, w.pool))
+	return c.chooseAmong(now, w, c.freeReplicas(now, w.confined()))
 }
 
-// freeReplicas returns the replicas of a pool that may get a request now.
-func (c *Coordinator) freeReplicas(now time.Duration, p poolKey) []*replica {
+// freeReplicas returns the replicas of a pool, in the home, that may get a request now.
+func (c *Coordinator) freeReplicas(now time.Duration, p confinedPool) []*replica {
 	var free []*replica
 	for _, id := range sortedKeys(c.replicas) {
-		if r := c.replicas[id]; r.serves(p) && c.isFree(now, r) {
+		if r := c.replicas[id]; r.serves(p.pool) && c.mayUse(p.home, r) && c.isFree(now, r) {
 			free = append(free, r)
 		}
 	}
@@ -344,8 +317,9 @@
 	}
 	var best *replica
 	var bestCost float64
+	pool := c.poolOf(w.pool)
 	for _, r := range c.drawReplicas(candidates) {
-		cost := c.costMS(now, r, w.InputTokens)
+		cost := c.costMS(now, pool, r, w.InputTokens)
 		if slices.Contains(w.FailedServers, r.server) {
 			cost += failedServerCostMS
 		}
@@ -379,13 +353,16 @@
 }
 
 // costMS returns the expected time to the first byte plus penalties, in milliseconds.
-func (c *Coordinator) costMS(now time.Duration, r *replica, promptTokens int) float64 {
+func (c *Coordinator) costMS(now time.Duration, p *admitter.Pool, r *replica, promptTokens int) float64 {
 	const (
 		fullBatchMS = 60.0 // time of a pass with a full batch
 		remoteMS    = 2.0  // latency to another data centre
 		avoidanceMS = 2000 // exceeds any real wait
 	)
-	cost := float64(r.timeToReadWith(promptTokens).Milliseconds()) + fullBatchMS*float64(r.totalInFlight())/float64(max(r.slots, 1))
+	cost := float64(r.speed.TimeToRead(r.allUnreadTokens()+promptTokens).Milliseconds()) + fullBatchMS*float64(r.totalInFlight())/float64(max(r.slots, 1))
+	if c.usesRelays() && r.isEngine() {
+		cost = float64(p.Expect(r.engine(), r.totalInFlight(), r.allUnreadTokens()+promptTokens).Milliseconds())
+	}
 	if !r.inSameDataCentre {
 		cost += remoteMS
 	}
@@ -398,19 +375,22 @@
 // grant assigns a slot of a replica to a request.
 func (c *Coordinator) grant(now time.Duration, w *queuedRequest, r *replica) {
 	a := &assignment{
-		replica: r, pool: w.pool, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove,
+		replica: r, pool: w.pool, home: w.home, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove,
 		incarnation: c.incarnationOf(r.server), parts: w.Parts, isPermitted: w.isPermitted,
 	}
 	if a.isPermitted {
 		c.usePermits(now, w.Parts, r.server)
 	}
 	c.assignments[w.Ticket] = a
+	if r.isEngine() && c.usesRelays() {
+		a.expectedFirstEvent = c.poolOf(w.pool).ExpectFor(r.engine(), r.totalInFlight(), w.InputTokens)
+	}
 	if r.inFlight == 0 {
 		r.busySince = now
 	}
 	r.inFlight++
 	r.unreadTokens += w.InputTokens
-	if r.readTokensPerSecond > 0 {
+	if r.isEngine() {
 		c.unannouncedTokens += w.InputTokens
 	}
 	r.lastSentAt = now
@@ -437,7 +417,7 @@
 func (c *Coordinator) dispatchQueue(now time.Duration) {
 	c.demoteLate(now)
 	remaining := c.queue[:0]
-	fullPools, freeReplicas := make(map[poolKey]bool), make(map[poolKey][]*replica)
+	fullPools, freeReplicas := make(map[confinedPool]bool), make(map[confinedPool][]*replica)
 	soonestReturns := c.soonestReturns(now)
 	for _, w := range c.queue {
 		if now > c.waitLimit(w.arrivedAt, w) || now >= w.Deadline {
@@ -451,17 +431,17 @@
 		if w.awaitsRetry && c.takeRetry(now, w.Service) {
 			w.awaitsRetry = false
 		}
-		if !w.awaitsRetry && !fullPools[w.pool] {
-			free, isKnown := freeReplicas[w.pool]
+		if !w.awaitsRetry && !fullPools[w.confined()] {
+			free, isKnown := freeReplicas[w.confined()]
 			if !isKnown {
-				free = c.freeReplicas(now, w.pool)
-				freeReplicas[w.pool] = free
+				free = c.freeReplicas(now, w.confined())
+				freeReplicas[w.confined()] = free
 			}
 			if r := c.chooseAmong(now, w, free); r != nil {
 				c.grant(now, w, r)
 				continue
 			}
-			fullPools[w.pool] = !w.avoidsFailedNow(now)
+			fullPools[w.confined()] = !w.avoidsFailedNow(now)
 		}
 		remaining = append(remaining, w)
 	}
@@ -499,10 +479,9 @@
 	}
 	a.responseStarted, a.startedAt = true, now
 	a.replica.unreachableBackOff = 0
-	sample := now - a.grantedAt - a.replica.timeToRead(a.promptTokens)
-	c.firstByteDelays[a.pool] = time.Duration((1-firstByteDelayWeight)*float64(c.firstByteDelay(a.pool)) + firstByteDelayWeight*float64(max(0, sample)))
+	c.poolOf(a.pool).ObserveFirstEvent(now-a.grantedAt, a.replica.speed.TimeToRead(a.promptTokens), a.expectedFirstEvent)
 	a.replica.unreadTokens -= a.promptTokens
-	if a.replica.readTokensPerSecond > 0 {
+	if a.replica.isEngine() {
 		c.unannouncedTokens += a.promptTokens
 	}
 	a.replica.lastByteAt = max(a.replica.lastByteAt, now)
@@ -512,6 +491,16 @@
 	}
 }
 
+// occupied returns for how long a request has occupied a slot of its replica. The time that it
+// waited there for a slot, as far as it shows, does not count in a cluster with relays.
+func (c *Coordinator) occupied(now time.Duration, a *assignment) time.Duration {
+	whole := now - a.grantedAt
+	if !c.usesRelays() || !a.responseStarted || !a.replica.isEngine() {
+		return whole
+	}
+	return min(whole, now-a.startedAt+a.replica.speed.TimeToRead(a.promptTokens)+a.replica.speed.Pass(a.replica.slots))
+}
+
 // releaseTicket frees the slot of a request, or removes a request without a slot from
 // the queue.
 func (c *Coordinator) releaseTicket(now time.Duration, e TicketReleased) {
@@ -554,8 +543,7 @@
 		}
 	default:
 		r.unreachableBackOff, r.consecutiveFailures = 0, 0
-		occupied := now - a.grantedAt
-		c.slotTimes[a.pool] = time.Duration((1-slotTimeWeight)*float64(c.slotTime(a.pool)) + slotTimeWeight*float64(occupied))
+		c.poolOf(a.pool).ObserveService(c.occupied(now, a))
 	}
 	if r.inFlight == 0 && !r.open && !r.announced {
 		delete(c.replicas, r.server)
@@ -568,22 +556,21 @@
 func (c *Coordinator) queueLengths(now time.Duration) []Queue {
 	counts := make(map[queueKey]int)
 	for _, w := range c.queue {
-		if !w.awaitsRetry {
+		if !w.awaitsRetry && w.home == confiner.Anywhere {
 			counts[queueKey{w.pool, w.Rank}]++
 		}
 	}
-	for k, a := range c.arrivals {
-		if a.advance(now); a.current+a.previous > 0 {
-			counts[k] += 0
+	arrivals := make(map[queueKey]admitter.Arrivals)
+	for p, pool := range c.pools {
+		for _, a := range pool.Arrivals(now) {
+			counts[queueKey{p, a.Rank}] += 0
+			arrivals[queueKey{p, a.Rank}] = a
 		}
 	}
 	var queues []Queue
 	for _, k := range sortedQueueKeys(counts) {
-		q := Queue{Service: k.pool.service, Model: k.pool.model, Rank: k.rank, Length: counts[k]}
-		if a, ok := c.arrivals[k]; ok {
-			q.Arrivals = a.current + a.previous
-		}
-		queues = append(queues, q)
+		a := arrivals[k]
+		queues = append(queues, Queue{Service: k.pool.service, Model: k.pool.model, Rank: k.rank, Length: counts[k], Arrivals: a.All, Returned: a.Returned})
 	}
-	return queues
+	return append(queues, c.confinedQueueLengths()...)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -65,9 +65,10 @@
 	revocationState
 	relayState
 	directoryState
-	admissionShareState
+	sheddingState
 	noticeState
 	crashState
+	homeState
 	evacuationState
 	coldState
 }
@@ -120,8 +121,8 @@
 		peers:           make(map[fuchsiapitch.HostID]*peer),
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
-		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), admissionShareState: newAdmissionShareState(self, incarnation), noticeState: newNoticeState(), crashState: newCrashState(self),
-		evacuationState: newEvacuationState(), coldState: newColdState(self),
+		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), sheddingState: newSheddingState(self, incarnation), noticeState: newNoticeState(), crashState: newCrashState(self),
+		homeState: newHomeState(), evacuationState: newEvacuationState(), coldState: newColdState(self),
 	}
 	for _, o := range options {
 		o(c)
@@ -182,7 +183,7 @@
 	case ClaimRead:
 		c.applyClaim(now, e)
 	case LimitsChanged:
-		c.stallTimeout = e.StallTimeout
+		c.stallTimeout, c.regions = e.StallTimeout, e.Regions
 		c.retryRatio, c.retrySlack, c.retryWindow = e.RetryRatio, e.RetrySlack, e.RetryWindow
 		c.coldOver, c.coldSlack = e.ColdOver, e.ColdSlack
 	case HostStopping:
@@ -378,7 +379,7 @@
 	c.sequence++
 	b := Heartbeat{
 		From: c.self, Incarnation: c.incarnation, Sequence: c.sequence, Claim: c.activeClaim(now), KnownClaim: c.knownClaim,
-		ConfigurationVersion: c.configurationVersion(), Eligible: c.isEligible(now), HasReceivedRequests: c.anyHostHasReceivedRequests(now), Stopping: c.stopping, ServerLoads: c.serverLoads(now), Queues: c.queueLengths(now),
+		ConfigurationVersion: c.configurationVersion(), Eligible: c.isEligible(now), HasReceivedRequests: c.anyHostHasReceivedRequests(now), Stopping: c.stopping, ServerLoads: c.serverLoads(now), Queues: c.queueLengths(now), Customers: c.reportedCustomers(now),
 	}
 	if c.stopping && c.ownClaim != 0 && c.ownClaim == c.knownClaim && c.claimHolder == c.self.ID {
 		if c.chosenSuccessor == "" {
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/apportioner"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/evacuator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/ramper"
@@ -25,6 +27,10 @@
 	Model   string
 	// Rank is the priority class of the request; 0 is the most urgent.
 	Rank int
+	// Customer is the customer that sends the request, "" for none.
+	Customer fuchsiapitch.CustomerName
+	// Home is the set of regions whose replicas may get the request.
+	Home confiner.Home
 	// InputTokens is the length of the prompt, OutputTokens the expected length of the
 	// response.
 	InputTokens, OutputTokens int
@@ -157,6 +163,8 @@
 	// RetryRatio, RetrySlack and RetryWindow bound the retries of all hosts together.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// Regions are the regions of the data centres.
+	Regions confiner.Regions
 	// ColdOver and ColdSlack bound the requests of all hosts to a cold server.
 	ColdOver, ColdSlack float64
 }
@@ -314,6 +322,10 @@
 	Paused
 	// Quarantined means that requests with the same part in their prompts end servers.
 	Quarantined
+	// Evacuated means that no replica serves the service and model but in evacuated data centres.
+	Evacuated
+	// NoHome means that replicas serve the request only in regions that it may not use.
+	NoHome
 )
 
 // String returns the reason in kebab case.
@@ -331,6 +343,10 @@
 		return "paused"
 	case Quarantined:
 		return "quarantined"
+	case Evacuated:
+		return "evacuated"
+	case NoHome:
+		return "no-home"
 	}
 	return "invalid"
 }
@@ -362,9 +378,12 @@
 	Service fuchsiapitch.ServiceName
 	Model   string
 	Rank    int
+	// Home is the set of regions to which the queued requests are confined.
+	Home confiner.Home
 	// Length is the number of queued requests, Arrivals the number of those that have
-	// arrived recently, in a cluster with relays.
-	Length, Arrivals int
+	// arrived recently, in a cluster with relays, and Returned the number of the latter that
+	// came back after a refusal.
+	Length, Arrivals, Returned int
 }
 
 // LeavingServer is one incarnation of a server that leaves. It is a plain record.
@@ -411,6 +430,8 @@
 	Stopping    bool
 	ServerLoads []ServerLoad
 	Queues      []Queue
+	// Customers are the customers with the most recent requests, in a cluster with relays.
+	Customers []apportioner.Arrivals
 	// Suspects are the servers that failed requests of the sender have named as the
 	// cause.
 	Suspects []fuchsiapitch.ServerID
--- a/internal/platformassembler/era_test.go
+++ b/internal/platformassembler/era_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/pacer"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/rewinder"
 	standin "github.com/fuchsiapitch/fuchsiapitch/internal/standin/platform"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
@@ -221,7 +222,10 @@
 	copied := c.Store.Copy()
 	c.Store.PublishConfiguration(standin.Configuration(2))
 	c.awaitVersion(t, 2)
+	c.Store.SetOutage(true)
+	time.Sleep(300 * time.Millisecond)
 	c.Store.GoBack(copied)
+	c.Store.SetOutage(false)
 	c.await(t, "registration of both hosts", func() bool {
 		page, err := client.Newest(t.Context(), platform.HostsTopic)
 		return err == nil && len(page.Records) == 2
@@ -238,6 +242,54 @@
 	}
 }
 
+// A host starts after the store has lost a configuration and before the operator has written it
+// again. It takes the configuration from the other host.
+func TestStartingHostTakesConfigurationThatTheStoreLost(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 2)
+	c.Store.StateEra()
+	copied := c.Store.Copy()
+	c.Store.PublishConfiguration(standin.Configuration(2))
+	c.awaitVersion(t, 2)
+	close(c.stopChannels[1])
+	<-c.serveResults[1]
+	c.Store.GoBack(copied)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.startHost(ctx, t, 1)
+	t.Cleanup(cancel)
+	c.awaitReady(t, 1)
+	c.await(t, "lost configuration", func() bool { return c.fetchStatus(t, 1).ConfigurationVersion == 2 })
+}
+
+// An evacuation that the store has lost stays in force. Written again and withdrawn at lower offsets
+// than before, it ends.
+func TestEvacuationOutlivesStoreThatWentBack(t *testing.T) {
+	t.Parallel()
+	const key = "evacuate/z9"
+	c := newTestCluster(t, 1)
+	c.Store.StateEra()
+	copied := c.Store.Copy()
+	for range 20 {
+		c.Store.WriteRecord(platform.OperatorTopic, "other", []byte("{}"))
+	}
+	isEvacuated := func() bool {
+		status := c.fetchStatus(t, 0)
+		return len(status.Evacuations) == 1 && status.Evacuations[0].Evacuated
+	}
+	c.Store.WriteRecord(platform.OperatorTopic, key, []byte("{}"))
+	c.await(t, "evacuation", isEvacuated)
+	c.Store.GoBack(copied)
+	c.await(t, "new era", func() bool { return c.fetchStatus(t, 0).StoreRewinds == 1 })
+	for until := time.Now().Add(rewinder.Grace + time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if !isEvacuated() {
+			t.Fatal("got the evacuation ended, want it in force")
+		}
+	}
+	c.Store.WriteRecord(platform.OperatorTopic, key, []byte("{}"))
+	c.Store.WriteRecord(platform.OperatorTopic, key, nil)
+	c.await(t, "end of the evacuation", func() bool { return !isEvacuated() })
+}
+
 // awaitVersion waits until a configuration is in force at all hosts, and checks that none has an
 // earlier one than before.
 func (c *testCluster) awaitVersion(t *testing.T, want int64) {
