--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -189,9 +189,14 @@
 func (t *Tracker) Serve(ctx context.Context) error {
 	var c cursor
 	backOff := minBackOff
+	startedAt := time.Now()
 	for ctx.Err() == nil {
 		if !t.isNeeded() {
-			sleep(ctx, needInterval)
+			pause := needInterval
+			if time.Since(startedAt) < startDuration {
+				pause = startNeedInterval
+			}
+			sleep(ctx, pause)
 			continue
 		}
 		page, restarted, err := t.read(ctx, c.nextOffset, c.synced)
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -71,6 +71,59 @@
 	}
 }
 
+// Pattern: a host becomes a relay, which reads the servers topic again after a while in which thousands of records
+// were appended, more than one page holds. It must be up to date at once, not one interval later for
+// each page.
+func TestPagesBehindTheEndAreReadWithoutPause(t *testing.T) {
+	const pages, interval = 5, 800 * time.Millisecond
+	var readAt []time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		s := &scriptedStore{}
+		for n := range pages {
+			s.responses = append(s.responses, func(context.Context) (platform.Page, error) {
+				readAt = append(readAt, time.Since(startedAt))
+				return platform.Page{NextOffset: int64(10 + 100*(n+1)), End: 10 + 100*pages}, nil
+			})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		serveResult := make(chan error, 1)
+		go func() {
+			serveResult <- New(s, "t", func(Update) {}, WithInterval(interval)).Serve(ctx)
+		}()
+		<-serveResult
+	})
+	if got, want := len(readAt), pages; got != want {
+		t.Fatalf("got %d pages read, want %d", got, want)
+	}
+	if got, want := readAt[pages-1]-readAt[0], time.Duration(0); got != want {
+		t.Errorf("got the last page %v after the first, want %v", got, want)
+	}
+}
+
+// A store that states an end which it does not deliver is not read without pause.
+func TestReadsWithoutProgressPause(t *testing.T) {
+	reads := 0
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedStore{}
+		for range 1000 {
+			s.responses = append(s.responses, func(context.Context) (platform.Page, error) {
+				reads++
+				return platform.Page{NextOffset: 10, End: 99}, nil
+			})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		serveResult := make(chan error, 1)
+		go func() { serveResult <- New(s, "t", func(Update) {}, WithInterval(time.Second)).Serve(ctx) }()
+		<-serveResult
+	})
+	if got, want := reads, 10; got > want {
+		t.Errorf("got %d reads in 10 s, want at most %d", got, want)
+	}
+}
+
 // A read to which the store never responds times out and is reported as failed.
 func TestReadWithoutResponseTimesOut(t *testing.T) {
 	s := &scriptedStore{responses: []func(context.Context) (platform.Page, error){blockUntilDone, blockUntilDone}}
