coordinator: first reads of the server list are spread over time

A host that starts now reads the registered hosts first. Relays and the strongest read the list at once, the others after a delay that grows with rank and cluster (package spreader), unless a relay sends them a directory before. A directory makes a host ready. A host without a list does not count as a source of one.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -173,6 +173,7 @@
 	case DigestReceived:
 		c.applyDigest(now, e.Digest)
 	case PeersListed:
+		c.peersListed = true
 		c.addPeers(e.Peers)
 		c.setRampHosts(now)
 	case EvacuationsRead:
--- a/internal/coordinator/directory.go
+++ b/internal/coordinator/directory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/spreader"
 )
 
 const (
@@ -15,6 +16,9 @@
 	// host reads the list itself. Relays read it every 0.8 s. A shorter timeout lets all
 	// hosts read the list, and with it the store's bandwidth, whenever relays are late.
 	directoryTimeout = 2 * time.Second
+	// hostListTimeout is how long a starting host waits for the registered hosts before it reads the
+	// server list without them.
+	hostListTimeout = 300 * time.Millisecond
 	// currentListAge is the age up to which the own list is current.
 	currentListAge = 3 * time.Second
 )
@@ -36,6 +40,8 @@
 
 // directoryState is the newest directory that this host has made or received.
 type directoryState struct {
+	// peersListed is true once the registered hosts have been read.
+	peersListed bool
 	// listOffset is the end of the own server list.
 	listOffset int64
 	// directory is the newest known directory, which this host sends as a relay.
@@ -47,11 +53,38 @@
 	directoryConfirmedAt time.Duration
 }
 
-// NeedsServerList reports whether this host has to read the platform's server list, hosts
-// and claims itself: in a small cluster, as a relay or the controller, and as long as no
-// relay sends it a current directory.
+// NeedsServerList reports whether this host has to read the platform's server list and claims
+// itself: in a small cluster, as a relay or the controller, and as long as no relay sends it a
+// current directory. A host that starts first learns which hosts there are.
 func (c *Coordinator) NeedsServerList(now time.Duration) bool {
-	return c.servesList(now) || c.directoryVersion == 0 || now-c.directoryConfirmedAt >= directoryTimeout
+	switch {
+	case !c.peersListed && now < hostListTimeout:
+		return false
+	case c.servesList(now):
+		return true
+	case c.directoryVersion == 0:
+		return now >= c.firstReadAt()
+	}
+	return now-c.directoryConfirmedAt >= directoryTimeout
+}
+
+// NeedsHostList reports whether this host has to read the registered hosts itself.
+func (c *Coordinator) NeedsHostList(now time.Duration) bool {
+	return !c.peersListed || c.NeedsServerList(now)
+}
+
+// KnowsServers reports whether this host has a list or a directory of the backend servers.
+func (c *Coordinator) KnowsServers() bool { return c.listReadAt > 0 || c.directoryVersion != 0 }
+
+// firstReadAt returns when a host that no relay has sent a directory reads the list itself.
+func (c *Coordinator) firstReadAt() time.Duration {
+	rank := 0
+	for _, p := range c.ranked(c.dataCentre) {
+		if outranks(p.Peer, c.self) {
+			rank++
+		}
+	}
+	return spreader.Delay(len(c.peers)+1, len(c.rankedPeers), rank)
 }
 
 // mergeDirectoryEntry returns the report of a server with what a directory says of it. What only
--- a/internal/coordinator/membership_simulation_test.go
+++ b/internal/coordinator/membership_simulation_test.go
@@ -21,6 +21,9 @@
 	// simulatedListInterval is the interval at which a simulated host reads the server
 	// list.
 	simulatedListInterval = 800 * time.Millisecond
+	// simulatedNeedInterval is the interval at which a simulated host that does not need the list asks
+	// whether it does.
+	simulatedNeedInterval = 250 * time.Millisecond
 	// simulatedHostsInterval is the interval at which it reads the registered hosts.
 	simulatedHostsInterval = 500 * time.Millisecond
 	// simulatedStartSpread is the time within which all simulated hosts start.
@@ -45,8 +48,9 @@
 	claims []ClaimRead
 	// registered are the hosts in the store.
 	registered []Peer
-	// messages counts the datagrams that were sent, listReads the reads of the list.
-	messages, listReads int
+	// messages counts the datagrams that were sent, listReads the reads of the list, and firstListReads
+	// those that are the first of their host.
+	messages, listReads, firstListReads int
 	// servers is the server list, and listVersion the number of its changes.
 	servers     []fuchsiapitch.ServerReport
 	listVersion int64
@@ -70,6 +74,7 @@
 	incarnation int64
 	startedAt   time.Duration
 	stopped     bool
+	hasReadList bool
 }
 
 // scheduledCall is a function to be called at a time.
@@ -139,8 +144,8 @@
 func (hc *hostCluster) start(h *simulatedHost) {
 	hc.registered = append(hc.registered, h.self)
 	hc.apply(h, ConfigurationChanged{Routes: plainRoutes()})
-	hc.at(hc.now+simulatedStoreLatency, func() { hc.readList(h) })
 	hc.at(hc.now+simulatedStoreLatency, func() { hc.readHosts(h) })
+	hc.at(hc.now+simulatedStoreLatency, func() { hc.readList(h) })
 	hc.at(hc.now+simulatedTickInterval, func() { hc.tick(h) })
 }
 
@@ -164,14 +169,20 @@
 	}
 	if h.coordinator.NeedsServerList(hc.now - h.startedAt) {
 		hc.listReads++
+		if !h.hasReadList {
+			h.hasReadList = true
+			hc.firstListReads++
+		}
 		hc.apply(h, ServersListed{Servers: hc.servers, Offset: hc.listVersion})
 		if hc.goingBack != nil {
 			hc.goingBack.deliverNewest(h)
 		} else if len(hc.claims) > 0 {
 			hc.apply(h, hc.claims[len(hc.claims)-1])
 		}
+		hc.at(hc.now+simulatedListInterval, func() { hc.readList(h) })
+		return
 	}
-	hc.at(hc.now+simulatedListInterval, func() { hc.readList(h) })
+	hc.at(hc.now+simulatedNeedInterval, func() { hc.readList(h) })
 }
 
 // readHosts delivers the registered hosts to a host.
@@ -179,7 +190,7 @@
 	if h.stopped {
 		return
 	}
-	if h.coordinator.NeedsServerList(hc.now - h.startedAt) {
+	if h.coordinator.NeedsHostList(hc.now - h.startedAt) {
 		hc.apply(h, PeersListed{Peers: hc.registered})
 	}
 	hc.at(hc.now+simulatedHostsInterval, func() { hc.readHosts(h) })
@@ -360,6 +371,43 @@
 	})
 }
 
+// Load: all of hundreds of hosts start at once, as after a loss of power, and each needs the servers, ten
+// for each host with 300 bytes on the list. The store sends 80 MB a second. What hosts read of
+// it, at first the whole list, stays below that, and soon every host knows the servers.
+func TestFewHostsReadTheListAtTheStart(t *testing.T) {
+	const storeBytesPerSecond, listBytesPerHost = 80_000_000, 3000
+	for _, size := range []struct {
+		hosts, dataCentres int
+		knownAfter         time.Duration
+	}{{295, 3, 2500 * time.Millisecond}, {295, 5, 2500 * time.Millisecond}, {91, 3, time.Second}, {8, 3, 200 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("%d hosts in %d data centres", size.hosts, size.dataCentres), func(t *testing.T) {
+			hc := newHostCluster(4, size.hosts, size.dataCentres)
+			hc.loss = 0.01
+			for _, h := range hc.hosts {
+				hc.registered = append(hc.registered, h.self)
+			}
+			const window = 500 * time.Millisecond
+			for hc.now < simulatedStartSpread+size.knownAfter {
+				before := hc.firstListReads
+				hc.runUntil(hc.now + window)
+				read := (hc.firstListReads - before) * size.hosts * listBytesPerHost
+				if got, want := read, int(window.Seconds()*storeBytesPerSecond); got > want {
+					t.Errorf("got %d bytes read in the %v before %v, want at most %d", got, window, hc.now, want)
+				}
+			}
+			unaware := 0
+			for _, h := range hc.hosts {
+				if !h.coordinator.KnowsServers() || len(h.coordinator.servers) < len(hc.servers) {
+					unaware++
+				}
+			}
+			if got, want := unaware, 0; got != want {
+				t.Errorf("got %d hosts without servers at %v, want %d", got, hc.now, want)
+			}
+		})
+	}
+}
+
 // setLeaving lists a server as leaving.
 func (hc *hostCluster) setLeaving(id fuchsiapitch.ServerID) {
 	servers := slices.Clone(hc.servers)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -132,14 +132,28 @@
 	return d.coordinator.LiveHostCount(d.now())
 }
 
-// NeedsServerList reports whether this host has to read the server list, the hosts and the
-// claims in the store itself.
+// NeedsServerList reports whether this host has to read the server list and the claims in the
+// store itself.
 func (d *Driver) NeedsServerList() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.coordinator.NeedsServerList(d.now())
 }
 
+// NeedsHostList reports whether this host has to read the registered hosts in the store itself.
+func (d *Driver) NeedsHostList() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.NeedsHostList(d.now())
+}
+
+// KnowsServers reports whether this host has a list or a directory of the backend servers.
+func (d *Driver) KnowsServers() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.KnowsServers()
+}
+
 // UsesRelays reports whether hosts send their heartbeats to relays.
 func (d *Driver) UsesRelays() bool {
 	d.mutex.Lock()
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -294,7 +294,7 @@
 // serveReadiness responds to the readiness checks of the load balancer. The host is
 // ready once it has a configuration and a server list, and until it stops.
 func (h *Host) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if h.relayer.Routes() == nil || !h.serverListKnown.Load() || h.relayer.Draining() {
+	if h.relayer.Routes() == nil || !h.serverListKnown.Load() && !h.driver.KnowsServers() || h.relayer.Draining() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -345,7 +345,7 @@
 	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyOperatorTopic, tracker.WithVariableLongPoll(h.configurationPollWait), tracker.WithRetention())
 	needed := tracker.WithNeed(h.driver.NeedsServerList)
 	h.longPollTrackers = []*tracker.Tracker{
-		h.configurationTracker, newLongPollTracker(platform.HostsTopic, h.applyHostList, tracker.WithLongPoll(longPollWait), tracker.WithInterval(hostListInterval), needed),
+		h.configurationTracker, newLongPollTracker(platform.HostsTopic, h.applyHostList, tracker.WithLongPoll(longPollWait), tracker.WithInterval(hostListInterval), tracker.WithNeed(h.driver.NeedsHostList)),
 		newLongPollTracker(platform.ClaimsTopic, h.applyClaims, tracker.WithLongPoll(longPollWait), needed),
 	}
 }
--- a/internal/platformassembler/state.go
+++ b/internal/platformassembler/state.go
@@ -246,7 +246,8 @@
 	if len(s.Hosts) > 0 {
 		h.applyHostList(tracker.Update{Records: encodeHosts(s.Hosts)})
 	}
-	if !h.serverListKnown.Load() {
+	// In a large cluster most hosts have read no list that they could give.
+	if !h.serverListKnown.Load() && len(s.Servers) > 0 {
 		var reports []fuchsiapitch.ServerReport
 		for id, value := range s.Servers {
 			if r, err := platform.DecodeServer(id, value); err == nil {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -32,6 +32,10 @@
 	// needInterval is how often a tracker asks whether a topic that is not needed has to
 	// be read again.
 	needInterval = 250 * time.Millisecond
+	// startNeedInterval is the same for startDuration after the start of a host, which learns within
+	// milliseconds what it has to read.
+	startNeedInterval = 25 * time.Millisecond
+	startDuration     = 500 * time.Millisecond
 )
 
 // Store provides read access to the topics of the platform's store.
@@ -219,8 +223,12 @@
 		}
 		backOff = minBackOff
 		t.deliver(page, c)
+		// A host that has not read for a while is several pages behind.
+		isBehind := c.synced && c.nextOffset < page.NextOffset && page.NextOffset < page.End
 		c = cursor{nextOffset: page.NextOffset, era: page.Era, synced: true}
-		sleep(ctx, t.interval)
+		if !isBehind {
+			sleep(ctx, t.interval)
+		}
 	}
 	return ctx.Err()
 }
