rebalancer: shares of models follow a demand that lasts

The package rebalancer shifts the share of one group from a model with room to spare to one that has lacked it for 8 s, twice as long as a change takes at least, and rests for 20 s. Tests name the loads: bursts of 3 and 6 s move nothing, nor does demand that swings each 15 s within a rest.

--- a/internal/coordinator/balance.go
+++ b/internal/coordinator/balance.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/rebalancer"
 )
 
 const (
@@ -20,9 +21,17 @@
 	strandedTimeout = 6 * time.Second
 )
 
+// demandInterval is the time between two observations of the demand for models.
+const demandInterval = 250 * time.Millisecond
+
+// changeMargin is added to the time of a warm load: the requests of the group that gives way end.
+const changeMargin = 2 * time.Second
+
 // groupCounts counts the formations of a service.
 type groupCounts struct {
 	profile *fuchsiapitch.EngineProfile
+	// shares shift the configured shares of the models.
+	shares *rebalancer.Rebalancer
 	// byModel counts the formations of each model in all domains, except retiring ones.
 	byModel map[string]int
 	// inDomain counts the formations in one domain, inTransition those among them that
@@ -31,7 +40,7 @@
 }
 
 func (c *Coordinator) countGroups(service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, p *fuchsiapitch.EngineProfile) groupCounts {
-	gc := groupCounts{profile: p, byModel: make(map[string]int)}
+	gc := groupCounts{profile: p, shares: c.rebalancer(service), byModel: make(map[string]int)}
 	for _, g := range c.groups {
 		if g.service != service || g.failed {
 			continue
@@ -50,10 +59,45 @@
 	return gc
 }
 
+// rebalancer returns what shifts the shares of the models of a service.
+func (c *Coordinator) rebalancer(service fuchsiapitch.ServiceName) *rebalancer.Rebalancer {
+	r, ok := c.rebalancers[service]
+	if !ok {
+		r = &rebalancer.Rebalancer{}
+		c.rebalancers[service] = r
+	}
+	return r
+}
+
+// observeDemand lets the shares of models follow a demand that lasts.
+func (c *Coordinator) observeDemand(now time.Duration) {
+	if now < c.nextDemandAt {
+		return
+	}
+	c.nextDemandAt = now + demandInterval
+	for name, service := range c.services {
+		p := service.profile.Engine
+		if p == nil || len(p.Models) < 2 {
+			continue
+		}
+		gc := c.countGroups(name, "", p)
+		pools := make([]rebalancer.Pool, len(p.Models))
+		for n, m := range p.Models {
+			pools[n] = rebalancer.Pool{
+				Model: m.Name, Servers: gc.byModel[m.Name] * m.GroupSize, GroupSize: m.GroupSize,
+				Pressure: c.demandRatio(name, m.Name), ChangeTime: m.WarmLoadTime + p.OpenOrderTime + changeMargin,
+			}
+		}
+		if move, ok := gc.shares.Observe(now, pools); ok {
+			c.log("share of the servers follows the demand", map[string]any{"service": name, "from": move.From, "to": move.To})
+		}
+	}
+}
+
 // serversPerShare returns the number of servers that the given formations of a model
 // use, divided by the model's share of the requests.
-func serversPerShare(m fuchsiapitch.Model, formations int) float64 {
-	return float64(formations*m.GroupSize) / max(m.InitialLoadShare, 0.01)
+func (gc groupCounts) serversPerShare(m fuchsiapitch.Model, formations int) float64 {
+	return float64(formations*m.GroupSize) / max(gc.shares.Share(m.Name, m.InitialLoadShare), 0.01)
 }
 
 // leastSupplied returns the model with the fewest servers per share, among the models
@@ -65,7 +109,7 @@
 		if m.GroupSize > servers || m.GroupSize <= 0 {
 			continue
 		}
-		current, lowest := serversPerShare(m, gc.byModel[m.Name]), serversPerShare(best, gc.byModel[best.Name])
+		current, lowest := gc.serversPerShare(m, gc.byModel[m.Name]), gc.serversPerShare(best, gc.byModel[best.Name])
 		if best.GroupSize == 0 || current < lowest || current == lowest && m.GroupSize > best.GroupSize {
 			best = m
 		}
@@ -131,13 +175,13 @@
 // model must not have a higher demand ratio. Without the group it must still have more
 // servers per share than the wanted model has now.
 func (c *Coordinator) groupToRetire(service fuchsiapitch.ServiceName, domain fuchsiapitch.FabricDomainName, gc groupCounts, wanted fuchsiapitch.Model, freeCount int) *group {
-	wantedSupply := serversPerShare(wanted, gc.byModel[wanted.Name])
+	wantedSupply := gc.serversPerShare(wanted, gc.byModel[wanted.Name])
 	for _, g := range c.sortedDomainGroups(domainKey{service, domain}) {
 		m, ok := gc.profile.Model(g.model)
 		switch {
 		case !ok, g.failed, m.Name == wanted.Name:
 		case gc.availableServers(freeCount+g.size, gc.inDomain-1) < wanted.GroupSize:
-		case serversPerShare(m, gc.byModel[m.Name]-1) <= wantedSupply, c.demandRatio(service, m.Name) > c.demandRatio(service, wanted.Name):
+		case gc.serversPerShare(m, gc.byModel[m.Name]-1) <= wantedSupply, c.demandRatio(service, m.Name) > c.demandRatio(service, wanted.Name):
 		default:
 			return g
 		}
--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/rebalancer"
 )
 
 const (
@@ -126,6 +127,9 @@
 	// strandedSince is when the free servers of a domain first were too few for the
 	// model that lacks groups.
 	strandedSince map[domainKey]time.Duration
+	// rebalancers shift the shares of the models of each service, from nextDemandAt on again.
+	rebalancers  map[fuchsiapitch.ServiceName]*rebalancer.Rebalancer
+	nextDemandAt time.Duration
 	// domains are the servers of each domain, sorted; nil if they have to be indexed
 	// again. domainGroups are the formations of each domain, and membershipCounts the
 	// number of formations of which a server is a member.
@@ -146,8 +150,8 @@
 		groups:        make(map[fuchsiapitch.GroupRef]*group),
 		dissolved:     make(map[fuchsiapitch.GroupRef]bool),
 		leaders:       make(map[fuchsiapitch.GroupRef]fuchsiapitch.ServerID),
-		strandedSince: make(map[domainKey]time.Duration),
-		domainGroups:  make(map[domainKey]map[fuchsiapitch.GroupRef]*group), membershipCounts: make(map[fuchsiapitch.ServerID]int), loadCountAt: -1,
+		strandedSince: make(map[domainKey]time.Duration), rebalancers: make(map[fuchsiapitch.ServiceName]*rebalancer.Rebalancer),
+		domainGroups: make(map[domainKey]map[fuchsiapitch.GroupRef]*group), membershipCounts: make(map[fuchsiapitch.ServerID]int), loadCountAt: -1,
 	}
 }
 
--- a/internal/coordinator/reconcile.go
+++ b/internal/coordinator/reconcile.go
@@ -42,6 +42,7 @@
 		return
 	}
 	c.allocateLoads(now)
+	c.observeDemand(now)
 	keys := c.domainKeys()
 	for _, k := range keys {
 		c.advanceGroups(now, k)
