--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -239,6 +239,41 @@
 	}
 }
 
+// Load: from some moment on the callers of the small model are far more than its groups serve, and none ask for
+// the large one. After a burst nothing has changed; if it lasts, one large group gives way, once.
+func TestGroupsFollowDemandThatLasts(t *testing.T) {
+	press := func(sm *simulation, d time.Duration, requests int) {
+		for end := sm.now + d; sm.now < end; {
+			sm.run(250 * time.Millisecond)
+			sm.apply(0, HeartbeatReceived{Heartbeat: Heartbeat{
+				From: Peer{ID: "zz"}, Incarnation: 1, Queues: []Queue{{Service: "llm", Model: "small", Length: requests}},
+			}})
+		}
+	}
+	sm := newSimulation(7)
+	sm.startController()
+	sm.run(8 * time.Second)
+	large := func() int {
+		return sm.countOpenGroupsByModel("d0")["large"] + sm.countOpenGroupsByModel("d1")["large"]
+	}
+	small := func() int {
+		return sm.countOpenGroupsByModel("d0")["small"] + sm.countOpenGroupsByModel("d1")["small"]
+	}
+	press(sm, 6*time.Second, 200)
+	press(sm, 20*time.Second, 10)
+	if got, want := []int{large(), small()}, []int{2, 2}; !slices.Equal(got, want) {
+		t.Fatalf("got %v large and small groups after a burst, want %v", got, want)
+	}
+	press(sm, 25*time.Second, 200)
+	assertNoViolations(t, sm)
+	if got, want := large(), 1; got != want {
+		t.Errorf("got %d large groups, want %d", got, want)
+	}
+	if got, least := small(), 4; got < least {
+		t.Errorf("got %d small groups, want at least %d", got, least)
+	}
+}
+
 // killServers kills up to count servers of a domain that are members of a group of the
 // model, or of no group if it is "".
 func (sm *simulation) killServers(domain, model string, count int) {
