--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -150,6 +150,7 @@
 	h.pacedStore = pacer.New(h.storeClient)
 	c := coordinator.New(h.self, h.startedUnixMillis,
 		coordinator.WithStallTimeout(settings.StallTimeout), coordinator.WithDataCentre(settings.DataCentre),
+		coordinator.WithRegions(settings.Regions),
 		coordinator.WithRetryBudget(settings.RetryRatio, settings.RetrySlack, settings.RetryWindow), coordinator.WithColdLimits(settings.ColdOver, settings.ColdSlack),
 	)
 	h.driver = driver.New(ctx, c, platform.NewServerClient(singleUseTransport, platform.WithLogger(logs.For("conductor")), platform.WithNoticeHandler(func(server fuchsiapitch.ServerID, notice fuchsiapitch.ServerNotice) {
@@ -342,7 +343,7 @@
 		options = append(options, tracker.WithErrorHandler(h.readFailureHandler(topic)), tracker.WithReadHandler(h.readCounter(topic)))
 		return tracker.New(h.pacedStore, topic, handle, options...)
 	}
-	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyOperatorTopic, tracker.WithVariableLongPoll(h.configurationPollWait), tracker.WithRetention())
+	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyOperatorTopic, tracker.WithVariableLongPoll(h.configurationPollWait))
 	needed := tracker.WithNeed(h.driver.NeedsServerList)
 	h.longPollTrackers = []*tracker.Tracker{
 		h.configurationTracker, newLongPollTracker(platform.HostsTopic, h.applyHostList, tracker.WithLongPoll(longPollWait), tracker.WithInterval(hostListInterval), tracker.WithNeed(h.driver.NeedsHostList)),
