--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -68,6 +68,7 @@
 	sheddingState
 	noticeState
 	crashState
+	homeState
 	evacuationState
 	coldState
 }
@@ -121,7 +122,7 @@
 		suspectedUntil:  make(map[fuchsiapitch.ServerID]time.Duration),
 		controllerState: controllerState{lastClaimAt: -claimRetryInterval},
 		cluster:         newCluster(), admissionState: newAdmissionState(), retryBudget: newRetryBudget(), revocationState: newRevocationState(), relayState: newRelayState(), sheddingState: newSheddingState(self, incarnation), noticeState: newNoticeState(), crashState: newCrashState(self),
-		evacuationState: newEvacuationState(), coldState: newColdState(self),
+		homeState: newHomeState(), evacuationState: newEvacuationState(), coldState: newColdState(self),
 	}
 	for _, o := range options {
 		o(c)
@@ -182,7 +183,7 @@
 	case ClaimRead:
 		c.applyClaim(now, e)
 	case LimitsChanged:
-		c.stallTimeout = e.StallTimeout
+		c.stallTimeout, c.regions = e.StallTimeout, e.Regions
 		c.retryRatio, c.retrySlack, c.retryWindow = e.RetryRatio, e.RetrySlack, e.RetryWindow
 		c.coldOver, c.coldSlack = e.ColdOver, e.ColdSlack
 	case HostStopping:
