--- a/internal/coordinator/relay.go
+++ b/internal/coordinator/relay.go
@@ -460,12 +460,10 @@
 		loads = append(loads, l)
 	}
 	s.ServerLoads = loads
-	slices.SortFunc(s.Queues, func(a, b Queue) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Rank, b.Rank))
-	})
+	slices.SortFunc(s.Queues, compareQueues)
 	queues := s.Queues[:0]
 	for _, q := range s.Queues {
-		if n := len(queues); n > 0 && queues[n-1].Service == q.Service && queues[n-1].Model == q.Model && queues[n-1].Rank == q.Rank {
+		if n := len(queues); n > 0 && compareQueues(queues[n-1], q) == 0 {
 			queues[n-1].Length += q.Length
 			queues[n-1].Arrivals += q.Arrivals
 			queues[n-1].Returned += q.Returned
@@ -522,6 +520,7 @@
 	}
 	for _, q := range b.Queues {
 		k := queueKey{poolKey{q.Service, q.Model}, q.Rank}
+		c.addConfinedQueue(q, sign)
 		c.remoteQueues[k] = max(0, c.remoteQueues[k]+sign*q.Length)
 		a := c.remoteArrivals[k]
 		c.remoteArrivals[k] = admitter.Arrivals{Rank: q.Rank, All: max(0, a.All+sign*q.Arrivals), Returned: max(0, a.Returned+sign*q.Returned), Completed: max(0, a.Completed+sign*q.Completed)}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,10 +19,13 @@
 
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/collector"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/confiner"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
 )
 
 const (
@@ -90,6 +94,10 @@
 	routes   atomic.Pointer[fuchsiapitch.RouteTable]
 	// buffers bounds the memory of the response bodies and events that are being read.
 	buffers *allocator.Allocator
+	// slowReaders looks after the streams whose clients do not read.
+	slowReaders slowReaders
+	// bodies reads the bodies of requests.
+	bodies *collector.Collector
 	// drain is the schedule of the stop, nil before.
 	drain atomic.Pointer[drain]
 	// aborted ends when abort is called.
@@ -110,17 +118,21 @@
 // WithBuffers sets the memory for the responses that are being read.
 func WithBuffers(a *allocator.Allocator) Option { return func(r *Relayer) { r.buffers = a } }
 
+// WithBodies sets what reads the bodies of requests.
+func WithBodies(c *collector.Collector) Option { return func(r *Relayer) { r.bodies = c } }
+
 // New returns a relayer without a configuration. It refuses requests until Configure
 // is called.
 func New(admitter Admitter, sender Sender, codec HeaderCodec, options ...Option) *Relayer {
 	r := &Relayer{
 		admitter: admitter, sender: sender, codec: codec, log: zerolog.Nop(), meter: meter.New(),
-		buffers: allocator.New(),
+		buffers: allocator.New(), bodies: collector.New(),
 	}
 	r.aborted, r.abort = context.WithCancelCause(context.Background())
 	for _, o := range options {
 		o(r)
 	}
+	r.slowReaders.meter = r.meter
 	return r
 }
 
@@ -152,12 +164,17 @@
 	if !x.matchRoute() {
 		return
 	}
-	if !x.readBody() || x.refuseIfDraining() {
+	if !x.readBody() {
+		return
+	}
+	defer x.body.Release()
+	if x.refuseIfDraining() || x.refuseIfUnread() {
 		return
 	}
 	ctx, cancel := x.newContext()
 	defer cancel()
 	x.ctx = ctx
+	defer x.boundWrites()()
 	if x.route.Kind == fuchsiapitch.StreamRoute {
 		x.serveStream()
 	} else {
@@ -178,8 +195,10 @@
 	routes    *fuchsiapitch.RouteTable
 	route     fuchsiapitch.HostRoute
 	principal fuchsiapitch.Principal
-	service   fuchsiapitch.ServiceName
-	body      []byte
+	// caller is the name under which the request shares memory with others.
+	caller  string
+	service fuchsiapitch.ServiceName
+	body    *collector.Body
 	// sendCount is the number of attempts in which the request may have reached a
 	// server, acquisitions the number of times that a slot was requested for it.
 	sendCount, acquisitions int
@@ -222,7 +241,7 @@
 			return false
 		}
 	}
-	x.route = route
+	x.route, x.caller = route, x.callerName()
 	x.service = pickService(route.Services)
 	timeout := x.metadata.TimeLimit
 	if timeout <= 0 {
@@ -274,21 +293,33 @@
 	if limit <= 0 {
 		limit = maxBufferedBytes
 	}
-	if x.request.ContentLength > limit {
-		x.writeError(http.StatusRequestEntityTooLarge, 0, (&BodyTooLargeError{LimitBytes: limit}).Error())
-		return false
+	body, err := x.relayer.bodies.Collect(x.writer, x.request, collector.Terms{Caller: x.caller, LimitBytes: limit, Deadline: x.deadline})
+	if err == nil {
+		x.body = body
+		return true
 	}
-	body, err := io.ReadAll(io.LimitReader(x.request.Body, limit+1))
+	var noRoom *collector.NoRoomError
 	switch {
-	case err != nil:
-		x.writeError(http.StatusBadRequest, 0, err.Error())
-		return false
-	case int64(len(body)) > limit:
+	case isError[*collector.TooLargeError](err):
 		x.writeError(http.StatusRequestEntityTooLarge, 0, (&BodyTooLargeError{LimitBytes: limit}).Error())
-		return false
+	case errors.As(err, &noRoom):
+		x.writeError(http.StatusServiceUnavailable, noRoom.RetryAfter, err.Error())
+	case isError[*collector.TooSlowError](err):
+		x.writeError(http.StatusRequestTimeout, 0, err.Error())
+	default:
+		x.writeError(http.StatusBadRequest, 0, err.Error())
 	}
-	x.body = body
-	return true
+	return false
+}
+
+// callerName returns the name under which the request shares memory with others: the customer, or
+// the address of the client if none is known.
+func (x *exchange) callerName() string {
+	if x.principal.Customer != "" {
+		return string(x.principal.Customer)
+	}
+	address, _, _ := net.SplitHostPort(x.request.RemoteAddr)
+	return address
 }
 
 // rank returns the rank of the request; 0 is the most urgent.
@@ -317,6 +348,7 @@
 	}
 	slot, err := x.relayer.admitter.Acquire(x.ctx, coordinator.RequestArrived{
 		Service: x.service, Model: model, Rank: x.rank(), Customer: x.principal.Customer,
+		Home:        confiner.Confine(x.route.AllowedRegions, x.routes.CustomerRegions(x.principal.Customer)),
 		InputTokens: x.metadata.PromptTokens, OutputTokens: x.metadata.MaxOutputTokens,
 		FirstByteBy: x.relayer.admitter.SinceStart(x.receivedAt.Add(latencyTarget - x.priorElapsed())), Deadline: x.relayer.admitter.SinceStart(x.deadline),
 		MaxPause:             x.route.InterEventTarget,
@@ -413,10 +445,10 @@
 	targetURL.RawQuery, targetURL.ForceQuery = "", false
 	outRequest := &http.Request{
 		Method: x.request.Method, URL: &targetURL, Host: x.request.Host, Header: header,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(x.body)),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(x.body.Length()),
 	}
-	if len(x.body) > 0 {
-		outRequest.Body = io.NopCloser(&singleUseReader{data: x.body})
+	if x.body.Length() > 0 {
+		outRequest.Body = io.NopCloser(x.body.NewReader())
 	}
 	response, outcome, err := x.relayer.sender.Exchange(outRequest.WithContext(ctx), x.deadline)
 	defer func() { x.relayer.meter.CountAttempt(outcome.String()) }()
@@ -432,7 +464,7 @@
 	x.recordNotice(slot, response.StatusCode, responseMetadata)
 	problem := ""
 	switch {
-	case response.StatusCode < http.StatusOK:
+	case sender.CheckStatus(response.StatusCode) != nil:
 		problem = "not a final status"
 	case responseMetadata.Request != x.metadata.ID:
 		problem = "for another request"
@@ -453,7 +485,7 @@
 // recordNotice records what the server of a slot states about itself beside its response to
 // the request. A misdirected request was answered by another server.
 func (x *exchange) recordNotice(slot *driver.Slot, status int, metadata fuchsiapitch.ResponseMetadata) {
-	if metadata.Notice.IsZero() || metadata.Request != x.metadata.ID || status < http.StatusOK || status == http.StatusMisdirectedRequest {
+	if metadata.Notice.IsZero() || metadata.Request != x.metadata.ID || sender.CheckStatus(status) != nil || status == http.StatusMisdirectedRequest {
 		return
 	}
 	slot.RecordNotice(metadata.Request, metadata.Notice)
@@ -478,20 +510,6 @@
 	}
 }
 
-// singleUseReader reads a request body once. The HTTP transport cannot rewind it to
-// send the request again.
-type singleUseReader struct{ data []byte }
-
-// Read implements io.Reader.
-func (o *singleUseReader) Read(b []byte) (int, error) {
-	if len(o.data) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(b, o.data)
-	o.data = o.data[n:]
-	return n, nil
-}
-
 // writeError responds with an error of the system itself and logs it.
 func (x *exchange) writeError(status int, retryAfter time.Duration, message string) {
 	h := x.writer.Header()
