--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -322,6 +322,8 @@
 	Paused
 	// Quarantined means that requests with the same part in their prompts end servers.
 	Quarantined
+	// Evacuated means that no replica serves the service and model but in evacuated data centres.
+	Evacuated
 	// NoHome means that replicas serve the request only in regions that it may not use.
 	NoHome
 )
@@ -341,6 +343,8 @@
 		return "paused"
 	case Quarantined:
 		return "quarantined"
+	case Evacuated:
+		return "evacuated"
 	case NoHome:
 		return "no-home"
 	}
--- a/internal/coordinator/home.go
+++ b/internal/coordinator/home.go
@@ -118,7 +118,7 @@
 	if c.isNarrowed(w) {
 		return NoHome
 	}
-	return NoReplica
+	return c.noReplicaReason(w)
 }
 
 // refuseHomeless refuses a request that no region may serve, also a stream that has begun, and
