--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -73,6 +73,7 @@
 	replica         *replica
 	pool            poolKey
 	home            confiner.Home
+	rank            int
 	promptTokens    int
 	grantedAt       time.Duration
 	responseStarted bool
@@ -315,11 +316,13 @@
 		}
 		candidates = append(candidates, r)
 	}
+	if c.usesRelays() && len(candidates) > 0 && candidates[0].isEngine() {
+		return c.drawEngine(now, w, candidates)
+	}
 	var best *replica
 	var bestCost float64
-	pool := c.poolOf(w.pool)
 	for _, r := range c.drawReplicas(candidates) {
-		cost := c.costMS(now, pool, r, w.InputTokens)
+		cost := c.costMS(now, r, w.InputTokens)
 		if slices.Contains(w.FailedServers, r.server) {
 			cost += failedServerCostMS
 		}
@@ -353,20 +356,17 @@
 }
 
 // costMS returns the expected time to the first byte plus penalties, in milliseconds.
-func (c *Coordinator) costMS(now time.Duration, p *admitter.Pool, r *replica, promptTokens int) float64 {
+func (c *Coordinator) costMS(now time.Duration, r *replica, promptTokens int) float64 {
 	const (
 		fullBatchMS = 60.0 // time of a pass with a full batch
 		remoteMS    = 2.0  // latency to another data centre
 		avoidanceMS = 2000 // exceeds any real wait
 	)
 	cost := float64(r.speed.TimeToRead(r.allUnreadTokens()+promptTokens).Milliseconds()) + fullBatchMS*float64(r.totalInFlight())/float64(max(r.slots, 1))
-	if c.usesRelays() && r.isEngine() {
-		cost = float64(p.Expect(r.engine(), r.totalInFlight(), r.allUnreadTokens()+promptTokens).Milliseconds())
-	}
 	if !r.inSameDataCentre {
 		cost += remoteMS
 	}
-	if now < r.avoidedUntil || r.silentFor(now) > avoidanceSilence {
+	if now < r.avoidedUntil || c.isSilent(now, r) {
 		cost += avoidanceMS
 	}
 	return cost
@@ -375,7 +375,7 @@
 // grant assigns a slot of a replica to a request.
 func (c *Coordinator) grant(now time.Duration, w *queuedRequest, r *replica) {
 	a := &assignment{
-		replica: r, pool: w.pool, home: w.home, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove,
+		replica: r, pool: w.pool, home: w.home, rank: w.Rank, promptTokens: w.InputTokens, grantedAt: now, mayMove: w.MayMove,
 		incarnation: c.incarnationOf(r.server), parts: w.Parts, isPermitted: w.isPermitted,
 	}
 	if a.isPermitted {
@@ -525,6 +525,9 @@
 	c.endReturning(a, !e.Failed)
 	r := a.replica
 	r.inFlight--
+	if c.usesRelays() {
+		c.poolOf(a.pool).CountCompletion(now, a.rank)
+	}
 	if !a.responseStarted {
 		r.unreadTokens -= a.promptTokens
 	}
@@ -570,7 +573,7 @@
 	var queues []Queue
 	for _, k := range sortedQueueKeys(counts) {
 		a := arrivals[k]
-		queues = append(queues, Queue{Service: k.pool.service, Model: k.pool.model, Rank: k.rank, Length: counts[k], Arrivals: a.All, Returned: a.Returned})
+		queues = append(queues, Queue{Service: k.pool.service, Model: k.pool.model, Rank: k.rank, Length: counts[k], Arrivals: a.All, Returned: a.Returned, Completed: a.Completed})
 	}
 	return append(queues, c.confinedQueueLengths()...)
 }
