--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -27,10 +27,10 @@
 	Model   string
 	// Rank is the priority class of the request; 0 is the most urgent.
 	Rank int
-	// Home is the set of regions whose replicas may get the request.
-	Home confiner.Home
 	// Customer is the customer that sends the request, "" for none.
 	Customer fuchsiapitch.CustomerName
+	// Home is the set of regions whose replicas may get the request.
+	Home confiner.Home
 	// InputTokens is the length of the prompt, OutputTokens the expected length of the
 	// response.
 	InputTokens, OutputTokens int
--- a/internal/coordinator/replica.go
+++ b/internal/coordinator/replica.go
@@ -232,8 +232,8 @@
 	}
 	clear(c.remoteQueues)
 	clear(c.remoteArrivals)
-	clear(c.confinedQueues)
 	clear(c.remoteCustomers)
+	clear(c.confinedQueues)
 	if c.usesRelays() {
 		c.addRelayedLoads(c.now)
 		return
