--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -253,7 +253,14 @@
 // admittedAt returns the requests per second that a customer gets if each gets level times
 // its usual rate, and at least its floor of a share.
 func (c *customer) admittedAt(level, share float64) float64 {
-	return min(c.rate, max(level*chance(c.usual), floorPart*share*c.rate))
+	return min(c.rate, max(level*c.entitlement(), floorPart*share*c.rate))
+}
+
+// entitlement returns the usual rate with an allowance for chance, which shrinks as the current
+// rate leaves what chance explains: else a flood would take the room of others with it.
+func (c *customer) entitlement() float64 {
+	limit := chance(c.usual)
+	return c.usual + (limit-c.usual)*min(1, limit/max(c.rate, forgetRate))
 }
 
 // Excess returns the customers that send more than their usual, the largest multiples first,
