--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -178,7 +178,7 @@
 			inTime += sum(l.inTime, from, to) / (to - from) / capacity() / seeds
 			late += sum(l.late, from, to) / (to - from) / capacity() / seeds
 		}
-		if got, want := inTime, 0.55; got < want {
+		if got, want := inTime, 0.6; got < want {
 			t.Errorf("load of %g: got %.2f of the capacity answered in time, want at least %g", ratio, got, want)
 		}
 		if got, want := late, 0.4; got > want {
