standin: an abort right after a token ends the response

The handler looked for an abort only after a signal, and a signal that was pending from a token swallowed that of the abort. It now looks before it waits. TestAbortRightAfterTokenEndsResponse: deadlock before, green now; the packages of the stand-ins three times green.

--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -178,15 +178,15 @@
 		if generated >= s.tokenLimit {
 			return nil
 		}
+		if s.isAborted.Load() && s.generatedTokens.Load() == delivered {
+			return &IncompleteGroupError{Group: s.stateAtArrival.assignment.Group()}
+		}
 		select {
 		case <-s.progressSignal:
 		case <-ctx.Done():
 			e.cancelSequence(s)
 			return ctx.Err()
 		}
-		if s.isAborted.Load() && s.generatedTokens.Load() == delivered {
-			return &IncompleteGroupError{Group: s.stateAtArrival.assignment.Group()}
-		}
 	}
 }
 
