--- a/internal/coordinator/shedding.go
+++ b/internal/coordinator/shedding.go
@@ -15,10 +15,11 @@
 // hundred milliseconds late. If each sent its requests to the replica that looks best, all
 // would choose the same one, and in an overload a slot that becomes free would get a request
 // of every host. A queue at each host does not help: until a host hears of a free slot, its
-// requests are late. Therefore a host draws the replica at random, engines by their known
-// requests and others as the better one of two, and in an overload it admits requests by chance: all hosts work out from the same sums
-// which share of each rank the replicas can begin in time, and of it the part of each
-// customer, send those at once and refuse the rest at once.
+// requests are late. Therefore a host draws the replica at random: an engine in proportion to
+// its room, another replica as the better one of two. In an overload it admits requests by
+// chance: all hosts work out from the same sums which share of each rank the replicas can
+// begin in time, and of it the part of each customer, send those at once and refuse the rest
+// at once.
 
 // comparedReplicas is the number of replicas that are drawn at random and compared for a
 // request. More bring the hosts closer to the same choice.
