--- a/review/world2/lethal.go
+++ b/review/world2/lethal.go
@@ -86,55 +86,98 @@
 	}()
 }
 
-// judge counts the requests with the part.
+// judge counts the requests with the part, and how often sound ones begin.
 func (p *lethalPlay) judge() int {
 	p.stop.Store(true)
 	p.clients.Wait()
 	w := p.world
-	ends, counted, err := countLethal(w.recordPath)
+	f, err := readLethalRecord(w.recordPath)
 	if err != nil {
 		return exitNotRun
 	}
-	text := fmt.Sprintf("%d requests with the part were sent, %d engines ended under it; %d such requests reached engines later than %s after the fifth end, sent by hosts in touch (%d are allowed); of the sound requests %d were served, %d not",
-		p.sent, ends, counted, stableWindow, maxLethal, p.served.Load(), p.failed.Load())
+	text := fmt.Sprintf("BUDGET: %d requests with the part were sent, %d engines ended under it; %d such requests reached engines later than %s after the fifth end, sent by hosts in touch (%d are allowed)",
+		p.sent, f.ends, f.counted, stableWindow, maxLethal)
+	w.note("check", "%s", text)
+	fmt.Println(text)
+	text = fmt.Sprintf("beside (LOST): before the first end %d of %d sound requests began, later than %s after the fifth %d of %d; in all %d were served, %d not",
+		f.before.began, f.before.sent, 2*stableWindow, f.beside.began, f.beside.sent, p.served.Load(), p.failed.Load())
 	w.note("check", "%s", text)
 	fmt.Println(text)
 	switch {
-	case ends < 5 || p.served.Load() < 50:
+	case f.ends < 5 || p.served.Load() < 50:
 		return exitNotRun
-	case counted > maxLethal:
+	case f.counted > maxLethal:
 		return exitBroken
 	}
 	return exitHeld
 }
 
-// countLethal returns the number of engines that have ended under the part, and of the requests with
-// the part that reached engines later than the stable window after the fifth end. Both cases send
-// such requests only to hosts that have run for longer than the stable window.
-func countLethal(path string) (ends, counted int, err error) {
+// lethalFindings are what the record says of requests with the part and of sound ones.
+type lethalFindings struct {
+	// ends is the number of engines that have ended under the part, counted that of the requests with
+	// the part that reached engines later than the stable window after the fifth end.
+	ends, counted int
+	// before are the sound requests before the first end, beside those later than twice the stable
+	// window after the fifth, until the last request with the part.
+	before, beside soundCount
+}
+
+// soundCount is a number of sound requests, and that of those which an engine has begun.
+type soundCount struct{ sent, began int }
+
+// readLethalRecord reads the record. Both cases send requests with the part only to hosts that have run
+// for longer than the stable window.
+func readLethalRecord(path string) (lethalFindings, error) {
+	var found lethalFindings
 	f, err := os.Open(path)
 	if err != nil {
-		return 0, 0, err
+		return found, err
 	}
 	defer f.Close()
-	var fifth time.Time
+	var first, fifth, lastLethal time.Time
+	sentAt, began := make(map[string]time.Time), make(map[string]bool)
 	lines := bufio.NewScanner(f)
 	for lines.Scan() {
 		stamp, text, _ := strings.Cut(lines.Text(), " ")
 		at, err := time.Parse("15:04:05.000", stamp)
+		words := strings.Fields(text)
 		switch {
-		case err != nil:
+		case err != nil || len(words) < 3:
+		case strings.HasPrefix(text, "client: sends "):
+			if strings.Contains(text, lethalPart) {
+				lastLethal = at
+				continue
+			}
+			sentAt[words[2]] = at
 		case strings.Contains(text, "lethal=true"):
 			if !fifth.IsZero() && at.Sub(fifth) > stableWindow {
-				counted++
+				found.counted++
 			}
+		case strings.Contains(text, "lethal=false"):
+			began[words[3]] = true
 		case strings.Contains(text, ": ends under "):
-			if ends++; ends == 5 {
+			if first.IsZero() {
+				first = at
+			}
+			if found.ends++; found.ends == 5 {
 				fifth = at
 			}
 		}
 	}
-	return ends, counted, lines.Err()
+	for id, at := range sentAt {
+		count := &found.beside
+		switch {
+		case first.IsZero() || at.Before(first.Add(-time.Second)):
+			count = &found.before
+		case fifth.IsZero() || at.Sub(fifth) < 2*stableWindow || at.After(lastLethal):
+			continue
+		}
+		count.sent++
+		if began[id] {
+			count.began++
+		}
+	}
+	return found, lines.Err()
 }
 
 // playDark: engines that begin to answer a request with the part go dark, and are back after four
--- a/review/world2/server.go
+++ b/review/world2/server.go
@@ -148,7 +148,7 @@
 
 // describe returns what the report and the entry have in common. The caller holds the mutex.
 func (s *server) describe() map[string]any {
-	d := map[string]any{"state": "ready", names["born"]: s.born, names["cold"]: 0, "version": "1"}
+	d := map[string]any{"state": "ready", names["started"]: s.born, names["cold"]: 0, "version": "1"}
 	if s.draining {
 		d["state"] = "draining"
 	}
--- a/review/world2/world.go
+++ b/review/world2/world.go
@@ -224,8 +224,10 @@
 		"data_dir": nil, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200, "bounds": bounds,
 		"fault_tolerance": map[string]any{"machines": 1, "zones": 1, "regions": 0},
 		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "gangs"},
-		"provider": map[string]any{"address": w.storeAddress, "form": "log", "writes_per_s": 400, "reads_per_s": 2000, "parts": 12, "append_ms": 2.0, "part_mb_per_s": 20.0,
-			"read_mb_per_s": 80.0, "record_bytes": 262144, "call_bytes": 2097152, "keep_s": 300, "part_mb": 200, "ttl_min_ms": 1000},
+		"provider": map[string]any{
+			"address": w.storeAddress, "form": "log", "writes_per_s": 400, "reads_per_s": 2000, "parts": 12, "append_ms": 2.0, "part_mb_per_s": 20.0,
+			"read_mb_per_s": 80.0, "record_bytes": 262144, "call_bytes": 2097152, "keep_s": 300, "part_mb": 200, "ttl_min_ms": 1000,
+		},
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
