--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command world2 runs the cases 6 to 10 of the review: a stand-in of the platform's store, of
+// Command world2 runs the cases 6 to 9 of the review: a stand-in of the platform's store, of
 // backend servers and of clients around the project's own program, each server and each entry
 // host as a process of its own.
 //
