acceptor: a full host makes room for as many connections as wait

What callers saw: while 1,000 clients that had sent one request each kept their connections idle, an ordinary request got no answer within 10 s (TestPlatformServesBesideIdleness, TestOwnServesBesideIdleness; both red in one run each on, at hosts with 84 and 64 places).

Cause: each look for room ended one idle connection, every 20 ms, and at most a sixteenth of all at a time. A client that does not close its side keeps its place for 0.3 s after that, so that room came at 20 connections a second for a host with 84, however many waited in front of the ordinary client.

Change: the queue of the listener tells how many wait (TCP_INFO; one where the kernel does not tell), and as many end, less those that end already, half of all at a time at most. Connections without a header count as the same need, and are no longer all closed for one that waits. Each end is counted by its reason (fuchsiapitch_ended_connections_total) and logged.

Bounds of memory, sockets and descriptors are those of crowd_test.go.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -87,8 +87,11 @@
 	// requests whose bodies make no progress.
 	maxConnections int
 	endStalled     func() int
-	// openCount is the number of connections that are open.
-	openCount atomic.Int64
+	// openCount is the number of connections that are open, endingCount the number of those whose
+	// end was announced.
+	openCount, endingCount atomic.Int64
+	// roomMadeAt is the last time at which room was made. The goroutine that accepts owns it.
+	roomMadeAt time.Time
 
 	draining atomic.Bool
 
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -253,10 +253,18 @@
 	if c.phase != waiting {
 		return false
 	}
-	c.phase = ending
+	c.recordEnding()
 	return true
 }
 
+// recordEnding records that the end of the connection was announced. The caller holds the mutex.
+func (c *connection) recordEnding() {
+	if c.phase != ending && !c.ended.Load() {
+		c.phase = ending
+		c.acceptor.endingCount.Add(1)
+	}
+}
+
 // announceEnd sends timeoutResponse, closes the sending side, and reads until the client closes its
 // side or closeLinger has passed. It discards what arrives.
 func (c *connection) announceEnd() error {
@@ -313,6 +321,9 @@
 // CloseWrite closes the sending half of the connection. The HTTP server uses it so that a
 // client receives a response although the rest of its request is not read.
 func (c *connection) CloseWrite() error {
+	c.mutex.Lock()
+	c.recordEnding()
+	c.mutex.Unlock()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -321,13 +332,24 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
+	c.recordEnd()
 	c.recordClose()
-	if !c.ended.Swap(true) {
-		c.acceptor.openCount.Add(-1)
-	}
 	return c.Conn.Close()
 }
 
+// recordEnd records that the connection is no longer open.
+func (c *connection) recordEnd() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.ended.Swap(true) {
+		return
+	}
+	c.acceptor.openCount.Add(-1)
+	if c.phase == ending {
+		c.acceptor.endingCount.Add(-1)
+	}
+}
+
 // forget stops tracking a connection. It reports whether the connection was tracked.
 func (a *Acceptor) forget(c *connection) bool {
 	a.mutex.Lock()
--- a/internal/acceptor/listener.go
+++ b/internal/acceptor/listener.go
@@ -100,25 +100,35 @@
 }
 
 // hasQueuedConnection reports whether a connection waits to be accepted.
-func hasQueuedConnection(listener net.Listener) bool {
+func hasQueuedConnection(listener net.Listener) bool { return queuedConnections(listener) > 0 }
+
+// queuedConnections returns how many connections wait to be accepted, 1 for any number if the kernel
+// does not tell.
+func queuedConnections(listener net.Listener) int {
 	socket, ok := listener.(syscall.Conn)
 	if !ok {
-		return false
+		return 0
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
-	isQueued := false
-	poll := func(descriptor uintptr) {
+	queued := 0
+	look := func(descriptor uintptr) {
 		events := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
-		n, err := unix.Poll(events, 0)
-		isQueued = err == nil && n > 0 && events[0].Revents&unix.POLLIN != 0
+		if n, err := unix.Poll(events, 0); err != nil || n == 0 || events[0].Revents&unix.POLLIN == 0 {
+			return
+		}
+		queued = 1
+		// Of a listener, the unacknowledged segments are the connections in its queue.
+		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			queued = max(queued, int(info.Unacked))
+		}
 	}
-	if err := raw.Control(poll); err != nil {
-		return false
+	if err := raw.Control(look); err != nil {
+		return 0
 	}
-	return isQueued
+	return queued
 }
 
 // track returns a connection that is tracked until it is closed.
--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -1,8 +1,10 @@
 package acceptor
 
 import (
+	"cmp"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -15,9 +17,9 @@
 	// stallTimeout is the time after which a connection that has not sent a complete header is
 	// closed if others wait for its place.
 	stallTimeout = time.Second
-	// endingDivisor divides the bound on connections. The quotient, and one more, bounds the idle
-	// ones that end at the same time to make room.
-	endingDivisor = 16
+	// endingDivisor divides the bound on connections. The quotient, and one more, bounds those that
+	// end at the same time to make room, since clients may take their time to receive that.
+	endingDivisor = 2
 	// receiveBufferBytes and sendBufferBytes bound what the kernel holds for a connection that the
 	// host does not read, or whose client does not. The kernel doubles them.
 	receiveBufferBytes = 32 << 10
@@ -78,8 +80,11 @@
 	ticker := time.NewTicker(roomPollInterval)
 	defer ticker.Stop()
 	for !l.stopping.Load() && a.openCount.Load() >= int64(a.maxConnections) {
-		if hasQueuedConnection(l.Listener) {
-			a.makeRoom(time.Now())
+		if queued := queuedConnections(l.Listener); queued > 0 {
+			if now := time.Now(); now.Sub(a.roomMadeAt) >= roomPollInterval {
+				a.roomMadeAt = now
+				a.makeRoom(now, queued)
+			}
 			if !wasCounted {
 				a.meter.CountFullHost()
 			}
@@ -93,37 +98,77 @@
 	}
 }
 
-// makeRoom closes the connection that has been idle for longest, those that do not send the header
-// that they have begun or were opened for, and those whose requests have stalled.
-func (a *Acceptor) makeRoom(now time.Time) {
-	var idle *connection
-	var idleSince time.Time
-	ends := 0
+// Reasons for which connections end to make room.
+const (
+	endedWithoutHeader = "header"
+	endedIdle          = "idle"
+)
+
+// makeRoom ends connections until as many end as wait in the queue of the listener: those that do
+// not send the header that they have begun or were opened for, those that are idle, and those whose
+// bodies make no progress. Who has waited for longest ends first.
+func (a *Acceptor) makeRoom(now time.Time, queued int) {
+	wanted := min(queued, a.maxConnections/endingDivisor+1) - int(a.endingCount.Load())
+	if wanted <= 0 {
+		return
+	}
+	withoutHeader, idle := a.roomCandidates(now)
+	for _, c := range longestWaiting(withoutHeader, wanted) {
+		a.closeForGood(c.connection, endedWithoutHeader)
+		wanted--
+	}
+	for _, c := range longestWaiting(idle, wanted) {
+		if c.expireForRoom(now) {
+			a.countEnd(c.connection, endedIdle)
+		}
+		wanted--
+	}
+	if n := a.endStalled(); n > 0 {
+		a.log.Info().Int("requests", n).Msg("requests that made no progress given up to make room")
+	}
+}
+
+// roomCandidate is a connection that may end to make room, with the time for which its client has
+// kept the host waiting.
+type roomCandidate struct {
+	*connection
+	waiting time.Duration
+}
+
+// longestWaiting returns a number of candidates, those that have waited for longest.
+func longestWaiting(candidates []roomCandidate, wanted int) []roomCandidate {
+	slices.SortFunc(candidates, func(a, b roomCandidate) int { return cmp.Compare(b.waiting, a.waiting) })
+	return candidates[:max(0, min(wanted, len(candidates)))]
+}
+
+// roomCandidates returns the connections that may end to make room: those without a header for
+// stallTimeout, those that are idle.
+func (a *Acceptor) roomCandidates(now time.Time) (withoutHeader, idle []roomCandidate) {
 	for _, c := range a.openConnections() {
-		switch phase, since, served := c.waitingState(); {
+		phase, since, served := c.waitingState()
+		r := roomCandidate{connection: c, waiting: now.Sub(since)}
+		switch {
 		case phase == ending:
-			ends++
 		case phase == waiting && served:
-			if idle == nil || since.Before(idleSince) {
-				idle, idleSince = c, since
-			}
-		case (phase == waiting || phase == receiving) && now.Sub(since) > stallTimeout:
-			a.logRoom(c, "a header that does not come")
-			if err := c.Close(); err != nil {
-				a.log.Debug().Err(err).Msg("failed to close a connection without a header")
-			}
+			idle = append(idle, r)
+		case (phase == waiting && !served || phase == receiving) && r.waiting > stallTimeout:
+			withoutHeader = append(withoutHeader, r)
 		}
 	}
-	if idle != nil && ends <= a.maxConnections/endingDivisor && idle.expireForRoom(now) {
-		a.logRoom(idle, "idle")
-	}
-	if n := a.endStalled(); n > 0 {
-		a.log.Info().Int("requests", n).Msg("requests that made no progress given up to make room")
+	return withoutHeader, idle
+}
+
+// closeForGood closes a connection without an announcement.
+func (a *Acceptor) closeForGood(c *connection, reason string) {
+	a.countEnd(c, reason)
+	if err := c.Close(); err != nil {
+		a.log.Debug().Err(err).Msg("failed to close a connection")
 	}
 }
 
-func (a *Acceptor) logRoom(c *connection, why string) {
-	a.log.Debug().Str("caller", c.RemoteAddr().String()).Str("why", why).Msg("connection closed to make room")
+func (a *Acceptor) countEnd(c *connection, reason string) {
+	a.meter.CountEndedConnection(reason)
+	a.log.Info().Str("caller", c.RemoteAddr().String()).Str("reason", reason).Msg("connection ended to make room")
 }
 
 // waitingState returns the phase of the connection, since when it has lasted if that is waiting or
--- a/internal/acceptor/room_test.go
+++ b/internal/acceptor/room_test.go
@@ -99,3 +99,17 @@
 		}
 	}
 }
+
+func TestQueuedConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	for want := range 4 {
+		if got := queuedConnections(listener); got != want {
+			t.Errorf("got %d connections in the queue, want %d", got, want)
+		}
+		dialFullHost(t, listener.Addr().String())
+	}
+}
--- a/internal/commander/crowd_test.go
+++ b/internal/commander/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -80,10 +81,14 @@
 type target struct {
 	process       *exec.Cmd
 	clientAddress string
+	// operatorAddress is where the host says whether it is ready, peerAddress where it serves other
+	// hosts.
+	operatorAddress, peerAddress string
 	// requestHead is the header of a request without the fields that frame its body.
 	requestHead string
-	// ordinary returns an ordinary request.
-	ordinary func(ctx context.Context) (*http.Request, error)
+	// ordinary returns an ordinary request. Its body ends with paddingBytes without a meaning.
+	ordinary     func(ctx context.Context) (*http.Request, error)
+	paddingBytes int
 	// memoryBytes bounds the memory of the process, with the bytes that it has not read from its
 	// clients. sockets and descriptors bound those that it has open.
 	memoryBytes, sockets, descriptors int
@@ -298,7 +303,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
 	last := &UnansweredError{}
 	for refusals := 0; ; refusals++ {
 		request, err := h.ordinary(ctx)
@@ -340,20 +345,32 @@
 // startPlatformTarget starts a host of the users' platform with lowered limits.
 func startPlatformTarget(t *testing.T) *target {
 	t.Helper()
-	const memoryMB, descriptors, fileDescriptors = 96, 400, 200
+	const memoryMB, descriptors = 96, 400
+	return startLimitedPlatformTarget(t, memoryMB, descriptors)
+}
+
+// startLimitedPlatformTarget starts a host of the users' platform.
+func startLimitedPlatformTarget(t *testing.T, memoryMB, descriptors int) *target {
+	t.Helper()
+	const fileDescriptors = 200
 	installation, stop, err := standinplatform.StartInstallation()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(stop)
 	installation.Store.PublishConfiguration(withBodyLimit(t, standinplatform.Configuration(2), platformBodyBytes))
-	path, clientAddress, _, err := installation.WriteSettings(t.TempDir(), "h0")
+	path, clientAddress, readinessAddress, err := installation.WriteSettings(t.TempDir(), "h0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	writeLimits(t, path, map[string]any{"memory_mb": memoryMB, "max_fds": descriptors})
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		t.Fatal(err)
+	}
 	h := &target{
 		process: newTestProcess(t, "serve"), clientAddress: clientAddress,
+		operatorAddress: readinessAddress, peerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 		memoryBytes: memoryMB << 20, sockets: descriptors - fileDescriptors, descriptors: descriptors,
 		requestHead: "POST " + standinplatform.BookPathPrefix + "x HTTP/1.1\r\nHost: " + standinplatform.HostName + "\r\nX-Request-Id: crowd-%d\r\n" +
 			"X-Credential: " + standinplatform.APIKey + "\r\nX-Deadline-Ms: 20000\r\n",
@@ -361,7 +378,7 @@
 	h.process.Env = append(h.process.Env, platform.SettingsVariable+"="+path)
 	requests := 0
 	h.ordinary = func(ctx context.Context) (*http.Request, error) {
-		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+clientAddress+standinplatform.BookPathPrefix+"x", strings.NewReader("furnace 7"))
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+clientAddress+standinplatform.BookPathPrefix+"x", strings.NewReader("furnace 7"+strings.Repeat(" ", h.paddingBytes)))
 		if err != nil {
 			return nil, err
 		}
@@ -411,11 +428,17 @@
 	}
 }
 
-// startOwnTarget starts a host with the product's own interface. The machine is said to have
-// twice the memory that the Go runtime is told to use.
+// startOwnTarget starts a host with the product's own interface and lowered limits.
 func startOwnTarget(t *testing.T) *target {
 	t.Helper()
 	const runtimeMiB, descriptors = 96, 160
+	return startLimitedOwnTarget(t, runtimeMiB, descriptors, "")
+}
+
+// startLimitedOwnTarget starts a host with the product's own interface. The machine is said to have
+// twice the memory that the Go runtime is told to use. tlsSettings is a part of the settings file.
+func startLimitedOwnTarget(t *testing.T, runtimeMiB, descriptors int, tlsSettings string) *target {
+	t.Helper()
 	fleet, stop, err := standin.Start(standin.WithApplications(demoApplicationService, demoApplicationServers), standin.WithEngines(1, 1))
 	if err != nil {
 		t.Fatal(err)
@@ -426,21 +449,24 @@
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	settings := "host: host-a\ndata-centre: dc-a\nregion: region-a\nlinger: 200ms\n" +
 		"listen: {callers: " + addresses[0] + ", peers: " + addresses[1] + ", operators: " + addresses[2] + "}\n" +
-		"log-address: " + fleet.LogAddress("dc-a") + "\nhost-list-address: " + fleet.HostListAddress() + "\nweight-store-address: " + fleet.WeightStoreAddress() + "\n"
+		"log-address: " + fleet.LogAddress("dc-a") + "\nhost-list-address: " + fleet.HostListAddress() + "\nweight-store-address: " + fleet.WeightStoreAddress() + "\n" + tlsSettings
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	bookings := "/services/" + string(demoApplicationService) + "/bookings"
 	h := &target{
-		process: newTestProcess(t, "serve", "--settings", path), clientAddress: addresses[0],
+		process: newTestProcess(t, "serve", "--settings", path), clientAddress: addresses[0], operatorAddress: addresses[2], peerAddress: addresses[1],
 		memoryBytes: 2 * runtimeMiB << 20, sockets: descriptors, descriptors: descriptors,
 		requestHead: "POST " + bookings + " HTTP/1.1\r\nHost: x\r\nIdempotency-Key: crowd-%d\r\nAuthorization: Bearer " + demoAPIKey + "\r\n",
 	}
 	h.process.Env = append(h.process.Env, fmt.Sprintf("GOMEMLIMIT=%dMiB", runtimeMiB), fmt.Sprintf("%s=%d", testDescriptorsVariable, descriptors))
-	requests := 0
+	requests, scheme := 0, "http://"
+	if tlsSettings != "" {
+		scheme = "https://"
+	}
 	h.ordinary = func(ctx context.Context) (*http.Request, error) {
 		requests++
-		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addresses[0]+bookings, strings.NewReader(fmt.Sprintf(`{"reference":"furnace-%d"}`, requests)))
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, scheme+addresses[0]+bookings, strings.NewReader(fmt.Sprintf(`{"reference":"furnace-%d"}`, requests)+strings.Repeat(" ", h.paddingBytes)))
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/commander/occupation_test.go
@@ -0,0 +1,231 @@
+package commander
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// settlePeriod is how long the clients of an occupation hold their places before the ordinary request
+// is sent.
+const settlePeriod = time.Second
+
+// occupation is what each client of a crowd does to keep a place at a host. It goes on until the
+// test ends.
+type occupation struct {
+	// start is sent first. piece is then sent again and again with a pause after it; it is empty if
+	// nothing follows.
+	start func(n int) string
+	piece []byte
+	pause time.Duration
+	// returns is true if the client connects again when the host has closed its connection.
+	returns bool
+}
+
+// run is one client.
+func (o occupation) run(ctx context.Context, address string, n int, started func()) {
+	for {
+		o.runOnce(ctx, address, n, started)
+		if !o.returns {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// runOnce is one connection of a client, until the host closes it or the context ends.
+func (o occupation) runOnce(ctx context.Context, address string, n int, started func()) {
+	defer started()
+	dialer := net.Dialer{}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return
+	}
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() { connection.Close() })
+	defer stop()
+	go func() {
+		defer close(closed)
+		io.Copy(io.Discard, connection)
+		connection.Close()
+	}()
+	if _, err := io.WriteString(connection, o.start(n)); err != nil {
+		<-closed
+		return
+	}
+	started()
+	for len(o.piece) > 0 {
+		if _, err := connection.Write(o.piece); err != nil {
+			break
+		}
+		select {
+		case <-closed:
+			return
+		case <-time.After(o.pause):
+		}
+	}
+	<-closed
+}
+
+// startOccupation starts the clients, and returns when each has sent its first bytes. They go on
+// until the test ends.
+func startOccupation(t *testing.T, h *target, o occupation, clients int) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running, starting sync.WaitGroup
+	for n := range clients {
+		running.Add(1)
+		starting.Add(1)
+		go func() {
+			defer running.Done()
+			o.run(ctx, h.clientAddress, n, sync.OnceFunc(starting.Done))
+		}()
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	startedAll := make(chan struct{})
+	go func() {
+		defer close(startedAll)
+		starting.Wait()
+	}()
+	select {
+	case <-startedAll:
+	case <-time.After(crowdPeriod):
+	}
+}
+
+// assertServesBeside checks that a host answers an ordinary request while clients keep places, and
+// stays within its bounds all the while.
+func assertServesBeside(t *testing.T, h *target, o occupation, clients int) {
+	t.Helper()
+	startOccupation(t, h, o, clients)
+	c := &crowd{target: h}
+	c.writers.Add(1)
+	refusals, requestErr := 0, error(nil)
+	go func() {
+		defer c.writers.Done()
+		time.Sleep(settlePeriod)
+		refusals, requestErr = h.request(t)
+	}()
+	most := c.await(t)
+	most.memoryBytes = max(most.memoryBytes, h.memoryField(t, "VmHWM:"))
+	t.Logf("memory %d MiB, %d sockets, %d descriptors, %d refusals of the ordinary request", most.memoryBytes>>20, most.sockets, most.descriptors, refusals)
+	if requestErr != nil {
+		t.Errorf("got error %v, want an answer to an ordinary request", requestErr)
+	}
+	if got, want := most.memoryBytes, h.memoryBytes; got > want {
+		t.Errorf("got %d MiB of memory, want at most %d", got>>20, want>>20)
+	}
+	if got, want := most.sockets, h.sockets; got > want {
+		t.Errorf("got %d open sockets, want at most %d", got, want)
+	}
+	if got, want := most.descriptors, h.descriptors; got > want {
+		t.Errorf("got %d open descriptors, want at most %d", got, want)
+	}
+}
+
+// occupationsOf returns the occupations that a host must bear, by name.
+func occupationsOf(h *target) map[string]occupation {
+	head := func(n int) string { return fmt.Sprintf(h.requestHead, n) }
+	const absent = "GET /absent/x HTTP/1.1\r\nHost: absent\r\n\r\n"
+	return map[string]occupation{
+		"Silence":     {start: func(int) string { return "" }},
+		"SlowHeaders": {start: head, piece: []byte("X-A: b\r\n"), pause: headerPause},
+		"Idleness":    {start: func(int) string { return absent }},
+	}
+}
+
+// headerPause is the pause between two fields of a header that comes slowly.
+const headerPause = 500 * time.Millisecond
+
+// The crowds are a few times the connections that the host may have. That of idle clients is larger,
+// since each makes room faster than the others.
+const occupants, idleOccupants = 256, 1000
+
+func assertPlatformServesBeside(t *testing.T, name string, clients int) {
+	t.Helper()
+	h := startPlatformTarget(t)
+	assertServesBeside(t, h, occupationsOf(h)[name], clients)
+}
+
+func assertOwnServesBeside(t *testing.T, name string, clients int) {
+	t.Helper()
+	h := startOwnTarget(t)
+	assertServesBeside(t, h, occupationsOf(h)[name], clients)
+}
+
+func TestPlatformServesBesideSilence(t *testing.T) {
+	assertPlatformServesBeside(t, "Silence", occupants)
+}
+
+func TestPlatformServesBesideSlowHeaders(t *testing.T) {
+	assertPlatformServesBeside(t, "SlowHeaders", occupants)
+}
+
+func TestPlatformServesBesideIdleness(t *testing.T) {
+	assertPlatformServesBeside(t, "Idleness", idleOccupants)
+}
+
+func TestOwnServesBesideSilence(t *testing.T) {
+	assertOwnServesBeside(t, "Silence", occupants)
+}
+
+func TestOwnServesBesideSlowHeaders(t *testing.T) {
+	assertOwnServesBeside(t, "SlowHeaders", occupants)
+}
+
+func TestOwnServesBesideIdleness(t *testing.T) {
+	assertOwnServesBeside(t, "Idleness", idleOccupants)
+}
+
+// assertServesPoorLine sends a body of the largest size in small pieces to a host that has no other
+// clients.
+func assertServesPoorLine(t *testing.T, h *target, limitBytes int) {
+	t.Helper()
+	const pieces, pause = 64, 100 * time.Millisecond
+	connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", h.clientAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	fmt.Fprintf(connection, h.requestHead+"Content-Length: %d\r\n\r\n", 0, limitBytes)
+	body := append([]byte(`{"reference":"poor-line"}`), bytes.Repeat([]byte(" "), limitBytes)...)[:limitBytes]
+	for n := range pieces {
+		if _, err := connection.Write(body[n*limitBytes/pieces : (n+1)*limitBytes/pieces]); err != nil {
+			t.Fatalf("got error %v after %d pieces, want a host that reads", err, n)
+		}
+		time.Sleep(pause)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatalf("got error %v, want a response", err)
+	}
+	defer response.Body.Close()
+	if got, want := response.StatusCode, http.StatusMultipleChoices; got >= want {
+		text, _ := io.ReadAll(response.Body)
+		t.Errorf("got status %d and %q, want a success", got, text)
+	}
+}
+
+func TestPlatformServesPoorLine(t *testing.T) {
+	assertServesPoorLine(t, startPlatformTarget(t), platformBodyBytes)
+}
+
+func TestOwnServesPoorLine(t *testing.T) {
+	// The stand-in of the application reads no larger body.
+	const limitBytes = 1 << 20
+	assertServesPoorLine(t, startOwnTarget(t), limitBytes)
+}
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -124,6 +124,12 @@
 	m.set.GetOrCreateCounter("fuchsiapitch_connection_limit_reached_total").Inc()
 }
 
+// CountEndedConnection counts a connection of a client that this host has ended to make room for
+// others, by the reason ("header" or "idle").
+func (m *Meter) CountEndedConnection(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_ended_connections_total{reason=%q}", reason)).Inc()
+}
+
 // RegisterConfigurationVersionGauge registers the gauge of the version of the
 // configuration in force.
 func (m *Meter) RegisterConfigurationVersionGauge(version func() float64) {
