collector: slow bodies give way to connections that wait, at any pace

Cause: a full host gave up only bodies that had stalled (less than 1 KiB in 1 s). A body at any other pace kept its place until its time limit, so that the client chose for how long.

Change: while connections wait, the bodies that have been read for over 1 s give way, as many as wait, and of these the ones with the lowest mean rate first: a client with a poor line keeps its place before one that trickles, and no pace, framing or length keeps one for good. It gets 408 as before, and nothing of it has been sent to a server. As long as nobody waits nothing changes.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -83,10 +83,10 @@
 	log             zerolog.Logger
 	meter           *meter.Meter
 
-	// maxConnections bounds the connections that are open, 0 for no bound. endStalled ends
-	// requests whose bodies make no progress.
+	// maxConnections bounds the connections that are open, 0 for no bound. endBodies ends requests
+	// whose bodies are not complete.
 	maxConnections int
-	endStalled     func() int
+	endBodies      func(wanted int) int
 	// openCount is the number of connections that are open, endingCount the number of those whose
 	// end was announced.
 	openCount, endingCount atomic.Int64
@@ -141,10 +141,11 @@
 	return func(a *Acceptor) { a.maxConnections = connections }
 }
 
-// WithRoomHandler sets a function that ends requests whose bodies make no progress, and returns
-// their number. It is called while there are as many connections as there may be.
-func WithRoomHandler(endStalled func() int) Option {
-	return func(a *Acceptor) { a.endStalled = endStalled }
+// WithRoomHandler sets a function that ends requests whose bodies are not complete until a number
+// of them end, and returns how many it has ended now. It is called while there are as many
+// connections as there may be.
+func WithRoomHandler(endBodies func(wanted int) int) Option {
+	return func(a *Acceptor) { a.endBodies = endBodies }
 }
 
 // WithLogger sets the logger.
@@ -158,7 +159,7 @@
 	a := &Acceptor{
 		httpServer:         &http.Server{ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes},
 		defaultIdleTimeout: defaultIdleTimeout, drainIdlePeriod: defaultDrainIdlePeriod,
-		log: zerolog.Nop(), meter: meter.New(), endStalled: func() int { return 0 },
+		log: zerolog.Nop(), meter: meter.New(), endBodies: func(int) int { return 0 },
 		connections: make(map[*connection]struct{}), closed: make(chan struct{}),
 	}
 	for _, o := range options {
--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -105,8 +105,9 @@
 )
 
 // makeRoom ends connections until as many end as wait in the queue of the listener: those that do
-// not send the header that they have begun or were opened for, those that are idle, and those whose
-// bodies make no progress. Who has waited for longest ends first.
+// not send the header that they have begun or were opened for, those that are idle, those whose
+// bodies are not complete. Who has waited for longest ends
+// first, and of bodies the slowest one.
 func (a *Acceptor) makeRoom(now time.Time, queued int) {
 	wanted := min(queued, a.maxConnections/endingDivisor+1) - int(a.endingCount.Load())
 	if wanted <= 0 {
@@ -123,8 +124,8 @@
 		}
 		wanted--
 	}
-	if n := a.endStalled(); n > 0 {
-		a.log.Info().Int("requests", n).Msg("requests that made no progress given up to make room")
+	if n := a.endBodies(max(0, wanted)); n > 0 {
+		a.log.Info().Int("requests", n).Msg("requests with slow bodies given up to make room")
 	}
 }
 
--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -3,15 +3,18 @@
 //
 // Memory is taken as bytes arrive, whatever the client announces, from a pool that the callers
 // share (see allocator). A body that gets none is not read on: its bytes stay with the client. While
-// one waits, bodies that make no progress are given up, and after a time the one that waits.
+// one waits, bodies that make no progress are given up, and after a time the one that waits. The
+// slowest ones give way while connections wait for their places.
 package collector
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -27,7 +30,8 @@
 	firstBlockBytes = 4 << 10
 	maxBlockBytes   = 64 << 10
 	// defaultStallTimeout is the time after which a body that makes no progress is given up if
-	// others wait for memory.
+	// others wait for memory. A body that has been read for as long gives way, if it is the slowest, to
+	// connections that wait for a place.
 	defaultStallTimeout = time.Second
 	// minProgressBytes is what counts as progress.
 	minProgressBytes = 1 << 10
@@ -124,7 +128,8 @@
 	if request.ContentLength == 0 {
 		return nil, nil
 	}
-	x := &reading{collector: c, controller: http.NewResponseController(w), request: request, terms: terms, progressAt: time.Now()}
+	now := time.Now()
+	x := &reading{collector: c, controller: http.NewResponseController(w), request: request, terms: terms, startedAt: now, progressAt: now}
 	// This fails if the writer does not support deadlines.
 	_ = x.controller.SetReadDeadline(terms.Deadline)
 	var release func()
@@ -149,33 +154,29 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 }
 
-// MakeRoom gives up the bodies that make no progress and those that have waited for memory, so that
-// their connections end. It returns their number.
-func (c *Collector) MakeRoom() int {
+// MakeRoom gives up bodies, the slowest first, so that the connections of a number of them end. It
+// leaves those that have been read for a short time only. It returns how many it has given up now.
+func (c *Collector) MakeRoom(wanted int) int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	n, before := 0, time.Now().Add(-impatientWaitTimeout)
+	now := time.Now()
 	for x := range c.readings {
-		if x.isWaiting && x.waitingSince.Before(before) {
-			x.cancelWait()
-			n++
+		if x.isGivenUp {
+			wanted--
 		}
 	}
-	return n + c.giveUpStalled(func(*reading) bool { return true })
+	return giveUpSlowest(c.overdue(now), wanted, now)
 }
 
-// giveUpStalled gives up the stalled bodies for which a condition holds. The caller holds the
-// mutex.
-func (c *Collector) giveUpStalled(condition func(*reading) bool) int {
-	n, before := 0, time.Now().Add(-c.stallTimeout)
-	for x := range c.readings {
-		if !x.isWaiting && !x.isGivenUp && x.progressAt.Before(before) && condition(x) {
-			x.isGivenUp = true
-			_ = x.controller.SetReadDeadline(time.Unix(1, 0))
-			n++
-		}
+// giveUpSlowest gives up a number of bodies. It returns how many it has given up. The caller holds
+// the mutex of the collector.
+func giveUpSlowest(candidates []*reading, wanted int, now time.Time) int {
+	slices.SortFunc(candidates, func(a, b *reading) int { return cmp.Compare(a.rate(now), b.rate(now)) })
+	candidates = candidates[:max(0, min(wanted, len(candidates)))]
+	for _, x := range candidates {
+		x.giveUp()
 	}
-	return n
+	return len(candidates)
 }
 
 func (c *Collector) add(x *reading) {
@@ -184,6 +185,18 @@
 	c.readings[x] = struct{}{}
 }
 
+// overdue returns the bodies that have been read for so long that they give way to others. The caller
+// holds the mutex.
+func (c *Collector) overdue(now time.Time) []*reading {
+	var overdue []*reading
+	for x := range c.readings {
+		if !x.isGivenUp && (x.hasLasted(now, c.stallTimeout) || x.isWaiting && now.Sub(x.waitingSince) > impatientWaitTimeout) {
+			overdue = append(overdue, x)
+		}
+	}
+	return overdue
+}
+
 func (c *Collector) remove(x *reading) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -217,7 +230,11 @@
 	if c.waiting == 0 {
 		return
 	}
-	c.giveUpStalled(func(x *reading) bool { return x.bytes > allocator.FreeBytes })
+	for x := range c.readings {
+		if !x.isWaiting && !x.isGivenUp && x.bytes > allocator.FreeBytes && time.Since(x.progressAt) > c.stallTimeout {
+			x.giveUp()
+		}
+	}
 	c.relief.Reset(reliefInterval)
 }
 
@@ -229,13 +246,36 @@
 	terms      Terms
 	memory     *allocator.Response
 
+	startedAt time.Time
+
 	// The fields below are guarded by the mutex of the collector. bytes is the memory taken so
-	// far, progressBytes how much has been read since progressAt.
-	bytes, progressBytes int
-	progressAt           time.Time
-	isWaiting, isGivenUp bool
-	waitingSince         time.Time
-	cancelWait           context.CancelFunc
+	// far, readBytes how much has been read, progressBytes how much of that since progressAt.
+	bytes, readBytes, progressBytes int
+	progressAt                      time.Time
+	isWaiting, isGivenUp            bool
+	waitingSince                    time.Time
+	cancelWait                      context.CancelFunc
+}
+
+// hasLasted reports whether the body has been read for longer than a time, waits included.
+func (x *reading) hasLasted(now time.Time, period time.Duration) bool {
+	return now.Sub(x.startedAt) > period
+}
+
+// rate returns the mean rate at which the body has come, in bytes a second.
+func (x *reading) rate(now time.Time) float64 {
+	return float64(x.readBytes) / max(now.Sub(x.startedAt), time.Millisecond).Seconds()
+}
+
+// giveUp ends the reading. The caller holds the mutex of the collector.
+func (x *reading) giveUp() {
+	x.isGivenUp = true
+	if x.isWaiting {
+		x.cancelWait()
+		return
+	}
+	// This fails if the writer does not support deadlines.
+	_ = x.controller.SetReadDeadline(time.Unix(1, 0))
 }
 
 // readBlocks reads the body to its end.
@@ -286,6 +326,7 @@
 func (x *reading) recordProgress(bytes int) {
 	x.collector.mutex.Lock()
 	defer x.collector.mutex.Unlock()
+	x.readBytes += bytes
 	if x.progressBytes += bytes; x.progressBytes >= minProgressBytes {
 		x.progressBytes, x.progressAt = 0, time.Now()
 	}
--- a/internal/collector/collector_test.go
+++ b/internal/collector/collector_test.go
@@ -193,7 +193,7 @@
 func TestMakeRoom(t *testing.T) {
 	h := startTestHost(t, 1<<20, WithStallTimeout(time.Millisecond))
 	h.open(t, "/", "a", 100, 10)
-	for h.MakeRoom() == 0 {
+	for h.MakeRoom(1) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	var slow *TooSlowError
@@ -219,3 +219,59 @@
 		}
 	}
 }
+
+// awaitReadings waits until a number of bodies are being read, of which some bytes have arrived.
+func (h *testHost) awaitReadings(t *testing.T, bodies, bytes int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		h.mutex.Lock()
+		n, read := len(h.readings), 0
+		for x := range h.readings {
+			read += x.readBytes
+		}
+		h.mutex.Unlock()
+		if n == bodies && read == bytes {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("got %d bodies and %d bytes, want %d and %d", n, read, bodies, bytes)
+		}
+	}
+}
+
+// assertGivenUp checks that the next body that ends was given up, by its path.
+func (h *testHost) assertGivenUp(t *testing.T, want string) {
+	t.Helper()
+	var slow *TooSlowError
+	if got := <-h.results; got.path != want || !errors.As(got.err, &slow) || !slow.WhileOthersWaited {
+		t.Errorf("got the end of %s with error %v, want that of %s, which came too slowly", got.path, got.err, want)
+	}
+}
+
+// Guards against places that are held by bodies that come at any pace.
+func TestSlowestBodiesMakeRoom(t *testing.T) {
+	h := startTestHost(t, 1<<20, WithStallTimeout(time.Millisecond))
+	h.open(t, "/fast", "a", 10<<10, 5<<10)
+	h.open(t, "/slow", "a", 10<<10, 1<<10)
+	h.awaitReadings(t, 2, 6<<10)
+	time.Sleep(2 * time.Millisecond)
+	if got := h.MakeRoom(1); got != 1 {
+		t.Errorf("got %d bodies given up, want 1", got)
+	}
+	h.assertGivenUp(t, "/slow")
+	h.awaitReadings(t, 1, 5<<10)
+	if got := h.MakeRoom(5); got != 1 {
+		t.Errorf("got %d bodies given up, want the one that is left", got)
+	}
+	h.assertGivenUp(t, "/fast")
+}
+
+// Guards against bodies that are given up before they had time to come.
+func TestNewBodiesMakeNoRoom(t *testing.T) {
+	h := startTestHost(t, 1<<20, WithStallTimeout(time.Minute))
+	h.open(t, "/", "a", 100, 10)
+	h.awaitReadings(t, 1, 10)
+	if got := h.MakeRoom(1); got != 0 {
+		t.Errorf("got %d bodies given up, want none", got)
+	}
+}
--- a/internal/collector/failure.go
+++ b/internal/collector/failure.go
@@ -25,15 +25,15 @@
 
 // TooSlowError reports a body that was not complete in time.
 type TooSlowError struct {
-	// WhileOthersWaited is true if the body was given up since it made no progress while others
-	// waited, and false if its deadline has passed.
+	// WhileOthersWaited is true if the body was given up since it made too little progress while
+	// others waited, and false if its deadline has passed.
 	WhileOthersWaited bool
 }
 
 // Error implements error.
 func (e *TooSlowError) Error() string {
 	if e.WhileOthersWaited {
-		return "not run: the body made no progress while others waited"
+		return "not run: the body came too slowly while others waited"
 	}
 	return "not run: the body was not complete in time"
 }
--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -137,20 +137,35 @@
 	}
 }
 
-// occupationsOf returns the occupations that a host must bear, by name.
-func occupationsOf(h *target) map[string]occupation {
+const (
+	// trickleBytes is what a client whose body comes slowly sends in each tricklePause. The body is
+	// not complete before the time limit of the request, and needs little memory.
+	trickleBytes, tricklePause = 1280, 500 * time.Millisecond
+)
+
+// chunks returns a piece of a body in chunks of some size.
+func chunks(chunkBytes, totalBytes int) []byte {
+	return attack{chunkBytes: chunkBytes, pieceBytes: totalBytes}.frame()
+}
+
+// occupationsOf returns the occupations that a host must bear, by name. limitBytes is its limit for a
+// body.
+func occupationsOf(h *target, limitBytes int) map[string]occupation {
 	head := func(n int) string { return fmt.Sprintf(h.requestHead, n) }
+	announced := func(n int) string { return head(n) + fmt.Sprintf("Content-Length: %d\r\n\r\n", limitBytes) }
+	chunked := func(n int) string { return head(n) + "Transfer-Encoding: chunked\r\n\r\n" }
 	const absent = "GET /absent/x HTTP/1.1\r\nHost: absent\r\n\r\n"
 	return map[string]occupation{
-		"Silence":     {start: func(int) string { return "" }},
-		"SlowHeaders": {start: head, piece: []byte("X-A: b\r\n"), pause: headerPause},
-		"Idleness":    {start: func(int) string { return absent }},
+		"SlowWholeBodies":   {start: announced, piece: bytes.Repeat([]byte("x"), trickleBytes), pause: tricklePause},
+		"SlowLargeChunks":   {start: chunked, piece: chunks(trickleBytes, trickleBytes), pause: tricklePause},
+		"SlowSmallChunks":   {start: chunked, piece: chunks(8, trickleBytes), pause: tricklePause},
+		"SlowBodiesInTurns": {start: chunked, piece: chunks(8, trickleBytes), pause: tricklePause, returns: true},
+		"Silence":           {start: func(int) string { return "" }},
+		"SlowHeaders":       {start: head, piece: []byte("X-A: b\r\n"), pause: tricklePause},
+		"Idleness":          {start: func(int) string { return absent }},
 	}
 }
 
-// headerPause is the pause between two fields of a header that comes slowly.
-const headerPause = 500 * time.Millisecond
-
 // The crowds are a few times the connections that the host may have. That of idle clients is larger,
 // since each makes room faster than the others.
 const occupants, idleOccupants = 256, 1000
@@ -158,13 +173,29 @@
 func assertPlatformServesBeside(t *testing.T, name string, clients int) {
 	t.Helper()
 	h := startPlatformTarget(t)
-	assertServesBeside(t, h, occupationsOf(h)[name], clients)
+	assertServesBeside(t, h, occupationsOf(h, platformBodyBytes)[name], clients)
 }
 
 func assertOwnServesBeside(t *testing.T, name string, clients int) {
 	t.Helper()
 	h := startOwnTarget(t)
-	assertServesBeside(t, h, occupationsOf(h)[name], clients)
+	assertServesBeside(t, h, occupationsOf(h, ownBodyBytes)[name], clients)
+}
+
+func TestPlatformServesBesideSlowWholeBodies(t *testing.T) {
+	assertPlatformServesBeside(t, "SlowWholeBodies", occupants)
+}
+
+func TestPlatformServesBesideSlowLargeChunks(t *testing.T) {
+	assertPlatformServesBeside(t, "SlowLargeChunks", occupants)
+}
+
+func TestPlatformServesBesideSlowSmallChunks(t *testing.T) {
+	assertPlatformServesBeside(t, "SlowSmallChunks", occupants)
+}
+
+func TestPlatformServesBesideSlowBodiesInTurns(t *testing.T) {
+	assertPlatformServesBeside(t, "SlowBodiesInTurns", occupants)
 }
 
 func TestPlatformServesBesideSilence(t *testing.T) {
@@ -179,6 +210,22 @@
 	assertPlatformServesBeside(t, "Idleness", idleOccupants)
 }
 
+func TestOwnServesBesideSlowWholeBodies(t *testing.T) {
+	assertOwnServesBeside(t, "SlowWholeBodies", occupants)
+}
+
+func TestOwnServesBesideSlowLargeChunks(t *testing.T) {
+	assertOwnServesBeside(t, "SlowLargeChunks", occupants)
+}
+
+func TestOwnServesBesideSlowSmallChunks(t *testing.T) {
+	assertOwnServesBeside(t, "SlowSmallChunks", occupants)
+}
+
+func TestOwnServesBesideSlowBodiesInTurns(t *testing.T) {
+	assertOwnServesBeside(t, "SlowBodiesInTurns", occupants)
+}
+
 func TestOwnServesBesideSilence(t *testing.T) {
 	assertOwnServesBeside(t, "Silence", occupants)
 }
