collector: a slow body gives its memory to one that has waited for a second

What callers saw: 48 clients sent 256 KiB at once each and went on at 2.5 KiB a second.

Cause: only bodies that had stalled gave their memory to others. At 1 KiB a second a body kept it until its time limit.

A burst of large bodies that fits through the line within a second is not touched, and neither is a slow body in calm.

In a test in the package two slow bodies hold all memory and the next one is served.

--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -3,8 +3,8 @@
 //
 // Memory is taken as bytes arrive, whatever the client announces, from a pool that the callers
 // share (see allocator). A body that gets none is not read on: its bytes stay with the client. While
-// one waits, bodies that make no progress are given up, and after a time the one that waits. The
-// slowest ones give way while connections wait for their places.
+// one waits, bodies that make no progress are given up, then the slowest ones, and after a time the
+// one that waits. The slowest ones also give way while connections wait for their places.
 package collector
 
 import (
@@ -31,7 +31,7 @@
 	maxBlockBytes   = 64 << 10
 	// defaultStallTimeout is the time after which a body that makes no progress is given up if
 	// others wait for memory. A body that has been read for as long gives way, if it is the slowest, to
-	// connections that wait for a place.
+	// one that has waited for memory for as long, and to connections that wait for a place.
 	defaultStallTimeout = time.Second
 	// minProgressBytes is what counts as progress.
 	minProgressBytes = 1 << 10
@@ -223,18 +223,30 @@
 	}
 }
 
-// relieve gives up stalled bodies that take memory, as long as others wait for it.
+// relieve gives up bodies that take memory, as long as others wait for it: those that have stalled,
+// and the slowest one if another has waited for long.
 func (c *Collector) relieve() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.waiting == 0 {
 		return
 	}
+	now, isUrgent := time.Now(), false
+	var candidates []*reading
 	for x := range c.readings {
-		if !x.isWaiting && !x.isGivenUp && x.bytes > allocator.FreeBytes && time.Since(x.progressAt) > c.stallTimeout {
+		switch {
+		case x.isWaiting:
+			isUrgent = isUrgent || now.Sub(x.waitingSince) > c.stallTimeout
+		case x.isGivenUp || x.bytes <= allocator.FreeBytes:
+		case now.Sub(x.progressAt) > c.stallTimeout:
 			x.giveUp()
+		case x.hasLasted(now, c.stallTimeout):
+			candidates = append(candidates, x)
 		}
 	}
+	if isUrgent {
+		giveUpSlowest(candidates, 1, now)
+	}
 	c.relief.Reset(reliefInterval)
 }
 
--- a/internal/collector/collector_test.go
+++ b/internal/collector/collector_test.go
@@ -275,3 +275,41 @@
 		t.Errorf("got %d bodies given up, want none", got)
 	}
 }
+
+// Guards against memory that is held by bodies that make progress but do not end.
+func TestSlowestBodyFreesMemory(t *testing.T) {
+	h := startTestHost(t, 1<<20, WithPool(1), WithStallTimeout(200*time.Millisecond), WithWaitTimeout(10*time.Second))
+	for _, path := range []string{"/slow", "/slower"} {
+		// Each takes one of the two places beyond the pool.
+		connection := h.open(t, path, path, largeBytes, largeBytes/2)
+		go func() {
+			for _, err := io.WriteString(connection, strings.Repeat("x", minProgressBytes)); err == nil; {
+				time.Sleep(100 * time.Millisecond)
+				_, err = io.WriteString(connection, strings.Repeat("x", minProgressBytes))
+			}
+		}()
+	}
+	for {
+		h.mutex.Lock()
+		n, growing := len(h.readings), 0
+		for x := range h.readings {
+			if x.readBytes >= largeBytes/2 {
+				growing++
+			}
+		}
+		h.mutex.Unlock()
+		if n == 2 && growing == 2 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	h.open(t, "/whole", "b", largeBytes, largeBytes)
+	for {
+		if got := <-h.results; got.path == "/whole" {
+			if got.err != nil || got.length != largeBytes {
+				t.Errorf("got %d bytes and error %v, want a whole body", got.length, got.err)
+			}
+			return
+		}
+	}
+}
--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -166,6 +167,15 @@
 	}
 }
 
+// startedBodies returns the occupation by bodies of which a part arrives at once and the rest slowly.
+func startedBodies(h *target, limitBytes int) occupation {
+	const startedBytes = 256 << 10
+	o := occupationsOf(h, limitBytes)["SlowWholeBodies"]
+	start := o.start
+	o.start = func(n int) string { return start(n) + strings.Repeat("x", startedBytes) }
+	return o
+}
+
 // The crowds are a few times the connections that the host may have. That of idle clients is larger,
 // since each makes room faster than the others.
 const occupants, idleOccupants = 256, 1000
@@ -238,6 +248,25 @@
 	assertOwnServesBeside(t, "Idleness", idleOccupants)
 }
 
+const (
+	// memoryHolders is the number of clients whose bodies take memory, fewer than a host may have
+	// connections. largeBytes is the size of an ordinary body that needs memory as well.
+	memoryHolders, largeBytes = 48, 100 << 10
+)
+
+func TestPlatformServesLargeBodyBesideSlowOnes(t *testing.T) {
+	h := startPlatformTarget(t)
+	h.paddingBytes = largeBytes
+	assertServesBeside(t, h, startedBodies(h, platformBodyBytes), memoryHolders)
+}
+
+func TestOwnServesLargeBodyBesideSlowOnes(t *testing.T) {
+	const runtimeMiB, descriptors = 32, 160
+	h := startLimitedOwnTarget(t, runtimeMiB, descriptors, "")
+	h.paddingBytes = largeBytes
+	assertServesBeside(t, h, startedBodies(h, ownBodyBytes), memoryHolders)
+}
+
 // assertServesPoorLine sends a body of the largest size in small pieces to a host that has no other
 // clients.
 func assertServesPoorLine(t *testing.T, h *target, limitBytes int) {
