collector: a refusal does not wait for a body that does not come

What callers saw: 256 clients named a route or a key that nobody has, announced a body and did not send it. The clients themselves got no 404, 401 or 431.

Cause: such a request is refused before its body is read. The HTTP server of the standard library reads up to 256 KiB of the rest before it sends the response, without a time limit. Nobody reads this body in the sense of the collector, so that no one ended it either.

--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -12,6 +12,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	standinplatform "github.com/fuchsiapitch/fuchsiapitch/internal/standin/platform"
 )
 
 // settlePeriod is how long the clients of an occupation hold their places before the ordinary request
@@ -142,6 +144,8 @@
 	// trickleBytes is what a client whose body comes slowly sends in each tricklePause. The body is
 	// not complete before the time limit of the request, and needs little memory.
 	trickleBytes, tricklePause = 1280, 500 * time.Millisecond
+	// unusedKey is a key that no customer holds.
+	unusedKey = "unused"
 )
 
 // chunks returns a piece of a body in chunks of some size.
@@ -155,12 +159,18 @@
 	head := func(n int) string { return fmt.Sprintf(h.requestHead, n) }
 	announced := func(n int) string { return head(n) + fmt.Sprintf("Content-Length: %d\r\n\r\n", limitBytes) }
 	chunked := func(n int) string { return head(n) + "Transfer-Encoding: chunked\r\n\r\n" }
+	unfinished := func(request string) func(int) string {
+		return func(int) string { return request + "Content-Length: 1000\r\n\r\nx" }
+	}
 	const absent = "GET /absent/x HTTP/1.1\r\nHost: absent\r\n\r\n"
 	return map[string]occupation{
 		"SlowWholeBodies":   {start: announced, piece: bytes.Repeat([]byte("x"), trickleBytes), pause: tricklePause},
 		"SlowLargeChunks":   {start: chunked, piece: chunks(trickleBytes, trickleBytes), pause: tricklePause},
 		"SlowSmallChunks":   {start: chunked, piece: chunks(8, trickleBytes), pause: tricklePause},
 		"SlowBodiesInTurns": {start: chunked, piece: chunks(8, trickleBytes), pause: tricklePause, returns: true},
+		"UnknownRoutes":     {start: unfinished("POST /absent/x HTTP/1.1\r\nHost: absent\r\n")},
+		"UnknownKeys":       {start: unfinished(fmt.Sprintf(strings.NewReplacer(standinplatform.APIKey, unusedKey, demoAPIKey, unusedKey).Replace(h.requestHead), 1))},
+		"LargeHeaders":      {start: unfinished(head(1) + "X-Filling: " + strings.Repeat("x", 50<<10) + "\r\n")},
 		"Silence":           {start: func(int) string { return "" }},
 		"SlowHeaders":       {start: head, piece: []byte("X-A: b\r\n"), pause: tricklePause},
 		"Idleness":          {start: func(int) string { return absent }},
@@ -208,6 +218,18 @@
 	assertPlatformServesBeside(t, "SlowBodiesInTurns", occupants)
 }
 
+func TestPlatformServesBesideUnknownRoutes(t *testing.T) {
+	assertPlatformServesBeside(t, "UnknownRoutes", occupants)
+}
+
+func TestPlatformServesBesideUnknownKeys(t *testing.T) {
+	assertPlatformServesBeside(t, "UnknownKeys", occupants)
+}
+
+func TestPlatformServesBesideLargeHeaders(t *testing.T) {
+	assertPlatformServesBeside(t, "LargeHeaders", occupants)
+}
+
 func TestPlatformServesBesideSilence(t *testing.T) {
 	assertPlatformServesBeside(t, "Silence", occupants)
 }
@@ -236,6 +258,18 @@
 	assertOwnServesBeside(t, "SlowBodiesInTurns", occupants)
 }
 
+func TestOwnServesBesideUnknownRoutes(t *testing.T) {
+	assertOwnServesBeside(t, "UnknownRoutes", occupants)
+}
+
+func TestOwnServesBesideUnknownKeys(t *testing.T) {
+	assertOwnServesBeside(t, "UnknownKeys", occupants)
+}
+
+func TestOwnServesBesideLargeHeaders(t *testing.T) {
+	assertOwnServesBeside(t, "LargeHeaders", occupants)
+}
+
 func TestOwnServesBesideSilence(t *testing.T) {
 	assertOwnServesBeside(t, "Silence", occupants)
 }
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/collector"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/forwarder"
 )
 
@@ -30,12 +31,16 @@
 	id := newRequestID()
 	body, err := r.bodyLimiter.hold(q)
 	if err != nil {
+		collector.Dismiss(w, q)
 		writeErrorResponse(w, id, isModel, errorResponseOf(err))
 		return
 	}
 	defer func() { body.release() }()
 	request, call, err := read(w, q, body, id)
 	if err != nil {
+		if !body.isRead {
+			collector.Dismiss(w, q)
+		}
 		writeErrorResponse(w, id, isModel, errorResponseOf(err))
 		return
 	}
--- a/internal/receiver/body.go
+++ b/internal/receiver/body.go
@@ -32,6 +32,8 @@
 type heldBody struct {
 	limiter *bodyLimiter
 	release func()
+	// isRead is true once read has been called.
+	isRead bool
 }
 
 // hold returns the body of a request. Its release must be called when the request has ended. The
@@ -52,6 +54,7 @@
 
 // read returns the complete body of a request of a customer.
 func (h *heldBody) read(w http.ResponseWriter, q *http.Request, customer fuchsiapitch.CustomerName) ([]byte, error) {
+	h.isRead = true
 	body, err := h.limiter.collector.Collect(w, q, collector.Terms{
 		Caller: string(customer), LimitBytes: h.limiter.maxBodyBytes, Deadline: time.Now().Add(h.limiter.readTimeout),
 	})
--- a/internal/receiver/model.go
+++ b/internal/receiver/model.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/collector"
 )
 
 const (
@@ -139,6 +140,7 @@
 }
 
 func (r *Receiver) serveModelList(w http.ResponseWriter, q *http.Request) {
+	collector.Dismiss(w, q)
 	configuration := r.configurationProvider.Configuration()
 	if _, ok := authenticate(configuration, q); !ok {
 		writeErrorResponse(w, newRequestID(), true, errorResponseOf(unknownKeyError()))
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -221,23 +221,23 @@
 	t := x.relayer.routes.Load()
 	x.routes = t
 	if t == nil {
-		x.writeError(http.StatusServiceUnavailable, defaultRetryAfter, "no configuration yet")
+		x.refuseUnread(http.StatusServiceUnavailable, defaultRetryAfter, "no configuration yet")
 		return false
 	}
 	if limit := t.Limits().HeaderBytes; limit > 0 && headerBytes(x.request) > limit {
 		x.writer.Header().Set("Connection", "close")
-		x.writeError(http.StatusRequestHeaderFieldsTooLarge, 0, (&HeaderTooLargeError{LimitBytes: limit}).Error())
+		x.refuseUnread(http.StatusRequestHeaderFieldsTooLarge, 0, (&HeaderTooLargeError{LimitBytes: limit}).Error())
 		return false
 	}
 	path, _, _ := strings.Cut(x.request.RequestURI, "?")
 	route, ok := t.Match(x.request.Host, path)
 	if !ok {
-		x.writeError(http.StatusNotFound, 0, "no route")
+		x.refuseUnread(http.StatusNotFound, 0, "no route")
 		return false
 	}
 	if t.KeyRequired() && !route.Public {
 		if x.principal, ok = t.PrincipalByKey(x.metadata.APIKey); !ok {
-			x.writeError(http.StatusUnauthorized, 0, "unknown key")
+			x.refuseUnread(http.StatusUnauthorized, 0, "unknown key")
 			return false
 		}
 	}
@@ -254,6 +254,12 @@
 	return true
 }
 
+// refuseUnread responds with an error to a request whose body has not been read.
+func (x *exchange) refuseUnread(status int, retryAfter time.Duration, message string) {
+	collector.Dismiss(x.writer, x.request)
+	x.writeError(status, retryAfter, message)
+}
+
 // headerBytes returns the size of the header of a request.
 func headerBytes(r *http.Request) int64 {
 	const separatorBytes = 4 // the colon, the space and CRLF of a field
