acceptor: a full host ends clients that do not read

What callers saw: 256 clients sent one request after the other and read no response.

Cause: responses that the host writes before it has admitted a request, such as 404, have no time limit, and while a write waits for its client the connection counts as one that serves. Nothing ended it.

Change: a connection notes since when its write has made no progress, in steps of 16 KiB. While others wait, those whose clients have not read for 1 s are closed, after all that can be refused with a true promise. Without others the bound is a minute; the time limits of requests end their responses before that. Reason `unread` in fuchsiapitch_ended_connections_total and in the log line.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -64,6 +64,8 @@
 	// defaultHeaderTimeout is the time in which a client must send the header of a
 	// request.
 	defaultHeaderTimeout = 10 * time.Second
+	// writeTimeout is the longest time without progress of a write to a client.
+	writeTimeout = time.Minute
 	// defaultMaxHeaderBytes is the largest request header, in bytes.
 	defaultMaxHeaderBytes = 64 << 10
 )
@@ -92,6 +94,8 @@
 	openCount, endingCount atomic.Int64
 	// roomMadeAt is the last time at which room was made. The goroutine that accepts owns it.
 	roomMadeAt time.Time
+	// createdAt is the time from which the begin of writes is counted.
+	createdAt time.Time
 
 	draining atomic.Bool
 
@@ -159,7 +163,7 @@
 	a := &Acceptor{
 		httpServer:         &http.Server{ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes},
 		defaultIdleTimeout: defaultIdleTimeout, drainIdlePeriod: defaultDrainIdlePeriod,
-		log: zerolog.Nop(), meter: meter.New(), endBodies: func(int) int { return 0 },
+		log: zerolog.Nop(), meter: meter.New(), endBodies: func(int) int { return 0 }, createdAt: time.Now(),
 		connections: make(map[*connection]struct{}), closed: make(chan struct{}),
 	}
 	for _, o := range options {
@@ -303,6 +307,11 @@
 					a.log.Debug().Str("caller", c.RemoteAddr().String()).Msg("idle connection closed")
 				}
 			}
+			for _, c := range a.openConnections() {
+				if c.writingFor() > writeTimeout {
+					a.closeForGood(c, endedUnread)
+				}
+			}
 		}
 	}
 }
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -24,6 +24,9 @@
 
 	// ended is true once the connection is no longer open.
 	ended atomic.Bool
+	// writingSince is the time since createdAt of the acceptor at which the current write began or
+	// made its last progress, in nanoseconds, 0 if there is none.
+	writingSince atomic.Int64
 
 	mutex sync.Mutex
 	phase phase
@@ -318,6 +321,30 @@
 	}
 }
 
+// maxWriteBytes is the largest part of a write whose progress is recorded.
+const maxWriteBytes = 16 << 10
+
+// Write implements net.Conn. It records since when the client has not read.
+func (c *connection) Write(data []byte) (int, error) {
+	defer c.writingSince.Store(0)
+	for written := 0; ; {
+		c.writingSince.Store(max(1, int64(time.Since(c.acceptor.createdAt))))
+		n, err := c.Conn.Write(data[written:min(len(data), written+maxWriteBytes)])
+		if written += n; err != nil || written == len(data) {
+			return written, err
+		}
+	}
+}
+
+// writingFor returns for how long the current write has made no progress, 0 if there is none.
+func (c *connection) writingFor() time.Duration {
+	since := c.writingSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(c.acceptor.createdAt) - time.Duration(since)
+}
+
 // CloseWrite closes the sending half of the connection. The HTTP server uses it so that a
 // client receives a response although the rest of its request is not read.
 func (c *connection) CloseWrite() error {
--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -14,8 +14,8 @@
 const (
 	// roomPollInterval is the time between two attempts to make room for a connection.
 	roomPollInterval = 20 * time.Millisecond
-	// stallTimeout is the time after which a connection that has not sent a complete header is
-	// closed if others wait for its place.
+	// stallTimeout is the time after which a connection that has not sent a complete header, or
+	// whose client does not read, is closed if others wait for its place.
 	stallTimeout = time.Second
 	// endingDivisor divides the bound on connections. The quotient, and one more, bounds those that
 	// end at the same time to make room, since clients may take their time to receive that.
@@ -102,18 +102,19 @@
 const (
 	endedWithoutHeader = "header"
 	endedIdle          = "idle"
+	endedUnread        = "unread"
 )
 
 // makeRoom ends connections until as many end as wait in the queue of the listener: those that do
 // not send the header that they have begun or were opened for, those that are idle, those whose
-// bodies are not complete. Who has waited for longest ends
+// bodies are not complete, and those whose clients do not read. Who has waited for longest ends
 // first, and of bodies the slowest one.
 func (a *Acceptor) makeRoom(now time.Time, queued int) {
 	wanted := min(queued, a.maxConnections/endingDivisor+1) - int(a.endingCount.Load())
 	if wanted <= 0 {
 		return
 	}
-	withoutHeader, idle := a.roomCandidates(now)
+	withoutHeader, idle, unread := a.roomCandidates(now)
 	for _, c := range longestWaiting(withoutHeader, wanted) {
 		a.closeForGood(c.connection, endedWithoutHeader)
 		wanted--
@@ -126,6 +127,10 @@
 	}
 	if n := a.endBodies(max(0, wanted)); n > 0 {
 		a.log.Info().Int("requests", n).Msg("requests with slow bodies given up to make room")
+		wanted -= n
+	}
+	for _, c := range longestWaiting(unread, wanted) {
+		a.closeForGood(c.connection, endedUnread)
 	}
 }
 
@@ -143,20 +148,23 @@
 }
 
 // roomCandidates returns the connections that may end to make room: those without a header for
-// stallTimeout, those that are idle.
-func (a *Acceptor) roomCandidates(now time.Time) (withoutHeader, idle []roomCandidate) {
+// stallTimeout, those that are idle, and those whose clients have not read for stallTimeout.
+func (a *Acceptor) roomCandidates(now time.Time) (withoutHeader, idle, unread []roomCandidate) {
 	for _, c := range a.openConnections() {
 		phase, since, served := c.waitingState()
 		r := roomCandidate{connection: c, waiting: now.Sub(since)}
 		switch {
 		case phase == ending:
+		case c.writingFor() > stallTimeout:
+			r.waiting = c.writingFor()
+			unread = append(unread, r)
 		case phase == waiting && served:
 			idle = append(idle, r)
 		case (phase == waiting && !served || phase == receiving) && r.waiting > stallTimeout:
 			withoutHeader = append(withoutHeader, r)
 		}
 	}
-	return withoutHeader, idle
+	return withoutHeader, idle, unread
 }
 
 // closeForGood closes a connection without an announcement.
--- a/internal/acceptor/room_test.go
+++ b/internal/acceptor/room_test.go
@@ -100,6 +100,25 @@
 	}
 }
 
+// Guards against clients that send requests, read no response, and keep all connections.
+func TestFullHostEndsClientsThatDoNotRead(t *testing.T) {
+	address := startFullHost(t)
+	for range 2 {
+		c, _ := dialFullHost(t, address)
+		go func() {
+			requests := strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 1000)
+			for {
+				if _, err := io.WriteString(c, requests); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	c, r := dialFullHost(t, address)
+	assertServed(t, c, r)
+}
+
 func TestQueuedConnections(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,10 +29,24 @@
 	start func(n int) string
 	piece []byte
 	pause time.Duration
+	// ignoresAnswers is true if the client reads nothing.
+	ignoresAnswers bool
 	// returns is true if the client connects again when the host has closed its connection.
 	returns bool
 }
 
+// smallReceiveBuffer makes a connection hold few bytes that the client has not read.
+func smallReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(descriptor uintptr) {
+		err = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // run is one client.
 func (o occupation) run(ctx context.Context, address string, n int, started func()) {
 	for {
@@ -51,6 +66,9 @@
 func (o occupation) runOnce(ctx context.Context, address string, n int, started func()) {
 	defer started()
 	dialer := net.Dialer{}
+	if o.ignoresAnswers {
+		dialer.Control = smallReceiveBuffer
+	}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return
@@ -60,6 +78,10 @@
 	defer stop()
 	go func() {
 		defer close(closed)
+		if o.ignoresAnswers {
+			<-ctx.Done()
+			return
+		}
 		io.Copy(io.Discard, connection)
 		connection.Close()
 	}()
@@ -171,6 +193,7 @@
 		"UnknownRoutes":     {start: unfinished("POST /absent/x HTTP/1.1\r\nHost: absent\r\n")},
 		"UnknownKeys":       {start: unfinished(fmt.Sprintf(strings.NewReplacer(standinplatform.APIKey, unusedKey, demoAPIKey, unusedKey).Replace(h.requestHead), 1))},
 		"LargeHeaders":      {start: unfinished(head(1) + "X-Filling: " + strings.Repeat("x", 50<<10) + "\r\n")},
+		"UnreadAnswers":     {start: func(int) string { return absent }, piece: []byte(strings.Repeat(absent, 50)), ignoresAnswers: true},
 		"Silence":           {start: func(int) string { return "" }},
 		"SlowHeaders":       {start: head, piece: []byte("X-A: b\r\n"), pause: tricklePause},
 		"Idleness":          {start: func(int) string { return absent }},
@@ -230,6 +253,10 @@
 	assertPlatformServesBeside(t, "LargeHeaders", occupants)
 }
 
+func TestPlatformServesBesideUnreadAnswers(t *testing.T) {
+	assertPlatformServesBeside(t, "UnreadAnswers", occupants)
+}
+
 func TestPlatformServesBesideSilence(t *testing.T) {
 	assertPlatformServesBeside(t, "Silence", occupants)
 }
@@ -270,6 +297,10 @@
 	assertOwnServesBeside(t, "LargeHeaders", occupants)
 }
 
+func TestOwnServesBesideUnreadAnswers(t *testing.T) {
+	assertOwnServesBeside(t, "UnreadAnswers", occupants)
+}
+
 func TestOwnServesBesideSilence(t *testing.T) {
 	assertOwnServesBeside(t, "Silence", occupants)
 }
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -125,7 +125,7 @@
 }
 
 // CountEndedConnection counts a connection of a client that this host has ended to make room for
-// others, by the reason ("header" or "idle").
+// others, or since its client does not read, by the reason ("header", "idle" or "unread").
 func (m *Meter) CountEndedConnection(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_ended_connections_total{reason=%q}", reason)).Inc()
 }
