acceptor: the listeners for operators and other hosts have bounds as well

What callers saw: 256 connections to the address for readiness checks or to that for operators, silent, idle or with bodies that do not come, took all descriptors: 161 of 160 on the own interface, where ordinary requests and operators got no answer any more, and 264 sockets where a host of the platform may have 200. The same at the platform's listener for other hosts.

Cause: only the listener for clients had a bound.

Change: the others are acceptors as well, with a quarter of the descriptors that clients leave, 8 to 128 each.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -85,9 +85,11 @@
 	log             zerolog.Logger
 	meter           *meter.Meter
 
-	// maxConnections bounds the connections that are open, 0 for no bound. endBodies ends requests
+	// maxConnections bounds the connections that are open, 0 for no bound. stallTimeout is the time
+	// without progress after which they end while others wait, endBodies ends requests
 	// whose bodies are not complete.
 	maxConnections int
+	stallTimeout   time.Duration
 	endBodies      func(wanted int) int
 	// openCount is the number of connections that are open, endingCount the number of those whose
 	// end was announced.
@@ -145,6 +147,12 @@
 	return func(a *Acceptor) { a.maxConnections = connections }
 }
 
+// WithStallTimeout sets the time after which a connection is closed while others wait for its place,
+// if it has not sent a complete header or its client does not read.
+func WithStallTimeout(timeout time.Duration) Option {
+	return func(a *Acceptor) { a.stallTimeout = timeout }
+}
+
 // WithRoomHandler sets a function that ends requests whose bodies are not complete until a number
 // of them end, and returns how many it has ended now. It is called while there are as many
 // connections as there may be.
@@ -162,7 +170,7 @@
 func New(handler http.Handler, options ...Option) *Acceptor {
 	a := &Acceptor{
 		httpServer:         &http.Server{ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes},
-		defaultIdleTimeout: defaultIdleTimeout, drainIdlePeriod: defaultDrainIdlePeriod,
+		defaultIdleTimeout: defaultIdleTimeout, drainIdlePeriod: defaultDrainIdlePeriod, stallTimeout: defaultStallTimeout,
 		log: zerolog.Nop(), meter: meter.New(), endBodies: func(int) int { return 0 }, createdAt: time.Now(),
 		connections: make(map[*connection]struct{}), closed: make(chan struct{}),
 	}
--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -14,9 +14,9 @@
 const (
 	// roomPollInterval is the time between two attempts to make room for a connection.
 	roomPollInterval = 20 * time.Millisecond
-	// stallTimeout is the time after which a connection that has not sent a complete header, or
+	// defaultStallTimeout is the time after which a connection that has not sent a complete header, or
 	// whose client does not read, is closed if others wait for its place.
-	stallTimeout = time.Second
+	defaultStallTimeout = time.Second
 	// endingDivisor divides the bound on connections. The quotient, and one more, bounds those that
 	// end at the same time to make room, since clients may take their time to receive that.
 	endingDivisor = 2
@@ -49,6 +49,28 @@
 	return bound
 }
 
+const (
+	// minInternalConnections and maxInternalConnections bound the connections to a listener that is
+	// not for clients.
+	minInternalConnections, maxInternalConnections = 8, 128
+	// internalDivisor divides the descriptors that are kept for what is not a request. The quotient
+	// is the bound between the two.
+	internalDivisor = 4
+	// InternalStallTimeout is the stall time-out of such a listener, which has fewer places. Its
+	// clients are near.
+	InternalStallTimeout = 100 * time.Millisecond
+)
+
+// MaxInternalConnections returns how many connections a listener that is not for clients, such as
+// that of operators, may have at a host that may open a number of descriptors, 0 if that is unknown.
+func MaxInternalConnections(descriptors int) int {
+	if descriptors <= 0 {
+		return maxInternalConnections
+	}
+	kept := max(descriptorMargin, descriptors/marginDivisor)
+	return min(max(kept/internalDivisor, minInternalConnections), maxInternalConnections)
+}
+
 // boundSocketBuffers bounds the buffers of the connections that a listener accepts.
 func boundSocketBuffers(listener net.Listener, log zerolog.Logger) {
 	socket, ok := listener.(syscall.Conn)
@@ -148,19 +170,19 @@
 }
 
 // roomCandidates returns the connections that may end to make room: those without a header for
-// stallTimeout, those that are idle, and those whose clients have not read for stallTimeout.
+// the stall time-out, those that are idle, and those whose clients have not read for as long.
 func (a *Acceptor) roomCandidates(now time.Time) (withoutHeader, idle, unread []roomCandidate) {
 	for _, c := range a.openConnections() {
 		phase, since, served := c.waitingState()
 		r := roomCandidate{connection: c, waiting: now.Sub(since)}
 		switch {
 		case phase == ending:
-		case c.writingFor() > stallTimeout:
+		case c.writingFor() > a.stallTimeout:
 			r.waiting = c.writingFor()
 			unread = append(unread, r)
 		case phase == waiting && served:
 			idle = append(idle, r)
-		case (phase == waiting && !served || phase == receiving) && r.waiting > stallTimeout:
+		case (phase == waiting && !served || phase == receiving) && r.waiting > a.stallTimeout:
 			withoutHeader = append(withoutHeader, r)
 		}
 	}
--- a/internal/acceptor/room_test.go
+++ b/internal/acceptor/room_test.go
@@ -132,3 +132,11 @@
 		dialFullHost(t, listener.Addr().String())
 	}
 }
+
+func TestMaxInternalConnections(t *testing.T) {
+	for descriptors, want := range map[int]int{0: 128, 160: 8, 4000: 125, 1 << 20: 128} {
+		if got := MaxInternalConnections(descriptors); got != want {
+			t.Errorf("got %d connections for %d descriptors, want %d", got, descriptors, want)
+		}
+	}
+}
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -8,7 +8,6 @@
 	"crypto/tls"
 	"errors"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -32,9 +31,6 @@
 )
 
 const (
-	// readHeaderTimeout limits the time in which an operator must send the request
-	// header.
-	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is the time after which an idle connection of a client is closed.
 	idleTimeout = 2 * time.Minute
 	// maxMessageBytes is the largest message from another entry host, in bytes.
@@ -95,7 +91,7 @@
 	forwarder        *forwarder.Forwarder
 	clientServer     *acceptor.Acceptor
 	peerServer       *grpc.Server
-	operatorServer   *http.Server
+	operatorServer   *acceptor.Acceptor
 	supervisor       *suture.Supervisor
 	stopRequested    chan struct{}
 	cleanUpFunctions []func()
@@ -197,7 +193,9 @@
 	e.clientServer = acceptor.New(handler, acceptor.WithTLS(e.serverTLS), acceptor.WithDefaultIdleTimeout(idleTimeout),
 		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter),
 		acceptor.WithMaxConnections(maxConnections(e.assemblerLogger)), acceptor.WithRoomHandler(bodies.MakeRoom))
-	e.operatorServer = &http.Server{Handler: e.operatorHandler(), TLSConfig: e.serverTLS, ReadHeaderTimeout: readHeaderTimeout}
+	e.operatorServer = acceptor.New(collector.DismissBodies(e.operatorHandler()), acceptor.WithTLS(e.serverTLS),
+		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter),
+		acceptor.WithMaxConnections(acceptor.MaxInternalConnections(maxDescriptors(e.assemblerLogger))), acceptor.WithStallTimeout(acceptor.InternalStallTimeout))
 	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes)}
 	if e.peerTLS != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(e.peerTLS)))
@@ -216,7 +214,7 @@
 	e.supervisor.Add(e.runner)
 	e.supervisor.Add(newSupervisedServer("callers", func(ctx context.Context) error { return serveHTTP(ctx, e.clientServer, e.listeners.Clients) }))
 	e.supervisor.Add(newSupervisedServer("operators", func(ctx context.Context) error {
-		return serveHTTP(ctx, operatorServer{e.operatorServer}, e.listeners.Operators)
+		return serveHTTP(ctx, e.operatorServer, e.listeners.Operators)
 	}))
 	e.supervisor.Add(newSupervisedServer("peers", e.servePeers))
 }
--- a/internal/assembler/limit.go
+++ b/internal/assembler/limit.go
@@ -35,14 +35,19 @@
 	return maxBodyMemory
 }
 
-// maxConnections returns how many connections of clients the host may have, which follows from the
-// limit of the process for descriptors and the memory limit of the Go runtime. 0 stands for no
-// bound.
-func maxConnections(log zerolog.Logger) int {
+// maxDescriptors returns the limit of the process for descriptors, 0 if it is unknown.
+func maxDescriptors(log zerolog.Logger) int {
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
 		log.Warn().Err(err).Msg("failed to read the limit for descriptors")
-		return acceptor.MaxConnections(0, runtimeMemoryLimit())
+		return 0
 	}
-	return acceptor.MaxConnections(int(min(limit.Cur, math.MaxInt32)), runtimeMemoryLimit())
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
+// maxConnections returns how many connections of clients the host may have, which follows from the
+// limit of the process for descriptors and the memory limit of the Go runtime. 0 stands for no
+// bound.
+func maxConnections(log zerolog.Logger) int {
+	return acceptor.MaxConnections(maxDescriptors(log), runtimeMemoryLimit())
 }
--- a/internal/assembler/service.go
+++ b/internal/assembler/service.go
@@ -33,17 +33,6 @@
 	Close() error
 }
 
-// operatorServer is an HTTP server that uses TLS if it is configured.
-type operatorServer struct{ *http.Server }
-
-// Serve implements httpServer.
-func (s operatorServer) Serve(listener net.Listener) error {
-	if s.TLSConfig != nil {
-		return s.ServeTLS(listener, "", "")
-	}
-	return s.Server.Serve(listener)
-}
-
 // serveHTTP runs an HTTP server until the context ends or the server is shut down.
 // After a shutdown the supervisor does not restart it.
 func serveHTTP(ctx context.Context, server httpServer, listener net.Listener) error {
--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -148,9 +148,15 @@
 // endConnection makes the HTTP server close the connection after the response, in a way in which
 // the client receives it, and read nothing more from it.
 func endConnection(w http.ResponseWriter) {
-	w.Header().Set("Connection", "close")
 	// The HTTP server half-closes a connection, and waits, only if a limit of this reader was hit.
 	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
+	closeConnection(w)
+}
+
+// closeConnection makes the HTTP server close the connection after the response, and read nothing
+// more from it.
+func closeConnection(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 }
 
--- a/internal/collector/dismisser.go
+++ b/internal/collector/dismisser.go
@@ -20,18 +20,18 @@
 // limit. A small body that has arrived is discarded, so that the connection can be used again.
 // Otherwise the connection ends with the response. It must not be called after Collect has failed.
 func Dismiss(w http.ResponseWriter, request *http.Request) {
-	const firstMultiplexedMajor = 2
-	// A stream of HTTP/2 ends with its response, and leaves the connection open.
-	if request.ContentLength == 0 || request.ProtoMajor >= firstMultiplexedMajor {
-		return
-	}
 	if !discard(w, request) {
 		endConnection(w)
 	}
 }
 
-// discard reads a small body, and reports whether it has reached its end.
+// discard reads a small body, and reports whether it has reached its end. A stream of HTTP/2 ends with
+// its response, and leaves the connection open whether its body has been read or not.
 func discard(w http.ResponseWriter, request *http.Request) bool {
+	const firstMultiplexedMajor = 2
+	if request.ContentLength == 0 || request.ProtoMajor >= firstMultiplexedMajor {
+		return true
+	}
 	// A client that waits for the word to send its body need not send it.
 	if request.ContentLength > dismissedBytes || strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
 		return false
@@ -45,3 +45,15 @@
 	}
 	return controller.SetReadDeadline(time.Time{}) == nil
 }
+
+// DismissBodies returns a handler that dismisses the bodies of all requests before next serves them.
+// Connections whose bodies do not come are closed without the wait for their clients that Dismiss
+// makes, since listeners with few places could not afford it.
+func DismissBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if !discard(w, request) {
+			closeConnection(w)
+		}
+		next.ServeHTTP(w, request)
+	})
+}
--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -24,6 +24,8 @@
 // occupation is what each client of a crowd does to keep a place at a host. It goes on until the
 // test ends.
 type occupation struct {
+	// address is that of the listener, "" for the one for clients.
+	address string
 	// start is sent first. piece is then sent again and again with a pause after it; it is empty if
 	// nothing follows.
 	start func(n int) string
@@ -48,9 +50,9 @@
 }
 
 // run is one client.
-func (o occupation) run(ctx context.Context, address string, n int, started func()) {
+func (o occupation) run(ctx context.Context, n int, started func()) {
 	for {
-		o.runOnce(ctx, address, n, started)
+		o.runOnce(ctx, n, started)
 		if !o.returns {
 			return
 		}
@@ -63,13 +65,13 @@
 }
 
 // runOnce is one connection of a client, until the host closes it or the context ends.
-func (o occupation) runOnce(ctx context.Context, address string, n int, started func()) {
+func (o occupation) runOnce(ctx context.Context, n int, started func()) {
 	defer started()
 	dialer := net.Dialer{}
 	if o.ignoresAnswers {
 		dialer.Control = smallReceiveBuffer
 	}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	connection, err := dialer.DialContext(ctx, "tcp", o.address)
 	if err != nil {
 		return
 	}
@@ -107,6 +109,9 @@
 // until the test ends.
 func startOccupation(t *testing.T, h *target, o occupation, clients int) {
 	t.Helper()
+	if o.address == "" {
+		o.address = h.clientAddress
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var running, starting sync.WaitGroup
 	for n := range clients {
@@ -114,7 +119,7 @@
 		starting.Add(1)
 		go func() {
 			defer running.Done()
-			o.run(ctx, h.clientAddress, n, sync.OnceFunc(starting.Done))
+			o.run(ctx, n, sync.OnceFunc(starting.Done))
 		}()
 	}
 	t.Cleanup(func() {
@@ -151,6 +156,9 @@
 	if requestErr != nil {
 		t.Errorf("got error %v, want an answer to an ordinary request", requestErr)
 	}
+	if o.address != "" {
+		assertOperatorsServed(t, h)
+	}
 	if got, want := most.memoryBytes, h.memoryBytes; got > want {
 		t.Errorf("got %d MiB of memory, want at most %d", got>>20, want>>20)
 	}
@@ -162,6 +170,28 @@
 	}
 }
 
+// assertOperatorsServed checks that a host says whether it is ready, within the time for the answer to
+// an ordinary request.
+func assertOperatorsServed(t *testing.T, h *target) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.operatorAddress+"/readyz", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		t.Errorf("got error %v, want an answer of the host for operators", err)
+		return
+	}
+	response.Body.Close()
+	if got, want := response.StatusCode, http.StatusOK; got != want {
+		t.Errorf("got status %d for operators, want %d", got, want)
+	}
+}
+
 const (
 	// trickleBytes is what a client whose body comes slowly sends in each tricklePause. The body is
 	// not complete before the time limit of the request, and needs little memory.
@@ -197,6 +227,10 @@
 		"Silence":           {start: func(int) string { return "" }},
 		"SlowHeaders":       {start: head, piece: []byte("X-A: b\r\n"), pause: tricklePause},
 		"Idleness":          {start: func(int) string { return absent }},
+		"OperatorsSilence":  {address: h.operatorAddress, start: func(int) string { return "" }},
+		"OperatorsIdleness": {address: h.operatorAddress, start: func(int) string { return absent }},
+		"OperatorsBodies":   {address: h.operatorAddress, start: unfinished("POST /livez HTTP/1.1\r\nHost: x\r\n")},
+		"PeersSilence":      {address: h.peerAddress, start: func(int) string { return "" }},
 	}
 }
 
@@ -269,6 +303,22 @@
 	assertPlatformServesBeside(t, "Idleness", idleOccupants)
 }
 
+func TestPlatformServesBesideOperatorsSilence(t *testing.T) {
+	assertPlatformServesBeside(t, "OperatorsSilence", occupants)
+}
+
+func TestPlatformServesBesideOperatorsIdleness(t *testing.T) {
+	assertPlatformServesBeside(t, "OperatorsIdleness", occupants)
+}
+
+func TestPlatformServesBesideOperatorsBodies(t *testing.T) {
+	assertPlatformServesBeside(t, "OperatorsBodies", occupants)
+}
+
+func TestPlatformServesBesidePeersSilence(t *testing.T) {
+	assertPlatformServesBeside(t, "PeersSilence", occupants)
+}
+
 func TestOwnServesBesideSlowWholeBodies(t *testing.T) {
 	assertOwnServesBeside(t, "SlowWholeBodies", occupants)
 }
@@ -313,6 +363,18 @@
 	assertOwnServesBeside(t, "Idleness", idleOccupants)
 }
 
+func TestOwnServesBesideOperatorsSilence(t *testing.T) {
+	assertOwnServesBeside(t, "OperatorsSilence", occupants)
+}
+
+func TestOwnServesBesideOperatorsIdleness(t *testing.T) {
+	assertOwnServesBeside(t, "OperatorsIdleness", occupants)
+}
+
+func TestOwnServesBesideOperatorsBodies(t *testing.T) {
+	assertOwnServesBeside(t, "OperatorsBodies", occupants)
+}
+
 const (
 	// memoryHolders is the number of clients whose bodies take memory, fewer than a host may have
 	// connections. largeBytes is the size of an ordinary body that needs memory as well.
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -74,9 +74,6 @@
 	// shutdownMargin is the time kept between the end of the graceful shutdown and
 	// the forced termination of the process.
 	shutdownMargin = 150 * time.Millisecond
-	// headerTimeout bounds the time to read the header of an operator's or another host's
-	// request.
-	headerTimeout = 10 * time.Second
 )
 
 // Settings returns the settings in force.
@@ -227,7 +224,7 @@
 	operatorMux.HandleFunc("/", h.serveReadiness)
 	operatorMux.HandleFunc("/status", h.serveStatus)
 	operatorMux.HandleFunc("/metrics", h.serveMetrics)
-	operatorServer := &http.Server{Handler: operatorMux, ReadHeaderTimeout: headerTimeout}
+	operatorServer := h.newInternalServer(operatorMux)
 	serveErrors := make(chan error, 2)
 	go func() { serveErrors <- clientServer.Serve(clientListener) }()
 	go func() { serveErrors <- operatorServer.Serve(readinessListener) }()
@@ -245,6 +242,13 @@
 	return err
 }
 
+// newInternalServer returns a server for requests that are not those of clients. None of them uses a
+// body.
+func (h *Host) newInternalServer(handler http.Handler) *acceptor.Acceptor {
+	return acceptor.New(collector.DismissBodies(handler), acceptor.WithLogger(h.rootLogger.For("acceptor")), acceptor.WithMeter(h.meter),
+		acceptor.WithMaxConnections(acceptor.MaxInternalConnections(h.Settings().Sockets)), acceptor.WithStallTimeout(acceptor.InternalStallTimeout))
+}
+
 // idleTimeout returns the configured time-out for connections without a request, 0
 // for none.
 func (h *Host) idleTimeout() time.Duration {
--- a/internal/platformassembler/state.go
+++ b/internal/platformassembler/state.go
@@ -136,11 +136,11 @@
 	return controller.SetWriteDeadline(time.Now().Add(stateTimeout))
 }
 
-// newPeerServer returns the server for requests of other hosts.
-func (h *Host) newPeerServer() *http.Server {
+// peerHandler returns the handler of requests of other hosts.
+func (h *Host) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(statePath, h.serveState)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return mux
 }
 
 // servePeers serves HTTP requests of other hosts. It listens on the TCP port with the
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	server := h.newPeerServer()
+	server := h.newInternalServer(h.peerHandler())
 	serveResult := make(chan error, 1)
 	go func() { serveResult <- server.Serve(listener) }()
 	select {
--- a/internal/platformassembler/state_test.go
+++ b/internal/platformassembler/state_test.go
@@ -107,7 +107,7 @@
 		for _, value := range []string{want, `{"version":7}`, `{"version":`} {
 			h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: []byte(value)}}})
 		}
-		transport, stop := pipe.Start(h.newPeerServer())
+		transport, stop := pipe.Start(&http.Server{Handler: h.peerHandler()})
 		h.peerTransport = transport
 		s, err := h.requestState(t.Context(), "peer")
 		if got := string(s.Configuration); err != nil || got != want {
@@ -131,7 +131,7 @@
 		h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
 		h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: []byte(`{"version":1}`)}}})
 		h.cacheServers(tracker.Update{Records: []platform.Record{{Key: "server", Value: bytes.Repeat([]byte{'s'}, 1<<20)}}})
-		transport, stop := pipe.Start(h.newPeerServer())
+		transport, stop := pipe.Start(&http.Server{Handler: h.peerHandler()})
 		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://peer"+statePath, http.NoBody)
 		if err != nil {
 			t.Fatal(err)
@@ -166,7 +166,7 @@
 			{Key: platform.ConfigurationKey, Value: []byte(`{"version":1}`)}, {Key: "evacuate/dc-east", Value: []byte("{}"), Offset: 5},
 		}})
 		source.applyHostList(tracker.Update{Records: []platform.Record{{Key: "other", Value: []byte(`{"address":"10.0.0.7:7000","data-centre":"dc"}`)}}})
-		transport, stop := pipe.Start(source.newPeerServer())
+		transport, stop := pipe.Start(&http.Server{Handler: source.peerHandler()})
 		h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t), peerTransport: transport}
 		if err := h.fetchState(t.Context(), "peer"); err != nil {
 			t.Fatal(err)
