acceptor: connections with HTTP/2 make room, and their requests have bounds

Cause: the acceptor forgot a connection when it turned to HTTP/2, and never ended one. The number of requests was bounded by connection only (250 each), and so was what the host held of their bodies (1 MiB).

Change: such connections are tracked. Those without a request in a handler for 1 s, and those whose clients do not read, make room like the others; they are closed, as HTTP/2 leaves no time to announce it on one connection alone. A connection has at most 100 requests at a time and 64 KiB of unread bodies. The host reads as many bodies at a time as it may have connections: beyond that the slowest of over 1 s gives way, or the next one is refused with 503. HTTP/1.1 does not reach that bound, with one request a connection.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -68,6 +68,10 @@
 	writeTimeout = time.Minute
 	// defaultMaxHeaderBytes is the largest request header, in bytes.
 	defaultMaxHeaderBytes = 64 << 10
+	// maxStreams is the number of requests that a connection with HTTP/2 may have at the same time,
+	// maxUnreadBytes what the host holds of their bodies without reading it.
+	maxStreams     = 100
+	maxUnreadBytes = 64 << 10
 )
 
 // Acceptor serves HTTP requests of clients.
@@ -101,8 +105,9 @@
 
 	draining atomic.Bool
 
-	mutex       sync.Mutex
-	connections map[*connection]struct{}
+	mutex sync.Mutex
+	// connections are those with HTTP/1.1, multiplexed those with HTTP/2.
+	connections, multiplexed map[*connection]struct{}
 	// listener is that of Serve, nil before.
 	listener *trackedListener
 	// closed is closed when the acceptor no longer checks for idle connections.
@@ -169,10 +174,13 @@
 // New returns an acceptor that passes requests to a handler.
 func New(handler http.Handler, options ...Option) *Acceptor {
 	a := &Acceptor{
-		httpServer:         &http.Server{ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes},
+		httpServer: &http.Server{
+			ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
+			HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: maxUnreadBytes, MaxReceiveBufferPerStream: maxUnreadBytes},
+		},
 		defaultIdleTimeout: defaultIdleTimeout, drainIdlePeriod: defaultDrainIdlePeriod, stallTimeout: defaultStallTimeout,
 		log: zerolog.Nop(), meter: meter.New(), endBodies: func(int) int { return 0 }, createdAt: time.Now(),
-		connections: make(map[*connection]struct{}), closed: make(chan struct{}),
+		connections: make(map[*connection]struct{}), multiplexed: make(map[*connection]struct{}), closed: make(chan struct{}),
 	}
 	for _, o := range options {
 		o(a)
@@ -315,7 +323,7 @@
 					a.log.Debug().Str("caller", c.RemoteAddr().String()).Msg("idle connection closed")
 				}
 			}
-			for _, c := range a.openConnections() {
+			for _, c := range a.allConnections() {
 				if c.writingFor() > writeTimeout {
 					a.closeForGood(c, endedUnread)
 				}
@@ -324,7 +332,14 @@
 	}
 }
 
-// openConnections returns the connections that are open.
+// allConnections returns the connections that are open, those with HTTP/2 included.
+func (a *Acceptor) allConnections() []*connection {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return slices.AppendSeq(slices.Collect(maps.Keys(a.connections)), maps.Keys(a.multiplexed))
+}
+
+// openConnections returns the connections with HTTP/1.1 that are open.
 func (a *Acceptor) openConnections() []*connection {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -30,6 +30,10 @@
 
 	mutex sync.Mutex
 	phase phase
+	// isMultiplexed is true if the connection uses HTTP/2. active is the number of its requests that
+	// handlers serve.
+	isMultiplexed bool
+	active        int
 	// waitingSince is the time at which the connection began to wait for a request.
 	waitingSince time.Time
 	// receivingSince is the time at which the first byte of the current header arrived.
@@ -93,7 +97,7 @@
 		return
 	}
 	if encrypted, ok := served.(*tls.Conn); ok && encrypted.ConnectionState().NegotiatedProtocol == http2Protocol {
-		a.forget(c)
+		a.startMultiplexing(c)
 		return
 	}
 	if state == http.StateIdle {
@@ -108,6 +112,7 @@
 		timeout := a.currentIdleTimeout()
 		if c, ok := r.Context().Value(connectionKey{}).(*connection); ok && c != nil {
 			c.startServing(timeout)
+			defer c.stopServing()
 		}
 		if a.draining.Load() {
 			w.Header().Set("Connection", "close")
@@ -149,6 +154,36 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.phase, c.served, c.idleTimeout = serving, true, announced
+	c.active++
+}
+
+// stopServing records that a handler has ended. With HTTP/1.1 the connection waits for the next
+// request only when the HTTP server has sent the response and read the rest of the request.
+func (c *connection) stopServing() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.active--; c.isMultiplexed && c.active == 0 {
+		c.phase, c.waitingSince = waiting, time.Now()
+	}
+}
+
+// startMultiplexing records that a connection uses HTTP/2.
+func (a *Acceptor) startMultiplexing(c *connection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.isMultiplexed {
+		return
+	}
+	c.isMultiplexed = true
+	if c.active == 0 {
+		c.phase, c.waitingSince = waiting, time.Now()
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	delete(a.connections, c)
+	if !c.ended.Load() {
+		a.multiplexed[c] = struct{}{}
+	}
 }
 
 // startWaiting records that the host waits for the next request.
@@ -377,12 +412,13 @@
 	}
 }
 
-// forget stops tracking a connection. It reports whether the connection was tracked.
+// forget stops tracking a connection. It reports whether it was tracked as one with HTTP/1.1.
 func (a *Acceptor) forget(c *connection) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	_, tracked := a.connections[c]
 	delete(a.connections, c)
+	delete(a.multiplexed, c)
 	return tracked
 }
 
--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -142,7 +142,9 @@
 		wanted--
 	}
 	for _, c := range longestWaiting(idle, wanted) {
-		if c.expireForRoom(now) {
+		if c.isMultiplexed {
+			a.closeForGood(c.connection, endedIdle)
+		} else if c.expireForRoom(now) {
 			a.countEnd(c.connection, endedIdle)
 		}
 		wanted--
@@ -172,7 +174,7 @@
 // roomCandidates returns the connections that may end to make room: those without a header for
 // the stall time-out, those that are idle, and those whose clients have not read for as long.
 func (a *Acceptor) roomCandidates(now time.Time) (withoutHeader, idle, unread []roomCandidate) {
-	for _, c := range a.openConnections() {
+	for _, c := range a.allConnections() {
 		phase, since, served := c.waitingState()
 		r := roomCandidate{connection: c, waiting: now.Sub(since)}
 		switch {
@@ -180,7 +182,8 @@
 		case c.writingFor() > a.stallTimeout:
 			r.waiting = c.writingFor()
 			unread = append(unread, r)
-		case phase == waiting && served:
+		case phase == waiting && served && (!c.isMultiplexed || r.waiting > a.stallTimeout):
+			// HTTP/2 leaves no time to announce the end. Its connections must be idle for longer.
 			idle = append(idle, r)
 		case (phase == waiting && !served || phase == receiving) && r.waiting > a.stallTimeout:
 			withoutHeader = append(withoutHeader, r)
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -187,12 +187,13 @@
 
 func (e *EntryHost) buildServers() {
 	bodyBytes := bodyMemory()
-	bodies := collector.New(collector.WithPool(int(bodyBytes)), collector.WithMeter(e.meter), collector.WithLogger(e.rootLogger.For("collector")))
+	connections := maxConnections(e.assemblerLogger)
+	bodies := collector.New(collector.WithPool(int(bodyBytes)), collector.WithMaxBodies(connections), collector.WithMeter(e.meter), collector.WithLogger(e.rootLogger.For("collector")))
 	e.meter.RegisterBodyGauge(func() float64 { return float64(bodies.UsedBytes()) })
 	handler := receiver.New(e.runner, e.forwarder, receiver.WithTracer(e.tracer), receiver.WithMeter(e.meter), receiver.WithBodies(bodies, bodyBytes))
 	e.clientServer = acceptor.New(handler, acceptor.WithTLS(e.serverTLS), acceptor.WithDefaultIdleTimeout(idleTimeout),
 		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter),
-		acceptor.WithMaxConnections(maxConnections(e.assemblerLogger)), acceptor.WithRoomHandler(bodies.MakeRoom))
+		acceptor.WithMaxConnections(connections), acceptor.WithRoomHandler(bodies.MakeRoom))
 	e.operatorServer = acceptor.New(collector.DismissBodies(e.operatorHandler()), acceptor.WithTLS(e.serverTLS),
 		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter),
 		acceptor.WithMaxConnections(acceptor.MaxInternalConnections(maxDescriptors(e.assemblerLogger))), acceptor.WithStallTimeout(acceptor.InternalStallTimeout))
--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -47,8 +47,10 @@
 type Collector struct {
 	memory                    *allocator.Allocator
 	stallTimeout, waitTimeout time.Duration
-	log                       zerolog.Logger
-	meter                     *meter.Meter
+	// maxBodies is the number of bodies that are read at the same time, 0 for no bound.
+	maxBodies int
+	log       zerolog.Logger
+	meter     *meter.Meter
 
 	mutex    sync.Mutex
 	readings map[*reading]struct{}
@@ -76,6 +78,11 @@
 	return func(c *Collector) { c.waitTimeout = timeout }
 }
 
+// WithMaxBodies bounds the number of bodies that are read at the same time. Beyond it the slowest one
+// gives way to the next one, unless all have been read for a short time only: then the next one is
+// refused.
+func WithMaxBodies(bodies int) Option { return func(c *Collector) { c.maxBodies = bodies } }
+
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(c *Collector) { c.log = log } }
 
@@ -132,9 +139,11 @@
 	x := &reading{collector: c, controller: http.NewResponseController(w), request: request, terms: terms, startedAt: now, progressAt: now}
 	// This fails if the writer does not support deadlines.
 	_ = x.controller.SetReadDeadline(terms.Deadline)
+	if !c.add(x) {
+		return nil, &NoRoomError{RetryAfter: c.stallTimeout}
+	}
 	var release func()
 	x.memory, release = c.memory.Open(terms.Caller)
-	c.add(x)
 	blocks, err := x.readBlocks()
 	c.remove(x)
 	if err != nil {
@@ -185,10 +194,15 @@
 	return len(candidates)
 }
 
-func (c *Collector) add(x *reading) {
+// add records a body that is about to be read, and reports whether it may be.
+func (c *Collector) add(x *reading) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.maxBodies > 0 && len(c.readings) >= c.maxBodies && giveUpSlowest(c.overdue(x.startedAt), 1, x.startedAt) == 0 {
+		return false
+	}
 	c.readings[x] = struct{}{}
+	return true
 }
 
 // overdue returns the bodies that have been read for so long that they give way to others. The caller
--- a/internal/collector/collector_test.go
+++ b/internal/collector/collector_test.go
@@ -313,3 +313,32 @@
 		}
 	}
 }
+
+// Guards against requests of a few connections that hold the memory of all others.
+func TestMaxBodies(t *testing.T) {
+	t.Run("new ones", func(t *testing.T) {
+		h := startTestHost(t, 1<<20, WithMaxBodies(1), WithStallTimeout(time.Minute))
+		h.open(t, "/held", "a", 100, 10)
+		h.awaitReadings(t, 1, 10)
+		h.open(t, "/refused", "a", 10, 10)
+		var noRoom *NoRoomError
+		if got := <-h.results; got.path != "/refused" || !errors.As(got.err, &noRoom) {
+			t.Errorf("got the end of %s with error %v, want a refusal of the other", got.path, got.err)
+		}
+	})
+	t.Run("old ones", func(t *testing.T) {
+		h := startTestHost(t, 1<<20, WithMaxBodies(1), WithStallTimeout(time.Millisecond))
+		h.open(t, "/held", "a", 100, 10)
+		h.awaitReadings(t, 1, 10)
+		time.Sleep(2 * time.Millisecond)
+		h.open(t, "/next", "a", 10, 10)
+		paths := map[string]bool{}
+		for range 2 {
+			got := <-h.results
+			paths[got.path] = got.err == nil
+		}
+		if !paths["/next"] || paths["/held"] {
+			t.Errorf("got success by path %v, want that of the next body alone", paths)
+		}
+	})
+}
--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -26,6 +27,8 @@
 type occupation struct {
 	// address is that of the listener, "" for the one for clients.
 	address string
+	// tlsConfig is that of the connection, nil if it is not encrypted.
+	tlsConfig *tls.Config
 	// start is sent first. piece is then sent again and again with a pause after it; it is empty if
 	// nothing follows.
 	start func(n int) string
@@ -75,6 +78,9 @@
 	if err != nil {
 		return
 	}
+	if o.tlsConfig != nil {
+		connection = tls.Client(connection, o.tlsConfig)
+	}
 	closed := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() { connection.Close() })
 	defer stop()
