acceptor: large headers share one bound, and get an answer

What happened: 1,024 clients sent headers of 50 KiB with a body that does not come, or of 60 KiB without an end, to a host of the platform with 96 MB.

Cause: each header could have 64 KiB whatever the configuration says, its limit being checked once the header was whole, and all together had no bound.

Change: the limit of the configuration holds while a header arrives, with 8 KiB more for what it does not count (431). Beyond 24 KiB each, which the limits of the pages do not reach, headers share a pool: a sixteenth of the memory limit, on the own interface an eighth of GOMEMLIMIT (503 with Retry-After). Both are counted (fuchsiapitch_refused_headers_total) and logged.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -100,6 +100,11 @@
 	openCount, endingCount atomic.Int64
 	// roomMadeAt is the last time at which room was made. The goroutine that accepts owns it.
 	roomMadeAt time.Time
+	// headerLimit returns the largest size of a header, nil for defaultMaxHeaderBytes.
+	// headerPoolBytes bounds what headers take together, and pooledHeaderBytes is what they take.
+	headerLimit       func() int64
+	headerPoolBytes   int64
+	pooledHeaderBytes atomic.Int64
 	// createdAt is the time from which the begin of writes is counted.
 	createdAt time.Time
 
@@ -179,7 +184,7 @@
 			HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: maxUnreadBytes, MaxReceiveBufferPerStream: maxUnreadBytes},
 		},
 		defaultIdleTimeout: defaultIdleTimeout, drainIdlePeriod: defaultDrainIdlePeriod, stallTimeout: defaultStallTimeout,
-		log: zerolog.Nop(), meter: meter.New(), endBodies: func(int) int { return 0 }, createdAt: time.Now(),
+		log: zerolog.Nop(), meter: meter.New(), endBodies: func(int) int { return 0 }, createdAt: time.Now(), headerPoolBytes: defaultHeaderPoolBytes,
 		connections: make(map[*connection]struct{}), multiplexed: make(map[*connection]struct{}), closed: make(chan struct{}),
 	}
 	for _, o := range options {
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -453,7 +453,7 @@
 		tracked.phase = waiting
 		tracked.expire(time.Now())
 		tracked.mutex.Unlock()
-		tracked.startReceiving()
+		tracked.startReceiving(1)
 		time.Sleep(time.Second)
 		io.WriteString(c, "Content-Length: 4\r\n\r\nbody")
 		c.receive(t)
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -49,6 +49,9 @@
 	deadlineReplaced bool
 	// lastReads is the number of reads after a deadline in the current phase.
 	lastReads int
+	// headerBytes is the size of what has been read of the current header, pooledHeaderBytes the part
+	// of it that is taken from the pool of the acceptor.
+	headerBytes, pooledHeaderBytes int64
 }
 
 // phase is what the host does with a connection.
@@ -175,6 +178,7 @@
 		return
 	}
 	c.isMultiplexed = true
+	c.freeHeader()
 	if c.active == 0 {
 		c.phase, c.waitingSince = waiting, time.Now()
 	}
@@ -191,6 +195,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.phase, c.waitingSince, c.lastReads = waiting, time.Now(), 0
+	c.freeHeader()
 }
 
 // expireIfIdle makes the HTTP server close the connection if it has been idle for longer
@@ -263,7 +268,10 @@
 		}
 	}
 	if n > 0 {
-		c.startReceiving()
+		if refusal := c.startReceiving(n); refusal != nil {
+			c.refuseHeader(refusal)
+			return 0, io.EOF
+		}
 	}
 	return n, err
 }
@@ -276,11 +284,16 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) || c.acceptor.encrypted || !c.startEnding() {
 		return
 	}
-	if err := c.announceEnd(); err != nil {
-		c.acceptor.log.Debug().Err(err).Msg("failed to announce the end of an idle connection")
+	c.endWith(timeoutResponse)
+}
+
+// endWith sends a response that ends the connection, and closes it.
+func (c *connection) endWith(response string) {
+	if err := c.announceEnd(response); err != nil {
+		c.acceptor.log.Debug().Err(err).Msg("failed to announce the end of a connection")
 	}
 	if err := c.Close(); err != nil {
-		c.acceptor.log.Debug().Err(err).Msg("failed to close an idle connection")
+		c.acceptor.log.Debug().Err(err).Msg("failed to close a connection")
 	}
 }
 
@@ -303,14 +316,14 @@
 	}
 }
 
-// announceEnd sends timeoutResponse, closes the sending side, and reads until the client closes its
-// side or closeLinger has passed. It discards what arrives.
-func (c *connection) announceEnd() error {
+// announceEnd sends a response, closes the sending side, and reads until the client closes its side or
+// closeLinger has passed. It discards what arrives.
+func (c *connection) announceEnd(response string) error {
 	end := time.Now().Add(closeLinger)
 	if err := c.SetDeadline(end); err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(c.Conn, timeoutResponse, time.Now().UTC().Format(http.TimeFormat)); err != nil {
+	if _, err := fmt.Fprintf(c.Conn, response, time.Now().UTC().Format(http.TimeFormat)); err != nil {
 		return err
 	}
 	if err := c.CloseWrite(); err != nil {
@@ -339,8 +352,9 @@
 	return c.replaceDeadline(time.Now().Add(lastReadTimeout)) == nil
 }
 
-// startReceiving records that bytes of a request have arrived.
-func (c *connection) startReceiving() {
+// startReceiving records that bytes of a request have arrived. Its error is a HeaderTooLargeError or a
+// NoHeaderRoomError if they make the header larger than it may be.
+func (c *connection) startReceiving(bytes int) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	deadline := c.readDeadline
@@ -354,6 +368,10 @@
 	if c.deadlineReplaced && c.replaceDeadline(deadline) == nil {
 		c.readDeadline, c.deadlineReplaced = deadline, false
 	}
+	if c.phase == receiving && !c.isMultiplexed {
+		return c.growHeader(int64(bytes))
+	}
+	return nil
 }
 
 // maxWriteBytes is the largest part of a write whose progress is recorded.
@@ -407,6 +425,7 @@
 		return
 	}
 	c.acceptor.openCount.Add(-1)
+	c.freeHeader()
 	if c.phase == ending {
 		c.acceptor.endingCount.Add(-1)
 	}
--- a/internal/acceptor/room_test.go
+++ b/internal/acceptor/room_test.go
@@ -13,12 +13,18 @@
 
 // startFullHost serves with a bound of two connections, and returns the address.
 func startFullHost(t *testing.T) string {
+	t.Helper()
+	return startBoundedHost(t, WithMaxConnections(2))
+}
+
+// startBoundedHost serves with some bounds, and returns the address.
+func startBoundedHost(t *testing.T, options ...Option) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok")) }), WithMaxConnections(2))
+	a := New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok")) }), options...)
 	served := make(chan error, 1)
 	go func() { served <- a.Serve(listener) }()
 	t.Cleanup(func() {
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -193,7 +193,7 @@
 	handler := receiver.New(e.runner, e.forwarder, receiver.WithTracer(e.tracer), receiver.WithMeter(e.meter), receiver.WithBodies(bodies, bodyBytes))
 	e.clientServer = acceptor.New(handler, acceptor.WithTLS(e.serverTLS), acceptor.WithDefaultIdleTimeout(idleTimeout),
 		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter),
-		acceptor.WithMaxConnections(connections), acceptor.WithRoomHandler(bodies.MakeRoom))
+		acceptor.WithMaxConnections(connections), acceptor.WithRoomHandler(bodies.MakeRoom), acceptor.WithHeaderPool(headerMemory()))
 	e.operatorServer = acceptor.New(collector.DismissBodies(e.operatorHandler()), acceptor.WithTLS(e.serverTLS),
 		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter),
 		acceptor.WithMaxConnections(acceptor.MaxInternalConnections(maxDescriptors(e.assemblerLogger))), acceptor.WithStallTimeout(acceptor.InternalStallTimeout))
--- a/internal/assembler/limit.go
+++ b/internal/assembler/limit.go
@@ -16,6 +16,9 @@
 	// bodyMemoryDivisor divides the memory limit of the Go runtime, if one is set. The quotient
 	// bounds the memory for the bodies as well.
 	bodyMemoryDivisor = 4
+	// maxHeaderMemory and headerMemoryDivisor are the same for large headers of requests.
+	maxHeaderMemory     = 32 << 20
+	headerMemoryDivisor = 8
 )
 
 // runtimeMemoryLimit returns the memory limit of the Go runtime in bytes, which the variable
@@ -35,6 +38,14 @@
 	return maxBodyMemory
 }
 
+// headerMemory returns the memory for large headers of requests in bytes.
+func headerMemory() int64 {
+	if limit := runtimeMemoryLimit(); limit > 0 {
+		return min(maxHeaderMemory, limit/headerMemoryDivisor)
+	}
+	return maxHeaderMemory
+}
+
 // maxDescriptors returns the limit of the process for descriptors, 0 if it is unknown.
 func maxDescriptors(log zerolog.Logger) int {
 	var limit unix.Rlimit
--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -385,6 +385,9 @@
 	// memoryHolders is the number of clients whose bodies take memory, fewer than a host may have
 	// connections. largeBytes is the size of an ordinary body that needs memory as well.
 	memoryHolders, largeBytes = 48, 100 << 10
+	// headerHolders is the number of clients with large headers, more than a host with descriptors
+	// for all of them may have connections.
+	headerHolders, manyDescriptors = 1024, 4200
 )
 
 func TestPlatformServesLargeBodyBesideSlowOnes(t *testing.T) {
@@ -400,6 +403,35 @@
 	assertServesBeside(t, h, startedBodies(h, ownBodyBytes), memoryHolders)
 }
 
+// unfinishedHeaders returns the occupation by headers of which nearly as much arrives as a host reads.
+func unfinishedHeaders(h *target) occupation {
+	return occupation{start: func(n int) string { return fmt.Sprintf(h.requestHead, n) + "X-Filling: " + strings.Repeat("x", 60<<10) }}
+}
+
+func TestPlatformBoundsMemoryOfHeaders(t *testing.T) {
+	const memoryMB = 96
+	t.Run("with a body that does not come", func(t *testing.T) {
+		h := startLimitedPlatformTarget(t, memoryMB, manyDescriptors)
+		assertServesBeside(t, h, occupationsOf(h, platformBodyBytes)["LargeHeaders"], headerHolders)
+	})
+	t.Run("without an end", func(t *testing.T) {
+		h := startLimitedPlatformTarget(t, memoryMB, manyDescriptors)
+		assertServesBeside(t, h, unfinishedHeaders(h), headerHolders)
+	})
+}
+
+func TestOwnBoundsMemoryOfHeaders(t *testing.T) {
+	const runtimeMiB = 48
+	t.Run("with a body that does not come", func(t *testing.T) {
+		h := startLimitedOwnTarget(t, runtimeMiB, manyDescriptors, "")
+		assertServesBeside(t, h, occupationsOf(h, ownBodyBytes)["LargeHeaders"], headerHolders)
+	})
+	t.Run("without an end", func(t *testing.T) {
+		h := startLimitedOwnTarget(t, runtimeMiB, manyDescriptors, "")
+		assertServesBeside(t, h, unfinishedHeaders(h), headerHolders)
+	})
+}
+
 // assertServesPoorLine sends a body of the largest size in small pieces to a host that has no other
 // clients.
 func assertServesPoorLine(t *testing.T, h *target, limitBytes int) {
--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -130,6 +130,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_ended_connections_total{reason=%q}", reason)).Inc()
 }
 
+// CountRefusedHeader counts a request that was refused because of the size of its header, by the
+// reason ("too-large" or "no-room").
+func (m *Meter) CountRefusedHeader(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_refused_headers_total{reason=%q}", reason)).Inc()
+}
+
 // RegisterConfigurationVersionGauge registers the gauge of the version of the
 // configuration in force.
 func (m *Meter) RegisterConfigurationVersionGauge(version func() float64) {
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -190,6 +191,18 @@
 // responses that are being read.
 const bufferMemoryDivisor = 8
 
+// headerMemoryDivisor divides the platform's memory limit. The quotient is the memory for large
+// headers of requests.
+const headerMemoryDivisor = 16
+
+// headerPool returns the memory for large headers of requests.
+func headerPool(memoryLimitBytes int64) int64 {
+	if memoryLimitBytes <= 0 {
+		return math.MaxInt64
+	}
+	return memoryLimitBytes / headerMemoryDivisor
+}
+
 // newBuffers returns the memory for the responses that are being read.
 func newBuffers(memoryLimitBytes int64) *allocator.Allocator {
 	if memoryLimitBytes <= 0 {
@@ -219,7 +232,8 @@
 	supervisorResult := supervisor.ServeBackground(backgroundCtx)
 	clientServer := acceptor.New(h.relayer, acceptor.WithIdleTimeout(h.idleTimeout), acceptor.WithDrainIdlePeriod(drainIdlePeriod), acceptor.WithBaseContext(ctx),
 		acceptor.WithLogger(h.rootLogger.For("acceptor")), acceptor.WithMeter(h.meter),
-		acceptor.WithMaxConnections(acceptor.MaxConnections(h.Settings().Sockets, h.Settings().MemoryLimitBytes)), acceptor.WithRoomHandler(h.bodies.MakeRoom))
+		acceptor.WithMaxConnections(acceptor.MaxConnections(h.Settings().Sockets, h.Settings().MemoryLimitBytes)), acceptor.WithRoomHandler(h.bodies.MakeRoom),
+		acceptor.WithHeaderLimit(h.headerLimit), acceptor.WithHeaderPool(headerPool(h.Settings().MemoryLimitBytes)))
 	operatorMux := http.NewServeMux()
 	operatorMux.HandleFunc("/", h.serveReadiness)
 	operatorMux.HandleFunc("/status", h.serveStatus)
@@ -258,6 +272,14 @@
 	return 0
 }
 
+// headerLimit returns the configured limit for the header of a request in bytes, 0 for none.
+func (h *Host) headerLimit() int64 {
+	if t := h.relayer.Routes(); t != nil {
+		return t.Limits().HeaderBytes
+	}
+	return 0
+}
+
 // listen opens the listeners for clients and for readiness checks and operators.
 func (h *Host) listen(ctx context.Context) (clientListener, readinessListener net.Listener, err error) {
 	var listenConfig net.ListenConfig
