acceptor: connections that wait to be accepted hold fewer unread bytes

What happened: 1,024 clients sent headers of 15 KiB, within the limit, and 80 KiB of a body to a host of the platform with 96 MB.

Cause: the kernel holds up to 64 KiB for each connection, also for the thousands that wait in the queue of the listener and that no bound of the host counts.

Change: the listener has a buffer of 8 KiB (the kernel doubles it). A connection gets the whole 32 KiB when it is accepted, or with a later request, as long as the host has at most half of the connections that it may have: in calm everything is as before, and a client with a long line has its window.

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -43,6 +43,8 @@
 	// idleTimeout is the longest idle time-out on which the client may rely: those that
 	// were announced since its last request, or in force while the connection was idle.
 	idleTimeout time.Duration
+	// hasWholeBuffer is true once the receive buffer has its whole size.
+	hasWholeBuffer bool
 	// readDeadline is the deadline that the HTTP server has set, the zero time for none.
 	readDeadline time.Time
 	// deadlineReplaced is true while the connection has another deadline.
@@ -157,6 +159,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.phase, c.served, c.idleTimeout = serving, true, announced
+	c.growReceiveBuffer()
 	c.active++
 }
 
--- a/internal/acceptor/listener.go
+++ b/internal/acceptor/listener.go
@@ -134,9 +134,10 @@
 // track returns a connection that is tracked until it is closed.
 func (a *Acceptor) track(accepted net.Conn) *connection {
 	c := &connection{Conn: accepted, acceptor: a, waitingSince: time.Now()}
+	a.openCount.Add(1)
+	c.growReceiveBuffer()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.connections[c] = struct{}{}
-	a.openCount.Add(1)
 	return c
 }
--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -24,6 +24,11 @@
 	// host does not read, or whose client does not. The kernel doubles them.
 	receiveBufferBytes = 32 << 10
 	sendBufferBytes    = 64 << 10
+	// queuedBufferBytes is the receive buffer of a connection that waits to be accepted, of which
+	// there may be thousands, and of those beyond a share of the bound on connections, which
+	// calmDivisor divides.
+	queuedBufferBytes = 8 << 10
+	calmDivisor       = 2
 )
 
 const (
@@ -71,7 +76,8 @@
 	return min(max(kept/internalDivisor, minInternalConnections), maxInternalConnections)
 }
 
-// boundSocketBuffers bounds the buffers of the connections that a listener accepts.
+// boundSocketBuffers bounds the buffers of the connections in the queue of a listener. Those that it
+// accepts keep them until growReceiveBuffer.
 func boundSocketBuffers(listener net.Listener, log zerolog.Logger) {
 	socket, ok := listener.(syscall.Conn)
 	if !ok {
@@ -82,7 +88,7 @@
 		var optionErr error
 		err = errors.Join(raw.Control(func(descriptor uintptr) {
 			optionErr = errors.Join(
-				syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes),
+				syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, queuedBufferBytes),
 				syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBufferBytes))
 		}), optionErr)
 	}
@@ -91,6 +97,23 @@
 	}
 }
 
+// growReceiveBuffer gives the connection the whole receive buffer, unless the host has many. The caller
+// holds the mutex.
+func (c *connection) growReceiveBuffer() {
+	a := c.acceptor
+	if c.hasWholeBuffer || a.maxConnections > 0 && a.openCount.Load() > int64(a.maxConnections/calmDivisor) {
+		return
+	}
+	c.hasWholeBuffer = true
+	socket, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error })
+	if !ok {
+		return
+	}
+	if err := socket.SetReadBuffer(receiveBufferBytes); err != nil {
+		a.log.Debug().Err(err).Msg("failed to set the receive buffer of a connection")
+	}
+}
+
 // awaitRoom waits until a further connection may be accepted, and makes room for it if one is in
 // the queue. A stopping listener does not wait.
 func (l *trackedListener) awaitRoom() {
--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -408,6 +408,16 @@
 	return occupation{start: func(n int) string { return fmt.Sprintf(h.requestHead, n) + "X-Filling: " + strings.Repeat("x", 60<<10) }}
 }
 
+// legalHeaders returns the occupation by headers just below the limit of the stand-in's configuration, and
+// more of a body than the host reads without memory for it.
+func legalHeaders(h *target, limitBytes int) occupation {
+	const headerBytes, startedBytes = 15 << 10, 80 << 10
+	return occupation{start: func(n int) string {
+		return fmt.Sprintf(h.requestHead, n) + "X-Filling: " + strings.Repeat("x", headerBytes) +
+			fmt.Sprintf("\r\nContent-Length: %d\r\n\r\n", limitBytes) + strings.Repeat("x", startedBytes)
+	}}
+}
+
 func TestPlatformBoundsMemoryOfHeaders(t *testing.T) {
 	const memoryMB = 96
 	t.Run("with a body that does not come", func(t *testing.T) {
@@ -418,6 +428,10 @@
 		h := startLimitedPlatformTarget(t, memoryMB, manyDescriptors)
 		assertServesBeside(t, h, unfinishedHeaders(h), headerHolders)
 	})
+	t.Run("of legal size, with a part of a body", func(t *testing.T) {
+		h := startLimitedPlatformTarget(t, memoryMB, manyDescriptors)
+		assertServesBeside(t, h, legalHeaders(h, platformBodyBytes), headerHolders)
+	})
 }
 
 func TestOwnBoundsMemoryOfHeaders(t *testing.T) {
