--- a/internal/commander/multiplexed_test.go
+++ b/internal/commander/multiplexed_test.go
@@ -76,8 +76,13 @@
 		encoder := hpack.NewEncoder(&block)
 		encoder.SetMaxDynamicTableSize(0)
 		for _, f := range []hpack.HeaderField{
-			{Name: ":method", Value: r.method}, {Name: ":scheme", Value: "https"}, {Name: ":authority", Value: "x"}, {Name: ":path", Value: r.path},
-			{Name: "authorization", Value: "Bearer " + demoAPIKey}, {Name: "idempotency-key", Value: "multiplexed"}, {Name: "x-filling", Value: strings.Repeat("~", r.fillingBytes)},
+			{Name: ":method", Value: r.method},
+			{Name: ":scheme", Value: "https"},
+			{Name: ":authority", Value: "x"},
+			{Name: ":path", Value: r.path},
+			{Name: "authorization", Value: "Bearer " + demoAPIKey},
+			{Name: "idempotency-key", Value: "multiplexed"},
+			{Name: "x-filling", Value: strings.Repeat("~", r.fillingBytes)},
 		} {
 			encoder.WriteField(f)
 		}
