acceptor: a part of a header is answered with 408 when its connection ends

What callers saw: a connection on which a part of a header had arrived was closed without a word, after 10 s or, at a full host, after 1 s. Its client could not tell whether the request would still run.

Cause: only idle connections ended with the response that says that nothing on them was run. The HTTP server closes after its time limit for headers in silence, and the acceptor did so to make room.

Change: both end with 408 as idle connections do. At a full host a header that still comes is refused with the next bytes, so that a trickle of them does not keep it (reason `too-slow`). Where nothing has arrived, or the connection is encrypted, it is closed as before.

Evidence: the new case of TestFullHostMakesRoom got "" on a connection with a part of a header before the change, and gets the response now; TestFullHostGivesUpSlowHeaders guards the trickle.

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -49,6 +49,8 @@
 	readDeadline time.Time
 	// deadlineReplaced is true while the connection has another deadline.
 	deadlineReplaced bool
+	// isGivenUp is true if the header that is being received has come too slowly.
+	isGivenUp bool
 	// lastReads is the number of reads after a deadline in the current phase.
 	lastReads int
 	// headerBytes is the size of what has been read of the current header, pooledHeaderBytes the part
@@ -251,7 +253,8 @@
 func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.readDeadline, c.deadlineReplaced = t, false
+	// The HTTP server also calls this when the header is complete.
+	c.readDeadline, c.deadlineReplaced, c.isGivenUp = t, false, false
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -273,14 +276,14 @@
 	if n > 0 {
 		if refusal := c.startReceiving(n); refusal != nil {
 			c.refuseHeader(refusal)
-			return 0, io.EOF
+			return 0, refusal
 		}
 	}
 	return n, err
 }
 
-// closeIfExpired closes the connection if the last read for a request timed out. It does not
-// leave that to the HTTP server, which would close it without a word: a request that crosses
+// closeIfExpired closes the connection if the last read for a request or the rest of its header timed
+// out. It does not leave that to the HTTP server, which would close it without a word: a request that crosses
 // the close would get neither a response nor a refusal. An encrypted connection ends with a
 // message of the server.
 func (c *connection) closeIfExpired(err error) {
@@ -300,11 +303,12 @@
 	}
 }
 
-// startEnding records that the connection ends. It is false if it does not wait for a request.
+// startEnding records that the connection ends. It is false if it does not wait for a request or the
+// rest of its header.
 func (c *connection) startEnding() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.phase != waiting {
+	if c.phase != waiting && c.phase != receiving {
 		return false
 	}
 	c.recordEnding()
@@ -355,11 +359,14 @@
 	return c.replaceDeadline(time.Now().Add(lastReadTimeout)) == nil
 }
 
-// startReceiving records that bytes of a request have arrived. Its error is a HeaderTooLargeError or a
-// NoHeaderRoomError if they make the header larger than it may be.
+// startReceiving records that bytes of a request have arrived. Its error says why the request is
+// refused before its header is complete.
 func (c *connection) startReceiving(bytes int) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.isGivenUp && c.phase == receiving {
+		return &HeaderTooSlowError{}
+	}
 	deadline := c.readDeadline
 	if c.phase == waiting {
 		now := time.Now()
--- a/internal/acceptor/header.go
+++ b/internal/acceptor/header.go
@@ -36,6 +36,14 @@
 // Error implements error.
 func (e *NoHeaderRoomError) Error() string { return "not run: the host holds too many large headers" }
 
+// HeaderTooSlowError reports a header that came too slowly while others waited for its connection.
+type HeaderTooSlowError struct{}
+
+// Error implements error.
+func (e *HeaderTooSlowError) Error() string {
+	return "not run: the header came too slowly while others waited"
+}
+
 // WithHeaderLimit sets a function that returns the largest size of a header in bytes, 0 for
 // defaultMaxHeaderBytes, which is the largest in any case.
 func WithHeaderLimit(limit func() int64) Option {
@@ -81,8 +89,11 @@
 // connection gets no response, since the encryption is not done here.
 func (c *connection) refuseHeader(err error) {
 	reason, response := "too-large", headerTooLargeResponse
-	if _, ok := err.(*NoHeaderRoomError); ok { //nolint:errorlint // growHeader wraps none of its errors.
+	switch err.(type) { //nolint:errorlint // startReceiving wraps none of its errors.
+	case *NoHeaderRoomError:
 		reason, response = "no-room", noHeaderRoomResponse
+	case *HeaderTooSlowError:
+		reason, response = "too-slow", timeoutResponse
 	}
 	c.acceptor.meter.CountRefusedHeader(reason)
 	c.acceptor.log.Info().Str("caller", c.RemoteAddr().String()).Str("reason", reason).Msg("header of a request refused")
--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -161,7 +161,11 @@
 	}
 	withoutHeader, idle, unread := a.roomCandidates(now)
 	for _, c := range longestWaiting(withoutHeader, wanted) {
-		a.closeForGood(c.connection, endedWithoutHeader)
+		if c.giveUpHeader(now) {
+			a.countEnd(c.connection, endedWithoutHeader)
+		} else {
+			a.closeForGood(c.connection, endedWithoutHeader)
+		}
 		wanted--
 	}
 	for _, c := range longestWaiting(idle, wanted) {
@@ -198,10 +202,10 @@
 // the stall time-out, those that are idle, and those whose clients have not read for as long.
 func (a *Acceptor) roomCandidates(now time.Time) (withoutHeader, idle, unread []roomCandidate) {
 	for _, c := range a.allConnections() {
-		phase, since, served := c.waitingState()
+		phase, since, served, isGivenUp := c.waitingState()
 		r := roomCandidate{connection: c, waiting: now.Sub(since)}
 		switch {
-		case phase == ending:
+		case phase == ending || isGivenUp:
 		case c.writingFor() > a.stallTimeout:
 			r.waiting = c.writingFor()
 			unread = append(unread, r)
@@ -229,14 +233,26 @@
 }
 
 // waitingState returns the phase of the connection, since when it has lasted if that is waiting or
-// receiving, and whether a request has been served.
-func (c *connection) waitingState() (current phase, since time.Time, served bool) {
+// receiving, whether a request has been served, and whether its header is given up.
+func (c *connection) waitingState() (current phase, since time.Time, served, isGivenUp bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.phase == receiving {
-		return c.phase, c.receivingSince, c.served
+		return c.phase, c.receivingSince, c.served, c.isGivenUp
+	}
+	return c.phase, c.waitingSince, c.served, false
+}
+
+// giveUpHeader makes the goroutine that reads respond and close the connection, if a part of a header
+// has arrived. It reports whether that will be.
+func (c *connection) giveUpHeader(now time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.phase != receiving || c.acceptor.encrypted {
+		return false
 	}
-	return c.phase, c.waitingSince, c.served
+	c.isGivenUp = true
+	return c.replaceDeadline(now) == nil
 }
 
 // expireForRoom makes the HTTP server close the connection if it waits for a request.
--- a/internal/acceptor/room_test.go
+++ b/internal/acceptor/room_test.go
@@ -74,19 +74,50 @@
 		}
 		assertServed(t, newer, newerReader)
 	})
-	for name, start := range map[string]string{"connections without a request": "", "connections with a part of a header": "GET / HT"} {
+	for name, test := range map[string]struct{ start, answer string }{
+		"connections without a request":         {"", ""},
+		"connections with a part of a header":   {"GET / HT", "HTTP/1.1 408"},
+		"connections with headers without ends": {"GET / HTTP/1.1\r\n", "HTTP/1.1 408"},
+	} {
 		t.Run(name, func(t *testing.T) {
 			address := startFullHost(t)
+			var ended []*bufio.Reader
 			for range 2 {
-				c, _ := dialFullHost(t, address)
-				io.WriteString(c, start)
+				c, r := dialFullHost(t, address)
+				io.WriteString(c, test.start)
+				ended = append(ended, r)
 			}
 			c, r := dialFullHost(t, address)
 			assertServed(t, c, r)
+			another, anotherReader := dialFullHost(t, address)
+			assertServed(t, another, anotherReader)
+			if rest, _ := io.ReadAll(ended[0]); !strings.HasPrefix(string(rest), test.answer) || (len(rest) > 0) != (test.answer != "") {
+				t.Errorf("got %q on a connection that ended, want %q", rest, test.answer)
+			}
 		})
 	}
 }
 
+// Guards against headers that come slowly enough to keep their connections for good.
+func TestFullHostGivesUpSlowHeaders(t *testing.T) {
+	address := startFullHost(t)
+	for range 2 {
+		c, _ := dialFullHost(t, address)
+		go func() {
+			io.WriteString(c, "GET / HTTP/1.1\r\n")
+			for {
+				if _, err := io.WriteString(c, "A: b\r\n"); err != nil {
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+	}
+	time.Sleep(10 * time.Millisecond)
+	c, r := dialFullHost(t, address)
+	assertServed(t, c, r)
+}
+
 func TestMaxConnections(t *testing.T) {
 	for _, test := range []struct {
 		descriptors int
