acceptor: unfinished handshakes at the peers' address have a bound

Cause: the gRPC server waits two minutes for a handshake, and nothing bounded how many it waits for.

Change: its listener keeps as many connections without a complete handshake as the operators' address has places, and closes the oldest one beyond that (reason `handshake`). A handshake has 10 s. Connections that have spoken are not bounded, since in a large system each host has one of every other: only certificates keep strangers from them, which docs/operators/settings.md says.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -33,6 +33,8 @@
 const (
 	// idleTimeout is the time after which an idle connection of a client is closed.
 	idleTimeout = 2 * time.Minute
+	// peerHandshakeTimeout is the time in which another entry host must set up its connection.
+	peerHandshakeTimeout = 10 * time.Second
 	// maxMessageBytes is the largest message from another entry host, in bytes.
 	maxMessageBytes = 16 << 20
 	// defaultLinger is the time for which a stopping host still accepts new
@@ -197,7 +199,7 @@
 	e.operatorServer = acceptor.New(collector.DismissBodies(e.operatorHandler()), acceptor.WithTLS(e.serverTLS),
 		acceptor.WithLogger(e.rootLogger.For("acceptor")), acceptor.WithMeter(e.meter),
 		acceptor.WithMaxConnections(acceptor.MaxInternalConnections(maxDescriptors(e.assemblerLogger))), acceptor.WithStallTimeout(acceptor.InternalStallTimeout))
-	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes)}
+	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ConnectionTimeout(peerHandshakeTimeout)}
 	if e.peerTLS != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(e.peerTLS)))
 	}
--- a/internal/assembler/service.go
+++ b/internal/assembler/service.go
@@ -9,6 +9,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/acceptor"
 )
 
 // supervisedServer gives a server function a name for the supervisor.
@@ -54,7 +56,8 @@
 // After a stop the supervisor does not restart it.
 func (e *EntryHost) servePeers(ctx context.Context) error {
 	serveResult := make(chan error, 1)
-	go func() { serveResult <- e.peerServer.Serve(e.listeners.Peers) }()
+	listener := acceptor.NewHandshakeListener(e.listeners.Peers, acceptor.MaxInternalConnections(maxDescriptors(e.assemblerLogger)), e.rootLogger.For("acceptor"), e.meter)
+	go func() { serveResult <- e.peerServer.Serve(listener) }()
 	select {
 	case err := <-serveResult:
 		if err == nil {
--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -381,6 +381,10 @@
 	assertOwnServesBeside(t, "OperatorsBodies", occupants)
 }
 
+func TestOwnServesBesidePeersSilence(t *testing.T) {
+	assertOwnServesBeside(t, "PeersSilence", occupants)
+}
+
 const (
 	// memoryHolders is the number of clients whose bodies take memory, fewer than a host may have
 	// connections. largeBytes is the size of an ordinary body that needs memory as well.
