--- a/internal/acceptor/handshake_test.go
+++ b/internal/acceptor/handshake_test.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -56,7 +57,7 @@
 	for range 2 {
 		acceptBoth(t, listener)
 	}
-	if _, err := halfClient.Read(make([]byte, 1)); err != io.EOF {
+	if _, err := halfClient.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("got error %v on the oldest connection without a handshake, want its end", err)
 	}
 	send(t, completeClient, completeServer)
