acceptor: a stop without a limit does not wait for clients that do not read

Cause: the stop waits for all responses, and nothing ended these.

Change: in a stop without a limit, connections whose clients have not read for the drain idle period (5 s), and those with HTTP/2 on which no handler has run for as long, are closed. With a limit, as always on the users' platform, the stop ends all connections by itself, and nothing changes.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -258,10 +258,42 @@
 		for _, c := range open {
 			c.expireIfWaiting(now, waitingSince)
 		}
+		if !bounded {
+			a.closeUnread()
+		}
 		return len(open) == 0
 	})
 	// Connections with HTTP/2 end by its own protocol.
-	return a.httpServer.Shutdown(ctx)
+	return a.shutDownMultiplexed(ctx, bounded)
+}
+
+// shutDownMultiplexed waits until the connections with HTTP/2 have ended.
+func (a *Acceptor) shutDownMultiplexed(ctx context.Context, bounded bool) error {
+	result := make(chan error, 1)
+	go func() { result <- a.httpServer.Shutdown(ctx) }()
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-result:
+			return err
+		case <-ticker.C:
+			if !bounded {
+				a.closeUnread()
+			}
+		}
+	}
+}
+
+// closeUnread closes the connections whose clients have not read for the drain idle period. A stop
+// without a limit would wait for them until they do.
+func (a *Acceptor) closeUnread() {
+	now := time.Now()
+	for _, c := range a.allConnections() {
+		if c.writingFor() > a.drainIdlePeriod || c.isStuck(now, a.drainIdlePeriod) {
+			a.closeForGood(c, endedUnread)
+		}
+	}
 }
 
 // await waits until a condition holds or the context ends.
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -195,6 +195,14 @@
 	}
 }
 
+// isStuck reports whether a connection with HTTP/2 has been without a request in a handler for longer
+// than a period. If it is still open at a stop, its client does not receive a response.
+func (c *connection) isStuck(now time.Time, period time.Duration) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.isMultiplexed && c.active == 0 && now.Sub(c.waitingSince) > period
+}
+
 // startWaiting records that the host waits for the next request.
 func (c *connection) startWaiting() {
 	c.mutex.Lock()
--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -488,3 +488,48 @@
 	const limitBytes = 1 << 20
 	assertServesPoorLine(t, startOwnTarget(t), limitBytes)
 }
+
+// assertStopsBeside checks that a host ends after a signal while clients keep places.
+func assertStopsBeside(t *testing.T, h *target, o occupation) {
+	t.Helper()
+	const clients, stopTimeout = 16, time.Minute
+	startOccupation(t, h, o, clients)
+	time.Sleep(settlePeriod)
+	signalProcess(t, h.process, syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- h.process.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("got error %v, want exit code 0", err)
+		}
+	case <-time.After(stopTimeout):
+		t.Errorf("got a host that runs %s after the signal, want its end", stopTimeout)
+	}
+}
+
+func TestOwnStopsBesideUnknownRoutes(t *testing.T) {
+	h := startOwnTarget(t)
+	assertStopsBeside(t, h, occupationsOf(h, ownBodyBytes)["UnknownRoutes"])
+}
+
+func TestOwnStopsBesideUnreadAnswers(t *testing.T) {
+	h := startOwnTarget(t)
+	assertStopsBeside(t, h, occupationsOf(h, ownBodyBytes)["UnreadAnswers"])
+}
+
+func TestOwnStopsBesideMultiplexedUnreadAnswers(t *testing.T) {
+	const runtimeMiB, descriptors = 96, 160
+	h := startLimitedOwnTarget(t, runtimeMiB, descriptors, writeTestCertificate(t))
+	assertStopsBeside(t, h, multiplexedOccupations()["UnreadAnswers"])
+}
+
+func TestPlatformStopsBesideUnknownRoutes(t *testing.T) {
+	h := startPlatformTarget(t)
+	assertStopsBeside(t, h, occupationsOf(h, platformBodyBytes)["UnknownRoutes"])
+}
+
+func TestPlatformStopsBesideUnreadAnswers(t *testing.T) {
+	h := startPlatformTarget(t)
+	assertStopsBeside(t, h, occupationsOf(h, platformBodyBytes)["UnreadAnswers"])
+}
