--- a/internal/commander/crowd_test.go
+++ b/internal/commander/crowd_test.go
@@ -271,11 +271,18 @@
 	t.Helper()
 	most := startCrowd(t, h, a, clients).await(t)
 	refusals, err := h.request(t)
-	most.memoryBytes = max(most.memoryBytes, h.memoryField(t, "VmHWM:"))
-	t.Logf("memory %d MiB, %d sockets, %d descriptors, %d refusals of the ordinary request", most.memoryBytes>>20, most.sockets, most.descriptors, refusals)
 	if err != nil {
 		t.Errorf("got error %v, want an answer to an ordinary request", err)
 	}
+	h.assertBounds(t, most, refusals)
+}
+
+// assertBounds checks the most that the host has used. refusals is the number of those of the ordinary
+// request.
+func (h *target) assertBounds(t *testing.T, most usage, refusals int) {
+	t.Helper()
+	most.memoryBytes = max(most.memoryBytes, h.memoryField(t, "VmHWM:"))
+	t.Logf("memory %d MiB, %d sockets, %d descriptors, %d refusals of the ordinary request", most.memoryBytes>>20, most.sockets, most.descriptors, refusals)
 	if got, want := most.memoryBytes, h.memoryBytes; got > want {
 		t.Errorf("got %d MiB of memory, want at most %d", got>>20, want>>20)
 	}
--- a/internal/commander/occupation_test.go
+++ b/internal/commander/occupation_test.go
@@ -157,23 +157,13 @@
 		refusals, requestErr = h.request(t)
 	}()
 	most := c.await(t)
-	most.memoryBytes = max(most.memoryBytes, h.memoryField(t, "VmHWM:"))
-	t.Logf("memory %d MiB, %d sockets, %d descriptors, %d refusals of the ordinary request", most.memoryBytes>>20, most.sockets, most.descriptors, refusals)
 	if requestErr != nil {
 		t.Errorf("got error %v, want an answer to an ordinary request", requestErr)
 	}
 	if o.address != "" {
 		assertOperatorsServed(t, h)
 	}
-	if got, want := most.memoryBytes, h.memoryBytes; got > want {
-		t.Errorf("got %d MiB of memory, want at most %d", got>>20, want>>20)
-	}
-	if got, want := most.sockets, h.sockets; got > want {
-		t.Errorf("got %d open sockets, want at most %d", got, want)
-	}
-	if got, want := most.descriptors, h.descriptors; got > want {
-		t.Errorf("got %d open descriptors, want at most %d", got, want)
-	}
+	h.assertBounds(t, most, refusals)
 }
 
 // assertOperatorsServed checks that a host says whether it is ready, within the time for the answer to
