--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -90,8 +90,8 @@
 	meter           *meter.Meter
 
 	// maxConnections bounds the connections that are open, 0 for no bound. stallTimeout is the time
-	// without progress after which they end while others wait, endBodies ends requests
-	// whose bodies are not complete.
+	// without progress after which they end while others wait. endBodies ends requests whose bodies
+	// are not complete.
 	maxConnections int
 	stallTimeout   time.Duration
 	endBodies      func(wanted int) int
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -290,10 +290,10 @@
 	return n, err
 }
 
-// closeIfExpired closes the connection if the last read for a request or the rest of its header timed
-// out. It does not leave that to the HTTP server, which would close it without a word: a request that crosses
-// the close would get neither a response nor a refusal. An encrypted connection ends with a
-// message of the server.
+// closeIfExpired closes the connection if the last read for a request or the rest of its header
+// timed out. It does not leave that to the HTTP server, which would close it without a word: a
+// request that crosses the close would get neither a response nor a refusal. An encrypted connection
+// ends with a message of the server.
 func (c *connection) closeIfExpired(err error) {
 	if !errors.Is(err, os.ErrDeadlineExceeded) || c.acceptor.encrypted || !c.startEnding() {
 		return
--- a/internal/acceptor/room.go
+++ b/internal/acceptor/room.go
@@ -98,7 +98,7 @@
 }
 
 // growReceiveBuffer gives the connection the whole receive buffer, unless the host has many. The caller
-// holds the mutex.
+// holds the mutex, or is the only one that knows the connection.
 func (c *connection) growReceiveBuffer() {
 	a := c.acceptor
 	if c.hasWholeBuffer || a.maxConnections > 0 && a.openCount.Load() > int64(a.maxConnections/calmDivisor) {
