relayer: a stream that ends with a server that leaves goes on elsewhere

What callers saw: an engine that writes streams without a length or chunks says that it leaves, and is gone 2 s later.

Cause: the end of such a response looks the same whether it is complete or its server has ended. The host asks the server whether it runs, but not one that leaves, as that may also have ended in order.

Change: a server that leaves is asked if the request can go on elsewhere, which is when a wrong guess loses nothing: a resumable stream, or an idempotent request, with an attempt left. The next server gets the last event. If it has nothing to add, and says so by a framed response, the stream was complete. Other requests keep the response, as before.

--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -180,14 +180,15 @@
 }
 
 // Verification returns how to verify whether the server of a request runs on, false if that is
-// unknown or the server may end, since it leaves.
-func (c *Coordinator) Verification(t Ticket) (VerifyServer, bool) {
+// unknown. A server that leaves may end in order as well; asksLeaving is true if it is to be asked all
+// the same.
+func (c *Coordinator) Verification(t Ticket, asksLeaving bool) (VerifyServer, bool) {
 	a, ok := c.assignments[t]
 	if !ok {
 		return VerifyServer{}, false
 	}
 	s, ok := c.servers[a.incarnation.Server]
-	if !ok || s.isLeaving() {
+	if !ok || s.isLeaving() && !asksLeaving {
 		return VerifyServer{}, false
 	}
 	return VerifyServer{Server: a.incarnation.Server, Address: a.replica.address, StartedUnixMillis: a.incarnation.StartedUnixMillis}, true
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -35,6 +35,9 @@
 	// of the last event.
 	timeToFirstEvent, longestGap time.Duration
 	lastEventAt                  time.Time
+	// mayBeComplete is true if the last attempt delivered events to the end of its response, and its
+	// server has ended, so that it is unknown whether more would have followed.
+	mayBeComplete bool
 	// resumeAfter is the value of the client's own request to resume, "" for none.
 	resumeAfter string
 	// lastEventID is the identifier of the last event that the client has received,
@@ -118,8 +121,8 @@
 		return outcome, cancellationCause(ctx, err)
 	}
 	startedAt, err := x.forwardEvents(ctx, slot, response, p)
-	if err == nil && sender.IsCloseDelimited(response) && slot.HasServerEnded() {
-		err = &ServerEndedError{Server: slot.Server()}
+	if err == nil && sender.IsCloseDelimited(response) && slot.HasServerEnded(x.route.Resumable && x.hasAttemptLeft()) {
+		err, p.mayBeComplete = &ServerEndedError{Server: slot.Server()}, true
 	}
 	if !p.slotIsFree {
 		x.releaseStream(slot, response, err)
@@ -205,7 +208,7 @@
 
 // forwardEvents forwards complete events to the client until the stream ends. If the
 // stream ends within an event, or without any event, it returns io.ErrUnexpectedEOF, also if
-// it resumes another one. If an event is invalid, it returns an InvalidEventError. startedAt is the
+// it resumes another one, unless that may have been complete. If an event is invalid, it returns an InvalidEventError. startedAt is the
 // time of the first byte, the zero time for none. It waits while the responses that this host
 // buffers have used up the memory for them.
 func (x *exchange) forwardEvents(ctx context.Context, slot *driver.Slot, response *http.Response, p *streamProgress) (startedAt time.Time, err error) {
@@ -217,6 +220,7 @@
 	buffer := make([]byte, initialBufferBytes)
 	buffered := 0
 	startID := p.lastEventID
+	needsEvent := !p.mayBeComplete || sender.IsCloseDelimited(response)
 	source, closeSource := x.openBacklog(ctx, slot, response, p, &startedAt)
 	defer closeSource()
 	for {
@@ -230,10 +234,11 @@
 			if problem != "" {
 				return startedAt, &InvalidEventError{Server: slot.Server(), LastID: lastID, Problem: problem}
 			}
+			p.mayBeComplete = false
 			buffered = copy(buffer, buffer[end:buffered])
 		}
 		switch {
-		case errors.Is(err, io.EOF) && buffered == 0 && p.lastEventID != startID:
+		case errors.Is(err, io.EOF) && buffered == 0 && (p.lastEventID != startID || !needsEvent):
 			return startedAt, nil
 		case errors.Is(err, io.EOF):
 			return startedAt, io.ErrUnexpectedEOF
--- a/internal/relayer/unframed_test.go
+++ b/internal/relayer/unframed_test.go
@@ -60,6 +60,13 @@
 		w.Header().Set("Content-Type", "text/event-stream")
 		io.WriteString(w, "id: 2\ndata: b\n\n")
 	}
+	const leaving = "Leaving: 1\r\n"
+	noEvent := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", "r1")
+		w.Header().Set("Signed", "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		http.NewResponseController(w).Flush()
+	}
 	tests := map[string]struct {
 		path, start string
 		next        http.HandlerFunc
@@ -68,13 +75,18 @@
 		wantBody    string
 		wantCutOff  bool
 	}{
-		"a request that may run once":      {path: "/once/x", start: half, next: succeed, hasEnded: true, wantStatus: http.StatusBadGateway},
-		"an idempotent request":            {path: "/look/x", start: half, next: succeed, hasEnded: true, wantStatus: http.StatusOK, wantBody: "whole b"},
-		"an error for a stream":            {path: "/stream/x", start: half, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 2\ndata: b\n\n"},
-		"a stream":                         {path: "/stream/x", start: event, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
-		"a stream that cannot be resumed":  {path: "/one-stream/x", start: event, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n", wantCutOff: true},
-		"a response of a server that runs": {path: "/once/x", start: half, next: succeed, wantStatus: http.StatusOK, wantBody: "ha"},
-		"a stream of a server that runs":   {path: "/stream/x", start: event, next: lastEvent, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n"},
+		"a request that may run once":                             {path: "/once/x", start: half, next: succeed, hasEnded: true, wantStatus: http.StatusBadGateway},
+		"an idempotent request":                                   {path: "/look/x", start: half, next: succeed, hasEnded: true, wantStatus: http.StatusOK, wantBody: "whole b"},
+		"an error for a stream":                                   {path: "/stream/x", start: half, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 2\ndata: b\n\n"},
+		"a stream":                                                {path: "/stream/x", start: event, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
+		"a stream that cannot be resumed":                         {path: "/one-stream/x", start: event, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n", wantCutOff: true},
+		"a stream of a server that leaves":                        {path: "/stream/x", start: leaving + event, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
+		"a stream that was whole":                                 {path: "/stream/x", start: leaving + event, next: noEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n"},
+		"an idempotent request of a server that leaves":           {path: "/look/x", start: leaving + half, next: succeed, hasEnded: true, wantStatus: http.StatusOK, wantBody: "whole b"},
+		"a request that may run once of a server that leaves":     {path: "/once/x", start: leaving + half, next: succeed, hasEnded: true, wantStatus: http.StatusOK, wantBody: "ha"},
+		"a stream that cannot be resumed of a server that leaves": {path: "/one-stream/x", start: leaving + event, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n"},
+		"a response of a server that runs":                        {path: "/once/x", start: half, next: succeed, wantStatus: http.StatusOK, wantBody: "ha"},
+		"a stream of a server that runs":                          {path: "/stream/x", start: event, next: lastEvent, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
