collector: a body that was given up does not go on with memory that it gets then

Found by reading. Memory could be granted to a waiting body at the moment at which it gave way to a connection. It then went on, counted as one that ends, and was never asked to give way again. It is refused now like the others (503). No test: the two have to meet within the lock of the allocator.

--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -388,7 +388,8 @@
 	defer cancel()
 	x.collector.startWaiting(x, cancel)
 	defer x.collector.stopWaiting(x)
-	if err := x.memory.Grow(ctx, bytes); err != nil {
+	// The memory may be granted at the moment at which the body is given up.
+	if err := x.memory.Grow(ctx, bytes); err != nil || x.wasGivenUp() {
 		return &NoRoomError{RetryAfter: x.collector.stallTimeout}
 	}
 	return nil
