platformassembler: metrics and lines that show how a host learns a configuration

Cause: of a host that goes on with an earlier configuration, logs and metrics showed the version in force and nothing of why: whether its read of the operator's topic is silent or refused, whether it knows of a later version, or whether it has ignored one.

Change: the age of the store's last answer for each topic that is read by long polls, the time for which other live hosts have had a later version, and counts of the received versions by source and result. A line tells once a look that another host has a later version, with the age of the last answer and the number of reads that have failed since. What concerns the configuration moves into a file of its own; when a host fetches the state of another one is as before.

The tests that apply a configuration name its source now.

--- a/internal/meter/platform.go
+++ b/internal/meter/platform.go
@@ -82,6 +82,24 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_store_read_bytes_total{topic=%q,result=%q}", topic, result)).Add(int(receivedBytes))
 }
 
+// CountConfiguration counts a configuration that the host has received, by its source ("store" or
+// "host") and by what became of it ("in-force", "not-newer" or "invalid").
+func (m *Meter) CountConfiguration(source, result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("fuchsiapitch_configurations_total{source=%q,result=%q}", source, result)).Inc()
+}
+
+// RegisterConfigurationLagGauge registers the gauge of the time in seconds for which other live
+// hosts have had a later configuration, 0 if none has.
+func (m *Meter) RegisterConfigurationLagGauge(seconds func() float64) {
+	m.set.NewGauge("fuchsiapitch_configuration_lag_seconds", seconds)
+}
+
+// RegisterStoreAnswerGauge registers the gauge of the time in seconds since the store last
+// answered a read of a topic.
+func (m *Meter) RegisterStoreAnswerGauge(topic string, seconds func() float64) {
+	m.set.NewGauge(fmt.Sprintf("fuchsiapitch_store_answer_age_seconds{topic=%q}", topic), seconds)
+}
+
 // CountStoreRewind counts that the platform's store has gone back.
 func (m *Meter) CountStoreRewind() {
 	m.set.GetOrCreateCounter("fuchsiapitch_store_rewinds_total").Inc()
--- a/internal/platformassembler/era.go
+++ b/internal/platformassembler/era.go
@@ -16,13 +16,6 @@
 	// registrationSpread is the time over which the hosts register anew after the store has
 	// gone back.
 	registrationSpread = time.Second
-	// catchUpPeriod is how long after its start, or after the store has gone back, a host
-	// takes a later configuration from other hosts than the store shows. The operator writes
-	// it again within seconds.
-	catchUpPeriod = 10 * time.Second
-	// catchUpInterval is the time between two comparisons with the other hosts. A host that
-	// is behind in two of them in a row fetches the state of another one.
-	catchUpInterval = 500 * time.Millisecond
 )
 
 // eraState is what a host knows of the era of the store.
@@ -114,29 +107,3 @@
 	}
 	return ctx.Err()
 }
-
-// catchUp takes the configuration of another host while that is later than the one in the store,
-// which may have gone back, for the catch-up period.
-func (h *Host) catchUp(ctx context.Context) error {
-	wasBehind := false
-	for ctx.Err() == nil {
-		select {
-		case <-time.After(catchUpInterval):
-		case <-ctx.Done():
-			continue
-		}
-		if !h.era.isCatchingUp() || h.relayer.Routes() == nil {
-			wasBehind = false
-			continue
-		}
-		peer, ok := pickStateSource(h.driver.View().Peers)
-		isBehind := ok && peer.ConfigurationVersion > h.relayer.Routes().Version()
-		if isBehind && wasBehind {
-			if err := h.fetchState(ctx, peer.Address); err != nil {
-				h.log.Info().Err(err).Msg("failed to fetch the state of another host")
-			}
-		}
-		wasBehind = isBehind
-	}
-	return ctx.Err()
-}
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -117,6 +117,7 @@
 	configurationTracker *tracker.Tracker
 	longPollTrackers     []*tracker.Tracker
 	era                  *eraState
+	configurationLag     configurationLag
 }
 
 // New returns a host that does not serve yet, and a function that releases its
@@ -169,6 +170,10 @@
 	h.meter.RegisterBufferGauge(func() float64 { return float64(buffers.UsedBytes()) })
 	h.meter.RegisterInFlightGauge(func() float64 { return float64(h.relayer.InFlightRequests()) })
 	h.meter.RegisterConfigurationVersionGauge(h.configurationVersion)
+	h.meter.RegisterConfigurationLagGauge(func() float64 { return h.configurationLag.duration(time.Now()).Seconds() })
+	for _, t := range h.longPollTrackers {
+		h.meter.RegisterStoreAnswerGauge(t.Topic(), func() float64 { return t.Status().SinceAnswer.Seconds() })
+	}
 	return h, func() {
 		closeSender()
 		pooledTransport.CloseIdleConnections()
@@ -408,14 +413,6 @@
 // Serve implements suture.Service.
 func (f serviceFunc) Serve(ctx context.Context) error { return f(ctx) }
 
-// configurationVersion returns the version of the configuration in force, 0 for none.
-func (h *Host) configurationVersion() float64 {
-	if t := h.relayer.Routes(); t != nil {
-		return float64(t.Version())
-	}
-	return 0
-}
-
 // readFailureHandler returns a handler that logs failed reads of a topic.
 func (h *Host) readFailureHandler(topicName string) func(error) {
 	return func(err error) {
@@ -434,30 +431,6 @@
 	h.driver.Apply(coordinator.StoreReadFailed{})
 }
 
-// applyOperatorTopic processes what was read of the operator's topic.
-func (h *Host) applyOperatorTopic(u tracker.Update) {
-	h.applyEvacuations(u)
-	h.applyConfiguration(u)
-}
-
-// applyConfiguration puts a configuration into force unless it is invalid or not newer
-// than the current one.
-func (h *Host) applyConfiguration(u tracker.Update) {
-	for _, r := range u.Records {
-		if r.Key != platform.ConfigurationKey || r.IsTombstone() {
-			continue
-		}
-		table, err := platform.DecodeConfiguration(r.Value)
-		if err != nil {
-			h.log.Error().Err(err).Msg("ignoring invalid configuration")
-			continue
-		}
-		if h.configure(table, r.Value) {
-			h.log.Info().Int64("version", table.Version()).Msg("configuration is in force")
-		}
-	}
-}
-
 // applyServerList updates the server list. Invalid records are treated as deleted. It
 // also recalculates this host's share of the store's rate limits, which depends on the
 // number of live hosts.
--- a/internal/platformassembler/state.go
+++ b/internal/platformassembler/state.go
@@ -86,20 +86,6 @@
 	}
 }
 
-// configure puts a configuration into force, in the relayer, in the coordinator and in the
-// state for other hosts, unless it is not newer than the current one. It reports whether it
-// is in force now. The mutex keeps the three in step when two sources deliver at once.
-func (h *Host) configure(table *fuchsiapitch.RouteTable, value []byte) bool {
-	h.stateMutex.Lock()
-	defer h.stateMutex.Unlock()
-	if !h.relayer.Configure(table) {
-		return false
-	}
-	h.state.Configuration = value
-	h.driver.Apply(coordinator.ConfigurationChanged{Routes: table})
-	return true
-}
-
 // serveState sends the state to another host. It responds with 503 as long as this
 // host has no configuration.
 func (h *Host) serveState(w http.ResponseWriter, _ *http.Request) {
@@ -261,5 +247,5 @@
 		h.serverListKnown.Store(true)
 	}
 	h.log.Info().Int("servers", len(s.Servers)).Msg("applying the state fetched from another host")
-	h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: s.Configuration}}})
+	h.applyConfiguration(s.Configuration, hostSource)
 }
--- a/internal/platformassembler/state_test.go
+++ b/internal/platformassembler/state_test.go
@@ -16,6 +16,7 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/evacuator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/relayer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/standin/pipe"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
@@ -102,10 +103,10 @@
 // has in force, because the source received an older one, or an invalid one, afterwards.
 func TestServedStateHoldsConfigurationInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
+		h := &Host{meter: meter.New(), relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
 		want := `{"version":9}`
 		for _, value := range []string{want, `{"version":7}`, `{"version":`} {
-			h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: []byte(value)}}})
+			h.applyConfiguration([]byte(value), storeSource)
 		}
 		transport, stop := pipe.Start(&http.Server{Handler: h.peerHandler()})
 		h.peerTransport = transport
@@ -128,8 +129,8 @@
 // Guards against a source that cuts off the state for all hosts that receive it slowly.
 func TestStateIsServedToSlowHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
-		h.applyConfiguration(tracker.Update{Records: []platform.Record{{Key: platform.ConfigurationKey, Value: []byte(`{"version":1}`)}}})
+		h := &Host{meter: meter.New(), relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
+		h.applyConfiguration([]byte(`{"version":1}`), storeSource)
 		h.cacheServers(tracker.Update{Records: []platform.Record{{Key: "server", Value: bytes.Repeat([]byte{'s'}, 1<<20)}}})
 		transport, stop := pipe.Start(&http.Server{Handler: h.peerHandler()})
 		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://peer"+statePath, http.NoBody)
@@ -161,13 +162,13 @@
 // centre, or more to cold servers than the hosts that it does not know leave it.
 func TestStateHasEvacuationsAndHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		source := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
+		source := &Host{meter: meter.New(), relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t)}
 		source.applyOperatorTopic(tracker.Update{IsSnapshot: true, NextOffset: 9, Records: []platform.Record{
 			{Key: platform.ConfigurationKey, Value: []byte(`{"version":1}`)}, {Key: "evacuate/dc-east", Value: []byte("{}"), Offset: 5},
 		}})
 		source.applyHostList(tracker.Update{Records: []platform.Record{{Key: "other", Value: []byte(`{"address":"10.0.0.7:7000","data-centre":"dc"}`)}}})
 		transport, stop := pipe.Start(&http.Server{Handler: source.peerHandler()})
-		h := &Host{relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t), peerTransport: transport}
+		h := &Host{meter: meter.New(), relayer: relayer.New(nil, nil, platform.Headers{}), driver: newIdleDriver(t), peerTransport: transport}
 		if err := h.fetchState(t.Context(), "peer"); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -100,6 +100,10 @@
 	resyncRequested, reconnected bool
 	// previousReadRestarted is true if a resync made the last read fail.
 	previousReadRestarted bool
+	// answeredAt is when the store last answered a read, the start of the tracker if it has not.
+	// failedReads counts the reads that have failed since.
+	answeredAt  time.Time
+	failedReads int
 }
 
 // Option sets one optional property of a tracker.
@@ -139,7 +143,7 @@
 func New(store Store, topic string, handle func(Update), options ...Option) *Tracker {
 	t := &Tracker{
 		store: store, topic: topic, handle: handle, onError: func(error) {}, onRead: func(ReadResult) {},
-		isNeeded: func() bool { return true }, pollWait: func() time.Duration { return 0 }, startedAt: time.Now(),
+		isNeeded: func() bool { return true }, pollWait: func() time.Duration { return 0 }, startedAt: time.Now(), answeredAt: time.Now(),
 	}
 	for _, o := range options {
 		o(t)
@@ -147,6 +151,36 @@
 	return t
 }
 
+// Status is what a tracker knows of the store. It is a plain record.
+type Status struct {
+	// SinceAnswer is the time since the store last answered a read. A long poll in flight may
+	// add its wait.
+	SinceAnswer time.Duration
+	// FailedReads is the number of reads that have failed since then.
+	FailedReads int
+}
+
+// Status returns what the tracker knows of the store.
+func (t *Tracker) Status() Status {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return Status{SinceAnswer: time.Since(t.answeredAt), FailedReads: t.failedReads}
+}
+
+// recordResult records whether the store answered a read.
+func (t *Tracker) recordResult(err error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if err != nil {
+		t.failedReads++
+		return
+	}
+	t.answeredAt, t.failedReads = time.Now(), 0
+}
+
+// Topic returns the name of the topic.
+func (t *Tracker) Topic() string { return t.topic }
+
 // Resync requests a new snapshot, because the read in progress may never return. It cancels a
 // read that stays silent, but no two in a row: the second one may wait for a store that serves
 // many hosts. A read whose response is arriving is completed, since a new one would have to
@@ -275,6 +309,7 @@
 	t.startRead(w, startedAt, synced)
 	page, err := t.call(platform.WithResponseObserver(ctx, w.RecordBytes), nextOffset, synced, pollWait)
 	restarted := t.endRead(err != nil && w.ReceivedBytes() == 0)
+	t.recordResult(err)
 	t.onRead(ReadResult{Bytes: w.ReceivedBytes(), Elapsed: time.Since(startedAt), Restarted: restarted || err != nil && t.hasReconnected(), Err: err})
 	return page, restarted, err
 }
