platformassembler: a host that the store refuses follows the other hosts

What callers saw: two of six hosts, which the store refused for 9 s, refused an added route (404) until the refusal ended, 8.9 to 9.9 s after the version was acknowledged. The other four served it at once.

Cause: a host learned a configuration by its own read of the store only. A heartbeat with a later version made it repeat that read, which was refused again. It took the configuration of another host within 10 s of its start or of a return of the store to an earlier state, but not otherwise.

Change: a host that is behind others in two looks in a row takes their configuration if the store does not deliver it: reads fail, or the read has been silent for 1.5 s. A response that is arriving is never given up for it. Only the configuration is transferred, and a host sends it to four others at a time, so that followers cannot fill its link. A host that is never ahead of the store cannot spread an earlier version, because a version is applied only if it is later.

--- a/internal/platformassembler/configuration.go
+++ b/internal/platformassembler/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -12,13 +13,21 @@
 )
 
 const (
-	// catchUpPeriod is how long after its start, or after the store has gone back, a host
-	// takes a later configuration from other hosts than the store shows. The operator writes
-	// it again within seconds.
-	catchUpPeriod = 10 * time.Second
 	// catchUpInterval is the time between two comparisons with the other hosts. A host that
-	// is behind in two of them in a row fetches the state of another one.
+	// is behind in two of them in a row may take the configuration of another one.
 	catchUpInterval = 500 * time.Millisecond
+	// catchUpPeriod is how long after its start, or after the store has gone back, a host takes
+	// a later configuration from other hosts although the store answers. The operator writes it
+	// again within seconds.
+	catchUpPeriod = 10 * time.Second
+	// silentReadPatience is how long a host that is behind waits for a read of the store that is
+	// silent. It covers the transfer of a large configuration to the hosts that are served before.
+	silentReadPatience = 1500 * time.Millisecond
+	// configurationPath is the path at which other hosts get the configuration alone.
+	configurationPath = "/configuration"
+	// maxConfigurationTransfers bounds the hosts to which this one sends its configuration at the
+	// same time, so that they do not fill its link. The others ask again.
+	maxConfigurationTransfers = 4
 )
 
 // Sources of a configuration, in metrics and log lines.
@@ -108,8 +117,9 @@
 	return now.Sub(l.since)
 }
 
-// catchUp compares the configuration with those of the other hosts. While the store may have gone
-// back, it takes a later one from the host that has it.
+// catchUp compares the configuration with those of the other hosts, and takes a later one from a
+// host that has it if the store does not deliver it: the store may refuse this host, be silent, or
+// have gone back.
 func (h *Host) catchUp(ctx context.Context) error {
 	wasBehind := false
 	for ctx.Err() == nil {
@@ -122,9 +132,9 @@
 		lag := h.configurationLag.observe(time.Now(), isBehind)
 		if isBehind && wasBehind {
 			h.logLag(peer, lag)
-			if h.era.isCatchingUp() {
-				if err := h.fetchState(ctx, peer.Address); err != nil {
-					h.log.Info().Err(err).Msg("failed to fetch the state of another host")
+			if h.shouldFollowPeer(lag) {
+				if err := h.fetchConfiguration(ctx, peer.Address); err != nil {
+					h.log.Info().Err(err).Msg("failed to fetch the configuration of another host")
 				}
 			}
 		}
@@ -133,6 +143,17 @@
 	return ctx.Err()
 }
 
+// shouldFollowPeer reports whether this host, which is behind others, takes their configuration. It
+// does not if its own read may still deliver it: the response is arriving, or a store that serves
+// many hosts has not got to it.
+func (h *Host) shouldFollowPeer(lag time.Duration) bool {
+	status := h.configurationTracker.Status()
+	if status.IsReceiving {
+		return false
+	}
+	return status.FailedReads > 0 || h.serverListReadFailedAt.Load() != nil || h.era.isCatchingUp() || lag >= silentReadPatience
+}
+
 // findLaterConfiguration returns a live host with the latest configuration, and whether that is
 // later than the one of this host. It returns false if this host has none.
 func (h *Host) findLaterConfiguration() (coordinator.PeerView, bool) {
@@ -151,3 +172,34 @@
 		Int64("lag-ms", lag.Milliseconds()).Int64("since-answer-ms", status.SinceAnswer.Milliseconds()).Int("failed-reads", status.FailedReads).
 		Msg("another host has a later configuration")
 }
+
+// serveConfiguration sends the configuration in force to another host. It responds with 503 if there
+// is none, or while it sends it to others.
+func (h *Host) serveConfiguration(w http.ResponseWriter, _ *http.Request) {
+	defer h.configurationTransfers.Add(-1)
+	if h.configurationTransfers.Add(1) > maxConfigurationTransfers {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	h.stateMutex.Lock()
+	value := h.state.Configuration
+	h.stateMutex.Unlock()
+	if len(value) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	if err := writeWithDeadline(w, value); err != nil {
+		h.log.Info().Err(err).Msg("another host did not receive the configuration")
+	}
+}
+
+// fetchConfiguration applies the configuration of another host.
+func (h *Host) fetchConfiguration(ctx context.Context, address string) error {
+	value, err := h.requestFromPeer(ctx, address, configurationPath)
+	if err != nil {
+		return err
+	}
+	h.applyConfiguration(value, hostSource)
+	return nil
+}
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -118,6 +118,8 @@
 	longPollTrackers     []*tracker.Tracker
 	era                  *eraState
 	configurationLag     configurationLag
+	// configurationTransfers is the number of other hosts that this one is sending its configuration to.
+	configurationTransfers atomic.Int64
 }
 
 // New returns a host that does not serve yet, and a function that releases its
--- a/internal/platformassembler/state.go
+++ b/internal/platformassembler/state.go
@@ -126,6 +126,7 @@
 func (h *Host) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(statePath, h.serveState)
+	mux.HandleFunc(configurationPath, h.serveConfiguration)
 	return mux
 }
 
@@ -204,25 +205,35 @@
 
 // requestState requests the state of another host.
 func (h *Host) requestState(ctx context.Context, address string) (hostState, error) {
+	data, err := h.requestFromPeer(ctx, address, statePath)
+	if err != nil {
+		return hostState{}, err
+	}
+	return decodeState(address, data)
+}
+
+// requestFromPeer requests a path of another host and returns the body of the response. Its error is a
+// StateError.
+func (h *Host) requestFromPeer(ctx context.Context, address, path string) ([]byte, error) {
 	ctx, w, stop := watcher.New(ctx, "host "+address, stateTimeout, stateTimeout)
 	defer stop()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath, http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
 	if err != nil {
-		return hostState{}, &StateError{PeerAddress: address, Err: err}
+		return nil, &StateError{PeerAddress: address, Err: err}
 	}
 	response, err := h.peerTransport.RoundTrip(request)
 	if err != nil {
-		return hostState{}, &StateError{PeerAddress: address, Err: err}
+		return nil, &StateError{PeerAddress: address, Err: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(w.Watch(io.LimitReader(response.Body, maxStateBytes)))
 	if err != nil {
-		return hostState{}, &StateError{PeerAddress: address, Err: err}
+		return nil, &StateError{PeerAddress: address, Err: err}
 	}
 	if response.StatusCode != http.StatusOK {
-		return hostState{}, &StateError{PeerAddress: address, Err: &platform.StatusError{Action: statePath, Status: response.StatusCode}}
+		return nil, &StateError{PeerAddress: address, Err: &platform.StatusError{Action: path, Status: response.StatusCode}}
 	}
-	return decodeState(address, data)
+	return data, nil
 }
 
 // applyState applies the state of another host. Its server list is used only if this
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -158,13 +158,18 @@
 	SinceAnswer time.Duration
 	// FailedReads is the number of reads that have failed since then.
 	FailedReads int
+	// IsReceiving is true if a part of the response to the read in progress has arrived.
+	IsReceiving bool
 }
 
 // Status returns what the tracker knows of the store.
 func (t *Tracker) Status() Status {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return Status{SinceAnswer: time.Since(t.answeredAt), FailedReads: t.failedReads}
+	return Status{
+		SinceAnswer: time.Since(t.answeredAt), FailedReads: t.failedReads,
+		IsReceiving: t.readWatcher != nil && t.readWatcher.ReceivedBytes() > 0,
+	}
 }
 
 // recordResult records whether the store answered a read.
