tracker: a long poll that is silent is doubled, and hosts take turns in renewing theirs

What callers saw: only the connections with a long poll of the operator's topic in flight fell silent, without a reset. All six hosts refused an added route (404) until 3.0 to 4.6 s after the version was acknowledged; the bounds are 2 to 2.9 s.

Cause: silence on a long poll was taken for no news for its whole wait (5 s) and the time-out of a response (1.5 s). Only the failure of another read, or a heartbeat with a later version, cut that short. With all polls silent no host had the version, and nothing else failed.

Change: the hosts of a cluster take turns in renewing their polls, one each 0.5 s, by the time of day and their place among the live hosts. A poll that is silent for 0.5 s beyond its wait is doubled by a read on a new connection, and so is one of a host that hears of a later version, after 0.8 s as before. The call that the store answers first decides; until then none is given up, so that a slow response is not lost. When only the second call was answered, the other long polls are repeated on new connections. The host that finds out tells the others by its heartbeats.

The wait is 3 s with 6 hosts and 15 s from 30 hosts on, instead of 5 s, and 15 s in clusters with relays.

--- a/internal/coordinator/configuration_test.go
+++ b/internal/coordinator/configuration_test.go
@@ -85,3 +85,17 @@
 		t.Errorf("got %q and %s, want app0", got, reason)
 	}
 }
+
+// Guards against turns that are kept for hosts that are gone, in which no host renews its long poll.
+func TestTurnCountsLiveHosts(t *testing.T) {
+	now := time.Second
+	c := New(Peer{ID: "h2"}, 1)
+	for _, id := range []fuchsiapitch.HostID{"h1", "h3", "h4"} {
+		c.Apply(now, HeartbeatReceived{Heartbeat: Heartbeat{From: Peer{ID: id}, Incarnation: 1, Sequence: 1}})
+	}
+	now += peerTimeout
+	c.Apply(now, HeartbeatReceived{Heartbeat: Heartbeat{From: Peer{ID: "h3"}, Incarnation: 1, Sequence: 2}})
+	if rank, hosts := c.Turn(now); rank != 0 || hosts != 2 {
+		t.Errorf("got rank %d of %d hosts, want 0 of 2", rank, hosts)
+	}
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -350,6 +350,22 @@
 	return n
 }
 
+// Turn returns the position of this host in the order of the hosts' identifiers, and their number.
+// Only live hosts count, but in a large cluster all known ones, since a host does not hear them all.
+func (c *Coordinator) Turn(now time.Duration) (rank, hosts int) {
+	hosts = 1
+	for id, p := range c.peers {
+		if !c.usesRelays() && !c.isLive(p, now) {
+			continue
+		}
+		hosts++
+		if id < c.self.ID {
+			rank++
+		}
+	}
+	return rank, hosts
+}
+
 // sendHeartbeats sends a heartbeat to the other hosts if one is due.
 func (c *Coordinator) sendHeartbeats(now time.Duration) {
 	if now < c.nextHeartbeatAt {
--- a/internal/coordinator/directory.go
+++ b/internal/coordinator/directory.go
@@ -108,9 +108,6 @@
 	return isRelay
 }
 
-// UsesRelays reports whether the cluster is so large that hosts send heartbeats to relays.
-func (c *Coordinator) UsesRelays() bool { return c.usesRelays() }
-
 // hasCurrentList reports whether this host reads the server list itself.
 func (c *Coordinator) hasCurrentList(now time.Duration) bool {
 	return c.listReadAt > 0 && now-c.listReadAt < currentListAge
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -132,6 +132,13 @@
 	return d.coordinator.LiveHostCount(d.now())
 }
 
+// Turn returns the position of this host among the hosts of the cluster, and their number.
+func (d *Driver) Turn() (rank, hosts int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.Turn(d.now())
+}
+
 // NeedsServerList reports whether this host has to read the server list and the claims in the
 // store itself.
 func (d *Driver) NeedsServerList() bool {
@@ -154,13 +161,6 @@
 	return d.coordinator.KnowsServers()
 }
 
-// UsesRelays reports whether hosts send their heartbeats to relays.
-func (d *Driver) UsesRelays() bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.coordinator.UsesRelays()
-}
-
 // View returns a snapshot of the state of the coordinator.
 func (d *Driver) View() coordinator.View {
 	d.mutex.Lock()
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -29,6 +29,7 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/pacer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/relayer"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/sender"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/spreader"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
@@ -55,10 +56,6 @@
 	// hostListInterval is the pause between two reads of the registered hosts. Hosts that
 	// start together register one after the other.
 	hostListInterval = 500 * time.Millisecond
-	// configurationLongPollWait is the same for the configuration. It is shorter,
-	// because a new configuration must be in force within 2 s even if a connection
-	// no longer delivers data.
-	configurationLongPollWait = 5 * time.Second
 	// registrationRetryInterval bounds one attempt to register the host in the store,
 	// and is the pause before the next one.
 	registrationRetryInterval = time.Second
@@ -388,7 +385,8 @@
 // read with long polls.
 func (h *Host) createTrackers() {
 	newLongPollTracker := func(topic string, handle func(tracker.Update), options ...tracker.Option) *tracker.Tracker {
-		options = append(options, tracker.WithErrorHandler(h.readFailureHandler(topic)), tracker.WithReadHandler(h.readCounter(topic)))
+		options = append(options, tracker.WithErrorHandler(h.readFailureHandler(topic)), tracker.WithReadHandler(h.readCounter(topic)),
+			tracker.WithSecondCallHandler(h.storeTransport.CloseIdleConnections), tracker.WithSilentConnectionHandler(h.handleSilentConnection))
 		return tracker.New(h.pacedStore, topic, handle, options...)
 	}
 	h.configurationTracker = newLongPollTracker(platform.OperatorTopic, h.applyOperatorTopic, tracker.WithVariableLongPoll(h.configurationPollWait))
@@ -399,14 +397,19 @@
 	}
 }
 
-// configurationPollWait returns how long a read of the configuration waits for a new
-// version. In a large cluster relays announce each version to all hosts, which read it
-// again if their own read has not returned.
+// configurationPollWait returns how long a read of the operator's topic waits for news. The hosts take
+// turns in renewing these reads.
 func (h *Host) configurationPollWait() time.Duration {
-	if h.driver.UsesRelays() {
-		return longPollWait
+	rank, hosts := h.driver.Turn()
+	return spreader.PollWait(time.Now(), hosts, rank)
+}
+
+// handleSilentConnection repeats the long polls on connections from before a time, because one of
+// these was silent while a new connection was answered.
+func (h *Host) handleSilentConnection(before time.Time) {
+	for _, t := range h.longPollTrackers {
+		t.Reconnect(before)
 	}
-	return configurationLongPollWait
 }
 
 // serviceFunc adapts a function to suture.Service.
@@ -440,9 +443,7 @@
 	if failedAt := h.serverListReadFailedAt.Swap(nil); failedAt != nil {
 		// The store can be read again. A long poll from before may hang on a
 		// connection that the store has dropped.
-		for _, t := range h.longPollTrackers {
-			t.Reconnect(*failedAt)
-		}
+		h.handleSilentConnection(*failedAt)
 	}
 	if u.IsSnapshot {
 		clear(h.serversByKey)
--- a/internal/spreader/spreader.go
+++ b/internal/spreader/spreader.go
@@ -1,10 +1,15 @@
-// Package spreader spreads the first reads of the server list over time when many hosts start at
-// once, as after a loss of power. It keeps no state and reads no clock.
+// Package spreader spreads the reads of the hosts of a cluster over time. It keeps no state and reads
+// no clock.
 //
+// The first reads of the server list are spread when many hosts start at once, as after a loss of power.
 // A list grows with the cluster, and so does the number of hosts that read it: at 300 hosts with ten
 // servers each the store would send 300 MB. Reads that overtax the store time out and are
 // repeated, so that nobody gets a list for long. A host needs no list of its own if a relay that has
 // read one sends it a directory first.
+//
+// Long polls are spread so that the hosts take turns in renewing them. A poll whose connection delivers
+// nothing any more looks like one without news. A host whose turn has come finds out, and tells the
+// others what it has missed.
 package spreader
 
 import "time"
@@ -15,6 +20,13 @@
 	spacingPerHost = 40 * time.Microsecond
 	// maxDelay bounds the delay of a read.
 	maxDelay = 3 * time.Second
+	// turnInterval is the time between the ends of two long polls in a cluster. With the detection of
+	// a silent poll and the news to the other hosts it must stay within the time in which a new
+	// configuration has to be in force, also if the next host in turn is gone.
+	turnInterval = 500 * time.Millisecond
+	// maxPollWait bounds the wait of a long poll, and minPollWait is the shortest one.
+	maxPollWait = 15 * time.Second
+	minPollWait = 100 * time.Millisecond
 )
 
 // Delay returns how long after its start a host waits for a directory before it reads the list itself.
@@ -26,3 +38,18 @@
 	}
 	return min(maxDelay, time.Duration(hosts)*time.Duration(dataCentres)*time.Duration(rank)*spacingPerHost)
 }
+
+// PollWait returns how long a long poll that starts now waits for news, at least minPollWait. rank is
+// the number of hosts whose turn comes before that of this host, and hosts the size of the cluster.
+// All hosts derive their turns from the time of day, so that they stay apart whenever they start.
+// A clock that is wrong moves the turn of its host alone.
+func PollWait(now time.Time, hosts, rank int) time.Duration {
+	hosts = max(hosts, 1)
+	cycle := min(time.Duration(hosts)*turnInterval, maxPollWait)
+	turn := cycle * time.Duration(rank%hosts) / time.Duration(hosts)
+	wait := (turn - time.Duration(now.UnixNano()%int64(cycle)) + cycle) % cycle
+	if wait < minPollWait {
+		wait += cycle
+	}
+	return wait
+}
--- a/internal/spreader/spreader_test.go
+++ b/internal/spreader/spreader_test.go
@@ -1,6 +1,8 @@
 package spreader
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 )
@@ -34,3 +36,46 @@
 		}
 	}
 }
+
+// Guards against a cluster in which no host renews its long poll for seconds, so that nobody finds out
+// that the connections of the polls deliver nothing any more.
+func TestLongPollsEndInTurns(t *testing.T) {
+	const steps = 97
+	start := time.Unix(1_700_000_000, 0)
+	for _, hosts := range []int{1, 2, 3, 6, 17, 30, 86, 300, 1000} {
+		longest := time.Duration(0)
+		for step := range steps {
+			// All hosts start a poll when they have received news.
+			news := start.Add(time.Duration(step) * 173 * time.Millisecond)
+			ends := map[time.Duration]bool{}
+			for rank := range hosts {
+				for end := news; end.Sub(news) < 2*maxPollWait; {
+					end = end.Add(PollWait(end, hosts, rank))
+					ends[end.Sub(news)] = true
+				}
+			}
+			previous := time.Duration(0)
+			for _, end := range slices.Sorted(maps.Keys(ends)) {
+				if end > 2*maxPollWait {
+					break
+				}
+				longest = max(longest, end-previous)
+				previous = end
+			}
+		}
+		if want := turnInterval + minPollWait; longest > want {
+			t.Errorf("%d hosts: got no end of a poll for %s, want one every %s", hosts, longest, want)
+		}
+	}
+}
+
+func TestPollWaitIsBounded(t *testing.T) {
+	now := time.Unix(1_700_000_000, 123_456_789)
+	for _, hosts := range []int{0, 1, 6, 40, 1000} {
+		for rank := range max(hosts, 1) {
+			if got := PollWait(now, hosts, rank); got < minPollWait || got > maxPollWait+minPollWait {
+				t.Errorf("got %s for rank %d of %d hosts, want %s to %s", got, rank, hosts, minPollWait, maxPollWait+minPollWait)
+			}
+		}
+	}
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/rewinder"
-	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
 
@@ -25,6 +24,9 @@
 	// enough to replace a connection that no longer delivers data within the time in
 	// which a new configuration must be in force.
 	resyncTimeout = 800 * time.Millisecond
+	// silenceTimeout is how long after its wait a long poll may be silent. It is longer than a
+	// slow store needs for a response without records.
+	silenceTimeout = 500 * time.Millisecond
 	// minBackOff and maxBackOff bound the back-off after a failed read, which
 	// doubles with each failure. The actual pause is randomised.
 	minBackOff = 200 * time.Millisecond
@@ -61,15 +63,16 @@
 // Position returns a number for NextOffset that is comparable over all eras.
 func (u Update) Position() int64 { return rewinder.Position(u.Era, u.NextOffset) }
 
-// ReadResult describes a read that has ended. It is a plain record.
+// ReadResult describes a call of the store that has ended. It is a plain record.
 type ReadResult struct {
 	// Bytes is the number of bytes of the response that were received.
 	Bytes int64
-	// Elapsed is the time from the start of the read to its end.
+	// Elapsed is the time from the start of the call to the end of the read.
 	Elapsed time.Duration
-	// Restarted is true if the read was cancelled by a resync or a reconnection.
+	// Restarted is true if the call was given up because of a reconnection, or because the store
+	// answered the other call of the same read first.
 	Restarted bool
-	// Err is the error of the read, nil if it succeeded.
+	// Err is the error of the call, nil if it succeeded.
 	Err error
 }
 
@@ -83,23 +86,17 @@
 	handle   func(Update)
 	onError  func(error)
 	onRead   func(ReadResult)
+	// beforeSecondCall and onSilentConnection are described at their options.
+	beforeSecondCall   func()
+	onSilentConnection func(before time.Time)
 	// retainer is nil if nothing is retained when the store goes back.
 	retainer  *rewinder.Retainer
 	startedAt time.Time
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
-	// readWatcher watches the read in progress; it is nil between two reads.
-	readWatcher *watcher.Watcher
-	// readStartedAt is when the read in progress started. It is a long poll if readIsLongPoll is
-	// true, else it reads a snapshot.
-	readStartedAt  time.Time
-	readIsLongPoll bool
-	// resyncRequested is true if a resync has shortened the read in progress, and reconnected if
-	// a reconnection has cancelled it.
-	resyncRequested, reconnected bool
-	// previousReadRestarted is true if a resync made the last read fail.
-	previousReadRestarted bool
+	// reading is the read in progress, nil between two reads.
+	reading *reading
 	// answeredAt is when the store last answered a read, the start of the tracker if it has not.
 	// failedReads counts the reads that have failed since.
 	answeredAt  time.Time
@@ -131,10 +128,23 @@
 // read.
 func WithErrorHandler(onError func(error)) Option { return func(t *Tracker) { t.onError = onError } }
 
-// WithReadHandler sets a function that is called at the end of each read, before its
-// update is handled.
+// WithReadHandler sets a function that is called with the result of each call at the end of a
+// read, before its update is handled.
 func WithReadHandler(onRead func(ReadResult)) Option { return func(t *Tracker) { t.onRead = onRead } }
 
+// WithSecondCallHandler sets a function that is called before the store is called a second time for a
+// read that is silent. The second call should use a new connection.
+func WithSecondCallHandler(beforeSecondCall func()) Option {
+	return func(t *Tracker) { t.beforeSecondCall = beforeSecondCall }
+}
+
+// WithSilentConnectionHandler sets a function that is called when the store has answered the second call
+// of a read and not the first one. Connections that were in use before the given time may be silent
+// as well.
+func WithSilentConnectionHandler(onSilentConnection func(before time.Time)) Option {
+	return func(t *Tracker) { t.onSilentConnection = onSilentConnection }
+}
+
 // WithRetention makes the tracker retain records of a topic that others write when the store has
 // gone back, until they have had time to write them again.
 func WithRetention() Option { return func(t *Tracker) { t.retainer = new(rewinder.Retainer) } }
@@ -143,6 +153,7 @@
 func New(store Store, topic string, handle func(Update), options ...Option) *Tracker {
 	t := &Tracker{
 		store: store, topic: topic, handle: handle, onError: func(error) {}, onRead: func(ReadResult) {},
+		beforeSecondCall: func() {}, onSilentConnection: func(time.Time) {},
 		isNeeded: func() bool { return true }, pollWait: func() time.Duration { return 0 }, startedAt: time.Now(), answeredAt: time.Now(),
 	}
 	for _, o := range options {
@@ -168,37 +179,23 @@
 	defer t.mutex.Unlock()
 	return Status{
 		SinceAnswer: time.Since(t.answeredAt), FailedReads: t.failedReads,
-		IsReceiving: t.readWatcher != nil && t.readWatcher.ReceivedBytes() > 0,
+		IsReceiving: t.reading != nil && t.reading.isReceiving(),
 	}
 }
 
-// recordResult records whether the store answered a read.
-func (t *Tracker) recordResult(err error) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if err != nil {
-		t.failedReads++
-		return
-	}
-	t.answeredAt, t.failedReads = time.Now(), 0
-}
-
 // Topic returns the name of the topic.
 func (t *Tracker) Topic() string { return t.topic }
 
-// Resync requests a new snapshot, because the read in progress may never return. It cancels a
-// read that stays silent, but no two in a row: the second one may wait for a store that serves
-// many hosts. A read whose response is arriving is completed, since a new one would have to
-// transfer the same records again. Between two reads there is nothing to cancel, and the next
+// Resync requests a new snapshot, because the read in progress may never return. If that stays silent,
+// a snapshot is read beside it. A read whose response is arriving is completed, since a new one would
+// have to transfer the same records again. Between two reads there is nothing to repeat, and the next
 // read misses no record.
 func (t *Tracker) Resync() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.readWatcher == nil || t.readWatcher.ReceivedBytes() > 0 || t.previousReadRestarted {
-		return
+	if t.reading != nil {
+		t.reading.resync()
 	}
-	t.resyncRequested = true
-	t.readWatcher.ExpectWithin(resyncTimeout)
 }
 
 // Reconnect repeats a silent long poll that started before a time, because connections that were
@@ -206,17 +203,14 @@
 // offset, so that it transfers no record again. A snapshot that is being read is treated as by Resync.
 func (t *Tracker) Reconnect(before time.Time) {
 	t.mutex.Lock()
-	if t.readWatcher == nil || !t.readIsLongPoll {
-		t.mutex.Unlock()
-		t.Resync()
-		return
-	}
 	defer t.mutex.Unlock()
-	if t.readWatcher.ReceivedBytes() > 0 || !t.readStartedAt.Before(before) {
-		return
+	switch {
+	case t.reading == nil:
+	case t.reading.isLongPoll:
+		t.reading.reconnect(before)
+	default:
+		t.reading.resync()
 	}
-	t.reconnected = true
-	t.readWatcher.ExpectWithin(0)
 }
 
 // cursor is what a tracker knows of the position at which it reads on.
@@ -242,29 +236,30 @@
 			sleep(ctx, pause)
 			continue
 		}
-		page, restarted, err := t.read(ctx, c.nextOffset, c.synced)
+		o := t.read(ctx, c)
 		var expired *platform.OffsetExpiredError
 		switch {
-		case err != nil && t.hasReconnected():
+		case o.err != nil && o.reconnected:
 			continue
-		case restarted, errors.As(err, &expired):
+		case errors.As(o.err, &expired):
 			c.synced = false
 			continue
-		case err != nil:
-			t.onError(err)
+		case o.err != nil:
+			t.onError(o.err)
 			sleep(ctx, backOff/2+rand.N(backOff))
 			backOff = min(2*backOff, maxBackOff)
 			continue
-		case c.synced && page.Era != c.era:
+		case !o.isSnapshot && o.page.Era != c.era:
 			// The offset has been given out again, so that records before it may be new.
 			c.synced = false
 			continue
 		}
 		backOff = minBackOff
-		t.deliver(page, c)
+		c.synced = !o.isSnapshot
+		t.deliver(o.page, c)
 		// A host that has not read for a while is several pages behind.
-		isBehind := c.synced && c.nextOffset < page.NextOffset && page.NextOffset < page.End
-		c = cursor{nextOffset: page.NextOffset, era: page.Era, synced: true}
+		isBehind := c.synced && c.nextOffset < o.page.NextOffset && o.page.NextOffset < o.page.End
+		c = cursor{nextOffset: o.page.NextOffset, era: o.page.Era, synced: true}
 		if !isBehind {
 			sleep(ctx, t.interval)
 		}
@@ -299,58 +294,6 @@
 	return t.pollWait()
 }
 
-// read reads the records from an offset on if the tracker is synced, or a snapshot
-// if it is not, and reports the result to the read handler. It is cancelled when the store
-// is silent for too long. It returns true if a resync made it fail.
-func (t *Tracker) read(ctx context.Context, nextOffset int64, synced bool) (platform.Page, bool, error) {
-	firstByteTimeout := responseTimeout
-	pollWait := t.nextPollWait()
-	if synced {
-		firstByteTimeout += pollWait
-	}
-	startedAt := time.Now()
-	ctx, w, stop := watcher.New(ctx, "topic "+t.topic, firstByteTimeout, responseTimeout)
-	defer stop()
-	t.startRead(w, startedAt, synced)
-	page, err := t.call(platform.WithResponseObserver(ctx, w.RecordBytes), nextOffset, synced, pollWait)
-	restarted := t.endRead(err != nil && w.ReceivedBytes() == 0)
-	t.recordResult(err)
-	t.onRead(ReadResult{Bytes: w.ReceivedBytes(), Elapsed: time.Since(startedAt), Restarted: restarted || err != nil && t.hasReconnected(), Err: err})
-	return page, restarted, err
-}
-
-func (t *Tracker) startRead(w *watcher.Watcher, startedAt time.Time, isLongPoll bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.readWatcher, t.readStartedAt, t.readIsLongPoll = w, startedAt, isLongPoll
-	t.resyncRequested, t.reconnected = false, false
-}
-
-// hasReconnected reports whether the last read was cancelled by a reconnection.
-func (t *Tracker) hasReconnected() bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.reconnected
-}
-
-// endRead reports whether a resync made the read fail. stayedSilent is true if the read failed
-// before a byte of the response arrived.
-func (t *Tracker) endRead(stayedSilent bool) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.readWatcher = nil
-	t.previousReadRestarted = stayedSilent && t.resyncRequested && !t.reconnected
-	return t.previousReadRestarted
-}
-
-// call calls the store for a read.
-func (t *Tracker) call(ctx context.Context, nextOffset int64, synced bool, pollWait time.Duration) (platform.Page, error) {
-	if !synced {
-		return t.store.Newest(ctx, t.topic)
-	}
-	return t.store.Read(ctx, t.topic, nextOffset, pollWait)
-}
-
 // sleep waits until a duration has passed or the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
