tracker: the stores of the tests count calls that run beside each other

The race detector found counters of test stores that two calls of one read write (go test -race ./internal/tracker, in 2 of 2 runs). They are atomic now; nothing that the tests check has changed. The package passes with -race.

--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/base64"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,22 +18,21 @@
 // used up, reads block until their context ends.
 type scriptedStore struct {
 	responses         []func(ctx context.Context) (platform.Page, error)
-	newestCalls       int
-	nextResponseIndex int
+	newestCalls       atomic.Int64
+	nextResponseIndex atomic.Int64
 }
 
 func (s *scriptedStore) Newest(context.Context, string) (platform.Page, error) {
-	s.newestCalls++
-	return platform.Page{Records: []platform.Record{{Key: "k", Value: []byte("v")}}, NextOffset: int64(10 * s.newestCalls)}, nil
+	return platform.Page{Records: []platform.Record{{Key: "k", Value: []byte("v")}}, NextOffset: 10 * s.newestCalls.Add(1)}, nil
 }
 
 func (s *scriptedStore) Read(ctx context.Context, _ string, _ int64, _ time.Duration) (platform.Page, error) {
-	if s.nextResponseIndex >= len(s.responses) {
+	n := int(s.nextResponseIndex.Add(1))
+	if n > len(s.responses) {
 		<-ctx.Done()
 		return platform.Page{}, ctx.Err()
 	}
-	s.nextResponseIndex++
-	return s.responses[s.nextResponseIndex-1](ctx)
+	return s.responses[n-1](ctx)
 }
 
 func blockUntilDone(ctx context.Context) (platform.Page, error) {
@@ -151,12 +151,11 @@
 // countingStore counts the calls of a newestFunc.
 type countingStore struct {
 	newest newestFunc
-	calls  int
+	calls  atomic.Int64
 }
 
 func (s *countingStore) Newest(ctx context.Context, _ string) (platform.Page, error) {
-	s.calls++
-	return s.newest(ctx, s.calls)
+	return s.newest(ctx, int(s.calls.Add(1)))
 }
 
 func (s *countingStore) Read(ctx context.Context, _ string, _ int64, _ time.Duration) (platform.Page, error) {
@@ -213,7 +212,7 @@
 		}
 		<-serveResult
 		if updates == 0 {
-			t.Errorf("got no update after %d reads within 3s, want one by the second read", s.calls)
+			t.Errorf("got no update after %d reads within 3s, want one by the second read", s.calls.Load())
 		}
 	})
 }
@@ -231,8 +230,8 @@
 		time.Sleep(20 * time.Millisecond)
 		tr.Resync()
 		<-serveResult
-		if s.calls != 1 {
-			t.Errorf("got %d snapshots, want 1", s.calls)
+		if got := s.calls.Load(); got != 1 {
+			t.Errorf("got %d snapshots, want 1", got)
 		}
 	})
 }
@@ -344,9 +343,9 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			polls := 0
+			var polls atomic.Int64
 			poll := func(ctx context.Context) (platform.Page, error) {
-				polls++
+				polls.Add(1)
 				return blockUntilDone(ctx)
 			}
 			s := &scriptedStore{responses: []func(context.Context) (platform.Page, error){poll, poll, poll}}
@@ -355,8 +354,8 @@
 				time.Sleep(time.Second)
 				tr.Reconnect(startedAt.Add(tt.before))
 			})
-			if polls != tt.wantPolls || snapshots != 1 || failures > 1 {
-				t.Errorf("got %d polls, %d snapshots and %d failures, want %d polls, 1 snapshot and at most 1 failure, at the end of the run", polls, snapshots, failures, tt.wantPolls)
+			if got := int(polls.Load()); got != tt.wantPolls || snapshots != 1 || failures > 1 {
+				t.Errorf("got %d polls, %d snapshots and %d failures, want %d polls, 1 snapshot and at most 1 failure, at the end of the run", got, snapshots, failures, tt.wantPolls)
 			}
 		})
 	}
