commander: a test of connections that are dropped again and again while they idle

What callers would see: something on the way drops all connections that idle in a long poll, every 0.7 s and without a reset. On all six hosts refuse each of five added routes until 4.9 to 5.4 s after its version was acknowledged; the bound is that of a single silence, 3 s.

--- a/internal/commander/storesilence_test.go
+++ b/internal/commander/storesilence_test.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -224,6 +225,36 @@
 	}
 }
 
+// Guards against added routes that are refused for seconds where something on the way drops all
+// connections that idle in a long poll, again and again. The bound is that of a single silence.
+func TestAddedRouteIsServedWhereIdleConnectionsAreDropped(t *testing.T) {
+	const versions, dropInterval = 5, 700 * time.Millisecond
+	c := startStoreCluster(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	dropped := make(chan struct{})
+	go func() {
+		defer close(dropped)
+		for ctx.Err() == nil {
+			for _, h := range c.hosts {
+				h.store.Silence(isLongPoll(platform.OperatorTopic))
+			}
+			select {
+			case <-time.After(dropInterval):
+			case <-ctx.Done():
+			}
+		}
+	}()
+	defer func() {
+		cancel()
+		<-dropped
+	}()
+	for range versions {
+		time.Sleep(2 * dropInterval)
+		path := c.publishRoute(t)
+		c.assertRouteServed(t, c.awaitRoute(t, path, time.Now()), stableWindow)
+	}
+}
+
 // Guards against added routes that are refused by hosts that the store refuses, although the
 // other hosts have the version.
 func TestAddedRouteIsServedByHostsThatStoreRefuses(t *testing.T) {
