--- a/internal/commander/storesilence_test.go
+++ b/internal/commander/storesilence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -44,6 +45,7 @@
 type storeHost struct {
 	name, clientAddress, readinessAddress string
 	store                                 *interceptor.Interceptor
+	process                               *exec.Cmd
 }
 
 // startStoreCluster starts the hosts and waits until all are ready.
@@ -95,7 +97,7 @@
 			logStoreLines(t, name, output.Name())
 		}
 	})
-	return &storeHost{name: name, clientAddress: clientAddress, readinessAddress: readinessAddress, store: store}
+	return &storeHost{name: name, clientAddress: clientAddress, readinessAddress: readinessAddress, store: store, process: process}
 }
 
 // logStoreLines logs the lines of a host about the store and the configuration.
