platformassembler: take the server list from other hosts if the store refuses

What callers saw: two of six hosts that the store refuses for 9 s answered 503 to every request for a service, from the moment at which both of its servers had been replaced until the store served these hosts again.

Cause: in a cluster without relays each host learns of servers from its own reads of the store alone. That a server leaves it hears from the server and from other hosts, that another one has come it does not.

Change: a host whose own list is 2 s old asks up to three live hosts in turn for a list that ends later, and uses it (coordinator.ServersHeard). The own list stays as stale as it is. Own reads that are still behind what was heard are passed over for up to 3 s, so that a host does not go back to servers that are gone. Lists are compared by position, over the eras of the store.

Evidence: go test ./internal/commander -run TestReplacedServersAreUsedByHostsThatStoreRefuses.

What remains: a large cluster, where relays read the list, is unchanged: a member with relays that are all refused reads it itself.

--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -110,6 +110,10 @@
 	// since.
 	listReadAt time.Duration
 	listStale  bool
+	// heardOffset is the end of the newest list of another host that was used, heardAt when that
+	// was.
+	heardOffset int64
+	heardAt     time.Duration
 	// storeRecoveredAt is when the list became readable again after a failure.
 	storeRecoveredAt time.Duration
 	// groups are the formations that this host, as the controller, has planned or
@@ -161,9 +165,24 @@
 		c.storeRecoveredAt = now
 	}
 	c.listReadAt, c.listStale = now, false
+	if c.listOffset < c.heardOffset && now-c.heardAt < listLag {
+		// This host catches up page by page with what it has heard.
+		return
+	}
 	c.mergeServerList(now, list, c.listOffset)
 }
 
+// hearServerList uses the server list of another host, unless a later one is known. The own list stays
+// as old as it is.
+func (c *Coordinator) hearServerList(now time.Duration, e ServersHeard) {
+	if e.Offset <= max(c.listOffset, c.heardOffset) {
+		return
+	}
+	c.heardOffset, c.heardAt = e.Offset, now
+	c.mergeServerList(now, e.Servers, e.Offset)
+	c.refreshReplicas(now)
+}
+
 // mergeServerList updates the servers from a list that ends at an offset. Those that are not
 // on it are unlisted.
 func (c *Coordinator) mergeServerList(now time.Duration, list []fuchsiapitch.ServerReport, offset int64) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -163,6 +163,8 @@
 		}
 		c.applyServerList(now, e.Servers)
 		c.refreshReplicas(now)
+	case ServersHeard:
+		c.hearServerList(now, e)
 	case StoreReadFailed:
 		c.listStale = true
 	case ProbeCompleted:
--- a/internal/coordinator/event.go
+++ b/internal/coordinator/event.go
@@ -92,6 +92,14 @@
 	Offset int64
 }
 
+// ServersHeard reports the server list of another host, while this host cannot read it.
+type ServersHeard struct {
+	// Servers are all servers on the list.
+	Servers []fuchsiapitch.ServerReport
+	// Offset is the end of the list in the store.
+	Offset int64
+}
+
 // StoreReadFailed reports that the platform's store could not be read.
 type StoreReadFailed struct{}
 
@@ -176,6 +184,7 @@
 func (ResponseStarted) isEvent()      {}
 func (TicketReleased) isEvent()       {}
 func (ServersListed) isEvent()        {}
+func (ServersHeard) isEvent()         {}
 func (StoreReadFailed) isEvent()      {}
 func (ConfigurationChanged) isEvent() {}
 func (ProbeCompleted) isEvent()       {}
--- a/internal/coordinator/notice.go
+++ b/internal/coordinator/notice.go
@@ -191,9 +191,11 @@
 	return parts[rng.IntN(len(parts))]
 }
 
-// knownListOffset returns the end of the newest list that this host knows, its own or the
-// one behind its directory.
-func (c *Coordinator) knownListOffset() int64 { return max(c.listOffset, c.directoryOffset) }
+// knownListOffset returns the end of the newest list that this host knows: its own, that of another
+// host or the one behind its directory.
+func (c *Coordinator) knownListOffset() int64 {
+	return max(c.listOffset, c.heardOffset, c.directoryOffset)
+}
 
 // reviewLeaving compares what a server has stated with its entry on a list that ends at an
 // offset. The server counts as sound again if the entry is of a later incarnation. Without one, an
--- a/internal/platformassembler/state.go
+++ b/internal/platformassembler/state.go
@@ -10,7 +10,6 @@
 	"slices"
 	"time"
 
-	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
@@ -44,6 +43,10 @@
 	// operator's evacuations.
 	Hosts       map[string][]byte `json:"hosts,omitempty"`
 	Evacuations []evacuationState `json:"evacuations,omitempty"`
+	// serversPosition is the end of the list of servers, serversReadAt when it was last read in the
+	// store, the zero time if it was not. They are not sent.
+	serversPosition int64
+	serversReadAt   time.Time
 }
 
 // StateError reports that the state of another host could not be fetched or decoded.
@@ -77,6 +80,7 @@
 	if u.IsSnapshot || h.state.Servers == nil {
 		h.state.Servers = make(map[string][]byte)
 	}
+	h.state.serversPosition, h.state.serversReadAt = u.Position(), time.Now()
 	for _, r := range u.Records {
 		if r.IsTombstone() {
 			delete(h.state.Servers, r.Key)
@@ -126,6 +130,7 @@
 func (h *Host) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(statePath, h.serveState)
+	mux.HandleFunc(serverListPath, h.serveServerList)
 	return mux
 }
 
@@ -152,7 +157,8 @@
 
 // fetchInitialState fetches the configuration and the server list from a live host,
 // as long as this host has no configuration. A host may start while the store is
-// unreachable for it.
+// unreachable for it. Later it takes the server list from other hosts while the store
+// does not send it.
 func (h *Host) fetchInitialState(ctx context.Context) error {
 	for delay := initialStateDelay; ctx.Err() == nil && h.relayer.Routes() == nil; delay = stateRetryInterval {
 		select {
@@ -168,8 +174,7 @@
 			h.log.Info().Err(err).Msg("failed to fetch the state of another host")
 		}
 	}
-	<-ctx.Done()
-	return ctx.Err()
+	return h.followServerList(ctx)
 }
 
 // pickStateSource chooses at random among the live hosts with the latest configuration, so
@@ -204,25 +209,35 @@
 
 // requestState requests the state of another host.
 func (h *Host) requestState(ctx context.Context, address string) (hostState, error) {
+	data, status, err := h.requestFromPeer(ctx, address, statePath)
+	if err != nil {
+		return hostState{}, err
+	}
+	if status != http.StatusOK {
+		return hostState{}, &StateError{PeerAddress: address, Err: &platform.StatusError{Action: statePath, Status: status}}
+	}
+	return decodeState(address, data)
+}
+
+// requestFromPeer sends a request to another host and returns the body and the status of the
+// response. Its error is a StateError.
+func (h *Host) requestFromPeer(ctx context.Context, address, pathAndQuery string) ([]byte, int, error) {
 	ctx, w, stop := watcher.New(ctx, "host "+address, stateTimeout, stateTimeout)
 	defer stop()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath, http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathAndQuery, http.NoBody)
 	if err != nil {
-		return hostState{}, &StateError{PeerAddress: address, Err: err}
+		return nil, 0, &StateError{PeerAddress: address, Err: err}
 	}
 	response, err := h.peerTransport.RoundTrip(request)
 	if err != nil {
-		return hostState{}, &StateError{PeerAddress: address, Err: err}
+		return nil, 0, &StateError{PeerAddress: address, Err: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(w.Watch(io.LimitReader(response.Body, maxStateBytes)))
 	if err != nil {
-		return hostState{}, &StateError{PeerAddress: address, Err: err}
-	}
-	if response.StatusCode != http.StatusOK {
-		return hostState{}, &StateError{PeerAddress: address, Err: &platform.StatusError{Action: statePath, Status: response.StatusCode}}
+		return nil, 0, &StateError{PeerAddress: address, Err: err}
 	}
-	return decodeState(address, data)
+	return data, response.StatusCode, nil
 }
 
 // applyState applies the state of another host. Its server list is used only if this
@@ -234,15 +249,7 @@
 	}
 	// In a large cluster most hosts have read no list that they could give.
 	if !h.serverListKnown.Load() && len(s.Servers) > 0 {
-		var reports []fuchsiapitch.ServerReport
-		for id, value := range s.Servers {
-			if r, err := platform.DecodeServer(id, value); err == nil {
-				reports = append(reports, r)
-			} else {
-				h.log.Warn().Err(err).Msg("ignoring invalid server record")
-			}
-		}
-		h.driver.Apply(coordinator.ServersListed{Servers: reports})
+		h.driver.Apply(coordinator.ServersListed{Servers: h.decodeServers(s.Servers)})
 		h.driver.Apply(coordinator.StoreReadFailed{})
 		h.serverListKnown.Store(true)
 	}
