commander: test that a controller that the store refuses repairs groups

What callers saw: a group that had lost members stayed incomplete until the store served the controller again, though new servers were there.

Cause: the controller knew servers from its own reads of the store alone. It stays the controller while the store refuses it, as it goes on to send heartbeats.

Change: a test.

Evidence: go test ./internal/commander -run TestGroupIsRepairedByControllerThatStoreRefuses.

--- a/internal/commander/storelearning_test.go
+++ b/internal/commander/storelearning_test.go
@@ -389,3 +389,34 @@
 	c.assertNoneAfter(t, "requests that were not served", stop(), frozenAt, stableWindow, isFailure)
 	c.assertNoViolation(t)
 }
+
+// Guards against a group that stays incomplete, because the store refuses the controller, which does not
+// learn of the servers that could replace the lost ones.
+func TestGroupIsRepairedByControllerThatStoreRefuses(t *testing.T) {
+	const groups, lost = 4, 3
+	c := startStoreCluster(t)
+	awaitCondition(t, "a controller", func() bool { return len(c.controllers(t)) == 1 })
+	awaitCondition(t, "groups", func() bool { return c.installation.Fleet.CompleteGroups() == groups })
+	time.Sleep(time.Second)
+	controller := c.controllers(t)[0]
+	controller.store.Refuse(interceptor.Unavailable)
+	timer := time.AfterFunc(refusalTime, func() { controller.store.Refuse(interceptor.NoRefusal) })
+	defer timer.Stop()
+	time.Sleep(200 * time.Millisecond)
+	for n := range lost {
+		if _, err := c.installation.Fleet.StartServer(fmt.Sprintf("new-%d", n), standinplatform.ModelService, "domain-0"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	startedAt := time.Now()
+	time.Sleep(500 * time.Millisecond)
+	for n := range lost {
+		c.installation.Fleet.Server(fmt.Sprintf("e0%d", n)).SimulateLoss()
+	}
+	awaitCondition(t, "groups", func() bool { return c.installation.Fleet.CompleteGroups() == groups })
+	t.Logf("repaired after %s", time.Since(startedAt))
+	if got := time.Since(startedAt); got > refusedHostBound {
+		t.Errorf("got all groups %s after the new servers had started, want them within %s", got, refusedHostBound)
+	}
+	c.assertNoViolation(t)
+}
