--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -161,6 +161,13 @@
 	return d.coordinator.KnowsServers()
 }
 
+// UsesRelays reports whether hosts send their heartbeats to relays.
+func (d *Driver) UsesRelays() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.UsesRelays()
+}
+
 // View returns a snapshot of the state of the coordinator.
 func (d *Driver) View() coordinator.View {
 	d.mutex.Lock()
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -358,6 +358,7 @@
 	s.Add(serviceFunc(h.servePeers))
 	s.Add(serviceFunc(h.fetchInitialState))
 	s.Add(serviceFunc(h.catchUp))
+	s.Add(serviceFunc(h.followServerList))
 	s.Add(tracker.New(h.pacedStore, platform.ServersTopic, h.applyServerList, tracker.WithInterval(serverListInterval), tracker.WithNeed(h.driver.NeedsServerList), tracker.WithRetention(), tracker.WithErrorHandler(h.handleServerListFailure), tracker.WithReadHandler(h.readCounter(platform.ServersTopic))))
 	for _, t := range h.longPollTrackers {
 		s.Add(t)
--- a/internal/platformassembler/state.go
+++ b/internal/platformassembler/state.go
@@ -10,7 +10,6 @@
 	"slices"
 	"time"
 
-	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/tracker"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/watcher"
@@ -44,6 +43,10 @@
 	// operator's evacuations.
 	Hosts       map[string][]byte `json:"hosts,omitempty"`
 	Evacuations []evacuationState `json:"evacuations,omitempty"`
+	// serversPosition is the end of the list of servers, serversReadAt when it was last read in the
+	// store, the zero time if it was not. They are not sent.
+	serversPosition int64
+	serversReadAt   time.Time
 }
 
 // StateError reports that the state of another host could not be fetched or decoded.
@@ -77,6 +80,7 @@
 	if u.IsSnapshot || h.state.Servers == nil {
 		h.state.Servers = make(map[string][]byte)
 	}
+	h.state.serversPosition, h.state.serversReadAt = u.Position(), time.Now()
 	for _, r := range u.Records {
 		if r.IsTombstone() {
 			delete(h.state.Servers, r.Key)
@@ -127,6 +131,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(statePath, h.serveState)
 	mux.HandleFunc(configurationPath, h.serveConfiguration)
+	mux.HandleFunc(serverListPath, h.serveServerList)
 	return mux
 }
 
@@ -212,12 +217,12 @@
 	return decodeState(address, data)
 }
 
-// requestFromPeer requests a path of another host and returns the body of the response. Its error is a
-// StateError.
-func (h *Host) requestFromPeer(ctx context.Context, address, path string) ([]byte, error) {
+// requestFromPeer sends a request to another host and returns the body of the response, which is empty
+// if the status is 204. Its error is a StateError.
+func (h *Host) requestFromPeer(ctx context.Context, address, pathAndQuery string) ([]byte, error) {
 	ctx, w, stop := watcher.New(ctx, "host "+address, stateTimeout, stateTimeout)
 	defer stop()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathAndQuery, http.NoBody)
 	if err != nil {
 		return nil, &StateError{PeerAddress: address, Err: err}
 	}
@@ -230,8 +235,8 @@
 	if err != nil {
 		return nil, &StateError{PeerAddress: address, Err: err}
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, &StateError{PeerAddress: address, Err: &platform.StatusError{Action: path, Status: response.StatusCode}}
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusNoContent {
+		return nil, &StateError{PeerAddress: address, Err: &platform.StatusError{Action: request.URL.Path, Status: response.StatusCode}}
 	}
 	return data, nil
 }
@@ -245,15 +250,7 @@
 	}
 	// In a large cluster most hosts have read no list that they could give.
 	if !h.serverListKnown.Load() && len(s.Servers) > 0 {
-		var reports []fuchsiapitch.ServerReport
-		for id, value := range s.Servers {
-			if r, err := platform.DecodeServer(id, value); err == nil {
-				reports = append(reports, r)
-			} else {
-				h.log.Warn().Err(err).Msg("ignoring invalid server record")
-			}
-		}
-		h.driver.Apply(coordinator.ServersListed{Servers: reports})
+		h.driver.Apply(coordinator.ServersListed{Servers: h.decodeServers(s.Servers)})
 		h.driver.Apply(coordinator.StoreReadFailed{})
 		h.serverListKnown.Store(true)
 	}
