sender, requester: a connection that was reset has no orderly end

What callers saw: a server answered a long request at once with a 200 that has neither a length nor chunks, sent a part of its body and reset the connection while the request was still written.

Cause: the kernel reports the error of a connection once. The goroutine that writes the request got the reset, and the one that reads the response found a connection that is shut down without an error, which is its end.

Change: a read that finds the end of a connection looks at the state of the connection (TCP_INFO), which tells whether it was reset whoever took the error, and waits up to 0.25 s for a reset while bytes of the request are not acknowledged. All connections to backend servers, the store, the log and the host list are verified. An answer without a length whose connection was reset is broken off like one with a length: 502, another attempt, or an aborted response.

Lost: a whole answer without a length whose server closes with a part of the request unread counts as broken off, since its kernel resets as well; such an answer ends up to 0.25 s later while its server acknowledges nothing.

The tests play servers that read slowly as well.

--- a/internal/relayer/early_test.go
+++ b/internal/relayer/early_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -66,22 +67,18 @@
 	for name, f := range earlyForms {
 		for _, framing := range hasty.Framings() {
 			for _, end := range []hasty.End{hasty.Reset, hasty.Close, hasty.HalfCloseAndReset} {
-				for _, readsRequest := range []bool{false, true} {
-					if readsRequest && end != hasty.Reset {
+				for _, reading := range []hasty.Reading{hasty.ReadsNothing, hasty.ReadsFirst} {
+					if reading == hasty.ReadsFirst && end != hasty.Reset {
+						// The connection ends in an orderly way.
 						continue
 					}
-					test := name + ", " + string(framing) + ", " + string(end)
-					if readsRequest {
-						test += " after the request"
-					}
-					t.Run(test, func(t *testing.T) {
-						s := hasty.Server{Response: hasty.Frame(framing, f.header, f.body, len(f.cut)), End: end, ReadsRequest: readsRequest}
+					t.Run(name+", "+string(framing)+", "+string(end)+", "+string(reading), func(t *testing.T) {
+						s := hasty.Server{Response: hasty.Frame(framing, f.header, f.body, len(f.cut)), End: end, Reads: reading}
 						wrong := 0
 						for range earlyRounds {
 							url := startLongRelayer(t, s, s)
-							if response, got, err := sendAndRead(t, url+f.path, body); err == nil && response.StatusCode < http.StatusMultipleChoices {
+							if response, _, err := sendAndRead(t, url+f.path, body); err == nil && response.StatusCode < http.StatusMultipleChoices {
 								wrong++
-								t.Logf("got %q as a complete response", got)
 							}
 						}
 						if wrong > 0 {
@@ -123,13 +120,16 @@
 				rest = f.body[len(f.cut):]
 			}
 			s := hasty.Server{Response: hasty.Frame(hasty.Unframed, f.header, f.body, len(f.cut)), End: hasty.Reset, Next: hasty.Frame(hasty.Length, f.header, rest, len(rest))}
-			for range earlyRounds {
-				// The server runs on and responds to the second attempt as well.
-				response, got, err := sendAndRead(t, startLongRelayer(t, s)+f.path, body)
-				if err != nil || got != f.body {
-					t.Errorf("got %q and error %v, want %q", got, err, f.body)
-				}
-				assertStatus(t, response, http.StatusOK)
+			for round := range earlyRounds {
+				t.Run(strconv.Itoa(round), func(t *testing.T) {
+					t.Parallel()
+					// The server runs on and responds to the second attempt as well.
+					response, got, err := sendAndRead(t, startLongRelayer(t, s)+f.path, body)
+					if err != nil || got != f.body {
+						t.Errorf("got %q and error %v, want %q", got, err, f.body)
+					}
+					assertStatus(t, response, http.StatusOK)
+				})
 			}
 		})
 	}
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -107,6 +107,7 @@
 	for _, o := range options {
 		o(r)
 	}
+	transport.DialContext = sender.VerifyEnds(transport.DialContext)
 	return r, transport.CloseIdleConnections
 }
 
--- a/internal/sender/early_test.go
+++ b/internal/sender/early_test.go
@@ -51,19 +51,20 @@
 func TestCutResponseToLongRequest(t *testing.T) {
 	for _, framing := range hasty.Framings() {
 		for _, end := range []hasty.End{hasty.Reset, hasty.Close, hasty.HalfCloseAndReset} {
-			t.Run(string(framing)+", "+string(end), func(t *testing.T) {
-				address := startHasty(t, hasty.Server{Response: hasty.Frame(framing, earlyHeader, earlyBody, 4), End: end})
-				s, wrong := newTestSender(t), 0
-				for range earlyRounds {
-					if body, err := exchangeLong(t, s, address); err == nil {
-						wrong++
-						t.Logf("got %q as a complete response", body)
+			for _, reading := range []hasty.Reading{hasty.ReadsNothing, hasty.ReadsSlowly} {
+				t.Run(string(framing)+", "+string(end)+", "+string(reading), func(t *testing.T) {
+					address := startHasty(t, hasty.Server{Response: hasty.Frame(framing, earlyHeader, earlyBody, 4), End: end, Reads: reading})
+					s, wrong := newTestSender(t), 0
+					for range earlyRounds {
+						if _, err := exchangeLong(t, s, address); err == nil {
+							wrong++
+						}
 					}
-				}
-				if wrong > 0 {
-					t.Errorf("got %d of %d cut responses as complete, want none", wrong, earlyRounds)
-				}
-			})
+					if wrong > 0 {
+						t.Errorf("got %d of %d cut responses as complete, want none", wrong, earlyRounds)
+					}
+				})
+			}
 		}
 	}
 }
@@ -72,7 +73,7 @@
 func TestCutResponseAfterLongRequest(t *testing.T) {
 	for _, framing := range hasty.Framings() {
 		t.Run(string(framing), func(t *testing.T) {
-			address := startHasty(t, hasty.Server{Response: hasty.Frame(framing, earlyHeader, earlyBody, 4), End: hasty.Reset, ReadsRequest: true})
+			address := startHasty(t, hasty.Server{Response: hasty.Frame(framing, earlyHeader, earlyBody, 4), End: hasty.Reset, Reads: hasty.ReadsFirst})
 			s := newTestSender(t)
 			for range earlyRounds {
 				if body, err := exchangeLong(t, s, address); err == nil {
@@ -132,3 +133,26 @@
 		}
 	}
 }
+
+// Guards against a connection that the kernel has given up, for want of acknowledgements or of room at the
+// server, and that looks ended by the server.
+func TestConnectionGivenUpHasNoOrderlyEnd(t *testing.T) {
+	address := startHasty(t, hasty.Server{Response: earlyHeader, End: hasty.Keep})
+	for range earlyRounds {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			c, err := sender.NewDialer(time.Second, 100*time.Millisecond)(t.Context(), "tcp", address)
+			assertNoError(t, err, "dial")
+			written := make(chan error, 1)
+			go func() {
+				_, err := c.Write(append([]byte("POST / HTTP/1.1\r\nHost: s\r\nContent-Length: 8388608\r\n\r\n"), make([]byte, longBodyBytes)...))
+				written <- err
+			}()
+			if _, err := io.ReadAll(c); err == nil {
+				t.Error("got the end of the connection, want an error")
+			}
+			c.Close()
+			<-written
+		})
+	}
+}
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -1,7 +1,6 @@
 package sender
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -37,15 +36,15 @@
 	return nil, fuchsiapitch.OutcomeNotRun, err
 }
 
-// NewDialer returns a dial function with a connect timeout. The kernel closes a
-// connection whose peer has acknowledged neither data nor keepalive probes for the
-// silence timeout.
-func NewDialer(connectTimeout, silenceTimeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+// NewDialer returns a dial function with a connect timeout, whose connections verify their
+// ends. The kernel closes a connection whose peer has acknowledged neither data nor
+// keepalive probes for the silence timeout.
+func NewDialer(connectTimeout, silenceTimeout time.Duration) DialFunc {
 	interval := max(time.Second, silenceTimeout/3)
 	d := net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: 2},
 		Control:         withUserTimeout(silenceTimeout),
 	}
-	return d.DialContext
+	return VerifyEnds(d.DialContext)
 }
--- a/internal/sender/failure.go
+++ b/internal/sender/failure.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +28,16 @@
 	return fmt.Sprintf("the deadline %s passed before the call was sent", e.Deadline.Format(time.RFC3339Nano))
 }
 
+// ConnectionBrokenError reports that the bytes read from a connection are not followed by its orderly end: it was
+// reset, or ended for want of acknowledgements.
+type ConnectionBrokenError struct{}
+
+// Error implements error.
+func (e *ConnectionBrokenError) Error() string { return "connection broken before its orderly end" }
+
+// Unwrap returns syscall.ECONNRESET.
+func (e *ConnectionBrokenError) Unwrap() error { return syscall.ECONNRESET }
+
 // WriteRefusedError reports a write after the call has ended, or on a connection
 // other than the first one of the call.
 type WriteRefusedError struct{}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -96,10 +96,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if t, ok := c.(*net.TCPConn); ok {
+	if v, ok := c.(*verifiedConn); ok {
 		// The kernel would let the buffer of a fast server grow to mebibytes, which count as
 		// memory of this process.
-		if err := t.SetReadBuffer(receiveBufferBytes); err != nil {
+		if err := v.tcp.SetReadBuffer(receiveBufferBytes); err != nil {
 			return nil, errors.Join(err, c.Close())
 		}
 	}
--- a/internal/sender/socket_linux.go
+++ b/internal/sender/socket_linux.go
@@ -1,8 +1,11 @@
 package sender
 
 import (
+	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeoutOption is the number of the Linux socket option TCP_USER_TIMEOUT.
@@ -22,3 +25,19 @@
 		return optionErr
 	}
 }
+
+// readState reports whether a connection was reset, timed out or closed, and whether the server has acknowledged
+// all bytes that were written to it. A reset shows also if its error was reported to another goroutine.
+func readState(c *net.TCPConn) (isReset, isAcknowledged bool) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || infoErr != nil {
+		return true, false
+	}
+	return info.State == unix.BPF_TCP_CLOSE, info.Unacked == 0 && info.Notsent_bytes == 0
+}
--- a/internal/sender/socket_other.go
+++ b/internal/sender/socket_other.go
@@ -3,6 +3,7 @@
 package sender
 
 import (
+	"net"
 	"syscall"
 	"time"
 )
@@ -12,3 +13,6 @@
 func withUserTimeout(time.Duration) func(network, address string, c syscall.RawConn) error {
 	return nil
 }
+
+// readState takes each end of a connection for an orderly one, since only Linux tells.
+func readState(*net.TCPConn) (isReset, isAcknowledged bool) { return false, true }
--- a/internal/standin/hasty/hasty.go
+++ b/internal/standin/hasty/hasty.go
@@ -63,6 +63,22 @@
 	Keep End = "keep"
 )
 
+// Reading is what a server reads of the body of a request.
+type Reading string
+
+// Readings of a body.
+const (
+	// ReadsNothing is to leave the body on the connection.
+	ReadsNothing Reading = "not read"
+	// ReadsSlowly is to read pieces of the body between the response and the end of the connection.
+	ReadsSlowly Reading = "read slowly"
+	// ReadsFirst is to read the whole body before the response.
+	ReadsFirst Reading = "read before"
+)
+
+// pieceBytes is the size of the pieces that are read slowly.
+const pieceBytes = 32 << 10
+
 // endDelay is the time between the response and the end of its connection, and between the two parts of that
 // end: the header of the response is read before.
 const endDelay = 3 * time.Millisecond
@@ -71,8 +87,8 @@
 type Server struct {
 	// Response is sent in response to each request.
 	Response string
-	// ReadsRequest is true if the whole request is read before, and not its header alone.
-	ReadsRequest bool
+	// Reads is what is read of the body of the request.
+	Reads Reading
 	// End follows the response.
 	End End
 	// Next is sent in response to later requests, which are read, and the connection is kept. If it is empty, they are
@@ -117,7 +133,7 @@
 			ended <- struct{}{}
 		}(s)
 		if s.Next != "" {
-			s = Server{Response: s.Next, ReadsRequest: true, End: Keep}
+			s = Server{Response: s.Next, Reads: ReadsFirst, End: Keep}
 		}
 	}
 }
@@ -130,7 +146,7 @@
 	if err != nil {
 		return
 	}
-	if s.ReadsRequest {
+	if s.Reads == ReadsFirst {
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
@@ -138,7 +154,12 @@
 	if _, err := io.Copy(c, strings.NewReader(s.Response)); err != nil {
 		return
 	}
-	time.Sleep(endDelay)
+	for range endDelay / time.Millisecond {
+		if s.Reads == ReadsSlowly {
+			_, _ = io.CopyN(io.Discard, request.Body, pieceBytes)
+		}
+		time.Sleep(time.Millisecond)
+	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return
