spreader: the turns of hosts with successive names are far from each other

Cause: with relays the turns count all known hosts, and they followed the order of the names. The hosts of a data centre have successive names, so that for seconds no host that was left renewed its poll.

Change: successive ranks are apart by the golden ratio of the cycle. With all hosts alive the turns are as even as before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -353,7 +353,8 @@
 }
 
 // Turn returns the position of this host in the order of the hosts' identifiers, and their number.
-// Only live hosts count, but in a large cluster all known ones, since a host does not hear them all.
+// Only live hosts count, but in a large cluster all known ones, since a host does not hear them all:
+// those that are gone keep their turns there.
 func (c *Coordinator) Turn(now time.Duration) (rank, hosts int) {
 	hosts = 1
 	for id, p := range c.peers {
--- a/internal/spreader/spreader.go
+++ b/internal/spreader/spreader.go
@@ -12,7 +12,10 @@
 // others what it has missed.
 package spreader
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// spacingPerHost is what each host of the cluster adds to the time between two first reads. It
@@ -22,7 +25,7 @@
 	maxDelay = 3 * time.Second
 	// turnInterval is the time between the ends of two long polls in a cluster. With the detection of
 	// a silent poll and the news to the other hosts it must stay within the time in which a new
-	// configuration has to be in force, also if the next host in turn is gone.
+	// configuration has to be in force, also if some hosts are gone.
 	turnInterval = 500 * time.Millisecond
 	// maxPollWait bounds the wait of a long poll, and minPollWait is the shortest one.
 	maxPollWait = 15 * time.Second
@@ -46,10 +49,30 @@
 func PollWait(now time.Time, hosts, rank int) time.Duration {
 	hosts = max(hosts, 1)
 	cycle := min(time.Duration(hosts)*turnInterval, maxPollWait)
-	turn := cycle * time.Duration(rank%hosts) / time.Duration(hosts)
+	turn := cycle * time.Duration(rank*turnStride(hosts)%hosts) / time.Duration(hosts)
 	wait := (turn - time.Duration(now.UnixNano()%int64(cycle)) + cycle) % cycle
 	if wait < minPollWait {
 		wait += cycle
 	}
 	return wait
 }
+
+// turnStride returns the number of turns between two hosts that follow each other by rank. It has no
+// divisor in common with the number of hosts, so that no two hosts share a turn. By the golden ratio,
+// the turns of hosts with successive ranks are spread over the cycle: those of a data centre that is
+// gone leave gaps of a few turns.
+func turnStride(hosts int) int {
+	const inverseGoldenRatio = 0.618
+	stride := max(1, int(math.Round(inverseGoldenRatio*float64(hosts))))
+	for greatestCommonDivisor(stride, hosts) > 1 {
+		stride++
+	}
+	return stride
+}
+
+func greatestCommonDivisor(a, b int) int {
+	for b > 0 {
+		a, b = b, a%b
+	}
+	return a
+}
