tracker: a poll that is repeated is no failed read

What operators saw: after long polls had been repeated on new connections, the status said that a read had failed until the repeated poll ended, 3 to 15 s later. A 410, which the store answers, counted as a failed read too. A host that was behind then followed others without patience, and the line that is to tell silent reads from refused ones misled.

Change: only reads that fail count, and each answer of the store ends the count. The time for which a poll may be silent gets a name of its own, as another package has a silence time-out.

--- a/internal/tracker/reading.go
+++ b/internal/tracker/reading.go
@@ -23,9 +23,10 @@
 	// zero time.
 	silence  *time.Timer
 	silentAt time.Time
-	// resyncRequested is true if the second call has to read a snapshot, and reconnected if the first
-	// one was cancelled to be repeated.
-	resyncRequested, reconnected bool
+	// resyncRequested is true if the second call has to read a snapshot.
+	resyncRequested bool
+	// reconnected is true if the first call was cancelled to be repeated.
+	reconnected bool
 }
 
 // call is one call of the store.
@@ -127,7 +128,7 @@
 		pollWait = 0
 	}
 	if r.isLongPoll {
-		r.expectWithin(pollWait + silenceTimeout)
+		r.expectWithin(pollWait + pollSilenceTimeout)
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -184,10 +185,11 @@
 		}
 	}
 	result.reconnected = r.reconnected
-	if result.err != nil {
-		t.failedReads++
-	} else {
+	switch {
+	case result.isAnswer():
 		t.answeredAt, t.failedReads = time.Now(), 0
+	case !result.reconnected:
+		t.failedReads++
 	}
 	return result
 }
--- a/internal/tracker/reading_test.go
+++ b/internal/tracker/reading_test.go
@@ -69,15 +69,15 @@
 	}{
 		"connection silent": {
 			store: delayedStore{poll: -1},
-			want:  pollResult{recordAfter: wait + silenceTimeout, silentBefore: wait + silenceTimeout, secondCalls: 1},
+			want:  pollResult{recordAfter: wait + pollSilenceTimeout, silentBefore: wait + pollSilenceTimeout, secondCalls: 1},
 		},
 		"store slow": {
-			store: delayedStore{poll: silenceTimeout - time.Millisecond},
-			want:  pollResult{recordAfter: wait + silenceTimeout - time.Millisecond},
+			store: delayedStore{poll: pollSilenceTimeout - time.Millisecond},
+			want:  pollResult{recordAfter: wait + pollSilenceTimeout - time.Millisecond},
 		},
 		"store slower than the second call": {
-			store: delayedStore{poll: silenceTimeout + 600*time.Millisecond, secondCall: 900 * time.Millisecond},
-			want:  pollResult{recordAfter: wait + silenceTimeout + 600*time.Millisecond, secondCalls: 1},
+			store: delayedStore{poll: pollSilenceTimeout + 600*time.Millisecond, secondCall: 900 * time.Millisecond},
+			want:  pollResult{recordAfter: wait + pollSilenceTimeout + 600*time.Millisecond, secondCalls: 1},
 		},
 	}
 	for name, tt := range tests {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -24,9 +24,9 @@
 	// enough to replace a connection that no longer delivers data within the time in
 	// which a new configuration must be in force.
 	resyncTimeout = 800 * time.Millisecond
-	// silenceTimeout is how long after its wait a long poll may be silent. It is longer than a
+	// pollSilenceTimeout is how long after its wait a long poll may be silent. It is longer than a
 	// slow store needs for a response without records.
-	silenceTimeout = 500 * time.Millisecond
+	pollSilenceTimeout = 500 * time.Millisecond
 	// minBackOff and maxBackOff bound the back-off after a failed read, which
 	// doubles with each failure. The actual pause is randomised.
 	minBackOff = 200 * time.Millisecond
@@ -98,7 +98,7 @@
 	// reading is the read in progress, nil between two reads.
 	reading *reading
 	// answeredAt is when the store last answered a read, the start of the tracker if it has not.
-	// failedReads counts the reads that have failed since.
+	// failedReads counts the reads that have failed since, but for those that were repeated.
 	answeredAt  time.Time
 	failedReads int
 }
@@ -167,7 +167,8 @@
 	// SinceAnswer is the time since the store last answered a read. A long poll in flight may
 	// add its wait.
 	SinceAnswer time.Duration
-	// FailedReads is the number of reads that have failed since then.
+	// FailedReads is the number of reads that have failed since then. Those that were repeated by
+	// Reconnect do not count.
 	FailedReads int
 	// IsReceiving is true if a part of the response to the read in progress has arrived.
 	IsReceiving bool
