platformassembler: a stalled response does not keep a host from following others

Cause: a host waited while any byte of a response had arrived, also after reads of that kind had failed. Besides, the age of the lag ran on over versions that the host did get, and a failed read of the server list counted for good at a host that reads no list any more.

Change: a response that arrives keeps a host from following others only while no read has failed. The lag is that of the version in force, and a failed read of the list counts only while the list is needed.

--- a/internal/platformassembler/configuration.go
+++ b/internal/platformassembler/configuration.go
@@ -84,24 +84,27 @@
 	return true
 }
 
-// configurationLag measures for how long other live hosts have had a later configuration. It is
-// safe for concurrent use.
+// configurationLag measures for how long other live hosts have had a later configuration while that of
+// this host has not changed. It is safe for concurrent use.
 type configurationLag struct {
 	mutex sync.Mutex
-	// since is the zero time if no host has a later one.
-	since time.Time
+	// since is the zero time if no host has a later one, version that of this host.
+	since   time.Time
+	version int64
 }
 
-// observe records whether another live host has a later configuration, and returns for how long
-// that has been so.
-func (l *configurationLag) observe(now time.Time, isBehind bool) time.Duration {
+// observe records the version of this host and whether another live host has a later one, and returns
+// for how long that has been so.
+func (l *configurationLag) observe(now time.Time, version int64, isBehind bool) time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	hasChanged := version != l.version
+	l.version = version
 	switch {
 	case !isBehind:
 		l.since = time.Time{}
 		return 0
-	case l.since.IsZero():
+	case hasChanged || l.since.IsZero():
 		l.since = now
 	}
 	return now.Sub(l.since)
@@ -129,13 +132,13 @@
 			continue
 		}
 		peer, isBehind := h.findLaterConfiguration()
-		lag := h.configurationLag.observe(time.Now(), isBehind)
-		if isBehind && wasBehind {
+		lag := h.configurationLag.observe(time.Now(), int64(h.configurationVersion()), isBehind)
+		if lag > 0 {
 			h.logLag(peer, lag)
-			if h.shouldFollowPeer(lag) {
-				if err := h.fetchConfiguration(ctx, peer.Address); err != nil {
-					h.log.Info().Err(err).Msg("failed to fetch the configuration of another host")
-				}
+		}
+		if isBehind && wasBehind && h.shouldFollowPeer(lag) {
+			if err := h.fetchConfiguration(ctx, peer.Address); err != nil {
+				h.log.Info().Err(err).Msg("failed to fetch the configuration of another host")
 			}
 		}
 		wasBehind = isBehind
@@ -144,14 +147,12 @@
 }
 
 // shouldFollowPeer reports whether this host, which is behind others, takes their configuration. It
-// does not if its own read may still deliver it: the response is arriving, or a store that serves
-// many hosts has not got to it.
+// does not while no read has failed and its own one may deliver the configuration soon: the response
+// is arriving, or a store that serves many hosts has not got to it.
 func (h *Host) shouldFollowPeer(lag time.Duration) bool {
 	status := h.configurationTracker.Status()
-	if status.IsReceiving {
-		return false
-	}
-	return status.FailedReads > 0 || h.serverListReadFailedAt.Load() != nil || h.era.isCatchingUp() || lag >= silentReadPatience
+	hasFailed := status.FailedReads > 0 || h.serverListReadFailedAt.Load() != nil && h.driver.NeedsServerList()
+	return hasFailed || !status.IsReceiving && (h.era.isCatchingUp() || lag >= silentReadPatience)
 }
 
 // findLaterConfiguration returns a live host with the latest configuration, and whether that is
