tracker: the read after a failed one does not wait

What callers would see: long polls are refused at once (503) while other reads succeed.

Cause: after a failure the tracker repeated what had failed, a long poll.

Change: it reads without a wait. The answer tells at once that the store can be read, and what it has; long polls go on then. A failed read costs one call more.

Evidence: TestReadAfterRefusedLongPollDoesNotWait got no record in 10 s before, and passes.

--- a/internal/tracker/reading_test.go
+++ b/internal/tracker/reading_test.go
@@ -90,3 +90,30 @@
 		})
 	}
 }
+
+// pollRefusingStore answers reads without a wait and refuses all others.
+type pollRefusingStore struct{ delayedStore }
+
+func (s pollRefusingStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Page, error) {
+	if wait > 0 {
+		return platform.Page{}, &platform.StatusError{Action: "read", Status: 503}
+	}
+	return s.delayedStore.Read(ctx, topic, from, wait)
+}
+
+// Guards against news that never come because the store refuses long polls, although it answers other
+// reads.
+func TestReadAfterRefusedLongPollDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		records := 0
+		tr := New(pollRefusingStore{}, "t", func(u Update) { records += len(u.Records) }, WithLongPoll(3*time.Second))
+		if err := tr.Serve(ctx); ctx.Err() == nil {
+			t.Errorf("tracker ended: %v", err)
+		}
+		if want := 5; records < want {
+			t.Errorf("got %d records in 10s, want at least %d", records, want)
+		}
+	})
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -287,8 +287,12 @@
 	}
 }
 
-// nextPollWait returns how long the next read waits for new records.
+// nextPollWait returns how long the next read waits for new records. After a failed read it does not
+// wait, so that it tells at once whether the store can be read and what it has.
 func (t *Tracker) nextPollWait() time.Duration {
+	if t.Status().FailedReads > 0 {
+		return 0
+	}
 	if t.retainer != nil && t.retainer.IsRetaining() {
 		return min(t.pollWait(), rewinder.Grace)
 	}
