sender: a server that has begun to answer may read the request late

Cause: TCP_USER_TIMEOUT (2.5 s) is there for networks that drop packets. The kernel applies it also to a server that lives and has no room for more.

Change: once the header of a response is there, while a part of the request is not acknowledged, the option is cleared for that connection; the deadline of the request bounds it. A call without a deadline keeps the time-out.

TestServerThatReadsOnLaterIsNotGivenUp (time-out 0.2 s, pause 1 s): its 5 forms (length, chunks, neither; both interfaces) are red on and on, and green with this change in 3 of 3 runs.

Lost: on such a connection, dropped packets are noticed at the deadline.

--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -83,6 +83,21 @@
 	return err
 }
 
+// allowLateReading lets a server that has begun to answer read the rest of the request until the deadline. The
+// kernel would give up a connection on which there is no room for the request, though the server lives.
+func (g *writeGuard) allowLateReading() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.conn == nil || g.deadline.IsZero() {
+		return
+	}
+	if c, ok := g.conn.Conn.(*verifiedConn); ok {
+		if _, isAcknowledged := readState(c.tcp); !isAcknowledged {
+			clearUserTimeout(c.tcp)
+		}
+	}
+}
+
 // hasPassed reports whether a deadline has passed on the monotonic or the wall clock.
 // The monotonic clock stops while the machine is suspended.
 func hasPassed(deadline, now time.Time) bool {
--- a/internal/sender/early_test.go
+++ b/internal/sender/early_test.go
@@ -156,3 +156,39 @@
 		})
 	}
 }
+
+// Guards against a host that gives up a sound server, which has begun to answer a long request, keeps the
+// connection and reads on after the silence time-out.
+func TestServerThatReadsOnLaterIsNotGivenUp(t *testing.T) {
+	const silenceTimeout = 200 * time.Millisecond
+	for framing, rest := range map[hasty.Framing]string{hasty.Length: earlyBody[4:], hasty.Chunked: "6\r\n" + earlyBody[4:] + "\r\n0\r\n\r\n", hasty.Unframed: earlyBody[4:]} {
+		t.Run(string(framing), func(t *testing.T) {
+			t.Parallel()
+			start := hasty.Frame(framing, earlyHeader, earlyBody, 4)
+			address := startHasty(t, hasty.Server{Response: start, Rest: rest, Pause: 5 * silenceTimeout})
+			s := newTestSender(t, sender.WithSilenceTimeout(silenceTimeout))
+			t.Run("platform", func(t *testing.T) {
+				if body, err := exchangeLong(t, s, address); err != nil || body != earlyBody {
+					t.Errorf("got %q and error %v, want %q", body, err, earlyBody)
+				}
+			})
+			if framing == hasty.Unframed {
+				return
+			}
+			t.Run("own interface", func(t *testing.T) {
+				server := fuchsiapitch.NewBackendServer("s1", fuchsiapitch.ApplicationServer, address, "gt-xela")
+				response, err := s.Call(t.Context(), server, fuchsiapitch.NewCall("r1", http.MethodPost, "/x", make([]byte, longBodyBytes), fuchsiapitch.WithDeadline(time.Now().Add(10*time.Second))))
+				assertNoError(t, err, "call")
+				body := ""
+				for err == nil {
+					var chunk fuchsiapitch.Chunk
+					chunk, err = response.Body().Next()
+					body += string(chunk.Data())
+				}
+				if !errors.Is(err, io.EOF) || body != earlyBody {
+					t.Errorf("got %q and error %v, want %q", body, err, earlyBody)
+				}
+			})
+		})
+	}
+}
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -27,6 +27,7 @@
 		err = &MergedHeadersError{Status: response.StatusCode}
 	}
 	if err == nil {
+		guard.allowLateReading()
 		return response, fuchsiapitch.OutcomeUnknown, nil
 	}
 	err = &fuchsiapitch.UnreachableError{Address: request.URL.Host, Action: "sending", Err: guard.headerError(err)}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -170,6 +170,7 @@
 		err = x.guard.headerError(x.cancellationCause(err))
 		return fuchsiapitch.BackendResponse{}, x.attemptError(x.stopSending(), x.unreachableError("sending", err))
 	}
+	x.guard.allowLateReading()
 	return x.checkResponse(response)
 }
 
--- a/internal/sender/socket_linux.go
+++ b/internal/sender/socket_linux.go
@@ -41,3 +41,13 @@
 	}
 	return info.State == unix.BPF_TCP_CLOSE, info.Unacked == 0 && info.Notsent_bytes == 0
 }
+
+// clearUserTimeout lets the kernel keep a connection on which the server acknowledges that it lives, but has no
+// room for more. That cannot fail but for a closed connection.
+func clearUserTimeout(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, 0) })
+}
--- a/internal/sender/socket_other.go
+++ b/internal/sender/socket_other.go
@@ -16,3 +16,6 @@
 
 // readState takes each end of a connection for an orderly one, since only Linux tells.
 func readState(*net.TCPConn) (isReset, isAcknowledged bool) { return false, true }
+
+// clearUserTimeout does nothing, since there is no such time-out.
+func clearUserTimeout(*net.TCPConn) {}
--- a/internal/standin/hasty/hasty.go
+++ b/internal/standin/hasty/hasty.go
@@ -89,6 +89,9 @@
 	Response string
 	// Reads is what is read of the body of the request.
 	Reads Reading
+	// Rest is sent after Pause, when the rest of the request has been read, and replaces End.
+	Rest  string
+	Pause time.Duration
 	// End follows the response.
 	End End
 	// Next is sent in response to later requests, which are read, and the connection is kept. If it is empty, they are
@@ -154,6 +157,10 @@
 	if _, err := io.Copy(c, strings.NewReader(s.Response)); err != nil {
 		return
 	}
+	if s.Rest != "" {
+		s.finish(ctx, c, request)
+		return
+	}
 	for range endDelay / time.Millisecond {
 		if s.Reads == ReadsSlowly {
 			_, _ = io.CopyN(io.Discard, request.Body, pieceBytes)
@@ -176,3 +183,16 @@
 	case Close:
 	}
 }
+
+// finish reads the rest of a request after the pause, and sends the rest of the response.
+func (s Server) finish(ctx context.Context, c net.Conn, request *http.Request) {
+	select {
+	case <-time.After(s.Pause):
+	case <-ctx.Done():
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	_, _ = io.Copy(c, strings.NewReader(s.Rest))
+}
