--- a/internal/reducer/configuration_test.go
+++ b/internal/reducer/configuration_test.go
@@ -15,6 +15,9 @@
 	"github.com/fuchsiapitch/fuchsiapitch/internal/gossiper"
 )
 
+// configurationBound is the time within which an accepted configuration is in force everywhere.
+const configurationBound = 4 * time.Second
+
 // simulatedHost is one entry host and its position in the stream.
 type simulatedHost struct {
 	state          *State
@@ -28,17 +31,24 @@
 // configurationSimulation runs several states against an in-memory log, in
 // virtual time.
 type configurationSimulation struct {
-	now          time.Duration
-	records      []fuchsiapitch.Record
-	oldestOffset fuchsiapitch.Offset
-	hosts        []*simulatedHost
-	idCount      int
-	lastOffsets  map[fuchsiapitch.HostID]fuchsiapitch.Offset
-	failures     []string
+	now time.Duration
+	// dataCentreSize is the number of hosts in each data centre.
+	dataCentreSize int
+	records        []fuchsiapitch.Record
+	oldestOffset   fuchsiapitch.Offset
+	hosts          []*simulatedHost
+	idCount        int
+	lastOffsets    map[fuchsiapitch.HostID]fuchsiapitch.Offset
+	failures       []string
 }
 
 func newConfigurationSimulation(hosts int) *configurationSimulation {
-	sm := &configurationSimulation{oldestOffset: 1, lastOffsets: make(map[fuchsiapitch.HostID]fuchsiapitch.Offset)}
+	return newDataCentreSimulation(1, hosts)
+}
+
+func newDataCentreSimulation(dataCentres, hostsPerDataCentre int) *configurationSimulation {
+	hosts := dataCentres * hostsPerDataCentre
+	sm := &configurationSimulation{dataCentreSize: hostsPerDataCentre, oldestOffset: 1, lastOffsets: make(map[fuchsiapitch.HostID]fuchsiapitch.Offset)}
 	for range hosts {
 		sm.hosts = append(sm.hosts, &simulatedHost{})
 	}
@@ -48,9 +58,14 @@
 	return sm
 }
 
+func (sm *configurationSimulation) newHost(i int, incarnation uint64) fuchsiapitch.Host {
+	dataCentre := fuchsiapitch.DataCentreName(fmt.Sprint("gt-", i/sm.dataCentreSize))
+	return fuchsiapitch.NewHost(fuchsiapitch.HostID(fmt.Sprint("host-", i)), fmt.Sprint("127.0.0.1:", i+1), dataCentre, incarnation)
+}
+
 func (sm *configurationSimulation) newHostIdentity(i int) fuchsiapitch.Host {
 	sm.idCount++
-	return fuchsiapitch.NewHost(fuchsiapitch.HostID(fmt.Sprint("host-", i)), fmt.Sprint("127.0.0.1:", i+1), "gt-xela", uint64(sm.idCount))
+	return sm.newHost(i, uint64(sm.idCount))
 }
 
 // restart replaces a host with a new process that has an empty state.
@@ -58,7 +73,7 @@
 	var others []fuchsiapitch.Host
 	for j := range sm.hosts {
 		if j != i {
-			others = append(others, fuchsiapitch.NewHost(fuchsiapitch.HostID(fmt.Sprint("host-", j)), fmt.Sprint("127.0.0.1:", j+1), "gt-xela", 0))
+			others = append(others, sm.newHost(j, 0))
 		}
 	}
 	h := sm.hosts[i]
@@ -335,6 +350,33 @@
 			}
 		}
 	})
+	for _, size := range []int{4, 20} {
+		t.Run(fmt.Sprint("a change reaches a data centre that the log refuses, of hosts: ", size), func(t *testing.T) {
+			sm := newDataCentreSimulation(2, size)
+			sm.publish(sm.hosts[0], "a")
+			sm.advance(15 * time.Second)
+			for _, h := range sm.hosts[size:] {
+				h.logUnavailable = true
+			}
+			sm.advance(time.Second)
+			for range 4 {
+				sm.advance(700 * time.Millisecond)
+				sm.publish(sm.hosts[0], "a")
+				want := fuchsiapitch.Offset(len(sm.records))
+				sm.advance(configurationBound)
+				sm.requireNoFailure(t)
+				late := 0
+				for _, h := range sm.hosts {
+					if h.state.Configuration().Offset() < want {
+						late++
+					}
+				}
+				if late > 0 {
+					t.Errorf("after %s: got %d of %d hosts without the change, want none", configurationBound, late, len(sm.hosts))
+				}
+			}
+		})
+	}
 	t.Run("a host without log and peers is not ready", func(t *testing.T) {
 		sm := newConfigurationSimulation(2)
 		sm.publish(sm.hosts[0], "a")
--- a/internal/requester/silence_test.go
+++ b/internal/requester/silence_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,10 +24,16 @@
 // send sends one request to a handler. It returns the response, the error and the time
 // that the request took.
 func send(t *testing.T, handler http.HandlerFunc, request Request) (Response, time.Duration, error) {
+	t.Helper()
+	return sendWithin(t, handler, request, silenceTimeout)
+}
+
+// sendWithin is send with another time-out.
+func sendWithin(t *testing.T, handler http.HandlerFunc, request Request, timeout time.Duration) (Response, time.Duration, error) {
 	t.Helper()
 	transport, stopServer := pipe.Serve(handler)
 	q, closeConnections := New(64<<20, WithDialContext(transport.DialContext))
-	request.URL, request.Timeout = "http://server/", silenceTimeout
+	request.URL, request.Timeout = "http://server/", timeout
 	start := time.Now()
 	response, err := q.Send(t.Context(), request)
 	elapsed := time.Since(start)
@@ -142,3 +149,25 @@
 		})
 	}
 }
+
+// Guards against a response that is not received for longer the longer the time-out is, because the
+// connection of its request delivers nothing any more.
+func TestSilentReadIsRepeatedBesideFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var requests atomic.Int32
+		response, elapsed, err := sendWithin(t, func(w http.ResponseWriter, r *http.Request) {
+			// Two connections are silent.
+			if requests.Add(1) <= 2 {
+				<-r.Context().Done()
+				return
+			}
+			_, _ = io.WriteString(w, "news")
+		}, Request{Method: http.MethodGet}, 10*time.Second)
+		if err != nil || string(response.Body) != "news" {
+			t.Errorf("send: got %q and error %v, want a response", response.Body, err)
+		}
+		if want := 6 * time.Second; elapsed != want {
+			t.Errorf("time until the response: got %v, want %v", elapsed, want)
+		}
+	})
+}
