requester: a read without a response is sent again beside the first one

What callers saw: after the log was silent for seconds, all hosts of the own interface refused an added customer until 4.6 to 5.6 s after it was accepted (bound 4 s), and requests with an idempotency key were refused (503) after 5 s.

Cause: a read that falls silent is noticed by its time-out alone. Each time-out doubles that of the reads that begin next, from 3 to 10 s, and all streams of a host share it, so that several reads that fall silent together suffice. Peers do not help where all hosts are silent alike. A pause of up to 3 s follows.

It stays, since a slow log needs it.

Change: a GET whose time-out exceeds 3 s and that has no response is sent again every 3 s. No attempt is given up until the response of one begins; that one goes on alone, so that a slow transfer is neither repeated nor served twice.

All hosts that fell silent together now read again at the same moment, as they do after every record.

--- a/internal/requester/silence_test.go
+++ b/internal/requester/silence_test.go
@@ -150,6 +150,9 @@
 	}
 }
 
+// repeatedTimeout is a time-out within which a read is repeated.
+const repeatedTimeout = 10 * time.Second
+
 // Guards against a response that is not received for longer the longer the time-out is, because the
 // connection of its request delivers nothing any more.
 func TestSilentReadIsRepeatedBesideFirst(t *testing.T) {
@@ -162,12 +165,66 @@
 				return
 			}
 			_, _ = io.WriteString(w, "news")
-		}, Request{Method: http.MethodGet}, 10*time.Second)
+		}, Request{Method: http.MethodGet}, repeatedTimeout)
 		if err != nil || string(response.Body) != "news" {
 			t.Errorf("send: got %q and error %v, want a response", response.Body, err)
 		}
-		if want := 6 * time.Second; elapsed != want {
+		if want := 2 * repeatInterval; elapsed != want {
 			t.Errorf("time until the response: got %v, want %v", elapsed, want)
 		}
 	})
 }
+
+// Guards against transfers that add to the load that made them slow, as a slow one is repeated, or
+// several attempts at one are served.
+func TestSlowTransferIsNotRepeated(t *testing.T) {
+	for name, c := range map[string]struct {
+		wait         time.Duration
+		wantRequests int32
+	}{
+		"soon":               {0, 1},
+		"after a repetition": {repeatInterval + time.Second, 2},
+		"at last":            {repeatedTimeout - time.Second/2, 4},
+	} {
+		t.Run("response begins "+name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var requests, transfers atomic.Int32
+				response, elapsed, err := sendWithin(t, func(w http.ResponseWriter, r *http.Request) {
+					requests.Add(1)
+					select {
+					case <-time.After(c.wait):
+					case <-r.Context().Done():
+						return
+					}
+					transfers.Add(1)
+					w.WriteHeader(http.StatusOK)
+					_ = http.NewResponseController(w).Flush()
+					sendPieces(w, pieceCount)
+				}, Request{Method: http.MethodGet}, repeatedTimeout)
+				if got, want := len(response.Body), pieceCount*pieceBytes; err != nil || got != want {
+					t.Errorf("send: got %d bytes and error %v, want %d", got, err, want)
+				}
+				if want := c.wait + pieceCount*pieceInterval; elapsed != want {
+					t.Errorf("time of the transfer: got %v, want %v", elapsed, want)
+				}
+				if got := requests.Load(); got != c.wantRequests {
+					t.Errorf("requests: got %d, want %d", got, c.wantRequests)
+				}
+				if got := transfers.Load(); got != 1 {
+					t.Errorf("transfers: got %d, want 1", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against silence of a server that is not reported while further attempts are in flight.
+func TestSilenceOfAllAttemptsTimesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, elapsed, err := sendWithin(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+			Request{Method: http.MethodGet}, repeatedTimeout)
+		if !errors.Is(err, context.DeadlineExceeded) || elapsed != repeatedTimeout {
+			t.Errorf("send: got %v after %v, want %v after %v", err, elapsed, context.DeadlineExceeded, repeatedTimeout)
+		}
+	})
+}
