coordinator: relays that the store refuses make directories of heard lists

What callers saw: in a cluster of 20 hosts whose relays the store refuses for 9 s, each of six refused hosts answered 503 to every request for a service whose servers had been replaced, relays and members alike, until 9.1 to 10.1 s. With one relay of two refused, it was that relay alone.

Cause: a refused relay does not use the list of others, so that its members that are refused as well get an old directory.

Change: relays and the controller take the list of another host as the hosts of a small cluster do, from other relays first, and a relay makes its directory from it. That directory counts as old as the own list, so that members who can read the list go on to do so: the relay has it from them if all relays are refused.

Evidence: go test ./internal/commander -run TestReplacedServersAreUsedByHostsWhoseRelaysStoreRefuses, 20 real processes.

--- a/internal/commander/storelearning_test.go
+++ b/internal/commander/storelearning_test.go
@@ -17,9 +17,11 @@
 )
 
 const (
-	// refusedHosts is how many of the six hosts the store refuses, for refusalTime.
-	refusedHosts = 2
+	// refusedShare divides the number of hosts. The store refuses so many of them, for refusalTime.
+	refusedShare = 3
 	refusalTime  = 9 * time.Second
+	// manyHosts is a number of hosts that use relays.
+	manyHosts = 20
 	// settleTime is how long the hosts run before a fault. A host that has just started takes the
 	// configuration of others anyway.
 	settleTime = 10 * time.Second
@@ -43,6 +45,7 @@
 func (c *storeCluster) startProbing(t *testing.T, path, key string) func() [][]probeResult {
 	t.Helper()
 	results := make([][]probeResult, len(c.hosts))
+	interval := time.Duration(len(c.hosts)) * 4 * time.Millisecond
 	stopped := make(chan struct{})
 	var probing sync.WaitGroup
 	for n, h := range c.hosts {
@@ -52,7 +55,7 @@
 				select {
 				case <-stopped:
 					return
-				case <-time.After(20 * time.Millisecond):
+				case <-time.After(interval):
 				}
 				results[n] = append(results[n], probe(t, transport, h.clientAddress, path, key))
 			}
@@ -130,7 +133,7 @@
 // refuse makes the store refuse the first hosts for refusalTime.
 func (c *storeCluster) refuse(t *testing.T, refusal interceptor.Refusal) {
 	t.Helper()
-	for _, h := range c.hosts[:refusedHosts] {
+	for _, h := range c.hosts[:len(c.hosts)/refusedShare] {
 		h.store.Refuse(refusal)
 		timer := time.AfterFunc(refusalTime, func() { h.store.Refuse(interceptor.NoRefusal) })
 		t.Cleanup(func() { timer.Stop() })
@@ -159,9 +162,8 @@
 
 // assertReplacedServersUsed replaces all servers of a service, one after the other, beside a fault, and
 // checks that hosts serve.
-func assertReplacedServersUsed(t *testing.T, inject func(t *testing.T, c *storeCluster)) {
+func assertReplacedServersUsed(t *testing.T, c *storeCluster, inject func(t *testing.T, c *storeCluster)) {
 	t.Helper()
-	c := startStoreCluster(t)
 	stop := c.startProbing(t, standinplatform.LookPathPrefix+"x", standinplatform.APIKey)
 	time.Sleep(time.Second)
 	inject(t, c)
@@ -186,7 +188,7 @@
 	for name, refusal := range map[string]interceptor.Refusal{"503": interceptor.Unavailable, "unanswered": interceptor.Unanswered} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			assertReplacedServersUsed(t, func(t *testing.T, c *storeCluster) {
+			assertReplacedServersUsed(t, startStoreCluster(t), func(t *testing.T, c *storeCluster) {
 				t.Helper()
 				c.refuse(t, refusal)
 			})
@@ -197,7 +199,7 @@
 // Guards against hosts that know no server any more, because their idle connections to the store deliver
 // nothing while all servers of a service are replaced.
 func TestReplacedServersAreUsedAfterSilenceOfConnections(t *testing.T) {
-	assertReplacedServersUsed(t, func(t *testing.T, c *storeCluster) {
+	assertReplacedServersUsed(t, startStoreCluster(t), func(t *testing.T, c *storeCluster) {
 		t.Helper()
 		for _, h := range c.hosts {
 			h.store.Silence(func(pending *http.Request) bool { return !isLongPoll(platform.OperatorTopic)(pending) })
@@ -205,6 +207,39 @@
 	})
 }
 
+// startLargeStoreCluster starts manyHosts hosts in one data centre and waits until all are ready and use
+// relays. These are the first host and that after the six, by name.
+func startLargeStoreCluster(t *testing.T) *storeCluster {
+	t.Helper()
+	c := startStoreCluster(t)
+	for n := len(c.hosts); n < manyHosts; n++ {
+		c.hosts = append(c.hosts, startStoreHost(t, c.installation, fmt.Sprintf("h%02d", n)))
+	}
+	for _, h := range c.hosts {
+		awaitCondition(t, "host "+h.name+" to be ready", func() bool { return get(t, h.readinessAddress, "/ready", "") == http.StatusOK })
+	}
+	time.Sleep(5 * time.Second)
+	return c
+}
+
+// Guards against hosts of a large cluster that know no server any more, because the store refuses them and
+// their relays while all servers of a service are replaced.
+func TestReplacedServersAreUsedByHostsWhoseRelaysStoreRefuses(t *testing.T) {
+	for name, relays := range map[string]int{"one relay": 1, "both relays": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := startLargeStoreCluster(t)
+			if relays == 2 {
+				c.hosts[1], c.hosts[6] = c.hosts[6], c.hosts[1]
+			}
+			assertReplacedServersUsed(t, c, func(t *testing.T, c *storeCluster) {
+				t.Helper()
+				c.refuse(t, interceptor.Unavailable)
+			})
+		})
+	}
+}
+
 // assertEvacuationInForce evacuates the data centre of one of two servers beside a fault, and checks when
 // hosts send that server nothing more.
 func assertEvacuationInForce(t *testing.T, inject func(t *testing.T, c *storeCluster)) {
--- a/internal/coordinator/cluster.go
+++ b/internal/coordinator/cluster.go
@@ -165,7 +165,7 @@
 		c.storeRecoveredAt = now
 	}
 	c.listReadAt, c.listStale = now, false
-	if c.listOffset < c.heardOffset && now-c.heardAt < listLag {
+	if c.usesHeardList(now) {
 		// This host catches up page by page with what it has heard.
 		return
 	}
@@ -175,7 +175,7 @@
 // hearServerList uses the server list of another host, unless a later one is known. The own list stays
 // as old as it is.
 func (c *Coordinator) hearServerList(now time.Duration, e ServersHeard) {
-	if e.Offset <= max(c.listOffset, c.heardOffset) {
+	if e.Offset <= c.knownListOffset() {
 		return
 	}
 	c.heardOffset, c.heardAt = e.Offset, now
--- a/internal/coordinator/directory.go
+++ b/internal/coordinator/directory.go
@@ -108,6 +108,10 @@
 	return isRelay
 }
 
+// ServesServerList reports whether this host reads the server list for others, or in a small cluster for
+// itself.
+func (c *Coordinator) ServesServerList(now time.Duration) bool { return c.servesList(now) }
+
 // UsesRelays reports whether the cluster is so large that hosts send heartbeats to relays.
 func (c *Coordinator) UsesRelays() bool { return c.usesRelays() }
 
@@ -116,9 +120,19 @@
 	return c.listReadAt > 0 && now-c.listReadAt < currentListAge
 }
 
-// makeDirectory makes the directory that this host sends as a relay.
+// usesHeardList reports whether the list of another host is in use, as it is later than the own one.
+func (c *Coordinator) usesHeardList(now time.Duration) bool {
+	return c.listOffset < c.heardOffset && now-c.heardAt < listLag
+}
+
+// makeDirectory makes the directory that this host sends as a relay. If that is made from the list of
+// another host, it is as old as the own list, so that members who can read the list go on to do so.
 func (c *Coordinator) makeDirectory(now time.Duration) {
-	if !c.hasCurrentList(now) || c.routes == nil {
+	offset := c.listOffset
+	if c.usesHeardList(now) {
+		offset = c.heardOffset
+	}
+	if !c.hasCurrentList(now) && offset == c.listOffset || c.routes == nil {
 		return
 	}
 	directory := make([]DirectoryEntry, 0, len(c.announcedGroups))
@@ -146,7 +160,7 @@
 	}
 	slices.SortFunc(directory, func(a, b DirectoryEntry) int { return cmp.Compare(a.Server, b.Server) })
 	c.directory = directory
-	c.directoryVersion, c.directoryOffset, c.directoryConfirmedAt = hashDirectory(c.directory), c.listOffset, c.listReadAt
+	c.directoryVersion, c.directoryOffset, c.directoryConfirmedAt = hashDirectory(c.directory), offset, c.listReadAt
 }
 
 // hashDirectory returns the version of a directory, which is never 0.
--- a/internal/coordinator/heardlist_test.go
+++ b/internal/coordinator/heardlist_test.go
@@ -81,3 +81,33 @@
 		assertListed(t, c, "a0")
 	})
 }
+
+// Guards against members that the store refuses and that know no new server, because it refuses their
+// relays as well.
+func TestRelayThatStoreRefusesSendsDirectoryOfHeardList(t *testing.T) {
+	const now = 10 * time.Second
+	c := New(Peer{ID: "a", DataCentre: "dc", Capacity: 100}, 1, WithDataCentre("dc"))
+	c.Apply(0, ConfigurationChanged{Routes: newPlainRoutes(1, plainService)})
+	c.Apply(now, ServersListed{Servers: plainEntries("a0"), Offset: 5})
+	c.makeDirectory(now)
+	earlier := c.directoryVersion
+	later := now + currentListAge + time.Second
+	c.Apply(later, StoreReadFailed{})
+	c.makeDirectory(later)
+	if c.directoryVersion != earlier {
+		t.Error("got another directory from an old list, want the same")
+	}
+	c.Apply(later, ServersHeard{Servers: plainEntries("a1"), Offset: 9})
+	c.makeDirectory(later)
+	if len(c.directory) != 1 || c.directory[0].Server != "a1" || c.directoryOffset != 9 {
+		t.Errorf("got directory %v up to %d, want that of the heard list", c.directory, c.directoryOffset)
+	}
+	if got := later - c.directoryConfirmedAt; got < directoryTimeout {
+		t.Errorf("got a directory that is %s old, want one that members who can read the list do not rely on", got)
+	}
+	c.Apply(later+time.Second, ServersListed{Servers: plainEntries("a2"), Offset: 12})
+	c.makeDirectory(later + time.Second)
+	if c.directory[0].Server != "a2" || c.directoryOffset != 12 || c.directoryConfirmedAt != later+time.Second {
+		t.Errorf("got directory %v up to %d of %s, want that of the own list", c.directory, c.directoryOffset, c.directoryConfirmedAt)
+	}
+}
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -44,9 +44,11 @@
 
 // PeerView is the known state of another host. It is a plain record.
 type PeerView struct {
-	ID                   fuchsiapitch.HostID
-	Address              string
-	IsLive               bool
+	ID      fuchsiapitch.HostID
+	Address string
+	IsLive  bool
+	// IsRelay is true if the host has lately sent a digest.
+	IsRelay              bool
 	SinceLastHeartbeat   time.Duration
 	ConfigurationVersion int64
 }
@@ -108,7 +110,7 @@
 	}
 	for _, id := range sortedKeys(c.peers) {
 		p := c.peers[id]
-		v.Peers = append(v.Peers, PeerView{ID: id, Address: p.Address, IsLive: c.isLive(p, now), SinceLastHeartbeat: now - p.lastHeartbeatReceivedAt, ConfigurationVersion: max(p.lastHeartbeat.ConfigurationVersion, p.lastDigest.Sender.ConfigurationVersion)})
+		v.Peers = append(v.Peers, PeerView{ID: id, Address: p.Address, IsLive: c.isLive(p, now), IsRelay: p.hasDigest && now-p.lastDigestReceivedAt < peerTimeout, SinceLastHeartbeat: now - p.lastHeartbeatReceivedAt, ConfigurationVersion: max(p.lastHeartbeat.ConfigurationVersion, p.lastDigest.Sender.ConfigurationVersion)})
 	}
 	v.Groups, _ = c.knownGroups(now)
 	for _, id := range sortedKeys(c.servers) {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -154,6 +154,14 @@
 	return d.coordinator.KnowsServers()
 }
 
+// ServesServerList reports whether this host reads the server list for others, or in a small cluster for
+// itself.
+func (d *Driver) ServesServerList() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.ServesServerList(d.now())
+}
+
 // UsesRelays reports whether hosts send their heartbeats to relays.
 func (d *Driver) UsesRelays() bool {
 	d.mutex.Lock()
--- a/internal/platformassembler/serverlist.go
+++ b/internal/platformassembler/serverlist.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -86,7 +87,7 @@
 }
 
 // followServerList takes the server list from other hosts while this host cannot read it in the store.
-// In a large cluster the directories of relays do that.
+// In a large cluster only relays and the controller do so: the others get directories.
 func (h *Host) followServerList(ctx context.Context) error {
 	heard := int64(0)
 	isFollowing := false
@@ -97,7 +98,7 @@
 			continue
 		}
 		position, isCurrent := h.ownServerList(time.Now())
-		if isCurrent || h.driver.UsesRelays() {
+		if isCurrent || !h.driver.ServesServerList() {
 			isFollowing = false
 			continue
 		}
@@ -115,11 +116,20 @@
 	return ctx.Err()
 }
 
-// fetchServerList fetches a list that ends after a position from one of the live hosts. It returns false
-// if it finds none.
+// fetchServerList fetches a list that ends after a position from one of the live hosts, relays first, since
+// most members read none. It returns false if it finds none.
 func (h *Host) fetchServerList(ctx context.Context, after int64) (list serverList, address string, ok bool) {
 	peers := h.driver.View().Peers
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	slices.SortStableFunc(peers, func(a, b coordinator.PeerView) int {
+		switch {
+		case a.IsRelay == b.IsRelay:
+			return 0
+		case a.IsRelay:
+			return -1
+		}
+		return 1
+	})
 	asked := 0
 	for _, p := range peers {
 		if !p.IsLive || asked >= maxListSources {
