requester: a read without a response is sent again beside the first one

What callers saw: after the log was silent for seconds, all hosts of the own interface refused an added customer until 4.6 to 5.6 s after it was accepted (bound 4 s), and requests with an idempotency key were refused (503) after 5 s.

Cause: a read that falls silent is noticed by its time-out alone. Each time-out doubles that of the reads that begin next, from 3 to 10 s, and all streams of a host share it, so that several reads that fall silent together suffice. Peers do not help where all hosts are silent alike. A pause of up to 3 s follows.

It stays, since a slow log needs it.

Change: a GET whose time-out exceeds 3 s and that has no response is sent again every 3 s. No attempt is given up until the response of one begins; that one goes on alone, so that a slow transfer is neither repeated nor served twice. The pause after a failed call of the log or the host list counts from its beginning.

Hosts that fell silent together now read again at the same moment, as all hosts do after every record.

--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -23,6 +23,11 @@
 	// maxHeaderBytes bounds the header of a response.
 	maxHeaderBytes = 64 << 10
 
+	// repeatInterval is the time without a response after which a read is sent a further
+	// time. A configuration is to be in force 4 s after it was accepted, and a read that
+	// waits for it may have been sent just before its connection fell silent.
+	repeatInterval = 3 * time.Second
+
 	dialTimeout         = 2 * time.Second
 	idleConnTimeout     = 60 * time.Second
 	maxIdleConns        = 1024
@@ -63,7 +68,7 @@
 	// Body is the request body, nil for none.
 	Body []byte
 	// Timeout bounds the time in which the request body and the response make no
-	// progress, as the package watcher defines it. It bounds the whole transfer only by
+	// progress, as the package watcher defines it. It counts from the first attempt. It bounds the whole transfer only by
 	// its size; the context does.
 	Timeout time.Duration
 }
@@ -115,26 +120,47 @@
 // longer work either.
 //
 // A POST request is sent at most once: the transport retries it only if the server had
-// closed the connection and no byte of the request was written to it.
+// closed the connection and no byte of the request was written to it. A GET request is
+// sent again every repeatInterval while there is no response, beside those sent before:
+// its connection may deliver nothing any more, and its time-out is longer the slower the
+// server has been.
 func (r *Requester) Send(ctx context.Context, request Request) (Response, error) {
+	send := r.sendOnce
+	if request.Method == http.MethodGet && request.Timeout > repeatInterval {
+		send = r.sendRepeatedly
+	}
+	response, err := send(ctx, request)
+	if err != nil {
+		r.transport.CloseIdleConnections()
+	}
+	return response, err
+}
+
+// sendOnce sends a request and reads the complete response.
+func (r *Requester) sendOnce(ctx context.Context, request Request) (Response, error) {
+	return r.sendAttempt(ctx, request, func() {})
+}
+
+// sendAttempt does the same as sendOnce, and calls a function once the header of the response has
+// been received.
+func (r *Requester) sendAttempt(ctx context.Context, request Request, handleHeader func()) (Response, error) {
 	ctx, w, stop := watcher.New(ctx, request.URL, request.Timeout, request.Timeout)
 	defer stop()
 	var mayHaveBeenSent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { mayHaveBeenSent.Store(true) },
 	})
-	response, err := r.roundTrip(ctx, request, w)
+	response, err := r.roundTrip(ctx, request, w, handleHeader)
 	if err != nil {
 		if silence, timedOut := errors.AsType[*watcher.SilenceError](context.Cause(ctx)); timedOut {
 			err = silence
 		}
-		r.transport.CloseIdleConnections()
 		return Response{}, &RequestError{MayHaveBeenSent: mayHaveBeenSent.Load(), Err: err}
 	}
 	return response, nil
 }
 
-func (r *Requester) roundTrip(ctx context.Context, request Request, w *watcher.Watcher) (Response, error) {
+func (r *Requester) roundTrip(ctx context.Context, request Request, w *watcher.Watcher, handleHeader func()) (Response, error) {
 	start := time.Now()
 	httpRequest, err := newHTTPRequest(ctx, request, w)
 	if err != nil {
@@ -145,6 +171,7 @@
 		return Response{}, err
 	}
 	defer httpResponse.Body.Close()
+	handleHeader()
 	if err := sender.CheckStatus(httpResponse.StatusCode); err != nil {
 		return Response{}, err
 	}
--- a/internal/runner/follower.go
+++ b/internal/runner/follower.go
@@ -14,7 +14,7 @@
 const (
 	// maxReadBackoff is the longest back-off before a failed log read is retried.
 	maxReadBackoff = 2 * time.Second
-	// hostListInterval is the pause between two reads of the host list.
+	// hostListInterval is the time from a read of the host list to the next one.
 	hostListInterval = 2 * time.Second
 )
 
@@ -37,11 +37,13 @@
 
 // readStream reads a stream and submits each batch as an event, until the
 // context ends or the log no longer holds the next offset. Failed reads are
-// submitted as events and retried with exponential back-off.
+// submitted as events and retried with exponential back-off. It counts from the
+// beginning of the read: one that was silent has waited for long enough.
 func (r *Runner) readStream(ctx context.Context, stream fuchsiapitch.StreamName, nextOffset fuchsiapitch.Offset) {
 	backOff := backoff.NewExponentialBackOff()
 	backOff.MaxInterval = maxReadBackoff
 	for ctx.Err() == nil {
+		start := time.Now()
 		batch, err := r.dependencies.Log.Read(ctx, stream, nextOffset, reducer.MaxReadBatch)
 		var truncated *fuchsiapitch.LogTruncatedError
 		switch {
@@ -54,24 +56,28 @@
 			return
 		default:
 			r.Submit(ctx, reducer.ReadFailed{Stream: stream})
-			sleep(ctx, backOff.NextBackOff())
+			sleep(ctx, backOff.NextBackOff()-time.Since(start))
 		}
 	}
 }
 
 // startHostListPolling starts a goroutine that reads the host list periodically
-// and submits its backend servers as an event. A failed read is skipped.
+// and submits its backend servers as an event. A failed read is skipped; the time
+// that it took counts towards the interval.
 func (r *Runner) startHostListPolling(ctx context.Context) {
 	if r.dependencies.HostList == nil {
 		return
 	}
 	r.workers.start(ctx, func(ctx context.Context) {
 		for ctx.Err() == nil {
+			start, pause := time.Now(), hostListInterval
 			servers, err := r.dependencies.HostList.BackendServers(ctx)
 			if err == nil {
 				r.Submit(ctx, reducer.ServersListed{Servers: servers})
+			} else {
+				pause -= time.Since(start)
 			}
-			sleep(ctx, hostListInterval)
+			sleep(ctx, pause)
 		}
 	})
 }
