--- a/internal/requester/silence_test.go
+++ b/internal/requester/silence_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -228,3 +230,53 @@
 		}
 	})
 }
+
+// silenceableConn is a connection that delivers nothing any more once it is silent.
+type silenceableConn struct {
+	net.Conn
+	isSilent *atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c silenceableConn) Read(buffer []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(buffer)
+		if err != nil || !c.isSilent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Guards against further attempts over idle connections that fell silent together with that of the
+// first one.
+func TestFurtherAttemptOpensConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport, stopServer := pipe.Serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) }))
+		var isSilent atomic.Pointer[atomic.Bool]
+		isSilent.Store(&atomic.Bool{})
+		q, closeConnections := New(64<<20, WithDialContext(func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := transport.DialContext(ctx, network, address)
+			return silenceableConn{Conn: conn, isSilent: isSilent.Load()}, err
+		}))
+		request := Request{Method: http.MethodGet, URL: "http://server/", Timeout: repeatedTimeout}
+		var sending sync.WaitGroup
+		for range maxIdleConnsPerHost {
+			sending.Go(func() {
+				if _, err := q.Send(t.Context(), request); err != nil {
+					t.Errorf("send: got error %v, want none", err)
+				}
+			})
+		}
+		sending.Wait()
+		isSilent.Swap(&atomic.Bool{}).Store(true)
+		start := time.Now()
+		_, err := q.Send(t.Context(), request)
+		if got, want := time.Since(start), repeatInterval+time.Second; err != nil || got != want {
+			t.Errorf("send: got error %v after %v, want a response after %v", err, got, want)
+		}
+		closeConnections()
+		if err := stopServer(); err != nil {
+			t.Errorf("stop: got error %v, want none", err)
+		}
+	})
+}
