fuchsiapitch: the tests of real processes at the store are those of the program

The tests of what hosts learn from the store start the program six times and more each. Nothing that they check has changed.

--- a/internal/commander/storelearning_test.go
+++ b/cmd/fuchsiapitch/storelearning_test.go
@@ -1,4 +1,4 @@
-package commander
+package main
 
 import (
 	"context"
--- a/internal/commander/crowd_test.go
+++ b/internal/commander/crowd_test.go
@@ -417,12 +417,6 @@
 
 // writeLimits replaces the limits in a settings file of the platform.
 func writeLimits(t *testing.T, path string, limits map[string]any) {
-	t.Helper()
-	writeSetting(t, path, "limits", limits)
-}
-
-// writeSetting replaces one field of the settings of a host of the users' platform.
-func writeSetting(t *testing.T, path, field string, value map[string]any) {
 	t.Helper()
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -432,7 +426,7 @@
 	if err := json.Unmarshal(data, &content); err != nil {
 		t.Fatal(err)
 	}
-	content[field] = value
+	content["limits"] = limits
 	if data, err = json.Marshal(content); err != nil {
 		t.Fatal(err)
 	}
