--- a/review/world3/replica_test.go
+++ b/review/world3/replica_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -36,7 +37,7 @@
 	}
 	r := &replica{
 		id: os.Getenv("WORLD3_ID"), service: os.Getenv("WORLD3_SERVICE"), store: os.Getenv("WORLD3_STORE"), zone: os.Getenv("WORLD3_ZONE"),
-		unframed: os.Getenv("WORLD3_UNFRAMED") == "1", address: l.Addr().String(), born: time.Now().UnixMilli(), state: "ready",
+		unframed: os.Getenv("WORLD3_UNFRAMED") == "1", early: os.Getenv("WORLD3_EARLY") == "1", address: l.Addr().String(), born: time.Now().UnixMilli(), state: "ready",
 	}
 	drain := make(chan os.Signal, 1)
 	signal.Notify(drain, syscall.SIGUSR1)
@@ -67,6 +68,8 @@
 type replica struct {
 	id, service, store, zone, address string
 	unframed                          bool
+	// early is whether the answer to a draft begins before the body of the request is read.
+	early bool
 	born                              int64
 
 	mutex    sync.Mutex
@@ -113,6 +116,12 @@
 		if err != nil {
 			return
 		}
+		if strings.HasPrefix(request.URL.Path, "/draft/") {
+			if !r.answerDraft(c, request) {
+				return
+			}
+			continue
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
@@ -149,6 +158,9 @@
 	if id == "" {
 		return respond(c, 400, "", "X-Not-Executed: 1\r\n", "")
 	}
+	if strings.HasPrefix(request.URL.Path, "/look/") {
+		return respond(c, 200, id, "X-Response-Seal: seal-"+r.id+"\r\n", "here")
+	}
 	r.print("runs %s %s %s", id, request.Method, request.URL.Path)
 	return r.stream(c, id)
 }
