--- a/review/world3/replica_test.go
+++ b/review/world3/replica_test.go
@@ -70,7 +70,7 @@
 	unframed                          bool
 	// early is whether the answer to a draft begins before the body of the request is read.
 	early bool
-	born                              int64
+	born  int64
 
 	mutex    sync.Mutex
 	state    string
