review: case 15, parts of cut answers to long requests look complete

What: a script whose replicas answer some long requests without a length, before they read the body, and close the channel after half of the answer. Requesters get some of these parts as complete answers. The new mode of world3 is cut.

--- a/review/world3/replica_test.go
+++ b/review/world3/replica_test.go
@@ -76,6 +76,8 @@
 	state    string
 	sequence int64
 	running  int
+	// uploads is the number of uploads that were answered.
+	uploads int
 }
 
 func (r *replica) print(format string, values ...any) {
@@ -122,6 +124,10 @@
 			}
 			continue
 		}
+		if strings.HasPrefix(request.URL.Path, "/upload/") {
+			r.answerUpload(c, request)
+			return
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
