sender: an answer between two writes of a request takes the time-out off

Cause: the kernel's time-out for unacknowledged bytes is taken off such a connection only if bytes are unacknowledged at that moment. Between two writes none are.

Change: the time-out goes unless the whole request was written and acknowledged.

--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -91,10 +91,8 @@
 	if g.conn == nil || g.deadline.IsZero() {
 		return
 	}
-	if c, ok := g.conn.Conn.(*verifiedConn); ok {
-		if _, isAcknowledged := readState(c.tcp); !isAcknowledged {
-			clearUserTimeout(c.tcp)
-		}
+	if c, ok := g.conn.Conn.(*verifiedConn); ok && !c.hasWholeRequest() {
+		clearUserTimeout(c.tcp)
 	}
 }
 
--- a/internal/sender/end.go
+++ b/internal/sender/end.go
@@ -64,6 +64,13 @@
 	return n, err
 }
 
+// hasWholeRequest reports whether the request has been written to its end and the server has acknowledged it.
+func (c *verifiedConn) hasWholeRequest() bool {
+	isWritten, _ := c.request.state()
+	_, isAcknowledged := readState(c.tcp)
+	return isWritten && isAcknowledged
+}
+
 // hasOrderlyEnd reports whether the server has ended the connection and not reset it, at a read that
 // has found its end. A server that has closed the connection resets it as soon as more of the request arrives. That
 // is known when the request has been written and acknowledged, or when the server has left bytes unacknowledged for
--- a/internal/sender/pace_test.go
+++ b/internal/sender/pace_test.go
@@ -106,3 +106,18 @@
 		}
 	}
 }
+
+// Guards against a host that gives up a sound server, whose response began between two writes of the request, when
+// all bytes were acknowledged, and that reads on after the silence time-out.
+func TestServerThatReadsOnAfterPauseIsNotGivenUp(t *testing.T) {
+	const silenceTimeout = 200 * time.Millisecond
+	for _, f := range pacedForms() {
+		t.Run(f.String(), func(t *testing.T) {
+			t.Parallel()
+			address := startHasty(t, hasty.Server{Response: hasty.Frame(hasty.Length, earlyHeader, earlyBody, 4), Rest: earlyBody[4:], Pause: 10 * silenceTimeout})
+			if body, err := exchangePaced(t, newTestSender(t, sender.WithSilenceTimeout(silenceTimeout)), address, f); err != nil || body != earlyBody {
+				t.Errorf("got %q and error %v, want %q", body, err, earlyBody)
+			}
+		})
+	}
+}
