keeper: quarantines outlive the processes of all hosts

Cause: quarantines and used permits were in the memory of the hosts, which tell each other; none was left to tell.

Change: a few hosts keep the quarantines in a topic of the store, one record a part, and a host reads them once at its start. It holds requests with parts back until then, for a second at most. Used permits stay used, one that is out counts as used, an answered part is deleted. After the store has gone back the hosts that write read it and write what differs.

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -123,6 +123,10 @@
 	if c.refuseHomeless(w) {
 		return
 	}
+	if len(w.Parts) > 0 && c.holdsBack(now) {
+		c.awaitingStored = append(c.awaitingStored, w)
+		return
+	}
 	if c.passesQuarantine(now, w) {
 		c.admitChecked(now, w)
 	}
@@ -511,6 +515,7 @@
 	a, ok := c.assignments[e.Ticket]
 	if !ok {
 		c.stopAwaitingPermit(e.Ticket)
+		c.stopHoldingBack(e.Ticket)
 		c.queue = slices.DeleteFunc(c.queue, func(w *queuedRequest) bool {
 			isReleased := w.Ticket == e.Ticket
 			if isReleased {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -68,6 +68,7 @@
 	sheddingState
 	noticeState
 	crashState
+	storedState
 	homeState
 	evacuationState
 	coldState
@@ -150,6 +151,8 @@
 		c.applyNotice(now, e)
 	case ServerVerified:
 		c.applyVerification(now, e)
+	case QuarantinesRead:
+		c.restoreQuarantines(now, e)
 	case TicketReleased:
 		c.releaseTicket(now, e)
 	case ConfigurationChanged:
@@ -238,6 +241,7 @@
 	c.forgetReservedRetries(now)
 	c.advanceRamps(now)
 	c.reviewParts(now)
+	c.reviewHeldBack(now)
 	c.admitPermitted(now)
 	c.revokeFromSilent(now)
 	c.dispatchQueue(now)
--- a/internal/driver/crash.go
+++ b/internal/driver/crash.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
 )
 
 const (
@@ -62,6 +63,32 @@
 	return true
 }
 
+// Quarantines returns the quarantines that have to be in the store.
+func (d *Driver) Quarantines() []quarantiner.Quarantine {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.Quarantines(d.now())
+}
+
+// ForgetsStored reports whether a stored quarantine that this host does not have has ended.
+func (d *Driver) ForgetsStored() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.ForgetsStored()
+}
+
+// KeepsQuarantines reports whether this host is one of those that keep the quarantines in the store.
+func (d *Driver) KeepsQuarantines() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.KeepsQuarantines(d.now())
+}
+
+// RestoreQuarantines adopts the quarantines in the store.
+func (d *Driver) RestoreQuarantines(stored []quarantiner.Quarantine) {
+	d.Apply(coordinator.QuarantinesRead{Quarantines: stored})
+}
+
 // requestStart returns the incarnation of a server by its report.
 func (d *Driver) requestStart(e coordinator.VerifyServer) (int64, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
--- /dev/null
+++ b/internal/platformassembler/lethalrestart_test.go
@@ -0,0 +1,134 @@
+package platformassembler
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
+	"github.com/fuchsiapitch/fuchsiapitch/platform"
+)
+
+// restartSpan is how long lethal requests come after a restart of all hosts: longer than the first permit takes.
+const restartSpan = 9 * time.Second
+
+// learnLethalPart sends requests with the lethal part until all hosts have quarantined it.
+func (c *testCluster) learnLethalPart(t *testing.T) {
+	t.Helper()
+	c.Fleet.SetLethalPart(lethalPart)
+	ctx, cancel := context.WithCancel(t.Context())
+	var clients sync.WaitGroup
+	c.sendPrompts(ctx, t, &clients, 1, 2, 100*time.Millisecond, lethalParts, func(promptResult) {})
+	c.await(t, "quarantine", func() bool {
+		return !slices.ContainsFunc(c.liveHosts(), func(n int) bool { return !c.isQuarantined(t, n) })
+	})
+	cancel()
+	clients.Wait()
+}
+
+// liveHosts returns the numbers of all hosts.
+func (c *testCluster) liveHosts() []int {
+	numbers := make([]int, len(c.clientAddresses))
+	for n := range numbers {
+		numbers[n] = n
+	}
+	return numbers
+}
+
+// isQuarantined reports whether a host has the lethal part quarantined.
+func (c *testCluster) isQuarantined(t *testing.T, host int) bool {
+	t.Helper()
+	return slices.Contains(c.fetchStatus(t, host).QuarantinedParts, quarantiner.NewPart(lethalPart).String())
+}
+
+// restartAllHosts kills all hosts, with a pause between two, and starts them again.
+func (c *testCluster) restartAllHosts(ctx context.Context, t *testing.T, pause time.Duration) {
+	t.Helper()
+	for _, kill := range c.kills {
+		kill()
+		time.Sleep(pause)
+	}
+	c.killHosts(0)
+	for _, n := range c.liveHosts() {
+		c.startHost(ctx, t, n)
+	}
+	for _, n := range c.liveHosts() {
+		c.awaitReady(t, n)
+	}
+}
+
+// isStored reports whether the store has a quarantine of the lethal part.
+func (c *testCluster) isStored(t *testing.T) bool {
+	t.Helper()
+	page, err := platform.NewStoreClient(c.StoreEndpoint(hostName(0)).Address(), http.DefaultTransport).Newest(t.Context(), platform.QuarantinesTopic)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return slices.ContainsFunc(page.Records, func(r platform.Record) bool { return r.Key == quarantiner.NewPart(lethalPart).String() })
+}
+
+// Guards against a lethal part that all hosts forget when they end at once, so that it ends server after server again.
+func TestLethalPartIsRememberedAfterRestartOfAllHosts(t *testing.T) {
+	tests := map[string]struct {
+		pause    time.Duration
+		restarts int
+	}{
+		"at once": {restarts: 1}, "one after the other": {pause: 200 * time.Millisecond, restarts: 1}, "twice": {restarts: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newTestCluster(t, 3)
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			c.learnLethalPart(t)
+			c.await(t, "stored quarantine", func() bool { return c.isStored(t) })
+			before := c.Fleet.LethalCrashes(lethalPart)
+			for range tt.restarts {
+				c.restartAllHosts(ctx, t, tt.pause)
+				sendCtx, stopSending := context.WithTimeout(ctx, restartSpan)
+				var clients sync.WaitGroup
+				c.sendPrompts(sendCtx, t, &clients, 1, 3, 100*time.Millisecond, lethalParts, func(promptResult) {})
+				clients.Wait()
+				stopSending()
+			}
+			// The first permit is due 3 s after the begin of the quarantine, the second 30 s after that.
+			if got := c.Fleet.LethalCrashes(lethalPart) - before; got > 1 {
+				t.Errorf("got %d servers that ended after the restart, want the one of a permit at most", got)
+			}
+			c.assertNoViolation(t, "BUDGET")
+		})
+	}
+}
+
+// Guards against a quarantine that comes back from the store after its part was answered, and a record that
+// remains there.
+func TestAnsweredPartIsFreeAfterRestartOfAllHosts(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 3)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	c.learnLethalPart(t)
+	c.await(t, "stored quarantine", func() bool { return c.isStored(t) })
+	c.restartAllHosts(ctx, t, 0)
+	c.Fleet.SetLethalPart("")
+	sendCtx, stopSending := context.WithCancel(ctx)
+	var clients sync.WaitGroup
+	c.sendPrompts(sendCtx, t, &clients, 1, 3, 100*time.Millisecond, lethalParts, func(promptResult) {})
+	c.await(t, "end of the quarantine", func() bool {
+		return !slices.ContainsFunc(c.liveHosts(), func(n int) bool { return c.isQuarantined(t, n) })
+	})
+	stopSending()
+	clients.Wait()
+	c.await(t, "deleted record", func() bool { return !c.isStored(t) })
+	c.restartAllHosts(ctx, t, 0)
+	c.await(t, "complete stream with the part", func() bool { return c.sendPrompt(ctx, t, 0, []string{lethalPart, "own"}).isComplete })
+	for _, n := range c.liveHosts() {
+		if c.isQuarantined(t, n) {
+			t.Errorf("host %d: got the part quarantined, want it free", n)
+		}
+	}
+}
--- a/internal/platformassembler/platformassembler.go
+++ b/internal/platformassembler/platformassembler.go
@@ -21,9 +21,11 @@
 	"github.com/fuchsiapitch/fuchsiapitch"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/acceptor"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/allocator"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/appender"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/collector"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/coordinator"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/driver"
+	"github.com/fuchsiapitch/fuchsiapitch/internal/keeper"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/logger"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/meter"
 	"github.com/fuchsiapitch/fuchsiapitch/internal/pacer"
@@ -153,6 +155,7 @@
 		coordinator.WithStallTimeout(settings.StallTimeout), coordinator.WithDataCentre(settings.DataCentre),
 		coordinator.WithRegions(settings.Regions),
 		coordinator.WithRetryBudget(settings.RetryRatio, settings.RetrySlack, settings.RetryWindow), coordinator.WithColdLimits(settings.ColdOver, settings.ColdSlack),
+		coordinator.WithStoredQuarantines(),
 	)
 	h.driver = driver.New(ctx, c, platform.NewServerClient(singleUseTransport, platform.WithLogger(logs.For("conductor")), platform.WithNoticeHandler(func(server fuchsiapitch.ServerID, notice fuchsiapitch.ServerNotice) {
 		h.driver.RecordNotice(server, "", notice)
@@ -363,9 +366,19 @@
 	for _, t := range h.longPollTrackers {
 		s.Add(t)
 	}
+	s.Add(h.newKeeper())
 	return s
 }
 
+// newKeeper returns what keeps the quarantined parts of prompts in the store.
+func (h *Host) newKeeper() *keeper.Keeper {
+	return keeper.New(h.pacedStore, appender.New(h.pacedStore, platform.QuarantinesTopic, string(h.self.ID), h.startedUnixMillis), h.driver,
+		keeper.WithLogger(h.log), keeper.WithEra(func() int64 {
+			era, _ := h.era.current()
+			return era
+		}))
+}
+
 // readCounter returns a handler that counts the reads of a topic and the bytes received,
 // and logs the reads that were restarted.
 func (h *Host) readCounter(topic string) func(tracker.ReadResult) {
--- a/internal/platformassembler/platformassembler_test.go
+++ b/internal/platformassembler/platformassembler_test.go
@@ -28,6 +28,7 @@
 	readinessAddresses []string
 	settingsPaths      []string
 	stopChannels       []chan struct{}
+	kills              []context.CancelFunc
 	serveResults       []chan error
 	requestCount       atomic.Int64
 }
@@ -46,7 +47,7 @@
 			t.Fatal(err)
 		}
 		c.clientAddresses, c.readinessAddresses, c.settingsPaths = append(c.clientAddresses, clientAddress), append(c.readinessAddresses, readinessAddress), append(c.settingsPaths, settingsPath)
-		c.stopChannels, c.serveResults = append(c.stopChannels, nil), append(c.serveResults, nil)
+		c.stopChannels, c.kills, c.serveResults = append(c.stopChannels, nil), append(c.kills, nil), append(c.serveResults, nil)
 		c.startHost(ctx, t, n)
 	}
 	t.Cleanup(func() {
@@ -63,9 +64,20 @@
 	return c
 }
 
+// killHosts ends the hosts from a number on at once, without a stop, and waits until they have ended.
+func (c *testCluster) killHosts(from int) {
+	for _, kill := range c.kills[from:] {
+		kill()
+	}
+	for _, e := range c.serveResults[from:] {
+		<-e
+	}
+}
+
 // startHost starts the entry host with a number.
 func (c *testCluster) startHost(ctx context.Context, t *testing.T, n int) {
 	t.Helper()
+	ctx, c.kills[n] = context.WithCancel(ctx)
 	host, cleanUp, err := New(ctx, c.settingsPaths[n], make(chan os.Signal), logger.New(os.Stderr, logger.WithHost(fmt.Sprint(n))))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/quarantiner/message.go
+++ b/internal/quarantiner/message.go
@@ -52,12 +52,22 @@
 	}
 	var list []Quarantine
 	for _, p := range parts {
-		q := t.quarantines[p]
-		list = append(list, Quarantine{Part: p, Age: now - q.lastCrashAt, IdleFor: now - q.lastRequestAt, Permits: q.permits, Used: q.used, Holder: q.holder, IsUsed: q.isUsed, IsDiscriminating: q.isDiscriminating, Rivals: limited(slices.Sorted(maps.Keys(q.rivals)), maxAnnouncedRivals)})
+		told := t.quarantines[p].describe(now, p)
+		told.SinceUse = 0
+		told.Rivals = limited(told.Rivals, maxAnnouncedRivals)
+		list = append(list, told)
 	}
 	return list
 }
 
+// describe returns the state of a quarantine.
+func (q *quarantine) describe(now time.Duration, p Part) Quarantine {
+	return Quarantine{
+		Part: p, Age: now - q.lastCrashAt, IdleFor: now - q.lastRequestAt, Permits: q.permits, Used: q.used, Holder: q.holder, IsUsed: q.isUsed,
+		IsDiscriminating: q.isDiscriminating, Rivals: slices.Sorted(maps.Keys(q.rivals)), SinceUse: now - q.usedAt,
+	}
+}
+
 // announcedClaims returns the claims that other hosts have to be told of.
 func (t *Table) announcedClaims(now time.Duration, isRelay bool) []Claim {
 	var claims []Claim
@@ -107,7 +117,7 @@
 		if len(t.quarantines) >= maxQuarantines || told.IdleFor > idleLifetime {
 			return
 		}
-		q = startQuarantine(now, now-told.IdleFor)
+		q = startQuarantine(now-told.SinceUse, now-told.IdleFor)
 		q.lastCrashAt = lastCrashAt
 		for _, rival := range rivals {
 			q.rivals[rival] = true
@@ -123,7 +133,7 @@
 		q.lastRequestAt = at
 	}
 	if told.Used > q.used {
-		q.usedAt = now
+		q.usedAt = now - told.SinceUse
 	}
 	q.used = max(q.used, told.Used)
 	switch {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -23,6 +23,7 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch"
@@ -101,6 +102,12 @@
 	return Part(h.Sum64())
 }
 
+// ParsePart returns the part that String has written, false if the text is something else.
+func ParsePart(text string) (Part, bool) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	return Part(n), err == nil && Part(n).String() == text
+}
+
 // Incarnation is one run of a server's process.
 type Incarnation struct {
 	Server            fuchsiapitch.ServerID
@@ -138,6 +145,9 @@
 	IsDiscriminating bool
 	// Rivals are the quarantined parts with the same evidence, in ascending order.
 	Rivals []Part
+	// SinceUse is the time since a permit was last used, or since the quarantine began. Hosts do not tell each
+	// other of it; it is 0 in their messages.
+	SinceUse time.Duration
 }
 
 // Claim tells that a request waits for permits at a host. It is a plain record.
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -176,7 +176,7 @@
 func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
 	topicName := r.URL.Query().Get("topic")
 	data, err := io.ReadAll(r.Body)
-	if err != nil || len(data) <= recordHeaderBytes || len(data) <= recordHeaderBytes+1+int(data[recordHeaderBytes]) {
+	if err != nil || len(data) <= recordHeaderBytes || len(data) < recordHeaderBytes+1+int(data[recordHeaderBytes]) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
