relayer: a server that leaves is asked as well whether it has ended

Requests that may run once got half a body.

Change: each server is asked, also one that is off the list.

TestUnframedResponseOfEndedServer held the fault for right in two cases (its expectations were those of the code, against the rule that an answer that ends early must not look complete); they expect 502 and a stream that is cut off, and failed before the change.

--- a/internal/coordinator/crash.go
+++ b/internal/coordinator/crash.go
@@ -180,17 +180,13 @@
 }
 
 // Verification returns how to verify whether the server of a request runs on, false if that is
-// unknown. A server that leaves may end in order as well; asksLeaving is true if it is to be asked all
-// the same.
-func (c *Coordinator) Verification(t Ticket, asksLeaving bool) (VerifyServer, bool) {
+// unknown. A server that leaves, or has left the list, is asked as well: it ends with the responses that it has not
+// finished.
+func (c *Coordinator) Verification(t Ticket) (VerifyServer, bool) {
 	a, ok := c.assignments[t]
 	if !ok {
 		return VerifyServer{}, false
 	}
-	s, ok := c.servers[a.incarnation.Server]
-	if !ok || s.isLeaving() && !asksLeaving {
-		return VerifyServer{}, false
-	}
 	return VerifyServer{Server: a.incarnation.Server, Address: a.replica.address, StartedUnixMillis: a.incarnation.StartedUnixMillis}, true
 }
 
--- a/internal/driver/crash.go
+++ b/internal/driver/crash.go
@@ -49,12 +49,11 @@
 
 // HasServerEnded asks the server of the slot whether it runs on after it has ended the connection of
 // a response that states neither a length nor chunks: the end of such a response looks the
-// same if the server has crashed. It returns false if that is unknown. A server that leaves may also
-// have ended in order after the response. It is asked only if the request can go on elsewhere.
-func (s *Slot) HasServerEnded(canGoOn bool) bool {
+// same if the server has crashed, or has left. It returns false if that is unknown.
+func (s *Slot) HasServerEnded() bool {
 	d := s.driver
 	d.mutex.Lock()
-	v, ok := d.coordinator.Verification(s.ticket, canGoOn)
+	v, ok := d.coordinator.Verification(s.ticket)
 	d.mutex.Unlock()
 	if !ok || !d.verifyServer(v).Ended {
 		return false
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -129,7 +129,7 @@
 // because its server has ended.
 func (x *exchange) readVerifiedBody(slot *driver.Slot, response *http.Response) (blocks [][]byte, release func(), err error) {
 	blocks, release, err = x.readResponseBody(response)
-	if err == nil && sender.IsCloseDelimited(response) && slot.HasServerEnded(x.route.Kind == fuchsiapitch.IdempotentRoute && x.hasAttemptLeft()) {
+	if err == nil && sender.IsCloseDelimited(response) && slot.HasServerEnded() {
 		release()
 		return nil, func() {}, &ServerEndedError{Server: slot.Server()}
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -121,7 +121,7 @@
 		return outcome, cancellationCause(ctx, err)
 	}
 	startedAt, err := x.forwardEvents(ctx, slot, response, p)
-	if err == nil && sender.IsCloseDelimited(response) && slot.HasServerEnded(x.route.Resumable && x.hasAttemptLeft()) {
+	if err == nil && sender.IsCloseDelimited(response) && slot.HasServerEnded() {
 		err, p.mayBeComplete = &ServerEndedError{Server: slot.Server()}, true
 	}
 	if !p.slotIsFree {
--- a/internal/relayer/unframed_test.go
+++ b/internal/relayer/unframed_test.go
@@ -83,8 +83,10 @@
 		"a stream of a server that leaves":                        {path: "/stream/x", start: leaving + event, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
 		"a stream that was whole":                                 {path: "/stream/x", start: leaving + event, next: noEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n"},
 		"an idempotent request of a server that leaves":           {path: "/look/x", start: leaving + half, next: succeed, hasEnded: true, wantStatus: http.StatusOK, wantBody: "whole b"},
-		"a request that may run once of a server that leaves":     {path: "/once/x", start: leaving + half, next: succeed, hasEnded: true, wantStatus: http.StatusOK, wantBody: "ha"},
-		"a stream that cannot be resumed of a server that leaves": {path: "/one-stream/x", start: leaving + event, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n"},
+		"a request that may run once of a server that leaves":     {path: "/once/x", start: leaving + half, next: succeed, hasEnded: true, wantStatus: http.StatusBadGateway},
+		"a stream that cannot be resumed of a server that leaves": {path: "/one-stream/x", start: leaving + event, next: lastEvent, hasEnded: true, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n", wantCutOff: true},
+		"a response of a server that leaves and runs on":          {path: "/once/x", start: leaving + half, next: succeed, wantStatus: http.StatusOK, wantBody: "ha"},
+		"a stream of a server that leaves and runs on":            {path: "/one-stream/x", start: leaving + event, next: lastEvent, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n"},
 		"a response of a server that runs":                        {path: "/once/x", start: half, next: succeed, wantStatus: http.StatusOK, wantBody: "ha"},
 		"a stream of a server that runs":                          {path: "/stream/x", start: event, next: lastEvent, wantStatus: http.StatusOK, wantBody: "id: 1\ndata: a\n\n"},
 	}
