quarantiner: a quarantine that only has to settle outlives the hosts

Cause: the hosts wait 0.5 s after the third end for news of answers, and stored nothing before.

Change: a quarantine for which only that time has to pass is stored as well, and deleted if another host tells of an answer meanwhile. It differs in nothing from the one that follows, so that this costs no further write.

TestImpendingQuarantineIsStored is new (before, nothing was stored at that time).

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -436,11 +436,11 @@
 // same server.
 func (t *Table) review(now time.Duration) {
 	for len(t.quarantines) < maxQuarantines {
-		best := t.bestSuspect(now)
+		best := t.bestSuspect(now, t.settleTime)
 		if best == nil {
 			return
 		}
-		imposed := t.rivals(now, best)
+		imposed := t.rivals(now, t.settleTime, best)
 		if len(t.quarantines)+len(imposed) > maxQuarantines {
 			return
 		}
--- a/internal/quarantiner/stored.go
+++ b/internal/quarantiner/stored.go
@@ -1,13 +1,16 @@
 package quarantiner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // refreshInterval is how much longer ago the last request with a part may be by its stored quarantine, which ends by
 // itself when there are none for idleLifetime.
 const refreshInterval = idleLifetime / 4
 
-// Quarantines returns all quarantines in ascending order of their parts, as they have to outlive the processes of the
-// hosts. A permit that may still be used counts as used.
+// Quarantines returns all quarantines as they have to outlive the processes of the hosts, and those that are imposed
+// after the settle time unless another host tells of an answer. A permit that may still be used counts as used.
 func (t *Table) Quarantines(now time.Duration) []Quarantine {
 	var list []Quarantine
 	for _, p := range t.QuarantinedParts() {
@@ -18,6 +21,27 @@
 		q.Holder, q.IsUsed = "", true
 		list = append(list, q)
 	}
+	return append(list, t.impending(now)...)
+}
+
+// impending returns the quarantines for which only the settle time has to pass.
+func (t *Table) impending(now time.Duration) []Quarantine {
+	best := t.bestSuspect(now, 0)
+	if best == nil {
+		return nil
+	}
+	parts := t.rivals(now, 0, best)
+	slices.Sort(parts)
+	var list []Quarantine
+	for _, p := range parts {
+		q := Quarantine{Part: p, IsUsed: true}
+		for _, rival := range parts {
+			if rival != p {
+				q.Rivals = append(q.Rivals, rival)
+			}
+		}
+		list = append(list, q)
+	}
 	return list
 }
 
--- a/internal/quarantiner/stored_test.go
+++ b/internal/quarantiner/stored_test.go
@@ -57,3 +57,25 @@
 	idle.Restore(now, stored)
 	assertQuarantined(t, idle)
 }
+
+// Guards against a part that is forgotten when all hosts end before they would have quarantined it, and a sound one
+// that is stored for a moment at which all servers end.
+func TestImpendingQuarantineIsStored(t *testing.T) {
+	const now = 10 * time.Second
+	table := newTable("h1")
+	table.RecordAnswer(now, now-time.Second, []Part{popular})
+	recordCrashes(table, now, 1, minCrashes, lethal, popular)
+	assertQuarantined(t, table)
+	restarted := newTable("h2")
+	restarted.Restore(0, table.Quarantines(now))
+	assertQuarantined(t, restarted, lethal)
+	table.Review(now + testSettleTime)
+	if got := table.Quarantines(now + testSettleTime); len(got) != 1 || got[0].Differs(Quarantine{}) {
+		t.Errorf("got %v, want no difference when the quarantine is imposed", got)
+	}
+	table = newTable("h1")
+	recordCrashes(table, now, 1, minCrashes-1, lethal)
+	if got := table.Quarantines(now); len(got) > 0 {
+		t.Errorf("got %v after %d crashes, want none", got, minCrashes-1)
+	}
+}
--- a/internal/quarantiner/suspect.go
+++ b/internal/quarantiner/suspect.go
@@ -13,14 +13,15 @@
 	answers   int
 }
 
-// bestSuspect returns the part that explains the crashes best, nil if there are too few of them.
-func (t *Table) bestSuspect(now time.Duration) *suspect {
+// bestSuspect returns the part that explains best the crashes that were heard of before the settle time, nil if there
+// are too few of them.
+func (t *Table) bestSuspect(now, settleTime time.Duration) *suspect {
 	var best *suspect
 	for p, r := range t.records {
 		if len(r.crashes) < minCrashes || t.quarantines[p] != nil {
 			continue
 		}
-		if s := t.newSuspect(now, p, r, t.settleTime); len(s.crashes) >= minCrashes && s.compare(best) > 0 {
+		if s := t.newSuspect(now, p, r, settleTime); len(s.crashes) >= minCrashes && s.compare(best) > 0 {
 			best = s
 		}
 	}
@@ -30,13 +31,13 @@
 // rivals returns the parts that may explain the crashes as well as the best one, with that one. If none of
 // them was ever answered, few crashes more are no evidence: they may have another reason, and
 // a crash that hosts know by two incarnations counts twice.
-func (t *Table) rivals(now time.Duration, best *suspect) []Part {
+func (t *Table) rivals(now, settleTime time.Duration, best *suspect) []Part {
 	var found []Part
 	for p, r := range t.records {
 		if len(r.crashes) < minCrashes || t.quarantines[p] != nil {
 			continue
 		}
-		if s := t.newSuspect(now, p, r, t.settleTime); len(s.crashes) >= minCrashes && s.compare(best) == 0 {
+		if s := t.newSuspect(now, p, r, settleTime); len(s.crashes) >= minCrashes && s.compare(best) == 0 {
 			found = append(found, p)
 			continue
 		}
