--- a/internal/coordinator/stored.go
+++ b/internal/coordinator/stored.go
@@ -43,8 +43,9 @@
 	return c.parts.Quarantines(now)
 }
 
-// ForgetsStored reports whether a stored quarantine that this host does not have has ended.
-func (c *Coordinator) ForgetsStored() bool { return !c.parts.IsFull() }
+// HasRoomForQuarantines reports whether this host has all quarantines. Those that a full host has no room for have not
+// ended.
+func (c *Coordinator) HasRoomForQuarantines() bool { return !c.parts.IsFull() }
 
 // KeepsQuarantines reports whether this host is one of those that keep the quarantines in the store.
 func (c *Coordinator) KeepsQuarantines(now time.Duration) bool {
--- a/internal/driver/crash.go
+++ b/internal/driver/crash.go
@@ -69,11 +69,12 @@
 	return d.coordinator.Quarantines(d.now())
 }
 
-// ForgetsStored reports whether a stored quarantine that this host does not have has ended.
-func (d *Driver) ForgetsStored() bool {
+// HasRoomForQuarantines reports whether this host has all quarantines. Those that a full host has no room for have not
+// ended.
+func (d *Driver) HasRoomForQuarantines() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.coordinator.ForgetsStored()
+	return d.coordinator.HasRoomForQuarantines()
 }
 
 // KeepsQuarantines reports whether this host is one of those that keep the quarantines in the store.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -40,8 +40,9 @@
 type Cluster interface {
 	// Quarantines returns the quarantines that have to be in the store.
 	Quarantines() []quarantiner.Quarantine
-	// ForgetsStored reports whether a stored quarantine that the host does not have has ended.
-	ForgetsStored() bool
+	// HasRoomForQuarantines reports whether the host has all quarantines. Those that a full host has no room for
+	// have not ended.
+	HasRoomForQuarantines() bool
 	// KeepsQuarantines reports whether the host is one of those that keep the quarantines in the store.
 	KeepsQuarantines() bool
 	// NeedsServerList reports whether the host reads in the store what others tell it otherwise.
@@ -61,8 +62,7 @@
 
 	// isRestored is true once the host has adopted what was stored.
 	isRestored bool
-	// stored are the quarantines in the store as far as the host knows, as of readAt, nil before the first read.
-	// Their ages are those of readAt.
+	// stored are the quarantines in the store as far as the host knows, nil if it has to read them.
 	stored map[quarantiner.Part]storedQuarantine
 	// era is the era of stored.
 	era int64
@@ -172,7 +172,7 @@
 		k.stored[q.Part] = storedQuarantine{q, now}
 	}
 	for p := range k.stored {
-		if current[p] || !k.cluster.ForgetsStored() {
+		if current[p] || !k.cluster.HasRoomForQuarantines() {
 			continue
 		}
 		if err := k.append(ctx, p, nil); err != nil {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -24,7 +24,7 @@
 }
 
 func (c *fakeCluster) Quarantines() []quarantiner.Quarantine { return c.quarantines }
-func (c *fakeCluster) ForgetsStored() bool                   { return !c.isFull }
+func (c *fakeCluster) HasRoomForQuarantines() bool           { return !c.isFull }
 func (c *fakeCluster) KeepsQuarantines() bool                { return c.keeps }
 func (c *fakeCluster) NeedsServerList() bool                 { return true }
 
--- a/internal/platformassembler/lethalrestart_test.go
+++ b/internal/platformassembler/lethalrestart_test.go
@@ -15,7 +15,7 @@
 // restartSpan is how long lethal requests come after a restart of all hosts: longer than the first permit takes.
 const restartSpan = 9 * time.Second
 
-// learnLethalPart sends requests with the lethal part until all hosts have quarantined it.
+// learnLethalPart sends requests with the lethal part until all hosts have quarantined it and the store has that.
 func (c *testCluster) learnLethalPart(t *testing.T) {
 	t.Helper()
 	c.Fleet.SetLethalPart(lethalPart)
@@ -23,14 +23,15 @@
 	var clients sync.WaitGroup
 	c.sendPrompts(ctx, t, &clients, 1, 2, 100*time.Millisecond, lethalParts, func(promptResult) {})
 	c.await(t, "quarantine", func() bool {
-		return !slices.ContainsFunc(c.liveHosts(), func(n int) bool { return !c.isQuarantined(t, n) })
+		return !slices.ContainsFunc(c.hostNumbers(), func(n int) bool { return !c.isQuarantined(t, n) })
 	})
 	cancel()
 	clients.Wait()
+	c.await(t, "stored quarantine", func() bool { return c.isStored(t) })
 }
 
-// liveHosts returns the numbers of all hosts.
-func (c *testCluster) liveHosts() []int {
+// hostNumbers returns the numbers of all hosts.
+func (c *testCluster) hostNumbers() []int {
 	numbers := make([]int, len(c.clientAddresses))
 	for n := range numbers {
 		numbers[n] = n
@@ -52,10 +53,10 @@
 		time.Sleep(pause)
 	}
 	c.killHosts(0)
-	for _, n := range c.liveHosts() {
+	for _, n := range c.hostNumbers() {
 		c.startHost(ctx, t, n)
 	}
-	for _, n := range c.liveHosts() {
+	for _, n := range c.hostNumbers() {
 		c.awaitReady(t, n)
 	}
 }
@@ -85,7 +86,6 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			t.Cleanup(cancel)
 			c.learnLethalPart(t)
-			c.await(t, "stored quarantine", func() bool { return c.isStored(t) })
 			before := c.Fleet.LethalCrashes(lethalPart)
 			for range tt.restarts {
 				c.restartAllHosts(ctx, t, tt.pause)
@@ -112,21 +112,20 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	c.learnLethalPart(t)
-	c.await(t, "stored quarantine", func() bool { return c.isStored(t) })
 	c.restartAllHosts(ctx, t, 0)
 	c.Fleet.SetLethalPart("")
 	sendCtx, stopSending := context.WithCancel(ctx)
 	var clients sync.WaitGroup
 	c.sendPrompts(sendCtx, t, &clients, 1, 3, 100*time.Millisecond, lethalParts, func(promptResult) {})
 	c.await(t, "end of the quarantine", func() bool {
-		return !slices.ContainsFunc(c.liveHosts(), func(n int) bool { return c.isQuarantined(t, n) })
+		return !slices.ContainsFunc(c.hostNumbers(), func(n int) bool { return c.isQuarantined(t, n) })
 	})
 	stopSending()
 	clients.Wait()
 	c.await(t, "deleted record", func() bool { return !c.isStored(t) })
 	c.restartAllHosts(ctx, t, 0)
 	c.await(t, "complete stream with the part", func() bool { return c.sendPrompt(ctx, t, 0, []string{lethalPart, "own"}).isComplete })
-	for _, n := range c.liveHosts() {
+	for _, n := range c.hostNumbers() {
 		if c.isQuarantined(t, n) {
 			t.Errorf("host %d: got the part quarantined, want it free", n)
 		}
