platformassembler: the restart test beside trouble of the store

TestLethalPartIsRememberedAfterRestartOfAllHosts has four more cases: the store is away around the restart, takes 400 ms for each call, refuses one of the three hosts that write quarantines, or has gone back to a copy without the quarantine.

--- a/internal/platformassembler/lethalrestart_test.go
+++ b/internal/platformassembler/lethalrestart_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fuchsiapitch/fuchsiapitch/internal/quarantiner"
+	standin "github.com/fuchsiapitch/fuchsiapitch/internal/standin/platform"
 	"github.com/fuchsiapitch/fuchsiapitch/platform"
 )
 
@@ -69,7 +70,7 @@
 // isStored reports whether the store has a quarantine of the lethal part.
 func (c *testCluster) isStored(t *testing.T) bool {
 	t.Helper()
-	page, err := platform.NewStoreClient(c.StoreEndpoint(hostName(0)).Address(), http.DefaultTransport).Newest(t.Context(), platform.QuarantinesTopic)
+	page, err := platform.NewStoreClient(c.StoreEndpoint(hostName(1)).Address(), http.DefaultTransport).Newest(t.Context(), platform.QuarantinesTopic)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,11 +79,34 @@
 
 // Guards against a lethal part that all hosts forget when they end at once, so that it ends server after server again.
 func TestLethalPartIsRememberedAfterRestartOfAllHosts(t *testing.T) {
+	nothing := func(*testing.T, *testCluster) {}
+	var withoutQuarantine standin.Copy
 	tests := map[string]struct {
 		pause    time.Duration
 		restarts int
+		// prepare is called before the hosts learn the part, disturb before they are killed.
+		prepare, disturb func(*testing.T, *testCluster)
 	}{
-		"at once": {restarts: 1}, "one after the other": {pause: 200 * time.Millisecond, restarts: 1}, "twice": {restarts: 2},
+		"at once":             {restarts: 1, prepare: nothing, disturb: nothing},
+		"one after the other": {pause: 200 * time.Millisecond, restarts: 1, prepare: nothing, disturb: nothing},
+		"twice":               {restarts: 2, prepare: nothing, disturb: nothing},
+		"store away":          {restarts: 1, prepare: nothing, disturb: takeStoreAway},
+		"store slow": {
+			restarts: 1, prepare: func(_ *testing.T, c *testCluster) { c.Store.SetDelay(400 * time.Millisecond) }, disturb: nothing,
+		},
+		"store refuses a host that writes": {
+			restarts: 1, prepare: func(_ *testing.T, c *testCluster) { c.StoreEndpoint(hostName(0)).Pause() }, disturb: nothing,
+		},
+		"store gone back": {
+			restarts: 1, prepare: func(_ *testing.T, c *testCluster) {
+				c.Store.StateEra()
+				withoutQuarantine = c.Store.Copy()
+			}, disturb: func(t *testing.T, c *testCluster) {
+				t.Helper()
+				c.Store.GoBack(withoutQuarantine)
+				c.await(t, "quarantine that is written again", func() bool { return c.isStored(t) })
+			},
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -90,7 +114,9 @@
 			c := newTestCluster(t, 3)
 			ctx, cancel := context.WithCancel(context.Background())
 			t.Cleanup(cancel)
+			tt.prepare(t, c)
 			c.learnLethalPart(t)
+			tt.disturb(t, c)
 			before := c.Fleet.LethalCrashes(lethalPart)
 			for range tt.restarts {
 				c.restartAllHosts(ctx, t, tt.pause)
@@ -108,6 +134,12 @@
 	}
 }
 
+// takeStoreAway takes the store away for two seconds, in which all hosts are killed and start again.
+func takeStoreAway(_ *testing.T, c *testCluster) {
+	c.Store.SetOutage(true)
+	time.AfterFunc(2*time.Second, func() { c.Store.SetOutage(false) })
+}
+
 // Guards against a quarantine that comes back from the store after its part was answered, and a record that
 // remains there.
 func TestAnsweredPartIsFreeAfterRestartOfAllHosts(t *testing.T) {
