coordinator: in a large cluster only relays read the stored quarantines

Change: with relays, a host reads the quarantines from 2 s after its start on and only as a relay, and holds no request back. Small clusters are as before.

TestLargeClusterHoldsNothingBack is new.

--- a/internal/coordinator/stored.go
+++ b/internal/coordinator/stored.go
@@ -15,9 +15,11 @@
 	// refuse some of them.
 	quarantineKeepers = 3
 	// storedPartsTimeout is how long a host that knows servers holds requests back while it cannot read the
-	// stored quarantines. relayedPartsTimeout is the same for a host that hears of them from relays.
-	storedPartsTimeout  = time.Second
-	relayedPartsTimeout = 300 * time.Millisecond
+	// stored quarantines.
+	storedPartsTimeout = time.Second
+	// relaySettleTime is the time after its start from which on a host knows whether it is a relay. Each host counts as
+	// one before.
+	relaySettleTime = 2 * relayTimeout
 )
 
 // WithStoredQuarantines makes the coordinator wait for QuarantinesRead before it sends requests with parts.
@@ -47,14 +49,23 @@
 // ended.
 func (c *Coordinator) HasRoomForQuarantines() bool { return !c.parts.IsFull() }
 
-// KeepsQuarantines reports whether this host is one of those that keep the quarantines in the store.
-func (c *Coordinator) KeepsQuarantines(now time.Duration) bool {
+// ReadsQuarantines reports whether this host reads the quarantines in the store. In a large cluster relays tell the
+// others.
+func (c *Coordinator) ReadsQuarantines(now time.Duration) bool {
 	switch {
 	case !c.peersListed && now < hostListTimeout:
 		// The size of the cluster is unknown.
 		return false
 	case c.usesRelays():
-		return c.servesList(now)
+		return now >= relaySettleTime && c.servesList(now)
+	}
+	return true
+}
+
+// KeepsQuarantines reports whether this host is one of those that keep the quarantines in the store.
+func (c *Coordinator) KeepsQuarantines(now time.Duration) bool {
+	if !c.ReadsQuarantines(now) || c.usesRelays() {
+		return c.ReadsQuarantines(now)
 	}
 	rank, _ := c.Turn(now)
 	return rank < quarantineKeepers
@@ -68,19 +79,16 @@
 	c.admitHeldBack(now)
 }
 
-// holdsBack reports whether a request with parts has to wait for the stored quarantines.
+// holdsBack reports whether a request with parts has to wait for the stored quarantines. In a large cluster none does,
+// since most hosts read nothing in the store.
 func (c *Coordinator) holdsBack(now time.Duration) bool {
-	if !c.awaitsStored {
+	if !c.awaitsStored || c.usesRelays() {
 		return false
 	}
 	if c.serversKnownAt == 0 && c.KnowsServers() {
 		c.serversKnownAt = now
 	}
-	timeout := storedPartsTimeout
-	if c.usesRelays() && !c.servesList(now) {
-		timeout = relayedPartsTimeout
-	}
-	if c.serversKnownAt > 0 && now-c.serversKnownAt >= timeout {
+	if c.serversKnownAt > 0 && now-c.serversKnownAt >= storedPartsTimeout {
 		c.awaitsStored = false
 	}
 	return c.awaitsStored
--- a/internal/coordinator/stored_test.go
+++ b/internal/coordinator/stored_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -92,3 +93,23 @@
 		}
 	}
 }
+
+// Guards against a large cluster whose hosts all read the store at their start, as each counts as a relay until it has
+// heard of others, and against requests that wait there.
+func TestLargeClusterHoldsNothingBack(t *testing.T) {
+	ph := newStartingHost(t)
+	var peers []Peer
+	for n := range 2 * maxDirectPeers {
+		peers = append(peers, Peer{ID: fuchsiapitch.HostID(fmt.Sprintf("p%02d", n))})
+	}
+	ph.apply(PeersListed{Peers: peers})
+	if _, decision := ph.request(popularPart); !isGrant(decision) {
+		t.Errorf("got decision %v, want a grant", decision)
+	}
+	if ph.ReadsQuarantines(relaySettleTime - time.Millisecond) {
+		t.Error("got a host that reads the quarantines at its start, want none")
+	}
+	if !ph.ReadsQuarantines(relaySettleTime) {
+		t.Error("got a host without other relays that does not read the quarantines, want it to")
+	}
+}
--- a/internal/driver/crash.go
+++ b/internal/driver/crash.go
@@ -77,6 +77,13 @@
 	return d.coordinator.HasRoomForQuarantines()
 }
 
+// ReadsQuarantines reports whether this host reads the quarantines in the store.
+func (d *Driver) ReadsQuarantines() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.coordinator.ReadsQuarantines(d.now())
+}
+
 // KeepsQuarantines reports whether this host is one of those that keep the quarantines in the store.
 func (d *Driver) KeepsQuarantines() bool {
 	d.mutex.Lock()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -45,8 +45,8 @@
 	HasRoomForQuarantines() bool
 	// KeepsQuarantines reports whether the host is one of those that keep the quarantines in the store.
 	KeepsQuarantines() bool
-	// NeedsServerList reports whether the host reads in the store what others tell it otherwise.
-	NeedsServerList() bool
+	// ReadsQuarantines reports whether the host reads the quarantines in the store. Others tell it of them otherwise.
+	ReadsQuarantines() bool
 	// RestoreQuarantines adopts the quarantines in the store.
 	RestoreQuarantines(stored []quarantiner.Quarantine)
 }
@@ -119,7 +119,7 @@
 func (k *Keeper) synchronise(ctx context.Context) error {
 	keeps := k.cluster.KeepsQuarantines()
 	switch {
-	case !k.isRestored && (keeps || k.cluster.NeedsServerList()):
+	case !k.isRestored && k.cluster.ReadsQuarantines():
 		return k.read(ctx)
 	case !keeps:
 		// Others write meanwhile.
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -26,7 +26,7 @@
 func (c *fakeCluster) Quarantines() []quarantiner.Quarantine { return c.quarantines }
 func (c *fakeCluster) HasRoomForQuarantines() bool           { return !c.isFull }
 func (c *fakeCluster) KeepsQuarantines() bool                { return c.keeps }
-func (c *fakeCluster) NeedsServerList() bool                 { return true }
+func (c *fakeCluster) ReadsQuarantines() bool                { return true }
 
 func (c *fakeCluster) RestoreQuarantines(stored []quarantiner.Quarantine) {
 	c.restored, c.restoreCount = stored, c.restoreCount+1
